Set down the shape: modules, core records, messages and tasks

Cause: an empty repository; everything later grows in the folders, types and checks chosen here. Before: nothing.

--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/version/package-info.java
@@ -0,0 +1,2 @@
+/** Commands about table versions: check, diff and show. */
+package dev.agatepier.cli.version;
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/Header.java
@@ -0,0 +1,18 @@
+package dev.agatepier.core.request;
+
+import java.util.Objects;
+
+/**
+ * One HTTP header field.
+ *
+ * @param name field name, lower case
+ * @param value field value
+ */
+public record Header(String name, String value) {
+
+  /** Checks that neither part is null. */
+  public Header {
+    Objects.requireNonNull(name, "name");
+    Objects.requireNonNull(value, "value");
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What lives for one published version: the workspace table, the services and the instance list.
+ */
+package dev.agatepier.core.version;
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/MailboxTaskTest.java
@@ -0,0 +1,88 @@
+package dev.agatepier.core.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.testng.annotations.Test;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.scheduler.Scheduler;
+
+public class MailboxTaskTest {
+
+  private final FakeWorker worker = new FakeWorker();
+  private final List<String> handled = new ArrayList<>();
+  private final List<Throwable> failures = new ArrayList<>();
+
+  @Test
+  public void handlesInOrderAndSchedulesOnce() {
+    MailboxTask<String> task = new MailboxTask<>(10, worker, handled::add, failures::add);
+    task.offer("a");
+    task.offer("b");
+    assertEquals(worker.scheduled.size(), 1);
+    worker.runAll();
+    assertEquals(handled, List.of("a", "b"));
+    assertTrue(worker.scheduled.isEmpty(), "nothing is scheduled while the mailbox is empty");
+  }
+
+  @Test
+  public void refusesWhenFullAndTakesAgainAfterDraining() {
+    List<Integer> numbers = new ArrayList<>();
+    FakeWorker own = new FakeWorker();
+    MailboxTask<Integer> task = new MailboxTask<>(2, own, numbers::add, failures::add);
+    assertTrue(task.offer(1));
+    assertTrue(task.offer(2));
+    assertFalse(task.offer(3));
+    own.runAll();
+    assertTrue(task.offer(4));
+    own.runAll();
+    assertEquals(numbers, List.of(1, 2, 4));
+  }
+
+  @Test
+  public void goesOnAfterFailingMessage() {
+    List<Integer> numbers = new ArrayList<>();
+    FakeWorker own = new FakeWorker();
+    MailboxTask<Integer> task =
+        new MailboxTask<>(10, own, number -> numbers.add(10 / number), failures::add);
+    task.offer(0);
+    task.offer(5);
+    own.runAll();
+    assertEquals(numbers, List.of(2));
+    assertEquals(failures.size(), 1);
+  }
+
+  @Test
+  public void takesNothingAfterClose() {
+    MailboxTask<String> task = new MailboxTask<>(10, new FakeWorker(), handled::add, failures::add);
+    task.close();
+    assertFalse(task.offer("late"));
+  }
+
+  /** Runs what is scheduled when the test says so. */
+  private static final class FakeWorker implements Scheduler.Worker {
+    private final Deque<Runnable> scheduled = new ArrayDeque<>();
+
+    @Override
+    public Disposable schedule(Runnable task) {
+      scheduled.add(task);
+      return Disposables.disposed();
+    }
+
+    @Override
+    public void dispose() {
+      scheduled.clear();
+    }
+
+    void runAll() {
+      while (!scheduled.isEmpty()) {
+        scheduled.poll().run();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What lives as long as a process: listeners, timers, metrics and the router and sidecar services.
+ */
+package dev.agatepier.wire.process;
