Add the sidecar's decision

Cause: nothing decided whose turn it is at an upstream. Change: SidecarDecision with demand book, grants, fair order, cost, attempts, tickets, deaths and cost exchange; tests of all but tickets and the exchange. Ruled out: a scan of all workspaces at a pick; two sorted sets are kept up to date on change instead. Conclusion: module verify green; the exchange has no counterpart yet and fairness across sidecars is not shown.

--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
@@ -0,0 +1,224 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.WorkspaceDemand;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.internal.CostEstimator;
+import dev.agatepier.core.process.internal.CostExchange;
+import dev.agatepier.core.process.internal.DemandBook;
+import dev.agatepier.core.process.internal.FairOrder;
+import dev.agatepier.core.process.internal.Readiness;
+import dev.agatepier.core.process.internal.SidecarAttempts;
+import dev.agatepier.core.process.internal.SlotGranter;
+import dev.agatepier.core.process.internal.SlotLimit;
+import dev.agatepier.core.process.internal.WorkspaceAccount;
+import dev.agatepier.core.process.internal.WorkspaceLedger;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.ServiceKind;
+import dev.agatepier.core.version.Table;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Decides whose turn it is at one upstream, and runs each attempt at most once. */
+public final class SidecarDecision implements Decision<SidecarEvent, SidecarEffect> {
+  private final PeerIdentity self;
+  private final SidecarPolicy policy;
+  private final List<SidecarEffect> effects = new ArrayList<>();
+  private final Map<String, PeerIdentity> routers = new LinkedHashMap<>();
+  private final Readiness readiness = new Readiness();
+  private final WorkspaceLedger ledger;
+  private final DemandBook demand;
+  private final SlotGranter granter;
+  private final SidecarAttempts attempts;
+  private final CostExchange exchange;
+  private Optional<ServiceKind> kind = Optional.empty();
+  private SlotLimit limit;
+  private boolean draining;
+  private boolean drainedTold;
+
+  /**
+   * Creates a sidecar that knows of no router, no table and no healthy upstream.
+   *
+   * @param self identity of the sidecar
+   * @param policy settings
+   */
+  public SidecarDecision(PeerIdentity self, SidecarPolicy policy) {
+    this.self = self;
+    this.policy = policy;
+    CostEstimator estimator = new CostEstimator();
+    ledger = new WorkspaceLedger(FairOrder.named(policy.order()), policy.catchUpCost());
+    demand = new DemandBook(ledger);
+    granter = new SlotGranter(ledger, demand, estimator);
+    attempts = new SidecarAttempts(self, policy, readiness, ledger, estimator, granter, effects);
+    exchange = new CostExchange(self, policy.reportMillis(), ledger);
+    limit = SlotLimit.of(ServiceKind.MODEL, policy);
+  }
+
+  @Override
+  public List<SidecarEffect> decide(SidecarEvent event, long nowNanos) {
+    switch (event) {
+      case SidecarEvent.RouterLinked(PeerIdentity peer) -> routerLinked(peer, nowNanos);
+      case SidecarEvent.RouterUnlinked(PeerIdentity peer) -> routerUnlinked(peer, nowNanos);
+      case SidecarEvent.MessageArrived(PeerIdentity peer, LinkMessage message) ->
+          messageArrived(peer, message, nowNanos);
+      case SidecarEvent.UpstreamBegan began -> attempts.began(began);
+      case SidecarEvent.UpstreamSent sent -> upstreamSent(sent, nowNanos);
+      case SidecarEvent.UpstreamEnded ended -> attempts.ended(ended, nowNanos);
+      case SidecarEvent.UpstreamBroke broke -> attempts.broke(broke, nowNanos);
+      case SidecarEvent.UpstreamHealth health -> upstreamHealth(health, nowNanos);
+      case SidecarEvent.TableInForce(Table table) -> tableInForce(table);
+      case SidecarEvent.InstancesInForce(InstanceList instances) -> instancesInForce(instances);
+      case SidecarEvent.TimePassed() -> timePassed(nowNanos);
+      case SidecarEvent.DrainBegun() -> beginDrain();
+    }
+    grantFreeSlots(nowNanos);
+    exchange.report(nowNanos, effects);
+    tellDrained();
+    List<SidecarEffect> decided = List.copyOf(effects);
+    effects.clear();
+    return decided;
+  }
+
+  /** Returns what operators are told. */
+  public SidecarSnapshot snapshot(long nowNanos) {
+    return new SidecarSnapshot(
+        self.service(),
+        readiness.healthy(),
+        readiness.draining(),
+        limit.slots(),
+        attempts.size(),
+        granter.granted(),
+        exchange.holder(),
+        ledger.accounts().stream()
+            .sorted(Comparator.comparing(WorkspaceAccount::name))
+            .map(SidecarDecision::share)
+            .toList());
+  }
+
+  private static SidecarSnapshot.ShareStatus share(WorkspaceAccount account) {
+    return new SidecarSnapshot.ShareStatus(
+        account.name(),
+        account.weight(),
+        account.waiting(),
+        account.running(),
+        account.localCost(),
+        account.fleetCost(),
+        account.virtualService());
+  }
+
+  private void routerLinked(PeerIdentity peer, long nowNanos) {
+    PeerIdentity before = routers.get(peer.instance());
+    if (before != null && !before.equals(peer)) {
+      routerUnlinked(before, nowNanos);
+    }
+    routers.put(peer.instance(), peer);
+    attempts.routerLinked(peer);
+    exchange.routersChanged(routers.values());
+    granter.routerCame();
+  }
+
+  private void routerUnlinked(PeerIdentity peer, long nowNanos) {
+    if (routers.remove(peer.instance(), peer)) {
+      demand.drop(peer.instance());
+      granter.takeBackOf(peer.instance(), nowNanos);
+      attempts.routerGone(peer, nowNanos);
+      exchange.routersChanged(routers.values());
+    }
+  }
+
+  private void messageArrived(PeerIdentity peer, LinkMessage message, long nowNanos) {
+    if (!peer.equals(routers.get(peer.instance()))) {
+      return;
+    }
+    String router = peer.instance();
+    switch (message) {
+      case LinkMessage.DemandUpdate(List<WorkspaceDemand> changes) ->
+          changes.forEach(change -> demand.update(router, change, nowNanos));
+      case LinkMessage.GrantDeclined(long number) -> granter.declined(number, router, nowNanos);
+      case LinkMessage.StartAttempt start -> attempts.start(router, start, nowNanos);
+      case LinkMessage.AttemptWithdrawn withdrawn -> attempts.withdraw(router, withdrawn.attempt());
+      case LinkMessage.AttemptCredit credit -> attempts.credit(credit.attempt(), credit.bytes());
+      case LinkMessage.FleetCosts costs -> exchange.sumsArrived(peer, costs);
+      default -> {
+        // Other messages are handled by the task that owns the link.
+      }
+    }
+  }
+
+  private void upstreamSent(SidecarEvent.UpstreamSent sent, long nowNanos) {
+    boolean allInUse = attempts.size() >= limit.slots();
+    double gapMillis = attempts.sent(sent, nowNanos);
+    if (gapMillis > 0) {
+      limit.tokenGap(gapMillis, allInUse);
+    }
+  }
+
+  private void upstreamHealth(SidecarEvent.UpstreamHealth health, long nowNanos) {
+    readiness.setHealthy(health.healthy());
+    if (health.died()) {
+      attempts.upstreamDied(routers.keySet(), nowNanos);
+    }
+    if (!health.healthy()) {
+      attempts.refuseWaiting(Reason.NOT_READY);
+    }
+  }
+
+  private void tableInForce(Table table) {
+    ledger.inForce(table);
+    Optional<ServiceKind> published = table.service(self.service()).map(ServiceEntry::kind);
+    if (published.isPresent() && !published.equals(kind)) {
+      kind = published;
+      attempts.setKind(published.get());
+      limit = SlotLimit.of(published.get(), policy);
+    }
+  }
+
+  private void instancesInForce(InstanceList instances) {
+    readiness.setLeaving(
+        instances.instances().stream()
+            .filter(instance -> instance.name().equals(self.instance()))
+            .anyMatch(Instance::leaving));
+    refuseWaitingWhenDraining();
+  }
+
+  private void timePassed(long nowNanos) {
+    long grantNanos = TimeUnit.MILLISECONDS.toNanos(policy.grantMillis());
+    granter.takeBackIssuedUntil(nowNanos - grantNanos, nowNanos);
+    demand.timePassed(nowNanos);
+    attempts.timePassed(nowNanos);
+  }
+
+  private void beginDrain() {
+    draining = true;
+    readiness.beginDrain();
+    refuseWaitingWhenDraining();
+  }
+
+  private void refuseWaitingWhenDraining() {
+    if (readiness.draining()) {
+      attempts.refuseWaiting(Reason.DRAINING);
+    }
+  }
+
+  private void grantFreeSlots(long nowNanos) {
+    if (kind.isPresent() && readiness.refusal().isEmpty() && !attempts.exclusive()) {
+      int free = limit.slots() - attempts.size() - granter.granted();
+      granter.grant(free, routers.keySet(), nowNanos, effects);
+    }
+  }
+
+  private void tellDrained() {
+    if (draining && !drainedTold && attempts.idle() && granter.granted() == 0) {
+      drainedTold = true;
+      effects.add(new SidecarEffect.Drained());
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AnswerReplay.java
@@ -0,0 +1,40 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.process.SidecarEffect;
+import dev.agatepier.core.process.SidecarEffect.Send;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import java.util.List;
+
+/** Sends a remembered answer once more, no faster than its caller takes it. */
+final class AnswerReplay {
+  final AttemptId attempt;
+  final String router;
+  private final List<Bytes> frames;
+  private long windowBytes;
+  private int nextFrame;
+
+  AnswerReplay(AttemptId attempt, String router, TicketEntry entry, long windowBytes) {
+    this.attempt = attempt;
+    this.router = router;
+    this.frames = entry.frames;
+    this.windowBytes = windowBytes;
+  }
+
+  /** Adds credit and sends what it allows; returns whether the answer is whole. */
+  boolean send(long creditBytes, List<SidecarEffect> effects) {
+    windowBytes += creditBytes;
+    while (nextFrame < frames.size() && windowBytes > 0) {
+      Bytes frame = frames.get(nextFrame);
+      windowBytes -= frame.size();
+      effects.add(new Send(router, new LinkMessage.AttemptContent(attempt, nextFrame, frame)));
+      nextFrame++;
+    }
+    if (nextFrame < frames.size()) {
+      return false;
+    }
+    effects.add(new Send(router, new LinkMessage.AttemptEnd(attempt, nextFrame, 0)));
+    return true;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempt.java
@@ -0,0 +1,36 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import java.util.Optional;
+
+/** One attempt that holds a slot: waiting to run alone, or handed to the upstream. */
+final class RunningAttempt {
+  final StartAttempt start;
+  final String router;
+  final long acceptedNanos;
+  final Optional<TicketEntry> ticket;
+  double charged;
+  long startedNanos;
+  long lastTokenNanos;
+  long tokens;
+  int frames;
+  boolean withdrawn;
+  boolean detached;
+
+  RunningAttempt(
+      StartAttempt start,
+      String router,
+      double charged,
+      long acceptedNanos,
+      Optional<TicketEntry> ticket) {
+    this.start = start;
+    this.router = router;
+    this.charged = charged;
+    this.acceptedNanos = acceptedNanos;
+    this.ticket = ticket;
+  }
+
+  long timeLeftMillis(long nowNanos) {
+    return start.timeLeftMillis() - (nowNanos - acceptedNanos) / 1_000_000;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
@@ -0,0 +1,300 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
+import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.SidecarEffect;
+import dev.agatepier.core.process.SidecarEffect.CancelUpstream;
+import dev.agatepier.core.process.SidecarEffect.ReadUpstream;
+import dev.agatepier.core.process.SidecarEffect.Send;
+import dev.agatepier.core.process.SidecarEffect.StartUpstream;
+import dev.agatepier.core.process.internal.AttemptMarks.Mark;
+import dev.agatepier.core.request.AnswerHead;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.Reason;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The attempts that hold a slot, from their admission to their end. */
+final class RunningAttempts {
+  private final WorkspaceLedger ledger;
+  private final CostMeter meter;
+  private final AttemptMarks marks;
+  private final TicketMemory tickets;
+  private final UpstreamDeaths deaths;
+  private final List<SidecarEffect> effects;
+  private final Map<AttemptId, RunningAttempt> running = new LinkedHashMap<>();
+  private final Deque<RunningAttempt> waitingAlone = new ArrayDeque<>();
+
+  RunningAttempts(
+      WorkspaceLedger ledger,
+      CostMeter meter,
+      AttemptMarks marks,
+      TicketMemory tickets,
+      UpstreamDeaths deaths,
+      List<SidecarEffect> effects) {
+    this.ledger = ledger;
+    this.meter = meter;
+    this.marks = marks;
+    this.tickets = tickets;
+    this.deaths = deaths;
+    this.effects = effects;
+  }
+
+  int size() {
+    return running.size() + waitingAlone.size();
+  }
+
+  /** Returns whether an attempt runs alone or waits to do so, so that nothing else may start. */
+  boolean exclusive() {
+    return !waitingAlone.isEmpty()
+        || (running.size() == 1 && running.values().iterator().next().start.alone());
+  }
+
+  /** Takes in an attempt that holds a slot, and starts it unless it must wait to run alone. */
+  void admit(RunningAttempt attempt, long nowNanos) {
+    attempt.ticket.ifPresent(entry -> tickets.begin(attempt.start.ticket().orElseThrow(), entry));
+    if (attempt.start.alone() && !running.isEmpty()) {
+      waitingAlone.add(attempt);
+    } else {
+      launch(attempt, nowNanos);
+    }
+  }
+
+  /** Withdraws an attempt that may be unknown: marks first, then answers. */
+  void withdraw(String router, AttemptId id) {
+    RunningAttempt attempt = running.get(id);
+    if (attempt == null) {
+      withdrawNotStarted(router, id);
+    } else if (attempt.ticket.isPresent() && !attempt.detached) {
+      answer(attempt, new AttemptFailed(id, Reason.WITHDRAWN));
+      detach(attempt);
+    } else if (!attempt.withdrawn && !attempt.detached) {
+      attempt.withdrawn = true;
+      effects.add(new CancelUpstream(id));
+    }
+  }
+
+  /** Gives the upstream's answer more room. */
+  void credit(AttemptId id, long bytes) {
+    if (running.containsKey(id)) {
+      effects.add(new ReadUpstream(id, bytes));
+    }
+  }
+
+  /** Cancels what a router incarnation has running, but for ticketed calls. */
+  void routerGone(PeerIdentity router, long nowNanos) {
+    List<RunningAttempt> waiting =
+        waitingAlone.stream().filter(attempt -> isOf(attempt, router)).toList();
+    for (RunningAttempt attempt : waiting) {
+      waitingAlone.remove(attempt);
+      refuse(attempt, Reason.WITHDRAWN);
+    }
+    for (RunningAttempt attempt : running.values()) {
+      if (isOf(attempt, router) && !attempt.detached) {
+        if (attempt.ticket.isEmpty()) {
+          effects.add(new CancelUpstream(attempt.start.attempt()));
+        }
+        detach(attempt);
+      }
+    }
+    startNext(nowNanos);
+  }
+
+  void began(AttemptId id, AnswerHead head) {
+    RunningAttempt attempt = running.get(id);
+    if (attempt != null) {
+      attempt.ticket.ifPresent(entry -> tickets.began(entry, head));
+      answer(attempt, new LinkMessage.AttemptHead(id, head));
+    }
+  }
+
+  /** Passes on part of an answer; returns the time between its tokens in ms, 0 for none. */
+  double sent(AttemptId id, Bytes content, int tokens, long nowNanos) {
+    RunningAttempt attempt = running.get(id);
+    if (attempt == null) {
+      return 0;
+    }
+    attempt.ticket.ifPresent(entry -> tickets.sent(entry, content));
+    if (attempt.detached) {
+      effects.add(new ReadUpstream(id, content.size()));
+    }
+    answer(attempt, new LinkMessage.AttemptContent(id, attempt.frames, content));
+    attempt.frames++;
+    attempt.tokens += tokens;
+    meter.grow(attempt, nowNanos);
+    return gapMillis(attempt, tokens, nowNanos);
+  }
+
+  void ended(AttemptId id, long reportedTokens, long nowNanos) {
+    RunningAttempt attempt = running.get(id);
+    if (attempt == null) {
+      return;
+    }
+    double cost = meter.finish(attempt, reportedTokens, nowNanos);
+    attempt.ticket.ifPresent(tickets::completed);
+    LinkMessage end =
+        attempt.withdrawn
+            ? new AttemptFailed(id, Reason.WITHDRAWN)
+            : new LinkMessage.AttemptEnd(id, attempt.frames, cost);
+    remove(attempt);
+    answerEnd(attempt, end);
+    startNext(nowNanos);
+  }
+
+  void broke(AttemptId id, boolean sent, Reason reason, long nowNanos) {
+    RunningAttempt attempt = running.get(id);
+    if (attempt == null) {
+      return;
+    }
+    remove(attempt);
+    Reason told = attempt.withdrawn ? Reason.WITHDRAWN : reason;
+    if (sent) {
+      fail(attempt, told, nowNanos);
+      if (!attempt.withdrawn && !attempt.detached) {
+        deaths.broke(attempt.start.fingerprint(), nowNanos);
+      }
+    } else {
+      meter.refund(attempt);
+      forgetTicket(attempt);
+      answerEnd(attempt, new AttemptNotRun(id, told));
+    }
+    startNext(nowNanos);
+  }
+
+  /** Fails everything that ran and tells the routers which requests did. */
+  void upstreamDied(Collection<String> routers, long nowNanos) {
+    LinkMessage.SuspicionReport report = deaths.died(running.values(), nowNanos);
+    for (RunningAttempt attempt : List.copyOf(running.values())) {
+      remove(attempt);
+      fail(attempt, Reason.UPSTREAM_DIED, nowNanos);
+    }
+    refuseWaiting(Reason.NOT_READY);
+    if (!report.suspicions().isEmpty()) {
+      routers.forEach(router -> effects.add(new Send(router, report)));
+    }
+  }
+
+  /** Refuses what waits to run alone. */
+  void refuseWaiting(Reason reason) {
+    while (!waitingAlone.isEmpty()) {
+      refuse(waitingAlone.remove(), reason);
+    }
+  }
+
+  void timePassed(long nowNanos) {
+    running.values().forEach(attempt -> meter.grow(attempt, nowNanos));
+    List<RunningAttempt> late =
+        waitingAlone.stream().filter(attempt -> attempt.timeLeftMillis(nowNanos) <= 0).toList();
+    for (RunningAttempt attempt : late) {
+      waitingAlone.remove(attempt);
+      refuse(attempt, Reason.DEADLINE);
+    }
+  }
+
+  private void launch(RunningAttempt attempt, long nowNanos) {
+    AttemptId id = attempt.start.attempt();
+    marks.mark(id, Mark.STARTED);
+    attempt.startedNanos = nowNanos;
+    running.put(id, attempt);
+    ledger.addRunning(attempt.start.workspace(), 1);
+    effects.add(
+        new StartUpstream(
+            id,
+            attempt.start.head(),
+            attempt.start.body(),
+            attempt.timeLeftMillis(nowNanos),
+            attempt.start.windowBytes()));
+  }
+
+  private void startNext(long nowNanos) {
+    while (running.isEmpty() && !waitingAlone.isEmpty()) {
+      RunningAttempt attempt = waitingAlone.remove();
+      if (attempt.timeLeftMillis(nowNanos) > 0) {
+        launch(attempt, nowNanos);
+      } else {
+        refuse(attempt, Reason.DEADLINE);
+      }
+    }
+  }
+
+  private void withdrawNotStarted(String router, AttemptId id) {
+    for (RunningAttempt attempt : waitingAlone) {
+      if (attempt.start.attempt().equals(id)) {
+        waitingAlone.remove(attempt);
+        refuse(attempt, Reason.WITHDRAWN);
+        return;
+      }
+    }
+    marks.mark(id, Mark.NEVER_RUN);
+    if (marks.markOf(id) == Mark.NEVER_RUN) {
+      effects.add(new Send(router, new AttemptNotRun(id, Reason.WITHDRAWN)));
+    }
+  }
+
+  private void refuse(RunningAttempt attempt, Reason reason) {
+    AttemptId id = attempt.start.attempt();
+    marks.mark(id, Mark.NEVER_RUN);
+    meter.refund(attempt);
+    ledger.addInFlight(attempt.start.workspace(), -1);
+    forgetTicket(attempt);
+    answer(attempt, new AttemptNotRun(id, reason));
+  }
+
+  private void fail(RunningAttempt attempt, Reason reason, long nowNanos) {
+    meter.cut(attempt, nowNanos);
+    attempt.ticket.ifPresent(tickets::failed);
+    answerEnd(attempt, new AttemptFailed(attempt.start.attempt(), reason));
+  }
+
+  private void forgetTicket(RunningAttempt attempt) {
+    attempt.ticket.ifPresent(entry -> tickets.notRun(attempt.start.ticket().orElseThrow(), entry));
+  }
+
+  private void remove(RunningAttempt attempt) {
+    running.remove(attempt.start.attempt());
+    ledger.addRunning(attempt.start.workspace(), -1);
+    ledger.addInFlight(attempt.start.workspace(), -1);
+  }
+
+  private void detach(RunningAttempt attempt) {
+    attempt.detached = true;
+    if (attempt.ticket.isPresent()) {
+      effects.add(new ReadUpstream(attempt.start.attempt(), attempt.start.windowBytes()));
+    }
+  }
+
+  private void answer(RunningAttempt attempt, LinkMessage message) {
+    if (!attempt.withdrawn) {
+      answerEnd(attempt, message);
+    }
+  }
+
+  private void answerEnd(RunningAttempt attempt, LinkMessage message) {
+    if (!attempt.detached) {
+      effects.add(new Send(attempt.router, message));
+    }
+  }
+
+  private static boolean isOf(RunningAttempt attempt, PeerIdentity router) {
+    return attempt.router.equals(router.instance())
+        && attempt.start.attempt().request().incarnation() == router.incarnation();
+  }
+
+  private static double gapMillis(RunningAttempt attempt, int tokens, long nowNanos) {
+    if (tokens <= 0) {
+      return 0;
+    }
+    long before = attempt.lastTokenNanos;
+    attempt.lastTokenNanos = nowNanos;
+    boolean first = attempt.tokens == tokens;
+    return first ? 0 : (nowNanos - before) / (double) TimeUnit.MILLISECONDS.toNanos(tokens);
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceAccount.java
@@ -0,0 +1,59 @@
+package dev.agatepier.core.process.internal;
+
+/** What one workspace has waiting and has received, as one sidecar knows it. */
+public final class WorkspaceAccount {
+  final String name;
+  double weight;
+  double virtualService;
+  double localCost;
+  double fleetCost;
+  int inFlight;
+  int running;
+  int waiting;
+  long oldestSinceNanos;
+
+  WorkspaceAccount(String name, double weight) {
+    this.name = name;
+    this.weight = weight;
+  }
+
+  /** Returns the name of the workspace. */
+  public String name() {
+    return name;
+  }
+
+  /** Returns the weight of the workspace. */
+  public double weight() {
+    return weight;
+  }
+
+  /** Returns the value that the fair order compares. */
+  public double virtualService() {
+    return virtualService;
+  }
+
+  /** Returns the cost received here, in cost units. */
+  public double localCost() {
+    return localCost;
+  }
+
+  /** Returns the cost received elsewhere, in cost units. */
+  public double fleetCost() {
+    return fleetCost;
+  }
+
+  /** Returns the number of attempts running here. */
+  public int running() {
+    return running;
+  }
+
+  /** Returns the number of requests that may be granted a slot. */
+  public int waiting() {
+    return waiting;
+  }
+
+  /** Returns whether the workspace has demand or holds a slot. */
+  public boolean active() {
+    return waiting > 0 || inFlight > 0;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
@@ -0,0 +1,209 @@
+package dev.agatepier.core.process;
+
+import static dev.agatepier.core.process.SidecarBench.attempt;
+import static dev.agatepier.core.process.SidecarBench.start;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.AttemptContent;
+import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
+import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
+import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
+import dev.agatepier.core.connection.LinkMessage.Grant;
+import dev.agatepier.core.connection.LinkMessage.GrantDeclined;
+import dev.agatepier.core.connection.LinkMessage.SlotsFree;
+import dev.agatepier.core.connection.LinkMessage.SuspicionReport;
+import dev.agatepier.core.process.SidecarEffect.CancelUpstream;
+import dev.agatepier.core.process.SidecarEffect.Drained;
+import dev.agatepier.core.process.SidecarEffect.StartUpstream;
+import dev.agatepier.core.process.SidecarEvent.DrainBegun;
+import dev.agatepier.core.process.SidecarEvent.RouterUnlinked;
+import dev.agatepier.core.process.SidecarEvent.UpstreamBroke;
+import dev.agatepier.core.process.SidecarEvent.UpstreamEnded;
+import dev.agatepier.core.process.SidecarEvent.UpstreamHealth;
+import dev.agatepier.core.process.SidecarEvent.UpstreamSent;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.version.ServiceKind;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class SidecarDecisionTest {
+  private static final Bytes TOKEN = Bytes.ofText("token");
+
+  @Test
+  public void grantsNoMoreThanItsSlots() {
+    SidecarBench bench = SidecarBench.model(2);
+    assertEquals(bench.demand("quartet", 5, 10).sent(Grant.class).size(), 2);
+    assertEquals(bench.demand("quartet", 4, 10).sent(Grant.class), List.of());
+    bench.hear(new GrantDeclined(1));
+    assertEquals(bench.decision.snapshot(0).granted(), 1);
+    assertEquals(bench.after(60).sent(Grant.class).size(), 1, "asked again after the pause");
+  }
+
+  @Test
+  public void numbersFramesAndSetsCostRight() {
+    SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
+    assertTrue(bench.did(StartUpstream.class));
+    for (int number = 0; number < 3; number++) {
+      bench.tell(new UpstreamSent(attempt(1), TOKEN, 1));
+      assertEquals(bench.only(AttemptContent.class).frameNumber(), number);
+    }
+    assertEquals(bench.decision.snapshot(0).shares().getFirst().localCost(), 3.0);
+    bench.tell(new UpstreamEnded(attempt(1), 40));
+    assertEquals(bench.only(AttemptEnd.class), new AttemptEnd(attempt(1), 3, 40));
+    assertEquals(bench.decision.snapshot(0).shares().getFirst().localCost(), 40.0);
+  }
+
+  @Test
+  public void plainCostIsSlotTime() {
+    SidecarBench bench =
+        new SidecarBench(SidecarBench.policy("virtual-service", 1), ServiceKind.PLAIN);
+    bench.run("quartet", attempt(1)).after(30);
+    assertEquals(bench.tell(new UpstreamEnded(attempt(1), 0)).only(AttemptEnd.class).cost(), 30.0);
+  }
+
+  @Test
+  public void refusesAnswerToGrantTakenBackForGood() {
+    SidecarBench bench = SidecarBench.model(1);
+    long number = bench.demand("quartet", 1, 0).only(Grant.class).grantNumber();
+    bench.demand("quartet", 0, 0).after(1_000);
+    assertEquals(bench.decision.snapshot(0).granted(), 0);
+    bench.hear(start(number, attempt(1), "quartet"));
+    assertEquals(bench.only(AttemptNotRun.class).reason(), Reason.NOT_READY);
+    long second = bench.demand("quartet", 1, 0).only(Grant.class).grantNumber();
+    bench.hear(start(second, attempt(1), "quartet"));
+    assertFalse(bench.did(StartUpstream.class), "the attempt is marked never to run");
+    bench.only(AttemptNotRun.class);
+  }
+
+  @Test
+  public void runsDuplicateOnce() {
+    SidecarBench bench = SidecarBench.model(2).run("quartet", attempt(1));
+    bench.run("quartet", attempt(1));
+    assertFalse(bench.did(StartUpstream.class));
+    assertEquals(bench.sent(AttemptNotRun.class), List.of(), "it did run");
+    assertEquals(bench.decision.snapshot(0).granted(), 0, "the second grant's slot is free");
+  }
+
+  @Test
+  public void marksBeforeItAnswersWithdrawal() {
+    SidecarBench bench = SidecarBench.model(1);
+    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1)));
+    assertEquals(bench.only(AttemptNotRun.class).reason(), Reason.WITHDRAWN);
+    bench.run("quartet", attempt(1));
+    assertFalse(bench.did(StartUpstream.class));
+    bench.only(AttemptNotRun.class);
+  }
+
+  @Test
+  public void cancelsWithdrawnAttemptThatRuns() {
+    SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
+    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1)));
+    assertTrue(bench.did(CancelUpstream.class));
+    bench.tell(new UpstreamSent(attempt(1), TOKEN, 1));
+    assertEquals(bench.sent(AttemptContent.class), List.of());
+    bench.tell(new UpstreamBroke(attempt(1), true, Reason.UPSTREAM_FAILED));
+    assertEquals(bench.only(AttemptFailed.class).reason(), Reason.WITHDRAWN);
+  }
+
+  @DataProvider
+  public static Object[][] refusals() {
+    return new Object[][] {
+      {5_000L, new DrainBegun(), Reason.DRAINING},
+      {0L, new SidecarEvent.TimePassed(), Reason.DEADLINE},
+      {5_000L, new UpstreamHealth(false, false), Reason.NOT_READY},
+    };
+  }
+
+  @Test(dataProvider = "refusals")
+  public void refusesWhatItMayNotStart(long timeLeft, SidecarEvent before, Reason reason) {
+    SidecarBench bench = SidecarBench.model(1);
+    long number = bench.demand("quartet", 1, 0).only(Grant.class).grantNumber();
+    bench.tell(before);
+    bench.hear(start(number, attempt(1), "quartet", timeLeft, false, Optional.empty()));
+    assertEquals(bench.only(AttemptNotRun.class).reason(), reason);
+    assertFalse(bench.did(StartUpstream.class));
+  }
+
+  @Test
+  public void saysNotRunOnlyIfNothingWasSent() {
+    SidecarBench bench = SidecarBench.model(2).run("quartet", attempt(1));
+    bench.tell(new UpstreamBroke(attempt(1), false, Reason.NO_UPSTREAM)).only(AttemptNotRun.class);
+    bench.run("quartet", attempt(2));
+    bench.tell(new UpstreamBroke(attempt(2), true, Reason.UPSTREAM_FAILED));
+    assertEquals(bench.sent(AttemptNotRun.class), List.of());
+    bench.only(AttemptFailed.class);
+  }
+
+  @Test
+  public void cancelsAttemptsOfRouterThatIsGone() {
+    SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
+    bench.tell(new RouterUnlinked(SidecarBench.ROUTER));
+    assertEquals(bench.effects, List.of(new CancelUpstream(attempt(1))));
+  }
+
+  @Test
+  public void tellsOfFreeSlotsOnceAndAgainSlowly() {
+    SidecarBench bench = SidecarBench.model(3);
+    assertEquals(bench.only(SlotsFree.class).freeSlots(), 3);
+    assertEquals(bench.after(500).sent(SlotsFree.class), List.of());
+    assertEquals(bench.after(500).sent(SlotsFree.class).size(), 1);
+  }
+
+  @Test
+  public void tellsWhichRequestsRanWhenItsUpstreamDied() {
+    SidecarBench bench = SidecarBench.model(3);
+    bench.run("quartet", attempt(1)).run("festival", attempt(2));
+    bench.tell(new UpstreamBroke(attempt(1), true, Reason.UPSTREAM_FAILED));
+    bench.tell(new UpstreamHealth(false, true));
+    assertEquals(bench.only(AttemptFailed.class).reason(), Reason.UPSTREAM_DIED);
+    SuspicionReport report = bench.only(SuspicionReport.class);
+    assertEquals(report.suspicions().size(), 2, "one answer broke before the death was noticed");
+    assertFalse(report.suspicions().getFirst().alone());
+    assertEquals(bench.demand("quartet", 1, 0).sent(Grant.class), List.of());
+    bench.tell(new UpstreamHealth(true, false)).only(Grant.class);
+  }
+
+  @Test
+  public void runsSuspectWithNothingBeside() {
+    SidecarBench bench = SidecarBench.model(3).run("quartet", attempt(1));
+    long suspect = bench.demand("festival", 1, 0).only(Grant.class).grantNumber();
+    long innocent = bench.demand("solo", 1, 0).only(Grant.class).grantNumber();
+    bench.demand("festival", 0, 0);
+    bench.hear(start(suspect, attempt(2), "festival", 5_000, true, Optional.empty()));
+    assertFalse(bench.did(StartUpstream.class), "another attempt runs");
+    bench.hear(start(innocent, attempt(3), "solo"));
+    bench.only(AttemptNotRun.class);
+    assertEquals(bench.demand("solo", 2, 0).sent(Grant.class), List.of());
+    bench.tell(new UpstreamEnded(attempt(1), 1));
+    assertTrue(bench.did(StartUpstream.class));
+    assertEquals(bench.sent(Grant.class), List.of());
+    bench.tell(new UpstreamHealth(true, true));
+    assertTrue(bench.only(SuspicionReport.class).suspicions().getFirst().alone());
+    assertEquals(bench.sent(Grant.class).size(), 2);
+  }
+
+  @Test
+  public void drainsWhenNothingIsLeft() {
+    SidecarBench bench = SidecarBench.model(2).run("quartet", attempt(1));
+    assertFalse(bench.tell(new DrainBegun()).did(Drained.class));
+    assertEquals(bench.demand("quartet", 3, 0).sent(Grant.class), List.of());
+    assertTrue(bench.tell(new UpstreamEnded(attempt(1), 1)).did(Drained.class));
+    assertFalse(bench.after(1_000).did(Drained.class), "told once");
+  }
+
+  @Test
+  public void servesLeastVirtualServiceFirst() {
+    SidecarBench bench = SidecarBench.model(1);
+    bench.run("festival", attempt(1)).demand("festival", 5, 9_000).demand("quartet", 1, 0);
+    AttemptId first = attempt(1);
+    assertEquals(
+        bench.tell(new UpstreamEnded(first, 500)).only(Grant.class).workspace(), "quartet");
+  }
+}
