Decide for a router: admission, queues, demand, grants, attempts, ends

Cause: a router had events and effects but nothing that decided between them. Change: RouterDecision, composed of small parts that share one state: admission, a queue for each workspace and service, demand, grants, the relay of answers, tickets and quarantine. Conclusion: the first usable decision; quarantine, demand and admission are not yet tested, nor is the whole under faults.

--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -0,0 +1,82 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.internal.Admission;
+import dev.agatepier.core.process.internal.AttemptRelay;
+import dev.agatepier.core.process.internal.DemandPublisher;
+import dev.agatepier.core.process.internal.PeerMessages;
+import dev.agatepier.core.process.internal.RequestLifecycle;
+import dev.agatepier.core.process.internal.RouterState;
+import dev.agatepier.core.process.internal.TicketIssuer;
+import java.util.List;
+
+/**
+ * Decides for a router: admits calls, tells sidecars of the demand, answers their grants, relays
+ * answers, and gives every request one true end. It holds each request until a sidecar grants a
+ * slot for it.
+ */
+public final class RouterDecision implements Decision<RouterEvent, RouterEffect> {
+
+  private final RouterState state;
+  private final DemandPublisher demand;
+  private final Admission admission;
+  private final AttemptRelay attempts;
+  private final PeerMessages peers;
+  private final TicketIssuer tickets;
+  private boolean drainedSaid;
+
+  /**
+   * Creates the decision of a router that knows nothing yet.
+   *
+   * @param self the router
+   * @param policy what operators have set
+   */
+  public RouterDecision(PeerIdentity self, RouterPolicy policy) {
+    state = new RouterState(self, policy);
+    demand = new DemandPublisher(state);
+    RequestLifecycle lifecycle = new RequestLifecycle(state, demand);
+    admission = new Admission(state, lifecycle);
+    attempts = new AttemptRelay(state, lifecycle);
+    peers = new PeerMessages(state, lifecycle, demand, attempts);
+    tickets = new TicketIssuer(state, admission);
+  }
+
+  @Override
+  public List<RouterEffect> decide(RouterEvent event, long nowNanos) {
+    attempts.timePassed(nowNanos);
+    handle(event, nowNanos);
+    demand.publish(nowNanos);
+    if (state.drained() && !drainedSaid) {
+      drainedSaid = true;
+      state.outbox().add(new RouterEffect.Drained());
+    }
+    return state.outbox().take();
+  }
+
+  /** Returns what operators are told about this router. */
+  public RouterSnapshot snapshot(long nowNanos) {
+    return state.snapshot(nowNanos);
+  }
+
+  private void handle(RouterEvent event, long nowNanos) {
+    switch (event) {
+      case RouterEvent.CallArrived call -> admission.arrived(call, nowNanos);
+      case RouterEvent.TicketWanted wanted -> tickets.wanted(wanted);
+      case RouterEvent.CallerGone gone -> attempts.callerGone(gone.request(), nowNanos);
+      case RouterEvent.CallerTook taken -> attempts.took(taken);
+      case RouterEvent.PeerLinked linked -> peers.linked(linked.peer(), nowNanos);
+      case RouterEvent.PeerUnlinked unlinked -> peers.unlinked(unlinked.peer(), nowNanos);
+      case RouterEvent.MessageArrived arrived ->
+          peers.arrived(arrived.peer(), arrived.message(), nowNanos);
+      case RouterEvent.TableInForce inForce -> state.tableInForce(inForce.table());
+      case RouterEvent.InstancesInForce inForce -> peers.instances(inForce.instances());
+      case RouterEvent.TimePassed passed -> timePassed(nowNanos);
+      case RouterEvent.DrainBegun begun -> state.beginDrain();
+    }
+  }
+
+  private void timePassed(long nowNanos) {
+    demand.advance(nowNanos);
+    state.expire(nowNanos);
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -0,0 +1,140 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.process.RequestFacts;
+import dev.agatepier.core.process.RouterEffect.FailRequest;
+import dev.agatepier.core.process.RouterEvent.CallArrived;
+import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.Workspace;
+import java.util.Optional;
+
+/**
+ * Admits calls to their queues or refuses them. A refusal of a call without a ticket is {@code
+ * NOT_RUN}. A ticketed call may have run in an earlier try that this router does not know of, so
+ * its refusal is {@code UNKNOWN}, unless the ticket is not one for the call at all.
+ */
+public final class Admission {
+
+  /** Least advice on when to send a refused call again. */
+  private static final long LEAST_RETRY_MILLIS = 1_000;
+
+  private final RouterState state;
+  private final RequestLifecycle lifecycle;
+
+  /** Why and for how long a call is refused. */
+  record Refusal(Reason reason, long retryAfterMillis) {}
+
+  /** Creates the admission. */
+  public Admission(RouterState state, RequestLifecycle lifecycle) {
+    this.state = state;
+    this.lifecycle = lifecycle;
+  }
+
+  /** Admits or refuses one call. */
+  public void arrived(CallArrived call, long nowNanos) {
+    Optional<Refusal> refusal =
+        refuseAccess(call.workspace(), call.service())
+            .or(() -> refuseTicket(call))
+            .or(() -> refuseQuarantined(call, nowNanos))
+            .or(() -> refuseLoad(call, nowNanos));
+    if (refusal.isPresent()) {
+      refuse(call, refusal.get());
+      return;
+    }
+    WaitingQueue queue = state.queues.findOrAdd(call.service(), call.workspace(), nowNanos);
+    ServiceEntry entry = state.table.service(call.service()).orElseThrow();
+    boolean idempotent = entry.idempotent(call.head().method(), call.head().path());
+    long deadline = deadline(call, nowNanos);
+    RoutedRequest request =
+        new RoutedRequest(call, queue, ++state.lastSequence, nowNanos, deadline, idempotent);
+    lifecycle.admit(request, nowNanos);
+  }
+
+  /** Returns why a workspace may not use a service at present. */
+  Optional<Refusal> refuseAccess(String workspace, String service) {
+    if (state.table.version() == 0) {
+      return refusal(Reason.NOT_READY, LEAST_RETRY_MILLIS);
+    }
+    if (state.draining) {
+      return refusal(Reason.DRAINING, LEAST_RETRY_MILLIS);
+    }
+    Optional<Workspace> row = state.table.workspace(workspace);
+    if (row.isEmpty()) {
+      return refusal(Reason.KEY_WRONG, 0);
+    }
+    if (state.table.service(service).isEmpty()) {
+      return refusal(Reason.SERVICE_UNKNOWN, 0);
+    }
+    boolean allowed = row.get().services().contains(service);
+    return allowed ? Optional.empty() : refusal(Reason.SERVICE_NOT_ALLOWED, 0);
+  }
+
+  /** Refuses a request that was not admitted. */
+  void refuse(RequestId request, String workspace, String service, Outcome outcome, Refusal why) {
+    RequestFacts facts = new RequestFacts(workspace, service, 0, "", 0, 0, 0, 0);
+    state.outbox.add(
+        new FailRequest(request, outcome, why.reason(), why.retryAfterMillis(), facts));
+  }
+
+  private void refuse(CallArrived call, Refusal why) {
+    boolean open = call.ticket().isPresent() && why.reason() != Reason.TICKET_INVALID;
+    Outcome outcome = open ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+    refuse(call.request(), call.workspace(), call.service(), outcome, why);
+  }
+
+  private Optional<Refusal> refuseTicket(CallArrived call) {
+    if (call.ticket().isEmpty()) {
+      return Optional.empty();
+    }
+    Ticket ticket = call.ticket().get();
+    if (!ticket.workspace().equals(call.workspace()) || !ticket.service().equals(call.service())) {
+      return refusal(Reason.TICKET_INVALID, 0);
+    }
+    LinkedSidecar home = state.sidecars.named(ticket.sidecar());
+    boolean gone = home != null && home.peer.incarnation() != ticket.incarnation();
+    return gone ? refusal(Reason.TICKET_HOME_GONE, 0) : Optional.empty();
+  }
+
+  private Optional<Refusal> refuseQuarantined(CallArrived call, long nowNanos) {
+    return state.quarantine.refuses(call.fingerprint(), nowNanos)
+        ? refusal(Reason.QUARANTINED, state.quarantine.millisLeft(call.fingerprint(), nowNanos))
+        : Optional.empty();
+  }
+
+  private Optional<Refusal> refuseLoad(CallArrived call, long nowNanos) {
+    Limits limits = state.limits(call.workspace());
+    WorkspaceUse use = state.queues.use(call.workspace());
+    WaitingQueue queue = state.queues.find(call.service(), call.workspace());
+    if (deadline(call, nowNanos) <= nowNanos) {
+      return refusal(Reason.DEADLINE, 0);
+    }
+    if (use.waiting >= limits.waiting()) {
+      return refusal(Reason.LIMIT_WAITING, LEAST_RETRY_MILLIS);
+    }
+    double estimate = queue == null ? 0 : queue.estimatedCost();
+    long costWaitMillis = use.costWaitMillis(estimate, limits, nowNanos);
+    if (costWaitMillis > 0) {
+      return refusal(Reason.LIMIT_COST, costWaitMillis);
+    }
+    long waitNanos = queue == null ? 0 : queue.drainRate.waitNanos(queue.size());
+    long excessNanos = waitNanos - (deadline(call, nowNanos) - nowNanos);
+    if (excessNanos > 0) {
+      long advice = Math.max(LEAST_RETRY_MILLIS, excessNanos / RouterState.NANOS_PER_MILLI);
+      return refusal(Reason.OVERLOADED, advice);
+    }
+    return Optional.empty();
+  }
+
+  private long deadline(CallArrived call, long nowNanos) {
+    long longest = state.table.service(call.service()).orElseThrow().deadlineMillis();
+    return Math.min(call.deadlineNanos(), nowNanos + longest * RouterState.NANOS_PER_MILLI);
+  }
+
+  private static Optional<Refusal> refusal(Reason reason, long retryAfterMillis) {
+    return Optional.of(new Refusal(reason, retryAfterMillis));
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
@@ -0,0 +1,159 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage.DemandUpdate;
+import dev.agatepier.core.connection.LinkMessage.WorkspaceDemand;
+import dev.agatepier.core.process.internal.WaitingQueue.SentDemand;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Tells sidecars of the demand that changed. */
+public final class DemandPublisher {
+
+  /** Time between two rounds of changes that are not urgent. */
+  private static final long ROUND_NANOS = 50_000_000;
+
+  private final RouterState state;
+  private final Set<WaitingQueue> changed = new LinkedHashSet<>();
+  private final Set<WaitingQueue> urgent = new LinkedHashSet<>();
+  private final Set<WaitingQueue> waiting = new LinkedHashSet<>();
+  private boolean roundDone;
+  private long lastRoundNanos;
+
+  /** Creates the publisher. */
+  public DemandPublisher(RouterState state) {
+    this.state = state;
+  }
+
+  /** Notes that a queue is longer or shorter than before. */
+  void changed(WaitingQueue queue) {
+    if (queue.size() > 0) {
+      waiting.add(queue);
+    } else {
+      waiting.remove(queue);
+    }
+    if (queue.announced == queue.size() > 0) {
+      changed.add(queue);
+    } else {
+      urgent.add(queue);
+    }
+  }
+
+  /** Notes that a workspace may run more or fewer requests than before. */
+  void runningChanged(String workspace, boolean atLimit) {
+    for (WaitingQueue queue : state.queues.ofWorkspace(workspace)) {
+      if (queue.size() > 0) {
+        (atLimit ? urgent : changed).add(queue);
+      }
+    }
+  }
+
+  /** Notes that the sidecars of a service are others than before. */
+  void sidecarsChanged(String service) {
+    for (WaitingQueue queue : state.queues.ofService(service)) {
+      if (queue.size() > 0 || !queue.sent.isEmpty()) {
+        urgent.add(queue);
+      }
+    }
+  }
+
+  /** Notes that a sidecar that knows of no demand has free slots. */
+  public void invited(LinkedSidecar sidecar) {
+    for (WaitingQueue queue : state.queues.ofService(sidecar.peer.service())) {
+      if (queue.demand(sidecar.name(), state.sidecars.sameRegion(sidecar)) > 0) {
+        askAgain(queue, sidecar);
+        urgent.add(queue);
+      }
+    }
+  }
+
+  /** Notes that a sidecar may have changed by itself what it was told. */
+  void askAgain(WaitingQueue queue, LinkedSidecar sidecar) {
+    queue.sent.put(sidecar.name(), new SentDemand(SentDemand.STALE, 0));
+    changed.add(queue);
+  }
+
+  /** Sends what is urgent, and the rest if a round is due. */
+  public void publish(long nowNanos) {
+    Map<String, List<WorkspaceDemand>> updates = new TreeMap<>();
+    urgent.forEach(queue -> collect(queue, updates, nowNanos));
+    changed.removeAll(urgent);
+    urgent.clear();
+    if (roundDue(nowNanos)) {
+      roundDone = true;
+      lastRoundNanos = nowNanos;
+      changed.forEach(queue -> collect(queue, updates, nowNanos));
+      changed.clear();
+    }
+    updates.forEach((name, changes) -> state.outbox.send(name, new DemandUpdate(changes)));
+  }
+
+  /** Lets holds end and demand spill as time passes. */
+  public void advance(long nowNanos) {
+    if (!roundDue(nowNanos)) {
+      return;
+    }
+    for (WaitingQueue queue : waiting) {
+      if (queue.advance(nowNanos)) {
+        changed.add(queue);
+      }
+    }
+  }
+
+  private boolean roundDue(long nowNanos) {
+    return !roundDone || nowNanos - lastRoundNanos >= ROUND_NANOS;
+  }
+
+  private void collect(
+      WaitingQueue queue, Map<String, List<WorkspaceDemand>> updates, long nowNanos) {
+    queue.announced = queue.size() > 0;
+    for (String name : recipients(queue)) {
+      WorkspaceDemand demand = change(queue, name, nowNanos);
+      if (demand != null) {
+        updates.computeIfAbsent(name, key -> new ArrayList<>()).add(demand);
+      }
+    }
+  }
+
+  private Set<String> recipients(WaitingQueue queue) {
+    Set<String> names = new LinkedHashSet<>();
+    state.sidecars.chosen(queue.service).forEach(sidecar -> names.add(sidecar.name()));
+    queue.preferredSidecars().forEach(names::add);
+    names.addAll(queue.sent.keySet());
+    return names;
+  }
+
+  /** Returns what a sidecar must be told of a queue, or null if it knows. */
+  private WorkspaceDemand change(WaitingQueue queue, String name, long nowNanos) {
+    LinkedSidecar sidecar = state.sidecars.named(name);
+    SentDemand told = queue.sent.getOrDefault(name, new SentDemand(0, 0));
+    if (sidecar == null) {
+      queue.sent.remove(name);
+      return null;
+    }
+    int waiting = sidecar.takesWork() ? waiting(queue, sidecar) : 0;
+    RoutedRequest oldest = queue.oldest();
+    SentDemand now = new SentDemand(waiting, waiting == 0 ? 0 : oldest.sequence);
+    if (waiting == 0) {
+      queue.sent.remove(name);
+    } else {
+      queue.sent.put(name, now);
+    }
+    return now.equals(told)
+        ? null
+        : new WorkspaceDemand(
+            queue.use.workspace,
+            waiting,
+            waiting == 0 ? 0 : RouterState.oldestWaitMillis(queue, nowNanos),
+            queue.estimatedCost());
+  }
+
+  private int waiting(WaitingQueue queue, LinkedSidecar sidecar) {
+    int room = state.limits(queue.use.workspace).running() - queue.use.running;
+    int demand = queue.demand(sidecar.name(), state.sidecars.sameRegion(sidecar));
+    return Math.max(0, Math.min(room, demand));
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/GrantAnswerer.java
@@ -0,0 +1,63 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage.Grant;
+import dev.agatepier.core.connection.LinkMessage.GrantDeclined;
+import dev.agatepier.core.request.Reason;
+
+/** Answers a sidecar's grant with the best waiting request of the workspace, or declines it. */
+public final class GrantAnswerer {
+
+  private final RouterState state;
+  private final RequestLifecycle lifecycle;
+  private final DemandPublisher demand;
+
+  /** Creates the answerer. */
+  public GrantAnswerer(RouterState state, RequestLifecycle lifecycle, DemandPublisher demand) {
+    this.state = state;
+    this.lifecycle = lifecycle;
+    this.demand = demand;
+  }
+
+  /** Answers one grant. */
+  public void answer(LinkedSidecar sidecar, Grant grant, long nowNanos) {
+    WaitingQueue queue = state.queues.find(sidecar.peer.service(), grant.workspace());
+    RoutedRequest request = queue == null ? null : choose(sidecar, queue, nowNanos);
+    if (request == null) {
+      state.outbox.send(sidecar.name(), new GrantDeclined(grant.grantNumber()));
+    } else {
+      boolean alone = state.quarantine.suspects(request, nowNanos);
+      lifecycle.start(request, sidecar, grant.grantNumber(), alone, nowNanos);
+    }
+    if (queue != null) {
+      demand.askAgain(queue, sidecar);
+    }
+  }
+
+  private RoutedRequest choose(LinkedSidecar sidecar, WaitingQueue queue, long nowNanos) {
+    int limit = state.limits(queue.use.workspace).running();
+    if (!sidecar.takesWork() || queue.use.running >= limit) {
+      return null;
+    }
+    queue.advance(nowNanos);
+    boolean sameRegion = state.sidecars.sameRegion(sidecar);
+    RoutedRequest request = queue.pick(sidecar.name(), sameRegion);
+    while (request != null && setAside(request, nowNanos)) {
+      request = queue.pick(sidecar.name(), sameRegion);
+    }
+    return request;
+  }
+
+  /** Takes a request that must not run now out of its queue; returns whether it did. */
+  private boolean setAside(RoutedRequest request, long nowNanos) {
+    if (state.quarantine.refuses(request, nowNanos)) {
+      lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
+      return true;
+    }
+    if (state.quarantine.suspects(request, nowNanos)
+        && state.fingerprints.isRunning(request.fingerprint())) {
+      lifecycle.park(request);
+      return true;
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecars.java
@@ -0,0 +1,137 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.InstanceList;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** The sidecars that this router is linked to, and which of them hear of its demand. */
+final class LinkedSidecars {
+
+  private final PeerIdentity self;
+  private final int mostPerService;
+  private final Map<String, LinkedSidecar> byName = new TreeMap<>();
+  private final Map<String, Map<String, LinkedSidecar>> byService = new HashMap<>();
+  private final Map<String, List<LinkedSidecar>> chosen = new HashMap<>();
+  private Set<String> leaving = Set.of();
+
+  LinkedSidecars(PeerIdentity self, int mostPerService) {
+    this.self = self;
+    this.mostPerService = mostPerService;
+  }
+
+  LinkedSidecar named(String name) {
+    return byName.get(name);
+  }
+
+  /** Returns the sidecar of a name if its link is to the given incarnation, or null. */
+  LinkedSidecar incarnation(String name, long incarnation) {
+    LinkedSidecar sidecar = byName.get(name);
+    return sidecar != null && sidecar.peer.incarnation() == incarnation ? sidecar : null;
+  }
+
+  LinkedSidecar of(PeerIdentity peer) {
+    return incarnation(peer.instance(), peer.incarnation());
+  }
+
+  Collection<LinkedSidecar> all() {
+    return byName.values();
+  }
+
+  void add(PeerIdentity peer) {
+    LinkedSidecar sidecar = new LinkedSidecar(peer);
+    sidecar.leaving = leaving.contains(peer.instance());
+    byName.put(peer.instance(), sidecar);
+    byService.computeIfAbsent(peer.service(), name -> new TreeMap<>()).put(sidecar.name(), sidecar);
+    chosen.clear();
+  }
+
+  void remove(LinkedSidecar sidecar) {
+    byName.remove(sidecar.name());
+    Map<String, LinkedSidecar> sidecars = byService.get(sidecar.peer.service());
+    sidecars.remove(sidecar.name());
+    if (sidecars.isEmpty()) {
+      byService.remove(sidecar.peer.service());
+    }
+    chosen.clear();
+  }
+
+  /** Notes which sidecars are leaving; returns those of whom this is news. */
+  List<LinkedSidecar> instances(InstanceList list) {
+    leaving =
+        list.instances().stream()
+            .filter(Instance::leaving)
+            .map(Instance::name)
+            .collect(Collectors.toSet());
+    List<LinkedSidecar> changed =
+        byName.values().stream()
+            .filter(sidecar -> sidecar.leaving != leaving.contains(sidecar.name()))
+            .toList();
+    changed.forEach(sidecar -> sidecar.leaving = !sidecar.leaving);
+    chosen.clear();
+    return changed;
+  }
+
+  /** Notes whether a sidecar is draining; returns whether this is news. */
+  boolean draining(LinkedSidecar sidecar, boolean draining) {
+    boolean changed = sidecar.draining != draining;
+    sidecar.draining = draining;
+    if (changed) {
+      chosen.clear();
+    }
+    return changed;
+  }
+
+  boolean sameRegion(LinkedSidecar sidecar) {
+    return sidecar.peer.region().equals(self.region());
+  }
+
+  /** Returns the sidecars of a service that hear of demand: own region first, then the others. */
+  List<LinkedSidecar> chosen(String service) {
+    return chosen.computeIfAbsent(service, this::choose);
+  }
+
+  /** Returns the sidecar that becomes the home of a new ticket. */
+  Optional<LinkedSidecar> ticketHome(String service, RequestId request) {
+    return ranked(service, request.toString(), sidecar -> sidecar.clockMillis.isPresent())
+        .findFirst();
+  }
+
+  private List<LinkedSidecar> choose(String service) {
+    List<LinkedSidecar> result =
+        new ArrayList<>(
+            ranked(service, self.instance(), this::sameRegion).limit(mostPerService).toList());
+    ranked(service, self.instance(), sidecar -> !sameRegion(sidecar))
+        .limit(mostPerService)
+        .forEach(result::add);
+    return List.copyOf(result);
+  }
+
+  private Stream<LinkedSidecar> ranked(
+      String service, String key, Predicate<LinkedSidecar> filter) {
+    Comparator<LinkedSidecar> byPlace = Comparator.comparingInt(this::distance);
+    return byService.getOrDefault(service, Map.of()).values().stream()
+        .filter(LinkedSidecar::takesWork)
+        .filter(filter)
+        .sorted(byPlace.thenComparing(LinkedSidecar::name, RendezvousRanking.order(key)));
+  }
+
+  private int distance(LinkedSidecar sidecar) {
+    if (sidecar.peer.dataCentre().equals(self.dataCentre())) {
+      return 0;
+    }
+    return sameRegion(sidecar) ? 1 : 2;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PeerMessages.java
@@ -0,0 +1,136 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.AttemptContent;
+import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
+import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
+import dev.agatepier.core.connection.LinkMessage.AttemptHead;
+import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
+import dev.agatepier.core.connection.LinkMessage.Grant;
+import dev.agatepier.core.connection.LinkMessage.Heartbeat;
+import dev.agatepier.core.connection.LinkMessage.SlotsFree;
+import dev.agatepier.core.connection.LinkMessage.Suspicion;
+import dev.agatepier.core.connection.LinkMessage.SuspicionReport;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.version.InstanceList;
+import java.util.List;
+import java.util.OptionalLong;
+
+/** Keeps track of links and hands each message to the part that it concerns. */
+public final class PeerMessages {
+
+  private final RouterState state;
+  private final RequestLifecycle lifecycle;
+  private final DemandPublisher demand;
+  private final GrantAnswerer grants;
+  private final AttemptRelay attempts;
+
+  /** Creates the dispatcher. */
+  public PeerMessages(
+      RouterState state,
+      RequestLifecycle lifecycle,
+      DemandPublisher demand,
+      AttemptRelay attempts) {
+    this.state = state;
+    this.lifecycle = lifecycle;
+    this.demand = demand;
+    this.attempts = attempts;
+    grants = new GrantAnswerer(state, lifecycle, demand);
+  }
+
+  /** Notes a link that is up. */
+  public void linked(PeerIdentity peer, long nowNanos) {
+    if (peer.role() == Role.ROUTER) {
+      state.routers.put(peer.instance(), peer);
+      report(peer.instance(), state.quarantine.known(nowNanos));
+      return;
+    }
+    LinkedSidecar former = state.sidecars.named(peer.instance());
+    if (former != null) {
+      unlinked(former.peer, nowNanos);
+    }
+    state.sidecars.add(peer);
+    failPinnedToOtherIncarnation(peer, nowNanos);
+    demand.sidecarsChanged(peer.service());
+  }
+
+  /** Notes a link that is gone. */
+  public void unlinked(PeerIdentity peer, long nowNanos) {
+    state.routers.remove(peer.instance(), peer);
+    LinkedSidecar sidecar = state.sidecars.of(peer);
+    if (sidecar == null) {
+      return;
+    }
+    state.sidecars.remove(sidecar);
+    state.queues.ofService(peer.service()).forEach(queue -> queue.sent.remove(peer.instance()));
+    attempts.linkLost(sidecar, nowNanos);
+    demand.sidecarsChanged(peer.service());
+  }
+
+  /** Notes which instances are leaving. */
+  public void instances(InstanceList list) {
+    for (LinkedSidecar sidecar : state.sidecars.instances(list)) {
+      demand.sidecarsChanged(sidecar.peer.service());
+    }
+  }
+
+  /** Handles one message; one from a process whose link is gone is dropped. */
+  public void arrived(PeerIdentity peer, LinkMessage message, long nowNanos) {
+    LinkedSidecar sidecar = state.sidecars.of(peer);
+    if (message instanceof SuspicionReport report) {
+      suspicions(peer, report, nowNanos);
+    } else if (sidecar != null) {
+      fromSidecar(sidecar, message, nowNanos);
+    }
+  }
+
+  private void fromSidecar(LinkedSidecar sidecar, LinkMessage message, long nowNanos) {
+    switch (message) {
+      case Heartbeat heartbeat -> heartbeat(sidecar, heartbeat);
+      case SlotsFree free -> demand.invited(sidecar);
+      case Grant grant -> grants.answer(sidecar, grant, nowNanos);
+      case AttemptHead head -> attempts.head(sidecar, head, nowNanos);
+      case AttemptContent content -> attempts.content(sidecar, content, nowNanos);
+      case AttemptEnd end -> attempts.end(sidecar, end, nowNanos);
+      case AttemptNotRun notRun -> attempts.notRun(sidecar, notRun, nowNanos);
+      case AttemptFailed failed -> attempts.failed(sidecar, failed, nowNanos);
+      default -> {
+        // Other messages concern other decisions.
+      }
+    }
+  }
+
+  private void heartbeat(LinkedSidecar sidecar, Heartbeat heartbeat) {
+    sidecar.clockMillis = OptionalLong.of(heartbeat.clockMillis());
+    if (state.sidecars.draining(sidecar, heartbeat.draining())) {
+      demand.sidecarsChanged(sidecar.peer.service());
+    }
+  }
+
+  private void suspicions(PeerIdentity peer, SuspicionReport report, long nowNanos) {
+    List<Suspicion> news = state.quarantine.learn(report.suspicions(), nowNanos);
+    for (String router : state.routers.keySet()) {
+      if (!router.equals(peer.instance())) {
+        report(router, news);
+      }
+    }
+  }
+
+  private void report(String router, List<Suspicion> suspicions) {
+    if (!suspicions.isEmpty()) {
+      state.outbox.send(router, new SuspicionReport(suspicions));
+    }
+  }
+
+  private void failPinnedToOtherIncarnation(PeerIdentity peer, long nowNanos) {
+    for (WaitingQueue queue : state.queues.ofService(peer.service())) {
+      for (RoutedRequest request : queue.pinnedTo(peer.instance())) {
+        if (request.call.ticket().orElseThrow().incarnation() != peer.incarnation()) {
+          lifecycle.fail(request, Reason.TICKET_HOME_GONE, nowNanos);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterOutbox.java
@@ -0,0 +1,29 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.process.RouterEffect;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Collects the effects of one event in order. */
+public final class RouterOutbox {
+
+  private List<RouterEffect> effects = new ArrayList<>();
+
+  /** Adds an effect. */
+  public void add(RouterEffect effect) {
+    effects.add(effect);
+  }
+
+  /** Adds a message to a peer. */
+  public void send(String instance, LinkMessage message) {
+    effects.add(new RouterEffect.Send(instance, message));
+  }
+
+  /** Returns what was added since the last call. */
+  public List<RouterEffect> take() {
+    List<RouterEffect> taken = effects;
+    effects = new ArrayList<>();
+    return taken;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -0,0 +1,109 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.RouterPolicy;
+import dev.agatepier.core.process.RouterSnapshot;
+import dev.agatepier.core.process.RouterSnapshot.QueueStatus;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Workspace;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What the parts of a router's decision share. One task owns it. */
+public final class RouterState {
+
+  static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** Limits of a workspace that the table has lost while its requests are still here. */
+  private static final Limits UNLIMITED = new Limits(Integer.MAX_VALUE, Integer.MAX_VALUE, 0);
+
+  final RouterPolicy policy;
+  final RouterOutbox outbox = new RouterOutbox();
+  final LinkedSidecars sidecars;
+  final Map<String, PeerIdentity> routers = new TreeMap<>();
+  final WorkspaceQueues queues;
+  final Map<RequestId, RoutedRequest> requests = new HashMap<>();
+  final RequestTimers timers = new RequestTimers();
+  final Quarantine quarantine;
+  final RunningFingerprints fingerprints = new RunningFingerprints();
+  final PrefixAffinity affinity = new PrefixAffinity();
+  Table table = Table.NONE;
+  boolean draining;
+  long lastSequence;
+
+  /** Creates the state of a router that knows nothing yet. */
+  public RouterState(PeerIdentity self, RouterPolicy policy) {
+    this.policy = policy;
+    sidecars = new LinkedSidecars(self, policy.sidecarsPerService());
+    queues = new WorkspaceQueues(policy.spillMillis() * NANOS_PER_MILLI);
+    quarantine = new Quarantine(policy);
+  }
+
+  /** Returns where effects are collected. */
+  public RouterOutbox outbox() {
+    return outbox;
+  }
+
+  /** Puts a table version in force unless a newer one is. */
+  public void tableInForce(Table newer) {
+    if (newer.version() >= table.version()) {
+      table = newer;
+    }
+  }
+
+  /** Returns whether a drain has begun and nothing is left to finish. */
+  public boolean drained() {
+    return draining && requests.isEmpty();
+  }
+
+  /** Takes no new request from now on. */
+  public void beginDrain() {
+    draining = true;
+  }
+
+  /** Drops what is too old to matter. */
+  public void expire(long nowNanos) {
+    queues.expire(this, nowNanos);
+    quarantine.expire(nowNanos);
+  }
+
+  /** Returns what operators are told. */
+  public RouterSnapshot snapshot(long nowNanos) {
+    Map<WaitingQueue, Integer> running = new HashMap<>();
+    Map<WaitingQueue, Integer> waiting = new HashMap<>();
+    for (RoutedRequest request : requests.values()) {
+      (request.sent() ? running : waiting).merge(request.queue, 1, Integer::sum);
+    }
+    return new RouterSnapshot(
+        draining,
+        sidecars.all().stream().map(LinkedSidecar::name).toList(),
+        queues.all().stream()
+            .filter(queue -> running.containsKey(queue) || waiting.containsKey(queue))
+            .map(
+                queue ->
+                    new QueueStatus(
+                        queue.use.workspace,
+                        queue.service,
+                        waiting.getOrDefault(queue, 0),
+                        running.getOrDefault(queue, 0),
+                        oldestWaitMillis(queue, nowNanos)))
+            .toList());
+  }
+
+  Limits limits(String workspace) {
+    return table.workspace(workspace).map(Workspace::limits).orElse(UNLIMITED);
+  }
+
+  double retryShare(String service) {
+    return table.service(service).map(ServiceEntry::retryShare).orElse(0.0);
+  }
+
+  static long oldestWaitMillis(WaitingQueue queue, long nowNanos) {
+    RoutedRequest oldest = queue.oldest();
+    return oldest == null ? 0 : (nowNanos - oldest.arrivedNanos) / NANOS_PER_MILLI;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/TicketIssuer.java
@@ -0,0 +1,44 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.process.RouterEffect.IssueTicket;
+import dev.agatepier.core.process.RouterEvent.TicketWanted;
+import dev.agatepier.core.process.internal.Admission.Refusal;
+import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.Ticket;
+import java.util.Optional;
+
+/** Issues tickets, each for one incarnation of one sidecar. */
+public final class TicketIssuer {
+
+  private final RouterState state;
+  private final Admission admission;
+
+  /** Creates the issuer. */
+  public TicketIssuer(RouterState state, Admission admission) {
+    this.state = state;
+    this.admission = admission;
+  }
+
+  /** Issues one ticket or says why not. */
+  public void wanted(TicketWanted wanted) {
+    Optional<Refusal> refusal = admission.refuseAccess(wanted.workspace(), wanted.service());
+    Optional<LinkedSidecar> home = state.sidecars.ticketHome(wanted.service(), wanted.request());
+    if (refusal.isPresent() || home.isEmpty()) {
+      Refusal why = refusal.orElse(new Refusal(Reason.NO_UPSTREAM, 0));
+      admission.refuse(
+          wanted.request(), wanted.workspace(), wanted.service(), Outcome.NOT_RUN, why);
+      return;
+    }
+    LinkedSidecar sidecar = home.get();
+    Ticket ticket =
+        new Ticket(
+            wanted.workspace(),
+            wanted.service(),
+            sidecar.name(),
+            sidecar.peer.incarnation(),
+            sidecar.clockMillis.getAsLong(),
+            wanted.request());
+    state.outbox.add(new IssueTicket(wanted.request(), ticket));
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingQueue.java
@@ -0,0 +1,230 @@
+package dev.agatepier.core.process.internal;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Requests of one workspace that wait for one service, oldest first. A request is held for one
+ * sidecar, kept away from one sidecar, or open to all; a hold ends with time, a pin does not.
+ */
+final class WaitingQueue {
+
+  /** Weight of the newest observation in moving averages. */
+  private static final double NEWEST_WEIGHT = 0.2;
+
+  final String service;
+  final WorkspaceUse use;
+  final RetryBudget retries = new RetryBudget();
+  final DrainRate drainRate = new DrainRate();
+
+  /** Demand that each sidecar was last told. */
+  final Map<String, SentDemand> sent = new HashMap<>();
+
+  /** Whether the sidecars were last told of waiting requests. */
+  boolean announced;
+
+  private final TreeMap<Long, RoutedRequest> open = new TreeMap<>();
+  private final TreeMap<Long, RoutedRequest> spilled = new TreeMap<>();
+  private final Map<String, TreeMap<Long, RoutedRequest>> pinned = new HashMap<>();
+  private final Map<String, TreeMap<Long, RoutedRequest>> affine = new HashMap<>();
+  private final Map<String, TreeMap<Long, RoutedRequest>> avoiding = new HashMap<>();
+  private final TreeMap<Long, Map<Long, RoutedRequest>> holds = new TreeMap<>();
+  private final long spillNanos;
+  private int size;
+  private double estimatedCost;
+
+  /**
+   * What a sidecar was told.
+   *
+   * @param waiting requests waiting; {@link #STALE} if the sidecar must be told again
+   * @param oldest sequence number of the oldest
+   */
+  record SentDemand(int waiting, long oldest) {
+    /** Stands for a value that the sidecar may have changed by itself. */
+    static final int STALE = -1;
+  }
+
+  WaitingQueue(String service, WorkspaceUse use, long spillNanos) {
+    this.service = service;
+    this.use = use;
+    this.spillNanos = spillNanos;
+  }
+
+  int size() {
+    return size;
+  }
+
+  double estimatedCost() {
+    return estimatedCost;
+  }
+
+  void observeCost(double cost) {
+    estimatedCost =
+        estimatedCost == 0 ? cost : estimatedCost + NEWEST_WEIGHT * (cost - estimatedCost);
+  }
+
+  /** Adds a request that only its ticket's sidecar may run. */
+  void addPinned(RoutedRequest request, String sidecar) {
+    pinned.computeIfAbsent(sidecar, name -> new TreeMap<>()).put(request.sequence, request);
+    size++;
+  }
+
+  /** Adds a request that any sidecar may run. */
+  void addOpen(RoutedRequest request) {
+    request.holdSidecar = "";
+    open.put(request.sequence, request);
+    size++;
+  }
+
+  /** Adds a request that is held for a sidecar until a time. */
+  void addAffine(RoutedRequest request, String sidecar, long untilNanos) {
+    hold(affine, request, sidecar, untilNanos);
+  }
+
+  /** Adds a request that is kept away from a sidecar until a time. */
+  void addAvoiding(RoutedRequest request, String sidecar, long untilNanos) {
+    hold(avoiding, request, sidecar, untilNanos);
+  }
+
+  void remove(RoutedRequest request) {
+    size--;
+    if (request.ticketed()) {
+      removeFrom(pinned, request.call.ticket().get().sidecar(), request);
+    } else if (request.holdSidecar.isEmpty()) {
+      open.remove(request.sequence);
+      spilled.remove(request.sequence);
+    } else {
+      releaseHold(request);
+    }
+  }
+
+  /** Ends holds that are over and offers old requests to other regions. */
+  boolean advance(long nowNanos) {
+    boolean changed = false;
+    while (!holds.isEmpty() && holds.firstKey() <= nowNanos) {
+      RoutedRequest request = holds.firstEntry().getValue().values().iterator().next();
+      releaseHold(request);
+      size--;
+      addOpen(request);
+      changed = true;
+    }
+    while (!open.isEmpty() && open.firstEntry().getValue().arrivedNanos + spillNanos <= nowNanos) {
+      Map.Entry<Long, RoutedRequest> oldest = open.pollFirstEntry();
+      spilled.put(oldest.getKey(), oldest.getValue());
+      changed = true;
+    }
+    return changed;
+  }
+
+  /** Returns the best request for a sidecar, or null. */
+  RoutedRequest pick(String sidecar, boolean sameRegion) {
+    RoutedRequest best = first(pinned.get(sidecar));
+    if (best == null) {
+      best = first(affine.get(sidecar));
+    }
+    return best == null ? oldestFor(sidecar, sameRegion) : best;
+  }
+
+  /** Returns how many requests a sidecar may be granted. */
+  int demand(String sidecar, boolean sameRegion) {
+    int count = sizeOf(pinned.get(sidecar)) + spilled.size();
+    if (sameRegion) {
+      count += sizeOf(affine.get(sidecar)) + open.size();
+      for (Map.Entry<String, TreeMap<Long, RoutedRequest>> entry : avoiding.entrySet()) {
+        count += entry.getKey().equals(sidecar) ? 0 : entry.getValue().size();
+      }
+    }
+    return count;
+  }
+
+  /** Returns the sidecars that requests are pinned to or held for. */
+  Iterable<String> preferredSidecars() {
+    Set<String> names = new TreeSet<>(pinned.keySet());
+    names.addAll(affine.keySet());
+    return names;
+  }
+
+  /** Returns the requests that are pinned to a sidecar. */
+  List<RoutedRequest> pinnedTo(String sidecar) {
+    TreeMap<Long, RoutedRequest> requests = pinned.get(sidecar);
+    return requests == null ? List.of() : List.copyOf(requests.values());
+  }
+
+  /** Returns the oldest request of all, or null. */
+  RoutedRequest oldest() {
+    RoutedRequest oldest = oldestFor("", true);
+    for (TreeMap<Long, RoutedRequest> requests : pinned.values()) {
+      oldest = older(oldest, first(requests));
+    }
+    for (TreeMap<Long, RoutedRequest> requests : affine.values()) {
+      oldest = older(oldest, first(requests));
+    }
+    return oldest;
+  }
+
+  private RoutedRequest oldestFor(String sidecar, boolean sameRegion) {
+    RoutedRequest oldest = first(spilled);
+    if (!sameRegion) {
+      return oldest;
+    }
+    oldest = older(oldest, first(open));
+    for (Map.Entry<String, TreeMap<Long, RoutedRequest>> entry : avoiding.entrySet()) {
+      if (!entry.getKey().equals(sidecar)) {
+        oldest = older(oldest, first(entry.getValue()));
+      }
+    }
+    return oldest;
+  }
+
+  private void hold(
+      Map<String, TreeMap<Long, RoutedRequest>> kind,
+      RoutedRequest request,
+      String sidecar,
+      long untilNanos) {
+    request.holdSidecar = sidecar;
+    request.holdUntilNanos = untilNanos;
+    kind.computeIfAbsent(sidecar, name -> new TreeMap<>()).put(request.sequence, request);
+    holds.computeIfAbsent(untilNanos, time -> new TreeMap<>()).put(request.sequence, request);
+    size++;
+  }
+
+  private void releaseHold(RoutedRequest request) {
+    removeFrom(affine, request.holdSidecar, request);
+    removeFrom(avoiding, request.holdSidecar, request);
+    Map<Long, RoutedRequest> sameTime = holds.get(request.holdUntilNanos);
+    sameTime.remove(request.sequence);
+    if (sameTime.isEmpty()) {
+      holds.remove(request.holdUntilNanos);
+    }
+  }
+
+  private static void removeFrom(
+      Map<String, TreeMap<Long, RoutedRequest>> kind, String sidecar, RoutedRequest request) {
+    TreeMap<Long, RoutedRequest> requests = kind.get(sidecar);
+    if (requests != null) {
+      requests.remove(request.sequence);
+      if (requests.isEmpty()) {
+        kind.remove(sidecar);
+      }
+    }
+  }
+
+  private static RoutedRequest older(RoutedRequest one, RoutedRequest other) {
+    if (one == null || other == null) {
+      return one == null ? other : one;
+    }
+    return one.sequence < other.sequence ? one : other;
+  }
+
+  private static RoutedRequest first(TreeMap<Long, RoutedRequest> requests) {
+    return requests == null || requests.isEmpty() ? null : requests.firstEntry().getValue();
+  }
+
+  private static int sizeOf(TreeMap<Long, RoutedRequest> requests) {
+    return requests == null ? 0 : requests.size();
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RouterFixture.java
@@ -0,0 +1,197 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.AttemptContent;
+import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
+import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
+import dev.agatepier.core.connection.LinkMessage.AttemptHead;
+import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
+import dev.agatepier.core.connection.LinkMessage.Grant;
+import dev.agatepier.core.connection.LinkMessage.Heartbeat;
+import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.process.RouterEffect.EndAnswer;
+import dev.agatepier.core.process.RouterEffect.FailRequest;
+import dev.agatepier.core.process.RouterEffect.Send;
+import dev.agatepier.core.request.AnswerHead;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.version.CallPattern;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.ServiceKind;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Workspace;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** A router's decision in virtual time, driven by short scripts. */
+final class RouterFixture {
+
+  static final String SERVICE = "chair-desk";
+  static final long MILLI = 1_000_000;
+  static final long DEADLINE_MILLIS = 10_000;
+
+  final RouterDecision decision;
+  final List<RouterEffect> effects = new ArrayList<>();
+  final Map<String, PeerIdentity> linked = new HashMap<>();
+  long now = -5_000 * MILLI;
+  private long grants;
+  private long calls;
+  private AttemptId attempt;
+  private PeerIdentity home;
+
+  RouterFixture() {
+    this(RouterPolicy.DEFAULT, new Limits(10, 5, 0), 1);
+  }
+
+  RouterFixture(RouterPolicy policy, Limits limits, double retryShare) {
+    decision = new RouterDecision(router("r1"), policy);
+    tell(new RouterEvent.TableInForce(table(limits, retryShare)));
+  }
+
+  static Table table(Limits limits, double retryShare) {
+    ServiceEntry entry =
+        new ServiceEntry(
+            SERVICE,
+            ServiceKind.PLAIN,
+            List.of(new CallPattern("GET", "/")),
+            DEADLINE_MILLIS,
+            retryShare);
+    ServiceEntry closed =
+        new ServiceEntry("closed", ServiceKind.PLAIN, List.of(), DEADLINE_MILLIS, 0);
+    return new Table(
+        1,
+        Map.of("w", row("w", limits), "v", row("v", limits)),
+        Map.of(SERVICE, entry, "closed", closed));
+  }
+
+  private static Workspace row(String name, Limits limits) {
+    return new Workspace(name, 1, "00", limits, Set.of(SERVICE));
+  }
+
+  static PeerIdentity router(String name) {
+    return new PeerIdentity(name, 1, Role.ROUTER, "a1", "a", "");
+  }
+
+  static PeerIdentity sidecar(String name, long incarnation, String dataCentre) {
+    return new PeerIdentity(
+        name, incarnation, Role.SIDECAR, dataCentre, dataCentre.substring(0, 1), SERVICE);
+  }
+
+  List<RouterEffect> tell(RouterEvent event) {
+    List<RouterEffect> news = decision.decide(event, now);
+    effects.addAll(news);
+    for (RouterEffect effect : news) {
+      if (effect instanceof Send send && send.message() instanceof StartAttempt start) {
+        attempt = start.attempt();
+        home = linked.get(send.instance());
+      }
+    }
+    return news;
+  }
+
+  List<RouterEffect> message(PeerIdentity peer, LinkMessage message) {
+    return tell(new RouterEvent.MessageArrived(peer, message));
+  }
+
+  PeerIdentity link(String name, long incarnation, String dataCentre) {
+    PeerIdentity peer = sidecar(name, incarnation, dataCentre);
+    linked.put(name, peer);
+    tell(new RouterEvent.PeerLinked(peer));
+    message(peer, new Heartbeat(1, 1, false, 700));
+    return peer;
+  }
+
+  RequestId call(String workspace, String method, String body, Optional<Ticket> ticket) {
+    RequestId request = new RequestId("r1", 1, ++calls);
+    tell(
+        new RouterEvent.CallArrived(
+            request,
+            workspace,
+            SERVICE,
+            new CallHead(method, "/", List.of()),
+            Bytes.ofText(body),
+            new Fingerprint(workspace, SERVICE, body),
+            ticket,
+            now + DEADLINE_MILLIS * MILLI));
+    return request;
+  }
+
+  static Ticket ticket(String workspace, String sidecar, long incarnation) {
+    return new Ticket(workspace, SERVICE, sidecar, incarnation, 0, new RequestId("r0", 1, 9));
+  }
+
+  List<RouterEffect> grant(String sidecar, String workspace) {
+    return message(linked.get(sidecar), new Grant(++grants, workspace));
+  }
+
+  /** Runs steps that are divided by semicolons. */
+  void run(String script) {
+    for (String step : script.split(";")) {
+      String[] words = step.trim().split(" ");
+      step(words[0], words.length > 1 ? words[1] : "");
+    }
+  }
+
+  private void step(String verb, String word) {
+    switch (verb) {
+      case "link" -> link(word.substring(0, 2), Long.parseLong(word.substring(3)), "a1");
+      case "grant" -> grant(word, "w");
+      case "head" -> message(home, new AttemptHead(attempt, new AnswerHead(200, List.of())));
+      case "part" ->
+          message(home, new AttemptContent(attempt, Integer.parseInt(word), Bytes.ofText("x")));
+      case "end" -> message(home, new AttemptEnd(attempt, Integer.parseInt(word), 3));
+      case "notrun" -> message(home, new AttemptNotRun(attempt, reason(word)));
+      case "failed" -> message(home, new AttemptFailed(attempt, reason(word)));
+      case "lost" -> tell(new RouterEvent.PeerUnlinked(linked.get(word)));
+      case "gone" -> tell(new RouterEvent.CallerGone(new RequestId("r1", 1, calls)));
+      case "wait" -> pass(Long.parseLong(word));
+      case "" -> {}
+      default -> throw new IllegalArgumentException(verb);
+    }
+  }
+
+  List<RouterEffect> pass(long millis) {
+    now += millis * MILLI;
+    return tell(new RouterEvent.TimePassed());
+  }
+
+  private static Reason reason(String word) {
+    return Reason.valueOf(word.replace('-', '_').toUpperCase(Locale.ROOT));
+  }
+
+  /** Returns how each request ended, in order. */
+  List<String> ends() {
+    List<String> ends = new ArrayList<>();
+    for (RouterEffect effect : effects) {
+      if (effect instanceof EndAnswer) {
+        ends.add("completed");
+      } else if (effect instanceof FailRequest fail) {
+        ends.add(fail.outcome().code() + " " + fail.reason().code());
+      }
+    }
+    return ends;
+  }
+
+  /** Returns the messages of a kind that a peer was sent. */
+  <M extends LinkMessage> List<M> sent(String instance, Class<M> kind) {
+    return effects.stream()
+        .filter(effect -> effect instanceof Send send && send.instance().equals(instance))
+        .map(effect -> ((Send) effect).message())
+        .filter(kind::isInstance)
+        .map(kind::cast)
+        .toList();
+  }
+}
