--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/package-info.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/package-info.java
@@ -1,2 +1,2 @@
-/** Parts of the sidecar's and the holder's decisions that other modules need not see. */
+/** Parts of the decisions of routers, sidecars and holders that other modules need not see. */
 package dev.agatepier.core.process.internal;
