Add the message codec and the links between processes

Cause: the processes had records of messages but no way to exchange them.

LinkEvents.message says whether the message was taken: if not, the link holds it, reads nothing further and offers it again, so that a full mailbox holds the peer back.

Thin: TLS has no test yet; of two processes only one may dial the other.

--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkEvents.java
@@ -0,0 +1,24 @@
+package dev.agatepier.wire.connection;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.PeerIdentity;
+
+/**
+ * Told of everything that happens on links. Calls never overlap and come in order: for each peer
+ * {@code linked}, its messages, {@code unlinked}. No call may block.
+ */
+public interface LinkEvents {
+
+  /** A link is up and authenticated. */
+  void linked(PeerIdentity peer, Link link);
+
+  /**
+   * A message came over a link.
+   *
+   * @return false if it cannot be taken now; the link reads nothing further and offers it again
+   */
+  boolean message(PeerIdentity peer, LinkMessage message);
+
+  /** A link is gone, after {@code linked} for the same peer. */
+  void unlinked(PeerIdentity peer, String reason);
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkListener.java
@@ -0,0 +1,73 @@
+package dev.agatepier.wire.connection;
+
+import dev.agatepier.core.process.ManagedService;
+import dev.agatepier.wire.connection.internal.LinkContext;
+import dev.agatepier.wire.connection.internal.LinkTask;
+import dev.agatepier.wire.connection.internal.TlsContexts;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpServer;
+
+/** Accepts links from other processes of the fleet. */
+public final class LinkListener implements ManagedService {
+
+  private final LinkContext context;
+  private final String address;
+  private final int port;
+
+  /** Links accepted and not yet closed. */
+  private final Set<LinkTask> tasks = ConcurrentHashMap.newKeySet();
+
+  private volatile DisposableServer server;
+
+  LinkListener(LinkContext context, String address, int port) {
+    this.context = context;
+    this.address = address;
+    this.port = port;
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    return Mono.defer(() -> configure().bind())
+        .doOnNext(bound -> server = bound)
+        .onErrorMap(
+            failure -> new LinkException("links cannot listen on " + address + ":" + port, failure))
+        .<Void>then()
+        .toFuture();
+  }
+
+  /** Returns the port that is listened on, once started. */
+  public int port() {
+    return server.port();
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    if (server == null) {
+      return CompletableFuture.completedFuture(null);
+    }
+    server.dispose();
+    tasks.forEach(task -> task.close("stopped"));
+    return server.onDispose().toFuture();
+  }
+
+  private TcpServer configure() {
+    TcpServer plain = TcpServer.create().host(address).port(port).doOnConnection(this::accept);
+    return context
+        .settings()
+        .tls()
+        .map(tls -> plain.secure(spec -> spec.sslContext(TlsContexts.server(tls))))
+        .orElse(plain);
+  }
+
+  private void accept(Connection connection) {
+    LinkTask task = LinkTask.accepted(context, connection);
+    tasks.add(task);
+    connection.onDispose(() -> tasks.remove(task));
+    task.begin();
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -0,0 +1,244 @@
+package dev.agatepier.wire.connection.internal;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.wire.connection.CodecException;
+import dev.agatepier.wire.connection.Link;
+import dev.agatepier.wire.connection.LinkCounters;
+import dev.agatepier.wire.connection.LinkException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.reactivestreams.Subscription;
+import reactor.core.publisher.BaseSubscriber;
+import reactor.netty.Connection;
+
+/**
+ * Owns one socket between two processes. All state changes on the event loop of the socket; other
+ * threads only leave messages in the outbound queue or ask for the close.
+ */
+public final class LinkTask implements Link {
+
+  private static final Logger LOGGER = LogManager.getLogger(LinkTask.class);
+
+  /** Time before a message that could not be taken is offered again, in milliseconds. */
+  private static final long OFFER_AGAIN_MILLIS = 5;
+
+  private final LinkContext context;
+  private final Connection connection;
+  private final Handshake handshake;
+  private final OutboundQueue outbound;
+  private final FrameDecoder frames = new FrameDecoder();
+  private final TrafficCounter sent = new TrafficCounter();
+  private final TrafficCounter received = new TrafficCounter();
+  private final AtomicReference<String> closeReason = new AtomicReference<>();
+  private final CompletableFuture<Void> closed = new CompletableFuture<>();
+  private final Inbound inbound = new Inbound();
+  private volatile long heardNanos;
+  private volatile PeerIdentity peer;
+  private volatile boolean holding;
+
+  private LinkTask(LinkContext context, Connection connection, boolean dialing) {
+    this.context = context;
+    this.connection = connection;
+    this.handshake = new Handshake(context, dialing);
+    this.outbound =
+        new OutboundQueue(
+            connection.channel(),
+            context.settings().queueMessages(),
+            context.settings().queueBytes());
+  }
+
+  /** Returns the task of a connection that this process accepted. */
+  public static LinkTask accepted(LinkContext context, Connection connection) {
+    return new LinkTask(context, connection, false);
+  }
+
+  /** Returns the task of a connection that this process opened. */
+  public static LinkTask dialed(LinkContext context, Connection connection) {
+    return new LinkTask(context, connection, true);
+  }
+
+  /** Starts the handshake. */
+  public void begin() {
+    heardNanos = context.clock().nanoTime();
+    connection.addHandlerLast("agatepier-frames", frames);
+    connection.onDispose(this::ended);
+    connection.inbound().receiveObject().subscribe(inbound);
+    write(handshake.hello());
+    later(context.settings().handshakeMillis(), this::requireLinked);
+  }
+
+  @Override
+  public boolean send(LinkMessage message) {
+    if (peer == null || closeReason.get() != null || silent()) {
+      return false;
+    }
+    return write(message);
+  }
+
+  @Override
+  public void close(String reason) {
+    if (closeReason.compareAndSet(null, reason)) {
+      connection.channel().close();
+    }
+  }
+
+  @Override
+  public PeerIdentity peer() {
+    return peer;
+  }
+
+  @Override
+  public LinkCounters counters() {
+    boolean across = peer != null && !peer.region().equals(context.self().region());
+    return new LinkCounters(across, sent.traffic(), received.traffic());
+  }
+
+  /** Returns whether the handshake succeeded. */
+  public boolean wasLinked() {
+    return peer != null;
+  }
+
+  /** Completes when the socket is closed and everybody is told. */
+  public CompletableFuture<Void> closed() {
+    return closed;
+  }
+
+  private boolean write(LinkMessage message) {
+    byte[] content = context.codec().encode(message);
+    if (content.length > context.settings().maximumFrameBytes()) {
+      throw new CodecException("message of " + content.length + " bytes is longer than a frame");
+    }
+    if (!outbound.offer(content)) {
+      close("link-overflow");
+      return false;
+    }
+    sent.count(message, content.length);
+    return true;
+  }
+
+  private void received(byte[] content) {
+    if (closeReason.get() != null || silent()) {
+      return;
+    }
+    heardNanos = context.clock().nanoTime();
+    LinkMessage message = context.codec().decode(content);
+    received.count(message, content.length);
+    if (!handshake.greeted()) {
+      write(handshake.greet(message));
+      inbound.request(1);
+    } else if (peer == null) {
+      established(handshake.verify(message));
+      inbound.request(1);
+    } else {
+      deliver(message);
+    }
+  }
+
+  private void established(PeerIdentity proved) {
+    frames.limit(context.settings().maximumFrameBytes());
+    peer = proved;
+    if (!context.directory().linked(this)) {
+      throw new LinkException("older-incarnation");
+    }
+    LOGGER.info("link-up peer={} incarnation={}", peer.instance(), peer.incarnation());
+    beat();
+  }
+
+  private void deliver(LinkMessage message) {
+    holding = !context.directory().message(this, message);
+    if (closeReason.get() != null) {
+      return;
+    }
+    if (holding) {
+      later(OFFER_AGAIN_MILLIS, () -> deliver(message));
+    } else {
+      heardNanos = context.clock().nanoTime();
+      inbound.request(1);
+    }
+  }
+
+  private void beat() {
+    if (closeReason.get() == null && !silent()) {
+      write(context.heartbeat().get());
+      later(context.settings().heartbeatMillis(), this::beat);
+    }
+  }
+
+  /** Closes the link if nothing was heard for too long; what a paused process wakes with is old. */
+  private boolean silent() {
+    long silence = context.clock().nanoTime() - heardNanos;
+    if (holding || silence <= context.settings().silenceNanos()) {
+      return false;
+    }
+    close("heartbeat-lost");
+    return true;
+  }
+
+  private void requireLinked() {
+    if (peer == null) {
+      close("handshake-timeout");
+    }
+  }
+
+  private void later(long millis, Runnable step) {
+    connection.channel().eventLoop().schedule(() -> guard(step), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void guard(Runnable step) {
+    try {
+      step.run();
+    } catch (CodecException failure) {
+      close("malformed-message: " + failure.getMessage());
+    } catch (LinkException failure) {
+      close(failure.getMessage());
+    } catch (RuntimeException failure) {
+      LOGGER.error("link-failure", failure);
+      close("link-failure: " + failure.getMessage());
+    }
+  }
+
+  private void ended() {
+    closeReason.compareAndSet(null, "connection-closed");
+    String reason = closeReason.get();
+    String name = peer == null ? "" : peer.instance();
+    LOGGER.info(
+        "link-closed peer={} remote={} reason={}",
+        name,
+        connection.channel().remoteAddress(),
+        reason);
+    if (peer != null) {
+      context.directory().unlinked(this, reason);
+    }
+    closed.complete(null);
+  }
+
+  /** Reads one frame at a time, so that an unread socket holds the peer back. */
+  private final class Inbound extends BaseSubscriber<Object> {
+    @Override
+    protected void hookOnSubscribe(Subscription subscription) {
+      request(1);
+    }
+
+    @Override
+    protected void hookOnNext(Object frame) {
+      guard(() -> received((byte[]) frame));
+    }
+
+    @Override
+    protected void hookOnComplete() {
+      close("connection-closed");
+    }
+
+    @Override
+    protected void hookOnError(Throwable failure) {
+      close(
+          failure.getCause() instanceof CodecException malformed
+              ? "malformed-frame: " + malformed.getMessage()
+              : "connection-failed: " + failure.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/OutboundQueue.java
@@ -0,0 +1,60 @@
+package dev.agatepier.wire.connection.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Frames on their way to a socket, bounded in number and bytes from the offer until the socket has
+ * taken them. Any thread may offer; the channel's event loop writes.
+ */
+final class OutboundQueue {
+
+  private final Channel channel;
+  private final int maximumMessages;
+  private final long maximumBytes;
+  private final Queue<byte[]> frames = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger messages = new AtomicInteger();
+  private final AtomicLong bytes = new AtomicLong();
+  private final AtomicBoolean scheduled = new AtomicBoolean();
+
+  OutboundQueue(Channel channel, int maximumMessages, long maximumBytes) {
+    this.channel = channel;
+    this.maximumMessages = maximumMessages;
+    this.maximumBytes = maximumBytes;
+  }
+
+  /** Takes a frame, or returns false if a bound is reached. */
+  boolean offer(byte[] content) {
+    int size = content.length + FrameDecoder.HEADER_BYTES;
+    if (messages.incrementAndGet() > maximumMessages || bytes.addAndGet(size) > maximumBytes) {
+      return false;
+    }
+    frames.add(content);
+    if (scheduled.compareAndSet(false, true)) {
+      channel.eventLoop().execute(this::write);
+    }
+    return true;
+  }
+
+  private void write() {
+    scheduled.set(false);
+    for (byte[] content = frames.poll(); content != null; content = frames.poll()) {
+      int size = content.length + FrameDecoder.HEADER_BYTES;
+      ByteBuf header = channel.alloc().buffer(FrameDecoder.HEADER_BYTES).writeInt(content.length);
+      ByteBuf frame = Unpooled.wrappedBuffer(header, Unpooled.wrappedBuffer(content));
+      channel.write(frame).addListener(written -> release(size));
+    }
+    channel.flush();
+  }
+
+  private void release(int size) {
+    messages.decrementAndGet();
+    bytes.addAndGet(-size);
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/TableFamily.java
@@ -0,0 +1,57 @@
+package dev.agatepier.wire.connection.internal;
+
+import dev.agatepier.core.connection.LinkMessage.ManifestRequest;
+import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
+import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.LinkMessage.PageRequest;
+import dev.agatepier.core.connection.LinkMessage.PageTransfer;
+import java.util.List;
+
+/** Messages that carry table versions from peer to peer. */
+public final class TableFamily implements MessageFamily {
+
+  @Override
+  public List<MessageType<?>> types() {
+    return List.of(
+        new MessageType<>(
+            40,
+            ManifestTransfer.class,
+            2,
+            (message, output) -> {
+              output.number(message.version());
+              output.list(message.pages(), TableFamily::writeReference);
+            },
+            input -> new ManifestTransfer(input.number(), input.list(TableFamily::readReference))),
+        new MessageType<>(
+            41,
+            ManifestRequest.class,
+            1,
+            (message, output) -> output.number(message.knownVersion()),
+            input -> new ManifestRequest(input.number())),
+        new MessageType<>(
+            42,
+            PageRequest.class,
+            1,
+            (message, output) -> output.text(message.digest()),
+            input -> new PageRequest(input.text())),
+        new MessageType<>(
+            43,
+            PageTransfer.class,
+            2,
+            (message, output) -> {
+              output.text(message.digest());
+              output.bytes(message.content());
+            },
+            input -> new PageTransfer(input.text(), input.bytes())));
+  }
+
+  private static void writeReference(FieldOutput output, PageReference page) {
+    output.text(page.name());
+    output.text(page.digest());
+    output.integer(page.size());
+  }
+
+  private static PageReference readReference(FieldInput input) {
+    return new PageReference(input.text(), input.text(), input.integer());
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -0,0 +1,133 @@
+package dev.agatepier.wire.connection;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.AttemptContent;
+import dev.agatepier.core.connection.LinkMessage.AttemptCredit;
+import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
+import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
+import dev.agatepier.core.connection.LinkMessage.AttemptHead;
+import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
+import dev.agatepier.core.connection.LinkMessage.AttemptWithdrawn;
+import dev.agatepier.core.connection.LinkMessage.CostReport;
+import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
+import dev.agatepier.core.connection.LinkMessage.DemandUpdate;
+import dev.agatepier.core.connection.LinkMessage.FleetCosts;
+import dev.agatepier.core.connection.LinkMessage.Grant;
+import dev.agatepier.core.connection.LinkMessage.GrantDeclined;
+import dev.agatepier.core.connection.LinkMessage.Heartbeat;
+import dev.agatepier.core.connection.LinkMessage.Hello;
+import dev.agatepier.core.connection.LinkMessage.HelloProof;
+import dev.agatepier.core.connection.LinkMessage.ManifestRequest;
+import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
+import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.LinkMessage.PageRequest;
+import dev.agatepier.core.connection.LinkMessage.PageTransfer;
+import dev.agatepier.core.connection.LinkMessage.SlotsFree;
+import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.LinkMessage.Suspicion;
+import dev.agatepier.core.connection.LinkMessage.SuspicionReport;
+import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
+import dev.agatepier.core.connection.LinkMessage.WorkspaceDemand;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.request.AnswerHead;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.Header;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.Ticket;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Whole sessions that the golden files hold; together they use every message. */
+final class LinkSessions {
+
+  static final PeerIdentity ROUTER =
+      new PeerIdentity("router-1", 7, Role.ROUTER, "kolkata-a", "bengal", "");
+  static final PeerIdentity SIDECAR =
+      new PeerIdentity("engine-3", 9, Role.SIDECAR, "siliguri-a", "hills", "plan-model");
+
+  private static final RequestId REQUEST = new RequestId("router-1", 7, 41);
+  private static final AttemptId FIRST = new AttemptId(REQUEST, 1);
+  private static final AttemptId SECOND = new AttemptId(REQUEST, 2);
+  private static final Fingerprint FINGERPRINT =
+      new Fingerprint("kolkata-strings", "plan-model", "9f86d081");
+  private static final CallHead CALL =
+      new CallHead(
+          "POST", "/v1/chat/completions", List.of(new Header("accept", "text/event-stream")));
+
+  static final Map<String, List<LinkMessage>> ALL =
+      Map.of(
+          "link-completed", completed(),
+          "link-ticket-failures", ticketFailures(),
+          "link-costs", costs(),
+          "link-table", table());
+
+  private LinkSessions() {}
+
+  private static List<LinkMessage> completed() {
+    return List.of(
+        new Hello(1, ROUTER, new Bytes(new byte[16])),
+        new Hello(1, SIDECAR, new Bytes("0123456789abcdef".getBytes())),
+        new HelloProof(Bytes.ofText("proof of the router")),
+        new HelloProof(Bytes.ofText("proof of the sidecar")),
+        new Heartbeat(12, 3, false, 86_400_000),
+        new SlotsFree(4),
+        new DemandUpdate(List.of(new WorkspaceDemand("kolkata-strings", 2, 150, 37.5))),
+        new Grant(1, "kolkata-strings"),
+        start(1, FIRST, Optional.empty()),
+        new AttemptHead(FIRST, new AnswerHead(200, List.of(new Header("a", "বাংলা")))),
+        new AttemptContent(FIRST, 0, Bytes.ofText("data: {}\n\n")),
+        new AttemptCredit(FIRST, 10),
+        new AttemptEnd(FIRST, 1, 37),
+        new Grant(2, "kolkata-strings"),
+        new GrantDeclined(2));
+  }
+
+  private static List<LinkMessage> ticketFailures() {
+    Ticket ticket = new Ticket("kolkata-strings", "plan-model", "engine-3", 9, 1_000, REQUEST);
+    return List.of(
+        start(3, FIRST, Optional.of(ticket)),
+        new AttemptNotRun(FIRST, Reason.TICKET_EXPIRED),
+        start(4, SECOND, Optional.of(ticket)),
+        new AttemptWithdrawn(SECOND),
+        new AttemptFailed(SECOND, Reason.UPSTREAM_DIED));
+  }
+
+  private static List<LinkMessage> costs() {
+    List<WorkspaceCost> costs = List.of(new WorkspaceCost("kolkata-strings", 1e9 + 0.25));
+    return List.of(
+        new CostReport(costs, List.of("kolkata-strings", "howrah-winds")),
+        new FleetCosts(7, costs),
+        new DataCentreCosts("plan-model", costs),
+        new SuspicionReport(List.of(new Suspicion(FINGERPRINT, "engine-3", 9, 1, true))));
+  }
+
+  private static List<LinkMessage> table() {
+    return List.of(
+        new ManifestRequest(11),
+        new ManifestTransfer(12, List.of(new PageReference("workspaces-1", "ab12", 17))),
+        new PageRequest("ab12"),
+        new PageTransfer("ab12", Bytes.ofText("workspace,weight\n")),
+        new PageTransfer("cd34", Bytes.EMPTY));
+  }
+
+  private static StartAttempt start(long grant, AttemptId attempt, Optional<Ticket> ticket) {
+    return new StartAttempt(
+        grant,
+        attempt,
+        "kolkata-strings",
+        CALL,
+        Bytes.ofText("{\"prompt\":\"seats\"}"),
+        119_000,
+        false,
+        grant == 4,
+        FINGERPRINT,
+        ticket,
+        262_144);
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/MessagePackCodecTest.java
@@ -0,0 +1,97 @@
+package dev.agatepier.wire.connection;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.expectThrows;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.Grant;
+import dev.agatepier.core.connection.LinkMessage.PageRequest;
+import dev.agatepier.core.connection.LinkMessage.SlotsFree;
+import dev.agatepier.wire.GoldenFile;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class MessagePackCodecTest {
+
+  private final MessageCodec codec = new MessagePackCodec();
+
+  @DataProvider
+  public Object[][] sessions() {
+    return LinkSessions.ALL.entrySet().stream()
+        .map(entry -> new Object[] {entry.getKey(), entry.getValue()})
+        .toArray(Object[][]::new);
+  }
+
+  @Test(dataProvider = "sessions")
+  public void encodesAndDecodesGoldenSession(String name, List<LinkMessage> session) {
+    GoldenFile golden = new GoldenFile(name + ".hex");
+    golden.assertLines(
+        session.stream().map(message -> HexFormat.of().formatHex(codec.encode(message))).toList());
+    List<LinkMessage> decoded =
+        golden.lines().stream().map(line -> codec.decode(HexFormat.of().parseHex(line))).toList();
+    assertEquals(decoded, session);
+  }
+
+  @Test
+  public void goldenSessionsUseEveryMessage() {
+    Set<Class<?>> used = new HashSet<>();
+    LinkSessions.ALL.values().forEach(s -> s.forEach(message -> used.add(message.getClass())));
+    assertEquals(used, Set.of(LinkMessage.class.getPermittedSubclasses()));
+  }
+
+  @DataProvider
+  public Object[][] malformed() {
+    return new Object[][] {
+      {"", "cannot be decoded|malformed"},
+      {"c0", "malformed"},
+      {"90", "message type -1 is unknown"},
+      {"917f", "message type 127 is unknown"},
+      {"910b", "has 0 fields, not 1"},
+      {"930b0101", "has 2 fields, not 1"},
+      {"920b0101", "trailing bytes"},
+      {"920ba161", "malformed"},
+      {"920bcf7fffffffffffffff", "malformed"},
+      {"930c01db00ffffff", "text of 16777215 exceeds 16384"},
+      {"930c01d9ff", "text of 255 is longer than its message"},
+      {"930c01a1ff", "text is not UTF-8"},
+      {"920add00ffffff", "collection of 16777215 exceeds 32768"},
+      {"9202c67fffffff", "payload of 2147483647 exceeds"},
+      {"9719a172010201a7" + HexFormat.of().formatHex("NOTHING".getBytes()), "has 6 fields"},
+      {"9619a172010201a7" + HexFormat.of().formatHex("NOTHING".getBytes()), "malformed"},
+      {"9619a172010200a8" + HexFormat.of().formatHex("DEADLINE".getBytes()), "below 1"},
+      {"931e91a161cb7ff000000000000090", "not finite"},
+    };
+  }
+
+  @Test(dataProvider = "malformed")
+  public void refusesMalformedMessageWithReason(String hex, String reason) {
+    byte[] content = HexFormat.of().parseHex(hex);
+    CodecException refused = expectThrows(CodecException.class, () -> codec.decode(content));
+    assertEquals(
+        refused.getMessage().replaceAll("^.*(" + reason + ").*$", "as expected"), "as expected");
+  }
+
+  @Test(dataProvider = "sessions")
+  public void everyTruncationIsRefused(String name, List<LinkMessage> session) {
+    for (LinkMessage message : session) {
+      byte[] whole = codec.encode(message);
+      for (int length = 0; length < whole.length; length++) {
+        byte[] cut = Arrays.copyOf(whole, length);
+        assertThrows(CodecException.class, () -> codec.decode(cut));
+      }
+    }
+  }
+
+  @Test
+  public void refusesToEncodeBeyondBounds() {
+    assertThrows(CodecException.class, () -> codec.encode(new PageRequest("a".repeat(16_385))));
+    assertEquals(codec.decode(codec.encode(new SlotsFree(-1))), new SlotsFree(-1));
+    assertEquals(codec.decode(codec.encode(new Grant(-1, ""))), new Grant(-1, ""));
+  }
+}
