core: check tables and decide how versions spread

Cause: nothing reads the table or keeps processes at its newest version. Change: TableChecker names every mistake by line and column; VersionDecision follows platform and peers with a few platform readers per data centre; additive link messages InstancesRequest and InstancesTransfer. Conclusion: the wire module can drive it.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -7,6 +7,7 @@
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.version.Instance;
 import java.util.List;
 import java.util.Optional;
 
@@ -287,4 +288,24 @@
    * @param content the page; empty if the sender does not have it
    */
   record PageTransfer(String digest, Bytes content) implements LinkMessage {}
+
+  /**
+   * Asks a peer for its newest instance list.
+   *
+   * @param knownVersion version that the sender has; 0 for none
+   */
+  record InstancesRequest(long knownVersion) implements LinkMessage {}
+
+  /**
+   * Answers an {@link InstancesRequest} when the sender has a newer list.
+   *
+   * @param version version of the list
+   * @param instances the whole list
+   */
+  record InstancesTransfer(long version, List<Instance> instances) implements LinkMessage {
+    /** Copies the instances. */
+    public InstancesTransfer {
+      instances = List.copyOf(instances);
+    }
+  }
 }
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/InstanceFollower.java
@@ -0,0 +1,81 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage.InstancesTransfer;
+import dev.agatepier.core.process.VersionPolicy;
+import dev.agatepier.core.version.InstanceList;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** Keeps the newest instance list, from the platform or from peers. */
+public final class InstanceFollower {
+
+  private final ReadSchedule reads;
+  private final Question question;
+  private final long settleNanos;
+  private InstanceList list = InstanceList.NONE;
+  private long firstListNanos;
+
+  /** Creates the follower of a process that has no list. */
+  public InstanceFollower(VersionPolicy policy) {
+    reads = new ReadSchedule(policy);
+    question = new Question(TimeUnit.MILLISECONDS.toNanos(policy.transferMillis()));
+    settleNanos = TimeUnit.MILLISECONDS.toNanos(policy.coldStartMillis());
+  }
+
+  /** Returns the newest list. */
+  public InstanceList list() {
+    return list;
+  }
+
+  /** Returns the list for a peer, if it is newer than the peer's. */
+  public Optional<InstancesTransfer> newerThan(long knownVersion) {
+    return list.version() > knownVersion
+        ? Optional.of(new InstancesTransfer(list.version(), list.instances()))
+        : Optional.empty();
+  }
+
+  /** Returns when the platform's list may be read. */
+  public ReadSchedule reads() {
+    return reads;
+  }
+
+  /** Returns whether the platform's list may be read now. */
+  public boolean due(double jitter, long nowNanos) {
+    return reads.due(jitter, nowNanos);
+  }
+
+  /** Takes the platform's list; returns it if it is newer. */
+  public Optional<InstanceList> read(InstanceList read, double jitter, long nowNanos) {
+    Optional<InstanceList> newer = take(read, nowNanos);
+    if (newer.isPresent()) {
+      reads.answered(nowNanos);
+      reads.reset();
+    } else {
+      reads.failed(jitter, nowNanos);
+    }
+    return newer;
+  }
+
+  /** Takes a list; returns it if it is newer. */
+  public Optional<InstanceList> take(InstanceList offered, long nowNanos) {
+    question.answered();
+    if (offered.version() <= list.version()) {
+      return Optional.empty();
+    }
+    if (list.version() == 0) {
+      firstListNanos = nowNanos;
+    }
+    list = offered;
+    return Optional.of(offered);
+  }
+
+  /** Returns whether a peer's list is to be asked for, and notes the question. */
+  public boolean wants(long offeredVersion, long nowNanos) {
+    return offeredVersion > list.version() && question.ask(nowNanos);
+  }
+
+  /** Returns whether links had time to come up since the first list. */
+  public boolean settled(long nowNanos) {
+    return list.version() > 0 && nowNanos - firstListNanos >= settleNanos;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Question.java
@@ -0,0 +1,33 @@
+package dev.agatepier.core.process.internal;
+
+/** A question to a peer that is not asked again before it was answered or timed out. */
+public final class Question {
+
+  private final long timeoutNanos;
+  private boolean open;
+  private long askedNanos;
+
+  /**
+   * Creates the question.
+   *
+   * @param timeoutNanos how long an answer may take, in nanoseconds
+   */
+  public Question(long timeoutNanos) {
+    this.timeoutNanos = timeoutNanos;
+  }
+
+  /** Returns whether it may be asked now, and if so notes that it is. */
+  public boolean ask(long nowNanos) {
+    if (open && nowNanos - askedNanos < timeoutNanos) {
+      return false;
+    }
+    open = true;
+    askedNanos = nowNanos;
+    return true;
+  }
+
+  /** Notes an answer. */
+  public void answered() {
+    open = false;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/TableChecker.java
@@ -0,0 +1,53 @@
+package dev.agatepier.core.version;
+
+import dev.agatepier.core.version.internal.MistakeList;
+import dev.agatepier.core.version.internal.RowReader;
+import dev.agatepier.core.version.internal.ServiceRows;
+import dev.agatepier.core.version.internal.WorkspaceRows;
+import java.util.List;
+import java.util.Map;
+
+/** Checks the cells of a table and builds the version, or names every mistake. */
+public final class TableChecker {
+
+  /** Most workspaces of one table. */
+  public static final int MAXIMUM_WORKSPACES = 100_000;
+
+  /** Most services of one table. */
+  public static final int MAXIMUM_SERVICES = 1_000;
+
+  private TableChecker() {}
+
+  /**
+   * Checks all pages of a version.
+   *
+   * @param version number of the version
+   * @param pages its pages, in any order
+   */
+  public static TableReading check(long version, List<TablePage> pages) {
+    MistakeList mistakes = new MistakeList();
+    for (TablePage page : pages) {
+      if (!page.holdsWorkspaces() && !page.holdsServices()) {
+        mistakes.add(page.name(), 0, 0, "the name starts with neither workspaces nor services");
+      }
+    }
+    Map<String, ServiceEntry> services =
+        new ServiceRows(mistakes).read(select(pages, TablePage.SERVICES_PREFIX));
+    Map<String, Workspace> workspaces =
+        new WorkspaceRows(mistakes, services.keySet())
+            .read(select(pages, TablePage.WORKSPACES_PREFIX));
+    if (!mistakes.isEmpty()) {
+      return new TableReading.Refused(mistakes.all());
+    }
+    return new TableReading.Accepted(new Table(version, workspaces, services));
+  }
+
+  private static List<TablePage> select(List<TablePage> pages, String prefix) {
+    return pages.stream().filter(page -> page.name().startsWith(prefix)).toList();
+  }
+
+  /** Returns whether a text is a legal name of a workspace or service. */
+  public static boolean legalName(String text) {
+    return RowReader.legalName(text);
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/internal/RowsReader.java
@@ -0,0 +1,83 @@
+package dev.agatepier.core.version.internal;
+
+import dev.agatepier.core.version.TableCell;
+import dev.agatepier.core.version.TablePage;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Reads the pages of one file: header, count of cells, count of rows and duplicates.
+ *
+ * @param <R> what a row becomes
+ */
+abstract class RowsReader<R> {
+
+  private final String file;
+  private final List<String> header;
+  private final int maximumRows;
+  private final MistakeList mistakes;
+  private final Map<String, R> rows = new LinkedHashMap<>();
+
+  RowsReader(String file, List<String> header, int maximumRows, MistakeList mistakes) {
+    this.file = file;
+    this.header = header;
+    this.maximumRows = maximumRows;
+    this.mistakes = mistakes;
+  }
+
+  /** Reads the pages and returns the sound rows by name. */
+  public Map<String, R> read(List<TablePage> pages) {
+    if (pages.isEmpty()) {
+      mistakes.add(file, 0, 0, "there is no page of " + file);
+    }
+    pages.forEach(this::readPage);
+    return rows;
+  }
+
+  /** Reads one row that has the right count of cells. */
+  abstract R readRow(RowReader row, String name);
+
+  private void readPage(TablePage page) {
+    if (page.rows().isEmpty()) {
+      mistakes.add(page.name(), 1, 1, "the header is missing: " + String.join(",", header));
+      return;
+    }
+    if (!soundHeader(page)) {
+      return;
+    }
+    for (List<TableCell> cells : page.rows().subList(1, page.rows().size())) {
+      if (rows.size() >= maximumRows) {
+        mistakes.add(page.name(), cells.getFirst(), "there are more than " + maximumRows + " rows");
+        return;
+      }
+      addRow(page.name(), cells);
+    }
+  }
+
+  private boolean soundHeader(TablePage page) {
+    List<TableCell> cells = page.rows().getFirst();
+    if (cells.stream().map(cell -> cell.text().strip()).toList().equals(header)) {
+      return true;
+    }
+    mistakes.add(page.name(), cells.getFirst(), "the header must be " + String.join(",", header));
+    return false;
+  }
+
+  private void addRow(String page, List<TableCell> cells) {
+    if (cells.size() != header.size()) {
+      String counts = "the row has " + cells.size() + " cells, not " + header.size();
+      mistakes.add(page, cells.getFirst(), counts);
+      return;
+    }
+    RowReader row = new RowReader(page, cells, mistakes);
+    String name = row.name(0);
+    if (rows.containsKey(name)) {
+      row.refuse(0, "'" + name + "' stands in an earlier row too");
+    }
+    R read = readRow(row, name);
+    if (read != null) {
+      rows.putIfAbsent(name, read);
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -0,0 +1,111 @@
+package dev.agatepier.core.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class VersionDecisionTest {
+
+  private static final int NODES = 20;
+  private static final VersionPolicy POLICY = VersionPolicy.DEFAULT;
+
+  private FakeFleet fleet;
+
+  @BeforeMethod
+  public void startFleet() {
+    fleet = new FakeFleet(POLICY);
+    for (int number = 0; number < NODES; number++) {
+      fleet.add("router-" + number);
+    }
+    fleet.publish(5, "a", "b");
+    fleet.list(1);
+    fleet.run(10_000);
+  }
+
+  @Test
+  public void everyNodeHasTheFirstVersionAndTwoWatch() {
+    assertEquals(fleet.having(5), NODES);
+    assertEquals(fleet.watching(), POLICY.readersPerDataCentre());
+    assertTrue(fleet.reads <= 8 * NODES, fleet.reads + " reads");
+  }
+
+  @Test
+  public void changeReachesEveryoneAndOnlyChangedPagesAreFetched() {
+    int readsBefore = fleet.reads;
+    int fromPeersBefore = fleet.pagesFromPeers;
+    int unchangedBefore = fleet.pagesFromPlatform.get("a");
+    fleet.publish(6, "a", "c");
+    fleet.run(1_000);
+    assertEquals(fleet.having(6), NODES);
+    assertEquals(fleet.pagesFromPlatform.get("a"), unchangedBefore);
+    assertEquals(fleet.pagesFromPeers - fromPeersBefore, NODES - POLICY.readersPerDataCentre());
+    assertTrue(fleet.reads - readsBefore <= 3 * POLICY.readersPerDataCentre());
+  }
+
+  @Test
+  public void staleReadChangesNothing() {
+    fleet.publish(4, "old");
+    fleet.cutFromPlatform.addAll(fleet.nodes.keySet());
+    fleet.run(30_000);
+    assertEquals(fleet.having(5), NODES);
+  }
+
+  @Test
+  public void badVersionIsRefusedOnceAndTheNextOneTaken() {
+    fleet.badVersions.add(6L);
+    fleet.publish(6, "bad");
+    fleet.run(60_000);
+    assertEquals(fleet.having(5), NODES);
+    assertEquals(fleet.refusals.size(), POLICY.readersPerDataCentre());
+    fleet.publish(7, "good");
+    fleet.run(1_000);
+    assertEquals(fleet.having(7), NODES);
+  }
+
+  @Test
+  public void othersTakeOverWhenReadersDie() {
+    fleet.watchers().forEach(fleet::remove);
+    fleet.publish(6, "c");
+    fleet.run(1_000);
+    assertEquals(fleet.having(6), NODES - POLICY.readersPerDataCentre());
+    assertEquals(fleet.watching(), POLICY.readersPerDataCentre());
+  }
+
+  @Test
+  public void nodeCutFromThePlatformFollowsItsPeersAndReadsWithBackOff() {
+    fleet.cutFromPlatform.add("late");
+    fleet.add("late");
+    int before = fleet.reads;
+    fleet.run(2_000);
+    assertEquals(fleet.version("late"), 0, "trusts peers alone too early");
+    fleet.run(2_000);
+    assertEquals(fleet.version("late"), 5);
+    assertEquals(fleet.nodes.get("late").instances().version(), 1);
+    assertTrue(fleet.reads - before < 20, fleet.reads - before + " reads");
+  }
+
+  @Test
+  public void nodeWithoutMemoryDoesNotTrustStalePlatformOverPeers() {
+    fleet.publish(3, "stale");
+    fleet.add("late");
+    fleet.run(1_000);
+    assertEquals(fleet.version("late"), 5);
+  }
+
+  @Test
+  public void wholeFleetWithoutPlatformBacksOff() {
+    FakeFleet cold = new FakeFleet(POLICY);
+    for (int number = 0; number < NODES; number++) {
+      cold.add("router-" + number);
+    }
+    cold.cutFromPlatform.addAll(cold.nodes.keySet());
+    cold.run(60_000);
+    int before = cold.reads;
+    cold.run(60_000);
+    long longestPause = POLICY.lastRetryMillis() / 2;
+    long bound = NODES * 2L * (60_000 / longestPause + 1);
+    assertTrue(cold.reads - before <= bound, cold.reads - before + " reads over " + bound);
+  }
+}
