Add the platform, engine and plain service stand-ins

Cause: the fleet's surroundings were missing, so nothing could be tried end to end. Change: agatepier-standin platform, engine and plain: each one mailbox task behind HTTP, with the control calls of docs/INTERFACE.md. Conclusion: usable by the other modules' trials; not yet driven through a router.

--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -0,0 +1,59 @@
+package dev.agatepier.standin.process;
+
+import dev.agatepier.standin.process.internal.EngineProgram;
+import dev.agatepier.standin.process.internal.PlainProgram;
+import dev.agatepier.standin.process.internal.PlatformProgram;
+import dev.agatepier.standin.process.internal.StandinProgram;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** The command {@code agatepier-standin}. */
+public final class StandinCommand {
+
+  private static final int FAILED = 1;
+  private static final int MISUSED = 2;
+  private static final List<StandinProgram> PROGRAMS =
+      List.of(new PlatformProgram(), new EngineProgram(), new PlainProgram());
+
+  private StandinCommand() {}
+
+  /** Runs the program that the first argument names. */
+  public static void main(String[] arguments) {
+    int status = run(arguments);
+    if (status != 0) {
+      System.exit(status);
+    }
+  }
+
+  private static int run(String[] arguments) {
+    ArgumentParser parser = parser();
+    try {
+      Namespace options = parser.parseArgs(arguments);
+      return options.<StandinProgram>get("program").run(options);
+    } catch (ArgumentParserException misused) {
+      parser.handleError(misused);
+      return MISUSED;
+    } catch (CompletionException | IllegalArgumentException | IllegalStateException failure) {
+      Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+      System.err.println("agatepier-standin: " + cause.getMessage());
+      return FAILED;
+    }
+  }
+
+  private static ArgumentParser parser() {
+    ArgumentParser parser =
+        ArgumentParsers.newFor("agatepier-standin")
+            .build()
+            .description("Stand-ins for what surrounds a fleet, for trials and tests.");
+    Subparsers programs = parser.addSubparsers().title("programs").metavar("PROGRAM");
+    for (StandinProgram program : PROGRAMS) {
+      program.describe(programs.addParser(program.name()).setDefault("program", program));
+    }
+    return parser;
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/EngineProgram.java
@@ -0,0 +1,41 @@
+package dev.agatepier.standin.process.internal;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/** The program {@code engine}. */
+public final class EngineProgram extends ListeningProgram {
+
+  @Override
+  public String name() {
+    return "engine";
+  }
+
+  @Override
+  void describeMore(Subparser parser) {
+    number(parser, "--batch", 8).help("most streams that run at one time");
+    number(parser, "--best-batch", 0).help("streams at the flat token gap; 0 for half the batch");
+    parser.addArgument("--token-millis").type(Double.class).setDefault(10.0);
+    parser.addArgument("--prefill-tokens-per-second").type(Double.class).setDefault(20_000.0);
+    number(parser, "--cache-prefixes", 512).help("prompt blocks that are cached");
+    number(parser, "--load-lag-millis", 500).help("age of the reported load");
+    parser.addArgument("--seed").type(Long.class).setDefault(1L);
+    parser.addArgument("--record").metavar("FILE").help("appends each record to this file");
+  }
+
+  @Override
+  ListeningService create(String address, int port, Namespace options) {
+    int batch = options.getInt("batch");
+    int bestBatch = options.getInt("best_batch");
+    EngineSettings settings =
+        new EngineSettings(
+            batch,
+            bestBatch == 0 ? Math.max(1, batch / 2) : bestBatch,
+            options.getDouble("token_millis"),
+            options.getDouble("prefill_tokens_per_second"),
+            options.getInt("cache_prefixes"),
+            options.getInt("load_lag_millis"));
+    return new EngineStandin(
+        address, port, settings, options.getLong("seed"), file(options, "record"));
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/EngineStandin.java
@@ -0,0 +1,110 @@
+package dev.agatepier.standin.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.agatepier.core.process.MailboxTask;
+import dev.agatepier.standin.request.ModelCall;
+import dev.agatepier.standin.request.internal.EngineStream;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** A model engine with continuous batching and a prefix cache, which knows no priorities. */
+public final class EngineStandin extends HttpStandin {
+
+  private final RunLog log;
+  private final MailboxTask<EngineMessage> task;
+
+  /**
+   * Creates the stand-in.
+   *
+   * @param address IP number to listen on
+   * @param port TCP port; 0 for any free one
+   * @param settings how it behaves at first
+   * @param seed seed of the deviation of its steps
+   * @param recordFile file that gets each record
+   */
+  EngineStandin(
+      String address, int port, EngineSettings settings, long seed, Optional<Path> recordFile) {
+    super("engine", address, port);
+    this.log = new RunLog(scheduler, recordFile);
+    EngineTask state = new EngineTask(settings, seed, System::nanoTime, this::after, log::put);
+    this.task = scheduler.task(state::handle);
+  }
+
+  private void after(long delayNanos, EngineMessage message) {
+    scheduler.after(delayNanos, () -> task.offer(message));
+  }
+
+  @Override
+  void route(HttpServerRoutes routes) {
+    routes
+        .post("/v1/chat/completions", this::complete)
+        .get("/health", (request, response) -> HttpFront.send(response, Reply.up()))
+        .get("/load", (request, response) -> ask(response, EngineMessage.ReadLoad::new))
+        .get("/control/ran", (request, response) -> HttpFront.send(response, log.read()))
+        .post("/control/settings", this::putSettings);
+  }
+
+  private Publisher<Void> complete(HttpServerRequest request, HttpServerResponse response) {
+    return HttpFront.body(request).flatMap(body -> Mono.from(run(request, response, body)));
+  }
+
+  private Publisher<Void> run(HttpServerRequest request, HttpServerResponse response, byte[] body) {
+    EngineStream stream;
+    try {
+      ModelCall call = ModelCall.parse(body);
+      stream = new EngineStream(log.arrived(request, body), call);
+    } catch (IllegalArgumentException invalid) {
+      return HttpFront.send(response, Reply.error(400, invalid.getMessage()));
+    }
+    if (!task.offer(new EngineMessage.Submit(stream))) {
+      return HttpFront.send(response, Reply.error(503, "the engine's mailbox is full"));
+    }
+    return answer(response, stream);
+  }
+
+  private Publisher<Void> answer(HttpServerResponse response, EngineStream stream) {
+    ChannelFutureListener closed = future -> task.offer(new EngineMessage.Cancel(stream));
+    response.withConnection(c -> c.channel().closeFuture().addListener(closed));
+    Flux<String> events =
+        stream
+            .events()
+            .doOnCancel(() -> task.offer(new EngineMessage.Cancel(stream)))
+            .doFinally(signal -> response.withConnection(c -> forget(c.channel(), closed)));
+    if (stream.call().stream()) {
+      return response.sse().sendString(events);
+    }
+    response.header("Content-Type", "application/json");
+    return response.sendString(events.then(Mono.fromSupplier(stream.call()::plainAnswer)));
+  }
+
+  private Publisher<Void> putSettings(HttpServerRequest request, HttpServerResponse response) {
+    return HttpFront.body(request)
+        .flatMap(
+            body ->
+                Mono.from(
+                    ask(
+                        response,
+                        reply ->
+                            new EngineMessage.PutSettings(
+                                Json.read(body, JsonNode.class), reply))));
+  }
+
+  private Publisher<Void> ask(
+      HttpServerResponse response, Function<CompletableFuture<Reply>, EngineMessage> message) {
+    return HttpFront.ask(response, reply -> task.offer(message.apply(reply)));
+  }
+
+  private static void forget(Channel channel, ChannelFutureListener listener) {
+    channel.closeFuture().removeListener(listener);
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/EngineTask.java
@@ -0,0 +1,165 @@
+package dev.agatepier.standin.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.agatepier.core.process.MonotonicClock;
+import dev.agatepier.standin.request.RunRecord;
+import dev.agatepier.standin.request.internal.EngineStream;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** State of the engine stand-in: a continuous batch; owned by one mailbox task. */
+final class EngineTask {
+
+  /** Largest deviation of a step from the pace, as a share of it. */
+  private static final double JITTER_SHARE = 0.05;
+
+  /** Sends a message to this task after a delay. */
+  @FunctionalInterface
+  interface Timer {
+    void after(long delayNanos, EngineMessage message);
+  }
+
+  /**
+   * Load as reported.
+   *
+   * @param running streams running
+   * @param waiting requests admitted that wait for the batch
+   * @param batch most streams that run at one time
+   */
+  record Load(int running, int waiting, int batch) {}
+
+  private final MonotonicClock clock;
+  private final Timer timer;
+  private final Consumer<RunRecord> log;
+  private final SplittableRandom random;
+  private final Deque<EngineStream> waiting = new ArrayDeque<>();
+  private final List<EngineStream> running = new ArrayList<>();
+  private EngineSettings settings;
+  private EnginePace pace;
+  private PrefixCache cache;
+  private boolean stepping;
+  private long prefillFreeNanos;
+  private Load reported;
+
+  EngineTask(
+      EngineSettings settings,
+      long seed,
+      MonotonicClock clock,
+      Timer timer,
+      Consumer<RunRecord> log) {
+    this.settings = settings;
+    this.clock = clock;
+    this.timer = timer;
+    this.log = log;
+    this.random = new SplittableRandom(seed);
+    this.pace = EnginePace.of(settings);
+    this.cache = new PrefixCache(settings.cachePrefixes());
+    this.reported = load();
+    this.prefillFreeNanos = clock.nanoTime();
+    sampleLater();
+  }
+
+  void handle(EngineMessage message) {
+    switch (message) {
+      case EngineMessage.Submit submit -> submit(submit.stream());
+      case EngineMessage.Cancel cancel -> cancel(cancel.stream());
+      case EngineMessage.Step step -> step();
+      case EngineMessage.SampleLoad sample -> {
+        reported = load();
+        sampleLater();
+      }
+      case EngineMessage.PutSettings put -> putSettings(put);
+      case EngineMessage.ReadLoad read -> read.reply().complete(Reply.json(200, loadReport()));
+    }
+  }
+
+  private void submit(EngineStream stream) {
+    waiting.add(stream);
+    admit();
+  }
+
+  private void cancel(EngineStream stream) {
+    if (waiting.remove(stream) || running.remove(stream)) {
+      log.accept(stream.record().with(RunRecord.State.CUT));
+      admit();
+    }
+  }
+
+  private void step() {
+    stepping = false;
+    long now = clock.nanoTime();
+    for (Iterator<EngineStream> each = running.iterator(); each.hasNext(); ) {
+      EngineStream stream = each.next();
+      if (stream.step(now)) {
+        each.remove();
+        log.accept(stream.record().with(RunRecord.State.WHOLE));
+        stream.complete();
+      }
+    }
+    admit();
+  }
+
+  private void admit() {
+    while (running.size() < settings.batch() && !waiting.isEmpty()) {
+      EngineStream stream = waiting.poll();
+      stream.prefilledAt(prefill(stream));
+      running.add(stream);
+    }
+    if (!stepping && !running.isEmpty()) {
+      stepping = true;
+      double deviation = 1 + JITTER_SHARE * (2 * random.nextDouble() - 1);
+      timer.after(Math.round(pace.stepNanos(running.size()) * deviation), new EngineMessage.Step());
+    }
+  }
+
+  /** Returns when the prompt is taken in; prompts are taken one after the other. */
+  private long prefill(EngineStream stream) {
+    List<String> words = stream.call().promptWords();
+    int uncached = words.size() - cache.admit(words);
+    long now = clock.nanoTime();
+    long begin = prefillFreeNanos - now > 0 ? prefillFreeNanos : now;
+    double seconds = uncached / settings.prefillTokensPerSecond();
+    prefillFreeNanos = begin + Math.round(seconds * TimeUnit.SECONDS.toNanos(1));
+    return prefillFreeNanos;
+  }
+
+  private void putSettings(EngineMessage.PutSettings put) {
+    try {
+      JsonNode changes = put.changes();
+      settings =
+          new EngineSettings(
+              changes.path("batch").asInt(settings.batch()),
+              changes.path("bestBatch").asInt(settings.bestBatch()),
+              changes.path("tokenMillis").asDouble(settings.tokenMillis()),
+              changes.path("prefillTokensPerSecond").asDouble(settings.prefillTokensPerSecond()),
+              changes.path("cachePrefixes").asInt(settings.cachePrefixes()),
+              changes.path("loadLagMillis").asLong(settings.loadLagMillis()));
+    } catch (IllegalArgumentException invalid) {
+      put.reply().complete(Reply.error(400, invalid.getMessage()));
+      return;
+    }
+    pace = EnginePace.of(settings);
+    cache = new PrefixCache(settings.cachePrefixes());
+    admit();
+    put.reply().complete(Reply.json(200, Json.write(settings)));
+  }
+
+  private void sampleLater() {
+    timer.after(
+        TimeUnit.MILLISECONDS.toNanos(settings.loadLagMillis()), new EngineMessage.SampleLoad());
+  }
+
+  private Load load() {
+    return new Load(running.size(), waiting.size(), settings.batch());
+  }
+
+  private String loadReport() {
+    return Json.write(reported);
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ListeningProgram.java
@@ -0,0 +1,57 @@
+package dev.agatepier.standin.process.internal;
+
+import dev.agatepier.core.process.ManagedService;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import net.sourceforge.argparse4j.inf.Argument;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/** A program that listens on an address until it is ended. */
+abstract class ListeningProgram implements StandinProgram {
+
+  @Override
+  public void describe(Subparser parser) {
+    parser.addArgument("--address").setDefault("127.0.0.1").help("IP number to listen on");
+    parser.addArgument("--port").type(Integer.class).setDefault(0).help("TCP port, 0 for any");
+    describeMore(parser);
+  }
+
+  @Override
+  public int run(Namespace options) {
+    String address = options.getString("address");
+    ListeningService service = create(address, options.getInt("port"), options);
+    service.start().join();
+    CompletableFuture<Void> stopped = new CompletableFuture<>();
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(service, stopped)));
+    System.out.println(
+        Json.object()
+            .put("event", "listening")
+            .put("address", address)
+            .put("port", service.port()));
+    stopped.join();
+    return 0;
+  }
+
+  private static void stop(ManagedService service, CompletableFuture<Void> stopped) {
+    service.stop().join();
+    stopped.complete(null);
+  }
+
+  /** Declares the arguments beside the address. */
+  abstract void describeMore(Subparser parser);
+
+  /** Creates the service. */
+  abstract ListeningService create(String address, int port, Namespace options);
+
+  /** Declares an integer argument. */
+  static Argument number(Subparser parser, String name, int otherwise) {
+    return parser.addArgument(name).type(Integer.class).setDefault(otherwise);
+  }
+
+  /** Returns the file that an optional argument names. */
+  static Optional<Path> file(Namespace options, String name) {
+    return Optional.ofNullable(options.getString(name)).map(Path::of);
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlainProgram.java
@@ -0,0 +1,30 @@
+package dev.agatepier.standin.process.internal;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/** The program {@code plain}. */
+public final class PlainProgram extends ListeningProgram {
+
+  @Override
+  public String name() {
+    return "plain";
+  }
+
+  @Override
+  void describeMore(Subparser parser) {
+    number(parser, "--service-millis", 20).help("time that a call takes");
+    number(parser, "--concurrency", 4).help("calls that are served at one time");
+    parser.addArgument("--record").metavar("FILE").help("appends each record to this file");
+  }
+
+  @Override
+  ListeningService create(String address, int port, Namespace options) {
+    return new PlainStandin(
+        address,
+        port,
+        options.getInt("service_millis"),
+        options.getInt("concurrency"),
+        file(options, "record"));
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlainStandin.java
@@ -0,0 +1,74 @@
+package dev.agatepier.standin.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.agatepier.core.process.MailboxTask;
+import dev.agatepier.standin.request.PlainCall;
+import dev.agatepier.standin.request.RunRecord;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** A plain service, some of whose calls may not be repeated. */
+public final class PlainStandin extends HttpStandin {
+
+  private final RunLog log;
+  private final MailboxTask<PlainTask.Message> task;
+
+  /**
+   * Creates the stand-in.
+   *
+   * @param address IP number to listen on
+   * @param port TCP port; 0 for any free one
+   * @param serviceMillis time that a call takes, in milliseconds
+   * @param concurrency calls that are served at one time
+   * @param recordFile file that gets each record
+   */
+  public PlainStandin(
+      String address, int port, long serviceMillis, int concurrency, Optional<Path> recordFile) {
+    super("plain", address, port);
+    this.log = new RunLog(scheduler, recordFile);
+    PlainTask state = new PlainTask(serviceMillis, concurrency, this::after, log::put);
+    this.task = scheduler.task(state::handle);
+  }
+
+  private void after(long delayNanos, PlainTask.Message message) {
+    scheduler.after(delayNanos, () -> task.offer(message));
+  }
+
+  @Override
+  void route(HttpServerRoutes routes) {
+    routes
+        .get("/health", (request, response) -> HttpFront.send(response, Reply.up()))
+        .get("/control/ran", (request, response) -> HttpFront.send(response, log.read()))
+        .post("/control/settings", this::putSettings)
+        .route(request -> true, this::serve);
+  }
+
+  private Publisher<Void> serve(HttpServerRequest request, HttpServerResponse response) {
+    return HttpFront.body(request)
+        .flatMap(body -> Mono.from(HttpFront.ask(response, reply -> submit(request, body, reply))));
+  }
+
+  private boolean submit(HttpServerRequest request, byte[] body, CompletableFuture<Reply> reply) {
+    RunRecord record = log.arrived(request, body);
+    PlainCall call = PlainCall.of(request.method().name(), request.uri(), body);
+    return task.offer(new PlainTask.Message.Submit(record, call, reply));
+  }
+
+  private Publisher<Void> putSettings(HttpServerRequest request, HttpServerResponse response) {
+    return HttpFront.body(request)
+        .flatMap(body -> Mono.from(HttpFront.ask(response, reply -> changeSettings(body, reply))));
+  }
+
+  private boolean changeSettings(byte[] body, CompletableFuture<Reply> reply) {
+    JsonNode changes = Json.read(body, JsonNode.class);
+    return task.offer(
+        new PlainTask.Message.PutSettings(
+            changes.path("serviceMillis").asLong(-1), changes.path("concurrency").asInt(0), reply));
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlatformDocuments.java
@@ -0,0 +1,66 @@
+package dev.agatepier.standin.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import dev.agatepier.standin.version.PublishedTable;
+import dev.agatepier.standin.version.TablePage;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Optional;
+
+/** Encodes what the platform stand-in serves and keeps. */
+final class PlatformDocuments {
+
+  private PlatformDocuments() {}
+
+  /** What outlives a restart of the stand-in. */
+  record State(
+      long tableVersion,
+      String workspaces,
+      String services,
+      long instancesVersion,
+      JsonNode instances) {}
+
+  static String manifest(PublishedTable table) {
+    ArrayNode pages = Json.object().putArray("pages");
+    for (TablePage page : table.pages()) {
+      pages
+          .addObject()
+          .put("name", page.name())
+          .put("digest", page.digest())
+          .put("size", page.size());
+    }
+    return Json.object().put("version", table.version()).set("pages", pages).toString();
+  }
+
+  static String instances(long version, JsonNode instances) {
+    return Json.object().put("version", version).set("instances", instances).toString();
+  }
+
+  static Optional<State> load(Optional<Path> file) {
+    if (file.isEmpty() || !Files.exists(file.get())) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Json.read(Files.readAllBytes(file.get()), State.class));
+    } catch (IOException unreadable) {
+      throw new IllegalStateException("the state file can't be read", unreadable);
+    }
+  }
+
+  static void save(Optional<Path> file, State state) {
+    if (file.isEmpty()) {
+      return;
+    }
+    try {
+      Path whole = file.get().toAbsolutePath();
+      Path part = whole.resolveSibling(whole.getFileName() + ".part");
+      Files.writeString(part, Json.write(state));
+      Files.move(part, whole, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+    } catch (IOException unwritable) {
+      throw new IllegalStateException("the state file can't be written", unwritable);
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/RunLog.java
@@ -0,0 +1,120 @@
+package dev.agatepier.standin.process.internal;
+
+import dev.agatepier.core.process.MailboxTask;
+import dev.agatepier.standin.request.Digests;
+import dev.agatepier.standin.request.RunRecord;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import reactor.netty.http.server.HttpServerRequest;
+
+/**
+ * Remembers the requests that reached an upstream stand-in: the latest in memory, all of them in a
+ * file that survives a kill.
+ */
+final class RunLog implements AutoCloseable {
+
+  private static final int REMEMBERED_RECORDS = 20_000;
+
+  /** Exit status of a process that was made to crash. */
+  private static final int CRASH_STATUS = 70;
+
+  /** Text that ends the process when a body has it. */
+  private static final String CRASH_MARK = "crash-upstream";
+
+  private final AtomicLong lastNumber = new AtomicLong();
+  private final Map<Long, RunRecord> records = new LinkedHashMap<>();
+  private final Optional<Path> file;
+  private final MailboxTask<Message> task;
+
+  RunLog(TaskScheduler scheduler, Optional<Path> file) {
+    this.file = file;
+    this.task = scheduler.task(this::handle);
+  }
+
+  private sealed interface Message {
+    record Put(RunRecord record) implements Message {}
+
+    record Crash() implements Message {}
+
+    record Read(CompletableFuture<Reply> reply) implements Message {}
+  }
+
+  /** Remembers a request that has just arrived, and crashes if its body asks for it. */
+  RunRecord arrived(HttpServerRequest request, byte[] body) {
+    RunRecord record =
+        new RunRecord(
+            ProcessHandle.current().pid(),
+            lastNumber.incrementAndGet(),
+            request.requestHeaders().get("agatepier-request", ""),
+            request.requestHeaders().get("agatepier-attempt", ""),
+            request.method().name(),
+            request.uri(),
+            Digests.sha256(body),
+            System.currentTimeMillis(),
+            RunRecord.State.RUNNING);
+    put(record);
+    if (new String(body, StandardCharsets.UTF_8).contains(CRASH_MARK)) {
+      task.offer(new Message.Crash());
+    }
+    return record;
+  }
+
+  /** Remembers a record in place of an earlier one of the same number. */
+  void put(RunRecord record) {
+    task.offer(new Message.Put(record));
+  }
+
+  /** Returns what is remembered as JSON lines. */
+  CompletableFuture<Reply> read() {
+    CompletableFuture<Reply> reply = new CompletableFuture<>();
+    if (!task.offer(new Message.Read(reply))) {
+      reply.complete(Reply.error(503, "the record's mailbox is full"));
+    }
+    return reply;
+  }
+
+  @Override
+  public void close() {
+    task.close();
+  }
+
+  private void handle(Message message) {
+    switch (message) {
+      case Message.Put put -> remember(put.record());
+      case Message.Crash crash -> Runtime.getRuntime().halt(CRASH_STATUS);
+      case Message.Read read ->
+          read.reply().complete(new Reply.Content(200, "application/x-ndjson", lines()));
+    }
+  }
+
+  private void remember(RunRecord record) {
+    records.put(record.number(), record);
+    if (records.size() > REMEMBERED_RECORDS) {
+      records.remove(records.keySet().iterator().next());
+    }
+    file.ifPresent(path -> append(path, Json.write(record) + "\n"));
+  }
+
+  private String lines() {
+    return records.values().stream()
+        .map(record -> Json.write(record) + "\n")
+        .collect(Collectors.joining());
+  }
+
+  private static void append(Path path, String line) {
+    try {
+      Files.writeString(path, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+    } catch (IOException unwritable) {
+      throw new IllegalStateException("the record file can't be written", unwritable);
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/TaskScheduler.java
@@ -0,0 +1,48 @@
+package dev.agatepier.standin.process.internal;
+
+import dev.agatepier.core.process.MailboxTask;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+/** The one thread that runs the tasks of a stand-in, and their timers. */
+public final class TaskScheduler implements AutoCloseable {
+
+  /** Most messages that wait for one task. */
+  public static final int MAILBOX_CAPACITY = 65_536;
+
+  private final Scheduler scheduler;
+
+  /** Creates the thread under a name. */
+  public TaskScheduler(String name) {
+    this.scheduler = Schedulers.newSingle(name, true);
+  }
+
+  /** Creates a task on this thread. */
+  public <M> MailboxTask<M> task(Consumer<M> handler) {
+    return new MailboxTask<>(
+        MAILBOX_CAPACITY, scheduler.createWorker(), handler, TaskScheduler::report);
+  }
+
+  /** Runs an action, usually the sending of a message, after a delay. */
+  public void after(long delayNanos, Runnable action) {
+    try {
+      scheduler.schedule(action, delayNanos, TimeUnit.NANOSECONDS);
+    } catch (RejectedExecutionException closed) {
+      // The stand-in has stopped: its timers have nobody left to tell.
+      return;
+    }
+  }
+
+  @Override
+  public void close() {
+    scheduler.dispose();
+  }
+
+  private static void report(Throwable failure) {
+    System.err.println(
+        Json.object().put("event", "task-failed").put("message", String.valueOf(failure)));
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/EngineTaskTest.java
@@ -0,0 +1,105 @@
+package dev.agatepier.standin.process.internal;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.standin.request.ModelCall;
+import dev.agatepier.standin.request.RunRecord;
+import dev.agatepier.standin.request.internal.EngineStream;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class EngineTaskTest {
+
+  private static final EngineSettings SETTINGS = new EngineSettings(2, 1, 10, 1_000, 8, 500);
+  private static final long SEED = 1;
+
+  private record Timer(long dueNanos, EngineMessage message) {}
+
+  private final Deque<Timer> steps = new ArrayDeque<>();
+  private final List<RunRecord> records = new ArrayList<>();
+  private long now;
+  private EngineTask engine;
+
+  @BeforeMethod
+  public void create() {
+    now = 0;
+    steps.clear();
+    records.clear();
+    engine = new EngineTask(SETTINGS, SEED, () -> now, this::timer, records::add);
+  }
+
+  @DataProvider
+  public Object[][] paces() {
+    return new Object[][] {{1, 10}, {4, 10}, {8, 20}, {16, 40}};
+  }
+
+  @Test(dataProvider = "paces")
+  public void stepIsFlatUpToTheBestBatchThenGrows(int running, long millis) {
+    EnginePace pace = EnginePace.of(new EngineSettings(16, 4, 10, 1, 0, 500));
+    assertEquals(pace.stepNanos(running), millis * 1_000_000);
+  }
+
+  @Test
+  public void wholeAnswerIsTheRecomputedOne() {
+    EngineStream stream = submit(3);
+    StringBuilder answer = new StringBuilder();
+    stream.events().subscribe(answer::append);
+    runSteps(10);
+    assertEquals(answer.toString(), stream.call().streamedAnswer());
+    assertEquals(records.getLast().state(), RunRecord.State.WHOLE);
+  }
+
+  @Test
+  public void atMostTheBatchRunsAndCancelMakesRoom() {
+    EngineStream first = submit(1_000);
+    submit(1_000);
+    EngineStream third = submit(1);
+    first.events().subscribe();
+    runSteps(5);
+    assertTrue(records.isEmpty());
+    third.events().subscribe();
+    engine.handle(new EngineMessage.Cancel(first));
+    runSteps(5);
+    assertEquals(
+        records.stream().map(RunRecord::state).toList(),
+        List.of(RunRecord.State.CUT, RunRecord.State.WHOLE));
+  }
+
+  @Test
+  public void cachedPrefixIsNotTakenInAgain() {
+    PrefixCache cache = new PrefixCache(2);
+    List<String> prompt = java.util.Collections.nCopies(2 * PrefixCache.BLOCK_TOKENS + 5, "word");
+    assertEquals(cache.admit(prompt), 0);
+    assertEquals(cache.admit(prompt), 2 * PrefixCache.BLOCK_TOKENS);
+    cache.admit(java.util.Collections.nCopies(3 * PrefixCache.BLOCK_TOKENS, "other"));
+    assertEquals(cache.admit(prompt), 0);
+  }
+
+  private EngineStream submit(int tokens) {
+    byte[] body = ("{\"prompt\":\"a b\",\"stream\":true,\"max_tokens\":" + tokens + "}").getBytes();
+    RunRecord record = new RunRecord(1, 1, "", "", "POST", "/", "", 0, RunRecord.State.RUNNING);
+    EngineStream stream = new EngineStream(record, ModelCall.parse(body));
+    engine.handle(new EngineMessage.Submit(stream));
+    return stream;
+  }
+
+  private void timer(long delayNanos, EngineMessage message) {
+    if (message instanceof EngineMessage.Step) {
+      steps.add(new Timer(now + delayNanos, message));
+    }
+  }
+
+  private void runSteps(int count) {
+    for (int step = 0; step < count && !steps.isEmpty(); step++) {
+      Timer timer = steps.poll();
+      now = timer.dueNanos();
+      engine.handle(timer.message());
+    }
+  }
+}
