Encode instance lists; a peer's reset is a closed connection

Ruled out: a late close; the order of events was right, only the reason differed. Change: InstancesFamily with a golden session; a reset is `connection-closed`, its text goes to the debug log. Conclusion: reasons in logs no longer depend on timing.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
@@ -15,7 +15,9 @@
   /** Costs and suspicions. */
   COST,
   /** Table versions. */
-  TABLE;
+  TABLE,
+  /** Instance lists. */
+  INSTANCES;
 
   /** Returns whether the traffic is control and not requests or answers. */
   public boolean control() {
@@ -49,6 +51,7 @@
           LinkMessage.PageRequest _,
           LinkMessage.PageTransfer _ ->
           TABLE;
+      case LinkMessage.InstancesRequest _, LinkMessage.InstancesTransfer _ -> INSTANCES;
     };
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessagePackCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessagePackCodec.java
@@ -7,6 +7,7 @@
 import dev.agatepier.wire.connection.internal.FieldInput;
 import dev.agatepier.wire.connection.internal.FieldOutput;
 import dev.agatepier.wire.connection.internal.HandshakeFamily;
+import dev.agatepier.wire.connection.internal.InstancesFamily;
 import dev.agatepier.wire.connection.internal.MessageFamily;
 import dev.agatepier.wire.connection.internal.MessageType;
 import dev.agatepier.wire.connection.internal.TableFamily;
@@ -24,7 +25,8 @@
           new DemandFamily(),
           new AttemptFamily(),
           new CostFamily(),
-          new TableFamily());
+          new TableFamily(),
+          new InstancesFamily());
 
   private final Map<Integer, MessageType<?>> byNumber = new HashMap<>();
   private final Map<Class<?>, MessageType<?>> byKind = new HashMap<>();
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesFamily.java
@@ -0,0 +1,57 @@
+package dev.agatepier.wire.connection.internal;
+
+import dev.agatepier.core.connection.LinkMessage.InstancesRequest;
+import dev.agatepier.core.connection.LinkMessage.InstancesTransfer;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.version.Instance;
+import java.util.List;
+
+/** Messages that carry the platform's instance list from peer to peer. */
+public final class InstancesFamily implements MessageFamily {
+
+  @Override
+  public List<MessageType<?>> types() {
+    return List.of(
+        new MessageType<>(
+            50,
+            InstancesRequest.class,
+            1,
+            (message, output) -> output.number(message.knownVersion()),
+            input -> new InstancesRequest(input.number())),
+        new MessageType<>(
+            51,
+            InstancesTransfer.class,
+            2,
+            (message, output) -> {
+              output.number(message.version());
+              output.list(message.instances(), InstancesFamily::writeInstance);
+            },
+            input ->
+                new InstancesTransfer(input.number(), input.list(InstancesFamily::readInstance))));
+  }
+
+  private static void writeInstance(FieldOutput output, Instance instance) {
+    output.text(instance.name());
+    output.text(instance.role().name());
+    output.text(instance.address());
+    output.integer(instance.port());
+    output.integer(instance.administrationPort());
+    output.text(instance.dataCentre());
+    output.text(instance.region());
+    output.text(instance.service());
+    output.flag(instance.leaving());
+  }
+
+  private static Instance readInstance(FieldInput input) {
+    return new Instance(
+        input.text(),
+        Role.valueOf(input.text()),
+        input.text(),
+        input.integer(),
+        input.integer(),
+        input.text(),
+        input.text(),
+        input.text(),
+        input.flag());
+  }
+}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -235,10 +235,12 @@
 
     @Override
     protected void hookOnError(Throwable failure) {
-      close(
-          failure.getCause() instanceof CodecException malformed
-              ? "malformed-frame: " + malformed.getMessage()
-              : "connection-failed: " + failure.getMessage());
+      if (failure.getCause() instanceof CodecException malformed) {
+        close("malformed-frame: " + malformed.getMessage());
+      } else {
+        LOGGER.debug("link-failure", failure);
+        close("connection-closed");
+      }
     }
   }
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -17,6 +17,8 @@
 import dev.agatepier.core.connection.LinkMessage.Heartbeat;
 import dev.agatepier.core.connection.LinkMessage.Hello;
 import dev.agatepier.core.connection.LinkMessage.HelloProof;
+import dev.agatepier.core.connection.LinkMessage.InstancesRequest;
+import dev.agatepier.core.connection.LinkMessage.InstancesTransfer;
 import dev.agatepier.core.connection.LinkMessage.ManifestRequest;
 import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
 import dev.agatepier.core.connection.LinkMessage.PageReference;
@@ -39,6 +41,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.version.Instance;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -65,7 +68,8 @@
           "link-completed", completed(),
           "link-ticket-failures", ticketFailures(),
           "link-costs", costs(),
-          "link-table", table());
+          "link-table", table(),
+          "link-instances", instances());
 
   private LinkSessions() {}
 
@@ -116,6 +120,24 @@
         new PageTransfer("cd34", Bytes.EMPTY));
   }
 
+  private static List<LinkMessage> instances() {
+    return List.of(
+        new InstancesRequest(2),
+        new InstancesTransfer(
+            3,
+            List.of(
+                new Instance(
+                    "engine-3",
+                    Role.SIDECAR,
+                    "127.0.2.3",
+                    7003,
+                    9003,
+                    "siliguri-a",
+                    "hills",
+                    "plan-model",
+                    true))));
+  }
+
   private static StartAttempt start(long grant, AttemptId attempt, Optional<Ticket> ticket) {
     return new StartAttempt(
         grant,
