wire, cli: platform client, version service and settings

Cause: versions were decided about, but nothing read the platform, and the programs had no settings. Change: TableReader gives each CSV cell its line and column (Jackson's own location only says how far its buffer was read); PlatformClient bounds sizes and times; VersionService drives VersionDecision on a MailboxTask; settings are checked whole, each mistake named by its JSON path. A policy field of the wrong type no longer reports the range of the record too. Conclusion: the processes can be assembled from these.

--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/SettingsReader.java
@@ -0,0 +1,28 @@
+package dev.agatepier.cli.process;
+
+import dev.agatepier.cli.process.internal.SettingsFields;
+import java.nio.file.Path;
+
+/** Reads the settings of the programs; a bad file fails with every mistake at once. */
+public final class SettingsReader {
+
+  private SettingsReader() {}
+
+  /**
+   * Reads the settings of a router.
+   *
+   * @throws SettingsException if anything is wrong with them
+   */
+  public static RouterSettings router(Path file) {
+    return SettingsFields.read(file, SettingsFields::router);
+  }
+
+  /**
+   * Reads the settings of a sidecar.
+   *
+   * @throws SettingsException if anything is wrong with them
+   */
+  public static SidecarSettings sidecar(Path file) {
+    return SettingsFields.read(file, SettingsFields::sidecar);
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/TlsSettings.java
@@ -0,0 +1,12 @@
+package dev.agatepier.cli.process;
+
+import java.nio.file.Path;
+
+/**
+ * Certificates for links between processes.
+ *
+ * @param certificateFile certificate chain of this process, PEM
+ * @param keyFile its private key, PEM
+ * @param trustFile certificates that peers' chains must end in, PEM
+ */
+public record TlsSettings(Path certificateFile, Path keyFile, Path trustFile) {}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ObjectReader.java
@@ -0,0 +1,142 @@
+package dev.agatepier.cli.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import dev.agatepier.cli.process.Endpoint;
+import dev.agatepier.cli.process.SettingsMistake;
+import dev.agatepier.core.version.TableChecker;
+import java.net.InetAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Reads the fields of one JSON object; a bad field is noted and gives a harmless value. */
+final class ObjectReader {
+
+  private static final int HIGHEST_PORT = 65_535;
+
+  private final JsonNode node;
+  private final String path;
+  private final List<SettingsMistake> mistakes;
+  private final Set<String> known = new HashSet<>();
+
+  ObjectReader(JsonNode node, String path, List<SettingsMistake> mistakes) {
+    this.node = node;
+    this.path = path;
+    this.mistakes = mistakes;
+  }
+
+  boolean has(String field) {
+    known.add(field);
+    return node.has(field);
+  }
+
+  void refuse(String field, String reason) {
+    mistakes.add(new SettingsMistake(field.isEmpty() ? path : path + "." + field, reason));
+  }
+
+  /** Reads an object that must be there. */
+  ObjectReader object(String field) {
+    return objectOf(field, required(field));
+  }
+
+  /** Reads an object that may be missing. */
+  Optional<ObjectReader> optionalObject(String field) {
+    return has(field) ? Optional.of(objectOf(field, node.get(field))) : Optional.empty();
+  }
+
+  private ObjectReader objectOf(String field, JsonNode value) {
+    if (value != null && !value.isObject()) {
+      refuse(field, "must be an object");
+    }
+    boolean usable = value != null && value.isObject();
+    return usable
+        ? new ObjectReader(value, path + "." + field, mistakes)
+        : new ObjectReader(
+            JsonNodeFactory.instance.objectNode(), path + "." + field, new IgnoredMistakes());
+  }
+
+  String text(String field) {
+    JsonNode value = required(field);
+    if (value == null) {
+      return "";
+    }
+    if (!value.isTextual() || value.textValue().isBlank()) {
+      refuse(field, "must be a text that is not empty");
+      return "";
+    }
+    return value.textValue();
+  }
+
+  /** Reads a name that the table or the instance list could hold too. */
+  String name(String field) {
+    String text = text(field);
+    if (!text.isEmpty() && !TableChecker.legalName(text)) {
+      refuse(field, "must be a name of 1 to 63 of a-z, 0-9, '.', '-' and '_'");
+    }
+    return text;
+  }
+
+  Endpoint endpoint() {
+    return new Endpoint(address("address"), whole("port", 0, HIGHEST_PORT));
+  }
+
+  private String address(String field) {
+    String text = text(field);
+    if (!text.isEmpty()) {
+      try {
+        InetAddress.ofLiteral(text);
+      } catch (IllegalArgumentException notNumber) {
+        refuse(field, "must be an IP number");
+      }
+    }
+    return text;
+  }
+
+  int whole(String field, int minimum, int maximum) {
+    JsonNode value = required(field);
+    return value == null ? minimum : (int) wholeOf(field, value, minimum, maximum, minimum);
+  }
+
+  int optionalWhole(String field, int minimum, int maximum, int fallback) {
+    return has(field)
+        ? (int) wholeOf(field, node.get(field), minimum, maximum, fallback)
+        : fallback;
+  }
+
+  long wholeOf(String field, JsonNode value, long minimum, long maximum, long fallback) {
+    if (!value.isIntegralNumber()) {
+      refuse(field, "must be a whole number, without quotes or unit");
+      return fallback;
+    }
+    if (!value.canConvertToLong() || value.longValue() < minimum || value.longValue() > maximum) {
+      refuse(field, "must be from " + minimum + " to " + maximum);
+      return fallback;
+    }
+    return value.longValue();
+  }
+
+  JsonNode value(String field) {
+    return node.get(field);
+  }
+
+  /** Notes every field that was not asked for. */
+  void refuseUnknown() {
+    node.fieldNames()
+        .forEachRemaining(
+            field -> {
+              if (!known.contains(field)) {
+                refuse(field, "is not a known field");
+              }
+            });
+  }
+
+  private JsonNode required(String field) {
+    if (!has(field)) {
+      refuse(field, "is missing");
+      return null;
+    }
+    return node.get(field);
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SecretFiles.java
@@ -0,0 +1,53 @@
+package dev.agatepier.cli.process.internal;
+
+import dev.agatepier.cli.process.Secret;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** Reads key and secret files, whose names are relative to the settings file. */
+final class SecretFiles {
+
+  private static final int SHORTEST_SECRET = 16;
+  private static final int LONGEST_SECRET = 4_096;
+
+  private final Path folder;
+
+  SecretFiles(Path folder) {
+    this.folder = folder;
+  }
+
+  Secret secret(ObjectReader object, String field) {
+    Path file = readable(object, field);
+    try {
+      if (Files.isReadable(file) && Files.isRegularFile(file)) {
+        return checked(object, field, file);
+      }
+    } catch (IOException problem) {
+      object.refuse(field, "the file cannot be read");
+    }
+    return new Secret("");
+  }
+
+  private static Secret checked(ObjectReader object, String field, Path file) throws IOException {
+    if (Files.size(file) > LONGEST_SECRET) {
+      object.refuse(field, "the file is longer than " + LONGEST_SECRET + " bytes");
+      return new Secret("");
+    }
+    String text = new String(Files.readAllBytes(file), StandardCharsets.UTF_8).strip();
+    if (text.length() < SHORTEST_SECRET) {
+      object.refuse(field, "the secret is shorter than " + SHORTEST_SECRET + " characters");
+    }
+    return new Secret(text);
+  }
+
+  Path readable(ObjectReader object, String field) {
+    String name = object.text(field);
+    Path file = folder.resolve(name);
+    if (!name.isEmpty() && !(Files.isRegularFile(file) && Files.isReadable(file))) {
+      object.refuse(field, "the file cannot be read");
+    }
+    return file;
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsFields.java
@@ -0,0 +1,174 @@
+package dev.agatepier.cli.process.internal;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import dev.agatepier.cli.process.CommonSettings;
+import dev.agatepier.cli.process.Endpoint;
+import dev.agatepier.cli.process.LimitSettings;
+import dev.agatepier.cli.process.RouterSettings;
+import dev.agatepier.cli.process.Secret;
+import dev.agatepier.cli.process.SettingsException;
+import dev.agatepier.cli.process.SettingsMistake;
+import dev.agatepier.cli.process.SidecarSettings;
+import dev.agatepier.cli.process.TlsSettings;
+import dev.agatepier.core.process.RouterPolicy;
+import dev.agatepier.core.process.SidecarPolicy;
+import dev.agatepier.core.process.VersionPolicy;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** The fields of one settings file. */
+public final class SettingsFields {
+
+  private static final int DEFAULT_HEARTBEAT_MILLIS = 500;
+  private static final int LONGEST_HEARTBEAT_MILLIS = 60_000;
+
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder()
+          .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private final ObjectReader root;
+  private final SecretFiles files;
+
+  private SettingsFields(ObjectReader root, SecretFiles files) {
+    this.root = root;
+    this.files = files;
+  }
+
+  /** Reads a file as one of the programs' settings, or fails with every mistake. */
+  public static <S> S read(Path file, Function<SettingsFields, S> program) {
+    List<SettingsMistake> mistakes = new ArrayList<>();
+    ObjectReader root = new ObjectReader(parse(file), "$", mistakes);
+    Path folder = file.toAbsolutePath().getParent();
+    S settings = program.apply(new SettingsFields(root, new SecretFiles(folder)));
+    root.refuseUnknown();
+    if (!mistakes.isEmpty()) {
+      throw new SettingsException(mistakes);
+    }
+    return settings;
+  }
+
+  private static JsonNode parse(Path file) {
+    try {
+      JsonNode node = MAPPER.readTree(Files.readAllBytes(file));
+      if (node.isObject()) {
+        return node;
+      }
+      throw failure("must be an object");
+    } catch (JsonProcessingException problem) {
+      JsonLocation place = problem.getLocation();
+      String where =
+          place == null ? "" : "line " + place.getLineNr() + ", column " + place.getColumnNr();
+      throw failure("is not JSON (" + where + "): " + problem.getOriginalMessage());
+    } catch (IOException problem) {
+      throw failure("the file cannot be read");
+    }
+  }
+
+  private static SettingsException failure(String reason) {
+    return new SettingsException(List.of(new SettingsMistake("$", reason)));
+  }
+
+  /** Reads a router's settings. */
+  public RouterSettings router() {
+    CommonSettings common = common();
+    return new RouterSettings(
+        common, endpoint("callers"), policy("policy", RouterPolicy.class, RouterPolicy.DEFAULT));
+  }
+
+  /** Reads a sidecar's settings. */
+  public SidecarSettings sidecar() {
+    CommonSettings common = common();
+    return new SidecarSettings(
+        common,
+        root.name("service"),
+        endpoint("upstream"),
+        policy("policy", SidecarPolicy.class, SidecarPolicy.DEFAULT));
+  }
+
+  private CommonSettings common() {
+    ObjectReader links = root.object("links");
+    final Endpoint linksEndpoint = links.endpoint();
+    final int heartbeatMillis =
+        links.optionalWhole(
+            "heartbeatMillis", 1, LONGEST_HEARTBEAT_MILLIS, DEFAULT_HEARTBEAT_MILLIS);
+    links.refuseUnknown();
+    ObjectReader administration = root.object("administration");
+    final Endpoint administrationEndpoint = administration.endpoint();
+    final Secret key = files.secret(administration, "keyFile");
+    administration.refuseUnknown();
+    ObjectReader security = root.object("security");
+    final Secret secret = files.secret(security, "secretFile");
+    final Optional<TlsSettings> tls = security.optionalObject("tls").map(this::tls);
+    security.refuseUnknown();
+    return new CommonSettings(
+        root.name("instance"),
+        root.name("dataCentre"),
+        root.name("region"),
+        linksEndpoint,
+        heartbeatMillis,
+        administrationEndpoint,
+        key,
+        platform(),
+        secret,
+        tls,
+        policy("limits", LimitSettings.class, LimitSettings.DEFAULT),
+        policy("versions", VersionPolicy.class, VersionPolicy.DEFAULT));
+  }
+
+  private Endpoint endpoint(String field) {
+    ObjectReader object = root.object(field);
+    Endpoint endpoint = object.endpoint();
+    object.refuseUnknown();
+    return endpoint;
+  }
+
+  private String platform() {
+    ObjectReader object = root.object("platform");
+    String address = object.text("address");
+    object.refuseUnknown();
+    if (!address.isEmpty() && !soundAddress(address)) {
+      object.refuse("address", "must be http:// or https:// with an IP number and a port");
+    }
+    return address;
+  }
+
+  private static boolean soundAddress(String address) {
+    try {
+      URI uri = URI.create(address);
+      boolean http = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
+      return http && uri.getHost() != null && uri.getPort() > 0 && uri.getPath().isEmpty();
+    } catch (IllegalArgumentException notAddress) {
+      return false;
+    }
+  }
+
+  private TlsSettings tls(ObjectReader object) {
+    TlsSettings tls =
+        new TlsSettings(
+            files.readable(object, "certificateFile"),
+            files.readable(object, "keyFile"),
+            files.readable(object, "trustFile"));
+    object.refuseUnknown();
+    return tls;
+  }
+
+  private <R extends Record> R policy(String field, Class<R> type, R defaults) {
+    Optional<ObjectReader> object = root.optionalObject(field);
+    R policy = object.map(found -> PolicyReader.read(found, type, defaults)).orElse(defaults);
+    object.ifPresent(ObjectReader::refuseUnknown);
+    return policy;
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -0,0 +1,87 @@
+package dev.agatepier.cli.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import dev.agatepier.core.process.RouterPolicy;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class SettingsReaderTest {
+
+  private static final String ROUTER =
+      "{'instance':'r1','dataCentre':'kolkata-a','region':'kolkata',"
+          + "'callers':{'address':'127.0.0.1','port':8080},"
+          + "'links':{'address':'127.0.0.1','port':9000},"
+          + "'administration':{'address':'127.0.0.1','port':9001,'keyFile':'key'},"
+          + "'platform':{'address':'http://127.0.0.1:7000'},"
+          + "'security':{'secretFile':'secret'},"
+          + "'policy':{'attempts':2}}";
+
+  private Path folder;
+
+  @BeforeMethod
+  public void makeFiles() throws IOException {
+    folder = Files.createTempDirectory("settings");
+    Files.writeString(folder.resolve("key"), "administration-key-1\n");
+    Files.writeString(folder.resolve("secret"), "shared-secret-of-the-fleet\n");
+    Files.writeString(folder.resolve("short"), "short\n");
+  }
+
+  @Test
+  public void soundSettingsAreReadWithDefaults() throws IOException {
+    RouterSettings settings = SettingsReader.router(write(ROUTER));
+    assertEquals(settings.policy().attempts(), 2);
+    assertEquals(settings.policy().windowBytes(), RouterPolicy.DEFAULT.windowBytes());
+    assertEquals(settings.common().secret(), new Secret("shared-secret-of-the-fleet"));
+    assertEquals(settings.common().secret().toString(), "secret");
+  }
+
+  @DataProvider
+  public Object[][] mistakes() {
+    return new Object[][] {
+      {"'instance':'r1',", "", "$.instance: is missing"},
+      {"'instance':'r1'", "'instance':'R 1'", "$.instance: must be a name"},
+      {"'port':8080", "'port':'8080'", "$.callers.port: must be a whole number"},
+      {"'port':8080", "'port':65536", "$.callers.port: must be from 0 to 65535"},
+      {"'127.0.0.1','port':8080", "'localhost','port':8080", "$.callers.address: must be an IP"},
+      {"'attempts':2", "'attempts':0", "$.policy: a count of the router policy"},
+      {"'attempts':2", "'attempts':'2s'", "$.policy.attempts: must be a whole number"},
+      {"'attempts':2", "'tries':2", "$.policy.tries: is not a known field"},
+      {"'policy':", "'polity':", "$.polity: is not a known field"},
+      {"'keyFile':'key'", "'keyFile':'none'", "$.administration.keyFile: the file cannot be read"},
+      {"'secretFile':'secret'", "'secretFile':'short'", "$.security.secretFile: the secret is sho"},
+      {"http://127.0.0.1:7000", "127.0.0.1:7000", "$.platform.address: must be http"},
+      {"'links':{'address':'127.0.0.1','port':9000}", "'links':3", "$.links: must be an object"},
+      {"'instance':'r1',", "'instance':'r1','instance':'r2',", "$: is not JSON (line 1, column 2"},
+    };
+  }
+
+  @Test(dataProvider = "mistakes")
+  public void mistakeIsNamedByItsPath(String sound, String bad, String message) throws IOException {
+    Path file = write(ROUTER.replace(sound, bad));
+    SettingsException failure =
+        expectThrows(SettingsException.class, () -> SettingsReader.router(file));
+    assertEquals(failure.mistakes().size(), 1, failure.getMessage());
+    assertEquals(failure.getMessage().substring(0, message.length()), message);
+  }
+
+  @Test
+  public void everyMistakeIsNamedAtOnce() throws IOException {
+    Path file = write("{'instance':3,'service':'plan-model','upstream':{'port':-1}}");
+    SettingsException failure =
+        expectThrows(SettingsException.class, () -> SettingsReader.sidecar(file));
+    assertEquals(
+        failure.mistakes().stream().map(SettingsMistake::path).sorted().toList().toString(),
+        "[$.administration, $.dataCentre, $.instance, $.links, $.platform, $.region, $.security,"
+            + " $.upstream.address, $.upstream.port]");
+  }
+
+  private Path write(String settings) throws IOException {
+    return Files.writeString(folder.resolve("settings.json"), settings.replace('\'', '"'));
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
@@ -0,0 +1,14 @@
+package dev.agatepier.wire.version;
+
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Table;
+
+/** Told of versions by the version service's task, in rising order; must not block. */
+public interface VersionListener {
+
+  /** A table version is in force from now on. */
+  void tableInForce(Table table);
+
+  /** A version of the instance list is in force from now on. */
+  void instancesInForce(InstanceList instances);
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -0,0 +1,250 @@
+package dev.agatepier.wire.version;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
+import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.MailboxTask;
+import dev.agatepier.core.process.ManagedService;
+import dev.agatepier.core.process.MonotonicClock;
+import dev.agatepier.core.process.PlatformSubject;
+import dev.agatepier.core.process.VersionDecision;
+import dev.agatepier.core.process.VersionEffect;
+import dev.agatepier.core.process.VersionEvent;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.TableMistake;
+import dev.agatepier.core.version.TableReading;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import reactor.core.Disposable;
+import reactor.core.scheduler.Scheduler;
+
+/** The task that owns a process's table and instance list and keeps them up to date. */
+public final class VersionService implements ManagedService {
+
+  /** Messages that may wait for the task. */
+  private static final int MAILBOX_CAPACITY = 4_096;
+
+  /** Time between two looks at what is due, in milliseconds. */
+  private static final long TICK_MILLIS = 100;
+
+  private static final Logger LOGGER = LogManager.getLogger(VersionService.class);
+
+  private final VersionDecision decision;
+  private final Platform platform;
+  private final PeerSender sender;
+  private final List<VersionListener> listeners;
+  private final Scheduler scheduler;
+  private final MonotonicClock clock;
+  private final DoubleSupplier jitter;
+  private final TableReader reader = new TableReader();
+  private final MailboxTask<VersionEvent> task;
+  private final CompletableFuture<Void> tableReady = new CompletableFuture<>();
+  private Disposable ticks = () -> {};
+  private volatile Table table = Table.NONE;
+  private volatile InstanceList instances = InstanceList.NONE;
+
+  /**
+   * Creates the service.
+   *
+   * @param decision what to do; owned by the service from now on
+   * @param platform where versions are published
+   * @param sender sends to linked peers
+   * @param listeners told of each version in force
+   * @param scheduler runs the task
+   * @param clock the process's clock
+   * @param jitter random numbers from 0 to 1
+   */
+  public VersionService(
+      VersionDecision decision,
+      Platform platform,
+      PeerSender sender,
+      List<VersionListener> listeners,
+      Scheduler scheduler,
+      MonotonicClock clock,
+      DoubleSupplier jitter) {
+    this.decision = decision;
+    this.platform = platform;
+    this.sender = sender;
+    this.listeners = List.copyOf(listeners);
+    this.scheduler = scheduler;
+    this.clock = clock;
+    this.jitter = jitter;
+    task =
+        new MailboxTask<>(
+            MAILBOX_CAPACITY,
+            scheduler.createWorker(),
+            this::handle,
+            failure -> LOGGER.error(event("version-task-failed"), failure));
+  }
+
+  /** Begins to follow versions; does not wait for the first one. */
+  @Override
+  public CompletableFuture<Void> start() {
+    ticks = scheduler.schedulePeriodically(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    ticks.dispose();
+    task.close();
+    return CompletableFuture.completedFuture(null);
+  }
+
+  /** Returns a future that completes when the first table is in force. */
+  public CompletableFuture<Void> tableReady() {
+    return tableReady.copy();
+  }
+
+  /** Returns the table in force. */
+  public Table table() {
+    return table;
+  }
+
+  /** Returns the instance list in force. */
+  public InstanceList instances() {
+    return instances;
+  }
+
+  /** Tells the task that a link is up; returns false if its mailbox is full. */
+  public boolean peerLinked(PeerIdentity peer) {
+    return task.offer(new VersionEvent.PeerLinked(peer));
+  }
+
+  /** Tells the task that a link is gone; returns false if its mailbox is full. */
+  public boolean peerUnlinked(PeerIdentity peer) {
+    return task.offer(new VersionEvent.PeerUnlinked(peer));
+  }
+
+  /** Returns whether a message is for this service. */
+  public static boolean takes(LinkMessage message) {
+    return switch (message) {
+      case LinkMessage.Heartbeat ignored -> true;
+      case LinkMessage.ManifestRequest ignored -> true;
+      case ManifestTransfer ignored -> true;
+      case LinkMessage.PageRequest ignored -> true;
+      case LinkMessage.PageTransfer ignored -> true;
+      case LinkMessage.InstancesRequest ignored -> true;
+      case LinkMessage.InstancesTransfer ignored -> true;
+      default -> false;
+    };
+  }
+
+  /** Hands the task a message that came over a link; returns false if its mailbox is full. */
+  public boolean receive(PeerIdentity peer, LinkMessage message) {
+    return message instanceof LinkMessage.PageTransfer(String digest, Bytes content)
+        ? task.offer(
+            new VersionEvent.PageArrived(peer.instance(), digest, matching(digest, content)))
+        : task.offer(new VersionEvent.MessageArrived(peer, message));
+  }
+
+  private static Optional<Bytes> matching(String digest, Bytes content) {
+    return Digests.of(content.array()).equals(digest) ? Optional.of(content) : Optional.empty();
+  }
+
+  private void tick() {
+    task.offer(new VersionEvent.TimePassed(jitter.getAsDouble()));
+  }
+
+  private void handle(VersionEvent event) {
+    decision.decide(event, clock.nanoTime()).forEach(this::carryOut);
+  }
+
+  private void carryOut(VersionEffect effect) {
+    switch (effect) {
+      case VersionEffect.Send(String instance, LinkMessage message) ->
+          sender.send(instance, message);
+      case VersionEffect.ReadPlatform read -> readPlatform(read);
+      case VersionEffect.ReadPage(PageReference page) ->
+          platform.page(page).whenComplete((content, failure) -> pageRead(page, content, failure));
+      case VersionEffect.PrepareTable(ManifestTransfer manifest, List<Bytes> pages) ->
+          handle(prepare(manifest, pages));
+      case VersionEffect.PublishTable(Table newer) -> publish(newer);
+      case VersionEffect.PublishInstances(InstanceList newer) -> {
+        instances = newer;
+        listeners.forEach(listener -> listener.instancesInForce(newer));
+      }
+      case VersionEffect.ReportRefusal(long version, List<TableMistake> mistakes) ->
+          LOGGER.error(
+              event("table-refused")
+                  .with("version", version)
+                  .with("mistakes", mistakes.size())
+                  .with("first", mistakes.getFirst().toString()));
+    }
+  }
+
+  private void publish(Table newer) {
+    table = newer;
+    LOGGER.info(
+        event("table-in-force")
+            .with("version", newer.version())
+            .with("workspaces", newer.workspaces().size()));
+    listeners.forEach(listener -> listener.tableInForce(newer));
+    tableReady.complete(null);
+  }
+
+  private VersionEvent prepare(ManifestTransfer manifest, List<Bytes> pages) {
+    List<TableReader.RawPage> raw = new ArrayList<>();
+    for (int index = 0; index < pages.size(); index++) {
+      raw.add(new TableReader.RawPage(manifest.pages().get(index).name(), pages.get(index)));
+    }
+    return switch (reader.read(manifest.version(), raw)) {
+      case TableReading.Accepted(Table whole) -> new VersionEvent.TablePrepared(manifest, whole);
+      case TableReading.Refused(List<TableMistake> mistakes) ->
+          new VersionEvent.TableRefused(manifest, mistakes);
+    };
+  }
+
+  private void pageRead(PageReference page, Bytes content, Throwable failure) {
+    if (failure != null) {
+      LOGGER.warn(event("platform-read-failed").with("subject", page.name()), failure);
+    }
+    task.offer(
+        new VersionEvent.PageArrived(
+            VersionDecision.PLATFORM, page.digest(), Optional.ofNullable(content)));
+  }
+
+  private void readPlatform(VersionEffect.ReadPlatform read) {
+    if (read.subject() == PlatformSubject.TABLE) {
+      tellAnswer(
+          read.subject(),
+          platform.manifest(read.afterVersion(), read.waitSeconds()),
+          manifest -> new VersionEvent.ManifestRead(manifest, jitter.getAsDouble()));
+    } else {
+      tellAnswer(
+          read.subject(),
+          platform.instances(read.afterVersion(), read.waitSeconds()),
+          list -> new VersionEvent.InstancesRead(list, jitter.getAsDouble()));
+    }
+  }
+
+  private <A> void tellAnswer(
+      PlatformSubject subject,
+      CompletableFuture<Optional<A>> read,
+      Function<A, VersionEvent> newVersion) {
+    read.whenComplete(
+        (answer, failure) -> {
+          if (failure == null) {
+            task.offer(answer.map(newVersion).orElse(new VersionEvent.NothingNew(subject)));
+          } else {
+            LOGGER.warn(event("platform-read-failed").with("subject", subject), failure);
+            task.offer(new VersionEvent.ReadFailed(subject, jitter.getAsDouble()));
+          }
+        });
+  }
+
+  private static StringMapMessage event(String name) {
+    return new StringMapMessage().with("event", name);
+  }
+}
