--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/CommandLine.java
@@ -0,0 +1,126 @@
+package dev.agatepier.cli.process.internal;
+
+import dev.agatepier.cli.process.ExitCode;
+import dev.agatepier.cli.process.Program;
+import dev.agatepier.cli.process.Reporter;
+import dev.agatepier.cli.process.RouterSettings;
+import dev.agatepier.cli.process.SettingsException;
+import dev.agatepier.cli.process.SettingsReader;
+import dev.agatepier.cli.process.SidecarSettings;
+import dev.agatepier.wire.version.Platform;
+import dev.agatepier.wire.version.PlatformClient;
+import dev.agatepier.wire.version.PlatformException;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import reactor.netty.http.client.HttpClient;
+
+/** Takes the command line apart and runs what it names. */
+public final class CommandLine {
+
+  private static final int WIDTH = 80;
+  private static final int KEY_BYTES = 32;
+  private static final String CHOSEN = "chosen";
+
+  private final Reporter reporter;
+  private final ArgumentParser parser =
+      ArgumentParsers.newFor("agatepier")
+          .terminalWidthDetection(false)
+          .defaultFormatWidth(WIDTH)
+          .build()
+          .description("Router fleet for workspaces that share capacity fairly.")
+          .epilog(
+              "Exit codes: 0 done, 1 something was found, 2 wrong command line or settings,"
+                  + " 3 cannot be reached, 4 timeout.");
+
+  /** What a word of the command line runs. */
+  @FunctionalInterface
+  private interface Action {
+    int run(Namespace arguments);
+  }
+
+  /** Creates the command line. */
+  public CommandLine(
+      Reporter reporter, Program<RouterSettings> router, Program<SidecarSettings> sidecar) {
+    this.reporter = reporter;
+    Subparsers commands = parser.addSubparsers().title("commands").metavar("COMMAND");
+    add(commands, new ProgramCommand<>("router", SettingsReader::router, router));
+    add(commands, new ProgramCommand<>("sidecar", SettingsReader::sidecar, sidecar));
+    add(commands, new KeyCommand(CommandLine::randomKey));
+    Function<String, Platform> platforms = url -> new PlatformClient(HttpClient.create(), url);
+    Subparsers tables =
+        commands
+            .addParser("table")
+            .help("check, compare and show tables")
+            .addSubparsers()
+            .metavar("ACTION");
+    for (String action : List.of("check", "diff", "show")) {
+      add(tables, new TableCommand(action, platforms));
+    }
+    Function<Namespace, Fleet> fleets = arguments -> FleetArguments.fleet(arguments, platforms);
+    add(commands, new StatusCommand(fleets));
+    add(commands, new WatchCommand(fleets, System::nanoTime, CommandLine::park));
+    add(commands, new WorkspacesCommand(fleets));
+    add(commands, new ExplainCommand(fleets));
+    add(commands, new DrainCommand(fleets));
+  }
+
+  /** Runs the command that the arguments name and returns the exit code. */
+  public int run(String[] arguments) {
+    try {
+      Namespace namespace = parser.parseArgs(arguments);
+      return namespace.<Action>get(CHOSEN).run(namespace);
+    } catch (HelpScreenException shown) {
+      return ExitCode.OK.code();
+    } catch (ArgumentParserException failure) {
+      reporter.error(failure.getMessage());
+      return ExitCode.USAGE.code();
+    } catch (SettingsException failure) {
+      failure.mistakes().forEach(mistake -> reporter.error(mistake.toString()));
+      return ExitCode.USAGE.code();
+    } catch (PlatformException failure) {
+      return unreachable(failure);
+    } catch (CompletionException failure) {
+      return unreachable(failure.getCause());
+    }
+  }
+
+  private int unreachable(Throwable failure) {
+    reporter.error(failure.getMessage());
+    return ExitCode.UNREACHABLE.code();
+  }
+
+  private void add(Subparsers parsers, Subcommand command) {
+    Subparser subparser = parsers.addParser(command.name()).help(command.help());
+    command.declare(subparser);
+    Action action = arguments -> command.run(arguments, reporter).code();
+    subparser.setDefault(CHOSEN, action);
+  }
+
+  private <S> void add(Subparsers parsers, ProgramCommand<S> command) {
+    Subparser subparser = parsers.addParser(command.name()).help("run a " + command.name());
+    command.declare(subparser);
+    Action action = arguments -> command.run(arguments, reporter).orElse(ExitCode.USAGE.code());
+    subparser.setDefault(CHOSEN, action);
+  }
+
+  private static byte[] randomKey() {
+    byte[] key = new byte[KEY_BYTES];
+    new SecureRandom().nextBytes(key);
+    return key;
+  }
+
+  private static void park(long millis) {
+    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ConsoleReporter.java
@@ -0,0 +1,33 @@
+package dev.agatepier.cli.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.agatepier.cli.process.Reporter;
+import java.io.PrintStream;
+
+/** Reports on standard output and standard error. */
+public final class ConsoleReporter implements Reporter {
+
+  private final PrintStream output;
+  private final PrintStream errors;
+
+  /** Creates the reporter. */
+  public ConsoleReporter(PrintStream output, PrintStream errors) {
+    this.output = output;
+    this.errors = errors;
+  }
+
+  @Override
+  public void line(String text) {
+    output.println(text);
+  }
+
+  @Override
+  public void json(JsonNode value) {
+    output.println(value);
+  }
+
+  @Override
+  public void error(String text) {
+    errors.println("agatepier: " + text);
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/FleetArguments.java
@@ -0,0 +1,84 @@
+package dev.agatepier.cli.process.internal;
+
+import dev.agatepier.cli.process.Secret;
+import dev.agatepier.cli.process.SettingsException;
+import dev.agatepier.cli.process.SettingsMistake;
+import dev.agatepier.wire.version.Platform;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Function;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.MutuallyExclusiveGroup;
+import net.sourceforge.argparse4j.inf.Namespace;
+import reactor.netty.http.client.HttpClient;
+
+/** The arguments that say which processes a command asks. */
+public final class FleetArguments {
+
+  private FleetArguments() {}
+
+  static void declare(ArgumentParser parser) {
+    MutuallyExclusiveGroup where = parser.addMutuallyExclusiveGroup().required(true);
+    where
+        .addArgument("--address")
+        .action(Arguments.append())
+        .metavar("ADDRESS:PORT")
+        .help("administration address of a process; may be repeated");
+    where
+        .addArgument("--instances")
+        .metavar("URL")
+        .help("base address of the platform, whose instance list is asked");
+    parser
+        .addArgument("--only")
+        .action(Arguments.append())
+        .metavar("INSTANCE")
+        .help("ask only this instance; may be repeated");
+    parser
+        .addArgument("--key-file")
+        .required(true)
+        .metavar("FILE")
+        .help("file with the key of the administration API");
+    JsonOutput.declare(parser);
+  }
+
+  /** Returns the processes that the arguments name. */
+  public static Fleet fleet(Namespace arguments, Function<String, Platform> platforms) {
+    return new HttpFleet(
+        HttpClient.create(),
+        key(Path.of(arguments.getString("key_file"))),
+        list(arguments, "address").stream().map(FleetArguments::target).toList(),
+        Optional.ofNullable(arguments.getString("instances")).map(platforms),
+        list(arguments, "only"));
+  }
+
+  private static List<String> list(Namespace arguments, String name) {
+    return Objects.requireNonNullElse(arguments.<String>getList(name), List.of());
+  }
+
+  private static Secret key(Path file) {
+    try {
+      return new Secret(Files.readString(file).strip());
+    } catch (IOException failure) {
+      throw mistake("--key-file", "the file cannot be read");
+    }
+  }
+
+  private static Fleet.Target target(String text) {
+    int colon = text.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      return new Fleet.Target(text, "", text.substring(0, Math.max(colon, 0)), port);
+    } catch (NumberFormatException notPort) {
+      throw mistake("--address", "'" + text + "' is not an address and a port");
+    }
+  }
+
+  private static SettingsException mistake(String argument, String reason) {
+    return new SettingsException(List.of(new SettingsMistake(argument, reason)));
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/HttpFleet.java
@@ -0,0 +1,96 @@
+package dev.agatepier.cli.process.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.agatepier.cli.process.Secret;
+import dev.agatepier.wire.version.Platform;
+import dev.agatepier.wire.version.internal.BodyReader;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/** Asks processes over HTTP. */
+public final class HttpFleet implements Fleet {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(3);
+  private static final int MAXIMUM_ANSWER_BYTES = 16_777_216;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final HttpClient client;
+  private final Secret key;
+  private final List<Target> addresses;
+  private final Optional<Platform> platform;
+  private final List<String> only;
+
+  /**
+   * Creates the client.
+   *
+   * @param client client whose connections are used
+   * @param key key of the administration API
+   * @param addresses processes named one by one
+   * @param platform platform whose instance list is asked too
+   * @param only names of the instances to keep; empty for all
+   */
+  public HttpFleet(
+      HttpClient client,
+      Secret key,
+      List<Target> addresses,
+      Optional<Platform> platform,
+      List<String> only) {
+    this.client = client;
+    this.key = key;
+    this.addresses = List.copyOf(addresses);
+    this.platform = platform;
+    this.only = List.copyOf(only);
+  }
+
+  @Override
+  public List<Target> targets() {
+    return platform.map(HttpFleet::listed).orElse(addresses).stream()
+        .filter(target -> only.isEmpty() || only.contains(target.name()))
+        .toList();
+  }
+
+  private static List<Target> listed(Platform platform) {
+    return platform.instances(0, 0).join().orElseThrow().instances().stream()
+        .map(
+            instance ->
+                new Target(
+                    instance.name(),
+                    instance.dataCentre(),
+                    instance.address(),
+                    instance.administrationPort()))
+        .toList();
+  }
+
+  @Override
+  public CompletableFuture<Optional<Answer>> call(Target target, String method, String path) {
+    String host = target.address().contains(":") ? "[" + target.address() + "]" : target.address();
+    return client
+        .headers(headers -> headers.set("Authorization", "Bearer " + key.value()))
+        .request(HttpMethod.valueOf(method))
+        .uri("http://" + host + ":" + target.port() + path)
+        .response(
+            (response, content) ->
+                BodyReader.read(content, MAXIMUM_ANSWER_BYTES)
+                    .map(body -> new Answer(response.status().code(), parse(body.text()))))
+        .next()
+        .timeout(TIMEOUT)
+        .map(Optional::of)
+        .onErrorResume(failure -> Mono.just(Optional.empty()))
+        .toFuture();
+  }
+
+  private static JsonNode parse(String text) {
+    try {
+      return MAPPER.readTree(text);
+    } catch (JsonProcessingException notJson) {
+      return MAPPER.missingNode();
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/KeyCommand.java
@@ -0,0 +1,58 @@
+package dev.agatepier.cli.process.internal;
+
+import dev.agatepier.cli.process.ExitCode;
+import dev.agatepier.cli.process.Reporter;
+import dev.agatepier.core.version.TableChecker;
+import dev.agatepier.wire.version.Digests;
+import java.util.HexFormat;
+import java.util.function.Supplier;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/** Prints a fresh key of a workspace and the digest that the table holds. */
+public final class KeyCommand implements Subcommand {
+
+  private final Supplier<byte[]> randomBytes;
+
+  /** A key and its digest as they are printed. */
+  private record Key(String key, String digest) {}
+
+  /** Creates the command; the supplier gives the random part of a key. */
+  public KeyCommand(Supplier<byte[]> randomBytes) {
+    this.randomBytes = randomBytes;
+  }
+
+  @Override
+  public String name() {
+    return "key";
+  }
+
+  @Override
+  public String help() {
+    return "print a fresh key of a workspace and its digest for the table";
+  }
+
+  @Override
+  public void declare(Subparser parser) {
+    parser.addArgument("workspace").metavar("WORKSPACE").help("name of the workspace");
+    JsonOutput.declare(parser);
+  }
+
+  @Override
+  public ExitCode run(Namespace arguments, Reporter reporter) {
+    String workspace = arguments.getString("workspace");
+    if (!TableChecker.legalName(workspace)) {
+      reporter.error("'" + workspace + "' is not a legal name of a workspace");
+      return ExitCode.USAGE;
+    }
+    String text = workspace + ":" + HexFormat.of().formatHex(randomBytes.get());
+    Key key = new Key(text, Digests.of(text));
+    if (JsonOutput.wanted(arguments)) {
+      reporter.json(JsonOutput.encode(key));
+    } else {
+      reporter.line("key     " + key.key());
+      reporter.line("digest  " + key.digest());
+    }
+    return ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/VersionSpread.java
@@ -0,0 +1,86 @@
+package dev.agatepier.cli.process.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * How far a table version has spread.
+ *
+ * @param version the version
+ * @param dataCentres one entry for each data centre, by name
+ */
+record VersionSpread(long version, List<DataCentreSpread> dataCentres) {
+
+  /** Instances named of those that lag. */
+  private static final int NAMED_LAGGARDS = 3;
+
+  /**
+   * How far it has spread in one data centre.
+   *
+   * @param dataCentre the data centre
+   * @param instances processes asked
+   * @param versions processes by the version they run; -1 for those that cannot be reached
+   * @param lagging names of the processes that do not run the version or a later one
+   */
+  record DataCentreSpread(
+      String dataCentre, int instances, Map<Long, Integer> versions, List<String> lagging) {}
+
+  /** Sums up what processes answered. */
+  static VersionSpread of(long version, List<FleetCommand.Reply> replies) {
+    Map<String, List<FleetCommand.Reply>> groups = new TreeMap<>();
+    for (FleetCommand.Reply reply : replies) {
+      groups.computeIfAbsent(dataCentre(reply), name -> new ArrayList<>()).add(reply);
+    }
+    List<DataCentreSpread> spreads = new ArrayList<>();
+    groups.forEach((name, group) -> spreads.add(dataCentreSpread(name, version, group)));
+    return new VersionSpread(version, spreads);
+  }
+
+  /** Returns the version that a process runs; -1 if it cannot be reached. */
+  static long version(FleetCommand.Reply reply) {
+    return reply.ok() ? reply.answer().orElseThrow().body().path("tableVersion").asLong(-1) : -1;
+  }
+
+  boolean complete() {
+    return !dataCentres.isEmpty()
+        && dataCentres.stream().allMatch(spread -> spread.lagging().isEmpty());
+  }
+
+  List<String> lines() {
+    return dataCentres.stream().map(this::line).toList();
+  }
+
+  private String line(DataCentreSpread spread) {
+    int current = spread.instances() - spread.lagging().size();
+    String line =
+        "%-20s version %d at %d of %d"
+            .formatted(spread.dataCentre(), version, current, spread.instances());
+    if (spread.lagging().isEmpty()) {
+      return line;
+    }
+    int named = Math.min(NAMED_LAGGARDS, spread.lagging().size());
+    String more = spread.lagging().size() > named ? ", …" : "";
+    return line + "; lagging: " + String.join(", ", spread.lagging().subList(0, named)) + more;
+  }
+
+  private static DataCentreSpread dataCentreSpread(
+      String name, long version, List<FleetCommand.Reply> replies) {
+    Map<Long, Integer> versions = new TreeMap<>();
+    replies.forEach(reply -> versions.merge(version(reply), 1, Integer::sum));
+    List<String> lagging =
+        replies.stream()
+            .filter(reply -> version(reply) < version)
+            .map(reply -> reply.target().name())
+            .toList();
+    return new DataCentreSpread(name, replies.size(), versions, lagging);
+  }
+
+  private static String dataCentre(FleetCommand.Reply reply) {
+    String listed = reply.target().dataCentre();
+    return reply.ok()
+        ? reply.answer().orElseThrow().body().path("dataCentre").asText(listed)
+        : listed;
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/FakeReporter.java
@@ -0,0 +1,28 @@
+package dev.agatepier.cli.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Keeps what was reported. */
+public final class FakeReporter implements Reporter {
+
+  public final List<String> lines = new ArrayList<>();
+  public final List<JsonNode> values = new ArrayList<>();
+  public final List<String> errors = new ArrayList<>();
+
+  @Override
+  public void line(String text) {
+    lines.add(text);
+  }
+
+  @Override
+  public void json(JsonNode value) {
+    values.add(value);
+  }
+
+  @Override
+  public void error(String text) {
+    errors.add(text);
+  }
+}
--- /dev/null
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/internal/FakeFleet.java
@@ -0,0 +1,31 @@
+package dev.agatepier.cli.process.internal;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Processes that answer every call with the JSON set for them; {@code null} for none. */
+final class FakeFleet implements Fleet {
+
+  final Map<String, Object> answers = new LinkedHashMap<>();
+  final List<String> calls = new ArrayList<>();
+
+  @Override
+  public List<Target> targets() {
+    return answers.keySet().stream()
+        .map(name -> new Target(name, name.substring(0, name.indexOf('/')), "127.0.0.1", 1))
+        .toList();
+  }
+
+  @Override
+  public CompletableFuture<Optional<Answer>> call(Target target, String method, String path) {
+    calls.add(method + " " + path);
+    return CompletableFuture.completedFuture(
+        Optional.ofNullable(answers.get(target.name()))
+            .map(answer -> new Answer(200, new ObjectMapper().valueToTree(answer))));
+  }
+}
