Add the process fleet and the demonstration

Cause: trials need whole fleets of real processes, and the demonstration had none. Process tests are named *IntegrationTest, since the linter refuses names that end in IT. Conclusion: the fleet's start, kill, pause, restart and end are shown with stand-ins only.

--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/DemoFleet.java
@@ -0,0 +1,154 @@
+package dev.agatepier.standin.process;
+
+import dev.agatepier.core.process.ManagedService;
+import dev.agatepier.core.version.Instance;
+import dev.agatepier.standin.version.TrialWorkspace;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+
+/**
+ * A small whole fleet on this machine: two data centres in two regions, a router in each, a model
+ * service and a plain service spread over both, and a sidecar beside each upstream.
+ */
+public final class DemoFleet implements ManagedService {
+
+  /** Name of the model service. */
+  public static final String MODEL_SERVICE = "plan-model";
+
+  /** Name of the plain service. */
+  public static final String PLAIN_SERVICE = "chair-desk";
+
+  private static final String SERVICES =
+      """
+      service,kind,idempotent_calls,deadline_seconds,retry_share
+      plan-model,model,POST /v1/chat/completions,60,0.1
+      chair-desk,plain,GET /,30,0.1
+      """;
+
+  private static final String PLATFORM_ADDRESS = "127.0.9.1";
+  private static final int ENGINES_PER_PLACE = 2;
+  private static final Duration READY_DEADLINE = Duration.ofSeconds(60);
+  private static final List<Place> PLACES =
+      List.of(
+          new Place("kolkata-a", "kolkata", "127.0.1."),
+          new Place("siliguri-a", "siliguri", "127.0.2."));
+
+  private final ProcessFleet fleet;
+  private final List<TrialWorkspace> workspaces;
+  private final Endpoint platform = Endpoint.free(PLATFORM_ADDRESS);
+  private final List<FleetNode> routers = new ArrayList<>();
+  private final List<FleetNode> sidecars = new ArrayList<>();
+
+  /**
+   * Lays out a fleet.
+   *
+   * @param fleet starts its processes; must have been started
+   * @param workspaces rows of its table
+   */
+  public DemoFleet(ProcessFleet fleet, List<TrialWorkspace> workspaces) {
+    this.fleet = fleet;
+    this.workspaces = List.copyOf(workspaces);
+    PLACES.forEach(this::layOut);
+  }
+
+  /** A data centre whose processes share the start of an IP number. */
+  private record Place(String dataCentre, String region, String addressStart) {}
+
+  @Override
+  public CompletableFuture<Void> start() {
+    return fleet
+        .startStandin("platform", "platform", platform)
+        .thenCompose(started -> publish())
+        .thenCompose(published -> all(sidecars.stream().map(this::startUpstream)))
+        .thenCompose(started -> all(nodes().stream().map(this::startNode)));
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    return fleet.stop();
+  }
+
+  /** Returns the platform's endpoint. */
+  public Endpoint platform() {
+    return platform;
+  }
+
+  /** Returns the routers. */
+  public List<FleetNode> routers() {
+    return List.copyOf(routers);
+  }
+
+  /** Returns the sidecars; the name of a sidecar's upstream is {@link #upstreamName}. */
+  public List<FleetNode> sidecars() {
+    return List.copyOf(sidecars);
+  }
+
+  /** Returns all nodes. */
+  public List<FleetNode> nodes() {
+    return Stream.concat(routers.stream(), sidecars.stream()).toList();
+  }
+
+  /** Returns the workspaces. */
+  public List<TrialWorkspace> workspaces() {
+    return workspaces;
+  }
+
+  /** Returns the name of the process beside which a sidecar stands. */
+  public static String upstreamName(FleetNode sidecar) {
+    return sidecar.name() + "-upstream";
+  }
+
+  private CompletableFuture<Void> publish() {
+    PlatformClient client = new PlatformClient(fleet.caller(), platform);
+    List<Instance> instances = nodes().stream().map(node -> node.instance(false)).toList();
+    return client
+        .publishTable(PlatformClient.ANY_VERSION, TrialWorkspace.table(workspaces), SERVICES)
+        .thenCompose(version -> client.publishInstances(instances))
+        .thenApply(version -> null);
+  }
+
+  private CompletableFuture<ChildProcess> startUpstream(FleetNode sidecar) {
+    String name = upstreamName(sidecar);
+    String record = fleet.recordFile(name).toString();
+    return sidecar.service().equals(MODEL_SERVICE)
+        ? fleet.startStandin(
+            name,
+            "engine",
+            sidecar.front(),
+            "--batch",
+            "8",
+            "--token-millis",
+            "8",
+            "--record",
+            record)
+        : fleet.startStandin(
+            name, "plain", sidecar.front(), "--service-millis", "20", "--record", record);
+  }
+
+  private CompletableFuture<ChildProcess> startNode(FleetNode node) {
+    fleet.startNode(node, platform);
+    return fleet.whenReady(node, READY_DEADLINE);
+  }
+
+  private void layOut(Place place) {
+    String centre = place.dataCentre();
+    routers.add(
+        FleetNode.router("router-" + centre, centre, place.region(), place.addressStart() + "1"));
+    for (int engine = 1; engine <= ENGINES_PER_PLACE; engine++) {
+      Endpoint upstream = Endpoint.free(place.addressStart() + (10 + engine));
+      sidecars.add(
+          FleetNode.sidecar(
+              "engine-" + centre + "-" + engine, centre, place.region(), MODEL_SERVICE, upstream));
+    }
+    Endpoint upstream = Endpoint.free(place.addressStart() + "20");
+    sidecars.add(
+        FleetNode.sidecar("desk-" + centre, centre, place.region(), PLAIN_SERVICE, upstream));
+  }
+
+  private static CompletableFuture<Void> all(Stream<CompletableFuture<ChildProcess>> each) {
+    return CompletableFuture.allOf(each.toArray(CompletableFuture[]::new));
+  }
+}
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -1,5 +1,6 @@
 package dev.agatepier.standin.process;
 
+import dev.agatepier.standin.process.internal.DemoProgram;
 import dev.agatepier.standin.process.internal.EngineProgram;
 import dev.agatepier.standin.process.internal.PlainProgram;
 import dev.agatepier.standin.process.internal.PlatformProgram;
@@ -18,7 +19,7 @@
   private static final int FAILED = 1;
   private static final int MISUSED = 2;
   private static final List<StandinProgram> PROGRAMS =
-      List.of(new PlatformProgram(), new EngineProgram(), new PlainProgram());
+      List.of(new PlatformProgram(), new EngineProgram(), new PlainProgram(), new DemoProgram());
 
   private StandinCommand() {}
 
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/EngineStandin.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/EngineStandin.java
@@ -48,7 +48,6 @@
   void route(HttpServerRoutes routes) {
     routes
         .post("/v1/chat/completions", this::complete)
-        .get("/health", (request, response) -> HttpFront.send(response, Reply.up()))
         .get("/load", (request, response) -> ask(response, EngineMessage.ReadLoad::new))
         .get("/control/ran", (request, response) -> HttpFront.send(response, log.read()))
         .post("/control/settings", this::putSettings);
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/HttpStandin.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/HttpStandin.java
@@ -13,7 +13,7 @@
 
   HttpStandin(String name, String address, int port) {
     this.scheduler = new TaskScheduler(name);
-    this.front = new HttpFront(address, port, this::route);
+    this.front = new HttpFront(address, port, this::routeAll);
   }
 
   @Override
@@ -31,6 +31,11 @@
     return front.port();
   }
 
+  private void routeAll(HttpServerRoutes routes) {
+    routes.get("/health", (request, response) -> HttpFront.send(response, Reply.up()));
+    route(routes);
+  }
+
   /** Declares the calls that are served; called at the start. */
   abstract void route(HttpServerRoutes routes);
 }
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlainStandin.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlainStandin.java
@@ -43,7 +43,6 @@
   @Override
   void route(HttpServerRoutes routes) {
     routes
-        .get("/health", (request, response) -> HttpFront.send(response, Reply.up()))
         .get("/control/ran", (request, response) -> HttpFront.send(response, log.read()))
         .post("/control/settings", this::putSettings)
         .route(request -> true, this::serve);
--- /dev/null
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/ProcessFleetIntegrationTest.java
@@ -0,0 +1,103 @@
+package dev.agatepier.standin.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ProcessFleetIntegrationTest {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final int KILLED_STATUS = 137;
+  private static final int CRASHED_STATUS = 70;
+
+  private ProcessFleet fleet;
+  private Endpoint endpoint;
+
+  @BeforeMethod
+  public void start() throws Exception {
+    fleet = new ProcessFleet(Files.createTempDirectory("agatepier-fleet"));
+    fleet.start().join();
+    endpoint = Endpoint.free("127.0.3.1");
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stop() throws Exception {
+    await(fleet.stop());
+  }
+
+  @Test
+  public void recordSurvivesTheKillAndTheProcessStartsAgain() throws Exception {
+    ChildProcess first = plain();
+    assertTrue(await(order("o-1")).body().contains("\"order\":\"o-1\""));
+    await(first.send(ProcessSignal.KILL));
+    assertEquals((int) await(first.exited()), KILLED_STATUS);
+    ChildProcess second = plain();
+    await(order("o-2"));
+    await(fleet.stop());
+    assertFalse(second.alive());
+    String record = Files.readString(fleet.recordFile("desk"));
+    assertEquals(record.lines().filter(line -> line.contains("\"state\":\"WHOLE\"")).count(), 2);
+  }
+
+  @Test
+  public void pausedProcessAnswersAfterItGoesOn() throws Exception {
+    ChildProcess desk = plain();
+    await(desk.send(ProcessSignal.STOP));
+    CompletableFuture<HttpAnswer> answer = order("o-3");
+    await(desk.send(ProcessSignal.CONT));
+    assertEquals(await(answer).status(), 200);
+  }
+
+  @Test
+  public void crashEndsTheEngineAfterItsRecord() throws Exception {
+    String record = fleet.recordFile("engine").toString();
+    ChildProcess engine =
+        await(fleet.startStandin("engine", "engine", endpoint, "--record", record));
+    post("/v1/chat/completions", "{\"prompt\":\"crash-upstream\"}");
+    assertEquals((int) await(engine.exited()), CRASHED_STATUS);
+    assertTrue(Files.readString(fleet.recordFile("engine")).contains("\"state\":\"RUNNING\""));
+  }
+
+  @Test
+  public void processThatEndsEarlyIsReportedWithItsOutput() {
+    FleetException failure =
+        expectThrows(
+            FleetException.class,
+            () -> {
+              try {
+                await(fleet.startStandin("desk", "plain", endpoint, "--no-such-argument"));
+              } catch (ExecutionException wrapped) {
+                throw wrapped.getCause();
+              }
+            });
+    assertTrue(failure.getMessage().contains("no-such-argument"), failure.getMessage());
+  }
+
+  private ChildProcess plain() throws Exception {
+    String record = fleet.recordFile("desk").toString();
+    return await(fleet.startStandin("desk", "plain", endpoint, "--record", record));
+  }
+
+  private CompletableFuture<HttpAnswer> order(String order) {
+    return post("/confirmations", "{\"order\":\"" + order + "\"}");
+  }
+
+  private CompletableFuture<HttpAnswer> post(String path, String body) {
+    return fleet.caller().call("POST", endpoint.http(path), Map.of(), body, TIMEOUT);
+  }
+
+  private static <T> T await(CompletableFuture<T> future) throws Exception {
+    return future.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+  }
+}
