Share capacity fairly across sidecars

Cause: a sidecar saw only its own cost, so a workspace whose demand reaches few sidecars fell behind without limit. A partition left a gap that never closed: a workspace that could not be seen here was lifted to the least active value when it came back, as if it had been idle. Change: HolderDecision sums cost per service and data centre; sidecars take the sums as increments, capped by the catch-up cost; demand lost with a link is lifted only to the least value - catch-up cost / weight.

--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/HolderDecision.java
@@ -0,0 +1,146 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.CostReport;
+import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
+import dev.agatepier.core.connection.LinkMessage.FleetCosts;
+import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.process.internal.RendezvousHash;
+import dev.agatepier.core.process.internal.ServiceSums;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Sums the cost of each workspace over the sidecars of its data centre and over the other data
+ * centres' holders, and tells each sidecar what its workspaces received elsewhere. All of it is
+ * soft state, refilled by the next reports.
+ */
+public final class HolderDecision implements Decision<HolderEvent, HolderEffect> {
+  private final PeerIdentity self;
+  private final HolderPolicy policy;
+  private final List<HolderEffect> effects = new ArrayList<>();
+  private final Map<String, PeerIdentity> linked = new LinkedHashMap<>();
+  private final Map<String, ServiceSums> sums = new TreeMap<>();
+  private long toldNanos;
+
+  /**
+   * Creates a holder without sums.
+   *
+   * @param self identity of the router it lives in
+   * @param policy settings
+   */
+  public HolderDecision(PeerIdentity self, HolderPolicy policy) {
+    this.self = self;
+    this.policy = policy;
+  }
+
+  @Override
+  public List<HolderEffect> decide(HolderEvent event, long nowNanos) {
+    switch (event) {
+      case HolderEvent.PeerLinked(PeerIdentity peer) -> peerLinked(peer, nowNanos);
+      case HolderEvent.PeerUnlinked(PeerIdentity peer) -> peerUnlinked(peer, nowNanos);
+      case HolderEvent.MessageArrived(PeerIdentity peer, LinkMessage message) ->
+          messageArrived(peer, message, nowNanos);
+      case HolderEvent.TimePassed() -> timePassed(nowNanos);
+    }
+    List<HolderEffect> decided = List.copyOf(effects);
+    effects.clear();
+    return decided;
+  }
+
+  private void peerLinked(PeerIdentity peer, long nowNanos) {
+    PeerIdentity before = linked.put(peer.instance(), peer);
+    if (before != null && !before.equals(peer)) {
+      sums.values().forEach(service -> service.unlinked(before, nowNanos));
+    }
+    sums.values().forEach(service -> service.linked(peer));
+  }
+
+  private void peerUnlinked(PeerIdentity peer, long nowNanos) {
+    if (linked.remove(peer.instance(), peer)) {
+      sums.values().forEach(service -> service.unlinked(peer, nowNanos));
+    }
+  }
+
+  private void messageArrived(PeerIdentity peer, LinkMessage message, long nowNanos) {
+    if (!peer.equals(linked.get(peer.instance()))) {
+      return;
+    }
+    switch (message) {
+      case CostReport report -> reportArrived(peer, report, nowNanos);
+      case DataCentreCosts costs -> sumsOf(costs.service()).sumsArrived(peer, costs.costs());
+      default -> {
+        // Other messages are handled by the router's decision.
+      }
+    }
+  }
+
+  private void reportArrived(PeerIdentity sidecar, CostReport report, long nowNanos) {
+    ServiceSums service = sumsOf(sidecar.service());
+    boolean newInterest = service.reportArrived(sidecar, report);
+    if (newInterest) {
+      tellSidecar(sidecar, service.untoldNew(sidecar));
+    }
+    if (nowNanos - toldNanos >= TimeUnit.MILLISECONDS.toNanos(policy.tellMillis())) {
+      tellAll(nowNanos);
+    }
+  }
+
+  private void timePassed(long nowNanos) {
+    if (nowNanos - toldNanos >= TimeUnit.MILLISECONDS.toNanos(policy.tellMillis())) {
+      tellAll(nowNanos);
+    }
+    long forgetNanos = TimeUnit.MILLISECONDS.toNanos(policy.forgetMillis());
+    sums.values().forEach(service -> service.forgetUnlinkedUntil(nowNanos - forgetNanos));
+  }
+
+  private void tellAll(long nowNanos) {
+    toldNanos = nowNanos;
+    Map<String, List<String>> routers = routersByOtherDataCentre();
+    sums.forEach(
+        (name, service) -> {
+          for (PeerIdentity peer : linked.values()) {
+            if (peer.role() == Role.SIDECAR && peer.service().equals(name)) {
+              tellSidecar(peer, service.untold(peer));
+            }
+          }
+          routers.forEach((dataCentre, names) -> tellDataCentre(service, dataCentre, names));
+        });
+  }
+
+  private void tellSidecar(PeerIdentity sidecar, List<WorkspaceCost> costs) {
+    if (!costs.isEmpty()) {
+      FleetCosts message = new FleetCosts(self.incarnation(), costs);
+      effects.add(new HolderEffect.Send(sidecar.instance(), message));
+    }
+  }
+
+  private void tellDataCentre(ServiceSums service, String dataCentre, List<String> names) {
+    String chosen = RendezvousHash.choose(service.name(), names).orElseThrow();
+    List<WorkspaceCost> costs = service.untoldTo(dataCentre, linked.get(chosen));
+    if (!costs.isEmpty()) {
+      DataCentreCosts message = new DataCentreCosts(service.name(), costs);
+      effects.add(new HolderEffect.Send(chosen, message));
+    }
+  }
+
+  private Map<String, List<String>> routersByOtherDataCentre() {
+    Map<String, List<String>> routers = new TreeMap<>();
+    for (PeerIdentity peer : linked.values()) {
+      if (peer.role() == Role.ROUTER && !peer.dataCentre().equals(self.dataCentre())) {
+        routers.computeIfAbsent(peer.dataCentre(), name -> new ArrayList<>()).add(peer.instance());
+      }
+    }
+    return routers;
+  }
+
+  private ServiceSums sumsOf(String service) {
+    return sums.computeIfAbsent(service, ServiceSums::new);
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/CostExchange.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/CostExchange.java
@@ -74,12 +74,12 @@
       reported.clear();
     }
     List<WorkspaceCost> costs = changedCosts();
-    Set<String> interest = interest();
+    Set<String> interest = ledger.active();
     if (fullDue || !costs.isEmpty() || !interest.equals(reportedInterest)) {
       CostReport report = new CostReport(costs, List.copyOf(interest));
       effects.add(new Send(holder.get().instance(), report));
       reportedNanos = nowNanos;
-      reportedInterest = interest;
+      reportedInterest = Set.copyOf(interest);
       fullDue = false;
     }
   }
@@ -105,25 +105,23 @@
   }
 
   private List<WorkspaceCost> changedCosts() {
+    Set<String> charged = ledger.takeCharged();
+    Set<String> candidates = fullDue ? everyWorkspace() : charged;
     List<WorkspaceCost> costs = new ArrayList<>();
-    for (WorkspaceAccount account : ledger.accounts()) {
-      double cost = account.localCost();
-      if (cost != reported.getOrDefault(account.name(), 0.0)) {
-        costs.add(new WorkspaceCost(account.name(), cost));
-        reported.put(account.name(), cost);
+    for (String workspace : candidates) {
+      double cost = ledger.account(workspace).localCost();
+      if (cost != reported.getOrDefault(workspace, 0.0)) {
+        costs.add(new WorkspaceCost(workspace, cost));
+        reported.put(workspace, cost);
       }
     }
     return costs;
   }
 
-  private Set<String> interest() {
-    Set<String> interest = new TreeSet<>();
-    for (WorkspaceAccount account : ledger.accounts()) {
-      if (account.active()) {
-        interest.add(account.name());
-      }
-    }
-    return interest;
+  private Set<String> everyWorkspace() {
+    Set<String> names = new TreeSet<>();
+    ledger.accounts().forEach(account -> names.add(account.name()));
+    return names;
   }
 
   private List<String> names(Collection<PeerIdentity> routers, boolean ownDataCentre) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandBook.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandBook.java
@@ -74,7 +74,11 @@
     Map<String, Entry> entries = byRouter.remove(router);
     if (entries != null) {
       for (Entry entry : entries.values()) {
+        boolean waited = entry.told > 0;
         change(entry, () -> entry.told = 0);
+        if (waited) {
+          ledger.cutOff(entry.key.workspace());
+        }
         paused.remove(entry);
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempt.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempt.java
@@ -30,6 +30,11 @@
     this.ticket = ticket;
   }
 
+  /** Returns whether the upstream was asked to stop it. */
+  boolean cancelled() {
+    return withdrawn || (detached && ticket.isEmpty());
+  }
+
   long timeLeftMillis(long nowNanos) {
     return start.timeLeftMillis() - (nowNanos - acceptedNanos) / 1_000_000;
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
@@ -14,12 +14,11 @@
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Reason;
-import java.util.ArrayDeque;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** The attempts that hold a slot, from their admission to their end. */
@@ -31,7 +30,7 @@
   private final UpstreamDeaths deaths;
   private final List<SidecarEffect> effects;
   private final Map<AttemptId, RunningAttempt> running = new LinkedHashMap<>();
-  private final Deque<RunningAttempt> waitingAlone = new ArrayDeque<>();
+  private final AloneQueue waitingAlone = new AloneQueue();
 
   RunningAttempts(
       WorkspaceLedger ledger,
@@ -91,12 +90,9 @@
 
   /** Cancels what a router incarnation has running, but for ticketed calls. */
   void routerGone(PeerIdentity router, long nowNanos) {
-    List<RunningAttempt> waiting =
-        waitingAlone.stream().filter(attempt -> isOf(attempt, router)).toList();
-    for (RunningAttempt attempt : waiting) {
-      waitingAlone.remove(attempt);
-      refuse(attempt, Reason.WITHDRAWN);
-    }
+    waitingAlone
+        .removeAll(attempt -> isOf(attempt, router))
+        .forEach(attempt -> refuse(attempt, Reason.WITHDRAWN));
     for (RunningAttempt attempt : running.values()) {
       if (isOf(attempt, router) && !attempt.detached) {
         if (attempt.ticket.isEmpty()) {
@@ -158,7 +154,7 @@
     Reason told = attempt.withdrawn ? Reason.WITHDRAWN : reason;
     if (sent) {
       fail(attempt, told, nowNanos);
-      if (!attempt.withdrawn && !attempt.detached) {
+      if (!attempt.cancelled()) {
         deaths.broke(attempt.start.fingerprint(), nowNanos);
       }
     } else {
@@ -184,19 +180,14 @@
 
   /** Refuses what waits to run alone. */
   void refuseWaiting(Reason reason) {
-    while (!waitingAlone.isEmpty()) {
-      refuse(waitingAlone.remove(), reason);
-    }
+    waitingAlone.removeAll(attempt -> true).forEach(attempt -> refuse(attempt, reason));
   }
 
   void timePassed(long nowNanos) {
     running.values().forEach(attempt -> meter.grow(attempt, nowNanos));
-    List<RunningAttempt> late =
-        waitingAlone.stream().filter(attempt -> attempt.timeLeftMillis(nowNanos) <= 0).toList();
-    for (RunningAttempt attempt : late) {
-      waitingAlone.remove(attempt);
-      refuse(attempt, Reason.DEADLINE);
-    }
+    waitingAlone
+        .removeAll(attempt -> attempt.timeLeftMillis(nowNanos) <= 0)
+        .forEach(attempt -> refuse(attempt, Reason.DEADLINE));
   }
 
   private void launch(RunningAttempt attempt, long nowNanos) {
@@ -216,7 +207,7 @@
 
   private void startNext(long nowNanos) {
     while (running.isEmpty() && !waitingAlone.isEmpty()) {
-      RunningAttempt attempt = waitingAlone.remove();
+      RunningAttempt attempt = waitingAlone.removeFirst().orElseThrow();
       if (attempt.timeLeftMillis(nowNanos) > 0) {
         launch(attempt, nowNanos);
       } else {
@@ -226,12 +217,10 @@
   }
 
   private void withdrawNotStarted(String router, AttemptId id) {
-    for (RunningAttempt attempt : waitingAlone) {
-      if (attempt.start.attempt().equals(id)) {
-        waitingAlone.remove(attempt);
-        refuse(attempt, Reason.WITHDRAWN);
-        return;
-      }
+    Optional<RunningAttempt> waiting = waitingAlone.remove(id);
+    if (waiting.isPresent()) {
+      refuse(waiting.get(), Reason.WITHDRAWN);
+      return;
     }
     marks.mark(id, Mark.NEVER_RUN);
     if (marks.markOf(id) == Mark.NEVER_RUN) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceAccount.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceAccount.java
@@ -11,6 +11,7 @@
   int running;
   int waiting;
   long oldestSinceNanos;
+  boolean cutOff;
 
   WorkspaceAccount(String name, double weight) {
     this.name = name;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
@@ -2,9 +2,12 @@
 
 import dev.agatepier.core.version.Table;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 
@@ -14,7 +17,9 @@
  *
  * <p>Virtual service grows by cost / weight, at the weight in force when the cost is charged. A
  * workspace that becomes active is lifted to the least virtual service of the waiting ones, so that
- * it can't bank credit; one that is ahead keeps its debt.
+ * it can't bank credit; one that is ahead keeps its debt. A workspace whose demand was lost with
+ * the link to its router did not leave of its own will: when it comes back it is lifted only to the
+ * least virtual service - catch-up cost / weight.
  */
 public final class WorkspaceLedger {
   private final FairOrder order;
@@ -22,6 +27,8 @@
   private final Map<String, WorkspaceAccount> accounts = new HashMap<>();
   private final TreeSet<WorkspaceAccount> waiting;
   private final TreeSet<WorkspaceAccount> byVirtualService;
+  private final Set<String> active = new TreeSet<>();
+  private final Set<String> charged = new HashSet<>();
   private double lastPicked;
   private Table table = Table.NONE;
 
@@ -55,6 +62,18 @@
     return accounts.values();
   }
 
+  /** Returns the names of the workspaces that have demand or hold a slot, in order. */
+  public Set<String> active() {
+    return Collections.unmodifiableSet(active);
+  }
+
+  /** Returns the workspaces charged for cost here since the last call. */
+  public Set<String> takeCharged() {
+    Set<String> taken = new TreeSet<>(charged);
+    charged.clear();
+    return taken;
+  }
+
   /** Returns the waiting workspace that is served next. */
   public Optional<WorkspaceAccount> next() {
     return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.first());
@@ -65,17 +84,25 @@
     WorkspaceAccount account = account(workspace);
     boolean becomesActive = count > 0 && !account.active();
     double least = leastVirtualService();
+    double floor = account.cutOff ? least - catchUpCost / account.weight : least;
+    account.cutOff &= count == 0;
     change(
         account,
         changed -> {
           changed.waiting = count;
           changed.oldestSinceNanos = oldestSinceNanos;
           if (becomesActive) {
-            changed.virtualService = Math.max(changed.virtualService, least);
+            changed.virtualService = Math.max(changed.virtualService, floor);
           }
         });
   }
 
+  /** Notes that demand of a workspace was lost with the link to its router. */
+  public void cutOff(String workspace) {
+    WorkspaceAccount account = account(workspace);
+    account.cutOff = account.waiting == 0;
+  }
+
   /** Notes that a workspace holds one more slot, or one less. */
   public void addInFlight(String workspace, int difference) {
     WorkspaceAccount account = account(workspace);
@@ -83,6 +110,7 @@
       lastPicked = Math.max(lastPicked, account.virtualService);
     }
     account.inFlight += difference;
+    noteActive(account);
   }
 
   /** Notes that one more attempt of a workspace runs, or one less. */
@@ -92,6 +120,7 @@
 
   /** Charges cost received here; a negative cost corrects an estimate that was too high. */
   public void charge(String workspace, double cost) {
+    charged.add(workspace);
     change(
         account(workspace),
         account -> {
@@ -118,6 +147,14 @@
     change(account, changed -> changed.virtualService = limited);
   }
 
+  private void noteActive(WorkspaceAccount account) {
+    if (account.active()) {
+      active.add(account.name);
+    } else {
+      active.remove(account.name);
+    }
+  }
+
   private double leastVirtualService() {
     return byVirtualService.isEmpty() ? lastPicked : byVirtualService.first().virtualService;
   }
@@ -132,5 +169,6 @@
       waiting.add(account);
       byVirtualService.add(account);
     }
+    noteActive(account);
   }
 }
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
@@ -0,0 +1,71 @@
+package dev.agatepier.core.process.internal;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.expectThrows;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class WorkspaceLedgerTest {
+
+  private static WorkspaceLedger ledger(String order) {
+    WorkspaceLedger ledger = new WorkspaceLedger(FairOrder.named(order), 1_000);
+    ledger.setDemand("early", 1, 10);
+    ledger.setDemand("ahead", 1, 5);
+    ledger.charge("early", 10);
+    ledger.charge("ahead", 20);
+    return ledger;
+  }
+
+  @DataProvider
+  public static Object[][] orders() {
+    return new Object[][] {
+      {"virtual-service", "ahead"}, {"local-service", "early"}, {"first-come", "ahead"},
+    };
+  }
+
+  @Test(dataProvider = "orders")
+  public void picksByOrder(String order, String expected) {
+    WorkspaceLedger ledger = ledger(order);
+    ledger.chargeFleet("early", 100);
+    assertEquals(ledger.next().orElseThrow().name(), expected);
+  }
+
+  @Test
+  public void liftsNewcomerAndKeepsDebt() {
+    WorkspaceLedger ledger = ledger("virtual-service");
+    ledger.setDemand("newcomer", 1, 50);
+    assertEquals(ledger.account("newcomer").virtualService(), 10.0);
+    ledger.setDemand("ahead", 0, 0);
+    ledger.setDemand("ahead", 1, 60);
+    assertEquals(ledger.account("ahead").virtualService(), 20.0);
+  }
+
+  @Test
+  public void liftsWorkspaceThatWasCutOffOnlyOverCatchUpCost() {
+    WorkspaceLedger ledger = ledger("virtual-service");
+    ledger.setDemand("early", 0, 0);
+    ledger.cutOff("early");
+    ledger.charge("ahead", 5_000);
+    ledger.setDemand("early", 1, 60);
+    assertEquals(ledger.account("early").virtualService(), 4_020.0);
+    ledger.setDemand("early", 0, 0);
+    ledger.setDemand("early", 1, 70);
+    assertEquals(ledger.account("early").virtualService(), 5_020.0, "it left of its own will");
+  }
+
+  @Test
+  public void breaksTiesByOldestWaitThenName() {
+    WorkspaceLedger ledger = new WorkspaceLedger(FairOrder.named("virtual-service"), 1_000);
+    ledger.setDemand("c", 1, 10);
+    ledger.setDemand("b", 1, 10);
+    assertEquals(ledger.next().orElseThrow().name(), "b");
+    ledger.setDemand("c", 1, 9);
+    assertEquals(ledger.next().orElseThrow().name(), "c");
+  }
+
+  @Test
+  public void knowsNoOtherOrder() {
+    expectThrows(IllegalArgumentException.class, () -> FairOrder.named("fifo"));
+  }
+}
