--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DrainRate.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DrainRate.java
@@ -6,12 +6,13 @@
   /** Departures to observe before the rate is trusted. */
   private static final int LEAST_DEPARTURES = 8;
 
-  /** Weight of the newest interval in the moving average. */
-  private static final double NEWEST_WEIGHT = 0.2;
+  /** Share of what was observed that each departure leaves in force. */
+  private static final double REMEMBERED_SHARE = 31.0 / 32;
 
   private long sinceNanos;
   private int departures;
-  private double intervalNanos;
+  private double weightedNanos;
+  private double weightedDepartures;
 
   /** Notes that the queue has something to drain from now on. */
   void begin(long nowNanos) {
@@ -20,15 +21,16 @@
 
   /** Notes that a request left the queue for a sidecar. */
   void depart(long nowNanos) {
-    double interval = nowNanos - sinceNanos;
-    intervalNanos =
-        departures == 0 ? interval : intervalNanos + NEWEST_WEIGHT * (interval - intervalNanos);
+    weightedNanos = REMEMBERED_SHARE * weightedNanos + (nowNanos - sinceNanos);
+    weightedDepartures = REMEMBERED_SHARE * weightedDepartures + 1;
     departures++;
     sinceNanos = nowNanos;
   }
 
   /** Returns the expected wait behind a number of requests; 0 while nothing is known. */
   long waitNanos(int waiting) {
-    return departures < LEAST_DEPARTURES ? 0 : (long) (intervalNanos * waiting);
+    return departures < LEAST_DEPARTURES
+        ? 0
+        : (long) (weightedNanos / weightedDepartures * waiting);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceUse.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceUse.java
@@ -24,6 +24,7 @@
   /** Returns how long to wait until a cost may be started, in milliseconds; 0 for not at all. */
   long costWaitMillis(double estimate, Limits limits, long nowNanos) {
     if (limits.costPerMinute() == 0) {
+      debt = 0;
       return 0;
     }
     pay(limits, nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RouterFixture.java
@@ -37,31 +37,31 @@
 import java.util.Set;
 
 /** A router's decision in virtual time, driven by short scripts. */
-final class RouterFixture {
+public final class RouterFixture {
 
-  static final String SERVICE = "chair-desk";
-  static final long MILLI = 1_000_000;
-  static final long DEADLINE_MILLIS = 10_000;
+  public static final String SERVICE = "chair-desk";
+  public static final long MILLI = 1_000_000;
+  public static final long DEADLINE_MILLIS = 10_000;
 
-  final RouterDecision decision;
-  final List<RouterEffect> effects = new ArrayList<>();
-  final Map<String, PeerIdentity> linked = new HashMap<>();
-  long now = -5_000 * MILLI;
+  public final RouterDecision decision;
+  public final List<RouterEffect> effects = new ArrayList<>();
+  public final Map<String, PeerIdentity> linked = new HashMap<>();
+  public long now = -5_000 * MILLI;
   private long grants;
   private long calls;
   private AttemptId attempt;
   private PeerIdentity home;
 
-  RouterFixture() {
+  public RouterFixture() {
     this(RouterPolicy.DEFAULT, new Limits(10, 5, 0), 1);
   }
 
-  RouterFixture(RouterPolicy policy, Limits limits, double retryShare) {
+  public RouterFixture(RouterPolicy policy, Limits limits, double retryShare) {
     decision = new RouterDecision(router("r1"), policy);
     tell(new RouterEvent.TableInForce(table(limits, retryShare)));
   }
 
-  static Table table(Limits limits, double retryShare) {
+  public static Table table(Limits limits, double retryShare) {
     ServiceEntry entry =
         new ServiceEntry(
             SERVICE,
@@ -81,16 +81,16 @@
     return new Workspace(name, 1, "00", limits, Set.of(SERVICE));
   }
 
-  static PeerIdentity router(String name) {
+  public static PeerIdentity router(String name) {
     return new PeerIdentity(name, 1, Role.ROUTER, "a1", "a", "");
   }
 
-  static PeerIdentity sidecar(String name, long incarnation, String dataCentre) {
+  public static PeerIdentity sidecar(String name, long incarnation, String dataCentre) {
     return new PeerIdentity(
         name, incarnation, Role.SIDECAR, dataCentre, dataCentre.substring(0, 1), SERVICE);
   }
 
-  List<RouterEffect> tell(RouterEvent event) {
+  public List<RouterEffect> tell(RouterEvent event) {
     List<RouterEffect> news = decision.decide(event, now);
     effects.addAll(news);
     for (RouterEffect effect : news) {
@@ -102,11 +102,11 @@
     return news;
   }
 
-  List<RouterEffect> message(PeerIdentity peer, LinkMessage message) {
+  public List<RouterEffect> message(PeerIdentity peer, LinkMessage message) {
     return tell(new RouterEvent.MessageArrived(peer, message));
   }
 
-  PeerIdentity link(String name, long incarnation, String dataCentre) {
+  public PeerIdentity link(String name, long incarnation, String dataCentre) {
     PeerIdentity peer = sidecar(name, incarnation, dataCentre);
     linked.put(name, peer);
     tell(new RouterEvent.PeerLinked(peer));
@@ -114,7 +114,7 @@
     return peer;
   }
 
-  RequestId call(String workspace, String method, String body, Optional<Ticket> ticket) {
+  public RequestId call(String workspace, String method, String body, Optional<Ticket> ticket) {
     RequestId request = new RequestId("r1", 1, ++calls);
     tell(
         new RouterEvent.CallArrived(
@@ -129,16 +129,16 @@
     return request;
   }
 
-  static Ticket ticket(String workspace, String sidecar, long incarnation) {
+  public static Ticket ticket(String workspace, String sidecar, long incarnation) {
     return new Ticket(workspace, SERVICE, sidecar, incarnation, 0, new RequestId("r0", 1, 9));
   }
 
-  List<RouterEffect> grant(String sidecar, String workspace) {
+  public List<RouterEffect> grant(String sidecar, String workspace) {
     return message(linked.get(sidecar), new Grant(++grants, workspace));
   }
 
   /** Runs steps that are divided by semicolons. */
-  void run(String script) {
+  public void run(String script) {
     for (String step : script.split(";")) {
       String[] words = step.trim().split(" ");
       step(words[0], words.length > 1 ? words[1] : "");
@@ -163,7 +163,7 @@
     }
   }
 
-  List<RouterEffect> pass(long millis) {
+  public List<RouterEffect> pass(long millis) {
     now += millis * MILLI;
     return tell(new RouterEvent.TimePassed());
   }
@@ -173,7 +173,7 @@
   }
 
   /** Returns how each request ended, in order. */
-  List<String> ends() {
+  public List<String> ends() {
     List<String> ends = new ArrayList<>();
     for (RouterEffect effect : effects) {
       if (effect instanceof EndAnswer) {
@@ -186,7 +186,7 @@
   }
 
   /** Returns the messages of a kind that a peer was sent. */
-  <M extends LinkMessage> List<M> sent(String instance, Class<M> kind) {
+  public <M extends LinkMessage> List<M> sent(String instance, Class<M> kind) {
     return effects.stream()
         .filter(effect -> effect instanceof Send send && send.instance().equals(instance))
         .map(effect -> ((Send) effect).message())
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/QuarantineTest.java
@@ -0,0 +1,119 @@
+package dev.agatepier.core.process.internal;
+
+import static org.testng.Assert.assertEquals;
+
+import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.LinkMessage.Suspicion;
+import dev.agatepier.core.connection.LinkMessage.SuspicionReport;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.RouterEvent;
+import dev.agatepier.core.process.RouterFixture;
+import dev.agatepier.core.request.Fingerprint;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class QuarantineTest {
+
+  private final PeerIdentity other = RouterFixture.router("r2");
+  private final PeerIdentity third = RouterFixture.router("r3");
+  private RouterFixture fixture;
+
+  @BeforeMethod
+  public void link() {
+    fixture = new RouterFixture();
+    fixture.run("link s1/1; link s2/1");
+    fixture.tell(new RouterEvent.PeerLinked(other));
+  }
+
+  @Test
+  public void triesSuspectsAloneAndOneByOne() {
+    deaths(other, 1);
+    call(3);
+    fixture.run("grant s1; grant s2; grant s2");
+    assertEquals(starts("s1"), List.of(true));
+    assertEquals(starts("s2"), List.of(), "a second one must not run beside it");
+    fixture.run("head; end 0; grant s1; grant s2");
+    assertEquals(starts("s1"), List.of(true, false), "cleared by its whole answer");
+    assertEquals(starts("s2"), List.of(false));
+  }
+
+  @Test
+  public void releasesTheNextSuspectWhenOneEndsBadly() {
+    deaths(other, 1);
+    call(2);
+    fixture.run("grant s1; grant s2; failed upstream-failed; grant s2");
+    assertEquals(starts("s2"), List.of(true));
+  }
+
+  @Test
+  public void refusesUntilTheTimeHasPassed() {
+    deaths(other, 3);
+    call(1);
+    assertEquals(fixture.ends(), List.of("not-run quarantined"));
+    fixture.pass(600_000);
+    call(1);
+    deaths(other, 3);
+    call(1);
+    fixture.run("grant s1; head; end 0; grant s2; head; end 0");
+    assertEquals(
+        fixture.ends(),
+        List.of("not-run quarantined", "completed", "completed"),
+        "an old report counts for nothing");
+  }
+
+  @Test
+  public void neverTriesBeyondTheDeathLimit() {
+    fixture.call("w", "GET", "crash", Optional.empty());
+    for (int death = 1; death <= 3; death++) {
+      fixture.run("wait 200; grant s1");
+      suspicion(fixture.linked.get("s1"), "crash", death);
+      fixture.run("failed upstream-died");
+    }
+    fixture.run("wait 200; grant s1");
+    assertEquals(starts("s1"), List.of(false, true, true));
+    fixture.call("w", "GET", "crash", Optional.empty());
+    assertEquals(fixture.ends().getLast(), "not-run quarantined");
+  }
+
+  @Test
+  public void passesNewsOnOnceAndTellsRoutersThatLink() {
+    deaths(other, 2);
+    deaths(third, 2);
+    fixture.tell(new RouterEvent.PeerLinked(third));
+    deaths(third, 2);
+    deaths(third, 3);
+    assertEquals(deathsTold("r2"), List.of(3L), "the sender of the first two is not told");
+    assertEquals(deathsTold("r3"), List.of(1L, 2L), "the sender of the third is not told");
+  }
+
+  private List<Long> deathsTold(String router) {
+    return fixture.sent(router, SuspicionReport.class).stream()
+        .flatMap(report -> report.suspicions().stream())
+        .map(Suspicion::deathNumber)
+        .toList();
+  }
+
+  private void call(int times) {
+    for (int call = 0; call < times; call++) {
+      fixture.call("w", "POST", "body", Optional.empty());
+    }
+  }
+
+  private void deaths(PeerIdentity from, int count) {
+    for (int death = 1; death <= count; death++) {
+      suspicion(from, "body", death);
+    }
+  }
+
+  private void suspicion(PeerIdentity from, String body, int death) {
+    Fingerprint fingerprint = new Fingerprint("w", RouterFixture.SERVICE, body);
+    fixture.message(
+        from, new SuspicionReport(List.of(new Suspicion(fingerprint, "s1", 1, death, false))));
+  }
+
+  private List<Boolean> starts(String sidecar) {
+    return fixture.sent(sidecar, StartAttempt.class).stream().map(StartAttempt::alone).toList();
+  }
+}
