Say not-run only of attempts that are remembered

Cause: a withdrawal of an attempt whose mark had been dropped was answered not-run, though it may have run; one of an attempt that outlived its link was not answered at all. Found by reading. Change: both are answered AttemptFailed. 8,192 marks are kept for each router incarnation instead of 65,536, for memory with many routers. Conclusion: a refusal "not run" rests on a mark in every path through here.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptMarks.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptMarks.java
@@ -26,7 +26,7 @@
   }
 
   /** Attempts remembered of one router incarnation. */
-  private static final int REMEMBERED_ATTEMPTS = 65_536;
+  private static final int REMEMBERED_ATTEMPTS = 8_192;
 
   /** Time for which marks outlive the last link of their router. */
   private static final long UNLINKED_NANOS = TimeUnit.MINUTES.toNanos(10);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
@@ -72,10 +72,12 @@
     RunningAttempt attempt = running.get(id);
     if (attempt == null) {
       withdrawNotStarted(router, id);
-    } else if (attempt.ticket.isPresent() && !attempt.detached) {
+    } else if (attempt.detached) {
+      effects.add(new Send(router, new AttemptFailed(id, Reason.WITHDRAWN)));
+    } else if (attempt.ticket.isPresent()) {
       answer(attempt, new AttemptFailed(id, Reason.WITHDRAWN));
       detach(attempt);
-    } else if (!attempt.withdrawn && !attempt.detached) {
+    } else if (!attempt.withdrawn) {
       attempt.withdrawn = true;
       effects.add(new CancelUpstream(id));
     }
@@ -222,10 +224,16 @@
       refuse(waiting.get(), Reason.WITHDRAWN);
       return;
     }
-    marks.mark(id, Mark.NEVER_RUN);
-    if (marks.markOf(id) == Mark.NEVER_RUN) {
-      effects.add(new Send(router, new AttemptNotRun(id, Reason.WITHDRAWN)));
+    if (marks.markOf(id) == Mark.NEW) {
+      marks.mark(id, Mark.NEVER_RUN);
     }
+    boolean neverRun = marks.markOf(id) == Mark.NEVER_RUN;
+    effects.add(
+        new Send(
+            router,
+            neverRun
+                ? new AttemptNotRun(id, Reason.WITHDRAWN)
+                : new AttemptFailed(id, Reason.WITHDRAWN)));
   }
 
   private void refuse(RunningAttempt attempt, Reason reason) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
@@ -101,6 +101,34 @@
     bench.only(AttemptNotRun.class);
   }
 
+  @Test
+  public void saysNotRunOfNoAttemptThatItForgot() {
+    SidecarBench bench = SidecarBench.model(1);
+    for (long number = 1; number <= 8_193; number++) {
+      bench.hear(new LinkMessage.AttemptWithdrawn(attempt(number)));
+    }
+    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1)));
+    assertEquals(bench.sent(AttemptNotRun.class), List.of());
+    bench.only(AttemptFailed.class);
+  }
+
+  @Test
+  public void answersWithdrawalOfAttemptThatOutlivedItsLink() {
+    SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
+    bench.tell(new RouterUnlinked(SidecarBench.ROUTER));
+    bench.tell(new SidecarEvent.RouterLinked(SidecarBench.ROUTER));
+    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1))).only(AttemptFailed.class);
+    bench.tell(new UpstreamBroke(attempt(1), true, Reason.UPSTREAM_FAILED));
+    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1))).only(AttemptFailed.class);
+  }
+
+  @Test
+  public void passesCreditOn() {
+    SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
+    bench.hear(new LinkMessage.AttemptCredit(attempt(1), 70));
+    assertEquals(bench.effects, List.of(new SidecarEffect.ReadUpstream(attempt(1), 70)));
+  }
+
   @Test
   public void cancelsWithdrawnAttemptThatRuns() {
     SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
