Test slot growth and leaving instances

Cause: no test drove the slot limit through the decision, nor a leaving instance. Change: one test and one row more; the refusals also check the grants. Conclusion: tests only.

--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
@@ -15,10 +15,12 @@
 import dev.agatepier.core.connection.LinkMessage.GrantDeclined;
 import dev.agatepier.core.connection.LinkMessage.SlotsFree;
 import dev.agatepier.core.connection.LinkMessage.SuspicionReport;
+import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.process.SidecarEffect.CancelUpstream;
 import dev.agatepier.core.process.SidecarEffect.Drained;
 import dev.agatepier.core.process.SidecarEffect.StartUpstream;
 import dev.agatepier.core.process.SidecarEvent.DrainBegun;
+import dev.agatepier.core.process.SidecarEvent.InstancesInForce;
 import dev.agatepier.core.process.SidecarEvent.RouterUnlinked;
 import dev.agatepier.core.process.SidecarEvent.UpstreamBroke;
 import dev.agatepier.core.process.SidecarEvent.UpstreamEnded;
@@ -27,6 +29,8 @@
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ServiceKind;
 import java.util.List;
 import java.util.Optional;
@@ -35,6 +39,9 @@
 
 public class SidecarDecisionTest {
   private static final Bytes TOKEN = Bytes.ofText("token");
+  private static final InstanceList LEAVING =
+      new InstanceList(
+          1, List.of(new Instance("engine-1", Role.SIDECAR, "", 1, 2, "", "", "", true)));
 
   @Test
   public void grantsNoMoreThanItsSlots() {
@@ -144,6 +151,7 @@
   public static Object[][] refusals() {
     return new Object[][] {
       {5_000L, new DrainBegun(), Reason.DRAINING},
+      {5_000L, new InstancesInForce(LEAVING), Reason.DRAINING},
       {0L, new SidecarEvent.TimePassed(), Reason.DEADLINE},
       {5_000L, new UpstreamHealth(false, false), Reason.NOT_READY},
     };
@@ -157,6 +165,8 @@
     bench.hear(start(number, attempt(1), "quartet", timeLeft, false, Optional.empty()));
     assertEquals(bench.only(AttemptNotRun.class).reason(), reason);
     assertFalse(bench.did(StartUpstream.class));
+    bench.demand("quartet", 2, 0);
+    assertEquals(bench.decision.snapshot(0).granted(), timeLeft > 0 ? 0 : 1);
   }
 
   @Test
@@ -217,6 +227,18 @@
     assertEquals(bench.sent(Grant.class).size(), 2);
   }
 
+  @Test
+  public void offersMoreSlotsWhileTokensComeFast() {
+    SidecarPolicy policy =
+        new SidecarPolicy("virtual-service", 1, 4, 31, 1_000, 250, 100_000, 600_000, 1_000);
+    SidecarBench bench = new SidecarBench(policy, ServiceKind.MODEL).run("quartet", attempt(1));
+    for (int token = 0; token <= 100; token++) {
+      bench.nowMillis += 20;
+      bench.tell(new UpstreamSent(attempt(1), TOKEN, 1));
+    }
+    assertEquals(bench.decision.snapshot(0).slots(), 2);
+  }
+
   @Test
   public void drainsWhenNothingIsLeft() {
     SidecarBench bench = SidecarBench.model(2).run("quartet", attempt(1));
