Add the fault-injecting proxy

Cause: partitions, slow links and half-open connections could not be brought about. Change: agatepier-standin proxy: a task for each connection that owns both sockets and reads only as fast as it hands on; delay, jitter, bandwidth, freeze, loss, reset and refusal for each direction; several named routes in one process. Setting up a connection isn't delayed, only its bytes. Conclusion: usable between any two processes; its throughput is not measured.

--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/connection/Direction.java
@@ -0,0 +1,14 @@
+package dev.agatepier.standin.connection;
+
+/** A direction of a proxied connection. */
+public enum Direction {
+  /** From the caller to the target. */
+  TO_TARGET,
+  /** From the target to the caller. */
+  TO_CALLER;
+
+  /** Returns the other direction. */
+  public Direction opposite() {
+    return this == TO_TARGET ? TO_CALLER : TO_TARGET;
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/connection/internal/SocketReader.java
@@ -0,0 +1,49 @@
+package dev.agatepier.standin.connection.internal;
+
+import dev.agatepier.core.process.Mailbox;
+import dev.agatepier.standin.connection.Direction;
+import io.netty.buffer.ByteBuf;
+import org.reactivestreams.Subscription;
+import reactor.core.publisher.BaseSubscriber;
+
+/** Reads a socket only as fast as the connection's task makes room. */
+final class SocketReader extends BaseSubscriber<ByteBuf> {
+
+  /** Buffers of one direction that are in the proxy at one time. */
+  private static final int WINDOW = 64;
+
+  private final Direction direction;
+  private final Mailbox<ProxyMessage> task;
+
+  SocketReader(Direction direction, Mailbox<ProxyMessage> task) {
+    this.direction = direction;
+    this.task = task;
+  }
+
+  /** Makes room for one more buffer. */
+  void room() {
+    request(1);
+  }
+
+  @Override
+  protected void hookOnSubscribe(Subscription subscription) {
+    request(WINDOW);
+  }
+
+  @Override
+  protected void hookOnNext(ByteBuf bytes) {
+    if (!task.offer(new ProxyMessage.Arrived(direction, bytes))) {
+      bytes.release();
+    }
+  }
+
+  @Override
+  protected void hookOnComplete() {
+    task.offer(new ProxyMessage.Finished(direction));
+  }
+
+  @Override
+  protected void hookOnError(Throwable failure) {
+    task.offer(new ProxyMessage.Finished(direction));
+  }
+}
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -4,6 +4,7 @@
 import dev.agatepier.standin.process.internal.EngineProgram;
 import dev.agatepier.standin.process.internal.PlainProgram;
 import dev.agatepier.standin.process.internal.PlatformProgram;
+import dev.agatepier.standin.process.internal.ProxyProgram;
 import dev.agatepier.standin.process.internal.StandinProgram;
 import java.util.List;
 import java.util.concurrent.CompletionException;
@@ -19,7 +20,12 @@
   private static final int FAILED = 1;
   private static final int MISUSED = 2;
   private static final List<StandinProgram> PROGRAMS =
-      List.of(new PlatformProgram(), new EngineProgram(), new PlainProgram(), new DemoProgram());
+      List.of(
+          new PlatformProgram(),
+          new EngineProgram(),
+          new PlainProgram(),
+          new ProxyProgram(),
+          new DemoProgram());
 
   private StandinCommand() {}
 
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/Json.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/Json.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
@@ -53,4 +54,17 @@
       throw new IllegalArgumentException("malformed JSON: " + malformed.getMessage(), malformed);
     }
   }
+
+  /**
+   * Decodes a part of a document; null for an absent one.
+   *
+   * @throws IllegalArgumentException if the part is no such value
+   */
+  public static <T> T readOptional(JsonNode part, Class<T> type) {
+    try {
+      return part.isMissingNode() ? null : MAPPER.treeToValue(part, type);
+    } catch (JsonProcessingException malformed) {
+      throw new IllegalArgumentException("malformed: " + malformed.getMessage(), malformed);
+    }
+  }
 }
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ProxyProgram.java
@@ -0,0 +1,64 @@
+package dev.agatepier.standin.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.agatepier.standin.process.Endpoint;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/** The program {@code proxy}; its address and port are those of the control calls. */
+public final class ProxyProgram extends ListeningProgram {
+
+  @Override
+  public String name() {
+    return "proxy";
+  }
+
+  @Override
+  void describeMore(Subparser parser) {
+    parser.addArgument("--listen").metavar("ADDRESS:PORT").help("where the one route listens");
+    parser.addArgument("--target").metavar("ADDRESS:PORT").help("where the one route leads");
+    parser.addArgument("--routes").metavar("FILE").help("JSON with named routes");
+    parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of the jitter");
+  }
+
+  @Override
+  ListeningService create(String address, int port, Namespace options) {
+    return new ProxyStandin(ways(options), address, port, options.getLong("seed"));
+  }
+
+  private static List<ProxyRoute.Way> ways(Namespace options) {
+    String file = options.getString("routes");
+    if (file != null) {
+      return read(Path.of(file));
+    }
+    if (options.getString("listen") == null || options.getString("target") == null) {
+      throw new IllegalArgumentException("either --routes or --listen and --target are needed");
+    }
+    return List.of(
+        new ProxyRoute.Way(
+            "route",
+            Endpoint.parse(options.getString("listen")),
+            Endpoint.parse(options.getString("target"))));
+  }
+
+  private static List<ProxyRoute.Way> read(Path file) {
+    try {
+      return Json.read(Files.readAllBytes(file), JsonNode.class)
+          .path("routes")
+          .valueStream()
+          .map(
+              route ->
+                  new ProxyRoute.Way(
+                      route.path("name").asText(),
+                      Endpoint.parse(route.path("listen").asText()),
+                      Endpoint.parse(route.path("target").asText())))
+          .toList();
+    } catch (IOException unreadable) {
+      throw new IllegalArgumentException("the routes file can't be read", unreadable);
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ProxyRoute.java
@@ -0,0 +1,179 @@
+package dev.agatepier.standin.process.internal;
+
+import dev.agatepier.core.process.MailboxTask;
+import dev.agatepier.core.process.ManagedService;
+import dev.agatepier.standin.connection.Direction;
+import dev.agatepier.standin.connection.RouteFaults;
+import dev.agatepier.standin.connection.internal.ProxyConnection;
+import dev.agatepier.standin.process.Endpoint;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.resources.ConnectionProvider;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+/** One route of the proxy: a listener, its faults and its connections. */
+final class ProxyRoute implements ManagedService, ProxyConnection.Surroundings {
+
+  /**
+   * Where a route leads.
+   *
+   * @param name name of the route
+   * @param listen where callers connect
+   * @param target where their connections lead
+   */
+  record Way(String name, Endpoint listen, Endpoint target) {}
+
+  /**
+   * What a route has carried.
+   *
+   * @param route name of the route
+   * @param port port that was bound
+   * @param accepted connections accepted in all
+   * @param open connections open now
+   * @param toTarget bytes handed on to the target
+   * @param toCaller bytes handed on to callers
+   */
+  record Counts(String route, int port, long accepted, int open, long toTarget, long toCaller) {}
+
+  private sealed interface Message {
+    record Accepted(Connection caller) implements Message {}
+
+    record Ended(ProxyConnection connection) implements Message {}
+
+    record Transferred(Direction direction, int bytes) implements Message {}
+
+    record PutFaults(RouteFaults faults, boolean cut) implements Message {}
+
+    record ReadCounts(CompletableFuture<Counts> counts) implements Message {}
+  }
+
+  private final Way way;
+  private final TaskScheduler scheduler;
+  private final MailboxTask<Message> task;
+  private final Set<ProxyConnection> connections = new HashSet<>();
+  private final Map<Direction, Long> bytes = new EnumMap<>(Direction.class);
+  private final long seed;
+  private RouteFaults faults = RouteFaults.NONE;
+  private long accepted;
+  private DisposableServer server;
+
+  ProxyRoute(Way way, long seed, TaskScheduler scheduler) {
+    this.way = way;
+    this.seed = seed;
+    this.scheduler = scheduler;
+    this.task = scheduler.task(this::handle);
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    return TcpServer.create()
+        .host(way.listen().address())
+        .port(way.listen().port())
+        .doOnConnection(this::accept)
+        .bind()
+        .doOnNext(bound -> server = bound)
+        .then()
+        .toFuture();
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    server.dispose();
+    putFaults(RouteFaults.NONE, true);
+    return server.onDispose().toFuture();
+  }
+
+  String name() {
+    return way.name();
+  }
+
+  void putFaults(RouteFaults newFaults, boolean cut) {
+    task.offer(new Message.PutFaults(newFaults, cut));
+  }
+
+  CompletableFuture<Counts> counts() {
+    CompletableFuture<Counts> counts = new CompletableFuture<>();
+    if (!task.offer(new Message.ReadCounts(counts))) {
+      counts.completeExceptionally(new IllegalStateException("the mailbox is full"));
+    }
+    return counts;
+  }
+
+  @Override
+  public <M> MailboxTask<M> task(Consumer<M> handler) {
+    return scheduler.task(handler);
+  }
+
+  @Override
+  public void after(long delayNanos, Runnable action) {
+    scheduler.after(delayNanos, action);
+  }
+
+  @Override
+  public void transferred(Direction direction, int count) {
+    task.offer(new Message.Transferred(direction, count));
+  }
+
+  @Override
+  public void ended(ProxyConnection connection) {
+    task.offer(new Message.Ended(connection));
+  }
+
+  private void accept(Connection caller) {
+    if (!task.offer(new Message.Accepted(caller))) {
+      ProxyConnection.reset(caller);
+    }
+  }
+
+  private void handle(Message message) {
+    switch (message) {
+      case Message.Accepted connection when faults.refuse() ->
+          ProxyConnection.reset(connection.caller());
+      case Message.Accepted connection -> open(connection.caller());
+      case Message.Ended connection -> connections.remove(connection.connection());
+      case Message.Transferred part ->
+          bytes.merge(part.direction(), (long) part.bytes(), Long::sum);
+      case Message.PutFaults put -> change(put);
+      case Message.ReadCounts read -> read.counts().complete(snapshot());
+    }
+  }
+
+  private void open(Connection caller) {
+    accepted++;
+    ProxyConnection connection =
+        new ProxyConnection(caller, faults, seed + accepted, System::nanoTime, this);
+    connections.add(connection);
+    TcpClient.create(ConnectionProvider.newConnection())
+        .host(way.target().address())
+        .port(way.target().port())
+        .connect()
+        .subscribe(connection::connected, failure -> connection.cut());
+  }
+
+  private void change(Message.PutFaults put) {
+    faults = put.faults();
+    for (ProxyConnection connection : connections) {
+      connection.change(faults);
+      if (put.cut()) {
+        connection.cut();
+      }
+    }
+  }
+
+  private Counts snapshot() {
+    return new Counts(
+        way.name(),
+        server.port(),
+        accepted,
+        connections.size(),
+        bytes.getOrDefault(Direction.TO_TARGET, 0L),
+        bytes.getOrDefault(Direction.TO_CALLER, 0L));
+  }
+}
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/TaskScheduler.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/TaskScheduler.java
@@ -13,6 +13,8 @@
   /** Most messages that wait for one task. */
   public static final int MAILBOX_CAPACITY = 65_536;
 
+  private static final long CLOSE_GRACE_MILLIS = 200;
+
   private final Scheduler scheduler;
 
   /** Creates the thread under a name. */
@@ -36,9 +38,10 @@
     }
   }
 
+  /** Ends the thread after a grace time, in which the tasks handle what they were sent last. */
   @Override
   public void close() {
-    scheduler.dispose();
+    scheduler.schedule(scheduler::dispose, CLOSE_GRACE_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private static void report(Throwable failure) {
