--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -13,6 +13,9 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.config.Configurator;
 
 /** The command {@code agatepier-standin}. */
 public final class StandinCommand {
@@ -31,6 +34,7 @@
 
   /** Runs the program that the first argument names. */
   public static void main(String[] arguments) {
+    Configurator.setAllLevels(LogManager.ROOT_LOGGER_NAME, Level.ERROR);
     int status = run(arguments);
     if (status != 0) {
       System.exit(status);
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FleetSampler.java
@@ -0,0 +1,93 @@
+package dev.agatepier.standin.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import dev.agatepier.standin.process.Endpoint;
+import dev.agatepier.standin.process.HttpAnswer;
+import dev.agatepier.standin.process.HttpCaller;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/** Reads the status of every process of a fleet at a fixed interval while a load runs. */
+final class FleetSampler {
+
+  private static final long INTERVAL_MILLIS = 250;
+  private static final int MAXIMUM_SAMPLES = 14_400;
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  /** One reading of every process that answered. */
+  record Sample(long atMillis, List<JsonNode> statuses) {}
+
+  private final HttpCaller caller;
+  private final List<Endpoint> administrations;
+  private final Map<String, String> headers;
+  private final TaskScheduler scheduler;
+  private final List<Sample> samples = new ArrayList<>();
+  private final long beginNanos = System.nanoTime();
+  private volatile boolean stopped;
+
+  FleetSampler(
+      HttpCaller caller, List<Endpoint> administrations, String key, TaskScheduler scheduler) {
+    this.caller = caller;
+    this.administrations = administrations;
+    this.headers = Map.of("Authorization", "Bearer " + key);
+    this.scheduler = scheduler;
+  }
+
+  /** Takes the first sample, if there is a process to read. */
+  void start() {
+    if (!administrations.isEmpty()) {
+      sample();
+    }
+  }
+
+  private void sample() {
+    List<CompletableFuture<Optional<JsonNode>>> reads =
+        administrations.stream().map(each -> read(each, "/v1/status")).toList();
+    CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+        .thenAccept(
+            done -> {
+              add(reads.stream().flatMap(read -> read.join().stream()).toList());
+              if (!stopped) {
+                scheduler.after(TimeUnit.MILLISECONDS.toNanos(INTERVAL_MILLIS), this::sample);
+              }
+            });
+  }
+
+  /** Takes no further sample and returns those taken. */
+  synchronized List<Sample> stop() {
+    stopped = true;
+    return List.copyOf(samples);
+  }
+
+  /** Reads the metrics of every process that answers. */
+  CompletableFuture<List<JsonNode>> metrics() {
+    List<CompletableFuture<Optional<JsonNode>>> reads =
+        administrations.stream().map(each -> read(each, "/v1/metrics")).toList();
+    return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+        .thenApply(done -> reads.stream().flatMap(read -> read.join().stream()).toList());
+  }
+
+  private synchronized void add(List<JsonNode> statuses) {
+    if (samples.size() < MAXIMUM_SAMPLES) {
+      long nanos = System.nanoTime() - beginNanos;
+      samples.add(new Sample(TimeUnit.NANOSECONDS.toMillis(nanos), statuses));
+    }
+  }
+
+  private CompletableFuture<Optional<JsonNode>> read(Endpoint administration, String path) {
+    return caller
+        .call("GET", administration.http(path), headers, "", TIMEOUT)
+        .handle((answer, failure) -> failure == null ? json(answer) : Optional.empty());
+  }
+
+  private static Optional<JsonNode> json(HttpAnswer answer) {
+    byte[] body = answer.body().getBytes(StandardCharsets.UTF_8);
+    return answer.successful() ? Optional.of(Json.read(body, JsonNode.class)) : Optional.empty();
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/LoadRunTest.java
@@ -0,0 +1,94 @@
+package dev.agatepier.standin.process.internal;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+
+import dev.agatepier.standin.process.Endpoint;
+import dev.agatepier.standin.process.HttpCaller;
+import dev.agatepier.standin.process.LoadScenario;
+import dev.agatepier.standin.process.ServiceCaller;
+import dev.agatepier.standin.request.CallOutcome;
+import dev.agatepier.standin.request.ModelCall;
+import dev.agatepier.standin.request.PlainCall;
+import dev.agatepier.standin.request.PlannedCall;
+import dev.agatepier.standin.version.TrialWorkspace;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+public class LoadRunTest {
+
+  private static final LoadScenario SCENARIO = LoadScenario.tanpura();
+  private static final long SEED = 5;
+
+  @Test
+  public void planDependsOnTheSeedAlone() {
+    assertEquals(plan(SEED), plan(SEED));
+    assertNotEquals(plan(SEED), plan(SEED + 1));
+  }
+
+  @Test
+  public void everyPlannedCallIsCountedByOutcome() throws Exception {
+    DisposableServer router =
+        HttpServer.create().host("127.0.0.1").port(0).handle(LoadRunTest::relay).bindNow();
+    HttpCaller http = new HttpCaller();
+    List<String> names = SCENARIO.workspaces().stream().map(TrialWorkspace::name).toList();
+    List<PlannedCall> plan = plan(SEED);
+    try (TaskScheduler scheduler = new TaskScheduler("load-test")) {
+      LoadStatistics.Result result =
+          LoadRun.start(
+                  plan,
+                  List.of(new Endpoint("127.0.0.1", router.port())),
+                  new ServiceCaller(http, Duration.ofSeconds(30)),
+                  scheduler,
+                  new LoadStatistics(names))
+              .get(60, TimeUnit.SECONDS);
+      long orders = plan.stream().filter(each -> each.call().path().equals("/orders")).count();
+      assertEquals(
+          result.outcomes(),
+          Map.of(CallOutcome.COMPLETED, plan.size() - orders, CallOutcome.UNMARKED, orders),
+          "seed " + SEED);
+    } finally {
+      http.stop().join();
+      router.disposeNow();
+    }
+  }
+
+  @Test
+  public void gapGrowsOnlyWhileBothWait() {
+    FairnessGap gap = new FairnessGap();
+    assertEquals(gap.sample(Map.of("a", 10.0, "b", 0.0)), 0.0);
+    assertEquals(gap.sample(Map.of("a", 14.0, "b", 1.0)), 3.0);
+    assertEquals(gap.sample(Map.of("a", 15.0, "b", 4.0)), 1.0);
+    assertEquals(gap.sample(Map.of("a", 90.0)), 0.0);
+    assertEquals(gap.sample(Map.of("a", 95.0, "b", 4.0)), 0.0);
+  }
+
+  private static List<PlannedCall> plan(long seed) {
+    return LoadPlan.create(SCENARIO, 1, 1, seed);
+  }
+
+  /** A hand-written router answers as the upstreams would, but leaves orders without a mark. */
+  private static Mono<Void> relay(HttpServerRequest request, HttpServerResponse response) {
+    String path = request.uri().replaceFirst("/services/[^/]+", "");
+    return HttpFront.body(request)
+        .flatMap(
+            body -> {
+              String answer =
+                  path.startsWith("/v1/")
+                      ? ModelCall.parse(body).answer()
+                      : PlainCall.of(request.method().name(), path, body).answer();
+              if (!path.equals("/orders")) {
+                response.header("Agatepier-Outcome", "completed");
+              }
+              return response.sendString(Mono.just(answer)).then();
+            });
+  }
+}
