--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -4,6 +4,7 @@
 import dev.agatepier.standin.process.internal.EngineProgram;
 import dev.agatepier.standin.process.internal.PlainProgram;
 import dev.agatepier.standin.process.internal.PlatformProgram;
+import dev.agatepier.standin.process.internal.ProxyProgram;
 import dev.agatepier.standin.process.internal.StandinProgram;
 import java.util.List;
 import java.util.concurrent.CompletionException;
@@ -12,6 +13,9 @@
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.config.Configurator;
 
 /** The command {@code agatepier-standin}. */
 public final class StandinCommand {
@@ -19,12 +23,18 @@
   private static final int FAILED = 1;
   private static final int MISUSED = 2;
   private static final List<StandinProgram> PROGRAMS =
-      List.of(new PlatformProgram(), new EngineProgram(), new PlainProgram(), new DemoProgram());
+      List.of(
+          new PlatformProgram(),
+          new EngineProgram(),
+          new PlainProgram(),
+          new ProxyProgram(),
+          new DemoProgram());
 
   private StandinCommand() {}
 
   /** Runs the program that the first argument names. */
   public static void main(String[] arguments) {
+    Configurator.setAllLevels(LogManager.ROOT_LOGGER_NAME, Level.ERROR);
     int status = run(arguments);
     if (status != 0) {
       System.exit(status);
