--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
@@ -62,8 +62,9 @@
 
   /** Notes that a sidecar that knows of no demand has free slots. */
   public void invited(LinkedSidecar sidecar) {
-    for (WaitingQueue queue : state.queues.ofService(sidecar.peer.service())) {
-      if (queue.demand(sidecar.name(), state.sidecars.sameRegion(sidecar)) > 0) {
+    for (WaitingQueue queue : waiting) {
+      if (queue.service.equals(sidecar.peer.service())
+          && queue.demand(sidecar.name(), state.sidecars.sameRegion(sidecar)) > 0) {
         askAgain(queue, sidecar);
         urgent.add(queue);
       }
@@ -110,8 +111,9 @@
   private void collect(
       WaitingQueue queue, Map<String, List<WorkspaceDemand>> updates, long nowNanos) {
     queue.announced = queue.size() > 0;
+    RoutedRequest oldest = queue.oldest();
     for (String name : recipients(queue)) {
-      WorkspaceDemand demand = change(queue, name, nowNanos);
+      WorkspaceDemand demand = change(queue, name, oldest, nowNanos);
       if (demand != null) {
         updates.computeIfAbsent(name, key -> new ArrayList<>()).add(demand);
       }
@@ -127,7 +129,8 @@
   }
 
   /** Returns what a sidecar must be told of a queue, or null if it knows. */
-  private WorkspaceDemand change(WaitingQueue queue, String name, long nowNanos) {
+  private WorkspaceDemand change(
+      WaitingQueue queue, String name, RoutedRequest oldest, long nowNanos) {
     LinkedSidecar sidecar = state.sidecars.named(name);
     SentDemand told = queue.sent.getOrDefault(name, new SentDemand(0, 0));
     if (sidecar == null) {
@@ -135,7 +138,6 @@
       return null;
     }
     int waiting = sidecar.takesWork() ? waiting(queue, sidecar) : 0;
-    RoutedRequest oldest = queue.oldest();
     SentDemand now = new SentDemand(waiting, waiting == 0 ? 0 : oldest.sequence);
     if (waiting == 0) {
       queue.sent.remove(name);
@@ -147,7 +149,7 @@
         : new WorkspaceDemand(
             queue.use.workspace,
             waiting,
-            waiting == 0 ? 0 : RouterState.oldestWaitMillis(queue, nowNanos),
+            waiting == 0 ? 0 : (nowNanos - oldest.arrivedNanos) / RouterState.NANOS_PER_MILLI,
             queue.estimatedCost());
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
@@ -70,7 +70,7 @@
       if (!known && nowNanos - suspect.lastNanos >= quarantineNanos) {
         suspect.retire();
       }
-      if (!known && suspect.counted.size() < DEATHS_CAPACITY) {
+      if (!known && suspect.counted.size() < Math.max(DEATHS_CAPACITY, mostDeaths)) {
         suspect.counted.put(death, report);
         suspect.lastNanos = nowNanos;
         suspects.remove(report.fingerprint());
