Let demand spill while other events arrive

Cause: a round could be taken by any event, but holds ended and demand spilled only on a TimePassed that found a round due; under load another event nearly always took the round first, so demand never spilled. Change: the round itself lets holds end and demand spill. Conclusion: spilling no longer depends on which event comes first.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -70,13 +70,8 @@
           peers.arrived(arrived.peer(), arrived.message(), nowNanos);
       case RouterEvent.TableInForce inForce -> state.tableInForce(inForce.table());
       case RouterEvent.InstancesInForce inForce -> peers.instances(inForce.instances());
-      case RouterEvent.TimePassed passed -> timePassed(nowNanos);
+      case RouterEvent.TimePassed passed -> state.expire(nowNanos);
       case RouterEvent.DrainBegun begun -> state.beginDrain();
     }
   }
-
-  private void timePassed(long nowNanos) {
-    demand.advance(nowNanos);
-    state.expire(nowNanos);
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
@@ -86,6 +86,7 @@
     if (roundDue(nowNanos)) {
       roundDone = true;
       lastRoundNanos = nowNanos;
+      advance(nowNanos);
       changed.forEach(queue -> collect(queue, updates, nowNanos));
       changed.clear();
     }
@@ -93,10 +94,7 @@
   }
 
   /** Lets holds end and demand spill as time passes. */
-  public void advance(long nowNanos) {
-    if (!roundDue(nowNanos)) {
-      return;
-    }
+  private void advance(long nowNanos) {
     for (WaitingQueue queue : waiting) {
       if (queue.advance(nowNanos)) {
         changed.add(queue);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/DemandPublisherTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/DemandPublisherTest.java
@@ -12,6 +12,7 @@
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterFixture;
 import dev.agatepier.core.process.RouterPolicy;
+import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Limits;
@@ -55,6 +56,19 @@
     assertEquals(router.sent("s9", GrantDeclined.class).size(), 1);
   }
 
+  @Test
+  public void spillsAlsoWhileOtherEventsArrive() {
+    RouterFixture router = new RouterFixture();
+    router.link("s9", 1, "b1");
+    call(router, 1);
+    for (int millis = 0; millis < 600; millis += 10) {
+      router.now += 10 * RouterFixture.MILLI;
+      router.tell(new RouterEvent.CallerTook(new RequestId("r1", 1, 99), 1));
+      router.pass(0);
+    }
+    assertEquals(waiting(router, "s9"), List.of(1));
+  }
+
   @Test
   public void tellsSubsetFromTheOwnDataCentreFirst() {
     RouterPolicy policy = new RouterPolicy(4, 500, 50, 3, 3, 600_000, 1, 1);
