Look only at queues whose time has come

Cause: each round looked at every queue with requests, so its cost grew with their number, where at most a logarithm is wanted. Change: queues are ordered by the time at which a hold ends or a request spills next. Conclusion: kept for the bound, not for speed.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
@@ -4,11 +4,13 @@
 import dev.agatepier.core.connection.LinkMessage.WorkspaceDemand;
 import dev.agatepier.core.process.internal.WaitingQueue.SentDemand;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** Tells sidecars of the demand that changed. */
 public final class DemandPublisher {
@@ -20,6 +22,10 @@
   private final Set<WaitingQueue> changed = new LinkedHashSet<>();
   private final Set<WaitingQueue> urgent = new LinkedHashSet<>();
   private final Set<WaitingQueue> waiting = new LinkedHashSet<>();
+  private final TreeSet<WaitingQueue> byWake =
+      new TreeSet<>(
+          Comparator.<WaitingQueue>comparingLong(queue -> queue.wakeNanos)
+              .thenComparingLong(queue -> queue.number));
   private boolean roundDone;
   private long lastRoundNanos;
 
@@ -35,6 +41,7 @@
     } else {
       waiting.remove(queue);
     }
+    scheduleWake(queue);
     if (queue.announced == queue.size() > 0) {
       changed.add(queue);
     } else {
@@ -95,10 +102,19 @@
 
   /** Lets holds end and demand spill as time passes. */
   private void advance(long nowNanos) {
-    for (WaitingQueue queue : waiting) {
-      if (queue.advance(nowNanos)) {
-        changed.add(queue);
-      }
+    while (!byWake.isEmpty() && byWake.first().wakeNanos <= nowNanos) {
+      WaitingQueue queue = byWake.first();
+      queue.advance(nowNanos);
+      changed.add(queue);
+      scheduleWake(queue);
+    }
+  }
+
+  private void scheduleWake(WaitingQueue queue) {
+    byWake.remove(queue);
+    queue.wakeNanos = queue.nextWakeNanos();
+    if (queue.wakeNanos != Long.MAX_VALUE) {
+      byWake.add(queue);
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingQueue.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingQueue.java
@@ -24,6 +24,12 @@
   /** Demand that each sidecar was last told. */
   final Map<String, SentDemand> sent = new HashMap<>();
 
+  /** Order of creation; tells queues apart that must be looked at at the same time. */
+  final long number;
+
+  /** When to look at the queue next. */
+  long wakeNanos;
+
   /** Whether the sidecars were last told of waiting requests. */
   boolean announced;
 
@@ -48,7 +54,8 @@
     static final int STALE = -1;
   }
 
-  WaitingQueue(String service, WorkspaceUse use, long spillNanos) {
+  WaitingQueue(long number, String service, WorkspaceUse use, long spillNanos) {
+    this.number = number;
     this.service = service;
     this.use = use;
     this.spillNanos = spillNanos;
@@ -103,21 +110,24 @@
   }
 
   /** Ends holds that are over and offers old requests to other regions. */
-  boolean advance(long nowNanos) {
-    boolean changed = false;
+  void advance(long nowNanos) {
     while (!holds.isEmpty() && holds.firstKey() <= nowNanos) {
       RoutedRequest request = holds.firstEntry().getValue().values().iterator().next();
       releaseHold(request);
       size--;
       addOpen(request);
-      changed = true;
     }
     while (!open.isEmpty() && open.firstEntry().getValue().arrivedNanos + spillNanos <= nowNanos) {
       Map.Entry<Long, RoutedRequest> oldest = open.pollFirstEntry();
       spilled.put(oldest.getKey(), oldest.getValue());
-      changed = true;
     }
-    return changed;
+  }
+
+  /** Returns when a hold ends or a request spills next. */
+  long nextWakeNanos() {
+    long holdEnds = holds.isEmpty() ? Long.MAX_VALUE : holds.firstKey();
+    RoutedRequest oldest = first(open);
+    return oldest == null ? holdEnds : Math.min(holdEnds, oldest.arrivedNanos + spillNanos);
   }
 
   /** Returns the best request for a sidecar, or null. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceQueues.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceQueues.java
@@ -17,6 +17,7 @@
   private final Map<String, WorkspaceUse> uses = new HashMap<>();
   private final Map<String, Map<String, WaitingQueue>> byService = new HashMap<>();
   private final Map<String, List<WaitingQueue>> byWorkspace = new HashMap<>();
+  private long queueCount;
   private final Map<WaitingQueue, Long> touched = new LinkedHashMap<>();
 
   WorkspaceQueues(long spillNanos) {
@@ -39,7 +40,7 @@
       return found;
     }
     WorkspaceUse use = uses.computeIfAbsent(workspace, WorkspaceUse::new);
-    WaitingQueue queue = new WaitingQueue(service, use, spillNanos);
+    WaitingQueue queue = new WaitingQueue(++queueCount, service, use, spillNanos);
     byService.computeIfAbsent(service, name -> new LinkedHashMap<>()).put(workspace, queue);
     byWorkspace.computeIfAbsent(workspace, name -> new ArrayList<>()).add(queue);
     touch(queue, nowNanos);
