--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
@@ -4,11 +4,13 @@
 import dev.agatepier.core.connection.LinkMessage.WorkspaceDemand;
 import dev.agatepier.core.process.internal.WaitingQueue.SentDemand;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** Tells sidecars of the demand that changed. */
 public final class DemandPublisher {
@@ -20,6 +22,10 @@
   private final Set<WaitingQueue> changed = new LinkedHashSet<>();
   private final Set<WaitingQueue> urgent = new LinkedHashSet<>();
   private final Set<WaitingQueue> waiting = new LinkedHashSet<>();
+  private final TreeSet<WaitingQueue> byWake =
+      new TreeSet<>(
+          Comparator.<WaitingQueue>comparingLong(queue -> queue.wakeNanos)
+              .thenComparingLong(queue -> queue.number));
   private boolean roundDone;
   private long lastRoundNanos;
 
@@ -35,6 +41,7 @@
     } else {
       waiting.remove(queue);
     }
+    scheduleWake(queue);
     if (queue.announced == queue.size() > 0) {
       changed.add(queue);
     } else {
@@ -62,8 +69,9 @@
 
   /** Notes that a sidecar that knows of no demand has free slots. */
   public void invited(LinkedSidecar sidecar) {
-    for (WaitingQueue queue : state.queues.ofService(sidecar.peer.service())) {
-      if (queue.demand(sidecar.name(), state.sidecars.sameRegion(sidecar)) > 0) {
+    for (WaitingQueue queue : waiting) {
+      if (queue.service.equals(sidecar.peer.service())
+          && queue.demand(sidecar.name(), state.sidecars.sameRegion(sidecar)) > 0) {
         askAgain(queue, sidecar);
         urgent.add(queue);
       }
@@ -85,6 +93,7 @@
     if (roundDue(nowNanos)) {
       roundDone = true;
       lastRoundNanos = nowNanos;
+      advance(nowNanos);
       changed.forEach(queue -> collect(queue, updates, nowNanos));
       changed.clear();
     }
@@ -92,14 +101,20 @@
   }
 
   /** Lets holds end and demand spill as time passes. */
-  public void advance(long nowNanos) {
-    if (!roundDue(nowNanos)) {
-      return;
+  private void advance(long nowNanos) {
+    while (!byWake.isEmpty() && byWake.first().wakeNanos <= nowNanos) {
+      WaitingQueue queue = byWake.first();
+      queue.advance(nowNanos);
+      changed.add(queue);
+      scheduleWake(queue);
     }
-    for (WaitingQueue queue : waiting) {
-      if (queue.advance(nowNanos)) {
-        changed.add(queue);
-      }
+  }
+
+  private void scheduleWake(WaitingQueue queue) {
+    byWake.remove(queue);
+    queue.wakeNanos = queue.nextWakeNanos();
+    if (queue.wakeNanos != Long.MAX_VALUE) {
+      byWake.add(queue);
     }
   }
 
@@ -110,8 +125,9 @@
   private void collect(
       WaitingQueue queue, Map<String, List<WorkspaceDemand>> updates, long nowNanos) {
     queue.announced = queue.size() > 0;
+    RoutedRequest oldest = queue.oldest();
     for (String name : recipients(queue)) {
-      WorkspaceDemand demand = change(queue, name, nowNanos);
+      WorkspaceDemand demand = change(queue, name, oldest, nowNanos);
       if (demand != null) {
         updates.computeIfAbsent(name, key -> new ArrayList<>()).add(demand);
       }
@@ -127,7 +143,8 @@
   }
 
   /** Returns what a sidecar must be told of a queue, or null if it knows. */
-  private WorkspaceDemand change(WaitingQueue queue, String name, long nowNanos) {
+  private WorkspaceDemand change(
+      WaitingQueue queue, String name, RoutedRequest oldest, long nowNanos) {
     LinkedSidecar sidecar = state.sidecars.named(name);
     SentDemand told = queue.sent.getOrDefault(name, new SentDemand(0, 0));
     if (sidecar == null) {
@@ -135,7 +152,6 @@
       return null;
     }
     int waiting = sidecar.takesWork() ? waiting(queue, sidecar) : 0;
-    RoutedRequest oldest = queue.oldest();
     SentDemand now = new SentDemand(waiting, waiting == 0 ? 0 : oldest.sequence);
     if (waiting == 0) {
       queue.sent.remove(name);
@@ -147,7 +163,7 @@
         : new WorkspaceDemand(
             queue.use.workspace,
             waiting,
-            waiting == 0 ? 0 : RouterState.oldestWaitMillis(queue, nowNanos),
+            waiting == 0 ? 0 : (nowNanos - oldest.arrivedNanos) / RouterState.NANOS_PER_MILLI,
             queue.estimatedCost());
   }
 
