--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/EngineStandin.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/EngineStandin.java
@@ -54,7 +54,7 @@
   }
 
   private Publisher<Void> complete(HttpServerRequest request, HttpServerResponse response) {
-    return HttpFront.body(request).flatMap(body -> Mono.from(run(request, response, body)));
+    return HttpFront.withBody(request, response, body -> run(request, response, body));
   }
 
   private Publisher<Void> run(HttpServerRequest request, HttpServerResponse response, byte[] body) {
@@ -87,15 +87,13 @@
   }
 
   private Publisher<Void> putSettings(HttpServerRequest request, HttpServerResponse response) {
-    return HttpFront.body(request)
-        .flatMap(
-            body ->
-                Mono.from(
-                    ask(
-                        response,
-                        reply ->
-                            new EngineMessage.PutSettings(
-                                Json.read(body, JsonNode.class), reply))));
+    return HttpFront.withBody(
+        request,
+        response,
+        body ->
+            ask(
+                response,
+                reply -> new EngineMessage.PutSettings(Json.read(body, JsonNode.class), reply)));
   }
 
   private Publisher<Void> ask(
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/HttpFront.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/HttpFront.java
@@ -2,8 +2,10 @@
 
 import dev.agatepier.core.process.ManagedService;
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -16,7 +18,7 @@
 /** The HTTP server of a stand-in. */
 final class HttpFront implements ManagedService {
 
-  private static final int MAXIMUM_BODY_BYTES = 64 * 1024 * 1024;
+  private static final int MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
   private static final int MAXIMUM_HEADER_BYTES = 65_536;
 
   private final String address;
@@ -57,13 +59,23 @@
     return server.port();
   }
 
-  /** Reads a body whole, up to a bound. */
-  static Mono<byte[]> body(HttpServerRequest request) {
+  /** Reads a body whole and answers it; one above the bound is refused with status 413. */
+  static Publisher<Void> withBody(
+      HttpServerRequest request,
+      HttpServerResponse response,
+      Function<byte[], Publisher<Void>> answer) {
     return request
         .receive()
         .asByteArray()
         .collect(ByteArrayOutputStream::new, HttpFront::append)
-        .map(ByteArrayOutputStream::toByteArray);
+        .map(ByteArrayOutputStream::toByteArray)
+        .map(Optional::of)
+        .onErrorResume(BodyTooLarge.class, tooLarge -> Mono.just(Optional.empty()))
+        .flatMap(
+            body ->
+                body.isEmpty()
+                    ? send(response, Reply.error(413, "above " + MAXIMUM_BODY_BYTES + " bytes"))
+                    : Mono.from(answer.apply(body.get())));
   }
 
   /** Asks a task for a reply and sends it; the question says whether the task's mailbox took it. */
@@ -104,8 +116,13 @@
 
   private static void append(ByteArrayOutputStream whole, byte[] part) {
     if (whole.size() + part.length > MAXIMUM_BODY_BYTES) {
-      throw new IllegalArgumentException("the body is above " + MAXIMUM_BODY_BYTES + " bytes");
+      throw new BodyTooLarge();
     }
     whole.writeBytes(part);
   }
+
+  /** A body is above the bound. */
+  private static final class BodyTooLarge extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+  }
 }
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlainStandin.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlainStandin.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.reactivestreams.Publisher;
-import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.http.server.HttpServerRoutes;
@@ -49,8 +48,8 @@
   }
 
   private Publisher<Void> serve(HttpServerRequest request, HttpServerResponse response) {
-    return HttpFront.body(request)
-        .flatMap(body -> Mono.from(HttpFront.ask(response, reply -> submit(request, body, reply))));
+    return HttpFront.withBody(
+        request, response, body -> HttpFront.ask(response, reply -> submit(request, body, reply)));
   }
 
   private boolean submit(HttpServerRequest request, byte[] body, CompletableFuture<Reply> reply) {
@@ -60,8 +59,8 @@
   }
 
   private Publisher<Void> putSettings(HttpServerRequest request, HttpServerResponse response) {
-    return HttpFront.body(request)
-        .flatMap(body -> Mono.from(HttpFront.ask(response, reply -> changeSettings(body, reply))));
+    return HttpFront.withBody(
+        request, response, body -> HttpFront.ask(response, reply -> changeSettings(body, reply)));
   }
 
   private boolean changeSettings(byte[] body, CompletableFuture<Reply> reply) {
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlatformStandin.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/PlatformStandin.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.reactivestreams.Publisher;
-import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.http.server.HttpServerRoutes;
@@ -101,11 +100,10 @@
 
   private Publisher<Void> withJson(
       HttpServerRequest request, HttpServerResponse response, MessageReader reader) {
-    return HttpFront.body(request)
-        .flatMap(
-            body ->
-                Mono.from(
-                    ask(response, reply -> reader.read(Json.read(body, JsonNode.class), reply))));
+    return HttpFront.withBody(
+        request,
+        response,
+        body -> ask(response, reply -> reader.read(Json.read(body, JsonNode.class), reply)));
   }
 
   private Publisher<Void> ask(
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ProxyStandin.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ProxyStandin.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.reactivestreams.Publisher;
-import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
 import reactor.netty.http.server.HttpServerRoutes;
@@ -61,8 +60,8 @@
   }
 
   private Publisher<Void> putFaults(HttpServerRequest request, HttpServerResponse response) {
-    return HttpFront.body(request)
-        .flatMap(body -> Mono.from(HttpFront.ask(response, reply -> putFaults(body, reply))));
+    return HttpFront.withBody(
+        request, response, body -> HttpFront.ask(response, reply -> putFaults(body, reply)));
   }
 
   private boolean putFaults(byte[] body, CompletableFuture<Reply> reply) {
--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/LoadRunTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/LoadRunTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.reactivestreams.Publisher;
 import org.testng.annotations.Test;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -76,19 +77,20 @@
   }
 
   /** A hand-written router answers as the upstreams would, but leaves orders without a mark. */
-  private static Mono<Void> relay(HttpServerRequest request, HttpServerResponse response) {
+  private static Publisher<Void> relay(HttpServerRequest request, HttpServerResponse response) {
     String path = request.uri().replaceFirst("/services/[^/]+", "");
-    return HttpFront.body(request)
-        .flatMap(
-            body -> {
-              String answer =
-                  path.startsWith("/v1/")
-                      ? ModelCall.parse(body).answer()
-                      : PlainCall.of(request.method().name(), path, body).answer();
-              if (!path.equals("/orders")) {
-                response.header("Agatepier-Outcome", "completed");
-              }
-              return response.sendString(Mono.just(answer)).then();
-            });
+    return HttpFront.withBody(
+        request,
+        response,
+        body -> {
+          String answer =
+              path.startsWith("/v1/")
+                  ? ModelCall.parse(body).answer()
+                  : PlainCall.of(request.method().name(), path, body).answer();
+          if (!path.equals("/orders")) {
+            response.header("Agatepier-Outcome", "completed");
+          }
+          return response.sendString(Mono.just(answer));
+        });
   }
 }
--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/ProxyStandinTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/ProxyStandinTest.java
@@ -79,6 +79,11 @@
     assertThrows(ExecutionException.class, () -> await(answer));
   }
 
+  @Test
+  public void bodyAboveTheBoundIsRefused() throws Exception {
+    assertEquals(await(call("x".repeat(17 << 20))).status(), 413);
+  }
+
   @Test
   public void refusedConnectionIsReset() throws Exception {
     faults("{\"refuse\":true}");
