--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
@@ -102,7 +103,12 @@
   }
 
   private synchronized void failed(Throwable failure) {
-    LOGGER.debug("link-connect-failed address={} port={}", address, port, failure);
+    LOGGER.debug(
+        new StringMapMessage()
+            .with("event", "link-connect-failed")
+            .with("address", address)
+            .with("port", port),
+        failure);
     connectLater();
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
 import org.reactivestreams.Subscription;
 import reactor.core.publisher.BaseSubscriber;
 import reactor.netty.Connection;
@@ -144,7 +145,11 @@
     if (!context.directory().linked(this)) {
       throw new LinkException("older-incarnation");
     }
-    LOGGER.info("link-up peer={} incarnation={}", peer.instance(), peer.incarnation());
+    LOGGER.info(
+        new StringMapMessage()
+            .with("event", "link-up")
+            .with("peer", peer.instance())
+            .with("incarnation", peer.incarnation()));
     beat();
   }
 
@@ -196,7 +201,7 @@
     } catch (LinkException failure) {
       close(failure.getMessage());
     } catch (RuntimeException failure) {
-      LOGGER.error("link-failure", failure);
+      LOGGER.error(new StringMapMessage().with("event", "link-failure"), failure);
       close("link-failure: " + failure.getMessage());
     }
   }
@@ -204,12 +209,12 @@
   private void ended() {
     closeReason.compareAndSet(null, "connection-closed");
     String reason = closeReason.get();
-    String name = peer == null ? "" : peer.instance();
     LOGGER.info(
-        "link-closed peer={} remote={} reason={}",
-        name,
-        connection.channel().remoteAddress(),
-        reason);
+        new StringMapMessage()
+            .with("event", "link-closed")
+            .with("peer", peer == null ? "" : peer.instance())
+            .with("remote", String.valueOf(connection.channel().remoteAddress()))
+            .with("reason", reason));
     if (peer != null) {
       context.directory().unlinked(this, reason);
     }
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/CallParser.java
@@ -0,0 +1,103 @@
+package dev.agatepier.wire.request.internal;
+
+import dev.agatepier.core.process.MonotonicClock;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Workspace;
+import dev.agatepier.wire.request.CallRefusal;
+import dev.agatepier.wire.request.TicketCodec;
+import dev.agatepier.wire.request.TicketException;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import reactor.netty.http.server.HttpServerRequest;
+
+/** Checks the head of a caller's request. */
+public final class CallParser {
+
+  private static final String DEADLINE = "agatepier-deadline-millis";
+  private static final String TICKET = "agatepier-ticket";
+
+  private final Supplier<Table> tables;
+  private final TicketCodec tickets;
+  private final MonotonicClock clock;
+
+  /** Creates the parser of a process. */
+  public CallParser(Supplier<Table> tables, TicketCodec tickets, MonotonicClock clock) {
+    this.tables = tables;
+    this.tickets = tickets;
+    this.clock = clock;
+  }
+
+  /** Parses a head; fails with {@link CallRefusal} if it does not pass. */
+  public ParsedCall parse(HttpServerRequest request) {
+    if (!request.version().equals(HttpVersion.HTTP_1_1)) {
+      throw new CallRefusal(Reason.BAD_REQUEST, "an answer is marked whole in HTTP/1.1 only");
+    }
+    Table table = tables.get();
+    if (table.version() == 0) {
+      throw new CallRefusal(Reason.NOT_READY, ReasonText.of(Reason.NOT_READY));
+    }
+    HttpHeaders headers = request.requestHeaders();
+    Workspace workspace = KeyCheck.workspace(table, headers.getAll("authorization"));
+    String method = request.method().name();
+    CallTarget target = CallTarget.parse(method, request.uri());
+    ServiceEntry service = service(table, workspace, target.service());
+    return new ParsedCall(
+        target,
+        workspace.name(),
+        new CallHead(method, target.path(), HopHeaders.endToEnd(headers)),
+        ticket(headers, workspace, service),
+        clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis(headers, service)));
+  }
+
+  private static ServiceEntry service(Table table, Workspace workspace, String name) {
+    ServiceEntry service =
+        table
+            .service(name)
+            .orElseThrow(
+                () ->
+                    new CallRefusal(Reason.SERVICE_UNKNOWN, ReasonText.of(Reason.SERVICE_UNKNOWN)));
+    if (!workspace.services().contains(name)) {
+      throw new CallRefusal(Reason.SERVICE_NOT_ALLOWED, ReasonText.of(Reason.SERVICE_NOT_ALLOWED));
+    }
+    return service;
+  }
+
+  private static long deadlineMillis(HttpHeaders headers, ServiceEntry service) {
+    String value = headers.get(DEADLINE);
+    if (value == null) {
+      return service.deadlineMillis();
+    }
+    try {
+      long millis = Long.parseLong(value.strip());
+      if (millis > 0) {
+        return Math.min(millis, service.deadlineMillis());
+      }
+    } catch (NumberFormatException malformed) {
+      throw new CallRefusal(Reason.BAD_REQUEST, "the deadline is no number of milliseconds");
+    }
+    throw new CallRefusal(Reason.BAD_REQUEST, "the deadline is below 1 ms");
+  }
+
+  private Optional<Ticket> ticket(HttpHeaders headers, Workspace workspace, ServiceEntry service) {
+    String text = headers.get(TICKET);
+    if (text == null) {
+      return Optional.empty();
+    }
+    try {
+      Ticket ticket = tickets.decode(text);
+      if (ticket.workspace().equals(workspace.name()) && ticket.service().equals(service.name())) {
+        return Optional.of(ticket);
+      }
+    } catch (TicketException invalid) {
+      throw new CallRefusal(Reason.TICKET_INVALID, invalid.getMessage());
+    }
+    throw new CallRefusal(Reason.TICKET_INVALID, "the ticket is for another workspace or service");
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/KeyCheck.java
@@ -0,0 +1,47 @@
+package dev.agatepier.wire.request.internal;
+
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Workspace;
+import dev.agatepier.wire.request.CallRefusal;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+
+/** Finds the workspace that a caller's key belongs to, with the same work for every key. */
+public final class KeyCheck {
+
+  private static final String SCHEME = "Bearer ";
+
+  /** Stands in for the digest of a workspace that the table does not have. */
+  private static final String NO_DIGEST = "00".repeat(Digests.SHA256_BYTES);
+
+  private KeyCheck() {}
+
+  /** Returns the workspace; fails with {@link CallRefusal} if the key does not belong to one. */
+  public static Workspace workspace(Table table, List<String> authorizations) {
+    String key = key(authorizations);
+    int colon = key.indexOf(':');
+    Optional<Workspace> workspace = table.workspace(key.substring(0, Math.max(colon, 0)));
+    byte[] digest = Digests.sha256().digest(key.getBytes(StandardCharsets.UTF_8));
+    String expected = workspace.map(Workspace::keyDigest).orElse(NO_DIGEST);
+    boolean equal =
+        MessageDigest.isEqual(
+            HexFormat.of().formatHex(digest).getBytes(StandardCharsets.US_ASCII),
+            expected.getBytes(StandardCharsets.US_ASCII));
+    if (!equal || workspace.isEmpty()) {
+      throw new CallRefusal(Reason.KEY_WRONG, ReasonText.of(Reason.KEY_WRONG));
+    }
+    return workspace.get();
+  }
+
+  private static String key(List<String> authorizations) {
+    if (authorizations.size() != 1
+        || !authorizations.getFirst().regionMatches(true, 0, SCHEME, 0, SCHEME.length())) {
+      throw new CallRefusal(Reason.KEY_MISSING, ReasonText.of(Reason.KEY_MISSING));
+    }
+    return authorizations.getFirst().substring(SCHEME.length()).strip();
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/TokenCounter.java
@@ -0,0 +1,59 @@
+package dev.agatepier.wire.request.internal;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** Counts the tokens in a model engine's server-sent events. */
+final class TokenCounter {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final String DATA = "data:";
+  private static final String DONE = "[DONE]";
+  private static final String USAGE = "\"usage\"";
+
+  /** Longest line that is looked into, in bytes; longer ones count as one token. */
+  private static final int MAXIMUM_LINE_BYTES = 65_536;
+
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private long reportedTokens;
+
+  /** Takes the next part of the answer and returns how many tokens end in it. */
+  int count(byte[] part) {
+    int tokens = 0;
+    for (byte next : part) {
+      if (next == '\n') {
+        tokens += isToken(line.toString(StandardCharsets.UTF_8).strip()) ? 1 : 0;
+        line.reset();
+      } else if (line.size() < MAXIMUM_LINE_BYTES) {
+        line.write(next);
+      }
+    }
+    return tokens;
+  }
+
+  /** Returns the total that the engine has reported; 0 for none. */
+  long reportedTokens() {
+    return reportedTokens;
+  }
+
+  private boolean isToken(String event) {
+    if (!event.startsWith(DATA)) {
+      return false;
+    }
+    String data = event.substring(DATA.length()).strip();
+    return !data.equals(DONE) && !(data.contains(USAGE) && isUsage(data));
+  }
+
+  private boolean isUsage(String data) {
+    try {
+      JsonNode total = MAPPER.readTree(data).path("usage").path("total_tokens");
+      reportedTokens = total.canConvertToLong() ? Math.max(0, total.asLong()) : reportedTokens;
+      return !total.isMissingNode();
+    } catch (JsonProcessingException malformed) {
+      return false;
+    }
+  }
+}
