Serve a request from end to end as separate processes

Cause: decisions, links, HTTP sides, versions and stand-ins stood apart; no request was served. Before: `agatepier router` printed that it was not part of the build. Conclusion: the thin path stands; the proofs under failure come next.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/AgatepierCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/AgatepierCommand.java
@@ -2,6 +2,11 @@
 
 import dev.agatepier.cli.process.internal.CommandLine;
 import dev.agatepier.cli.process.internal.ConsoleReporter;
+import dev.agatepier.cli.process.internal.ServiceProgram;
+import dev.agatepier.wire.process.RouterService;
+import dev.agatepier.wire.process.RouterSettings;
+import dev.agatepier.wire.process.SidecarService;
+import dev.agatepier.wire.process.SidecarSettings;
 
 /** The {@code agatepier} command. */
 public final class AgatepierCommand {
@@ -15,8 +20,8 @@
         run(
             arguments,
             reporter,
-            settings -> missing("router", reporter),
-            settings -> missing("sidecar", reporter));
+            new ServiceProgram<>(RouterSettings::common, RouterService::new),
+            new ServiceProgram<>(SidecarSettings::common, SidecarService::new));
     System.exit(code);
   }
 
@@ -36,9 +41,4 @@
       Program<SidecarSettings> sidecar) {
     return new CommandLine(reporter, router, sidecar).run(arguments);
   }
-
-  private static int missing(String program, Reporter reporter) {
-    reporter.error("the " + program + " is not part of this build");
-    return ExitCode.USAGE.code();
-  }
 }
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/SettingsReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/SettingsReader.java
@@ -1,6 +1,8 @@
 package dev.agatepier.cli.process;
 
 import dev.agatepier.cli.process.internal.SettingsFields;
+import dev.agatepier.wire.process.RouterSettings;
+import dev.agatepier.wire.process.SidecarSettings;
 import java.nio.file.Path;
 
 /** Reads the settings of the programs; a bad file fails with every mistake at once. */
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/FleetArguments.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/FleetArguments.java
@@ -1,8 +1,8 @@
 package dev.agatepier.cli.process.internal;
 
-import dev.agatepier.cli.process.Secret;
 import dev.agatepier.cli.process.SettingsException;
 import dev.agatepier.cli.process.SettingsMistake;
+import dev.agatepier.wire.process.Secret;
 import dev.agatepier.wire.version.Platform;
 import java.io.IOException;
 import java.nio.file.Files;
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/HttpFleet.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/HttpFleet.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import dev.agatepier.cli.process.Secret;
+import dev.agatepier.wire.process.Secret;
 import dev.agatepier.wire.version.Platform;
 import dev.agatepier.wire.version.internal.BodyReader;
 import io.netty.handler.codec.http.HttpMethod;
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ObjectReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ObjectReader.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import dev.agatepier.cli.process.Endpoint;
 import dev.agatepier.cli.process.SettingsMistake;
 import dev.agatepier.core.version.TableChecker;
+import dev.agatepier.wire.process.Endpoint;
 import java.net.InetAddress;
 import java.util.HashSet;
 import java.util.List;
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SecretFiles.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SecretFiles.java
@@ -1,6 +1,6 @@
 package dev.agatepier.cli.process.internal;
 
-import dev.agatepier.cli.process.Secret;
+import dev.agatepier.wire.process.Secret;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
--- /dev/null
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
@@ -0,0 +1,106 @@
+package dev.agatepier.cli.process.internal;
+
+import dev.agatepier.cli.process.ExitCode;
+import dev.agatepier.cli.process.Program;
+import dev.agatepier.core.process.ManagedService;
+import dev.agatepier.wire.process.CommonSettings;
+import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Runs a service until the process is told to stop, then stops it gracefully.
+ *
+ * @param <S> settings of the service
+ */
+public final class ServiceProgram<S> implements Program<S> {
+
+  /** Longest time for finishing what is under way. */
+  private static final long STOP_SECONDS = 150;
+
+  /** Low bits of an incarnation that are random. */
+  private static final int RANDOM_BITS = 20;
+
+  private final Function<S, CommonSettings> common;
+  private final Factory<S> factory;
+
+  /** Creates the service of a program. */
+  @FunctionalInterface
+  public interface Factory<S> {
+
+    /**
+     * Creates the service.
+     *
+     * @param settings its settings
+     * @param incarnation its incarnation
+     * @param stop ends the program gracefully
+     */
+    ManagedService create(S settings, long incarnation, Runnable stop);
+  }
+
+  /** Creates the program. */
+  public ServiceProgram(Function<S, CommonSettings> common, Factory<S> factory) {
+    this.common = common;
+    this.factory = factory;
+  }
+
+  @Override
+  public int run(S settings) {
+    System.setProperty("agatepier.instance", common.apply(settings).instance());
+    Logger logger = LogManager.getLogger(ServiceProgram.class);
+    CompletableFuture<Void> stopAsked = new CompletableFuture<>();
+    CompletableFuture<Integer> ended = new CompletableFuture<>();
+    ManagedService service =
+        factory.create(settings, incarnation(), () -> stopAsked.complete(null));
+    try {
+      service.start().join();
+    } catch (CompletionException failure) {
+      logger.error(event("start-failed"), failure.getCause());
+      return ExitCode.UNREACHABLE.code();
+    }
+    Thread hook =
+        new Thread(
+            () -> {
+              stopAsked.complete(null);
+              Runtime.getRuntime().halt(ended.join());
+            },
+            "stop");
+    Runtime.getRuntime().addShutdownHook(hook);
+    stopAsked.join();
+    int code = stop(service, logger);
+    ended.complete(code);
+    return code;
+  }
+
+  private static int stop(ManagedService service, Logger logger) {
+    logger.info(event("stop-begun"));
+    try {
+      service.stop().get(STOP_SECONDS, TimeUnit.SECONDS);
+      logger.info(event("stop-done").with("cut", 0));
+      return ExitCode.OK.code();
+    } catch (TimeoutException late) {
+      logger.error(event("stop-timeout").with("seconds", STOP_SECONDS));
+      return ExitCode.TIMEOUT.code();
+    } catch (ExecutionException | InterruptedException failure) {
+      logger.error(event("stop-failed"), failure);
+      return ExitCode.FINDINGS.code();
+    }
+  }
+
+  /** Rises with the wall clock of the instance; the random part keeps two starts apart. */
+  private static long incarnation() {
+    return (System.currentTimeMillis() << RANDOM_BITS)
+        | new SecureRandom().nextInt(1 << RANDOM_BITS);
+  }
+
+  private static StringMapMessage event(String name) {
+    return new StringMapMessage().with("event", name);
+  }
+}
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.expectThrows;
 
 import dev.agatepier.core.process.RouterPolicy;
+import dev.agatepier.wire.process.RouterSettings;
+import dev.agatepier.wire.process.Secret;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/internal/FleetCommandTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/internal/FleetCommandTest.java
@@ -4,8 +4,8 @@
 
 import dev.agatepier.cli.process.ExitCode;
 import dev.agatepier.cli.process.FakeReporter;
-import dev.agatepier.cli.process.ProcessStatus;
-import dev.agatepier.cli.process.WorkspacesStatus;
+import dev.agatepier.wire.process.ProcessStatus;
+import dev.agatepier.wire.process.WorkspacesStatus;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/MailboxTask.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/MailboxTask.java
@@ -56,13 +56,21 @@
     if (before >= capacity) {
       return false;
     }
-    queue.add(message);
-    if (queued.getAndIncrement() == 0) {
-      worker.schedule(this::drain);
-    }
+    enqueue(message);
     return true;
   }
 
+  /**
+   * Leaves a message that must not be lost, beyond the capacity if need be. Only for messages whose
+   * number something else bounds, such as one for each change of a link.
+   */
+  public void post(M message) {
+    if (!closed) {
+      reserved.incrementAndGet();
+      enqueue(message);
+    }
+  }
+
   /** Takes no further message and releases the worker. */
   @Override
   public void close() {
@@ -70,6 +78,13 @@
     worker.dispose();
   }
 
+  private void enqueue(M message) {
+    queue.add(message);
+    if (queued.getAndIncrement() == 0) {
+      worker.schedule(this::drain);
+    }
+  }
+
   private void drain() {
     int count = Math.min(queued.get(), BATCH);
     for (int taken = 0; taken < count; taken++) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/FakeSidecar.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/FakeSidecar.java
@@ -37,7 +37,7 @@
 
   private static final List<String> FORGOTTEN = List.of("forgotten");
 
-  private final FakeFleet fleet;
+  private final RouterFleet fleet;
   private final String name;
   private long incarnation;
   private boolean paused;
@@ -50,7 +50,7 @@
   private final Map<AttemptId, StartAttempt> running = new HashMap<>();
   private final Map<Ticket, List<String>> tickets = new HashMap<>();
 
-  FakeSidecar(FakeFleet fleet, String name) {
+  FakeSidecar(RouterFleet fleet, String name) {
     this.fleet = fleet;
     this.name = name;
     restart();
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RouterDecisionFaultsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RouterDecisionFaultsTest.java
@@ -3,7 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import dev.agatepier.core.process.FakeFleet.FakeCall;
+import dev.agatepier.core.process.RouterFleet.FakeCall;
 import dev.agatepier.core.request.Outcome;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +19,7 @@
   @Test
   public void keepsItsPromisesUnderFaults() {
     for (int seed = 1; seed <= SEEDS; seed++) {
-      FakeFleet fleet = new FakeFleet(seed);
+      RouterFleet fleet = new RouterFleet(seed);
       fleet.run();
       fleet.calls.values().forEach(call -> check(fleet, call));
       for (RouterDecision router : fleet.routers) {
@@ -33,7 +33,7 @@
     }
   }
 
-  private void check(FakeFleet fleet, FakeCall call) {
+  private void check(RouterFleet fleet, FakeCall call) {
     String name = call.call.request() + (call.call.ticket().isPresent() ? " ticketed" : "");
     int runs = fleet.runs.getOrDefault(call.call.request(), 0);
     boolean idempotent = call.call.head().method().equals("GET");
@@ -47,7 +47,7 @@
     require(fleet, !call.end.equals("completed") || whole, name + " answered wrongly");
   }
 
-  private static void require(FakeFleet fleet, boolean holds, String fault) {
+  private static void require(RouterFleet fleet, boolean holds, String fault) {
     if (!holds) {
       fleet.faults.add(fault);
     }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/FakeFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RouterFleet.java
@@ -21,7 +21,7 @@
 import java.util.Random;
 
 /** Two routers and three sidecars in virtual time, with faults that a seed decides. */
-final class FakeFleet {
+final class RouterFleet {
 
   private static final long FAULTS_MILLIS = 4_000;
   private static final long END_MILLIS = 12_000;
@@ -60,7 +60,7 @@
     final StringBuilder answer = new StringBuilder();
   }
 
-  FakeFleet(long seed) {
+  RouterFleet(long seed) {
     random = new Random(seed);
     for (int router = 0; router < 2; router++) {
       routers.add(new RouterDecision(RouterFixture.router("r" + router), RouterPolicy.DEFAULT));
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -11,11 +11,11 @@
   private static final int NODES = 20;
   private static final VersionPolicy POLICY = VersionPolicy.DEFAULT;
 
-  private FakeFleet fleet;
+  private VersionFleet fleet;
 
   @BeforeMethod
   public void startFleet() {
-    fleet = new FakeFleet(POLICY);
+    fleet = new VersionFleet(POLICY);
     for (int number = 0; number < NODES; number++) {
       fleet.add("router-" + number);
     }
@@ -96,7 +96,7 @@
 
   @Test
   public void wholeFleetWithoutPlatformBacksOff() {
-    FakeFleet cold = new FakeFleet(POLICY);
+    VersionFleet cold = new VersionFleet(POLICY);
     for (int number = 0; number < NODES; number++) {
       cold.add("router-" + number);
     }
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
@@ -0,0 +1,213 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
+import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.TableMistake;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/** Version decisions of one data centre, linked all with all, before one fake platform. */
+final class VersionFleet {
+
+  static final long STEP_MILLIS = 100;
+
+  final Map<String, VersionDecision> nodes = new LinkedHashMap<>();
+  final Set<String> cutFromPlatform = new HashSet<>();
+  final Set<Long> badVersions = new HashSet<>();
+  final List<Long> refusals = new ArrayList<>();
+  final Map<String, Integer> pagesFromPlatform = new TreeMap<>();
+  ManifestTransfer manifest = new ManifestTransfer(0, List.of());
+  InstanceList instances = InstanceList.NONE;
+  int reads;
+  int mostReadsInStep;
+  int pagesFromPeers;
+
+  private final VersionPolicy policy;
+  private final Map<String, Map<PlatformSubject, Long>> watches = new LinkedHashMap<>();
+  private final Queue<Runnable> work = new ArrayDeque<>();
+  private long nowMillis = 1_000_000;
+
+  VersionFleet(VersionPolicy policy) {
+    this.policy = policy;
+  }
+
+  void add(String name) {
+    nodes.keySet().forEach(other -> link(name, other));
+    nodes.put(name, new VersionDecision(name, "kolkata-a", policy));
+    nodes.keySet().forEach(other -> link(other, name));
+    watches.put(name, new LinkedHashMap<>());
+  }
+
+  void remove(String name) {
+    nodes.remove(name);
+    watches.remove(name);
+    nodes.keySet().forEach(other -> tell(other, new VersionEvent.PeerUnlinked(peer(name))));
+  }
+
+  void publish(long version, String... digests) {
+    manifest =
+        new ManifestTransfer(
+            version,
+            List.of(digests).stream().map(digest -> new PageReference(digest, digest, 1)).toList());
+  }
+
+  void list(long version) {
+    instances =
+        new InstanceList(version, nodes.keySet().stream().map(VersionFleet::instance).toList());
+  }
+
+  void run(long millis) {
+    for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+      nowMillis += STEP_MILLIS;
+      int before = reads;
+      for (String name : List.copyOf(nodes.keySet())) {
+        tell(name, new VersionEvent.TimePassed((Math.abs(name.hashCode()) % 100) / 100.0));
+        wake(name);
+      }
+      heartbeats();
+      mostReadsInStep = Math.max(mostReadsInStep, reads - before);
+    }
+  }
+
+  long version(String name) {
+    return nodes.get(name).table().version();
+  }
+
+  long having(long version) {
+    return nodes.keySet().stream().filter(name -> version(name) == version).count();
+  }
+
+  long watching() {
+    return watches.values().stream().filter(w -> w.containsKey(PlatformSubject.TABLE)).count();
+  }
+
+  List<String> watchers() {
+    return nodes.keySet().stream()
+        .filter(name -> watches.get(name).containsKey(PlatformSubject.TABLE))
+        .toList();
+  }
+
+  private void heartbeats() {
+    for (String from : nodes.keySet()) {
+      VersionDecision node = nodes.get(from);
+      var heartbeat =
+          new LinkMessage.Heartbeat(
+              node.table().version(), node.instances().version(), false, nowMillis);
+      nodes.keySet().stream()
+          .filter(to -> !to.equals(from))
+          .forEach(to -> tell(to, new VersionEvent.MessageArrived(peer(from), heartbeat)));
+    }
+  }
+
+  private void link(String at, String other) {
+    if (nodes.containsKey(at) && !at.equals(other)) {
+      tell(at, new VersionEvent.PeerLinked(peer(other)));
+    }
+    if (nodes.containsKey(other) && !at.equals(other)) {
+      tell(other, new VersionEvent.PeerLinked(peer(at)));
+    }
+  }
+
+  private void tell(String name, VersionEvent event) {
+    work.add(
+        () -> {
+          if (nodes.containsKey(name)) {
+            long nanos = TimeUnit.MILLISECONDS.toNanos(nowMillis);
+            nodes.get(name).decide(event, nanos).forEach(effect -> carryOut(name, effect));
+          }
+        });
+    if (work.size() == 1) {
+      while (!work.isEmpty()) {
+        work.peek().run();
+        work.remove();
+      }
+    }
+  }
+
+  private void carryOut(String name, VersionEffect effect) {
+    switch (effect) {
+      case VersionEffect.Send(
+              String to,
+              LinkMessage.PageTransfer(String digest, Bytes content)) -> {
+        pagesFromPeers++;
+        tell(to, new VersionEvent.PageArrived(name, digest, Optional.of(content)));
+      }
+      case VersionEffect.Send(String to, LinkMessage message) ->
+          tell(to, new VersionEvent.MessageArrived(peer(name), message));
+      case VersionEffect.ReadPlatform read -> read(name, read);
+      case VersionEffect.ReadPage(PageReference page) -> {
+        reads++;
+        pagesFromPlatform.merge(page.digest(), 1, Integer::sum);
+        tell(
+            name,
+            new VersionEvent.PageArrived(
+                VersionDecision.PLATFORM, page.digest(), Optional.of(Bytes.ofText(page.name()))));
+      }
+      case VersionEffect.PrepareTable(ManifestTransfer whole, List<Bytes> pages) ->
+          tell(
+              name,
+              badVersions.contains(whole.version())
+                  ? new VersionEvent.TableRefused(
+                      whole, List.of(new TableMistake("workspaces", 2, 1, "bad")))
+                  : new VersionEvent.TablePrepared(
+                      whole, new Table(whole.version(), Map.of(), Map.of())));
+      case VersionEffect.ReportRefusal refusal -> refusals.add(refusal.version());
+      case VersionEffect.PublishTable ignored -> {}
+      case VersionEffect.PublishInstances ignored -> {}
+    }
+  }
+
+  private void read(String name, VersionEffect.ReadPlatform read) {
+    reads++;
+    if (cutFromPlatform.contains(name)) {
+      tell(name, new VersionEvent.ReadFailed(read.subject(), 0.5));
+    } else if (read.waitSeconds() > 0) {
+      watches.get(name).put(read.subject(), read.afterVersion());
+    } else {
+      answer(name, read.subject());
+    }
+  }
+
+  private void wake(String name) {
+    Map<PlatformSubject, Long> held = watches.get(name);
+    for (PlatformSubject subject : List.copyOf(held.keySet())) {
+      long current = subject == PlatformSubject.TABLE ? manifest.version() : instances.version();
+      if (current > held.get(subject)) {
+        held.remove(subject);
+        answer(name, subject);
+      }
+    }
+  }
+
+  private void answer(String name, PlatformSubject subject) {
+    tell(
+        name,
+        subject == PlatformSubject.TABLE
+            ? new VersionEvent.ManifestRead(manifest, 0.5)
+            : new VersionEvent.InstancesRead(instances, 0.5));
+  }
+
+  private static PeerIdentity peer(String name) {
+    return new PeerIdentity(name, 1, Role.ROUTER, "kolkata-a", "kolkata", "");
+  }
+
+  private static Instance instance(String name) {
+    return new Instance(name, Role.ROUTER, "127.0.0.1", 1, 2, "kolkata-a", "kolkata", "", false);
+  }
+}
--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/FleetNodeTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/FleetNodeTest.java
@@ -2,9 +2,9 @@
 
 import static org.testng.Assert.assertEquals;
 
-import dev.agatepier.cli.process.CommonSettings;
 import dev.agatepier.cli.process.SettingsReader;
-import dev.agatepier.cli.process.SidecarSettings;
+import dev.agatepier.wire.process.CommonSettings;
+import dev.agatepier.wire.process.SidecarSettings;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.testng.annotations.Test;
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/CommonSettings.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CommonSettings.java
@@ -1,4 +1,4 @@
-package dev.agatepier.cli.process;
+package dev.agatepier.wire.process;
 
 import dev.agatepier.core.process.VersionPolicy;
 import java.util.Optional;
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/ProcessStatus.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/ProcessStatus.java
@@ -1,4 +1,4 @@
-package dev.agatepier.cli.process;
+package dev.agatepier.wire.process;
 
 import java.util.List;
 
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
@@ -0,0 +1,75 @@
+package dev.agatepier.wire.process;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.process.LinkPlan;
+import dev.agatepier.core.process.ManagedService;
+import dev.agatepier.core.process.SidecarEffect;
+import dev.agatepier.wire.process.internal.FleetMember;
+import dev.agatepier.wire.process.internal.LinkRegistry;
+import dev.agatepier.wire.process.internal.SidecarTasks;
+import java.util.concurrent.CompletableFuture;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+
+/** A whole sidecar: the process beside one upstream and the only way to it. */
+public final class SidecarService implements ManagedService {
+
+  /** Threads that run the sidecar's tasks. */
+  private static final int TASK_THREADS = 1;
+
+  private final SidecarTasks tasks;
+  private final UpstreamClient upstream;
+  private final FleetMember member;
+
+  /**
+   * Creates the sidecar; nothing is opened yet.
+   *
+   * @param settings what it is told
+   * @param incarnation differs each time a process starts under the instance's name, and rises
+   * @param stop called when an operator asks for the graceful stop
+   */
+  public SidecarService(SidecarSettings settings, long incarnation, Runnable stop) {
+    CommonSettings common = settings.common();
+    PeerIdentity self =
+        new PeerIdentity(
+            common.instance(),
+            incarnation,
+            Role.SIDECAR,
+            common.dataCentre(),
+            common.region(),
+            settings.service());
+    Scheduler scheduler = Schedulers.newParallel("sidecar", TASK_THREADS);
+    LinkRegistry links = new LinkRegistry();
+    tasks =
+        new SidecarTasks(self, settings.policy(), links, this::performAtUpstream, scheduler, stop);
+    upstream =
+        new UpstreamClient(
+            UpstreamSettings.at(settings.upstream().address(), settings.upstream().port()),
+            tasks.mailbox());
+    member =
+        new FleetMember(
+            common, self, new LinkPlan(self, 1), scheduler, links, new MetricRegistry(), tasks);
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    return member.start().thenCompose(ignored -> upstream.start());
+  }
+
+  /** Grants nothing more, finishes every attempt, then closes everything. */
+  @Override
+  public CompletableFuture<Void> stop() {
+    return Mono.fromFuture(tasks::drain)
+        .then(Mono.fromFuture(upstream::stop))
+        .then(Mono.fromFuture(member::stop))
+        .then(Mono.fromFuture(tasks::close))
+        .toFuture();
+  }
+
+  private void performAtUpstream(SidecarEffect effect) {
+    upstream.perform(effect);
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -0,0 +1,278 @@
+package dev.agatepier.wire.process.internal;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.Heartbeat;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.LinkPlan;
+import dev.agatepier.core.process.ManagedService;
+import dev.agatepier.core.process.VersionDecision;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.wire.connection.Link;
+import dev.agatepier.wire.connection.LinkEvents;
+import dev.agatepier.wire.connection.LinkListener;
+import dev.agatepier.wire.connection.LinkNetwork;
+import dev.agatepier.wire.connection.LinkSettings;
+import dev.agatepier.wire.connection.LinkTls;
+import dev.agatepier.wire.process.AdministrationListener;
+import dev.agatepier.wire.process.AdministrationRoute;
+import dev.agatepier.wire.process.AdministrationSettings;
+import dev.agatepier.wire.process.CommonSettings;
+import dev.agatepier.wire.process.MetricsReport;
+import dev.agatepier.wire.process.ProcessStatus;
+import dev.agatepier.wire.process.Readiness;
+import dev.agatepier.wire.version.PlatformClient;
+import dev.agatepier.wire.version.VersionListener;
+import dev.agatepier.wire.version.VersionService;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * What every process of the fleet has: links to its peers, the versions in force, and the
+ * administration API. What only routers or sidecars do is in their {@link MemberTasks}.
+ */
+public final class FleetMember implements ManagedService {
+
+  private static final Logger LOGGER = LogManager.getLogger(FleetMember.class);
+
+  /** Time that the last frames have to leave before the links are closed. */
+  private static final Duration FLUSH = Duration.ofMillis(200);
+
+  private final PeerIdentity self;
+  private final Scheduler scheduler;
+  private final LinkRegistry links;
+  private final VersionService versions;
+  private final LinkListener linkListener;
+  private final PeerDialer dialer;
+  private final AdministrationListener administration;
+  private final MetricRegistry metrics;
+  private final MemberTasks tasks;
+
+  /**
+   * Creates the member; nothing is opened yet.
+   *
+   * @param settings what the process is told
+   * @param self identity of the process
+   * @param plan whom it dials
+   * @param scheduler runs its tasks
+   * @param links registry that its tasks send through
+   * @param metrics registry of its metrics
+   * @param tasks what only this kind of process does
+   */
+  public FleetMember(
+      CommonSettings settings,
+      PeerIdentity self,
+      LinkPlan plan,
+      Scheduler scheduler,
+      LinkRegistry links,
+      MetricRegistry metrics,
+      MemberTasks tasks) {
+    this.self = self;
+    this.scheduler = scheduler;
+    this.links = links;
+    this.metrics = metrics;
+    this.tasks = tasks;
+    PlatformClient platform = new PlatformClient(HttpClient.create(), settings.platformAddress());
+    metrics.register("platform.reads", (Gauge<Long>) platform::reads);
+    versions =
+        new VersionService(
+            new VersionDecision(self.instance(), self.dataCentre(), settings.versions()),
+            platform,
+            links,
+            List.of(new Versions()),
+            scheduler,
+            System::nanoTime,
+            ThreadLocalRandom.current()::nextDouble);
+    LinkNetwork network =
+        new LinkNetwork(
+            self,
+            Bytes.ofText(settings.secret().value()),
+            linkSettings(settings),
+            this::heartbeat,
+            new Events(),
+            System::nanoTime);
+    linkListener = network.listener(settings.links().address(), settings.links().port());
+    dialer = new PeerDialer(plan, network::dialer, links::linked, scheduler, this::failed);
+    administration =
+        new AdministrationListener(
+            new AdministrationSettings(
+                settings.administration().address(),
+                settings.administration().port(),
+                settings.administrationKey().value()),
+            this::readiness,
+            routes());
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    return CompletableFuture.allOf(linkListener.start(), administration.start())
+        .thenCompose(ignored -> versions.start())
+        .thenRun(
+            () ->
+                LOGGER.info(
+                    event("process-started")
+                        .with("role", roleName())
+                        .with("incarnation", Long.toHexString(self.incarnation()))));
+  }
+
+  /** Closes links and listeners; the tasks must have finished their work. */
+  @Override
+  public CompletableFuture<Void> stop() {
+    return Mono.delay(FLUSH)
+        .then(Mono.fromFuture(dialer::stop))
+        .then(Mono.fromFuture(linkListener::stop))
+        .then(Mono.fromFuture(versions::stop))
+        .then(Mono.fromFuture(administration::stop))
+        .doFinally(signal -> scheduler.dispose())
+        .toFuture();
+  }
+
+  /** Returns the table in force. */
+  public Table table() {
+    return versions.table();
+  }
+
+  /** Logs a failure of a task, which goes on. */
+  public void failed(Throwable failure) {
+    LOGGER.error(event("task-failed"), failure);
+  }
+
+  private Heartbeat heartbeat() {
+    return new Heartbeat(
+        versions.table().version(),
+        versions.instances().version(),
+        tasks.draining(),
+        TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+  }
+
+  private Readiness readiness() {
+    if (tasks.draining()) {
+      return new Readiness(false, "draining");
+    }
+    return versions.table().version() == 0
+        ? new Readiness(false, "no table is in force")
+        : tasks.readiness();
+  }
+
+  private List<AdministrationRoute> routes() {
+    List<AdministrationRoute> routes = new ArrayList<>(tasks.routes());
+    routes.add(
+        AdministrationRoute.of(
+            "GET",
+            "/v1/status",
+            parameters ->
+                tasks.snapshot().thenApply(this::status).thenApply(AdministrationReplies::ok)));
+    routes.add(AdministrationRoute.get("/v1/metrics", this::metricsReport));
+    routes.add(
+        AdministrationRoute.of(
+            "POST",
+            "/v1/drain",
+            parameters -> {
+              tasks.drainRequested();
+              return CompletableFuture.completedFuture(AdministrationReplies.draining());
+            }));
+    return routes;
+  }
+
+  private ProcessStatus status(Object snapshot) {
+    return new ProcessStatus(
+        self.instance(),
+        roleName(),
+        self.dataCentre(),
+        self.region(),
+        self.service(),
+        Long.toHexString(self.incarnation()),
+        versions.table().version(),
+        versions.instances().version(),
+        tasks.draining(),
+        links.names(),
+        snapshot);
+  }
+
+  private MetricsReport metricsReport() {
+    MetricsReport report = MetricsReport.of(metrics);
+    links.traffic().forEach((name, bytes) -> report.gauges().put("links." + name, bytes));
+    return report;
+  }
+
+  private String roleName() {
+    return self.role().name().toLowerCase(Locale.ROOT);
+  }
+
+  private static LinkSettings linkSettings(CommonSettings settings) {
+    LinkSettings base = LinkSettings.DEFAULT;
+    return new LinkSettings(
+        settings.heartbeatMillis(),
+        base.missedHeartbeats(),
+        base.handshakeMillis(),
+        base.maximumFrameBytes(),
+        base.queueMessages(),
+        base.queueBytes(),
+        base.minimumBackoffMillis(),
+        base.maximumBackoffMillis(),
+        settings
+            .tls()
+            .map(tls -> new LinkTls(tls.certificateFile(), tls.keyFile(), tls.trustFile())));
+  }
+
+  private static StringMapMessage event(String name) {
+    return new StringMapMessage().with("event", name);
+  }
+
+  /** Passes on what happens on links. */
+  private final class Events implements LinkEvents {
+    @Override
+    public void linked(PeerIdentity peer, Link link) {
+      links.add(link);
+      versions.peerLinked(peer);
+      tasks.linked(peer);
+    }
+
+    @Override
+    public boolean message(PeerIdentity peer, LinkMessage message) {
+      if (message instanceof Heartbeat) {
+        versions.receive(peer, message);
+        return tasks.message(peer, message);
+      }
+      return VersionService.takes(message)
+          ? versions.receive(peer, message)
+          : tasks.message(peer, message);
+    }
+
+    @Override
+    public void unlinked(PeerIdentity peer, String reason) {
+      links.remove(peer);
+      versions.peerUnlinked(peer);
+      tasks.unlinked(peer);
+      dialer.unlinked(peer.instance());
+    }
+  }
+
+  /** Passes on the versions in force. */
+  private final class Versions implements VersionListener {
+    @Override
+    public void tableInForce(Table table) {
+      tasks.tableInForce(table);
+    }
+
+    @Override
+    public void instancesInForce(InstanceList instances) {
+      dialer.listed(instances);
+      tasks.instancesInForce(instances);
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
@@ -0,0 +1,44 @@
+package dev.agatepier.wire.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.wire.process.AdministrationRoute;
+import dev.agatepier.wire.process.Readiness;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** What only one kind of process does. Nothing here blocks. */
+public interface MemberTasks {
+
+  /** A link is up. */
+  void linked(PeerIdentity peer);
+
+  /** A message came; returns false if it cannot be taken now. */
+  boolean message(PeerIdentity peer, LinkMessage message);
+
+  /** A link is gone. */
+  void unlinked(PeerIdentity peer);
+
+  /** A table version is in force. */
+  void tableInForce(Table table);
+
+  /** A version of the instance list is in force. */
+  void instancesInForce(InstanceList instances);
+
+  /** Returns whether the process takes no new work. */
+  boolean draining();
+
+  /** An operator asked for the graceful stop. */
+  void drainRequested();
+
+  /** Returns whether the process takes work, once it has a table. */
+  Readiness readiness();
+
+  /** Returns what operators are told of its state. */
+  CompletableFuture<Object> snapshot();
+
+  /** Returns its own calls of the administration API. */
+  List<AdministrationRoute> routes();
+}
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/TrafficTotals.java
@@ -0,0 +1,41 @@
+package dev.agatepier.wire.process.internal;
+
+import dev.agatepier.wire.connection.LinkCounters;
+import dev.agatepier.wire.connection.MessageClass;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** Sums of bytes by direction, kind and distance; names such as {@code sent.demand.within}. */
+final class TrafficTotals {
+
+  private final SortedMap<String, Long> bytes = new TreeMap<>();
+
+  synchronized void add(LinkCounters counters) {
+    String distance = counters.acrossRegions() ? "across" : "within";
+    count("sent", distance, counters.sent());
+    count("received", distance, counters.received());
+  }
+
+  void add(TrafficTotals other) {
+    SortedMap<String, Long> added = other.bytes();
+    synchronized (this) {
+      added.forEach((name, value) -> bytes.merge(name, value, Long::sum));
+    }
+  }
+
+  synchronized SortedMap<String, Long> bytes() {
+    return new TreeMap<>(bytes);
+  }
+
+  private void count(
+      String direction, String distance, Map<MessageClass, LinkCounters.Traffic> traffic) {
+    traffic.forEach(
+        (kind, amount) ->
+            bytes.merge(
+                direction + "." + kind.name().toLowerCase(Locale.ROOT) + "." + distance,
+                amount.bytes(),
+                Long::sum));
+  }
+}
