--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -6,6 +6,7 @@
 import dev.agatepier.wire.connection.Link;
 import dev.agatepier.wire.connection.LinkCounters;
 import dev.agatepier.wire.connection.LinkException;
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -240,10 +241,11 @@
 
     @Override
     protected void hookOnError(Throwable failure) {
-      close(
-          failure.getCause() instanceof CodecException malformed
-              ? "malformed-frame: " + malformed.getMessage()
-              : "connection-failed: " + failure.getMessage());
+      if (failure.getCause() instanceof CodecException malformed) {
+        close("malformed-frame: " + malformed.getMessage());
+      } else {
+        close(failure instanceof IOException ? "connection-closed" : "connection-failed");
+      }
     }
   }
 }
