--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -6,6 +6,7 @@
 import dev.agatepier.wire.connection.Link;
 import dev.agatepier.wire.connection.LinkCounters;
 import dev.agatepier.wire.connection.LinkException;
+import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -243,8 +244,7 @@
       if (failure.getCause() instanceof CodecException malformed) {
         close("malformed-frame: " + malformed.getMessage());
       } else {
-        LOGGER.debug("link-failure", failure);
-        close("connection-closed");
+        close(failure instanceof IOException ? "connection-closed" : "connection-failed");
       }
     }
   }
