Read control traffic by the names of the fleet's gauges

Cause: control bytes were summed by a guessed name. Change: gauges links.sent.* without payload, apart by distance, as the wire module names them. Conclusion: matches the names in the sources.

--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FleetMeasures.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FleetMeasures.java
@@ -21,6 +21,22 @@
    */
   record ServiceMeasures(int samples, double utilisation, double largestGap, List<Double> gaps) {}
 
+  /**
+   * Control traffic between processes.
+   *
+   * @param within bytes within regions
+   * @param across bytes across regions
+   */
+  record ControlBytes(long within, long across) {
+
+    ControlBytes since(ControlBytes earlier) {
+      return new ControlBytes(within - earlier.within, across - earlier.across);
+    }
+  }
+
+  /** Start of the names of the gauges of bytes sent on links. */
+  private static final String SENT = "links.sent.";
+
   private FleetMeasures() {}
 
   /** Returns the measures of each service. */
@@ -35,21 +51,18 @@
     return measures;
   }
 
-  /** Returns the sum of all counts of bytes whose metric says that they are control traffic. */
-  static long controlBytes(List<JsonNode> metrics) {
-    return metrics.stream().mapToLong(each -> controlBytes("", each)).sum();
+  /** Returns the control traffic that processes sent so far, by their metrics. */
+  static ControlBytes controlBytes(List<JsonNode> metrics) {
+    return new ControlBytes(sent(metrics, "within"), sent(metrics, "across"));
   }
 
-  private static long controlBytes(String path, JsonNode node) {
-    if (node.isNumber()) {
-      boolean control = path.contains("control") && path.contains("bytes");
-      return control && !path.endsWith("rate") ? node.asLong() : 0;
-    }
-    long sum = 0;
-    for (Map.Entry<String, JsonNode> field : node.properties()) {
-      sum += controlBytes(path + "." + field.getKey(), field.getValue());
-    }
-    return sum;
+  private static long sent(List<JsonNode> metrics, String distance) {
+    return metrics.stream()
+        .flatMap(each -> each.path("gauges").properties().stream())
+        .filter(gauge -> gauge.getKey().startsWith(SENT) && gauge.getKey().endsWith(distance))
+        .filter(gauge -> !gauge.getKey().startsWith(SENT + "payload."))
+        .mapToLong(gauge -> gauge.getValue().asLong())
+        .sum();
   }
 
   private static ServiceMeasures measure(String service, List<FleetSampler.Sample> samples) {
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/LoadProgram.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/LoadProgram.java
@@ -74,7 +74,7 @@
             metricsAfter.isEmpty()
                 ? null
                 : FleetMeasures.controlBytes(metricsAfter)
-                    - FleetMeasures.controlBytes(metricsBefore));
+                    .since(FleetMeasures.controlBytes(metricsBefore)));
     System.out.print(report.text());
     write(options.getString("json"), report);
     http.stop().join();
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/LoadReport.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/LoadReport.java
@@ -2,7 +2,6 @@
 
 import dev.agatepier.standin.request.CallOutcome;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * What a load reports.
@@ -20,7 +19,7 @@
     double seconds,
     LoadStatistics.Result calls,
     Map<String, FleetMeasures.ServiceMeasures> services,
-    Long controlBytes) {
+    FleetMeasures.ControlBytes controlBytes) {
 
   private static final String ROW = "%-22s %6s %6s %6s %6s %6s %10s %10s%n";
 
@@ -52,8 +51,11 @@
                         measures.samples(),
                         measures.utilisation(),
                         measures.largestGap())));
-    Optional.ofNullable(controlBytes)
-        .ifPresent(bytes -> text.append("control bytes " + bytes + "\n"));
+    if (controlBytes != null) {
+      text.append(
+          "control bytes: %d within regions, %d across%n"
+              .formatted(controlBytes.within(), controlBytes.across()));
+    }
     return text.toString();
   }
 
