--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/LoadScenario.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/LoadScenario.java
@@ -105,6 +105,15 @@
         .toList();
   }
 
+  /** Returns the CSV text of the services. */
+  public String services() {
+    return "service,kind,idempotent_calls,deadline_seconds,retry_share\n"
+        + modelService
+        + ",model,POST /v1/chat/completions,120,0.1\n"
+        + plainService
+        + ",plain,GET /,30,0.1\n";
+  }
+
   /** Small workspaces, a few large ones, and the last one floods its home router. */
   private static LoadScenario builtIn(
       String name, String model, String plain, String prefix, Mix small, Mix large) {
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.standin.process.internal.DemoProgram;
 import dev.agatepier.standin.process.internal.EngineProgram;
+import dev.agatepier.standin.process.internal.LoadProgram;
 import dev.agatepier.standin.process.internal.PlainProgram;
 import dev.agatepier.standin.process.internal.PlatformProgram;
 import dev.agatepier.standin.process.internal.ProxyProgram;
@@ -9,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CompletionException;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -28,6 +30,7 @@
           new EngineProgram(),
           new PlainProgram(),
           new ProxyProgram(),
+          new LoadProgram(),
           new DemoProgram());
 
   private StandinCommand() {}
@@ -46,6 +49,9 @@
     try {
       Namespace options = parser.parseArgs(arguments);
       return options.<StandinProgram>get("program").run(options);
+    } catch (HelpScreenException helped) {
+      parser.handleError(helped);
+      return 0;
     } catch (ArgumentParserException misused) {
       parser.handleError(misused);
       return MISUSED;
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FleetSampler.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FleetSampler.java
@@ -17,6 +17,7 @@
 final class FleetSampler {
 
   private static final long INTERVAL_MILLIS = 250;
+  private static final long IN_FORCE_SECONDS = 30;
   private static final int MAXIMUM_SAMPLES = 14_400;
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
@@ -39,6 +40,31 @@
     this.scheduler = scheduler;
   }
 
+  /** Completes when every process runs a table version, or a later one; fails after a while. */
+  CompletableFuture<Void> inForce(long tableVersion) {
+    CompletableFuture<Void> reached = new CompletableFuture<>();
+    waitFor(tableVersion, reached);
+    return reached.orTimeout(IN_FORCE_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private void waitFor(long tableVersion, CompletableFuture<Void> reached) {
+    statuses()
+        .thenAccept(
+            statuses -> {
+              long following =
+                  statuses.stream()
+                      .filter(each -> each.path("tableVersion").asLong() >= tableVersion)
+                      .count();
+              if (following == administrations.size()) {
+                reached.complete(null);
+              } else if (!reached.isDone()) {
+                scheduler.after(
+                    TimeUnit.MILLISECONDS.toNanos(INTERVAL_MILLIS),
+                    () -> waitFor(tableVersion, reached));
+              }
+            });
+  }
+
   /** Takes the first sample, if there is a process to read. */
   void start() {
     if (!administrations.isEmpty()) {
@@ -47,12 +73,10 @@
   }
 
   private void sample() {
-    List<CompletableFuture<Optional<JsonNode>>> reads =
-        administrations.stream().map(each -> read(each, "/v1/status")).toList();
-    CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
+    statuses()
         .thenAccept(
-            done -> {
-              add(reads.stream().flatMap(read -> read.join().stream()).toList());
+            statuses -> {
+              add(statuses);
               if (!stopped) {
                 scheduler.after(TimeUnit.MILLISECONDS.toNanos(INTERVAL_MILLIS), this::sample);
               }
@@ -67,8 +91,16 @@
 
   /** Reads the metrics of every process that answers. */
   CompletableFuture<List<JsonNode>> metrics() {
+    return readAll("/v1/metrics");
+  }
+
+  private CompletableFuture<List<JsonNode>> statuses() {
+    return readAll("/v1/status");
+  }
+
+  private CompletableFuture<List<JsonNode>> readAll(String path) {
     List<CompletableFuture<Optional<JsonNode>>> reads =
-        administrations.stream().map(each -> read(each, "/v1/metrics")).toList();
+        administrations.stream().map(each -> read(each, path)).toList();
     return CompletableFuture.allOf(reads.toArray(CompletableFuture[]::new))
         .thenApply(done -> reads.stream().flatMap(read -> read.join().stream()).toList());
   }
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/LoadProgram.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/LoadProgram.java
@@ -4,6 +4,7 @@
 import dev.agatepier.standin.process.Endpoint;
 import dev.agatepier.standin.process.HttpCaller;
 import dev.agatepier.standin.process.LoadScenario;
+import dev.agatepier.standin.process.PlatformClient;
 import dev.agatepier.standin.process.ServiceCaller;
 import dev.agatepier.standin.request.PlannedCall;
 import dev.agatepier.standin.version.TrialWorkspace;
@@ -35,6 +36,7 @@
     parser.addArgument("--seed").type(Long.class).setDefault(1L);
     parser.addArgument("--timeout-seconds").type(Integer.class).setDefault(120);
     parser.addArgument("--json").metavar("FILE").help("writes the report here");
+    parser.addArgument("--platform").metavar("URL").help("publishes the scenario's table here");
     parser.addArgument("--administration").metavar("URL[,URL...]").help("processes to measure");
     parser.addArgument("--key-file").metavar("FILE").help("administration key");
   }
@@ -52,6 +54,7 @@
         new FleetSampler(
             http, endpoints(options.getString("administration")), key(options), scheduler);
     Duration timeout = Duration.ofSeconds(options.getInt("timeout_seconds"));
+    publish(options.getString("platform"), scenario, http, sampler);
     List<JsonNode> metricsBefore = sampler.metrics().join();
     sampler.start();
     LoadStatistics.Result result =
@@ -81,6 +84,19 @@
     return report.violated() ? VIOLATED : 0;
   }
 
+  private static void publish(
+      String platform, LoadScenario scenario, HttpCaller http, FleetSampler sampler) {
+    for (Endpoint endpoint : endpoints(platform)) {
+      new PlatformClient(http, endpoint)
+          .publishTable(
+              PlatformClient.ANY_VERSION,
+              TrialWorkspace.table(scenario.workspaces()),
+              scenario.services())
+          .thenCompose(sampler::inForce)
+          .join();
+    }
+  }
+
   private static LoadScenario scenario(String name) {
     return switch (name) {
       case "tanpura" -> LoadScenario.tanpura();
--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/ProcessFleetIntegrationTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/ProcessFleetIntegrationTest.java
@@ -7,12 +7,14 @@
 
 import java.nio.file.Files;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class ProcessFleetIntegrationTest {
@@ -84,6 +86,17 @@
     assertTrue(failure.getMessage().contains("no-such-argument"), failure.getMessage());
   }
 
+  @Test(dataProvider = "programs")
+  public void everyProgramIsKnownToTheCommand(String program) throws Exception {
+    ChildProcess child = fleet.startStandinCommand("help", List.of(program, "--help"));
+    assertEquals((int) await(child.exited()), 0, child.output());
+  }
+
+  @DataProvider
+  public Object[][] programs() {
+    return new Object[][] {{"platform"}, {"engine"}, {"plain"}, {"proxy"}, {"load"}, {"demo"}};
+  }
+
   private ChildProcess plain() throws Exception {
     String record = fleet.recordFile("desk").toString();
     return await(fleet.startStandin("desk", "plain", endpoint, "--record", record));
