Make the links' and the upstream's remaining locks into tasks

Cause: LinkDirectory, LinkDialer, UpstreamExchange, HealthChecker and OrderedDelivery guarded their state by locks, against the shape; one lock of the process ordered all link events. And an effect that failed kept the rest of its event's effects from being carried out. Change: each is a task with a mailbox of records; whether bytes of an attempt may have left is one atomic step between the socket and the end; a link reads its first message only after the directory has taken it into use; DecisionTask guards each effect; link events of VersionService can no longer be lost to a full mailbox. Ruled out: routing every message through the directory, two more hops a frame for nothing. Conclusion: no lock is left around state in the system's own processes but counters.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/DecisionTask.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/DecisionTask.java
@@ -21,6 +21,7 @@
   private final Consumer<F> performer;
   private final MonotonicClock clock;
   private final Scheduler scheduler;
+  private final Consumer<Throwable> failures;
   private final MailboxTask<Step<E>> mailbox;
   private final Disposable.Composite ticks = Disposables.composite();
 
@@ -54,6 +55,7 @@
     this.performer = performer;
     this.clock = clock;
     this.scheduler = scheduler;
+    this.failures = failures;
     this.mailbox = new MailboxTask<>(capacity, scheduler.createWorker(), this::handle, failures);
   }
 
@@ -99,8 +101,17 @@
 
   private void handle(Step<E> step) {
     switch (step) {
-      case Happened<E>(E event) -> decision.decide(event, clock.nanoTime()).forEach(performer);
+      case Happened<E>(E event) -> decision.decide(event, clock.nanoTime()).forEach(this::perform);
       case Asked<E>(Consumer<Long> question) -> question.accept(clock.nanoTime());
     }
   }
+
+  /** One effect that fails keeps none of the others from being carried out. */
+  private void perform(F effect) {
+    try {
+      performer.accept(effect);
+    } catch (RuntimeException failure) {
+      failures.accept(failure);
+    }
+  }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
@@ -1,5 +1,6 @@
 package dev.agatepier.wire.connection;
 
+import dev.agatepier.core.process.MailboxTask;
 import dev.agatepier.core.process.ManagedService;
 import dev.agatepier.wire.connection.internal.Backoff;
 import dev.agatepier.wire.connection.internal.LinkContext;
@@ -7,18 +8,23 @@
 import dev.agatepier.wire.connection.internal.TlsContexts;
 import io.netty.channel.ChannelOption;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.Connection;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.tcp.TcpClient;
 
-/** Keeps a link to one address: connects, and connects again after a jittered back-off. */
+/**
+ * The task that keeps a link to one address: it connects, and connects again after a jittered
+ * back-off.
+ */
 public final class LinkDialer implements ManagedService {
 
   private static final Logger LOGGER = LogManager.getLogger(LinkDialer.class);
@@ -27,48 +33,85 @@
   private final String address;
   private final int port;
   private final Backoff backoff;
-  private LinkTask task;
-  private Disposable pending;
+  private final MailboxTask<Step> mailbox;
+  private Optional<LinkTask> current = Optional.empty();
+  private Disposable pending = Disposables.disposed();
   private boolean stopped;
 
+  /** One thing to do for the task. */
+  private sealed interface Step {}
+
+  /** It is time to connect. */
+  private record Connect() implements Step {}
+
+  /** The address was reached. */
+  private record Connected(LinkTask opened) implements Step {}
+
+  /** The address was not reached. */
+  private record Failed(Throwable failure) implements Step {}
+
+  /** The link is gone. */
+  private record Ended(LinkTask ended) implements Step {}
+
+  /** The link is no longer wanted. */
+  private record Stop(CompletableFuture<Void> done) implements Step {}
+
   LinkDialer(LinkContext context, String address, int port) {
     this.context = context;
     this.address = address;
     this.port = port;
     this.backoff = new Backoff(context.settings());
+    this.mailbox =
+        new MailboxTask<>(
+            Integer.MAX_VALUE,
+            Schedulers.parallel().createWorker(),
+            this::handle,
+            failure -> LOGGER.error(event("task-failed"), failure));
   }
 
   /** Starts connecting; completes at once, as the other end may come later. */
   @Override
-  public synchronized CompletableFuture<Void> start() {
-    connect();
+  public CompletableFuture<Void> start() {
+    mailbox.post(new Connect());
     return CompletableFuture.completedFuture(null);
   }
 
   @Override
   public CompletableFuture<Void> stop() {
-    LinkTask last = stopConnecting();
-    if (last == null) {
-      return CompletableFuture.completedFuture(null);
-    }
-    last.close("stopped");
-    return last.closed();
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    mailbox.post(new Stop(done));
+    return done;
   }
 
-  private synchronized LinkTask stopConnecting() {
-    stopped = true;
-    if (pending != null) {
-      pending.dispose();
+  private void handle(Step step) {
+    switch (step) {
+      case Connect() -> connect();
+      case Connected(LinkTask opened) -> connected(opened);
+      case Failed(Throwable failure) -> {
+        LOGGER.debug(event("link-connect-failed"), failure);
+        connectLater();
+      }
+      case Ended(LinkTask ended) -> ended(ended);
+      case Stop(CompletableFuture<Void> done) -> endLink(done);
     }
-    return task;
   }
 
-  private synchronized void connect() {
+  private void connect() {
     if (!stopped) {
-      pending = Mono.defer(() -> configure().connect()).subscribe(this::connected, this::failed);
+      pending =
+          Mono.defer(() -> configure().connect())
+              .subscribe(this::open, failure -> mailbox.post(new Failed(failure)));
     }
   }
 
+  /** Runs on the event loop, so that no byte is read before the link's handlers are there. */
+  private void open(Connection connection) {
+    LinkTask opened = LinkTask.dialed(context, connection);
+    mailbox.post(new Connected(opened));
+    opened.begin();
+    connection.onDispose(() -> mailbox.post(new Ended(opened)));
+  }
+
   private TcpClient configure() {
     TcpClient plain =
         TcpClient.create(ConnectionProvider.newConnection())
@@ -84,39 +127,39 @@
         .orElse(plain);
   }
 
-  private synchronized void connected(Connection connection) {
+  private void connected(LinkTask opened) {
+    current = Optional.of(opened);
     if (stopped) {
-      connection.dispose();
-      return;
+      opened.close("stopped");
     }
-    LinkTask opened = LinkTask.dialed(context, connection);
-    task = opened;
-    connection.onDispose(() -> ended(opened));
-    opened.begin();
   }
 
-  private synchronized void ended(LinkTask ended) {
+  private void ended(LinkTask ended) {
     if (ended.wasLinked()) {
       backoff.reset();
     }
     connectLater();
   }
 
-  private synchronized void failed(Throwable failure) {
-    LOGGER.debug(
-        new StringMapMessage()
-            .with("event", "link-connect-failed")
-            .with("address", address)
-            .with("port", port),
-        failure);
-    connectLater();
-  }
-
   private void connectLater() {
     if (!stopped) {
       pending =
           Mono.delay(Duration.ofMillis(backoff.nextMillis()), Schedulers.parallel())
-              .subscribe(ignored -> connect());
+              .subscribe(ignored -> mailbox.post(new Connect()));
     }
   }
+
+  private void endLink(CompletableFuture<Void> done) {
+    stopped = true;
+    pending.dispose();
+    current.ifPresent(link -> link.close("stopped"));
+    current
+        .map(LinkTask::closed)
+        .orElse(CompletableFuture.completedFuture(null))
+        .thenRun(() -> done.complete(null));
+  }
+
+  private StringMapMessage event(String name) {
+    return new StringMapMessage().with("event", name).with("address", address).with("port", port);
+  }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkEvents.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkEvents.java
@@ -4,8 +4,8 @@
 import dev.agatepier.core.connection.PeerIdentity;
 
 /**
- * Told of everything that happens on links. Calls never overlap and come in order: for each peer
- * {@code linked}, its messages, {@code unlinked}. No call may block.
+ * Told of everything that happens on links. For each peer calls come in the order {@code linked},
+ * its messages, {@code unlinked}; calls about different peers may overlap. No call may block.
  */
 public interface LinkEvents {
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkDirectory.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkDirectory.java
@@ -1,49 +1,89 @@
 package dev.agatepier.wire.connection.internal;
 
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.wire.connection.Link;
+import dev.agatepier.core.process.MailboxTask;
 import dev.agatepier.wire.connection.LinkEvents;
 import java.util.HashMap;
 import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import reactor.core.scheduler.Schedulers;
 
-/** Knows the one link in use to each peer and tells of links and messages in order. */
+/**
+ * The task that knows the one link in use to each peer and tells of links in order. A link reads
+ * nothing before it is taken into use, and a replaced one is closed before that is told, so that
+ * messages need not pass through here.
+ */
 public final class LinkDirectory {
 
+  private static final Logger LOGGER = LogManager.getLogger(LinkDirectory.class);
+
   private final LinkEvents events;
-  private final Map<String, Link> inUse = new HashMap<>();
+  private final Map<String, LinkTask> inUse = new HashMap<>();
+  private final MailboxTask<Step> mailbox;
+
+  /** One thing to do for the task. */
+  private sealed interface Step {}
+
+  /** A link is authenticated. */
+  private record Linked(LinkTask link) implements Step {}
+
+  /** A link is gone. */
+  private record Unlinked(LinkTask link, String reason) implements Step {}
 
   /** Creates a directory without links. */
   public LinkDirectory(LinkEvents events) {
     this.events = events;
+    this.mailbox =
+        new MailboxTask<>(
+            Integer.MAX_VALUE,
+            Schedulers.parallel().createWorker(),
+            this::handle,
+            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
   }
 
   /**
-   * Takes a link into use in place of an older one of the same instance.
-   *
-   * @return false if the instance is already linked by a newer incarnation
+   * Takes a link into use in place of an older one of the same instance, and has it go on; has it
+   * closed if the instance is already linked by a newer incarnation.
    */
-  synchronized boolean linked(Link link) {
-    String instance = link.peer().instance();
-    Link older = inUse.get(instance);
+  void linked(LinkTask link) {
+    mailbox.post(new Linked(link));
+  }
+
+  /** Hands on a message of a link in use; returns false if it cannot be taken now. */
+  boolean message(LinkTask link, LinkMessage message) {
+    return events.message(link.peer(), message);
+  }
+
+  /** Takes a link out of use; does nothing if it is not in use. */
+  void unlinked(LinkTask link, String reason) {
+    mailbox.post(new Unlinked(link, reason));
+  }
+
+  private void handle(Step step) {
+    switch (step) {
+      case Linked(LinkTask link) -> takeIntoUse(link);
+      case Unlinked(LinkTask link, String reason) -> takeOutOfUse(link, reason);
+    }
+  }
+
+  private void takeIntoUse(LinkTask link) {
+    LinkTask older = inUse.get(link.peer().instance());
+    if (older != null && older.peer().incarnation() > link.peer().incarnation()) {
+      link.close("older-incarnation");
+      return;
+    }
     if (older != null) {
-      if (older.peer().incarnation() > link.peer().incarnation()) {
-        return false;
-      }
-      unlinked(older, "replaced");
       older.close("replaced");
+      takeOutOfUse(older, "replaced");
     }
-    inUse.put(instance, link);
+    inUse.put(link.peer().instance(), link);
     events.linked(link.peer(), link);
-    return true;
-  }
-
-  /** Hands a message on; one of a link that is no longer in use is dropped. */
-  synchronized boolean message(Link link, LinkMessage message) {
-    return inUse.get(link.peer().instance()) != link || events.message(link.peer(), message);
+    link.takenIntoUse();
   }
 
-  /** Takes a link out of use; does nothing if it is not in use. */
-  synchronized void unlinked(Link link, String reason) {
+  private void takeOutOfUse(LinkTask link, String reason) {
     if (inUse.remove(link.peer().instance(), link)) {
       events.unlinked(link.peer(), reason);
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -134,7 +134,6 @@
       inbound.request(1);
     } else if (peer == null) {
       established(handshake.verify(message));
-      inbound.request(1);
     } else {
       deliver(message);
     }
@@ -143,15 +142,22 @@
   private void established(PeerIdentity proved) {
     frames.limit(context.settings().maximumFrameBytes());
     peer = proved;
-    if (!context.directory().linked(this)) {
-      throw new LinkException("older-incarnation");
-    }
+    context.directory().linked(this);
+  }
+
+  /** Called by the directory: the link is the one in use to its peer. */
+  void takenIntoUse() {
+    connection.channel().eventLoop().execute(() -> guard(this::beginMessages));
+  }
+
+  private void beginMessages() {
     LOGGER.info(
         new StringMapMessage()
             .with("event", "link-up")
             .with("peer", peer.instance())
             .with("incarnation", peer.incarnation()));
     beat();
+    inbound.request(1);
   }
 
   private void deliver(LinkMessage message) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/UpstreamClient.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/UpstreamClient.java
@@ -86,7 +86,10 @@
   private void call(SidecarEffect.StartUpstream start) {
     UpstreamExchange exchange =
         new UpstreamExchange(
-            start, new OrderedDelivery<>(mailbox, Schedulers.parallel()), this::ended);
+            start,
+            Schedulers.parallel(),
+            new OrderedDelivery<>(mailbox, Schedulers.parallel()),
+            this::ended);
     exchanges.put(start.attempt(), exchange);
     exchange.begin(client);
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/HealthChecker.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/HealthChecker.java
@@ -1,19 +1,26 @@
 package dev.agatepier.wire.process.internal;
 
+import dev.agatepier.core.process.MailboxTask;
 import dev.agatepier.core.process.SidecarEvent;
 import dev.agatepier.wire.process.UpstreamSettings;
 import dev.agatepier.wire.request.internal.OrderedDelivery;
 import io.netty.channel.ConnectTimeoutException;
 import java.io.IOException;
 import java.time.Duration;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.client.HttpClient;
 
-/** Asks the upstream for its health at an interval and tells when the answer changes. */
+/** The task that asks the upstream for its health and tells when the answer changes. */
 public final class HealthChecker {
 
+  private static final Logger LOGGER = LogManager.getLogger(HealthChecker.class);
+
   private static final String PATH = "/health";
   private static final int HEALTHY = 200;
 
@@ -21,7 +28,8 @@
   private final Duration interval;
   private final Duration timeout;
   private final OrderedDelivery<SidecarEvent> events;
-  private Disposable pending;
+  private final MailboxTask<Step> task;
+  private Disposable pending = Disposables.disposed();
   private boolean stopped;
   private boolean checking;
   private boolean healthy;
@@ -29,6 +37,21 @@
   /** Whether the upstream has been healthy since it was last seen dead. */
   private boolean alive;
 
+  /** One thing to do for the task. */
+  private sealed interface Step {}
+
+  /** A check is due. */
+  private record Check() implements Step {}
+
+  /** The upstream answered. */
+  private record Answered(boolean healthy) implements Step {}
+
+  /** The upstream did not answer; a refused or reset connection tells that nobody is there. */
+  private record Failed(boolean refused) implements Step {}
+
+  /** The checks end. */
+  private record Stop() implements Step {}
+
   /** Creates the checker; an upstream counts as unhealthy until it has answered. */
   public HealthChecker(
       HttpClient client, UpstreamSettings settings, OrderedDelivery<SidecarEvent> events) {
@@ -36,6 +59,12 @@
     this.interval = Duration.ofMillis(settings.healthMillis());
     this.timeout = Duration.ofMillis(settings.healthTimeoutMillis());
     this.events = events;
+    this.task =
+        new MailboxTask<>(
+            Integer.MAX_VALUE,
+            Schedulers.parallel().createWorker(),
+            this::handle,
+            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
   }
 
   /** Starts the checks. */
@@ -44,21 +73,32 @@
   }
 
   /** Ends the checks. */
-  public synchronized void stop() {
-    stopped = true;
-    if (pending != null) {
-      pending.dispose();
-    }
+  public void stop() {
+    task.post(new Stop());
   }
 
   /** Checks at once, if no check is under way. */
-  public synchronized void checkNow() {
+  public void checkNow() {
+    task.post(new Check());
+  }
+
+  private void handle(Step step) {
+    switch (step) {
+      case Check() -> check();
+      case Answered(boolean nowHealthy) -> answered(nowHealthy);
+      case Failed(boolean refused) -> failed(refused);
+      case Stop() -> {
+        stopped = true;
+        pending.dispose();
+      }
+    }
+  }
+
+  private void check() {
     if (stopped || checking) {
       return;
     }
-    if (pending != null) {
-      pending.dispose();
-    }
+    pending.dispose();
     checking = true;
     pending =
         client
@@ -66,10 +106,16 @@
             .uri(PATH)
             .responseSingle((response, body) -> Mono.just(response.status().code() == HEALTHY))
             .timeout(timeout)
-            .subscribe(this::answered, this::failed);
+            .subscribe(
+                answer -> task.post(new Answered(answer)),
+                failure -> task.post(new Failed(refused(failure))));
+  }
+
+  private static boolean refused(Throwable failure) {
+    return failure instanceof IOException && !(failure instanceof ConnectTimeoutException);
   }
 
-  private synchronized void answered(boolean nowHealthy) {
+  private void answered(boolean nowHealthy) {
     if (nowHealthy != healthy) {
       events.deliver(new SidecarEvent.UpstreamHealth(nowHealthy, false));
     }
@@ -78,9 +124,7 @@
     checkLater();
   }
 
-  private synchronized void failed(Throwable failure) {
-    boolean refused =
-        failure instanceof IOException && !(failure instanceof ConnectTimeoutException);
+  private void failed(boolean refused) {
     boolean died = alive && refused;
     if (healthy || died) {
       events.deliver(new SidecarEvent.UpstreamHealth(false, died));
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/OrderedDelivery.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/OrderedDelivery.java
@@ -1,6 +1,7 @@
 package dev.agatepier.wire.request.internal;
 
 import dev.agatepier.core.process.Mailbox;
+import dev.agatepier.core.process.MailboxTask;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
@@ -10,8 +11,8 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Delivers the events of one request in order to a mailbox that may be full for a while. What waits
- * here is bounded by the window of the request.
+ * The task that delivers the events of one request in order to a mailbox that may be full for a
+ * while. What waits here is bounded by the window of the request.
  *
  * @param <M> events delivered
  */
@@ -26,25 +27,50 @@
   private static final int MAXIMUM_OFFERS = 3_000;
 
   private final Mailbox<? super M> mailbox;
-  private final Scheduler scheduler;
+  private final Scheduler.Worker worker;
+  private final MailboxTask<Step<M>> task;
   private final Queue<M> waiting = new ArrayDeque<>();
   private int offers;
 
+  /** One thing to do for the task. */
+  private sealed interface Step<M> {}
+
+  /** An event comes after all earlier ones. */
+  private record Deliver<M>(M event) implements Step<M> {}
+
+  /** The mailbox may have room again. */
+  private record OfferAgain<M>() implements Step<M> {}
+
   /** Creates the delivery of one request. */
   public OrderedDelivery(Mailbox<? super M> mailbox, Scheduler scheduler) {
     this.mailbox = mailbox;
-    this.scheduler = scheduler;
+    this.worker = scheduler.createWorker();
+    this.task =
+        new MailboxTask<>(
+            Integer.MAX_VALUE,
+            worker,
+            this::handle,
+            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
   }
 
   /** Delivers an event after all earlier ones. */
-  public synchronized void deliver(M event) {
-    waiting.add(event);
-    if (waiting.size() == 1) {
-      offerWaiting();
+  public void deliver(M event) {
+    task.post(new Deliver<>(event));
+  }
+
+  private void handle(Step<M> step) {
+    switch (step) {
+      case Deliver<M>(M event) -> {
+        waiting.add(event);
+        if (waiting.size() == 1) {
+          offerWaiting();
+        }
+      }
+      case OfferAgain<M>() -> offerWaiting();
     }
   }
 
-  private synchronized void offerWaiting() {
+  private void offerWaiting() {
     while (!waiting.isEmpty() && mailbox.offer(waiting.peek())) {
       waiting.poll();
       offers = 0;
@@ -57,7 +83,8 @@
       LOGGER.error(new StringMapMessage().with("event", "mailbox-closed"));
       waiting.clear();
     } else {
-      scheduler.schedule(this::offerWaiting, OFFER_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+      worker.schedule(
+          () -> task.post(new OfferAgain<>()), OFFER_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/UpstreamExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/UpstreamExchange.java
@@ -1,5 +1,6 @@
 package dev.agatepier.wire.request.internal;
 
+import dev.agatepier.core.process.MailboxTask;
 import dev.agatepier.core.process.SidecarEffect.StartUpstream;
 import dev.agatepier.core.process.SidecarEvent;
 import dev.agatepier.core.request.AnswerHead;
@@ -14,22 +15,30 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
 import org.reactivestreams.Subscription;
 import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.publisher.BaseSubscriber;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
 
 /**
- * One attempt at the upstream, from the call to the end of the answer. It reads only as much as it
- * has credit for. Its lock orders the socket, the credit and the deadline.
+ * The task of one attempt at the upstream, from the call to the end of the answer. It owns the
+ * connection and reads only as much of the answer as it has credit for.
  */
 public final class UpstreamExchange {
 
+  private static final Logger LOGGER = LogManager.getLogger(UpstreamExchange.class);
+
   private static final String REQUEST = "agatepier-request";
   private static final String ATTEMPT = "agatepier-attempt";
 
@@ -41,53 +50,136 @@
   private final BiConsumer<AttemptId, Boolean> ended;
   private final TokenCounter tokens = new TokenCounter();
   private final Content content = new Content();
-  private Disposable deadline;
+  private final MailboxTask<Step> task;
+
+  /** Whether bytes may have left; decided once, by whoever comes first: the socket or the end. */
+  private final AtomicReference<Departure> departure = new AtomicReference<>(Departure.OPEN);
+
+  private Disposable deadline = Disposables.disposed();
   private byte[] unsent = Bytes.EMPTY.array();
   private long credit;
   private boolean countsTokens;
+  private boolean subscribed;
   private boolean requested;
-  private boolean sent;
   private boolean begun;
   private boolean complete;
   private boolean done;
 
+  /** What is known of the request's bytes. */
+  private enum Departure {
+    /** None has left yet. */
+    OPEN,
+    /** Some may have left. */
+    LEFT,
+    /** None has left and none will. */
+    BARRED
+  }
+
+  /** One thing to do for the task. */
+  private sealed interface Step {}
+
+  /** The attempt is to be made. */
+  private record Begin(HttpClient client) implements Step {}
+
+  /** Parts of the answer can be asked for. */
+  private record Subscribed() implements Step {}
+
+  /** The head of the answer came. */
+  private record Answered(AnswerHead head, boolean endMarked, boolean countsTokens)
+      implements Step {}
+
+  /** Part of the answer came. */
+  private record Part(byte[] bytes) implements Step {}
+
+  /** The answer is whole. */
+  private record Completed() implements Step {}
+
+  /** The connection failed. */
+  private record Failed() implements Step {}
+
+  /** Further bytes of the answer may be read. */
+  private record Credit(long bytes) implements Step {}
+
+  /** The attempt is to end without an answer. */
+  private record End(Reason reason) implements Step {}
+
   /**
    * Creates the exchange of an attempt.
    *
    * @param start the attempt
+   * @param scheduler runs the task
    * @param events told of the answer
    * @param ended told once of the end, and whether the answer was whole
    */
   public UpstreamExchange(
       StartUpstream start,
+      Scheduler scheduler,
       OrderedDelivery<SidecarEvent> events,
       BiConsumer<AttemptId, Boolean> ended) {
     this.start = start;
     this.events = events;
     this.ended = ended;
     this.credit = start.windowBytes();
+    this.task =
+        new MailboxTask<>(
+            Integer.MAX_VALUE,
+            scheduler.createWorker(),
+            this::handle,
+            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
   }
 
   /** Calls the upstream. */
-  public synchronized void begin(HttpClient client) {
-    deadline =
-        Mono.delay(Duration.ofMillis(Math.max(1, start.timeLeftMillis())), Schedulers.parallel())
-            .subscribe(ignored -> fail(Reason.DEADLINE));
-    Flux.defer(() -> call(client)).subscribe(content);
+  public void begin(HttpClient client) {
+    task.post(new Begin(client));
   }
 
   /** Allows further bytes of the answer to be read. */
-  public synchronized void credit(long bytes) {
-    credit += bytes;
-    proceed();
+  public void credit(long bytes) {
+    task.post(new Credit(bytes));
   }
 
   /** Closes the connection to the upstream and tells that the answer will not become whole. */
   public void withdraw() {
-    fail(Reason.WITHDRAWN);
+    task.post(new End(Reason.WITHDRAWN));
+  }
+
+  private void handle(Step step) {
+    if (done) {
+      return;
+    }
+    switch (step) {
+      case Begin(HttpClient client) -> call(client);
+      case Subscribed() -> {
+        subscribed = true;
+        proceed();
+      }
+      case Answered answered -> answer(answered);
+      case Part(byte[] bytes) -> {
+        requested = false;
+        unsent = bytes;
+        proceed();
+      }
+      case Completed() -> {
+        complete = true;
+        proceed();
+      }
+      case Failed() -> fail(begun ? Reason.ANSWER_INCOMPLETE : Reason.UPSTREAM_FAILED);
+      case Credit(long bytes) -> {
+        credit += bytes;
+        proceed();
+      }
+      case End(Reason reason) -> fail(reason);
+    }
   }
 
-  private Flux<ByteBuf> call(HttpClient client) {
+  private void call(HttpClient client) {
+    deadline =
+        Mono.delay(Duration.ofMillis(Math.max(1, start.timeLeftMillis())), Schedulers.parallel())
+            .subscribe(ignored -> task.post(new End(Reason.DEADLINE)));
+    Flux.defer(() -> receive(client)).subscribe(content);
+  }
+
+  private Flux<ByteBuf> receive(HttpClient client) {
     return client
         .headers(this::addHeaders)
         .doOnRequest((request, connection) -> leave())
@@ -101,7 +193,7 @@
                         Mono.fromSupplier(() -> Unpooled.wrappedBuffer(start.body().array()))))
         .responseConnection(
             (response, connection) -> {
-              answer(response);
+              task.post(answered(response));
               return connection.inbound().receive();
             });
   }
@@ -120,39 +212,33 @@
   }
 
   /** From here on bytes may leave; an attempt that has ended already must not send any. */
-  private synchronized void leave() {
-    if (done) {
+  private void leave() {
+    if (!departure.compareAndSet(Departure.OPEN, Departure.LEFT)) {
       throw new IllegalStateException("the attempt was withdrawn before it was sent");
     }
-    sent = true;
   }
 
-  private synchronized void answer(HttpClientResponse response) {
-    if (done) {
-      return;
-    }
+  private Answered answered(HttpClientResponse response) {
     HttpHeaders headers = response.responseHeaders();
-    if (!AnswerFraming.endIsMarked(start.head().method(), response.status().code(), headers)) {
+    int status = response.status().code();
+    return new Answered(
+        new AnswerHead(status, HopHeaders.endToEnd(headers)),
+        AnswerFraming.endIsMarked(start.head().method(), status, headers),
+        headers.get("content-type", "").startsWith("text/event-stream"));
+  }
+
+  private void answer(Answered answered) {
+    if (!answered.endMarked()) {
       fail(Reason.ANSWER_INCOMPLETE);
       return;
     }
     begun = true;
-    countsTokens = headers.get("content-type", "").startsWith("text/event-stream");
-    AnswerHead head = new AnswerHead(response.status().code(), HopHeaders.endToEnd(headers));
-    events.deliver(new SidecarEvent.UpstreamBegan(start.attempt(), head));
-  }
-
-  private synchronized void take(byte[] part) {
-    requested = false;
-    unsent = part;
-    proceed();
+    countsTokens = answered.countsTokens();
+    events.deliver(new SidecarEvent.UpstreamBegan(start.attempt(), answered.head()));
   }
 
   /** Hands on what there is credit for; asks for more only when nothing is left over. */
-  private synchronized void proceed() {
-    if (done) {
-      return;
-    }
+  private void proceed() {
     int size = (int) Math.min(unsent.length, credit);
     if (size > 0) {
       byte[] part = Arrays.copyOf(unsent, size);
@@ -163,22 +249,16 @@
     }
     if (unsent.length == 0 && complete) {
       finish(new SidecarEvent.UpstreamEnded(start.attempt(), tokens.reportedTokens()), true);
-    } else if (unsent.length == 0 && credit > 0 && !requested) {
+    } else if (unsent.length == 0 && credit > 0 && subscribed && !requested) {
       requested = true;
       content.request(1);
     }
   }
 
-  private synchronized void complete() {
-    complete = true;
-    proceed();
-  }
-
-  private synchronized void fail(Reason reason) {
-    if (!done) {
-      finish(new SidecarEvent.UpstreamBroke(start.attempt(), sent, reason), false);
-      content.cancel();
-    }
+  private void fail(Reason reason) {
+    boolean sent = !departure.compareAndSet(Departure.OPEN, Departure.BARRED);
+    finish(new SidecarEvent.UpstreamBroke(start.attempt(), sent, reason), false);
+    content.cancel();
   }
 
   private void finish(SidecarEvent event, boolean whole) {
@@ -188,26 +268,26 @@
     ended.accept(start.attempt(), whole);
   }
 
-  /** Reads the answer's body part by part. */
+  /** Leaves for the task what comes from the socket. */
   private final class Content extends BaseSubscriber<ByteBuf> {
     @Override
     protected void hookOnSubscribe(Subscription subscription) {
-      proceed();
+      task.post(new Subscribed());
     }
 
     @Override
     protected void hookOnNext(ByteBuf part) {
-      take(ByteBufUtil.getBytes(part));
+      task.post(new Part(ByteBufUtil.getBytes(part)));
     }
 
     @Override
     protected void hookOnComplete() {
-      complete();
+      task.post(new Completed());
     }
 
     @Override
     protected void hookOnError(Throwable failure) {
-      fail(begun ? Reason.ANSWER_INCOMPLETE : Reason.UPSTREAM_FAILED);
+      task.post(new Failed());
     }
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -117,14 +117,14 @@
     return instances;
   }
 
-  /** Tells the task that a link is up; returns false if its mailbox is full. */
-  public boolean peerLinked(PeerIdentity peer) {
-    return task.offer(new VersionEvent.PeerLinked(peer));
+  /** Tells the task that a link is up. */
+  public void peerLinked(PeerIdentity peer) {
+    task.post(new VersionEvent.PeerLinked(peer));
   }
 
-  /** Tells the task that a link is gone; returns false if its mailbox is full. */
-  public boolean peerUnlinked(PeerIdentity peer) {
-    return task.offer(new VersionEvent.PeerUnlinked(peer));
+  /** Tells the task that a link is gone. */
+  public void peerUnlinked(PeerIdentity peer) {
+    task.post(new VersionEvent.PeerUnlinked(peer));
   }
 
   /** Returns whether a message is for this service. */
