One rendezvous hash and one class of digests

Change: RendezvousHash ranks and chooses for holders, sidecars and platform readers; Digests serves keys, pages and fingerprints. Conclusion: the fleet ranks names in one way.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/KeyCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/KeyCommand.java
@@ -3,7 +3,7 @@
 import dev.agatepier.cli.process.ExitCode;
 import dev.agatepier.cli.process.Reporter;
 import dev.agatepier.core.version.TableChecker;
-import dev.agatepier.wire.version.Digests;
+import dev.agatepier.wire.request.Digests;
 import java.util.HexFormat;
 import java.util.function.Supplier;
 import net.sourceforge.argparse4j.inf.Namespace;
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
@@ -3,7 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import dev.agatepier.wire.version.Digests;
+import dev.agatepier.wire.request.Digests;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/LinkPlan.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/LinkPlan.java
@@ -2,7 +2,7 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
-import dev.agatepier.core.process.internal.RendezvousRanking;
+import dev.agatepier.core.process.internal.RendezvousHash;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.InstanceList;
 import java.util.ArrayList;
@@ -49,7 +49,7 @@
     List<Instance> ranked = new ArrayList<>(service);
     ranked.sort(
         Comparator.comparingInt(this::distance)
-            .thenComparing(Instance::name, RendezvousRanking.order(self.instance())));
+            .thenComparing(Instance::name, RendezvousHash.order(self.instance())));
     List<Instance> chosen = new ArrayList<>(ranked.subList(0, sidecarsPerService));
     ranked.subList(sidecarsPerService, ranked.size()).stream()
         .filter(instance -> !instance.region().equals(self.region()))
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecars.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecars.java
@@ -125,7 +125,7 @@
     return byService.getOrDefault(service, Map.of()).values().stream()
         .filter(LinkedSidecar::takesWork)
         .filter(filter)
-        .sorted(byPlace.thenComparing(LinkedSidecar::name, RendezvousRanking.order(key)));
+        .sorted(byPlace.thenComparing(LinkedSidecar::name, RendezvousHash.order(key)));
   }
 
   private int distance(LinkedSidecar sidecar) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlatformReaders.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlatformReaders.java
@@ -2,7 +2,6 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.version.Instance;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,9 +11,6 @@
 /** Tells by rendezvous hashing which live processes of a data centre watch the platform. */
 public final class PlatformReaders {
 
-  private static final long OFFSET_BASIS = 0xcbf29ce484222325L;
-  private static final long PRIME = 0x100000001b3L;
-
   private final String instance;
   private final String dataCentre;
   private final int count;
@@ -91,17 +87,8 @@
     }
     live.add(instance);
     return live.stream()
-        .sorted(Comparator.comparingLong(this::rank).reversed())
+        .sorted(RendezvousHash.order(dataCentre))
         .limit(count)
         .anyMatch(instance::equals);
   }
-
-  private long rank(String name) {
-    long hash = OFFSET_BASIS;
-    for (char character : (dataCentre + "/" + name).toCharArray()) {
-      hash = (hash ^ character) * PRIME;
-    }
-    hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-    return hash ^ (hash >>> 33);
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefixAffinity.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefixAffinity.java
@@ -37,6 +37,6 @@
 
   private static long key(CallArrived call) {
     int length = Math.min(PREFIX_BYTES, call.body().size());
-    return RendezvousRanking.hash(call.service().hashCode(), call.body().array(), length);
+    return RendezvousHash.hash(call.service().hashCode(), call.body().array(), length);
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/AdministrationListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/AdministrationListener.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.SerializationFeature;
 import dev.agatepier.core.process.ManagedService;
 import dev.agatepier.wire.process.internal.HttpListener;
-import dev.agatepier.wire.request.internal.Digests;
+import dev.agatepier.wire.request.Digests;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/KeyCheck.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/KeyCheck.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Workspace;
 import dev.agatepier.wire.request.CallRefusal;
+import dev.agatepier.wire.request.Digests;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.HexFormat;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/ParsedCall.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/ParsedCall.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.wire.request.Digests;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.HexFormat;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/PlatformClient.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/PlatformClient.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.connection.LinkMessage.PageReference;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.wire.request.Digests;
 import dev.agatepier.wire.version.internal.BodyReader;
 import dev.agatepier.wire.version.internal.PlatformJson;
 import java.time.Duration;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -16,6 +16,7 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.TableMistake;
 import dev.agatepier.core.version.TableReading;
+import dev.agatepier.wire.request.Digests;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/PeerTransferTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/PeerTransferTest.java
@@ -10,6 +10,7 @@
 import dev.agatepier.core.process.VersionDecision;
 import dev.agatepier.core.process.VersionPolicy;
 import dev.agatepier.core.request.Bytes;
+import dev.agatepier.wire.request.Digests;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/PlatformClientTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/PlatformClientTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.expectThrows;
 
 import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.wire.request.Digests;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/VersionServiceTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/VersionServiceTest.java
@@ -7,6 +7,7 @@
 import dev.agatepier.core.process.VersionPolicy;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.wire.request.Digests;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
