Join real routers and real sidecars under seeded faults

Cause: the seeded proof of "not run", at most once and whole answers drove real routers against a hand-written sidecar, so a fault that lies between both decisions could not show.

Ruled out: keeping the fake sidecar beside the new run; it would state the link's rules a second time.

Change: 2 or 3 RouterDecisions and 3 or 4 SidecarDecisions in virtual time; the upstream fakes keep the only record of what ran. 1,200 seeds with faults, 1,200 with a crashing request and no other fault.

--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/TruthFleet.java
@@ -0,0 +1,102 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.RequestId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Real routers and sidecars in virtual time with upstreams that keep the only record of what ran,
+ * and faults that a seed decides.
+ */
+final class TruthFleet {
+
+  static final long FAULTS_MILLIS = 4_000;
+  private static final long END_MILLIS = 14_000;
+  private static final int FAULTS = 14;
+
+  /** What the upstreams know of a request: the whole answer of each of its runs. */
+  final Map<RequestId, List<String>> record = new HashMap<>();
+
+  final List<String> violations = new ArrayList<>();
+  final List<VirtualRouter> routers = new ArrayList<>();
+  final List<VirtualSidecar> sidecars = new ArrayList<>();
+  final VirtualTime time;
+  final VirtualNetwork network;
+  final VirtualCallers callers;
+  final boolean faulty;
+  int crashes;
+
+  TruthFleet(long seed, boolean faulty) {
+    this.faulty = faulty;
+    time = new VirtualTime(seed);
+    Map<String, VirtualNode> nodes = new TreeMap<>();
+    network = new VirtualNetwork(time, nodes, faulty);
+    callers = new VirtualCallers(this);
+    for (int router = time.draw(2); router < 3; router++) {
+      routers.add(new VirtualRouter(this, "r" + router));
+    }
+    for (int sidecar = time.draw(2); sidecar < 4; sidecar++) {
+      sidecars.add(new VirtualSidecar(this, "s" + sidecar));
+    }
+    routers.forEach(router -> nodes.put(router.name, router));
+    sidecars.forEach(sidecar -> nodes.put(sidecar.name, sidecar));
+    nodes.values().forEach(VirtualNode::restart);
+    List<VirtualNode> all = List.copyOf(nodes.values());
+    for (VirtualRouter router : routers) {
+      all.stream().filter(node -> node != router).forEach(node -> network.link(router, node));
+    }
+    for (long tick = 0; tick < END_MILLIS; tick += 25) {
+      time.after(tick, () -> all.forEach(node -> node.act(node.incarnation(), node::tick)));
+    }
+    for (int fault = 0; faulty && fault < FAULTS; fault++) {
+      time.after(time.draw((int) FAULTS_MILLIS), () -> fault(all));
+    }
+  }
+
+  VirtualRouter anyRouter() {
+    return routers.get(time.draw(routers.size()));
+  }
+
+  /** Notes that a request reached an upstream, and the whole answer that it would give. */
+  void ran(AttemptId attempt, String answer) {
+    record.computeIfAbsent(attempt.request(), request -> new ArrayList<>()).add(answer);
+    callers.ran(attempt.request(), answer);
+  }
+
+  /** Checks what a router is about to send. */
+  void sending(VirtualRouter router, LinkMessage message) {
+    if (message instanceof StartAttempt start
+        && start.body().text().startsWith(VirtualUpstream.CRASH)
+        && router.toldOf.size() >= RouterPolicy.DEFAULT.quarantineDeaths()) {
+      violations.add(start.attempt() + " tried after " + router.toldOf.size() + " deaths");
+    }
+  }
+
+  private void fault(List<VirtualNode> all) {
+    VirtualNode node = all.get(time.draw(all.size()));
+    VirtualNode other = all.get(time.draw(all.size()));
+    switch (time.draw(6)) {
+      case 0 -> {
+        network.cutAll(node);
+        callers.processEnded(node);
+        node.restart();
+      }
+      case 1 -> {
+        node.pause();
+        time.after(100 + time.draw(1_500), node::wake);
+        time.after(time.draw(1_000), () -> network.cut(node, other));
+      }
+      case 2 -> {
+        VirtualSidecar failing = sidecars.get(time.draw(sidecars.size()));
+        failing.act(failing.incarnation(), failing::upstreamFails);
+      }
+      default -> network.cut(node, other);
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/TruthUnderFaultsTest.java
@@ -0,0 +1,102 @@
+package dev.agatepier.core.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.core.process.VirtualCallers.VirtualCall;
+import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.request.Reason;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.testng.annotations.Test;
+
+public class TruthUnderFaultsTest {
+
+  private static final int SEEDS = 1_200;
+  private static final int CALLS = 60;
+  private static final int CRASHING_CALLERS = 3;
+  private static final int DEATHS = RouterPolicy.DEFAULT.quarantineDeaths();
+
+  private final Map<String, Integer> counts = new TreeMap<>();
+
+  @Test
+  public void everyAnswerIsTrueUnderFaults() {
+    counts.clear();
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      run(seed, true, seed % 2);
+    }
+    System.out.println("faults, seeds 1 to " + SEEDS + ": " + counts);
+    for (Outcome outcome : Outcome.values()) {
+      assertTrue(counts.get(outcome.code()) > SEEDS, "too few to prove much: " + counts);
+    }
+  }
+
+  @Test
+  public void crashingRequestIsQuarantinedAndInnocentsFinish() {
+    counts.clear();
+    int most = 0;
+    for (int seed = 1; seed <= SEEDS; seed++) {
+      TruthFleet fleet = run(seed, false, CRASHING_CALLERS);
+      most = Math.max(most, fleet.crashes);
+      for (VirtualCall call : fleet.callers.calls.values()) {
+        boolean innocent = !call.call.body().text().startsWith(VirtualUpstream.CRASH);
+        boolean idempotent = call.call.head().method().equals("GET");
+        require(fleet, !innocent || call.reason != Reason.QUARANTINED, "an innocent was refused");
+        boolean cut = call.end.equals("unknown") && call.begins == 0;
+        require(fleet, !innocent || !idempotent || !cut, "innocent cut: " + call.reason);
+      }
+      require(fleet, fleet.crashes <= DEATHS + CRASHING_CALLERS - 1, fleet.crashes + " deaths");
+      assertTrue(fleet.violations.isEmpty(), "seed " + seed + ": " + fleet.violations);
+    }
+    System.out.println("at most " + most + " deaths in one of " + SEEDS + " seeds");
+    assertTrue(most >= DEATHS, "the quarantine was never reached");
+  }
+
+  private TruthFleet run(int seed, boolean faulty, int crashing) {
+    TruthFleet fleet = new TruthFleet(seed, faulty);
+    for (int call = 0; call < CALLS; call++) {
+      fleet.time.after(fleet.time.draw((int) TruthFleet.FAULTS_MILLIS), fleet.callers::ordinary);
+    }
+    for (int caller = 0; caller < crashing; caller++) {
+      String method = fleet.time.chance(0.5) ? "GET" : "POST";
+      fleet.time.after(
+          fleet.time.draw(1_000),
+          () ->
+              fleet.callers.call(
+                  fleet.anyRouter(), method, VirtualUpstream.CRASH, Optional.empty(), 0));
+    }
+    fleet.time.run();
+    fleet.callers.calls.values().forEach(call -> check(fleet, call));
+    fleet.routers.forEach(
+        router -> assertEquals(router.snapshot().queues(), List.of(), "seed " + seed));
+    for (VirtualSidecar sidecar : fleet.sidecars) {
+      assertEquals(sidecar.snapshot().running(), 0, "seed " + seed + ": " + sidecar.name);
+    }
+    assertTrue(fleet.violations.isEmpty(), "seed " + seed + ": " + fleet.violations);
+    return fleet;
+  }
+
+  private void check(TruthFleet fleet, VirtualCall call) {
+    String name = call.call.request() + (call.call.ticket().isPresent() ? " ticketed" : "");
+    int runs = fleet.record.getOrDefault(call.call.request(), List.of()).size();
+    boolean idempotent = call.call.head().method().equals("GET");
+    counts.merge(call.end, 1, Integer::sum);
+    counts.merge("run again", idempotent && runs > 1 ? 1 : 0, Integer::sum);
+    boolean replayed = runs == 0 && call.end.equals("completed");
+    counts.merge("answered again", replayed ? 1 : 0, Integer::sum);
+    require(fleet, !call.end.isEmpty(), name + " never ended");
+    require(fleet, call.begins <= 1, name + " began twice");
+    require(fleet, idempotent || runs <= 1, name + " ran twice");
+    require(fleet, !call.end.equals("not-run") || runs == 0, name + " not run, but ran");
+    boolean whole = fleet.callers.answersTo(call.call).contains(call.answer.toString());
+    require(fleet, !call.end.equals("completed") || whole, name + " answered wrongly");
+  }
+
+  private static void require(TruthFleet fleet, boolean holds, String violation) {
+    if (!holds) {
+      fleet.violations.add(violation);
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VirtualSidecar.java
@@ -0,0 +1,79 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.Heartbeat;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.version.Limits;
+
+/** A real sidecar's decision in virtual time, beside an upstream that fails at random. */
+final class VirtualSidecar extends VirtualNode {
+
+  private final TruthFleet fleet;
+  private final VirtualUpstream upstream;
+  private SidecarDecision decision;
+
+  VirtualSidecar(TruthFleet fleet, String name) {
+    super(fleet.time, name);
+    this.fleet = fleet;
+    upstream = new VirtualUpstream(fleet, this);
+  }
+
+  @Override
+  PeerIdentity peer() {
+    return RouterFixture.sidecar(name, incarnation(), "a1");
+  }
+
+  @Override
+  void begin() {
+    upstream.sidecarRestarted();
+    decision = new SidecarDecision(peer(), SidecarBench.policy("virtual-service", 2));
+    tell(new SidecarEvent.TableInForce(RouterFixture.table(new Limits(9, 5, 0), 1)));
+    tell(new SidecarEvent.UpstreamHealth(true, false));
+  }
+
+  @Override
+  void linked(PeerIdentity peer) {
+    if (peer.role() == Role.ROUTER) {
+      tell(new SidecarEvent.RouterLinked(peer));
+      heartbeat(peer.instance());
+    }
+  }
+
+  @Override
+  void unlinked(PeerIdentity peer) {
+    tell(new SidecarEvent.RouterUnlinked(peer));
+  }
+
+  @Override
+  void arrived(PeerIdentity peer, LinkMessage message) {
+    tell(new SidecarEvent.MessageArrived(peer, message));
+  }
+
+  @Override
+  void tick() {
+    tell(new SidecarEvent.TimePassed());
+  }
+
+  void upstreamFails() {
+    upstream.die();
+  }
+
+  void tell(SidecarEvent event) {
+    for (SidecarEffect effect : decision.decide(event, clockNanos())) {
+      if (effect instanceof SidecarEffect.Send send) {
+        fleet.network.send(this, send.instance(), send.message());
+      } else {
+        upstream.perform(effect);
+      }
+    }
+  }
+
+  SidecarSnapshot snapshot() {
+    return decision.snapshot(clockNanos());
+  }
+
+  private void heartbeat(String router) {
+    fleet.network.send(this, router, new Heartbeat(1, 1, false, clockMillis()));
+  }
+}
