Tell of an upstream's death before its requests fail

Cause: a sidecar sent AttemptFailed(UPSTREAM_DIED) before the SuspicionReport, so a router could grant the same content again as an unsuspected request between the two.

Test that failed first: SidecarDecisionTest .tellsWhichRequestsRanWhenItsUpstreamDied printed "a router must know of the death before it may try again expected [SuspicionReport" . Putting the report after the failures again is the mutation.

Change: the report is sent first on each link.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
@@ -167,17 +167,17 @@
     startNext(nowNanos);
   }
 
-  /** Fails everything that ran and tells the routers which requests did. */
+  /** Tells the routers which requests ran, so that they know it before each of these fails. */
   void upstreamDied(Collection<String> routers, long nowNanos) {
     LinkMessage.SuspicionReport report = deaths.died(running.values(), nowNanos);
+    if (!report.suspicions().isEmpty()) {
+      routers.forEach(router -> effects.add(new Send(router, report)));
+    }
     for (RunningAttempt attempt : List.copyOf(running.values())) {
       remove(attempt);
       fail(attempt, Reason.UPSTREAM_DIED, nowNanos);
     }
     refuseWaiting(Reason.NOT_READY);
-    if (!report.suspicions().isEmpty()) {
-      routers.forEach(router -> effects.add(new Send(router, report)));
-    }
   }
 
   /** Refuses what waits to run alone. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
@@ -204,6 +204,8 @@
     SuspicionReport report = bench.only(SuspicionReport.class);
     assertEquals(report.suspicions().size(), 2, "one answer broke before the death was noticed");
     assertFalse(report.suspicions().getFirst().alone());
+    LinkMessage first = bench.sent(LinkMessage.class).getFirst();
+    assertEquals(first, report, "a router must know of the death before it may try again");
     assertEquals(bench.demand("quartet", 1, 0).sent(Grant.class), List.of());
     bench.tell(new UpstreamHealth(true, false)).only(Grant.class);
   }
