Run a whole deployment under a load and measure it

Cause: the fairness gap, utilisation and control traffic were measured only beside a fleet that someone else had started, without its bound and without delays between regions. Change: agatepier-standin experiment starts a scenario's data centres as processes, with a proxy and a platform stand-in for each region, and compares the gap over inverse weights with FairnessBound's unseen cost. The gap counts cost over sidecar incarnations, among workspaces whose oldest request has waited for a second; utilisation no longer exceeds 1 where a lowered limit is overrun. FairnessBound also bounds the wait of one request. The tests of FairnessGap and FleetMeasures are as strict, with weights and the imbalance added.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/FairnessBound.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/FairnessBound.java
@@ -33,6 +33,11 @@
     }
   }
 
+  /** Returns the cost that may be charged and not received or the other way, in cost units. */
+  public double unseenCost() {
+    return slots * largestCost + exchangeSeconds * capacityPerSecond;
+  }
+
   /**
    * Returns the largest gap in cost per weight between two workspaces.
    *
@@ -40,7 +45,29 @@
    * @param secondWeight weight of the other
    */
   public double gap(double firstWeight, double secondWeight) {
-    double unseenCost = slots * largestCost + exchangeSeconds * capacityPerSecond;
-    return unseenCost * (1 / firstWeight + 1 / secondWeight);
+    return unseenCost() * (1 / firstWeight + 1 / secondWeight);
+  }
+
+  /**
+   * Returns the longest wait of a workspace's oldest request, in seconds, however many requests the
+   * other workspaces have waiting.
+   *
+   * <p>While the request waits, its workspace is backlogged and the fleet has no free slot. Another
+   * backlogged workspace {@code j} that has received no less when the wait begins gets at most
+   * {@code w_j * gap(w_i, w_j)} before the request's turn comes. All of them together are served at
+   * the capacity, and all that runs at the begin ends first, so that
+   *
+   * <pre>wait &lt;= (slots * largestCost + sum of w_j * gap(w_i, w_j)) / capacityPerSecond
+   * </pre>
+   *
+   * @param weight weight of the workspace that waits
+   * @param otherWeights weights of the other backlogged workspaces
+   */
+  public double waitSeconds(double weight, double... otherWeights) {
+    double ahead = slots * largestCost;
+    for (double other : otherWeights) {
+      ahead += other * gap(weight, other);
+    }
+    return ahead / capacityPerSecond;
   }
 }
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/LoadScenario.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/LoadScenario.java
@@ -9,12 +9,17 @@
  * A mix of calls that some workspaces make.
  *
  * @param name name of the scenario
+ * @param dataCentres its data centres, each in a region of its own
  * @param modelService name of the model service
  * @param plainService name of the plain service
  * @param tenants what each workspace sends
  */
 public record LoadScenario(
-    String name, String modelService, String plainService, List<Tenant> tenants) {
+    String name,
+    List<String> dataCentres,
+    String modelService,
+    String plainService,
+    List<Tenant> tenants) {
 
   private static final int WORKSPACES = 16;
   private static final int LARGE_WORKSPACES = 3;
@@ -26,6 +31,7 @@
     Objects.requireNonNull(name, "name");
     Objects.requireNonNull(modelService, "modelService");
     Objects.requireNonNull(plainService, "plainService");
+    dataCentres = List.copyOf(dataCentres);
     tenants = List.copyOf(tenants);
   }
 
@@ -73,6 +79,7 @@
   public static LoadScenario tanpura() {
     return builtIn(
         "tanpura",
+        List.of("kolkata-a", "siliguri-a", "durgapur-a"),
         "plan-model",
         "chair-desk",
         "ensemble",
@@ -84,6 +91,7 @@
   public static LoadScenario beridze() {
     return builtIn(
         "beridze",
+        List.of("tbilisi-a", "kutaisi-a", "batumi-a"),
         "stand-assistant",
         "booking-portal",
         "stand",
@@ -91,6 +99,22 @@
         new Mix(1, 5, 1, 2));
   }
 
+  /** Returns the scenario with every workspace's rate of calls multiplied. */
+  public LoadScenario times(double factor) {
+    List<Tenant> scaled =
+        tenants.stream()
+            .map(
+                each ->
+                    new Tenant(
+                        each.workspace(),
+                        each.weight(),
+                        each.callsPerSecond() * factor,
+                        each.routerShare(),
+                        each.mix()))
+            .toList();
+    return new LoadScenario(name, dataCentres, modelService, plainService, scaled);
+  }
+
   /** Returns the workspaces as rows of the table. */
   public List<TrialWorkspace> workspaces() {
     return tenants.stream()
@@ -116,7 +140,13 @@
 
   /** Small workspaces, a few large ones, and the last one floods its home router. */
   private static LoadScenario builtIn(
-      String name, String model, String plain, String prefix, Mix small, Mix large) {
+      String name,
+      List<String> dataCentres,
+      String model,
+      String plain,
+      String prefix,
+      Mix small,
+      Mix large) {
     List<Tenant> tenants = new ArrayList<>();
     for (int number = 1; number < WORKSPACES; number++) {
       boolean isLarge = number <= LARGE_WORKSPACES;
@@ -127,6 +157,6 @@
               : new Tenant(workspace, 1, 1, number % 2 == 0 ? 1 : 0, small));
     }
     tenants.add(new Tenant(prefix + "-flooder", 1, 20, 1, new Mix(1, 2, 0, 0)));
-    return new LoadScenario(name, model, plain, tenants);
+    return new LoadScenario(name, dataCentres, model, plain, tenants);
   }
 }
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.standin.process.internal.DemoProgram;
 import dev.agatepier.standin.process.internal.EngineProgram;
+import dev.agatepier.standin.process.internal.ExperimentProgram;
 import dev.agatepier.standin.process.internal.LoadProgram;
 import dev.agatepier.standin.process.internal.PlainProgram;
 import dev.agatepier.standin.process.internal.PlatformProgram;
@@ -31,6 +32,7 @@
           new PlainProgram(),
           new ProxyProgram(),
           new LoadProgram(),
+          new ExperimentProgram(),
           new DemoProgram());
 
   private StandinCommand() {}
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FairnessGap.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FairnessGap.java
@@ -9,41 +9,61 @@
  */
 final class FairnessGap {
 
-  private record Pair(String first, String second) {}
-
-  private final Map<Pair, Double> differences = new HashMap<>();
-  private Map<String, Double> before = Map.of();
+  /**
+   * What a workspace with work waiting has received so far.
+   *
+   * @param perWeight cost per weight
+   * @param weight its weight
+   */
+  record Received(double perWeight, double weight) {}
 
   /**
-   * Takes a sample and returns the gap now, in cost per weight.
+   * The gap at one time.
    *
-   * @param normalizedCost cost received so far per weight, of each workspace with work waiting
+   * @param perWeight largest difference of a pair, in cost per weight
+   * @param imbalance largest difference of a pair divided by the sum of its inverse weights, in
+   *     cost units; a fairness bound's unseen cost limits it
    */
-  double sample(Map<String, Double> normalizedCost) {
-    differences.keySet().removeIf(pair -> !both(normalizedCost, pair));
-    double gap = 0;
-    for (String first : normalizedCost.keySet()) {
-      for (String second : normalizedCost.keySet()) {
+  record Gap(double perWeight, double imbalance) {}
+
+  private record Pair(String first, String second) {}
+
+  private final Map<Pair, Double> differences = new HashMap<>();
+  private Map<String, Received> before = Map.of();
+
+  /** Takes what each workspace with work waiting has received and returns the gap now. */
+  Gap sample(Map<String, Received> received) {
+    differences.keySet().removeIf(pair -> !both(received, pair));
+    double perWeight = 0;
+    double imbalance = 0;
+    for (String first : received.keySet()) {
+      for (String second : received.keySet()) {
         if (first.compareTo(second) < 0) {
-          gap = Math.max(gap, Math.abs(advance(new Pair(first, second), normalizedCost)));
+          double gap = Math.abs(advance(new Pair(first, second), received));
+          perWeight = Math.max(perWeight, gap);
+          double inverseWeights =
+              1 / received.get(first).weight() + 1 / received.get(second).weight();
+          imbalance = Math.max(imbalance, gap / inverseWeights);
         }
       }
     }
-    before = Map.copyOf(normalizedCost);
-    return gap;
+    before = Map.copyOf(received);
+    return new Gap(perWeight, imbalance);
   }
 
-  private double advance(Pair pair, Map<String, Double> now) {
+  private double advance(Pair pair, Map<String, Received> now) {
     if (!both(before, pair)) {
       return differences.merge(pair, 0.0, (old, zero) -> zero);
     }
-    double change =
-        (now.get(pair.first()) - before.get(pair.first()))
-            - (now.get(pair.second()) - before.get(pair.second()));
+    double change = growth(pair.first(), now) - growth(pair.second(), now);
     return differences.merge(pair, change, Double::sum);
   }
 
-  private static boolean both(Map<String, Double> values, Pair pair) {
+  private double growth(String workspace, Map<String, Received> now) {
+    return now.get(workspace).perWeight() - before.get(workspace).perWeight();
+  }
+
+  private static boolean both(Map<String, Received> values, Pair pair) {
     return values.containsKey(pair.first()) && values.containsKey(pair.second());
   }
 }
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FleetMeasures.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/FleetMeasures.java
@@ -1,12 +1,14 @@
 package dev.agatepier.standin.process.internal;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.HashMap;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 
 /** Computes the measures of a fleet from samples of its processes' status. */
 final class FleetMeasures {
@@ -17,9 +19,25 @@
    * @param samples samples in which work of the service waited
    * @param utilisation running over slots in those samples; 0 where none waited
    * @param largestGap largest fairness gap, in cost per weight
-   * @param gaps fairness gap of each sample
+   * @param gaps fairness gap of each sample, among workspaces that are backlogged
+   * @param imbalances gap of each sample over the sum of the pair's inverse weights, in cost units
+   * @param slots most slots that were offered at one time
+   * @param costPerSecond cost received in a second, on average
    */
-  record ServiceMeasures(int samples, double utilisation, double largestGap, List<Double> gaps) {}
+  record ServiceMeasures(
+      int samples,
+      double utilisation,
+      double largestGap,
+      List<Double> gaps,
+      List<Double> imbalances,
+      long slots,
+      double costPerSecond) {}
+
+  /**
+   * Wait of its oldest request from which a workspace counts as backlogged: all sidecars that will
+   * hear of it have, as it is longer than the time after which demand spills to other regions.
+   */
+  private static final long BACKLOG_MILLIS = 1_000;
 
   /**
    * Control traffic between processes.
@@ -29,6 +47,10 @@
    */
   record ControlBytes(long within, long across) {
 
+    ControlBytes plus(ControlBytes other) {
+      return new ControlBytes(within + other.within, across + other.across);
+    }
+
     ControlBytes since(ControlBytes earlier) {
       return new ControlBytes(within - earlier.within, across - earlier.across);
     }
@@ -53,61 +75,94 @@
 
   /** Returns the control traffic that processes sent so far, by their metrics. */
   static ControlBytes controlBytes(List<JsonNode> metrics) {
-    return new ControlBytes(sent(metrics, "within"), sent(metrics, "across"));
+    Map<String, ControlBytes> kinds = controlBytesByKind(metrics);
+    return new ControlBytes(
+        kinds.values().stream().mapToLong(ControlBytes::within).sum(),
+        kinds.values().stream().mapToLong(ControlBytes::across).sum());
   }
 
-  private static long sent(List<JsonNode> metrics, String distance) {
-    return metrics.stream()
-        .flatMap(each -> each.path("gauges").properties().stream())
-        .filter(gauge -> gauge.getKey().startsWith(SENT) && gauge.getKey().endsWith(distance))
-        .filter(gauge -> !gauge.getKey().startsWith(SENT + "payload."))
-        .mapToLong(gauge -> gauge.getValue().asLong())
-        .sum();
+  /** Returns the control traffic that processes sent so far by kind, such as {@code demand}. */
+  static SortedMap<String, ControlBytes> controlBytesByKind(List<JsonNode> metrics) {
+    SortedMap<String, ControlBytes> kinds = new TreeMap<>();
+    for (JsonNode each : metrics) {
+      for (Map.Entry<String, JsonNode> gauge : each.path("gauges").properties()) {
+        if (gauge.getKey().startsWith(SENT)) {
+          String[] names = gauge.getKey().substring(SENT.length()).split("\\.");
+          long bytes = gauge.getValue().asLong();
+          boolean across = names[1].equals("across");
+          ControlBytes sent = new ControlBytes(across ? 0 : bytes, across ? bytes : 0);
+          kinds.merge(names[0], sent, ControlBytes::plus);
+        }
+      }
+    }
+    kinds.remove("payload");
+    return kinds;
   }
 
   private static ServiceMeasures measure(String service, List<FleetSampler.Sample> samples) {
     FairnessGap gap = new FairnessGap();
-    List<Double> gaps = samples.stream().map(each -> gap.sample(waiting(service, each))).toList();
+    ReceivedCosts costs = new ReceivedCosts();
+    List<FairnessGap.Gap> gaps = new ArrayList<>();
+    double firstTotal = 0;
+    for (FleetSampler.Sample sample : samples) {
+      sidecars(service, sample).forEach(costs::take);
+      firstTotal = gaps.isEmpty() ? costs.total() : firstTotal;
+      gaps.add(gap.sample(costs.of(waiting(service, sample, BACKLOG_MILLIS))));
+    }
     List<FleetSampler.Sample> busy =
-        samples.stream().filter(each -> !waiting(service, each).isEmpty()).toList();
+        samples.stream().filter(each -> !waiting(service, each, 0).isEmpty()).toList();
     long slots = busy.stream().mapToLong(each -> sum(service, each, "slots")).sum();
-    long running = busy.stream().mapToLong(each -> sum(service, each, "running")).sum();
+    long running = busy.stream().mapToLong(each -> slotsInUse(service, each)).sum();
     return new ServiceMeasures(
         busy.size(),
         slots == 0 ? 0 : (double) running / slots,
-        gaps.stream().mapToDouble(Double::doubleValue).max().orElse(0),
-        gaps);
+        largest(gaps.stream().map(FairnessGap.Gap::perWeight).toList()),
+        gaps.stream().map(FairnessGap.Gap::perWeight).toList(),
+        gaps.stream().map(FairnessGap.Gap::imbalance).toList(),
+        samples.stream().mapToLong(each -> sum(service, each, "slots")).max().orElse(0),
+        seconds(samples) > 0 ? (costs.total() - firstTotal) / seconds(samples) : 0);
+  }
+
+  private static double seconds(List<FleetSampler.Sample> samples) {
+    long millis = samples.getLast().atMillis() - samples.getFirst().atMillis();
+    return (double) millis / TimeUnit.SECONDS.toMillis(1);
+  }
+
+  private static double largest(List<Double> values) {
+    return values.stream().mapToDouble(Double::doubleValue).max().orElse(0);
   }
 
-  /** Returns the cost per weight of each workspace that has work of a service waiting. */
-  private static Map<String, Double> waiting(String service, FleetSampler.Sample sample) {
+  /** Returns the workspaces whose oldest request for a service has waited for some time. */
+  private static Set<String> waiting(String service, FleetSampler.Sample sample, long leastMillis) {
     Set<String> waiting = new HashSet<>();
-    Map<String, Double> costs = new HashMap<>();
     for (JsonNode status : sample.statuses()) {
-      JsonNode snapshot = status.path("snapshot");
-      for (JsonNode queue : snapshot.path("queues")) {
-        if (queue.path("service").asText().equals(service) && queue.path("waiting").asInt() > 0) {
+      for (JsonNode queue : status.path("snapshot").path("queues")) {
+        if (queue.path("service").asText().equals(service)
+            && queue.path("waiting").asInt() > 0
+            && queue.path("oldestWaitMillis").asLong() >= leastMillis) {
           waiting.add(queue.path("workspace").asText());
         }
       }
-      if (status.path("service").asText().equals(service)) {
-        snapshot.path("shares").forEach(share -> addCost(costs, share));
-      }
     }
-    Map<String, Double> result = new HashMap<>();
-    waiting.forEach(name -> result.put(name, costs.getOrDefault(name, 0.0)));
-    return result;
+    return waiting;
   }
 
-  private static void addCost(Map<String, Double> costs, JsonNode share) {
-    double weight = share.path("weight").asDouble(1);
-    costs.merge(
-        share.path("workspace").asText(), share.path("localCost").asDouble() / weight, Double::sum);
+  private static List<JsonNode> sidecars(String service, FleetSampler.Sample sample) {
+    return sample.statuses().stream()
+        .filter(status -> status.path("service").asText().equals(service))
+        .toList();
+  }
+
+  /** Returns the slots in use; what still runs above a limit that was lowered counts no more. */
+  private static long slotsInUse(String service, FleetSampler.Sample sample) {
+    return sidecars(service, sample).stream()
+        .map(status -> status.path("snapshot"))
+        .mapToLong(each -> Math.min(each.path("running").asLong(), each.path("slots").asLong()))
+        .sum();
   }
 
   private static long sum(String service, FleetSampler.Sample sample, String field) {
-    return sample.statuses().stream()
-        .filter(status -> status.path("service").asText().equals(service))
+    return sidecars(service, sample).stream()
         .mapToLong(status -> status.path("snapshot").path(field).asLong())
         .sum();
   }
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ReceivedCosts.java
@@ -0,0 +1,52 @@
+package dev.agatepier.standin.process.internal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Cost that each workspace received of one service, over every sidecar incarnation ever seen: what
+ * an incarnation last told still counts after it is gone.
+ */
+final class ReceivedCosts {
+
+  private final Map<String, Map<String, Double>> byIncarnation = new HashMap<>();
+  private final Map<String, Double> weights = new HashMap<>();
+
+  /** Takes the status of one sidecar. */
+  void take(JsonNode status) {
+    String incarnation =
+        status.path("instance").asText() + "/" + status.path("incarnation").asText();
+    Map<String, Double> costs = byIncarnation.computeIfAbsent(incarnation, key -> new HashMap<>());
+    for (JsonNode share : status.path("snapshot").path("shares")) {
+      String workspace = share.path("workspace").asText();
+      costs.put(workspace, share.path("localCost").asDouble());
+      weights.put(workspace, share.path("weight").asDouble(1));
+    }
+  }
+
+  /** Returns what some workspaces have received; those not yet seen have received nothing. */
+  Map<String, FairnessGap.Received> of(Set<String> workspaces) {
+    Map<String, FairnessGap.Received> received = new HashMap<>();
+    for (String workspace : workspaces) {
+      double weight = weights.getOrDefault(workspace, 1.0);
+      received.put(workspace, new FairnessGap.Received(cost(workspace) / weight, weight));
+    }
+    return received;
+  }
+
+  /** Returns the cost received by all workspaces together. */
+  double total() {
+    return byIncarnation.values().stream()
+        .flatMap(costs -> costs.values().stream())
+        .mapToDouble(Double::doubleValue)
+        .sum();
+  }
+
+  private double cost(String workspace) {
+    return byIncarnation.values().stream()
+        .mapToDouble(costs -> costs.getOrDefault(workspace, 0.0))
+        .sum();
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/RegionNetwork.java
@@ -0,0 +1,122 @@
+package dev.agatepier.standin.process.internal;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.agatepier.core.version.Instance;
+import dev.agatepier.standin.process.Endpoint;
+import dev.agatepier.standin.process.FleetException;
+import dev.agatepier.standin.process.FleetNode;
+import dev.agatepier.standin.process.ProcessFleet;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
+
+/** The platform stand-in of one region, and the proxy that its processes' links go through. */
+public final class RegionNetwork {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+  private final ProcessFleet fleet;
+  private final String region;
+  private final String addressStart;
+  private final Endpoint platform;
+  private final Endpoint proxy;
+  private final Map<FleetNode, Endpoint> routes = new LinkedHashMap<>();
+
+  /**
+   * Lays out the network of a region.
+   *
+   * @param fleet starts its processes
+   * @param region name of the region
+   * @param addressStart start of its IP numbers
+   */
+  public RegionNetwork(ProcessFleet fleet, String region, String addressStart) {
+    this.fleet = fleet;
+    this.region = region;
+    this.addressStart = addressStart;
+    platform = Endpoint.free(addressStart + "1");
+    proxy = Endpoint.free(addressStart + "2");
+  }
+
+  /** Returns where the platform listens. */
+  public Endpoint platform() {
+    return platform;
+  }
+
+  /** Starts the platform and the proxy, with a route to each node. */
+  public CompletableFuture<Void> start(List<FleetNode> nodes) {
+    nodes.forEach(node -> routes.put(node, Endpoint.free(addressStart + "3")));
+    Path file = fleet.recordFile("routes-" + region);
+    try {
+      Files.writeString(file, Json.writeIndented(routesJson()));
+    } catch (IOException unwritable) {
+      throw new FleetException("the routes of " + region + " can't be written", unwritable);
+    }
+    return CompletableFuture.allOf(
+        fleet.startStandin("platform-" + region, "platform", platform),
+        fleet.startStandin("proxy-" + region, "proxy", proxy, "--routes", file.toString()));
+  }
+
+  /** Returns the instances as the processes of this region reach them. */
+  public List<Instance> view(List<FleetNode> nodes) {
+    return nodes.stream().map(node -> node.advertisedAt(routes.get(node)).instance(false)).toList();
+  }
+
+  /** Delays the route to each node both ways; connections that lost bytes are reset. */
+  public CompletableFuture<Void> delay(ToLongFunction<FleetNode> millis) {
+    Map<Long, List<FleetNode>> byDelay =
+        routes.keySet().stream().collect(Collectors.groupingBy(node -> millis.applyAsLong(node)));
+    List<CompletableFuture<Void>> changes = new ArrayList<>();
+    byDelay.forEach(
+        (delay, nodes) ->
+            changes.add(put(nodes, () -> Json.object().put("delayMillis", delay), true)));
+    return CompletableFuture.allOf(changes.toArray(CompletableFuture[]::new));
+  }
+
+  /** Loses all that is sent to and from some nodes. */
+  public CompletableFuture<Void> lose(Predicate<FleetNode> lost) {
+    List<FleetNode> nodes = routes.keySet().stream().filter(lost).toList();
+    return put(nodes, () -> Json.object().put("swallow", true), false);
+  }
+
+  private CompletableFuture<Void> put(
+      List<FleetNode> nodes, Supplier<ObjectNode> direction, boolean cut) {
+    ObjectNode root = Json.object().put("cut", cut);
+    ArrayNode names = root.putArray("routes");
+    nodes.forEach(node -> names.add(node.name()));
+    root.set("toTarget", direction.get());
+    root.set("toCaller", direction.get());
+    return fleet
+        .caller()
+        .call("POST", proxy.http("/faults"), Map.of(), root.toString(), TIMEOUT)
+        .thenAccept(
+            answer -> {
+              if (!answer.successful()) {
+                throw new FleetException("the proxy answered " + answer.body());
+              }
+            });
+  }
+
+  private ObjectNode routesJson() {
+    ObjectNode root = Json.object();
+    ArrayNode entries = root.putArray("routes");
+    routes.forEach(
+        (node, listen) ->
+            entries
+                .addObject()
+                .put("name", node.name())
+                .put("listen", listen.toString())
+                .put("target", node.links().toString()));
+    return root;
+  }
+}
--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/FleetMeasuresTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/FleetMeasuresTest.java
@@ -18,6 +18,8 @@
     assertEquals(measures.samples(), 2);
     assertEquals(measures.utilisation(), 0.75);
     assertEquals(measures.gaps(), List.of(0.0, 10.0, 0.0));
+    assertEquals(measures.imbalances(), List.of(0.0, 10.0 / 1.5, 0.0));
+    assertEquals(measures.costPerSecond(), 50_000.0);
   }
 
   @Test
@@ -39,8 +41,8 @@
     String router =
         """
         {"service":"","snapshot":{"queues":[
-         {"workspace":"a","service":"model","waiting":%d},
-         {"workspace":"b","service":"model","waiting":%d}]}}
+         {"workspace":"a","service":"model","waiting":%d,"oldestWaitMillis":1000},
+         {"workspace":"b","service":"model","waiting":%d,"oldestWaitMillis":1000}]}}
         """
             .formatted(firstWaiting, secondWaiting);
     String sidecar =
--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/LoadRunTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/LoadRunTest.java
@@ -65,11 +65,17 @@
   @Test
   public void gapGrowsOnlyWhileBothWait() {
     FairnessGap gap = new FairnessGap();
-    assertEquals(gap.sample(Map.of("a", 10.0, "b", 0.0)), 0.0);
-    assertEquals(gap.sample(Map.of("a", 14.0, "b", 1.0)), 3.0);
-    assertEquals(gap.sample(Map.of("a", 15.0, "b", 4.0)), 1.0);
-    assertEquals(gap.sample(Map.of("a", 90.0)), 0.0);
-    assertEquals(gap.sample(Map.of("a", 95.0, "b", 4.0)), 0.0);
+    assertEquals(gap.sample(received(10, 0)), new FairnessGap.Gap(0, 0));
+    assertEquals(gap.sample(received(14, 1)), new FairnessGap.Gap(3, 2));
+    assertEquals(gap.sample(received(15, 4)), new FairnessGap.Gap(1, 2.0 / 3));
+    assertEquals(gap.sample(Map.of("a", new FairnessGap.Received(90, 1))).perWeight(), 0.0);
+    assertEquals(gap.sample(received(95, 4)), new FairnessGap.Gap(0, 0));
+  }
+
+  /** Costs per weight of two workspaces with weights 1 and 2. */
+  private static Map<String, FairnessGap.Received> received(double first, double second) {
+    return Map.of(
+        "a", new FairnessGap.Received(first, 1), "b", new FairnessGap.Received(second, 2));
   }
 
   private static List<PlannedCall> plan(long seed) {
