--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -5,6 +5,7 @@
 import dev.agatepier.standin.process.internal.PlainProgram;
 import dev.agatepier.standin.process.internal.PlatformProgram;
 import dev.agatepier.standin.process.internal.ProxyProgram;
+import dev.agatepier.standin.process.internal.SlopeProgram;
 import dev.agatepier.standin.process.internal.StandinProgram;
 import java.util.List;
 import java.util.concurrent.CompletionException;
@@ -28,6 +29,7 @@
           new EngineProgram(),
           new PlainProgram(),
           new ProxyProgram(),
+          new SlopeProgram(),
           new DemoProgram());
 
   private StandinCommand() {}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/DecisionRouter.java
@@ -0,0 +1,141 @@
+package dev.agatepier.standin.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.HolderDecision;
+import dev.agatepier.core.process.HolderEffect;
+import dev.agatepier.core.process.HolderEvent;
+import dev.agatepier.core.process.HolderPolicy;
+import dev.agatepier.core.process.RouterDecision;
+import dev.agatepier.core.process.RouterEffect;
+import dev.agatepier.core.process.RouterEvent;
+import dev.agatepier.core.process.RouterPolicy;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.Table;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/** A router's decisions and its callers, each of which asks again as soon as it is answered. */
+final class DecisionRouter {
+
+  private static final CallHead HEAD = new CallHead("POST", "/v1/chat/completions", List.of());
+  private static final long DEADLINE_NANOS = TimeUnit.SECONDS.toNanos(600);
+
+  private final DecisionPort port;
+  private final RouterDecision requests;
+  private final HolderDecision holder;
+  private final Map<RequestId, String> workspaces = new HashMap<>();
+  private final Deque<String> asking = new ArrayDeque<>();
+  private final Deque<HolderEvent> costs = new ArrayDeque<>();
+  private long calls;
+  private long completed;
+  private long failed;
+  private long nowNanos;
+
+  DecisionRouter(DecisionPort port, Table table) {
+    this.port = port;
+    requests = new RouterDecision(port.self(), RouterPolicy.DEFAULT);
+    holder = new HolderDecision(port.self(), HolderPolicy.DEFAULT);
+    tell(new RouterEvent.TableInForce(table));
+  }
+
+  void linked(PeerIdentity peer) {
+    tell(new RouterEvent.PeerLinked(peer));
+    decideHolder(new HolderEvent.PeerLinked(peer));
+  }
+
+  /** Has a caller of a workspace ask. */
+  void ask(String workspace) {
+    asking.add(workspace);
+  }
+
+  /** Takes in what arrived and what callers ask. */
+  void step(long now) {
+    nowNanos = now;
+    port.receive(this::arrived);
+    for (int count = asking.size(); count > 0; count--) {
+      call(asking.remove());
+    }
+    tell(new RouterEvent.TimePassed());
+  }
+
+  /** Takes in the costs that arrived. */
+  void stepHolder() {
+    while (!costs.isEmpty()) {
+      decideHolder(costs.remove());
+    }
+    decideHolder(new HolderEvent.TimePassed());
+  }
+
+  long completed() {
+    return completed;
+  }
+
+  long failed() {
+    return failed;
+  }
+
+  private void arrived(PeerIdentity peer, LinkMessage message) {
+    switch (message) {
+      case LinkMessage.CostReport _, LinkMessage.DataCentreCosts _ ->
+          costs.add(new HolderEvent.MessageArrived(peer, message));
+      default -> tell(new RouterEvent.MessageArrived(peer, message));
+    }
+  }
+
+  private void call(String workspace) {
+    calls++;
+    RequestId request = new RequestId(port.self().instance(), port.self().incarnation(), calls);
+    workspaces.put(request, workspace);
+    Fingerprint content =
+        new Fingerprint(workspace, port.self().service(), Long.toHexString(calls));
+    tell(
+        new RouterEvent.CallArrived(
+            request,
+            workspace,
+            DecisionFleet.SERVICE,
+            HEAD,
+            Bytes.EMPTY,
+            content,
+            Optional.empty(),
+            nowNanos + DEADLINE_NANOS));
+  }
+
+  private void tell(RouterEvent event) {
+    requests.decide(event, nowNanos).forEach(this::perform);
+  }
+
+  private void perform(RouterEffect effect) {
+    switch (effect) {
+      case RouterEffect.Send(String instance, LinkMessage message) -> port.send(instance, message);
+      case RouterEffect.ContinueAnswer(RequestId request, Bytes content) ->
+          tell(new RouterEvent.CallerTook(request, content.size()));
+      case RouterEffect.EndAnswer end -> {
+        completed++;
+        ask(workspaces.remove(end.request()));
+      }
+      case RouterEffect.FailRequest failure -> {
+        failed++;
+        ask(workspaces.remove(failure.request()));
+      }
+      case RouterEffect.BeginAnswer _, RouterEffect.IssueTicket _, RouterEffect.Drained _ -> {
+        // The callers only wait for the end.
+      }
+    }
+  }
+
+  private void decideHolder(HolderEvent event) {
+    for (HolderEffect effect : holder.decide(event, nowNanos)) {
+      HolderEffect.Send send = (HolderEffect.Send) effect;
+      port.send(send.instance(), send.message());
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/LinkSlope.java
@@ -0,0 +1,85 @@
+package dev.agatepier.standin.process.internal;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.process.LinkPlan;
+import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.wire.connection.LinkSettings;
+import dev.agatepier.wire.connection.MessagePackCodec;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Growth of the links of the whole fleet, over the sidecars of each service that a router dials.
+ */
+final class LinkSlope implements SlopeKind {
+
+  private static final int INSTANCES = 12_370;
+  private static final int HEADER_BYTES = 4;
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final LinkMessage.Heartbeat HEARTBEAT =
+      new LinkMessage.Heartbeat(7_900, 40_000, false, 86_400_000);
+
+  @Override
+  public String name() {
+    return "links";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(8, 16, 32, 48);
+  }
+
+  @Override
+  public int target() {
+    return 16;
+  }
+
+  @Override
+  public List<SlopeFigure> measure(int size) {
+    InstanceList list = new InstanceList(1, FleetInstances.list(INSTANCES));
+    Map<String, Integer> links = new HashMap<>();
+    for (Instance router : list.instances()) {
+      if (router.role() == Role.ROUTER) {
+        List<Instance> wanted = plan(router, size).wanted(list);
+        links.merge(router.name(), wanted.size(), Integer::sum);
+        wanted.forEach(instance -> links.merge(instance.name(), 1, Integer::sum));
+      }
+    }
+    return figures(list, links);
+  }
+
+  private static LinkPlan plan(Instance router, int sidecarsPerService) {
+    return new LinkPlan(
+        new PeerIdentity(router.name(), 1, Role.ROUTER, router.dataCentre(), router.region(), ""),
+        sidecarsPerService);
+  }
+
+  private static List<SlopeFigure> figures(InstanceList list, Map<String, Integer> links) {
+    int beat = new MessagePackCodec().encode(HEARTBEAT).length + HEADER_BYTES;
+    double bytesPerLink = beat * MILLIS_PER_SECOND / LinkSettings.DEFAULT.heartbeatMillis();
+    double routerLinks = mean(list, links, Role.ROUTER);
+    return List.of(
+        new SlopeFigure("links of a router", "", routerLinks),
+        new SlopeFigure("links of a sidecar", "", mean(list, links, Role.SIDECAR)),
+        new SlopeFigure("sidecars without a link", "", unlinked(list, links)),
+        new SlopeFigure("heartbeats a router sends", "B/s", routerLinks * bytesPerLink));
+  }
+
+  private static double mean(InstanceList list, Map<String, Integer> links, Role role) {
+    return list.instances().stream()
+        .filter(instance -> instance.role() == role)
+        .mapToInt(instance -> links.getOrDefault(instance.name(), 0))
+        .average()
+        .orElseThrow();
+  }
+
+  private static long unlinked(InstanceList list, Map<String, Integer> links) {
+    return list.instances().stream()
+        .filter(instance -> !links.containsKey(instance.name()))
+        .count();
+  }
+}
--- /dev/null
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ProcessorTime.java
@@ -0,0 +1,28 @@
+package dev.agatepier.standin.process.internal;
+
+import java.lang.management.ManagementFactory;
+
+/** Measures work by the processor time of its thread, so that a busy machine moves it little. */
+final class ProcessorTime {
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private ProcessorTime() {}
+
+  /** Returns the processor time of the calling thread, in nanoseconds. */
+  static long nanos() {
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+  }
+
+  /** Returns the mean processor time of a work, in milliseconds, after runs that warm it up. */
+  static double millis(int runs, Runnable work) {
+    for (int run = 0; run < runs; run++) {
+      work.run();
+    }
+    long start = nanos();
+    for (int run = 0; run < runs; run++) {
+      work.run();
+    }
+    return (nanos() - start) / NANOS_PER_MILLI / runs;
+  }
+}
