Hash each name once when ranking

Cause: the comparator of the rendezvous ranking hashed both names at each comparison. Ruled out: the distance and the copies of the list; the hash alone shrank it. Change: names are hashed once and sorted by the result.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/LinkPlan.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/LinkPlan.java
@@ -6,7 +6,6 @@
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.InstanceList;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -46,10 +45,8 @@
     if (service.size() <= sidecarsPerService) {
       return service;
     }
-    List<Instance> ranked = new ArrayList<>(service);
-    ranked.sort(
-        Comparator.comparingInt(this::distance)
-            .thenComparing(Instance::name, RendezvousRanking.order(self.instance())));
+    List<Instance> ranked =
+        RendezvousRanking.sorted(self.instance(), service, this::distance, Instance::name);
     List<Instance> chosen = new ArrayList<>(ranked.subList(0, sidecarsPerService));
     ranked.subList(sidecarsPerService, ranked.size()).stream()
         .filter(instance -> !instance.region().equals(self.region()))
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecars.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecars.java
@@ -6,7 +6,6 @@
 import dev.agatepier.core.version.InstanceList;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -121,11 +120,12 @@
 
   private Stream<LinkedSidecar> ranked(
       String service, String key, Predicate<LinkedSidecar> filter) {
-    Comparator<LinkedSidecar> byPlace = Comparator.comparingInt(this::distance);
-    return byService.getOrDefault(service, Map.of()).values().stream()
-        .filter(LinkedSidecar::takesWork)
-        .filter(filter)
-        .sorted(byPlace.thenComparing(LinkedSidecar::name, RendezvousRanking.order(key)));
+    List<LinkedSidecar> candidates =
+        byService.getOrDefault(service, Map.of()).values().stream()
+            .filter(LinkedSidecar::takesWork)
+            .filter(filter)
+            .toList();
+    return RendezvousRanking.sorted(key, candidates, this::distance, LinkedSidecar::name).stream();
   }
 
   private int distance(LinkedSidecar sidecar) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RendezvousRanking.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RendezvousRanking.java
@@ -1,7 +1,11 @@
 package dev.agatepier.core.process.internal;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.ToIntFunction;
 
 /** Ranks names by rendezvous hashing: a change of one name moves only what belonged to it. */
 public final class RendezvousRanking {
@@ -11,13 +15,24 @@
 
   private RendezvousRanking() {}
 
-  /** Returns the order of names for a key, the winner first. */
-  public static Comparator<String> order(String key) {
-    return Comparator.<String>comparingLong(name -> score(key, name))
-        .reversed()
-        .thenComparing(Comparator.naturalOrder());
+  /**
+   * Returns items in the order of their names for a key, after an order that comes first. Each name
+   * is hashed once.
+   */
+  public static <T> List<T> sorted(
+      String key, Collection<T> items, ToIntFunction<T> first, Function<T, String> name) {
+    return items.stream()
+        .map(item -> new Ranked<>(item, first.applyAsInt(item), score(key, name.apply(item))))
+        .sorted(
+            Comparator.<Ranked<T>>comparingInt(Ranked::first)
+                .thenComparing(Comparator.<Ranked<T>>comparingLong(Ranked::score).reversed())
+                .thenComparing(ranked -> name.apply(ranked.item())))
+        .map(Ranked::item)
+        .toList();
   }
 
+  private record Ranked<T>(T item, int first, long score) {}
+
   /** Returns the 64-bit FNV-1a hash of the first bytes of an array. */
   public static long hash(long start, byte[] bytes, int length) {
     long hash = start ^ FNV_OFFSET;
