--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlatformReaders.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlatformReaders.java
@@ -86,9 +86,6 @@
           .forEach(live::add);
     }
     live.add(instance);
-    return live.stream()
-        .sorted(RendezvousHash.order(dataCentre))
-        .limit(count)
-        .anyMatch(instance::equals);
+    return RendezvousHash.sorted(dataCentre, live).stream().limit(count).anyMatch(instance::equals);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RendezvousHash.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RendezvousHash.java
@@ -3,7 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.ToIntFunction;
 
 /** Rendezvous hashing: ranks names for a key so that few keys move when a name comes or goes. */
 public final class RendezvousHash {
@@ -13,18 +16,34 @@
 
   private RendezvousHash() {}
 
-  /** Returns the order of names for a key, the one chosen first. */
-  public static Comparator<String> order(String key) {
-    return Comparator.<String>comparingLong(name -> score(key, name))
-        .reversed()
-        .thenComparing(Comparator.naturalOrder());
+  /**
+   * Returns items in the order of their names for a key, after an order that comes first. Each name
+   * is hashed once.
+   */
+  public static <T> List<T> sorted(
+      String key, Collection<T> items, ToIntFunction<T> first, Function<T, String> name) {
+    return items.stream()
+        .map(item -> new Ranked<>(item, first.applyAsInt(item), score(key, name.apply(item))))
+        .sorted(
+            Comparator.<Ranked<T>>comparingInt(Ranked::first)
+                .thenComparing(Comparator.<Ranked<T>>comparingLong(Ranked::score).reversed())
+                .thenComparing(ranked -> name.apply(ranked.item())))
+        .map(Ranked::item)
+        .toList();
+  }
+
+  /** Returns names in their order for a key, the one chosen first. */
+  static List<String> sorted(String key, Collection<String> names) {
+    return sorted(key, names, name -> 0, name -> name);
   }
 
   /** Returns the name chosen for a key; empty if there are no names. */
   public static Optional<String> choose(String key, Collection<String> names) {
-    return names.stream().min(order(key));
+    return sorted(key, names).stream().findFirst();
   }
 
+  private record Ranked<T>(T item, int first, long score) {}
+
   /** Returns the 64-bit FNV-1a hash of the first bytes of an array. */
   static long hash(long start, byte[] bytes, int length) {
     long hash = start ^ FNV_OFFSET;
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/StandinCommand.java
@@ -7,6 +7,7 @@
 import dev.agatepier.standin.process.internal.PlainProgram;
 import dev.agatepier.standin.process.internal.PlatformProgram;
 import dev.agatepier.standin.process.internal.ProxyProgram;
+import dev.agatepier.standin.process.internal.SlopeProgram;
 import dev.agatepier.standin.process.internal.StandinProgram;
 import java.util.List;
 import java.util.concurrent.CompletionException;
@@ -33,6 +34,7 @@
           new ProxyProgram(),
           new LoadProgram(),
           new ExperimentProgram(),
+          new SlopeProgram(),
           new DemoProgram());
 
   private StandinCommand() {}
