Keep one workspace's bodies from filling a router

Cause: a router held up to 128 MiB of bodies whatever its heap, first come first served, so a flooder with large bodies could have every other workspace refused, or the heap run out. Change: bodies take at most a quarter of the heap, and one workspace at most a quarter of that, but always one whole body. Before: no such bound. Conclusion: refusals for lack of memory stay with the workspace that causes them.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -85,7 +85,7 @@
     this.mailbox = mailbox;
     this.tickets = new TicketCodec(secret);
     this.parser = new CallParser(tables, tickets, clock);
-    this.budget = new BodyBudget(settings.maximumHeldBytes());
+    this.budget = new BodyBudget(settings.maximumHeldBytes(), settings.maximumBodyBytes());
     this.listener = new HttpListener(this::configure, this::handle);
   }
 
@@ -199,7 +199,7 @@
       return body.discard(received.receive()).timeout(DISCARD).then(Mono.error(refusal));
     }
     Duration left = Duration.ofNanos(call.deadlineNanos() - clock.nanoTime());
-    return body.collect(received.receive())
+    return body.collect(call.workspace(), received.receive())
         .timeout(left)
         .onErrorMap(
             TimeoutException.class,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -25,6 +25,9 @@
   /** Time between being no longer ready and taking no new request, so that the balancer leaves. */
   private static final Duration BALANCER_GRACE = Duration.ofMillis(1_000);
 
+  /** Part of the heap that bodies of waiting and running requests may take. */
+  private static final int HEAP_DIVISOR_FOR_BODIES = 4;
+
   private final RouterTasks tasks;
   private final CallerListener callers;
   private final FleetMember member;
@@ -97,7 +100,7 @@
         base.port(),
         limits.headerBytes(),
         limits.bodyBytes(),
-        base.maximumHeldBytes(),
+        Runtime.getRuntime().maxMemory() / HEAP_DIVISOR_FOR_BODIES,
         settings.policy().windowBytes(),
         settings.policy().ticketMillis(),
         base.idleMillis());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/BodyCollector.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/BodyCollector.java
@@ -17,6 +17,7 @@
   private final int maximumBytes;
   private final ByteArrayOutputStream content = new ByteArrayOutputStream();
   private final AtomicLong taken = new AtomicLong();
+  private String workspace = "";
   private long seen;
 
   /** Creates the collector of one request. */
@@ -25,8 +26,9 @@
     this.maximumBytes = maximumBytes;
   }
 
-  /** Reads the whole body; fails with {@link CallRefusal} if it is too large. */
-  public Mono<Bytes> collect(ByteBufFlux body) {
+  /** Reads the whole body for a workspace; fails with {@link CallRefusal} if it is too large. */
+  public Mono<Bytes> collect(String workspace, ByteBufFlux body) {
+    this.workspace = workspace;
     return body.doOnNext(this::add).then(Mono.fromSupplier(this::finish));
   }
 
@@ -37,12 +39,12 @@
 
   /** Gives the bytes back to the process's budget; further calls do nothing. */
   public void release() {
-    budget.release(taken.getAndSet(0));
+    budget.release(workspace, taken.getAndSet(0));
   }
 
   private void add(ByteBuf part) {
     count(part);
-    if (!budget.take(part.readableBytes())) {
+    if (!budget.take(workspace, part.readableBytes())) {
       throw new CallRefusal(Reason.OVERLOADED, ReasonText.of(Reason.OVERLOADED));
     }
     taken.addAndGet(part.readableBytes());
