Wait for the swallowed bytes, not for the run

Cause: swallowedAnswerNeverArrivesAndCutBreaksTheCall failed once on a loaded machine: it cleared the fault as soon as the service had recorded the run, when the answer could still be on its way to the proxy. Ruled out: the proxy handing on swallowed bytes. Change: the proxy counts what it swallows; the test waits for that count. Conclusion: the wait is on the event that the test is about.

--- a/agatepier-standin/src/main/java/dev/agatepier/standin/connection/internal/ProxyConnection.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/connection/internal/ProxyConnection.java
@@ -33,6 +33,9 @@
     /** Counts bytes that were handed on. */
     void transferred(Direction direction, int bytes);
 
+    /** Counts bytes that were swallowed. */
+    void swallowed(int bytes);
+
     /** Says that the connection has ended. */
     void ended(ProxyConnection connection);
   }
@@ -131,6 +134,7 @@
       line.add(bytes, bytes.readableBytes(), clock.nanoTime());
       deliver(direction);
     } else if (bytes != END) {
+      surroundings.swallowed(bytes.readableBytes());
       bytes.release();
       readers.get(direction).room();
     }
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ProxyRoute.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/ProxyRoute.java
@@ -39,8 +39,16 @@
    * @param open connections open now
    * @param toTarget bytes handed on to the target
    * @param toCaller bytes handed on to callers
+   * @param swallowed bytes swallowed, both ways
    */
-  record Counts(String route, int port, long accepted, int open, long toTarget, long toCaller) {}
+  record Counts(
+      String route,
+      int port,
+      long accepted,
+      int open,
+      long toTarget,
+      long toCaller,
+      long swallowed) {}
 
   private sealed interface Message {
     record Accepted(Connection caller) implements Message {}
@@ -49,6 +57,8 @@
 
     record Transferred(Direction direction, int bytes) implements Message {}
 
+    record Swallowed(int bytes) implements Message {}
+
     record PutFaults(RouteFaults faults, boolean cut) implements Message {}
 
     record ReadCounts(CompletableFuture<Counts> counts) implements Message {}
@@ -62,6 +72,7 @@
   private final long seed;
   private RouteFaults faults = RouteFaults.NONE;
   private long accepted;
+  private long swallowed;
   private DisposableServer server;
 
   ProxyRoute(Way way, long seed, TaskScheduler scheduler) {
@@ -121,6 +132,11 @@
     task.offer(new Message.Transferred(direction, count));
   }
 
+  @Override
+  public void swallowed(int count) {
+    task.offer(new Message.Swallowed(count));
+  }
+
   @Override
   public void ended(ProxyConnection connection) {
     task.offer(new Message.Ended(connection));
@@ -140,6 +156,7 @@
       case Message.Ended connection -> connections.remove(connection.connection());
       case Message.Transferred part ->
           bytes.merge(part.direction(), (long) part.bytes(), Long::sum);
+      case Message.Swallowed part -> swallowed += part.bytes();
       case Message.PutFaults put -> change(put);
       case Message.ReadCounts read -> read.counts().complete(snapshot());
     }
@@ -174,6 +191,7 @@
         accepted,
         connections.size(),
         bytes.getOrDefault(Direction.TO_TARGET, 0L),
-        bytes.getOrDefault(Direction.TO_CALLER, 0L));
+        bytes.getOrDefault(Direction.TO_CALLER, 0L),
+        swallowed);
   }
 }
--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/ProxyStandinTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/internal/ProxyStandinTest.java
@@ -71,7 +71,9 @@
   public void swallowedAnswerNeverArrivesAndCutBreaksTheCall() throws Exception {
     faults("{\"routes\":[\"one\"],\"toCaller\":{\"swallow\":true}}");
     CompletableFuture<HttpAnswer> answer = call("{}");
-    untilRan();
+    while (counts().path("swallowed").asLong() == 0) {
+      Thread.yield();
+    }
     faults("{}");
     assertEquals(await(call("{}")).status(), 200);
     assertFalse(answer.isDone());
