Credit a sidecar in quarters of the window

Cause: a router sent one message of credit for each part that a caller took. Ruled out: a lost credit, because a sidecar that has used up its window waits only after four quarters. Change: credit is told when a quarter of the window has been taken.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -19,6 +19,9 @@
 /** Relays the answer of each request's current attempt and decides what a failed one leads to. */
 public final class AttemptRelay {
 
+  /** Messages of credit for one window, so that small parts need none of their own. */
+  private static final int CREDITS_PER_WINDOW = 4;
+
   /** How long the answer to a withdrawal is awaited. */
   private static final long GRACE_NANOS = 500_000_000;
 
@@ -119,7 +122,12 @@
   public void took(CallerTook taken) {
     RoutedRequest request = state.requests.get(taken.request());
     if (request != null && request.sent()) {
-      state.outbox.send(request.sidecar.name(), new AttemptCredit(request.current, taken.bytes()));
+      request.uncreditedBytes += taken.bytes();
+      if (request.uncreditedBytes * CREDITS_PER_WINDOW >= state.policy.windowBytes()) {
+        state.outbox.send(
+            request.sidecar.name(), new AttemptCredit(request.current, request.uncreditedBytes));
+        request.uncreditedBytes = 0;
+      }
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -55,6 +55,10 @@
   boolean alone;
   boolean begun;
   int nextFrame;
+
+  /** Bytes that the caller has taken since the sidecar was last told. */
+  long uncreditedBytes;
+
   long sentNanos;
   long firstByteNanos;
   Reason withdrawReason;
@@ -111,6 +115,7 @@
     lastSidecar = to.name();
     alone = runsAlone;
     nextFrame = 0;
+    uncreditedBytes = 0;
     sentNanos = nowNanos;
     to.running.put(id(), this);
     return current;
