Tick seldom while nothing is under way

Cause: routers and sidecars looked at what is due every 25 ms, also when idle. Ruled out: spinning; no thread ran without a message. Change: a decision says whether it is idle; its task then ticks every 250 ms and goes back to the short tick with the first event that makes it busy.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/Decision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/Decision.java
@@ -18,4 +18,9 @@
    * @return what to do, in order
    */
   List<F> decide(E event, long nowNanos);
+
+  /** Returns whether nothing is under way that the passing of time soon changes. */
+  default boolean idle() {
+    return false;
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/DecisionTask.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/DecisionTask.java
@@ -22,7 +22,9 @@
   private final MonotonicClock clock;
   private final Scheduler scheduler;
   private final MailboxTask<Step<E>> mailbox;
-  private final Disposable.Composite ticks = Disposables.composite();
+  private final Disposable.Swap nextTick = Disposables.swap();
+  private Ticking<E> ticking;
+  private boolean nextTickIsLong;
 
   /** One thing to do for the task. */
   private sealed interface Step<E> {}
@@ -30,6 +32,12 @@
   /** An event to decide about. */
   private record Happened<E>(E event) implements Step<E> {}
 
+  /** The event that stands for the passing of time is due from now on. */
+  private record Ticking<E>(E event, long busyMillis, long idleMillis) implements Step<E> {}
+
+  /** Time has passed. */
+  private record Ticked<E>() implements Step<E> {}
+
   /** A question about the state of the decision. */
   private record Asked<E>(Consumer<Long> question) implements Step<E> {}
 
@@ -67,11 +75,16 @@
     mailbox.post(new Happened<>(event));
   }
 
-  /** Leaves an event again and again, until the task is stopped. */
-  public void repeat(E event, long periodMillis) {
-    ticks.add(
-        scheduler.schedulePeriodically(
-            () -> offer(event), periodMillis, periodMillis, TimeUnit.MILLISECONDS));
+  /**
+   * Leaves an event again and again, until the task is stopped; less often while the decision is
+   * idle.
+   *
+   * @param event stands for the passing of time
+   * @param busyMillis time between two events, in milliseconds
+   * @param idleMillis the same while the decision is idle
+   */
+  public void repeat(E event, long busyMillis, long idleMillis) {
+    mailbox.post(new Ticking<>(event, busyMillis, idleMillis));
   }
 
   /**
@@ -92,15 +105,37 @@
 
   @Override
   public CompletableFuture<Void> stop() {
-    ticks.dispose();
+    nextTick.dispose();
     mailbox.close();
     return CompletableFuture.completedFuture(null);
   }
 
   private void handle(Step<E> step) {
     switch (step) {
-      case Happened<E>(E event) -> decision.decide(event, clock.nanoTime()).forEach(performer);
+      case Happened<E>(E event) -> decide(event);
       case Asked<E>(Consumer<Long> question) -> question.accept(clock.nanoTime());
+      case Ticking<E> began -> {
+        ticking = began;
+        tickLater();
+      }
+      case Ticked<E>() -> {
+        tickLater();
+        decide(ticking.event());
+      }
     }
+    if (nextTickIsLong && !decision.idle()) {
+      tickLater();
+    }
+  }
+
+  private void decide(E event) {
+    decision.decide(event, clock.nanoTime()).forEach(performer);
+  }
+
+  private void tickLater() {
+    nextTickIsLong = decision.idle();
+    long delayMillis = nextTickIsLong ? ticking.idleMillis() : ticking.busyMillis();
+    nextTick.update(
+        scheduler.schedule(() -> mailbox.post(new Ticked<>()), delayMillis, TimeUnit.MILLISECONDS));
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -53,6 +53,11 @@
     return state.outbox().take();
   }
 
+  @Override
+  public boolean idle() {
+    return state.idle() && demand.settled();
+  }
+
   /** Returns what operators are told about this router. */
   public RouterSnapshot snapshot(long nowNanos) {
     return state.snapshot(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
@@ -87,6 +87,11 @@
     return decided;
   }
 
+  @Override
+  public boolean idle() {
+    return attempts.idle() && granter.granted() == 0 && ledger.active().isEmpty();
+  }
+
   /** Returns what operators are told. */
   public SidecarSnapshot snapshot(long nowNanos) {
     return new SidecarSnapshot(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DemandPublisher.java
@@ -84,6 +84,11 @@
     changed.add(queue);
   }
 
+  /** Returns whether every sidecar knows of the demand. */
+  public boolean settled() {
+    return changed.isEmpty() && urgent.isEmpty();
+  }
+
   /** Sends what is urgent, and the rest if a round is due. */
   public void publish(long nowNanos) {
     Map<String, List<WorkspaceDemand>> updates = new TreeMap<>();
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -60,6 +60,11 @@
     return draining && requests.isEmpty();
   }
 
+  /** Returns whether no request is under way. */
+  public boolean idle() {
+    return requests.isEmpty();
+  }
+
   /** Takes no new request from now on. */
   public void beginDrain() {
     draining = true;
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DecisionTaskTest.java
@@ -0,0 +1,89 @@
+package dev.agatepier.core.process;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.scheduler.Scheduler;
+
+public class DecisionTaskTest {
+
+  private final FakeScheduler scheduler = new FakeScheduler();
+  private final List<String> decided = new ArrayList<>();
+  private boolean idle = true;
+
+  @Test
+  public void ticksSeldomWhileIdleAndOftenAgainAtOnce() {
+    DecisionTask<String, String> task =
+        new DecisionTask<>(new FakeDecision(), effect -> {}, 10, scheduler, () -> 0, failure -> {});
+    task.repeat("tick", 25, 250);
+    assertEquals(scheduler.delays, List.of(250L));
+    scheduler.tick();
+    task.offer("still idle");
+    assertEquals(scheduler.delays, List.of(250L, 250L));
+    idle = false;
+    task.offer("work");
+    task.offer("more");
+    assertEquals(scheduler.delays, List.of(250L, 250L, 25L));
+    scheduler.tick();
+    assertEquals(scheduler.delays.getLast(), 25L);
+    idle = true;
+    scheduler.tick();
+    assertEquals(scheduler.delays.getLast(), 250L);
+    assertEquals(decided, List.of("tick", "still idle", "work", "more", "tick", "tick"));
+  }
+
+  /** Notes its events and is idle when the test says so. */
+  private final class FakeDecision implements Decision<String, String> {
+    @Override
+    public List<String> decide(String event, long nowNanos) {
+      decided.add(event);
+      return List.of();
+    }
+
+    @Override
+    public boolean idle() {
+      return idle;
+    }
+  }
+
+  /** Runs what is due now at once, and what is due later when the test says so. */
+  private static final class FakeScheduler implements Scheduler {
+    private final List<Long> delays = new ArrayList<>();
+    private Runnable later = () -> {};
+
+    @Override
+    public Disposable schedule(Runnable task) {
+      task.run();
+      return Disposables.disposed();
+    }
+
+    @Override
+    public Disposable schedule(Runnable task, long delay, TimeUnit unit) {
+      delays.add(unit.toMillis(delay));
+      later = task;
+      return Disposables.single();
+    }
+
+    @Override
+    public Worker createWorker() {
+      return new Worker() {
+        @Override
+        public Disposable schedule(Runnable task) {
+          return FakeScheduler.this.schedule(task);
+        }
+
+        @Override
+        public void dispose() {}
+      };
+    }
+
+    void tick() {
+      later.run();
+    }
+  }
+}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -41,6 +41,9 @@
   /** Time between two looks at what is due, in milliseconds. */
   private static final long TICK_MILLIS = 25;
 
+  /** The same while nothing is under way, in milliseconds. */
+  private static final long IDLE_TICK_MILLIS = 250;
+
   /** Time between two looks at the sums, in milliseconds. */
   private static final long HOLDER_TICK_MILLIS = 50;
 
@@ -95,8 +98,8 @@
             scheduler,
             System::nanoTime,
             RouterTasks::failed);
-    requests.repeat(new RouterEvent.TimePassed(), TICK_MILLIS);
-    holder.repeat(new HolderEvent.TimePassed(), HOLDER_TICK_MILLIS);
+    requests.repeat(new RouterEvent.TimePassed(), TICK_MILLIS, IDLE_TICK_MILLIS);
+    holder.repeat(new HolderEvent.TimePassed(), HOLDER_TICK_MILLIS, IDLE_TICK_MILLIS);
   }
 
   /** Returns where callers' events go. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SidecarTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SidecarTasks.java
@@ -33,6 +33,9 @@
   /** Time between two looks at what is due, in milliseconds. */
   private static final long TICK_MILLIS = 25;
 
+  /** The same while nothing is under way, in milliseconds. */
+  private static final long IDLE_TICK_MILLIS = 250;
+
   /** Sidecars keep no histogram of waits; routers do. */
   private static final WorkspacesStatus.Percentiles NO_WAITS =
       new WorkspacesStatus.Percentiles(0, 0, 0, 0);
@@ -74,7 +77,7 @@
             scheduler,
             System::nanoTime,
             failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
-    task.repeat(new SidecarEvent.TimePassed(), TICK_MILLIS);
+    task.repeat(new SidecarEvent.TimePassed(), TICK_MILLIS, IDLE_TICK_MILLIS);
   }
 
   /** Returns where the upstream's events go. */
