Report only what changed of costs and interest

Cause: each cost report named every active workspace again, because the set changes at each start and end. Ruled out: numbers for names; the whole list stays proportional to the backlog with any encoding. Change: CostChanges holds changed costs and the workspaces added and removed, on top of a CostReport that is told on each new link and every five minutes. A holder ignores changes without their report.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -195,6 +195,23 @@
     }
   }
 
+  /**
+   * Sidecar to the holder: what changed since its last {@link CostReport} over the same link.
+   *
+   * @param costs absolute values for the workspaces named; others stay as they were
+   * @param added workspaces whose fleet-wide sums the sidecar wants from now on
+   * @param removed workspaces whose sums it wants no longer
+   */
+  record CostChanges(List<WorkspaceCost> costs, List<String> added, List<String> removed)
+      implements LinkMessage {
+    /** Copies the lists. */
+    public CostChanges {
+      costs = List.copyOf(costs);
+      added = List.copyOf(added);
+      removed = List.copyOf(removed);
+    }
+  }
+
   /**
    * Holder to sidecar: cumulative costs everywhere but at the receiver.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/HolderDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/HolderDecision.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process;
 
 import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
 import dev.agatepier.core.connection.LinkMessage.FleetCosts;
@@ -74,6 +75,7 @@
     }
     switch (message) {
       case CostReport report -> reportArrived(peer, report, nowNanos);
+      case CostChanges changes -> changesArrived(peer, changes, nowNanos);
       case DataCentreCosts costs -> sumsOf(costs.service()).sumsArrived(peer, costs.costs());
       default -> {
         // Other messages are handled by the router's decision.
@@ -83,19 +85,24 @@
 
   private void reportArrived(PeerIdentity sidecar, CostReport report, long nowNanos) {
     ServiceSums service = sumsOf(sidecar.service());
-    boolean newInterest = service.reportArrived(sidecar, report);
-    if (newInterest) {
-      tellSidecar(sidecar, service.untoldNew(sidecar));
-    }
+    tellSidecar(sidecar, service.reportArrived(sidecar, report));
+    tellIfDue(nowNanos);
+  }
+
+  private void changesArrived(PeerIdentity sidecar, CostChanges changes, long nowNanos) {
+    ServiceSums service = sumsOf(sidecar.service());
+    tellSidecar(sidecar, service.changesArrived(sidecar, changes));
+    tellIfDue(nowNanos);
+  }
+
+  private void tellIfDue(long nowNanos) {
     if (nowNanos - toldNanos >= TimeUnit.MILLISECONDS.toNanos(policy.tellMillis())) {
       tellAll(nowNanos);
     }
   }
 
   private void timePassed(long nowNanos) {
-    if (nowNanos - toldNanos >= TimeUnit.MILLISECONDS.toNanos(policy.tellMillis())) {
-      tellAll(nowNanos);
-    }
+    tellIfDue(nowNanos);
     long forgetNanos = TimeUnit.MILLISECONDS.toNanos(policy.forgetMillis());
     sums.values().forEach(service -> service.forgetUnlinkedUntil(nowNanos - forgetNanos));
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
@@ -127,6 +127,7 @@
     routers.put(peer.instance(), peer);
     attempts.routerLinked(peer);
     exchange.routersChanged(routers.values());
+    exchange.routerLinked(peer);
     granter.routerCame();
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/CostExchange.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/CostExchange.java
@@ -1,5 +1,7 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.FleetCosts;
 import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
@@ -20,19 +22,26 @@
  * Tells the holder what each workspace cost here and takes in what it cost elsewhere.
  *
  * <p>The first report to a holder is the full list; a workspace that it leaves out has cost
- * nothing. Sums of a holder are taken as increments: the first mention of a workspace is a
- * baseline, later only what was added counts. They are kept until another holder tells sums.
+ * nothing. Later ones hold what changed, and the full list comes again from time to time, so that
+ * the loss of one does no lasting harm. Sums of a holder are taken as increments: the first mention
+ * of a workspace is a baseline, later only what was added counts. They are kept until another
+ * holder tells sums.
  */
 public final class CostExchange {
+
+  /** Time after which the full list is told again. */
+  private static final long REPEAT_NANOS = TimeUnit.MINUTES.toNanos(5);
+
   private final PeerIdentity self;
   private final long reportNanos;
   private final WorkspaceLedger ledger;
   private final Map<String, Double> reported = new HashMap<>();
   private final Map<String, Double> lastSums = new HashMap<>();
-  private Set<String> reportedInterest = Set.of();
+  private final Set<String> reportedInterest = new TreeSet<>();
   private Optional<PeerIdentity> holder = Optional.empty();
   private boolean fullDue;
   private long reportedNanos;
+  private long fullNanos;
   private long sumsIncarnation;
 
   /**
@@ -64,26 +73,52 @@
     }
   }
 
+  /** Has everything told to the holder again, because its link is new. */
+  public void routerLinked(PeerIdentity router) {
+    fullDue |= holder.equals(Optional.of(router));
+  }
+
   /** Reports, if a report is due and anything has changed. */
   public void report(long nowNanos, List<SidecarEffect> effects) {
     boolean due = fullDue || nowNanos - reportedNanos >= reportNanos;
     if (holder.isEmpty() || !due) {
       return;
     }
-    if (fullDue) {
-      reported.clear();
-    }
-    List<WorkspaceCost> costs = changedCosts();
-    Set<String> interest = ledger.active();
-    if (fullDue || !costs.isEmpty() || !interest.equals(reportedInterest)) {
-      CostReport report = new CostReport(costs, List.copyOf(interest));
-      effects.add(new Send(holder.get().instance(), report));
+    fullDue |= nowNanos - fullNanos >= REPEAT_NANOS;
+    Optional<LinkMessage> report = fullDue ? Optional.of(fullReport(nowNanos)) : changes();
+    if (report.isPresent()) {
+      effects.add(new Send(holder.get().instance(), report.get()));
       reportedNanos = nowNanos;
-      reportedInterest = Set.copyOf(interest);
-      fullDue = false;
     }
   }
 
+  private CostReport fullReport(long nowNanos) {
+    fullDue = false;
+    fullNanos = nowNanos;
+    reported.clear();
+    ledger.takeCharged();
+    reportedInterest.clear();
+    reportedInterest.addAll(ledger.active());
+    return new CostReport(changedCosts(everyWorkspace()), List.copyOf(reportedInterest));
+  }
+
+  private Optional<LinkMessage> changes() {
+    Set<String> active = ledger.active();
+    List<WorkspaceCost> costs = changedCosts(ledger.takeCharged());
+    List<String> added = new ArrayList<>();
+    List<String> removed = new ArrayList<>();
+    for (String workspace : ledger.takeActiveChanged()) {
+      if (active.contains(workspace) && reportedInterest.add(workspace)) {
+        added.add(workspace);
+      } else if (!active.contains(workspace) && reportedInterest.remove(workspace)) {
+        removed.add(workspace);
+      }
+    }
+    return costs.isEmpty() && added.isEmpty() && removed.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new CostChanges(costs, added, removed));
+  }
+
   /** Takes in what a router tells, if it is the holder. */
   public void sumsArrived(PeerIdentity sender, FleetCosts sums) {
     if (!holder.equals(Optional.of(sender))) {
@@ -104,9 +139,7 @@
     }
   }
 
-  private List<WorkspaceCost> changedCosts() {
-    Set<String> charged = ledger.takeCharged();
-    Set<String> candidates = fullDue ? everyWorkspace() : charged;
+  private List<WorkspaceCost> changedCosts(Set<String> candidates) {
     List<WorkspaceCost> costs = new ArrayList<>();
     for (String workspace : candidates) {
       double cost = ledger.account(workspace).localCost();
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSums.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSums.java
@@ -1,9 +1,11 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
 import dev.agatepier.core.connection.PeerIdentity;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -38,18 +40,36 @@
     return name;
   }
 
-  /** Takes in a sidecar's report; returns whether it asks for sums it has not been told. */
-  public boolean reportArrived(PeerIdentity sidecar, CostReport report) {
+  /** Takes in a sidecar's report; returns the sums it asks for and has never been told. */
+  public List<WorkspaceCost> reportArrived(PeerIdentity sidecar, CostReport report) {
+    take(sidecar, report.costs());
+    interest.put(sidecar, new HashSet<>(report.interested()));
+    return untoldNew(sidecar, report.interested());
+  }
+
+  /**
+   * Takes in what changed at a sidecar; returns the sums it asks for and has never been told.
+   * Changes without the report that they build on are ignored until one comes.
+   */
+  public List<WorkspaceCost> changesArrived(PeerIdentity sidecar, CostChanges changes) {
+    Set<String> interested = interest.get(sidecar);
+    if (interested == null) {
+      return List.of();
+    }
+    take(sidecar, changes.costs());
+    interested.addAll(changes.added());
+    interested.removeAll(Set.copyOf(changes.removed()));
+    return untoldNew(sidecar, changes.added());
+  }
+
+  private void take(PeerIdentity sidecar, List<WorkspaceCost> costs) {
     contribution(sidecar)
         .take(
-            report.costs(),
+            costs,
             (workspace, increment) -> {
               everywhere.merge(workspace, increment, Double::sum);
               ownDataCentre.merge(workspace, increment, Double::sum);
             });
-    interest.put(sidecar, Set.copyOf(report.interested()));
-    ToldCosts told = toldSidecars.computeIfAbsent(sidecar, peer -> new ToldCosts());
-    return report.interested().stream().anyMatch(workspace -> !told.knows(workspace));
   }
 
   /** Takes in the sums of another data centre. */
@@ -66,14 +86,10 @@
         .take(costs, (workspace, increment) -> everywhere.merge(workspace, increment, Double::sum));
   }
 
-  /** Returns the sums that a sidecar asked for and has never been told, and notes them as told. */
-  public List<WorkspaceCost> untoldNew(PeerIdentity sidecar) {
-    ToldCosts told = toldSidecars.get(sidecar);
+  private List<WorkspaceCost> untoldNew(PeerIdentity sidecar, List<String> asked) {
+    ToldCosts told = toldSidecars.computeIfAbsent(sidecar, peer -> new ToldCosts());
     List<String> fresh =
-        interest.get(sidecar).stream()
-            .filter(workspace -> !told.knows(workspace))
-            .sorted()
-            .toList();
+        asked.stream().filter(workspace -> !told.knows(workspace)).sorted().toList();
     return told.changes(fresh, workspace -> elsewhere(sidecar, workspace));
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
@@ -29,6 +29,7 @@
   private final TreeSet<WorkspaceAccount> byVirtualService;
   private final Set<String> active = new TreeSet<>();
   private final Set<String> charged = new HashSet<>();
+  private final Set<String> activeChanged = new HashSet<>();
   private double lastPicked;
   private Table table = Table.NONE;
 
@@ -74,6 +75,13 @@
     return taken;
   }
 
+  /** Returns the workspaces that became active or ceased to be since the last call. */
+  public Set<String> takeActiveChanged() {
+    Set<String> taken = new TreeSet<>(activeChanged);
+    activeChanged.clear();
+    return taken;
+  }
+
   /** Returns the waiting workspace that is served next. */
   public Optional<WorkspaceAccount> next() {
     return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.first());
@@ -148,10 +156,9 @@
   }
 
   private void noteActive(WorkspaceAccount account) {
-    if (account.active()) {
-      active.add(account.name);
-    } else {
-      active.remove(account.name);
+    boolean changed = account.active() ? active.add(account.name) : active.remove(account.name);
+    if (changed) {
+      activeChanged.add(account.name);
     }
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/HolderDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/HolderDecisionTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 
 import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
 import dev.agatepier.core.connection.LinkMessage.FleetCosts;
@@ -88,6 +89,22 @@
     assertEquals(after(250), List.of(sums(ONE, 5), sums(TWO, 5)));
   }
 
+  @Test
+  public void takesChangesOnlyOnTopOfReport() {
+    tell(new MessageArrived(ONE, new CostChanges(quartet(5), List.of(), List.of("quartet"))));
+    assertEquals(after(250), List.of(sums(TWO, 5)));
+    report(TWO, 7);
+    assertEquals(after(250), List.of(), "no interest any more");
+    tell(new MessageArrived(ONE, new CostChanges(List.of(), List.of("quartet"), List.of())));
+    assertEquals(after(250), List.of(sums(ONE, 7)), "told what changed meanwhile");
+    tell(new PeerUnlinked(ONE));
+    tell(new PeerLinked(ONE));
+    tell(new MessageArrived(ONE, new CostChanges(quartet(9), List.of("quartet"), List.of())));
+    assertEquals(after(250), List.of(), "changes without a report");
+    assertEquals(report(ONE, 9), List.of(sums(ONE, 7)));
+    assertEquals(after(250), List.of(sums(TWO, 9)));
+  }
+
   @Test
   public void countsWhatKnownSidecarReceivedDuringCut() {
     tell(new PeerUnlinked(ONE));
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarExchangeTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarExchangeTest.java
@@ -4,6 +4,8 @@
 import static dev.agatepier.core.process.SidecarBench.attempt;
 import static org.testng.Assert.assertEquals;
 
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.FleetCosts;
 import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
@@ -36,17 +38,24 @@
     bench.run("quartet", attempt(1)).tell(new UpstreamEnded(attempt(1), 9));
     bench.run("festival", attempt(2)).after(250);
     assertEquals(
-        bench.only(CostReport.class),
-        new CostReport(
+        bench.only(CostChanges.class),
+        new CostChanges(
             List.of(new WorkspaceCost("festival", 9), new WorkspaceCost("quartet", 9)),
-            List.of("festival")));
-    assertEquals(bench.after(250).sent(CostReport.class), List.of(), "nothing changed");
+            List.of("festival"),
+            List.of()));
+    assertEquals(bench.after(250).sent(LinkMessage.class), List.of(), "nothing changed");
     bench.tell(new UpstreamEnded(attempt(2), 30));
     assertEquals(
-        bench.only(CostReport.class),
-        new CostReport(List.of(new WorkspaceCost("festival", 30)), List.of()));
+        bench.only(CostChanges.class),
+        new CostChanges(
+            List.of(new WorkspaceCost("festival", 30)), List.of(), List.of("festival")));
     bench.tell(new RouterUnlinked(ROUTER)).tell(new RouterLinked(ROUTER));
     assertEquals(bench.only(CostReport.class).costs().size(), 2, "relinked: all again");
+    bench.tell(new RouterLinked(ROUTER));
+    assertEquals(bench.only(CostReport.class).costs().size(), 2, "another link: all again");
+    bench.after(299_999);
+    assertEquals(bench.sent(CostReport.class), List.of());
+    assertEquals(bench.after(1).only(CostReport.class).costs().size(), 2, "repeated");
   }
 
   @Test
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/DecisionRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/DecisionRouter.java
@@ -85,7 +85,7 @@
 
   private void arrived(PeerIdentity peer, LinkMessage message) {
     switch (message) {
-      case LinkMessage.CostReport _, LinkMessage.DataCentreCosts _ ->
+      case LinkMessage.CostReport _, LinkMessage.CostChanges _, LinkMessage.DataCentreCosts _ ->
           costs.add(new HolderEvent.MessageArrived(peer, message));
       default -> tell(new RouterEvent.MessageArrived(peer, message));
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
@@ -42,6 +42,7 @@
           LinkMessage.AttemptWithdrawn _ ->
           ATTEMPT;
       case LinkMessage.CostReport _,
+          LinkMessage.CostChanges _,
           LinkMessage.FleetCosts _,
           LinkMessage.DataCentreCosts _,
           LinkMessage.SuspicionReport _ ->
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CostFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CostFamily.java
@@ -1,5 +1,6 @@
 package dev.agatepier.wire.connection.internal;
 
+import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
 import dev.agatepier.core.connection.LinkMessage.FleetCosts;
@@ -47,7 +48,21 @@
             SuspicionReport.class,
             1,
             (message, output) -> output.list(message.suspicions(), CostFamily::writeSuspicion),
-            input -> new SuspicionReport(input.list(CostFamily::readSuspicion))));
+            input -> new SuspicionReport(input.list(CostFamily::readSuspicion))),
+        new MessageType<>(
+            34,
+            CostChanges.class,
+            3,
+            (message, output) -> {
+              output.list(message.costs(), CostFamily::writeCost);
+              output.list(message.added(), FieldOutput::text);
+              output.list(message.removed(), FieldOutput::text);
+            },
+            input ->
+                new CostChanges(
+                    input.list(CostFamily::readCost),
+                    input.list(FieldInput::text),
+                    input.list(FieldInput::text))));
   }
 
   private static void writeCost(FieldOutput output, WorkspaceCost cost) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -133,7 +133,7 @@
   @Override
   public boolean message(PeerIdentity peer, LinkMessage message) {
     return switch (message) {
-      case LinkMessage.CostReport _, LinkMessage.DataCentreCosts _ ->
+      case LinkMessage.CostReport _, LinkMessage.CostChanges _, LinkMessage.DataCentreCosts _ ->
           holder.offer(new HolderEvent.MessageArrived(peer, message));
       default -> requests.offer(new RouterEvent.MessageArrived(peer, message));
     };
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.connection.LinkMessage.AttemptHead;
 import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
 import dev.agatepier.core.connection.LinkMessage.AttemptWithdrawn;
+import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
 import dev.agatepier.core.connection.LinkMessage.DemandUpdate;
@@ -108,7 +109,8 @@
         new CostReport(costs, List.of("kolkata-strings", "howrah-winds")),
         new FleetCosts(7, costs),
         new DataCentreCosts("plan-model", costs),
-        new SuspicionReport(List.of(new Suspicion(FINGERPRINT, "engine-3", 9, 1, true))));
+        new SuspicionReport(List.of(new Suspicion(FINGERPRINT, "engine-3", 9, 1, true))),
+        new CostChanges(costs, List.of("siliguri-festival"), List.of("howrah-winds")));
   }
 
   private static List<LinkMessage> table() {
