--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -41,6 +41,9 @@
   /** Time between two looks at what is due, in milliseconds. */
   private static final long TICK_MILLIS = 25;
 
+  /** The same while nothing is under way, in milliseconds. */
+  private static final long IDLE_TICK_MILLIS = 250;
+
   /** Time between two looks at the sums, in milliseconds. */
   private static final long HOLDER_TICK_MILLIS = 50;
 
@@ -95,8 +98,8 @@
             scheduler,
             System::nanoTime,
             RouterTasks::failed);
-    requests.repeat(new RouterEvent.TimePassed(), TICK_MILLIS);
-    holder.repeat(new HolderEvent.TimePassed(), HOLDER_TICK_MILLIS);
+    requests.repeat(new RouterEvent.TimePassed(), TICK_MILLIS, IDLE_TICK_MILLIS);
+    holder.repeat(new HolderEvent.TimePassed(), HOLDER_TICK_MILLIS, IDLE_TICK_MILLIS);
   }
 
   /** Returns where callers' events go. */
@@ -130,7 +133,7 @@
   @Override
   public boolean message(PeerIdentity peer, LinkMessage message) {
     return switch (message) {
-      case LinkMessage.CostReport _, LinkMessage.DataCentreCosts _ ->
+      case LinkMessage.CostReport _, LinkMessage.CostChanges _, LinkMessage.DataCentreCosts _ ->
           holder.offer(new HolderEvent.MessageArrived(peer, message));
       default -> requests.offer(new RouterEvent.MessageArrived(peer, message));
     };
