Close links without losing the last frames

Cause: a stopping process waited a fixed 200 ms and then closed its sockets. Frames still queued were dropped, a socket closed with unread bytes was reset, and the receiver dropped what its mailbox had not taken when the connection ended. Ruled out: a longer wait (no bound is right for a slow peer); SO_LINGER (it blocks, and a reset still discards). Change: a link is finished: it takes nothing more, writes all, ends its output, reads to the peer's end, then closes; a silent peer ends the wait. A receiver takes what came before the end first. FleetMember waits for that.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
@@ -51,8 +51,7 @@
     if (last == null) {
       return CompletableFuture.completedFuture(null);
     }
-    last.close("stopped");
-    return last.closed();
+    return last.finish("stopped");
   }
 
   private synchronized LinkTask stopConnecting() {
@@ -91,7 +90,7 @@
     }
     LinkTask opened = LinkTask.dialed(context, connection);
     task = opened;
-    connection.onDispose(() -> ended(opened));
+    opened.closed().thenRun(() -> ended(opened));
     opened.begin();
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkListener.java
@@ -51,8 +51,9 @@
       return CompletableFuture.completedFuture(null);
     }
     server.dispose();
-    tasks.forEach(task -> task.close("stopped"));
-    return server.onDispose().toFuture();
+    CompletableFuture<?>[] finished =
+        tasks.stream().map(task -> task.finish("stopped")).toArray(CompletableFuture[]::new);
+    return CompletableFuture.allOf(finished).thenCompose(ignored -> server.onDispose().toFuture());
   }
 
   private TcpServer configure() {
@@ -67,7 +68,7 @@
   private void accept(Connection connection) {
     LinkTask task = LinkTask.accepted(context, connection);
     tasks.add(task);
-    connection.onDispose(() -> tasks.remove(task));
+    task.closed().thenRun(() -> tasks.remove(task));
     task.begin();
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -6,8 +6,10 @@
 import dev.agatepier.wire.connection.Link;
 import dev.agatepier.wire.connection.LinkCounters;
 import dev.agatepier.wire.connection.LinkException;
+import io.netty.channel.socket.DuplexChannel;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -35,12 +37,16 @@
   private final TrafficCounter sent = new TrafficCounter();
   private final TrafficCounter received = new TrafficCounter();
   private final AtomicReference<String> closeReason = new AtomicReference<>();
+  private final AtomicBoolean ended = new AtomicBoolean();
   private final CompletableFuture<Void> closed = new CompletableFuture<>();
   private final Inbound inbound = new Inbound();
   private volatile long heardNanos;
   private volatile PeerIdentity peer;
   private volatile boolean holding;
 
+  /** The socket is closed; what it had received may still wait to be taken. */
+  private volatile boolean disconnected;
+
   private LinkTask(LinkContext context, Connection connection, boolean dialing) {
     this.context = context;
     this.connection = connection;
@@ -66,7 +72,7 @@
   public void begin() {
     heardNanos = context.clock().nanoTime();
     connection.addHandlerLast("agatepier-frames", frames);
-    connection.onDispose(this::ended);
+    connection.onDispose(this::disconnected);
     connection.inbound().receiveObject().subscribe(inbound);
     write(handshake.hello());
     later(context.settings().handshakeMillis(), this::requireLinked);
@@ -74,7 +80,7 @@
 
   @Override
   public boolean send(LinkMessage message) {
-    if (peer == null || closeReason.get() != null || silent()) {
+    if (peer == null || closeReason.get() != null || disconnected || silent()) {
       return false;
     }
     return write(message);
@@ -84,6 +90,43 @@
   public void close(String reason) {
     if (closeReason.compareAndSet(null, reason)) {
       connection.channel().close();
+      if (disconnected) {
+        ended();
+      }
+    }
+  }
+
+  /**
+   * Sends nothing further and closes once the peer has taken every frame. The socket is read to its
+   * end meanwhile: closing it with unread bytes would reset the connection and lose last frames.
+   */
+  public CompletableFuture<Void> finish(String reason) {
+    if (closeReason.compareAndSet(null, reason)) {
+      if (disconnected) {
+        ended();
+      }
+      outbound.whenFlushed(this::endOutput);
+      inbound.request(Long.MAX_VALUE);
+      awaitPeer();
+    }
+    return closed;
+  }
+
+  private void endOutput() {
+    if (connection.channel() instanceof DuplexChannel channel && channel.isActive()) {
+      channel.shutdownOutput();
+    } else {
+      connection.channel().close();
+    }
+  }
+
+  /** Closes the socket if the peer neither ends the connection nor is heard. */
+  private void awaitPeer() {
+    long silence = context.clock().nanoTime() - heardNanos;
+    if (silence > context.settings().silenceNanos()) {
+      connection.channel().close();
+    } else if (!closed.isDone()) {
+      later(context.settings().heartbeatMillis(), this::awaitPeer);
     }
   }
 
@@ -122,7 +165,11 @@
   }
 
   private void received(byte[] content) {
-    if (closeReason.get() != null || silent()) {
+    if (closeReason.get() != null) {
+      heardNanos = context.clock().nanoTime();
+      return;
+    }
+    if (silent()) {
       return;
     }
     heardNanos = context.clock().nanoTime();
@@ -206,8 +253,18 @@
     }
   }
 
+  /** What the peer sent before it closed is taken first; then the inbound side says the end. */
+  private void disconnected() {
+    disconnected = true;
+    if (closeReason.get() != null) {
+      ended();
+    }
+  }
+
   private void ended() {
-    closeReason.compareAndSet(null, "connection-closed");
+    if (!ended.compareAndSet(false, true)) {
+      return;
+    }
     String reason = closeReason.get();
     LOGGER.info(
         new StringMapMessage()
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/OutboundQueue.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/OutboundQueue.java
@@ -42,6 +42,17 @@
     return true;
   }
 
+  /** Calls back on the event loop once the socket has taken every frame offered before. */
+  void whenFlushed(Runnable flushed) {
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              write();
+              channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> flushed.run());
+            });
+  }
+
   private void write() {
     scheduled.set(false);
     for (byte[] content = frames.poll(); content != null; content = frames.poll()) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -27,7 +27,6 @@
 import dev.agatepier.wire.version.PlatformClient;
 import dev.agatepier.wire.version.VersionListener;
 import dev.agatepier.wire.version.VersionService;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -49,9 +48,6 @@
 
   private static final Logger LOGGER = LogManager.getLogger(FleetMember.class);
 
-  /** Time that the last frames have to leave before the links are closed. */
-  private static final Duration FLUSH = Duration.ofMillis(200);
-
   private final PeerIdentity self;
   private final Scheduler scheduler;
   private final LinkRegistry links;
@@ -129,12 +125,10 @@
                         .with("incarnation", Long.toHexString(self.incarnation()))));
   }
 
-  /** Closes links and listeners; the tasks must have finished their work. */
+  /** Closes links once peers have every frame, then listeners; the tasks must have finished. */
   @Override
   public CompletableFuture<Void> stop() {
-    return Mono.delay(FLUSH)
-        .then(Mono.fromFuture(dialer::stop))
-        .then(Mono.fromFuture(linkListener::stop))
+    return Mono.fromFuture(() -> CompletableFuture.allOf(dialer.stop(), linkListener.stop()))
         .then(Mono.fromFuture(versions::stop))
         .then(Mono.fromFuture(administration::stop))
         .doFinally(signal -> scheduler.dispose())
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
@@ -18,6 +18,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -49,7 +51,7 @@
   @AfterMethod(alwaysRun = true)
   public void stopServices() {
     while (!services.isEmpty()) {
-      services.pop().stop().join();
+      services.pop().stop().orTimeout(5, TimeUnit.SECONDS).join();
     }
   }
 
@@ -236,6 +238,26 @@
     }
   }
 
+  @Test
+  public void stopLosesNoFrameThatThePeerHasYetToTake() throws Exception {
+    int port = listen(QUICK);
+    dial(LinkSessions.ROUTER, SECRET, port);
+    final Link towardsRouter = sidecarEvents.link();
+    Link towardsSidecar = routerEvents.link();
+    sidecarEvents.taking = false;
+    routerEvents.taking = false;
+    assertTrue(towardsSidecar.send(content(100_000)));
+    for (int number = 1; number <= 50; number++) {
+      assertTrue(towardsRouter.send(new Grant(number, "a".repeat(4_000))));
+    }
+    CompletableFuture<Void> stopped = services.peekLast().stop();
+    routerEvents.taking = true;
+    for (int number = 1; number <= 50; number++) {
+      assertEquals(routerEvents.nextMessage(), new Grant(number, "a".repeat(4_000)));
+    }
+    stopped.get(20, TimeUnit.SECONDS);
+  }
+
   private int listen(LinkSettings settings) {
     LinkListener listener =
         network(LinkSessions.SIDECAR, SECRET, settings, sidecarEvents).listener(LOOPBACK, 0);
