--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
@@ -2,9 +2,10 @@
 
 import dev.agatepier.cli.process.ExitCode;
 import dev.agatepier.cli.process.Program;
-import dev.agatepier.core.process.ManagedService;
 import dev.agatepier.wire.process.CommonSettings;
+import dev.agatepier.wire.process.FleetService;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
@@ -22,9 +23,6 @@
  */
 public final class ServiceProgram<S> implements Program<S> {
 
-  /** Longest time for finishing what is under way. */
-  private static final long STOP_SECONDS = 150;
-
   /** Low bits of an incarnation that are random. */
   private static final int RANDOM_BITS = 20;
 
@@ -42,7 +40,7 @@
      * @param incarnation its incarnation
      * @param stop ends the program gracefully
      */
-    ManagedService create(S settings, long incarnation, Runnable stop);
+    FleetService create(S settings, long incarnation, Runnable stop);
   }
 
   /** Creates the program. */
@@ -57,8 +55,7 @@
     Logger logger = LogManager.getLogger(ServiceProgram.class);
     CompletableFuture<Void> stopAsked = new CompletableFuture<>();
     CompletableFuture<Integer> ended = new CompletableFuture<>();
-    ManagedService service =
-        factory.create(settings, incarnation(), () -> stopAsked.complete(null));
+    FleetService service = factory.create(settings, incarnation(), () -> stopAsked.complete(null));
     try {
       service.start().join();
     } catch (CompletionException failure) {
@@ -74,19 +71,22 @@
             "stop");
     Runtime.getRuntime().addShutdownHook(hook);
     stopAsked.join();
-    int code = stop(service, logger);
+    int code = stop(service, common.apply(settings).stop().timeoutMillis(), logger);
     ended.complete(code);
     return code;
   }
 
-  private static int stop(ManagedService service, Logger logger) {
+  private static int stop(FleetService service, long timeoutMillis, Logger logger) {
     logger.info(event("stop-begun"));
     try {
-      service.stop().get(STOP_SECONDS, TimeUnit.SECONDS);
+      service.stop().get(timeoutMillis, TimeUnit.MILLISECONDS);
       logger.info(event("stop-done").with("cut", 0));
       return ExitCode.OK.code();
     } catch (TimeoutException late) {
-      logger.error(event("stop-timeout").with("seconds", STOP_SECONDS));
+      List<String> cut = service.underWay();
+      cut.forEach(name -> logger.error(event("request-cut").with("request", name)));
+      logger.error(
+          event("stop-timeout").with("timeoutMillis", timeoutMillis).with("cut", cut.size()));
       return ExitCode.TIMEOUT.code();
     } catch (ExecutionException | InterruptedException failure) {
       logger.error(event("stop-failed"), failure);
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsFields.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsFields.java
@@ -17,6 +17,7 @@
 import dev.agatepier.wire.process.RouterSettings;
 import dev.agatepier.wire.process.Secret;
 import dev.agatepier.wire.process.SidecarSettings;
+import dev.agatepier.wire.process.StopSettings;
 import dev.agatepier.wire.process.TlsSettings;
 import java.io.IOException;
 import java.net.URI;
@@ -125,7 +126,8 @@
         secret,
         tls,
         policy("limits", LimitSettings.class, LimitSettings.DEFAULT),
-        policy("versions", VersionPolicy.class, VersionPolicy.DEFAULT));
+        policy("versions", VersionPolicy.class, VersionPolicy.DEFAULT),
+        policy("stop", StopSettings.class, StopSettings.DEFAULT));
   }
 
   private Endpoint endpoint(String field) {
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -55,6 +55,8 @@
       {"'attempts':2", "'attempts':'2s'", "$.policy.attempts: must be a whole number"},
       {"'attempts':2", "'tries':2", "$.policy.tries: is not a known field"},
       {"'policy':", "'polity':", "$.polity: is not a known field"},
+      {"'policy':", "'stop':{'graceMillis':'1s'},'policy':", "$.stop.graceMillis: must be a whole"},
+      {"'policy':", "'stop':{'timeoutMillis':0},'policy':", "$.stop: graceMillis must be from 0"},
       {"'keyFile':'key'", "'keyFile':'none'", "$.administration.keyFile: the file cannot be read"},
       {"'secretFile':'secret'", "'secretFile':'short'", "$.security.secretFile: the secret is sho"},
       {"http://127.0.0.1:7000", "127.0.0.1:7000", "$.platform.address: must be http"},
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -24,6 +24,7 @@
 import dev.agatepier.wire.request.internal.ParsedCall;
 import dev.agatepier.wire.request.internal.ReasonText;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -99,9 +100,14 @@
     return listener.port();
   }
 
-  /** Closes the listening socket; connections end with the answer under way. */
-  public void stopAccepting() {
-    listener.stopAccepting();
+  /** From now on each connection ends with its next answer, though new ones are accepted. */
+  public void closeAfterAnswers() {
+    listener.closeAfterAnswers();
+  }
+
+  /** Returns the names of the requests under way, sorted. */
+  public List<String> underWay() {
+    return exchanges.keySet().stream().map(RequestId::toString).sorted().toList();
   }
 
   /** Stops accepting and completes when every request under way has ended. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CommonSettings.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CommonSettings.java
@@ -18,6 +18,7 @@
  * @param tls certificates for links, if they are encrypted
  * @param limits bounds on what one caller or peer may send
  * @param versions how table and instance list are followed
+ * @param stop how long a planned stop may take
  */
 public record CommonSettings(
     String instance,
@@ -31,4 +32,5 @@
     Secret secret,
     Optional<TlsSettings> tls,
     LimitSettings limits,
-    VersionPolicy versions) {}
+    VersionPolicy versions,
+    StopSettings stop) {}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -4,30 +4,28 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.process.LinkPlan;
-import dev.agatepier.core.process.ManagedService;
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.wire.process.internal.FleetMember;
 import dev.agatepier.wire.process.internal.LinkRegistry;
 import dev.agatepier.wire.process.internal.RouterTasks;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
 /** A whole router: an entry instance between callers and sidecars. */
-public final class RouterService implements ManagedService {
+public final class RouterService implements FleetService {
 
   /** Threads that run the router's tasks. */
   private static final int TASK_THREADS = 2;
 
-  /** Time between being no longer ready and taking no new request, so that the balancer leaves. */
-  private static final Duration BALANCER_GRACE = Duration.ofMillis(1_000);
-
   private final RouterTasks tasks;
   private final CallerListener callers;
   private final FleetMember member;
+  private final Duration grace;
 
   /**
    * Creates the router; nothing is opened yet.
@@ -38,6 +36,7 @@
    */
   public RouterService(RouterSettings settings, long incarnation, Runnable stop) {
     CommonSettings common = settings.common();
+    grace = Duration.ofMillis(common.stop().graceMillis());
     PeerIdentity self =
         new PeerIdentity(
             common.instance(), incarnation, Role.ROUTER, common.dataCentre(), common.region(), "");
@@ -71,19 +70,27 @@
     return member.start().thenCompose(ignored -> callers.start());
   }
 
-  /** Lets the balancer leave, finishes every request, then closes everything. */
+  /**
+   * Lets the balancer leave, finishes every request, then closes everything. A request that still
+   * comes over an open connection is served, and its connection closed behind the answer.
+   */
   @Override
   public CompletableFuture<Void> stop() {
     tasks.announceStop();
-    return Mono.delay(BALANCER_GRACE)
-        .doOnNext(ignored -> callers.stopAccepting())
-        .then(Mono.fromFuture(tasks::drain))
+    callers.closeAfterAnswers();
+    return Mono.delay(grace)
         .then(Mono.fromFuture(callers::stop))
+        .then(Mono.fromFuture(tasks::drain))
         .then(Mono.fromFuture(member::stop))
         .then(Mono.fromFuture(tasks::close))
         .toFuture();
   }
 
+  @Override
+  public List<String> underWay() {
+    return callers.underWay();
+  }
+
   private void performForCaller(RouterEffect effect) {
     callers.perform(effect);
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
@@ -4,18 +4,18 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.process.LinkPlan;
-import dev.agatepier.core.process.ManagedService;
 import dev.agatepier.core.process.SidecarEffect;
 import dev.agatepier.wire.process.internal.FleetMember;
 import dev.agatepier.wire.process.internal.LinkRegistry;
 import dev.agatepier.wire.process.internal.SidecarTasks;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
 /** A whole sidecar: the process beside one upstream and the only way to it. */
-public final class SidecarService implements ManagedService {
+public final class SidecarService implements FleetService {
 
   /** Threads that run the sidecar's tasks. */
   private static final int TASK_THREADS = 1;
@@ -69,6 +69,11 @@
         .toFuture();
   }
 
+  @Override
+  public List<String> underWay() {
+    return upstream.underWay();
+  }
+
   private void performAtUpstream(SidecarEffect effect) {
     upstream.perform(effect);
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/UpstreamClient.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/UpstreamClient.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -63,6 +64,11 @@
     return connections.disposeLater().toFuture();
   }
 
+  /** Returns the names of the attempts under way, sorted. */
+  public List<String> underWay() {
+    return exchanges.keySet().stream().map(AttemptId::toString).sorted().toList();
+  }
+
   /** Carries out an effect that concerns the upstream; others are ignored. */
   public void perform(SidecarEffect effect) {
     switch (effect) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/HttpListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/HttpListener.java
@@ -25,6 +25,7 @@
   private final AtomicInteger underWay = new AtomicInteger();
   private final CompletableFuture<Void> idle = new CompletableFuture<>();
   private volatile DisposableServer server;
+  private volatile boolean closingAfterAnswers;
   private volatile boolean stopping;
 
   /**
@@ -54,8 +55,13 @@
     return server.port();
   }
 
-  /** Closes the listening socket; connections end with the answer under way. */
-  public void stopAccepting() {
+  /** From now on each connection ends with its next answer, though new ones are accepted. */
+  public void closeAfterAnswers() {
+    closingAfterAnswers = true;
+  }
+
+  private void stopAccepting() {
+    closingAfterAnswers = true;
     stopping = true;
     if (server != null) {
       server.dispose();
@@ -74,7 +80,7 @@
   private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     underWay.incrementAndGet();
     request.withConnection(this::watch);
-    if (stopping) {
+    if (closingAfterAnswers) {
       response.keepAlive(false);
     }
     return Mono.defer(() -> handler.apply(request, response));
