--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
@@ -108,8 +108,8 @@
   private void open(Connection connection) {
     LinkTask opened = LinkTask.dialed(context, connection);
     mailbox.post(new Connected(opened));
+    opened.closed().thenRun(() -> mailbox.post(new Ended(opened)));
     opened.begin();
-    connection.onDispose(() -> mailbox.post(new Ended(opened)));
   }
 
   private TcpClient configure() {
@@ -152,9 +152,8 @@
   private void endLink(CompletableFuture<Void> done) {
     stopped = true;
     pending.dispose();
-    current.ifPresent(link -> link.close("stopped"));
     current
-        .map(LinkTask::closed)
+        .map(link -> link.finish("stopped"))
         .orElse(CompletableFuture.completedFuture(null))
         .thenRun(() -> done.complete(null));
   }
