--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ExplainCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ExplainCommand.java
@@ -4,7 +4,6 @@
 import dev.agatepier.cli.process.ExitCode;
 import dev.agatepier.cli.process.Reporter;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Function;
 import java.util.regex.Pattern;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -56,10 +55,27 @@
       reporter.json(body);
       return;
     }
-    reporter.line(reply.target().name());
-    for (Map.Entry<String, JsonNode> field : body.properties()) {
-      String value = field.getValue().isTextual() ? field.getValue().asText() : null;
-      reporter.line("  " + field.getKey() + ": " + (value == null ? field.getValue() : value));
-    }
+    String reason = body.path("reason").asText();
+    String outcome = body.path("outcome").asText();
+    reporter.line(
+        "%s %s%s%s"
+            .formatted(
+                body.path("request").asText(),
+                body.path("state").asText(),
+                outcome.isEmpty() ? "" : ", " + outcome,
+                reason.isEmpty() ? "" : ": " + reason));
+    line(reporter, "workspace", body.path("workspace").asText());
+    line(reporter, "service", body.path("service").asText());
+    String sidecar = body.path("sidecar").asText();
+    String last = sidecar.isEmpty() ? "" : ", last at " + sidecar;
+    line(reporter, "attempts", body.path("attempts").asInt() + last);
+    line(reporter, "wait", body.path("waitMillis").asLong() + " ms");
+    line(reporter, "first byte", body.path("firstByteMillis").asLong() + " ms");
+    line(reporter, "total", body.path("totalMillis").asLong() + " ms");
+    line(reporter, "cost", "%.1f".formatted(body.path("cost").asDouble()));
+  }
+
+  private static void line(Reporter reporter, String name, String value) {
+    reporter.line("  %-10s  %s".formatted(name, value));
   }
 }
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/StatusCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/StatusCommand.java
@@ -35,7 +35,7 @@
           status.path("links").size(),
           status.path("draining").asBoolean() ? "draining" : "");
     }
-    if (!JsonOutput.wanted(arguments)) {
+    if (!JsonOutput.wanted(arguments) && replies.stream().anyMatch(Reply::ok)) {
       table.print(reporter);
     }
     return reportFailures(replies, reporter);
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/TableCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/TableCommand.java
@@ -141,12 +141,8 @@
 
   private static void report(TableDifference.Change change, Reporter reporter) {
     reporter.line(change.kind().name().toLowerCase() + " " + change.file() + " " + change.name());
-    if (!change.before().isEmpty()) {
-      reporter.line("  - " + change.before());
-    }
-    if (!change.after().isEmpty()) {
-      reporter.line("  + " + change.after());
-    }
+    change.before().forEach(cell -> reporter.line("  - " + cell));
+    change.after().forEach(cell -> reporter.line("  + " + cell));
   }
 
   private static ExitCode show(Table table, Namespace arguments, Reporter reporter) {
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/VersionSpread.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/VersionSpread.java
@@ -13,8 +13,10 @@
  */
 record VersionSpread(long version, List<DataCentreSpread> dataCentres) {
 
-  /** Instances named of those that lag. */
-  private static final int NAMED_LAGGARDS = 3;
+  /** Characters of a line, which the caller may indent by two. */
+  private static final int WIDTH = 78;
+
+  private static final String MORE = ", …";
 
   /**
    * How far it has spread in one data centre.
@@ -55,14 +57,22 @@
   private String line(DataCentreSpread spread) {
     int current = spread.instances() - spread.lagging().size();
     String line =
-        "%-20s version %d at %d of %d"
+        "%-18s version %d at %d of %d"
             .formatted(spread.dataCentre(), version, current, spread.instances());
     if (spread.lagging().isEmpty()) {
       return line;
     }
-    int named = Math.min(NAMED_LAGGARDS, spread.lagging().size());
-    String more = spread.lagging().size() > named ? ", …" : "";
-    return line + "; lagging: " + String.join(", ", spread.lagging().subList(0, named)) + more;
+    StringBuilder named = new StringBuilder(line).append("; lagging: ");
+    String separator = "";
+    for (String name : spread.lagging()) {
+      int reserved = name.equals(spread.lagging().getLast()) ? 0 : MORE.length();
+      if (named.length() + separator.length() + name.length() + reserved > WIDTH) {
+        return named.append(MORE.substring(separator.isEmpty() ? 2 : 0)).toString();
+      }
+      named.append(separator).append(name);
+      separator = ", ";
+    }
+    return named.toString();
   }
 
   private static DataCentreSpread dataCentreSpread(
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
@@ -37,13 +37,22 @@
   public Object[][] commandLines() {
     return new Object[][] {
       {"table check F/good.csv F/services.csv", 0, "1 workspaces and 1 services, sound"},
+      {"table check S/tanpura/workspaces.csv S/tanpura/services.csv", 0, "6 workspaces and 2 serv"},
+      {"table check S/beridze/workspaces.csv S/beridze/services.csv", 0, "5 workspaces and 2 serv"},
+      {
+        "table check S/mistakes/workspaces.csv S/mistakes/services.csv",
+        1,
+        "csv:5:93: the service 'plan-modell'"
+      },
       {"table check F/bad.csv F/services.csv", 1, "F/bad.csv:2:9: the weight must be"},
       {"table check F/none.csv F/services.csv", 1, "F/none.csv:0:0: the file cannot be read"},
       {"table check F/good.csv", 2, "name the workspaces file and the services file"},
       {"table show F/good.csv F/services.csv", 0, "table version 0"},
       {"table diff F/good.csv F/services.csv --against F/good.csv F/services.csv", 0, ""},
       {
-        "table diff F/heavy.csv F/services.csv --against F/good.csv F/services.csv", 1, "changed wo"
+        "table diff F/heavy.csv F/services.csv --against F/good.csv F/services.csv",
+        1,
+        "changed workspaces strings\n  - weight=4.0\n  + weight=9.0"
       },
       {"table show --platform http://127.0.0.1:1", 3, "the platform cannot be read"},
       {"key Strings", 2, "'Strings' is not a legal name"},
@@ -75,7 +84,7 @@
   }
 
   private int run(String line) {
-    String[] arguments = line.replace("F/", folder + "/").split(" ");
+    String[] arguments = line.replace("F/", folder + "/").replace("S/", "../samples/").split(" ");
     return AgatepierCommand.run(arguments, reporter, settings -> 0, settings -> 0);
   }
 }
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/internal/FleetCommandTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/internal/FleetCommandTest.java
@@ -4,12 +4,14 @@
 
 import dev.agatepier.cli.process.ExitCode;
 import dev.agatepier.cli.process.FakeReporter;
+import dev.agatepier.core.version.Limits;
 import dev.agatepier.wire.process.ProcessStatus;
 import dev.agatepier.wire.process.WorkspacesStatus;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import net.sourceforge.argparse4j.inf.Namespace;
 import org.testng.annotations.BeforeMethod;
@@ -41,14 +43,14 @@
         String.join("\n", reporter.lines),
         """
         after 0.0 s
-          durgapur-a           version 8 at 0 of 2; lagging: durgapur-a/r2, durgapur-a/r3
-          kolkata-a            version 8 at 1 of 1
+          durgapur-a         version 8 at 0 of 2; lagging: durgapur-a/r2, durgapur-a/r3
+          kolkata-a          version 8 at 1 of 1
         after 0.3 s
-          durgapur-a           version 8 at 1 of 2; lagging: durgapur-a/r3
-          kolkata-a            version 8 at 1 of 1
+          durgapur-a         version 8 at 1 of 2; lagging: durgapur-a/r3
+          kolkata-a          version 8 at 1 of 1
         after 0.5 s
-          durgapur-a           version 8 at 2 of 2
-          kolkata-a            version 8 at 1 of 1\
+          durgapur-a         version 8 at 2 of 2
+          kolkata-a          version 8 at 1 of 1\
         """);
   }
 
@@ -70,9 +72,10 @@
     assertEquals(
         String.join("\n", reporter.lines),
         """
-        service  workspace  share  waiting  running  wait p50  p95  p99 ms
-        desk     brass      25 %   1        1        5         9    12
-        desk     strings    75 %   5        2        5         9    12\
+        desk
+        workspace  weight  share  waiting  running  done  not  p50  p95  p99 ms
+        brass      4.0     25 %   1/200    1/50     7     2    5    9    12
+        strings    4.0     75 %   5/200    2/50     14    4    5    9    12\
         """);
   }
 
@@ -106,9 +109,13 @@
             new WorkspacesStatus.WorkspaceStatus(
                 workspace,
                 "desk",
+                4,
+                new Limits(200, 50, 0),
                 waiting,
                 1,
                 cost,
+                7,
+                new TreeMap<>(Map.of("limit-waiting", 2L)),
                 new WorkspacesStatus.Percentiles(10, 5, 9, 12))));
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -8,7 +8,9 @@
 import dev.agatepier.core.process.internal.RequestLifecycle;
 import dev.agatepier.core.process.internal.RouterState;
 import dev.agatepier.core.process.internal.TicketIssuer;
+import dev.agatepier.core.request.RequestId;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Decides for a router: admits calls, tells sidecars of the demand, answers their grants, relays
@@ -63,6 +65,11 @@
     return state.snapshot(nowNanos);
   }
 
+  /** Returns what is known of a request that has not ended. */
+  public Optional<RequestProgress> progress(RequestId request, long nowNanos) {
+    return state.progress(request, nowNanos);
+  }
+
   private void handle(RouterEvent event, long nowNanos) {
     switch (event) {
       case RouterEvent.CallArrived call -> admission.arrived(call, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
@@ -11,6 +11,7 @@
 import dev.agatepier.core.process.internal.SidecarAttempts;
 import dev.agatepier.core.process.internal.SlotGranter;
 import dev.agatepier.core.process.internal.SlotLimit;
+import dev.agatepier.core.process.internal.TokenGaps;
 import dev.agatepier.core.process.internal.WorkspaceAccount;
 import dev.agatepier.core.process.internal.WorkspaceLedger;
 import dev.agatepier.core.request.Reason;
@@ -40,6 +41,7 @@
   private final SidecarAttempts attempts;
   private final CostExchange exchange;
   private Optional<ServiceKind> kind = Optional.empty();
+  private final TokenGaps tokenGaps = new TokenGaps();
   private SlotLimit limit;
   private boolean draining;
   private boolean drainedTold;
@@ -101,6 +103,7 @@
         limit.slots(),
         attempts.size(),
         granter.granted(),
+        tokenGaps.averageMillis(),
         exchange.holder(),
         ledger.accounts().stream()
             .sorted(Comparator.comparing(WorkspaceAccount::name))
@@ -164,6 +167,7 @@
     double gapMillis = attempts.sent(sent, nowNanos);
     if (gapMillis > 0) {
       limit.tokenGap(gapMillis, allInUse);
+      tokenGaps.add(gapMillis);
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarSnapshot.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarSnapshot.java
@@ -11,6 +11,8 @@
  * @param slots slots it offers at present
  * @param running attempts running
  * @param granted grants not yet answered
+ * @param tokenGapMillis moving average of the time between two tokens of a stream, in milliseconds;
+ *     0 before the first
  * @param holder router that sums its costs; empty for none
  * @param shares fair share of each workspace known here
  */
@@ -21,6 +23,7 @@
     int slots,
     int running,
     int granted,
+    double tokenGapMillis,
     String holder,
     List<ShareStatus> shares) {
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.RequestProgress;
 import dev.agatepier.core.process.RouterPolicy;
 import dev.agatepier.core.process.RouterSnapshot;
 import dev.agatepier.core.process.RouterSnapshot.QueueStatus;
@@ -11,6 +12,7 @@
 import dev.agatepier.core.version.Workspace;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /** What the parts of a router's decision share. One task owns it. */
@@ -99,6 +101,12 @@
             .toList());
   }
 
+  /** Returns what is known of a request that has not ended. */
+  public Optional<RequestProgress> progress(RequestId request, long nowNanos) {
+    return Optional.ofNullable(requests.get(request))
+        .map(found -> new RequestProgress(found.sent(), found.facts(0, nowNanos)));
+  }
+
   Limits limits(String workspace) {
     return table.workspace(workspace).map(Workspace::limits).orElse(UNLIMITED);
   }
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/TokenGaps.java
@@ -0,0 +1,22 @@
+package dev.agatepier.core.process.internal;
+
+/** Moving average of the time between two tokens of one stream. */
+public final class TokenGaps {
+
+  private static final double NEWEST_WEIGHT = 0.02;
+
+  private double averageMillis;
+
+  /** Takes in one gap, in milliseconds. */
+  public void add(double gapMillis) {
+    averageMillis =
+        averageMillis == 0
+            ? gapMillis
+            : averageMillis + NEWEST_WEIGHT * (gapMillis - averageMillis);
+  }
+
+  /** Returns the average, in milliseconds; 0 before the first gap. */
+  public double averageMillis() {
+    return averageMillis;
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/TableChecker.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/TableChecker.java
@@ -31,10 +31,10 @@
         mistakes.add(page.name(), 0, 0, "the name starts with neither workspaces nor services");
       }
     }
-    Map<String, ServiceEntry> services =
-        new ServiceRows(mistakes).read(select(pages, TablePage.SERVICES_PREFIX));
+    ServiceRows serviceRows = new ServiceRows(mistakes);
+    Map<String, ServiceEntry> services = serviceRows.read(select(pages, TablePage.SERVICES_PREFIX));
     Map<String, Workspace> workspaces =
-        new WorkspaceRows(mistakes, services.keySet())
+        new WorkspaceRows(mistakes, serviceRows.names())
             .read(select(pages, TablePage.WORKSPACES_PREFIX));
     if (!mistakes.isEmpty()) {
       return new TableReading.Refused(mistakes.all());
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/TableDifference.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/TableDifference.java
@@ -2,8 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * What differs between two versions of the table.
@@ -12,6 +15,8 @@
  */
 public record TableDifference(List<Change> changes) {
 
+  private static final long MILLIS_PER_SECOND = 1_000;
+
   /** What happened to a row. */
   public enum Kind {
     ADDED,
@@ -25,10 +30,18 @@
    * @param file {@code workspaces} or {@code services}
    * @param name name of the row
    * @param kind what happened to it
-   * @param before the row before; empty if it was added
-   * @param after the row after; empty if it was removed
+   * @param before the cells before that differ; empty if the row was added
+   * @param after the cells after that differ; empty if the row was removed
    */
-  public record Change(String file, String name, Kind kind, String before, String after) {}
+  public record Change(
+      String file, String name, Kind kind, List<String> before, List<String> after) {
+
+    /** Copies the cells. */
+    public Change {
+      before = List.copyOf(before);
+      after = List.copyOf(after);
+    }
+  }
 
   /** Copies the changes. */
   public TableDifference {
@@ -38,25 +51,72 @@
   /** Compares two versions. */
   public static TableDifference between(Table before, Table after) {
     List<Change> changes = new ArrayList<>();
-    compare(TablePage.WORKSPACES_PREFIX, before.workspaces(), after.workspaces(), changes);
-    compare(TablePage.SERVICES_PREFIX, before.services(), after.services(), changes);
+    compare(
+        TablePage.WORKSPACES_PREFIX,
+        before.workspaces(),
+        after.workspaces(),
+        TableDifference::cells,
+        changes);
+    compare(
+        TablePage.SERVICES_PREFIX,
+        before.services(),
+        after.services(),
+        TableDifference::cells,
+        changes);
     return new TableDifference(changes);
   }
 
   private static <R> void compare(
-      String file, Map<String, R> before, Map<String, R> after, List<Change> changes) {
+      String file,
+      Map<String, R> before,
+      Map<String, R> after,
+      Function<R, List<String>> cells,
+      List<Change> changes) {
     TreeSet<String> names = new TreeSet<>(before.keySet());
     names.addAll(after.keySet());
     for (String name : names) {
       R old = before.get(name);
       R current = after.get(name);
       if (old == null) {
-        changes.add(new Change(file, name, Kind.ADDED, "", current.toString()));
+        changes.add(new Change(file, name, Kind.ADDED, List.of(), cells.apply(current)));
       } else if (current == null) {
-        changes.add(new Change(file, name, Kind.REMOVED, old.toString(), ""));
+        changes.add(new Change(file, name, Kind.REMOVED, cells.apply(old), List.of()));
       } else if (!old.equals(current)) {
-        changes.add(new Change(file, name, Kind.CHANGED, old.toString(), current.toString()));
+        List<String> oldCells = cells.apply(old);
+        List<String> newCells = cells.apply(current);
+        changes.add(
+            new Change(
+                file,
+                name,
+                Kind.CHANGED,
+                without(oldCells, newCells),
+                without(newCells, oldCells)));
       }
     }
   }
+
+  private static List<String> without(List<String> cells, List<String> others) {
+    return cells.stream().filter(cell -> !others.contains(cell)).toList();
+  }
+
+  private static List<String> cells(Workspace row) {
+    return List.of(
+        "weight=" + row.weight(),
+        "key_digest=" + String.join(";", row.keyDigests()),
+        "max_waiting=" + row.limits().waiting(),
+        "max_running=" + row.limits().running(),
+        "max_cost_per_minute=" + row.limits().costPerMinute(),
+        "services=" + String.join(";", new TreeSet<>(row.services())));
+  }
+
+  private static List<String> cells(ServiceEntry row) {
+    return List.of(
+        "kind=" + row.kind().name().toLowerCase(Locale.ROOT),
+        "idempotent_calls="
+            + row.idempotentCalls().stream()
+                .map(call -> call.method() + " " + call.pathPrefix())
+                .collect(Collectors.joining(";")),
+        "deadline_seconds=" + row.deadlineMillis() / MILLIS_PER_SECOND,
+        "retry_share=" + row.retryShare());
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/Workspace.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/Workspace.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.version;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 
@@ -8,18 +9,24 @@
  *
  * @param name name of the workspace
  * @param weight its share relative to other workspaces, above 0
- * @param keyDigest lower-case hexadecimal SHA-256 of its key
+ * @param keyDigests lower-case hexadecimal SHA-256 of each of its keys; two while a key is replaced
  * @param limits its limits
  * @param services names of the services it may reach
  */
 public record Workspace(
-    String name, double weight, String keyDigest, Limits limits, Set<String> services) {
+    String name, double weight, List<String> keyDigests, Limits limits, Set<String> services) {
+
+  /** Creates a workspace with one key. */
+  public Workspace(
+      String name, double weight, String keyDigest, Limits limits, Set<String> services) {
+    this(name, weight, List.of(keyDigest), limits, services);
+  }
 
   /** Checks the parts and copies the services. */
   public Workspace {
     Objects.requireNonNull(name, "name");
-    Objects.requireNonNull(keyDigest, "keyDigest");
     Objects.requireNonNull(limits, "limits");
+    keyDigests = List.copyOf(keyDigests);
     services = Set.copyOf(services);
     if (!(weight > 0)) {
       throw new IllegalArgumentException("weight " + weight + " is not above 0");
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/internal/RowsReader.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/internal/RowsReader.java
@@ -2,9 +2,11 @@
 
 import dev.agatepier.core.version.TableCell;
 import dev.agatepier.core.version.TablePage;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Reads the pages of one file: header, count of cells, count of rows and duplicates.
@@ -18,6 +20,7 @@
   private final int maximumRows;
   private final MistakeList mistakes;
   private final Map<String, R> rows = new LinkedHashMap<>();
+  private final Set<String> names = new HashSet<>();
 
   RowsReader(String file, List<String> header, int maximumRows, MistakeList mistakes) {
     this.file = file;
@@ -35,6 +38,11 @@
     return rows;
   }
 
+  /** Returns the names of all rows, also of those with mistakes. */
+  public Set<String> names() {
+    return Set.copyOf(names);
+  }
+
   /** Reads one row that has the right count of cells. */
   abstract R readRow(RowReader row, String name);
 
@@ -65,6 +73,7 @@
   }
 
   private void addRow(String page, List<TableCell> cells) {
+    names.add(cells.getFirst().text().strip());
     if (cells.size() != header.size()) {
       String counts = "the row has " + cells.size() + " cells, not " + header.size();
       mistakes.add(page, cells.getFirst(), counts);
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/internal/WorkspaceRows.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/internal/WorkspaceRows.java
@@ -27,6 +27,7 @@
   private static final int MAXIMUM_REQUESTS = 1_000_000;
   private static final double MAXIMUM_COST_PER_MINUTE = 1e12;
   private static final int MAXIMUM_SERVICES_PER_WORKSPACE = 100;
+  private static final int MAXIMUM_KEYS = 2;
   private static final Pattern DIGEST = Pattern.compile("[0-9a-f]{64}");
 
   private final Set<String> knownServices;
@@ -40,17 +41,22 @@
   @Override
   Workspace readRow(RowReader row, String name) {
     double weight = row.number(1, "the weight", MINIMUM_WEIGHT, MAXIMUM_WEIGHT);
-    String digest = row.text(2);
-    if (!DIGEST.matcher(digest).matches()) {
-      row.refuse(2, "the key digest must be 64 lower-case hexadecimal digits");
-    }
+    List<String> digests = readDigests(row);
     Limits limits =
         new Limits(
             row.whole(3, "max_waiting", 0, MAXIMUM_REQUESTS),
             row.whole(4, "max_running", 0, MAXIMUM_REQUESTS),
             row.number(5, "max_cost_per_minute", 0, MAXIMUM_COST_PER_MINUTE));
     Set<String> services = readServices(row);
-    return row.sound() ? new Workspace(name, weight, digest, limits, services) : null;
+    return row.sound() ? new Workspace(name, weight, digests, limits, services) : null;
+  }
+
+  private static List<String> readDigests(RowReader row) {
+    List<String> digests = row.list(2, MAXIMUM_KEYS);
+    if (row.text(2).isEmpty() || !digests.stream().allMatch(DIGEST.asMatchPredicate())) {
+      row.refuse(2, "the key digest must be 64 lower-case hexadecimal digits");
+    }
+    return digests;
   }
 
   private Set<String> readServices(RowReader row) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/version/TableCheckerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/version/TableCheckerTest.java
@@ -34,6 +34,8 @@
       {"strings,0,D,200,50,0,", "2:2", "the weight must be"},
       {"strings,1e9,D,200,50,0,", "2:2", "the weight must be"},
       {"strings,4,abc,200,50,0,", "2:3", "the key digest must be"},
+      {"strings,4,,200,50,0,", "2:3", "the key digest must be"},
+      {"strings,4,E;E;E,200,50,0,", "2:3", "the list has more than 2 entries"},
       {"strings,4,D,-1,50,0,", "2:4", "max_waiting must be"},
       {"strings,4,D,1,5.5,0,", "2:5", "max_running must be"},
       {"strings,4,D,1,5,Infinity,", "2:6", "max_cost_per_minute must be"},
@@ -60,6 +62,12 @@
     assertEquals(mistakes("workspace,weight").getFirst().line(), 1);
   }
 
+  @Test
+  public void mistakeInOneServiceIsNamedOnce() {
+    TableReading reading = check(HEADER + "\n" + GOOD, SERVICES.replace(",model,", ",modal,"));
+    assertEquals(((TableReading.Refused) reading).mistakes().size(), 1, reading.toString());
+  }
+
   private static List<TableMistake> mistakes(String workspaces) {
     return ((TableReading.Refused) check(workspaces, SERVICES)).mistakes();
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
@@ -6,6 +6,7 @@
 import dev.agatepier.wire.connection.internal.LinkContext;
 import dev.agatepier.wire.connection.internal.LinkTask;
 import dev.agatepier.wire.connection.internal.TlsContexts;
+import dev.agatepier.wire.process.LogEvent;
 import io.netty.channel.ChannelOption;
 import java.time.Duration;
 import java.util.Optional;
@@ -66,7 +67,7 @@
             Integer.MAX_VALUE,
             Schedulers.parallel().createWorker(),
             this::handle,
-            failure -> LOGGER.error(event("task-failed"), failure));
+            failure -> LOGGER.error(event(LogEvent.TASK_FAILED), failure));
   }
 
   /** Starts connecting; completes at once, as the other end may come later. */
@@ -88,7 +89,7 @@
       case Connect() -> connect();
       case Connected(LinkTask opened) -> connected(opened);
       case Failed(Throwable failure) -> {
-        LOGGER.debug(event("link-connect-failed"), failure);
+        LOGGER.debug(event(LogEvent.LINK_CONNECT_FAILED), failure);
         connectLater();
       }
       case Ended(LinkTask ended) -> ended(ended);
@@ -158,7 +159,7 @@
         .thenRun(() -> done.complete(null));
   }
 
-  private StringMapMessage event(String name) {
-    return new StringMapMessage().with("event", name).with("address", address).with("port", port);
+  private StringMapMessage event(LogEvent event) {
+    return event.message().with("address", address).with("port", port);
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkDirectory.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkDirectory.java
@@ -3,11 +3,11 @@
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.process.MailboxTask;
 import dev.agatepier.wire.connection.LinkEvents;
+import dev.agatepier.wire.process.LogEvent;
 import java.util.HashMap;
 import java.util.Map;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.scheduler.Schedulers;
 
 /**
@@ -40,7 +40,7 @@
             Integer.MAX_VALUE,
             Schedulers.parallel().createWorker(),
             this::handle,
-            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
+            failure -> LOGGER.error(LogEvent.TASK_FAILED.message(), failure));
   }
 
   /**
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -6,6 +6,7 @@
 import dev.agatepier.wire.connection.Link;
 import dev.agatepier.wire.connection.LinkCounters;
 import dev.agatepier.wire.connection.LinkException;
+import dev.agatepier.wire.process.LogEvent;
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
@@ -14,7 +15,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import org.reactivestreams.Subscription;
 import reactor.core.publisher.BaseSubscriber;
 import reactor.netty.Connection;
@@ -199,8 +199,8 @@
 
   private void beginMessages() {
     LOGGER.info(
-        new StringMapMessage()
-            .with("event", "link-up")
+        LogEvent.LINK_UP
+            .message()
             .with("peer", peer.instance())
             .with("incarnation", peer.incarnation()));
     beat();
@@ -255,7 +255,7 @@
     } catch (LinkException failure) {
       close(failure.getMessage());
     } catch (RuntimeException failure) {
-      LOGGER.error(new StringMapMessage().with("event", "link-failure"), failure);
+      LOGGER.error(LogEvent.LINK_FAILURE.message(), failure);
       close("link-failure: " + failure.getMessage());
     }
   }
@@ -274,8 +274,8 @@
     }
     String reason = closeReason.get();
     LOGGER.info(
-        new StringMapMessage()
-            .with("event", "link-closed")
+        LogEvent.LINK_CLOSED
+            .message()
             .with("peer", peer == null ? "" : peer.instance())
             .with("remote", String.valueOf(connection.channel().remoteAddress()))
             .with("reason", reason));
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/AdministrationListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/AdministrationListener.java
@@ -17,7 +17,6 @@
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -116,7 +115,7 @@
   }
 
   private static AdministrationAnswer failed(Throwable failure) {
-    LOGGER.error(new StringMapMessage().with("event", "administration-failed"), failure);
+    LOGGER.error(LogEvent.ADMINISTRATION_FAILED.message(), failure);
     return new AdministrationAnswer(FAILED, new Failure("the call failed"));
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -1,5 +1,6 @@
 package dev.agatepier.wire.process;
 
+import com.codahale.metrics.MetricRegistry;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.process.Mailbox;
 import dev.agatepier.core.process.ManagedService;
@@ -11,6 +12,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.wire.process.internal.CallerMetrics;
 import dev.agatepier.wire.process.internal.HttpListener;
 import dev.agatepier.wire.process.internal.RequestLog;
 import dev.agatepier.wire.request.CallRefusal;
@@ -59,6 +61,7 @@
   private final TicketCodec tickets;
   private final CallParser parser;
   private final BodyBudget budget;
+  private final CallerMetrics metrics;
   private final HttpListener listener;
   private final AtomicLong numbers = new AtomicLong();
   private final Map<RequestId, CallerExchange> exchanges = new ConcurrentHashMap<>();
@@ -72,6 +75,7 @@
    * @param tables the table in force
    * @param mailbox mailbox of the router's decision
    * @param clock the process's monotonic clock
+   * @param metrics registry of the process's metrics
    */
   public CallerListener(
       CallerSettings settings,
@@ -79,7 +83,8 @@
       Bytes secret,
       Supplier<Table> tables,
       Mailbox<? super RouterEvent> mailbox,
-      MonotonicClock clock) {
+      MonotonicClock clock,
+      MetricRegistry metrics) {
     this.settings = settings;
     this.self = self;
     this.clock = clock;
@@ -87,7 +92,13 @@
     this.tickets = new TicketCodec(secret);
     this.parser = new CallParser(tables, tickets, clock);
     this.budget = new BodyBudget(settings.maximumHeldBytes(), settings.maximumBodyBytes());
-    this.listener = new HttpListener(this::configure, this::handle);
+    this.metrics = new CallerMetrics(metrics);
+    this.listener =
+        new HttpListener(
+            this::configure,
+            this::handle,
+            settings.maximumConnections(),
+            this.metrics::connectionRefused);
   }
 
   @Override
@@ -233,13 +244,14 @@
     return exchange.answer();
   }
 
-  private static Mono<Void> refuse(
+  private Mono<Void> refuse(
       RequestId request,
       HttpServerResponse response,
       CallerExchange exchange,
       CallRefusal refusal) {
     Reason reason = refusal.reason();
     RequestLog.refused(request, reason);
+    metrics.refused(reason);
     if (reason == Reason.BODY_TOO_LARGE || reason == Reason.DEADLINE) {
       response.keepAlive(false);
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerSettings.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerSettings.java
@@ -13,6 +13,7 @@
  * @param windowBytes bytes of answer in flight to one caller
  * @param ticketMillis how long a ticket is good, in milliseconds
  * @param idleMillis how long a connection may stay idle between requests, in milliseconds
+ * @param maximumConnections most connections at one time; further ones are closed at once
  */
 public record CallerSettings(
     String address,
@@ -22,7 +23,8 @@
     long maximumHeldBytes,
     long windowBytes,
     long ticketMillis,
-    long idleMillis) {
+    long idleMillis,
+    int maximumConnections) {
 
   /** Most bytes of one body that any settings allow; a frame between processes must hold it. */
   public static final int MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
@@ -37,6 +39,9 @@
     if (maximumHeaderBytes < 1 || maximumHeldBytes < 1 || windowBytes < 1) {
       throw new IllegalArgumentException("a bound of the callers' side is below 1 byte");
     }
+    if (maximumConnections < 1) {
+      throw new IllegalArgumentException("the callers' side needs at least one connection");
+    }
     if (ticketMillis < 1 || idleMillis < 1) {
       throw new IllegalArgumentException("a time of the callers' side is below 1 ms");
     }
@@ -45,6 +50,6 @@
   /** Returns the values used where settings say nothing. */
   public static CallerSettings listeningOn(String address, int port) {
     return new CallerSettings(
-        address, port, 32_768, MAXIMUM_BODY_BYTES, 134_217_728, 262_144, 600_000, 60_000);
+        address, port, 32_768, MAXIMUM_BODY_BYTES, 134_217_728, 262_144, 600_000, 60_000, 4_096);
   }
 }
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -0,0 +1,42 @@
+package dev.agatepier.wire.process;
+
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/** The events that a process logs; each has a stable code in the field {@code event}. */
+public enum LogEvent {
+  PROCESS_STARTED("process-started"),
+  START_FAILED("start-failed"),
+  STOP_BEGUN("stop-begun"),
+  STOP_DONE("stop-done"),
+  STOP_TIMEOUT("stop-timeout"),
+  STOP_FAILED("stop-failed"),
+  REQUEST_END("request-end"),
+  TABLE_IN_FORCE("table-in-force"),
+  TABLE_REFUSED("table-refused"),
+  PLATFORM_READ_FAILED("platform-read-failed"),
+  LINK_UP("link-up"),
+  LINK_CLOSED("link-closed"),
+  LINK_CONNECT_FAILED("link-connect-failed"),
+  LINK_FAILURE("link-failure"),
+  TASK_FAILED("task-failed"),
+  MAILBOX_CLOSED("mailbox-closed"),
+  ADMINISTRATION_FAILED("administration-failed");
+
+  private static final String FIELD = "event";
+
+  private final String code;
+
+  LogEvent(String code) {
+    this.code = code;
+  }
+
+  /** Returns the stable code used in logs. */
+  public String code() {
+    return code;
+  }
+
+  /** Returns a message of the event, to which values may be added. */
+  public StringMapMessage message() {
+    return new StringMapMessage().with(FIELD, code);
+  }
+}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -65,7 +65,8 @@
             Bytes.ofText(common.secret().value()),
             member::table,
             tasks.mailbox(),
-            System::nanoTime);
+            System::nanoTime,
+            metrics);
   }
 
   @Override
@@ -110,6 +111,7 @@
         Runtime.getRuntime().maxMemory() / HEAP_DIVISOR_FOR_BODIES,
         settings.policy().windowBytes(),
         settings.policy().ticketMillis(),
-        base.idleMillis());
+        base.idleMillis(),
+        limits.connections());
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
@@ -43,15 +43,15 @@
             settings.service());
     Scheduler scheduler = Schedulers.newParallel("sidecar", TASK_THREADS);
     LinkRegistry links = new LinkRegistry();
+    MetricRegistry metrics = new MetricRegistry();
     tasks =
-        new SidecarTasks(self, settings.policy(), links, this::performAtUpstream, scheduler, stop);
+        new SidecarTasks(
+            self, settings.policy(), links, this::performAtUpstream, metrics, scheduler, stop);
     upstream =
         new UpstreamClient(
             UpstreamSettings.at(settings.upstream().address(), settings.upstream().port()),
             tasks.mailbox());
-    member =
-        new FleetMember(
-            common, self, new LinkPlan(self, 1), scheduler, links, new MetricRegistry(), tasks);
+    member = new FleetMember(common, self, new LinkPlan(self, 1), scheduler, links, metrics, tasks);
   }
 
   @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -21,6 +21,7 @@
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.AdministrationSettings;
 import dev.agatepier.wire.process.CommonSettings;
+import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.MetricsReport;
 import dev.agatepier.wire.process.ProcessStatus;
 import dev.agatepier.wire.process.Readiness;
@@ -30,12 +31,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.http.client.HttpClient;
@@ -120,7 +121,8 @@
         .thenRun(
             () ->
                 LOGGER.info(
-                    event("process-started")
+                    LogEvent.PROCESS_STARTED
+                        .message()
                         .with("role", roleName())
                         .with("incarnation", Long.toHexString(self.incarnation()))));
   }
@@ -142,7 +144,7 @@
 
   /** Logs a failure of a task, which goes on. */
   public void failed(Throwable failure) {
-    LOGGER.error(event("task-failed"), failure);
+    LOGGER.error(LogEvent.TASK_FAILED.message(), failure);
   }
 
   private Heartbeat heartbeat() {
@@ -170,7 +172,15 @@
             "/v1/status",
             parameters ->
                 tasks.snapshot().thenApply(this::status).thenApply(AdministrationReplies::ok)));
-    routes.add(AdministrationRoute.get("/v1/metrics", this::metricsReport));
+    routes.add(
+        AdministrationRoute.of(
+            "GET",
+            "/v1/metrics",
+            parameters ->
+                tasks
+                    .gauges()
+                    .thenApply(this::metricsReport)
+                    .thenApply(AdministrationReplies::ok)));
     routes.add(
         AdministrationRoute.of(
             "POST",
@@ -197,8 +207,12 @@
         snapshot);
   }
 
-  private MetricsReport metricsReport() {
+  private MetricsReport metricsReport(Map<String, Object> gauges) {
     MetricsReport report = MetricsReport.of(metrics);
+    report.gauges().putAll(gauges);
+    report.gauges().put("links.up", links.names().size());
+    report.gauges().put("table.version", versions.table().version());
+    report.gauges().put("instances.version", versions.instances().version());
     links.traffic().forEach((name, bytes) -> report.gauges().put("links." + name, bytes));
     return report;
   }
@@ -223,10 +237,6 @@
             .map(tls -> new LinkTls(tls.certificateFile(), tls.keyFile(), tls.trustFile())));
   }
 
-  private static StringMapMessage event(String name) {
-    return new StringMapMessage().with("event", name);
-  }
-
   /** Passes on what happens on links. */
   private final class Events implements LinkEvents {
     @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/HealthChecker.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/HealthChecker.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.process.MailboxTask;
 import dev.agatepier.core.process.SidecarEvent;
+import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.UpstreamSettings;
 import dev.agatepier.wire.request.internal.OrderedDelivery;
 import io.netty.channel.ConnectTimeoutException;
@@ -9,7 +10,6 @@
 import java.time.Duration;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
@@ -64,7 +64,7 @@
             Integer.MAX_VALUE,
             Schedulers.parallel().createWorker(),
             this::handle,
-            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
+            failure -> LOGGER.error(LogEvent.TASK_FAILED.message(), failure));
   }
 
   /** Starts the checks. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/HttpListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/HttpListener.java
@@ -22,6 +22,9 @@
   private final UnaryOperator<HttpServer> configuration;
   private final BiFunction<HttpServerRequest, HttpServerResponse, Mono<Void>> handler;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final int maximumConnections;
+  private final Runnable refused;
+  private final AtomicInteger open = new AtomicInteger();
   private final AtomicInteger underWay = new AtomicInteger();
   private final CompletableFuture<Void> idle = new CompletableFuture<>();
   private volatile DisposableServer server;
@@ -37,13 +40,31 @@
   public HttpListener(
       UnaryOperator<HttpServer> configuration,
       BiFunction<HttpServerRequest, HttpServerResponse, Mono<Void>> handler) {
+    this(configuration, handler, Integer.MAX_VALUE, () -> {});
+  }
+
+  /**
+   * Creates the listener with a bound on its connections; nothing is opened yet.
+   *
+   * @param configuration sets address, port and limits
+   * @param handler answers a request
+   * @param maximumConnections most connections at one time; further ones are closed at once
+   * @param refused told of each connection that is closed for the bound
+   */
+  public HttpListener(
+      UnaryOperator<HttpServer> configuration,
+      BiFunction<HttpServerRequest, HttpServerResponse, Mono<Void>> handler,
+      int maximumConnections,
+      Runnable refused) {
     this.configuration = configuration;
     this.handler = handler;
+    this.maximumConnections = maximumConnections;
+    this.refused = refused;
   }
 
   @Override
   public CompletableFuture<Void> start() {
-    return Mono.defer(() -> configuration.apply(HttpServer.create()).handle(this::handle).bind())
+    return Mono.defer(() -> server().bind())
         .doOnNext(bound -> server = bound)
         .onErrorMap(failure -> new ListenerException("HTTP cannot be listened for", failure))
         .<Void>then()
@@ -77,6 +98,22 @@
     return idle.thenRun(connections::close);
   }
 
+  private HttpServer server() {
+    return configuration
+        .apply(HttpServer.create())
+        .doOnConnection(this::connected)
+        .handle(this::handle);
+  }
+
+  private void connected(Connection connection) {
+    boolean tooMany = open.incrementAndGet() > maximumConnections;
+    connection.channel().closeFuture().addListener(closed -> open.decrementAndGet());
+    if (tooMany) {
+      refused.run();
+      connection.channel().close();
+    }
+  }
+
   private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
     underWay.incrementAndGet();
     request.withConnection(this::watch);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
@@ -7,11 +7,15 @@
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.Readiness;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 /** What only one kind of process does. Nothing here blocks. */
 public interface MemberTasks {
 
+  /** Counter of events that a full mailbox did not take. */
+  String MAILBOX_FULL = "mailbox.full";
+
   /** A link is up. */
   void linked(PeerIdentity peer);
 
@@ -39,6 +43,9 @@
   /** Returns what operators are told of its state. */
   CompletableFuture<Object> snapshot();
 
+  /** Returns gauges of its state by name. */
+  CompletableFuture<Map<String, Object>> gauges();
+
   /** Returns its own calls of the administration API. */
   List<AdministrationRoute> routes();
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestHistory.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestHistory.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.wire.process.RequestReport;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -14,30 +15,19 @@
   /** Requests remembered. */
   private static final int CAPACITY = 4_096;
 
-  private final Map<String, Ended> ended = new LinkedHashMap<>();
-
-  /**
-   * How a request ended.
-   *
-   * @param request name of the request
-   * @param outcome what its caller was told
-   * @param reason why it failed; empty if it was answered whole
-   * @param facts what it cost and how long it took
-   */
-  public record Ended(String request, String outcome, String reason, RequestFacts facts) {}
+  private final Map<RequestId, RequestReport> ended = new LinkedHashMap<>();
 
   /** Remembers the end of a request. */
   public void ended(
       RequestId request, Outcome outcome, Optional<Reason> reason, RequestFacts facts) {
-    String name = request.toString();
-    ended.put(name, new Ended(name, outcome.code(), reason.map(Reason::code).orElse(""), facts));
+    ended.put(request, RequestReport.ended(request, outcome, reason, facts));
     if (ended.size() > CAPACITY) {
       ended.remove(ended.keySet().iterator().next());
     }
   }
 
   /** Returns how a request ended, if it is remembered. */
-  public Optional<Ended> find(String request) {
+  public Optional<RequestReport> find(RequestId request) {
     return Optional.ofNullable(ended.get(request));
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -5,6 +5,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.wire.process.LogEvent;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -43,8 +44,8 @@
   }
 
   private static StringMapMessage ended(RequestId request, Outcome outcome) {
-    return new StringMapMessage()
-        .with("event", "request-end")
+    return LogEvent.REQUEST_END
+        .message()
         .with("request", request.toString())
         .with("outcome", outcome.code());
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -1,5 +1,6 @@
 package dev.agatepier.wire.process.internal;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.PeerIdentity;
@@ -14,20 +15,24 @@
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterPolicy;
 import dev.agatepier.core.process.RouterSnapshot;
+import dev.agatepier.core.process.RouterSnapshot.QueueStatus;
 import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationAnswer;
 import dev.agatepier.wire.process.AdministrationRoute;
+import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.Readiness;
+import dev.agatepier.wire.process.RequestReport;
 import dev.agatepier.wire.process.WorkspacesStatus;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.scheduler.Scheduler;
 
 /** The tasks of a router: one for its requests, one for the sums it may hold. */
@@ -35,6 +40,8 @@
 
   private static final Logger LOGGER = LogManager.getLogger(RouterTasks.class);
 
+  private static final int HEXADECIMAL = 16;
+
   /** Events that may wait for a task. */
   private static final int MAILBOX_CAPACITY = 16_384;
 
@@ -56,7 +63,9 @@
   private final RequestMetrics metrics;
   private final RequestHistory history = new RequestHistory();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final Counter refusedEvents;
   private volatile boolean draining;
+  private volatile Table table = Table.NONE;
 
   /**
    * Creates the tasks.
@@ -81,6 +90,7 @@
     this.callers = callers;
     this.stop = stop;
     this.metrics = new RequestMetrics(metrics);
+    refusedEvents = metrics.counter(MAILBOX_FULL);
     decision = new RouterDecision(self, policy);
     requests =
         new DecisionTask<>(
@@ -104,7 +114,7 @@
 
   /** Returns where callers' events go. */
   public Mailbox<RouterEvent> mailbox() {
-    return requests;
+    return event -> counted(requests.offer(event));
   }
 
   /** Takes no new request from now on; completes when every request has ended. */
@@ -134,11 +144,18 @@
   public boolean message(PeerIdentity peer, LinkMessage message) {
     return switch (message) {
       case LinkMessage.CostReport _, LinkMessage.CostChanges _, LinkMessage.DataCentreCosts _ ->
-          holder.offer(new HolderEvent.MessageArrived(peer, message));
-      default -> requests.offer(new RouterEvent.MessageArrived(peer, message));
+          counted(holder.offer(new HolderEvent.MessageArrived(peer, message)));
+      default -> counted(requests.offer(new RouterEvent.MessageArrived(peer, message)));
     };
   }
 
+  private boolean counted(boolean taken) {
+    if (!taken) {
+      refusedEvents.inc();
+    }
+    return taken;
+  }
+
   @Override
   public void unlinked(PeerIdentity peer) {
     requests.post(new RouterEvent.PeerUnlinked(peer));
@@ -146,8 +163,9 @@
   }
 
   @Override
-  public void tableInForce(Table table) {
-    requests.post(new RouterEvent.TableInForce(table));
+  public void tableInForce(Table newTable) {
+    table = newTable;
+    requests.post(new RouterEvent.TableInForce(newTable));
   }
 
   @Override
@@ -175,6 +193,21 @@
     return requests.ask(decision::snapshot);
   }
 
+  @Override
+  public CompletableFuture<Map<String, Object>> gauges() {
+    return requests.ask(
+        now -> {
+          RouterSnapshot snapshot = decision.snapshot(now);
+          List<QueueStatus> queues = snapshot.queues();
+          return Map.of(
+              "router.sidecars", snapshot.sidecars().size(),
+              "router.waiting", queues.stream().mapToInt(QueueStatus::waiting).sum(),
+              "router.running", queues.stream().mapToInt(QueueStatus::running).sum(),
+              "router.oldest-wait-millis",
+                  queues.stream().mapToLong(QueueStatus::oldestWaitMillis).max().orElse(0));
+        });
+  }
+
   @Override
   public List<AdministrationRoute> routes() {
     return List.of(
@@ -188,34 +221,33 @@
             parameters ->
                 requests.ask(
                     now ->
-                        remembered(
-                            String.join(
-                                "/",
-                                parameters.get("router"),
-                                parameters.get("incarnation"),
-                                parameters.get("number"))))));
+                        request(parameters)
+                            .flatMap(request -> report(request, now))
+                            .map(AdministrationAnswer::ok)
+                            .orElseGet(AdministrationReplies::notRemembered))));
   }
 
-  private AdministrationAnswer remembered(String request) {
-    return history
-        .find(request)
-        .map(AdministrationAnswer::ok)
-        .orElseGet(AdministrationReplies::notRemembered);
+  private static Optional<RequestId> request(Map<String, String> parameters) {
+    try {
+      return Optional.of(
+          new RequestId(
+              parameters.get("router"),
+              Long.parseUnsignedLong(parameters.get("incarnation"), HEXADECIMAL),
+              Long.parseLong(parameters.get("number"))));
+    } catch (NumberFormatException notNumber) {
+      return Optional.empty();
+    }
   }
 
-  private WorkspacesStatus workspaces(long nowNanos) {
-    return new WorkspacesStatus(
-        decision.snapshot(nowNanos).queues().stream().map(this::workspace).toList());
+  private Optional<RequestReport> report(RequestId request, long nowNanos) {
+    return decision
+        .progress(request, nowNanos)
+        .map(progress -> RequestReport.underWay(request, progress))
+        .or(() -> history.find(request));
   }
 
-  private WorkspacesStatus.WorkspaceStatus workspace(RouterSnapshot.QueueStatus queue) {
-    return new WorkspacesStatus.WorkspaceStatus(
-        queue.workspace(),
-        queue.service(),
-        queue.waiting(),
-        queue.running(),
-        0,
-        metrics.waitPercentiles(queue.workspace(), queue.service()));
+  private WorkspacesStatus workspaces(long nowNanos) {
+    return WorkspaceReport.ofRouter(decision.snapshot(nowNanos), metrics.workspaces(), table);
   }
 
   private void perform(RouterEffect effect) {
@@ -245,6 +277,6 @@
   }
 
   private static void failed(Throwable failure) {
-    LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure);
+    LOGGER.error(LogEvent.TASK_FAILED.message(), failure);
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SidecarTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SidecarTasks.java
@@ -1,5 +1,7 @@
 package dev.agatepier.wire.process.internal;
 
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.process.DecisionTask;
@@ -12,14 +14,14 @@
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationRoute;
+import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.Readiness;
-import dev.agatepier.wire.process.WorkspacesStatus;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.scheduler.Scheduler;
 
 /** The task of a sidecar. */
@@ -36,17 +38,15 @@
   /** The same while nothing is under way, in milliseconds. */
   private static final long IDLE_TICK_MILLIS = 250;
 
-  /** Sidecars keep no histogram of waits; routers do. */
-  private static final WorkspacesStatus.Percentiles NO_WAITS =
-      new WorkspacesStatus.Percentiles(0, 0, 0, 0);
-
   private final LinkRegistry links;
   private final Consumer<SidecarEffect> upstream;
   private final Runnable stop;
   private final SidecarDecision decision;
   private final DecisionTask<SidecarEvent, SidecarEffect> task;
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final Counter refusedEvents;
   private volatile boolean draining;
+  private volatile Table table = Table.NONE;
 
   /**
    * Creates the task.
@@ -55,6 +55,7 @@
    * @param policy what operators have set
    * @param links registry to send through
    * @param upstream carries out effects that concern the upstream
+   * @param metrics registry of the process's metrics
    * @param scheduler runs the task
    * @param stop begins the graceful stop of the process
    */
@@ -63,11 +64,13 @@
       SidecarPolicy policy,
       LinkRegistry links,
       Consumer<SidecarEffect> upstream,
+      MetricRegistry metrics,
       Scheduler scheduler,
       Runnable stop) {
     this.links = links;
     this.upstream = upstream;
     this.stop = stop;
+    refusedEvents = metrics.counter(MAILBOX_FULL);
     decision = new SidecarDecision(self, policy);
     task =
         new DecisionTask<>(
@@ -76,13 +79,20 @@
             MAILBOX_CAPACITY,
             scheduler,
             System::nanoTime,
-            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
+            failure -> LOGGER.error(LogEvent.TASK_FAILED.message(), failure));
     task.repeat(new SidecarEvent.TimePassed(), TICK_MILLIS, IDLE_TICK_MILLIS);
   }
 
   /** Returns where the upstream's events go. */
   public Mailbox<SidecarEvent> mailbox() {
-    return task;
+    return event -> counted(task.offer(event));
+  }
+
+  private boolean counted(boolean taken) {
+    if (!taken) {
+      refusedEvents.inc();
+    }
+    return taken;
   }
 
   /** Grants nothing from now on; completes when every attempt has ended. */
@@ -104,7 +114,7 @@
 
   @Override
   public boolean message(PeerIdentity peer, LinkMessage message) {
-    return task.offer(new SidecarEvent.MessageArrived(peer, message));
+    return counted(task.offer(new SidecarEvent.MessageArrived(peer, message)));
   }
 
   @Override
@@ -113,8 +123,9 @@
   }
 
   @Override
-  public void tableInForce(Table table) {
-    task.post(new SidecarEvent.TableInForce(table));
+  public void tableInForce(Table newTable) {
+    table = newTable;
+    task.post(new SidecarEvent.TableInForce(newTable));
   }
 
   @Override
@@ -142,6 +153,21 @@
     return task.ask(decision::snapshot);
   }
 
+  @Override
+  public CompletableFuture<Map<String, Object>> gauges() {
+    return task.ask(
+        now -> {
+          SidecarSnapshot snapshot = decision.snapshot(now);
+          return Map.of(
+              "sidecar.slots", snapshot.slots(),
+              "sidecar.running", snapshot.running(),
+              "sidecar.granted", snapshot.granted(),
+              "sidecar.token-gap-millis", snapshot.tokenGapMillis(),
+              "sidecar.upstream-healthy", snapshot.healthy(),
+              "sidecar.workspaces", snapshot.shares().size());
+        });
+  }
+
   @Override
   public List<AdministrationRoute> routes() {
     return List.of(
@@ -149,21 +175,10 @@
             "GET",
             "/v1/workspaces",
             parameters ->
-                task.ask(now -> workspaces(decision.snapshot(now)))
+                task.ask(now -> WorkspaceReport.ofSidecar(decision.snapshot(now), table))
                     .thenApply(AdministrationReplies::ok)));
   }
 
-  /** What waits is counted at the routers, so that a sum over the fleet counts it once. */
-  private static WorkspacesStatus workspaces(SidecarSnapshot snapshot) {
-    return new WorkspacesStatus(
-        snapshot.shares().stream()
-            .map(
-                share ->
-                    new WorkspacesStatus.WorkspaceStatus(
-                        share.workspace(), snapshot.service(), 0, 0, share.localCost(), NO_WAITS))
-            .toList());
-  }
-
   private void perform(SidecarEffect effect) {
     switch (effect) {
       case SidecarEffect.Send send -> links.send(send.instance(), send.message());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/KeyCheck.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/KeyCheck.java
@@ -16,8 +16,8 @@
 
   private static final String SCHEME = "Bearer ";
 
-  /** Stands in for the digest of a workspace that the table does not have. */
-  private static final String NO_DIGEST = "00".repeat(Digests.SHA256_BYTES);
+  /** Stands in for the digests of a workspace that the table does not have. */
+  private static final List<String> NO_DIGESTS = List.of("00".repeat(Digests.SHA256_BYTES));
 
   private KeyCheck() {}
 
@@ -27,11 +27,11 @@
     int colon = key.indexOf(':');
     Optional<Workspace> workspace = table.workspace(key.substring(0, Math.max(colon, 0)));
     byte[] digest = Digests.sha256().digest(key.getBytes(StandardCharsets.UTF_8));
-    String expected = workspace.map(Workspace::keyDigest).orElse(NO_DIGEST);
-    boolean equal =
-        MessageDigest.isEqual(
-            HexFormat.of().formatHex(digest).getBytes(StandardCharsets.US_ASCII),
-            expected.getBytes(StandardCharsets.US_ASCII));
+    byte[] actual = HexFormat.of().formatHex(digest).getBytes(StandardCharsets.US_ASCII);
+    boolean equal = false;
+    for (String expected : workspace.map(Workspace::keyDigests).orElse(NO_DIGESTS)) {
+      equal |= MessageDigest.isEqual(actual, expected.getBytes(StandardCharsets.US_ASCII));
+    }
     if (!equal || workspace.isEmpty()) {
       throw new CallRefusal(Reason.KEY_WRONG, ReasonText.of(Reason.KEY_WRONG));
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/OrderedDelivery.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/OrderedDelivery.java
@@ -2,12 +2,12 @@
 
 import dev.agatepier.core.process.Mailbox;
 import dev.agatepier.core.process.MailboxTask;
+import dev.agatepier.wire.process.LogEvent;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.scheduler.Scheduler;
 
 /**
@@ -50,7 +50,7 @@
             Integer.MAX_VALUE,
             worker,
             this::handle,
-            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
+            failure -> LOGGER.error(LogEvent.TASK_FAILED.message(), failure));
   }
 
   /** Delivers an event after all earlier ones. */
@@ -80,7 +80,7 @@
     }
     offers++;
     if (offers > MAXIMUM_OFFERS) {
-      LOGGER.error(new StringMapMessage().with("event", "mailbox-closed"));
+      LOGGER.error(LogEvent.MAILBOX_CLOSED.message());
       waiting.clear();
     } else {
       worker.schedule(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/UpstreamExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/UpstreamExchange.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
+import dev.agatepier.wire.process.LogEvent;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -19,7 +20,6 @@
 import java.util.function.BiConsumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import org.reactivestreams.Subscription;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -125,7 +125,7 @@
             Integer.MAX_VALUE,
             scheduler.createWorker(),
             this::handle,
-            failure -> LOGGER.error(new StringMapMessage().with("event", "task-failed"), failure));
+            failure -> LOGGER.error(LogEvent.TASK_FAILED.message(), failure));
   }
 
   /** Calls the upstream. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -16,6 +16,7 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.TableMistake;
 import dev.agatepier.core.version.TableReading;
+import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.request.Digests;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,7 +27,6 @@
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
 
@@ -86,7 +86,7 @@
             MAILBOX_CAPACITY,
             scheduler.createWorker(),
             this::handle,
-            failure -> LOGGER.error(event("version-task-failed"), failure));
+            failure -> LOGGER.error(LogEvent.TASK_FAILED.message(), failure));
   }
 
   /** Begins to follow versions; does not wait for the first one. */
@@ -178,7 +178,8 @@
       }
       case VersionEffect.ReportRefusal(long version, List<TableMistake> mistakes) ->
           LOGGER.error(
-              event("table-refused")
+              LogEvent.TABLE_REFUSED
+                  .message()
                   .with("version", version)
                   .with("mistakes", mistakes.size())
                   .with("first", mistakes.getFirst().toString()));
@@ -188,7 +189,8 @@
   private void publish(Table newer) {
     table = newer;
     LOGGER.info(
-        event("table-in-force")
+        LogEvent.TABLE_IN_FORCE
+            .message()
             .with("version", newer.version())
             .with("workspaces", newer.workspaces().size()));
     listeners.forEach(listener -> listener.tableInForce(newer));
@@ -209,7 +211,7 @@
 
   private void pageRead(PageReference page, Bytes content, Throwable failure) {
     if (failure != null) {
-      LOGGER.warn(event("platform-read-failed").with("subject", page.name()), failure);
+      LOGGER.warn(LogEvent.PLATFORM_READ_FAILED.message().with("subject", page.name()), failure);
     }
     task.offer(
         new VersionEvent.PageArrived(
@@ -239,13 +241,9 @@
           if (failure == null) {
             task.offer(answer.map(newVersion).orElse(new VersionEvent.NothingNew(subject)));
           } else {
-            LOGGER.warn(event("platform-read-failed").with("subject", subject), failure);
+            LOGGER.warn(LogEvent.PLATFORM_READ_FAILED.message().with("subject", subject), failure);
             task.offer(new VersionEvent.ReadFailed(subject, jitter.getAsDouble()));
           }
         });
   }
-
-  private static StringMapMessage event(String name) {
-    return new StringMapMessage().with("event", name);
-  }
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/process/CallerListenerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/process/CallerListenerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.process.RequestFacts;
@@ -58,12 +59,14 @@
     table = table();
     listener =
         new CallerListener(
-            new CallerSettings("127.0.0.1", 0, 8_192, 1_000, 1_500, WINDOW_BYTES, 600_000, 60_000),
+            new CallerSettings(
+                "127.0.0.1", 0, 8_192, 1_000, 1_500, WINDOW_BYTES, 600_000, 60_000, 64),
             new PeerIdentity("router-1", 7, Role.ROUTER, "kolkata-a", "bengal", ""),
             SECRET,
             () -> table,
             mailbox,
-            () -> NOW_NANOS);
+            () -> NOW_NANOS,
+            new MetricRegistry());
     listener.start().join();
   }
 
