Keep a link's channel when its connection has ended

Cause: once a connection has ended, the library's Connection names another channel that has no event loop; LinkTask asked it for one when a link was finished or taken into use, so a stop never completed. Found by stopping 4,000 dialers within their first 3 ms: tasks failed with 'channel not registered to an event loop' within the first 150 ms of the run. Also: losesSilentLinkByTheMonotonicClock raced with the link's own first heartbeat, which rightly closes the link once the clock has moved; the test now reads that heartbeat before it moves the clock. Change: LinkTask takes the channel once.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -7,6 +7,7 @@
 import dev.agatepier.wire.connection.LinkCounters;
 import dev.agatepier.wire.connection.LinkException;
 import dev.agatepier.wire.process.LogEvent;
+import io.netty.channel.Channel;
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
@@ -32,6 +33,10 @@
 
   private final LinkContext context;
   private final Connection connection;
+
+  /** The socket; a connection that has ended names another channel, without an event loop. */
+  private final Channel channel;
+
   private final Handshake handshake;
   private final OutboundQueue outbound;
   private final FrameDecoder frames = new FrameDecoder();
@@ -51,12 +56,11 @@
   private LinkTask(LinkContext context, Connection connection, boolean dialing) {
     this.context = context;
     this.connection = connection;
+    this.channel = connection.channel();
     this.handshake = new Handshake(context, dialing);
     this.outbound =
         new OutboundQueue(
-            connection.channel(),
-            context.settings().queueMessages(),
-            context.settings().queueBytes());
+            channel, context.settings().queueMessages(), context.settings().queueBytes());
   }
 
   /** Returns the task of a connection that this process accepted. */
@@ -90,7 +94,7 @@
   @Override
   public void close(String reason) {
     if (closeReason.compareAndSet(null, reason)) {
-      connection.channel().close();
+      channel.close();
       if (disconnected) {
         ended();
       }
@@ -114,10 +118,10 @@
   }
 
   private void endOutput() {
-    if (connection.channel() instanceof DuplexChannel channel && channel.isActive()) {
-      channel.shutdownOutput();
+    if (channel instanceof DuplexChannel duplex && duplex.isActive()) {
+      duplex.shutdownOutput();
     } else {
-      connection.channel().close();
+      channel.close();
     }
   }
 
@@ -125,7 +129,7 @@
   private void awaitPeer() {
     long silence = context.clock().nanoTime() - heardNanos;
     if (silence > context.settings().silenceNanos()) {
-      connection.channel().close();
+      channel.close();
     } else if (!closed.isDone()) {
       later(context.settings().heartbeatMillis(), this::awaitPeer);
     }
@@ -194,7 +198,7 @@
 
   /** Called by the directory: the link is the one in use to its peer. */
   void takenIntoUse() {
-    connection.channel().eventLoop().execute(() -> guard(this::beginMessages));
+    channel.eventLoop().execute(() -> guard(this::beginMessages));
   }
 
   private void beginMessages() {
@@ -244,7 +248,7 @@
   }
 
   private void later(long millis, Runnable step) {
-    connection.channel().eventLoop().schedule(() -> guard(step), millis, TimeUnit.MILLISECONDS);
+    channel.eventLoop().schedule(() -> guard(step), millis, TimeUnit.MILLISECONDS);
   }
 
   private void guard(Runnable step) {
@@ -277,7 +281,7 @@
         LogEvent.LINK_CLOSED
             .message()
             .with("peer", peer == null ? "" : peer.instance())
-            .with("remote", String.valueOf(connection.channel().remoteAddress()))
+            .with("remote", String.valueOf(channel.remoteAddress()))
             .with("reason", reason));
     if (peer != null) {
       context.directory().unlinked(this, reason);
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
@@ -181,6 +181,7 @@
     try (RawPeer peer = new RawPeer(port)) {
       authenticate(peer, "router-3");
       Link link = sidecarEvents.link();
+      assertTrue(peer.read() instanceof Heartbeat, "the link is in use");
       clockNanos.addAndGet(PATIENT.silenceNanos() + 1);
       peer.send(new Grant(1, "sent before the pause"));
       sidecarEvents.assertNext("linked router-3 1");
