--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -8,11 +8,40 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.Ticket;
 import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
 import java.util.Optional;
 
 /** Every message that crosses a link between two processes of the fleet. */
-public sealed interface LinkMessage {
+public sealed interface LinkMessage
+    permits LinkMessage.Hello,
+        LinkMessage.HelloProof,
+        LinkMessage.Heartbeat,
+        LinkMessage.DemandUpdate,
+        LinkMessage.SlotsFree,
+        LinkMessage.Grant,
+        LinkMessage.GrantDeclined,
+        LinkMessage.StartAttempt,
+        LinkMessage.AttemptHead,
+        LinkMessage.AttemptContent,
+        LinkMessage.AttemptEnd,
+        LinkMessage.AttemptNotRun,
+        LinkMessage.AttemptFailed,
+        LinkMessage.AttemptCredit,
+        LinkMessage.AttemptWithdrawn,
+        LinkMessage.CostReport,
+        LinkMessage.CostChanges,
+        LinkMessage.FleetCosts,
+        LinkMessage.DataCentreCosts,
+        LinkMessage.SuspicionReport,
+        LinkMessage.ManifestTransfer,
+        LinkMessage.ManifestRequest,
+        LinkMessage.PageRequest,
+        LinkMessage.PageTransfer,
+        LinkMessage.InstancesRequest,
+        LinkMessage.InstancesTransfer,
+        LinkMessage.RoutersKnown,
+        SlotMessage {
 
   /**
    * First message in both directions: who speaks and a challenge to the other side.
@@ -317,12 +346,27 @@
    * Answers an {@link InstancesRequest} when the sender has a newer list.
    *
    * @param version version of the list
-   * @param instances the whole list
+   * @param instances the whole list of instances
+   * @param upstreams the whole list of upstreams
    */
-  record InstancesTransfer(long version, List<Instance> instances) implements LinkMessage {
-    /** Copies the instances. */
+  record InstancesTransfer(long version, List<Instance> instances, List<Upstream> upstreams)
+      implements LinkMessage {
+    /** Copies the lists. */
     public InstancesTransfer {
       instances = List.copyOf(instances);
+      upstreams = List.copyOf(upstreams);
+    }
+  }
+
+  /**
+   * Routers that the sender knows, itself among them.
+   *
+   * @param routers what is known of each
+   */
+  record RoutersKnown(List<Instance> routers) implements LinkMessage {
+    /** Copies the routers. */
+    public RoutersKnown {
+      routers = List.copyOf(routers);
     }
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -1,13 +1,17 @@
 package dev.agatepier.core.process;
 
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.process.internal.Admission;
 import dev.agatepier.core.process.internal.AttemptRelay;
 import dev.agatepier.core.process.internal.DemandPublisher;
 import dev.agatepier.core.process.internal.PeerMessages;
 import dev.agatepier.core.process.internal.RequestLifecycle;
 import dev.agatepier.core.process.internal.RouterState;
+import dev.agatepier.core.process.internal.SlotAnswers;
+import dev.agatepier.core.process.internal.SlotPlacement;
 import dev.agatepier.core.process.internal.TicketIssuer;
+import dev.agatepier.core.process.internal.UpstreamAnswers;
 import dev.agatepier.core.request.RequestId;
 import java.util.List;
 import java.util.Optional;
@@ -25,6 +29,9 @@
   private final AttemptRelay attempts;
   private final PeerMessages peers;
   private final TicketIssuer tickets;
+  private final SlotPlacement slots;
+  private final SlotAnswers slotAnswers;
+  private final UpstreamAnswers upstreams;
   private boolean drainedSaid;
 
   /**
@@ -37,9 +44,12 @@
     state = new RouterState(self, policy);
     demand = new DemandPublisher(state);
     RequestLifecycle lifecycle = new RequestLifecycle(state, demand);
-    admission = new Admission(state, lifecycle);
+    slots = new SlotPlacement(state);
+    admission = new Admission(state, lifecycle, demand, slots);
     attempts = new AttemptRelay(state, lifecycle);
-    peers = new PeerMessages(state, lifecycle, demand, attempts);
+    slotAnswers = new SlotAnswers(state, lifecycle, slots, attempts);
+    upstreams = new UpstreamAnswers(state, attempts);
+    peers = new PeerMessages(state, lifecycle, demand, attempts, slots);
     tickets = new TicketIssuer(state, admission);
   }
 
@@ -48,6 +58,7 @@
     attempts.timePassed(nowNanos);
     handle(event, nowNanos);
     demand.publish(nowNanos);
+    slots.flush(nowNanos);
     if (state.drained() && !drainedSaid) {
       drainedSaid = true;
       state.outbox().add(new RouterEffect.Drained());
@@ -81,7 +92,17 @@
       case RouterEvent.MessageArrived arrived ->
           peers.arrived(arrived.peer(), arrived.message(), nowNanos);
       case RouterEvent.TableInForce inForce -> state.tableInForce(inForce.table());
-      case RouterEvent.InstancesInForce inForce -> peers.instances(inForce.instances());
+      case RouterEvent.InstancesInForce inForce -> {
+        peers.instances(inForce.instances());
+        slotAnswers.instances(inForce.instances());
+      }
+      case RouterEvent.KeeperSaid(String router, SlotMessage message) ->
+          slotAnswers.arrived(router, message, nowNanos);
+      case RouterEvent.UpstreamBegan began -> upstreams.began(began, nowNanos);
+      case RouterEvent.UpstreamSent sent -> upstreams.sent(sent, nowNanos);
+      case RouterEvent.UpstreamEnded ended -> upstreams.ended(ended, nowNanos);
+      case RouterEvent.UpstreamNotRun notRun -> upstreams.notRun(notRun, nowNanos);
+      case RouterEvent.UpstreamFailed failed -> upstreams.failed(failed, nowNanos);
       case RouterEvent.TimePassed passed -> state.expire(nowNanos);
       case RouterEvent.DrainBegun begun -> state.beginDrain();
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterPolicy.java
@@ -12,6 +12,10 @@
  * @param quarantineMillis how long it is refused, in milliseconds
  * @param windowBytes bytes of answer in flight to one caller
  * @param ticketMillis how long a ticket is good, in milliseconds
+ * @param retryWindowMillis window in which the fleet's retries of a service are bounded, in
+ *     milliseconds
+ * @param retrySlack retries of a service that the whole fleet may make in one window beside those
+ *     that its requests earn
  */
 public record RouterPolicy(
     int sidecarsPerService,
@@ -21,11 +25,13 @@
     int quarantineDeaths,
     long quarantineMillis,
     long windowBytes,
-    long ticketMillis) {
+    long ticketMillis,
+    long retryWindowMillis,
+    int retrySlack) {
 
   /** The values used where settings say nothing. */
   public static final RouterPolicy DEFAULT =
-      new RouterPolicy(16, 500, 50, 3, 3, 600_000, 262_144, 600_000);
+      new RouterPolicy(16, 500, 50, 3, 3, 600_000, 262_144, 600_000, 10_000, 50);
 
   /** Checks that every value is in range. */
   public RouterPolicy {
@@ -35,5 +41,8 @@
     if (spillMillis < 0 || affinityMillis < 0 || quarantineMillis < 0 || ticketMillis < 0) {
       throw new IllegalArgumentException("a time of the router policy is negative");
     }
+    if (retryWindowMillis < 1 || retrySlack < 0) {
+      throw new IllegalArgumentException("the retry budget of the router policy is out of range");
+    }
   }
 }
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
@@ -0,0 +1,115 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.process.internal.FairOrder;
+import dev.agatepier.core.process.internal.ServiceSlots;
+import dev.agatepier.core.process.internal.ServiceSlotsStatus;
+import dev.agatepier.core.process.internal.WorkspaceLedger;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.SlotKeeping;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Keeps the slots of upstreams that have no sidecar, for the routers of a data centre. Requests
+ * wait at their routers, which tell the keeper of them; it grants each free slot to the request
+ * that should have it next. All it knows is soft: a new keeper is told everything anew.
+ */
+public final class SlotKeeperDecision implements Decision<SlotKeeperEvent, SlotKeeperEffect> {
+
+  /** Order in which workspaces get slots. */
+  private static final String ORDER = "virtual-service";
+
+  /** Most cost per weight by which a report from elsewhere sets a workspace back, in tokens. */
+  private static final double CATCH_UP_COST = 100_000;
+
+  private final SlotKeeperPolicy policy;
+  private final List<SlotKeeperEffect> effects = new ArrayList<>();
+  private final Map<String, ServiceSlots> services = new TreeMap<>();
+  private Table table = Table.NONE;
+  private InstanceList instances = InstanceList.NONE;
+  private Set<String> territory = Set.of();
+
+  /** Creates the decision of a keeper that knows nothing yet. */
+  public SlotKeeperDecision(SlotKeeperPolicy policy) {
+    this.policy = policy;
+  }
+
+  @Override
+  public List<SlotKeeperEffect> decide(SlotKeeperEvent event, long nowNanos) {
+    switch (event) {
+      case SlotKeeperEvent.MessageArrived(String router, SlotMessage message) ->
+          arrived(router, message, nowNanos);
+      case SlotKeeperEvent.RouterGone(String router) ->
+          services.values().forEach(service -> service.routerGone(router, nowNanos));
+      case SlotKeeperEvent.TerritoryChanged(Set<String> dataCentres) -> {
+        territory = dataCentres;
+        listUpstreams(nowNanos);
+      }
+      case SlotKeeperEvent.TableInForce(Table newer) -> {
+        table = newer;
+        listServices();
+        listUpstreams(nowNanos);
+      }
+      case SlotKeeperEvent.InstancesInForce(InstanceList newer) -> {
+        instances = newer;
+        listUpstreams(nowNanos);
+      }
+      case SlotKeeperEvent.TimePassed() -> {
+        // Every event lets time pass.
+      }
+    }
+    services.values().forEach(service -> service.advance(nowNanos));
+    List<SlotKeeperEffect> taken = List.copyOf(effects);
+    effects.clear();
+    return taken;
+  }
+
+  @Override
+  public boolean idle() {
+    return services.values().stream().allMatch(ServiceSlots::idle);
+  }
+
+  /** Returns what operators are told about each service. */
+  public List<ServiceSlotsStatus> snapshot(long nowNanos) {
+    return services.values().stream().map(service -> service.status(nowNanos)).toList();
+  }
+
+  private void arrived(String router, SlotMessage message, long nowNanos) {
+    ServiceSlots service = services.get(message.service());
+    if (service != null) {
+      service.arrived(router, message, nowNanos);
+    }
+  }
+
+  private void listServices() {
+    services.keySet().retainAll(table.services().keySet());
+    for (ServiceEntry entry : table.services().values()) {
+      if (entry.keeping() == SlotKeeping.ROUTER) {
+        services.computeIfAbsent(entry.name(), name -> newService(entry)).inForce(table);
+      }
+    }
+  }
+
+  private ServiceSlots newService(ServiceEntry entry) {
+    return new ServiceSlots(
+        entry, policy, new WorkspaceLedger(FairOrder.named(ORDER), CATCH_UP_COST), effects);
+  }
+
+  private void listUpstreams(long nowNanos) {
+    Map<String, List<Upstream>> byService = new TreeMap<>();
+    for (Upstream upstream : instances.upstreams()) {
+      if (territory.contains(upstream.dataCentre())) {
+        byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
+      }
+    }
+    services.forEach(
+        (name, service) -> service.upstreams(byService.getOrDefault(name, List.of()), nowNanos));
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -119,8 +119,8 @@
       case LinkMessage.PageRequest(String digest) -> sendPage(sender, digest);
       case LinkMessage.InstancesRequest(long known) ->
           instances.newerThan(known).ifPresent(transfer -> send(sender, transfer));
-      case LinkMessage.InstancesTransfer(long version, var list) ->
-          takeInstances(instances.take(new InstanceList(version, list), nowNanos));
+      case LinkMessage.InstancesTransfer(long version, var list, var upstreams) ->
+          takeInstances(instances.take(new InstanceList(version, list, upstreams), nowNanos));
       default -> {}
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -3,12 +3,14 @@
 import dev.agatepier.core.process.RequestFacts;
 import dev.agatepier.core.process.RouterEffect.FailRequest;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
+import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.Ticket;
 import dev.agatepier.core.version.Limits;
 import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.SlotKeeping;
 import dev.agatepier.core.version.Workspace;
 import java.util.Optional;
 
@@ -24,14 +26,24 @@
 
   private final RouterState state;
   private final RequestLifecycle lifecycle;
+  private final Placement sidecarKept;
+  private final Placement routerKept;
 
   /** Why and for how long a call is refused. */
   record Refusal(Reason reason, long retryAfterMillis) {}
 
-  /** Creates the admission. */
-  public Admission(RouterState state, RequestLifecycle lifecycle) {
+  /**
+   * Creates the admission.
+   *
+   * @param demand tells sidecars of the requests whose slots they keep
+   * @param slots finds slots of upstreams that the router calls itself
+   */
+  public Admission(
+      RouterState state, RequestLifecycle lifecycle, DemandPublisher demand, SlotPlacement slots) {
     this.state = state;
     this.lifecycle = lifecycle;
+    this.sidecarKept = new SidecarPlacement(state, demand);
+    this.routerKept = slots;
   }
 
   /** Admits or refuses one call. */
@@ -47,10 +59,15 @@
     }
     WaitingQueue queue = state.queues.findOrAdd(call.service(), call.workspace(), nowNanos);
     ServiceEntry entry = state.table.service(call.service()).orElseThrow();
-    boolean idempotent = entry.idempotent(call.head().method(), call.head().path());
-    long deadline = deadline(call, nowNanos);
     RoutedRequest request =
-        new RoutedRequest(call, queue, ++state.lastSequence, nowNanos, deadline, idempotent);
+        new RoutedRequest(
+            call,
+            queue,
+            ++state.lastSequence,
+            nowNanos,
+            deadline(call, nowNanos),
+            call.plan().orElseGet(() -> plan(entry, call)),
+            entry.keeping() == SlotKeeping.ROUTER ? routerKept : sidecarKept);
     lifecycle.admit(request, nowNanos);
   }
 
@@ -129,8 +146,24 @@
     return Optional.empty();
   }
 
+  private CallPlan plan(ServiceEntry entry, CallArrived call) {
+    return new CallPlan(
+        entry.name(),
+        entry.idempotent(call.head().method(), call.head().path()),
+        false,
+        false,
+        state.policy.attempts(),
+        entry.deadlineMillis(),
+        0,
+        0,
+        0);
+  }
+
   private long deadline(CallArrived call, long nowNanos) {
-    long longest = state.table.service(call.service()).orElseThrow().deadlineMillis();
+    long longest =
+        call.plan()
+            .map(CallPlan::timeoutMillis)
+            .orElseGet(() -> state.table.service(call.service()).orElseThrow().deadlineMillis());
     return Math.min(call.deadlineNanos(), nowNanos + longest * RouterState.NANOS_PER_MILLI);
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -1,17 +1,12 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.AttemptContent;
-import dev.agatepier.core.connection.LinkMessage.AttemptCredit;
-import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
-import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
-import dev.agatepier.core.connection.LinkMessage.AttemptHead;
-import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
-import dev.agatepier.core.connection.LinkMessage.AttemptWithdrawn;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.process.RouterEffect.BeginAnswer;
 import dev.agatepier.core.process.RouterEffect.ContinueAnswer;
 import dev.agatepier.core.process.RouterEvent.CallerTook;
 import dev.agatepier.core.process.internal.RoutedRequest.Phase;
-import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.AnswerHead;
+import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import java.util.List;
@@ -25,7 +20,7 @@
   /** How long the answer to a withdrawal is awaited. */
   private static final long GRACE_NANOS = 500_000_000;
 
-  /** Most attempts of one request that sidecars may turn down. */
+  /** Most attempts of one request that may be turned down. */
   private static final int MOST_TURNED_DOWN = 16;
 
   private final RouterState state;
@@ -38,80 +33,74 @@
   }
 
   /** Begins the answer. */
-  public void head(LinkedSidecar sidecar, AttemptHead message, long nowNanos) {
-    RoutedRequest request = current(sidecar, message.attempt());
-    if (request == null || request.begun || hungUp(request)) {
+  void head(RoutedRequest request, AnswerHead head, long nowNanos) {
+    if (request.begun || hungUp(request)) {
       return;
     }
     request.begun = true;
     request.firstByteNanos = nowNanos;
-    state.outbox.add(new BeginAnswer(request.id(), message.head()));
+    state.outbox.add(new BeginAnswer(request.id(), head));
   }
 
   /** Continues the answer, or cuts it at a gap. */
-  public void content(LinkedSidecar sidecar, AttemptContent message, long nowNanos) {
-    RoutedRequest request = current(sidecar, message.attempt());
-    if (request == null || message.frameNumber() < request.nextFrame || hungUp(request)) {
+  void content(RoutedRequest request, int frameNumber, Bytes content, long nowNanos) {
+    if (frameNumber < request.nextFrame || hungUp(request)) {
       return;
     }
-    if (!request.begun || message.frameNumber() > request.nextFrame) {
+    if (!request.begun || frameNumber > request.nextFrame) {
       cut(request, nowNanos);
       return;
     }
+    if (request.nextFrame == 0) {
+      request.placement.begun(request);
+    }
     request.nextFrame++;
-    state.outbox.add(new ContinueAnswer(request.id(), message.content()));
+    state.outbox.add(new ContinueAnswer(request.id(), content));
   }
 
   /** Ends the answer, or cuts it if a part is missing. */
-  public void end(LinkedSidecar sidecar, AttemptEnd message, long nowNanos) {
-    RoutedRequest request = current(sidecar, message.attempt());
-    if (request == null) {
-      return;
-    }
+  void end(RoutedRequest request, int frameCount, double cost, long nowNanos) {
     if (hungUp(request)) {
-      lifecycle.fail(request, Reason.CALLER_GONE, message.cost(), nowNanos);
-    } else if (!request.begun || message.frameCount() != request.nextFrame) {
+      lifecycle.fail(request, Reason.CALLER_GONE, cost, 0, nowNanos);
+    } else if (!request.begun || frameCount != request.nextFrame) {
       cut(request, nowNanos);
     } else {
-      lifecycle.complete(request, message.cost(), nowNanos);
+      lifecycle.complete(request, cost, nowNanos);
     }
   }
 
   /** Takes the proof that an attempt did not run. */
-  public void notRun(LinkedSidecar sidecar, AttemptNotRun message, long nowNanos) {
-    RoutedRequest request = current(sidecar, message.attempt());
-    if (request == null) {
-      return;
-    }
-    boolean last = request.begun || isFinal(message.reason());
-    if (!request.begun && !isTicketDoubt(message.reason())) {
+  void notRun(RoutedRequest request, Reason reason, boolean arrived, long nowNanos) {
+    boolean last = request.begun || isFinal(reason);
+    if (!request.begun && !isTicketDoubt(reason)) {
       request.unproven--;
       request.proofs++;
     }
     if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
+    } else if (request.begun && request.plan.resumable()) {
+      failOrRetry(request, reason, nowNanos);
     } else if (last || request.proofs >= MOST_TURNED_DOWN) {
-      lifecycle.fail(request, message.reason(), nowNanos);
+      lifecycle.fail(request, reason, nowNanos);
+    } else if (arrived && !request.placement.takeRetry(request, nowNanos)) {
+      lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
     } else {
-      lifecycle.requeue(request, nowNanos);
+      lifecycle.requeue(request, SlotStage.TURNED_DOWN, nowNanos);
     }
   }
 
   /** Takes the word that an answer will not become whole. */
-  public void failed(LinkedSidecar sidecar, AttemptFailed message, long nowNanos) {
-    RoutedRequest request = current(sidecar, message.attempt());
-    if (request != null) {
-      request.deaths += message.reason() == Reason.UPSTREAM_DIED ? 1 : 0;
-      failOrRetry(request, message.reason(), nowNanos);
-    }
+  void failed(RoutedRequest request, Reason reason, long nowNanos) {
+    request.deaths += reason == Reason.UPSTREAM_DIED ? 1 : 0;
+    failOrRetry(request, reason, nowNanos);
   }
 
   /** Gives up what was running on a sidecar whose link is gone. */
-  public void linkLost(LinkedSidecar sidecar, long nowNanos) {
-    for (RoutedRequest request : List.copyOf(sidecar.running.values())) {
+  void linkLost(LinkedSidecar sidecar, long nowNanos) {
+    for (RoutedRequest request : List.copyOf(sidecar.running().values())) {
       boolean again = request.ticketed() && !request.begun && request.phase == Phase.RUNNING;
       if (again && request.deadlineNanos > nowNanos) {
-        lifecycle.requeue(request, nowNanos);
+        lifecycle.requeue(request, SlotStage.FAILED, nowNanos);
       } else {
         failOrRetry(request, Reason.LINK_LOST, nowNanos);
       }
@@ -124,8 +113,7 @@
     if (request != null && request.sent()) {
       request.uncreditedBytes += taken.bytes();
       if (request.uncreditedBytes * CREDITS_PER_WINDOW >= state.policy.windowBytes()) {
-        state.outbox.send(
-            request.sidecar.name(), new AttemptCredit(request.current, request.uncreditedBytes));
+        state.outbox.add(request.target.credit(request.current, request.uncreditedBytes));
         request.uncreditedBytes = 0;
       }
     }
@@ -144,6 +132,29 @@
     }
   }
 
+  /**
+   * Stops the current attempt and has the request wait for another target, if it may run twice and
+   * the budget allows it.
+   *
+   * @return whether it waits again
+   */
+  boolean moveAway(RoutedRequest request, SlotStage stage, long nowNanos) {
+    if (!repeatable(request)
+        || request.deadlineNanos <= nowNanos
+        || !request.placement.takeRetry(request, nowNanos)) {
+      return false;
+    }
+    state.outbox.add(request.target.withdraw(request.current));
+    lifecycle.requeue(request, stage, nowNanos);
+    return true;
+  }
+
+  /** Gives an answer up that cannot become whole any more. */
+  void cut(RoutedRequest request, long nowNanos) {
+    state.outbox.add(request.target.withdraw(request.current));
+    failOrRetry(request, Reason.ANSWER_INCOMPLETE, nowNanos);
+  }
+
   /** Acts on deadlines and graces that are over. */
   public void timePassed(long nowNanos) {
     RoutedRequest request = state.timers.due(nowNanos);
@@ -175,41 +186,32 @@
   private void withdraw(RoutedRequest request, Reason reason, long nowNanos) {
     if (request.phase == Phase.RUNNING) {
       request.phase = Phase.WITHDRAWN;
-      state.outbox.send(request.sidecar.name(), new AttemptWithdrawn(request.current));
+      state.outbox.add(request.target.withdraw(request.current));
       state.timers.move(request, nowNanos + GRACE_NANOS);
     }
     request.withdrawReason = reason;
   }
 
-  private void cut(RoutedRequest request, long nowNanos) {
-    state.outbox.send(request.sidecar.name(), new AttemptWithdrawn(request.current));
-    failOrRetry(request, Reason.ANSWER_INCOMPLETE, nowNanos);
-  }
-
   private void failOrRetry(RoutedRequest request, Reason reason, long nowNanos) {
     if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
-    } else if (request.begun
-        || !request.idempotent
-        || request.ticketed()
-        || request.unproven >= state.policy.attempts()) {
+    } else if (!repeatable(request)) {
       lifecycle.fail(request, reason, nowNanos);
     } else if (request.deadlineNanos <= nowNanos) {
       lifecycle.fail(request, Reason.DEADLINE, nowNanos);
     } else if (state.quarantine.refuses(request, nowNanos)) {
       lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
-    } else if (!request.queue.retries.take()) {
+    } else if (!request.placement.takeRetry(request, nowNanos)) {
       lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
     } else {
-      lifecycle.requeue(request, nowNanos);
+      lifecycle.requeue(request, SlotStage.FAILED, nowNanos);
     }
   }
 
-  private RoutedRequest current(LinkedSidecar sidecar, AttemptId attempt) {
-    RoutedRequest request = state.requests.get(attempt.request());
-    boolean matches =
-        request != null && attempt.equals(request.current) && request.sidecar == sidecar;
-    return matches ? request : null;
+  /** Returns whether a request may run once more: what has begun goes on only if it can resume. */
+  private static boolean repeatable(RoutedRequest request) {
+    boolean allowed = request.begun ? request.plan.resumable() : request.plan.repeatable();
+    return allowed && !request.ticketed() && request.unproven < request.plan.attempts();
   }
 
   private static boolean hungUp(RoutedRequest request) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/GrantAnswerer.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/GrantAnswerer.java
@@ -2,6 +2,8 @@
 
 import dev.agatepier.core.connection.LinkMessage.Grant;
 import dev.agatepier.core.connection.LinkMessage.GrantDeclined;
+import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Reason;
 
 /** Answers a sidecar's grant with the best waiting request of the workspace, or declines it. */
@@ -25,14 +27,32 @@
     if (request == null) {
       state.outbox.send(sidecar.name(), new GrantDeclined(grant.grantNumber()));
     } else {
-      boolean alone = state.quarantine.suspects(request, nowNanos);
-      lifecycle.start(request, sidecar, grant.grantNumber(), alone, nowNanos);
+      start(request, sidecar, grant.grantNumber(), nowNanos);
     }
     if (queue != null) {
       demand.askAgain(queue, sidecar);
     }
   }
 
+  private void start(RoutedRequest request, LinkedSidecar sidecar, long grant, long nowNanos) {
+    boolean alone = state.quarantine.suspects(request, nowNanos);
+    AttemptId attempt = lifecycle.start(request, sidecar, alone, nowNanos);
+    state.outbox.send(
+        sidecar.name(),
+        new StartAttempt(
+            grant,
+            attempt,
+            request.call.workspace(),
+            request.call.head(),
+            request.call.body(),
+            (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
+            request.plan.idempotent(),
+            alone,
+            request.fingerprint(),
+            request.call.ticket(),
+            state.policy.windowBytes()));
+  }
+
   private RoutedRequest choose(LinkedSidecar sidecar, WaitingQueue queue, long nowNanos) {
     int limit = state.limits(queue.use.workspace).running();
     if (!sidecar.takesWork() || queue.use.running >= limit) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/InstanceFollower.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/InstanceFollower.java
@@ -30,7 +30,7 @@
   /** Returns the list for a peer, if it is newer than the peer's. */
   public Optional<InstancesTransfer> newerThan(long knownVersion) {
     return list.version() > knownVersion
-        ? Optional.of(new InstancesTransfer(list.version(), list.instances()))
+        ? Optional.of(new InstancesTransfer(list.version(), list.instances(), list.upstreams()))
         : Optional.empty();
   }
 
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperDialogue.java
@@ -0,0 +1,120 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.SlotChange;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
+import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.request.RequestId;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** What a router has told the keeper of one service, and what it has yet to tell. */
+final class KeeperDialogue {
+
+  private final String service;
+  private final RouterOutbox outbox;
+  private final Map<RequestId, RoutedRequest> requests = new LinkedHashMap<>();
+  private final Map<RequestId, RoutedRequest> wanted = new LinkedHashMap<>();
+  private final List<SlotChange> changes = new ArrayList<>();
+  private Optional<String> keeper = Optional.empty();
+
+  KeeperDialogue(String service, RouterOutbox outbox) {
+    this.service = service;
+    this.outbox = outbox;
+  }
+
+  boolean isKeeper(String router) {
+    return keeper.filter(router::equals).isPresent();
+  }
+
+  /** Takes the keeper of now; a new one is told everything, the former one that nothing is left. */
+  void keeper(Optional<String> chosen, long nowNanos) {
+    if (keeper.equals(chosen)) {
+      return;
+    }
+    keeper.ifPresent(
+        former -> outbox.send(former, new SlotsWanted(service, true, List.of(), List.of())));
+    keeper = chosen;
+    changes.clear();
+    wanted.clear();
+    keeper.ifPresent(name -> outbox.send(name, everything(nowNanos)));
+  }
+
+  /** Forgets a keeper whose link is gone; a new link to it begins anew. */
+  void keeperGone(String router) {
+    keeper = keeper.filter(name -> !name.equals(router));
+  }
+
+  void waits(RoutedRequest request) {
+    requests.put(request.id(), request);
+    wanted.put(request.id(), request);
+  }
+
+  void waitsNoLonger(RoutedRequest request) {
+    requests.remove(request.id());
+    if (wanted.remove(request.id()) == null) {
+      change(request.id(), "", SlotStage.WITHDRAWN, 0);
+    }
+  }
+
+  void left(RoutedRequest request, SlotStage stage, long amount) {
+    requests.remove(request.id());
+    change(request.id(), request.lastTarget, stage, amount);
+  }
+
+  void change(RequestId request, String upstream, SlotStage stage, long amount) {
+    changes.add(new SlotChange(request, upstream, stage, amount));
+  }
+
+  /** Tells the keeper what has changed. */
+  void flush(long nowNanos) {
+    if (keeper.isPresent() && !changes.isEmpty()) {
+      outbox.send(keeper.get(), new SlotsChanged(service, changes));
+    }
+    changes.clear();
+    if (keeper.isPresent() && !wanted.isEmpty()) {
+      List<WaitingCall> waiting =
+          wanted.values().stream().map(request -> waitingCall(request, nowNanos)).toList();
+      outbox.send(keeper.get(), new SlotsWanted(service, false, waiting, List.of()));
+    }
+    wanted.clear();
+  }
+
+  private SlotsWanted everything(long nowNanos) {
+    List<WaitingCall> waiting = new ArrayList<>();
+    List<HeldSlot> held = new ArrayList<>();
+    for (RoutedRequest request : requests.values()) {
+      WaitingCall call = waitingCall(request, nowNanos);
+      if (request.sent()) {
+        held.add(new HeldSlot(call, request.lastTarget, request.answering()));
+      } else {
+        waiting.add(call);
+      }
+    }
+    return new SlotsWanted(service, true, waiting, held);
+  }
+
+  private static WaitingCall waitingCall(RoutedRequest request, long nowNanos) {
+    return new WaitingCall(
+        request.id(),
+        request.call.workspace(),
+        request.lastTarget,
+        objectiveMillis(request, nowNanos),
+        (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
+        request.plan.repeatable(),
+        request.call.prompt());
+  }
+
+  /** Returns the time left to the objective; a stream that broke off is due after its pause. */
+  private static long objectiveMillis(RoutedRequest request, long nowNanos) {
+    long objective = request.plan.objectiveMillis();
+    return request.begun
+        ? Math.max(objective, request.plan.gapMillis())
+        : objective - (nowNanos - request.arrivedNanos) / RouterState.NANOS_PER_MILLI;
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecar.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecar.java
@@ -1,33 +1,52 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.LinkMessage.AttemptCredit;
+import dev.agatepier.core.connection.LinkMessage.AttemptWithdrawn;
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.process.RouterEffect;
+import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.RequestId;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
 
 /** One sidecar with a link that is up. */
-final class LinkedSidecar {
+final class LinkedSidecar implements AttemptTarget {
 
   final PeerIdentity peer;
 
-  /** Requests that it was sent and has not finished with. */
-  final Map<RequestId, RoutedRequest> running = new LinkedHashMap<>();
-
   boolean draining;
   boolean leaving;
 
   /** The sidecar's clock as last heard, in milliseconds. */
   OptionalLong clockMillis = OptionalLong.empty();
 
+  private final Map<RequestId, RoutedRequest> running = new LinkedHashMap<>();
+
   LinkedSidecar(PeerIdentity peer) {
     this.peer = peer;
   }
 
-  String name() {
+  @Override
+  public String name() {
     return peer.instance();
   }
 
+  @Override
+  public Map<RequestId, RoutedRequest> running() {
+    return running;
+  }
+
+  @Override
+  public RouterEffect withdraw(AttemptId attempt) {
+    return new RouterEffect.Send(name(), new AttemptWithdrawn(attempt));
+  }
+
+  @Override
+  public RouterEffect credit(AttemptId attempt, long bytes) {
+    return new RouterEffect.Send(name(), new AttemptCredit(attempt, bytes));
+  }
+
   boolean takesWork() {
     return !draining && !leaving;
   }
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -0,0 +1,71 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.SlotKeeperPolicy;
+import dev.agatepier.core.request.PromptFacts;
+
+/**
+ * Grants a model engine only so much unread prompt that its queue stays short, and only so many
+ * tokens that no running request has to yield its memory. Cost is counted in tokens, those of the
+ * answer twice, as an engine makes them one at a time.
+ */
+final class ModelSlotRule implements SlotRule {
+
+  /** Weight of a token of the answer against one of the prompt; the platform counts so too. */
+  private static final double ANSWER_TOKEN_COST = 2;
+
+  private final SlotKeeperPolicy policy;
+
+  ModelSlotRule(SlotKeeperPolicy policy) {
+    this.policy = policy;
+  }
+
+  @Override
+  public boolean fits(UpstreamLoad upstream, WaitingCall call) {
+    if (upstream.memoryTokens.isEmpty() || upstream.running() == 0) {
+      return upstream.free() > 0;
+    }
+    double room = policy.memoryShare() * upstream.memoryTokens.getAsLong();
+    int answer = call.prompt().map(PromptFacts::outputTokens).orElse(0);
+    return upstream.free() > 0
+        && upstream.runningTokens() + unreadTokens(upstream, call) + answer <= room;
+  }
+
+  @Override
+  public boolean wantsWork(UpstreamLoad upstream, double share, long nowNanos) {
+    return upstream.backlogMillis(nowNanos) <= share * policy.backlogMillis();
+  }
+
+  @Override
+  public double backlogMillis(UpstreamLoad upstream, long nowNanos) {
+    return upstream.backlogMillis(nowNanos);
+  }
+
+  @Override
+  public double ownMillis(UpstreamLoad upstream, WaitingCall call) {
+    return upstream.reading.millis(unreadTokens(upstream, call));
+  }
+
+  @Override
+  public double expectedCost(WaitingCall call) {
+    return call.prompt().map(prompt -> cost(prompt, prompt.outputTokens())).orElse(1.0);
+  }
+
+  @Override
+  public double finalCost(WaitingCall call, long amount) {
+    return call.prompt().map(prompt -> cost(prompt, amount)).orElse(1.0);
+  }
+
+  @Override
+  public void observe(long amount) {
+    // The caller's own figures are better than an average of others.
+  }
+
+  static int unreadTokens(UpstreamLoad upstream, WaitingCall call) {
+    return call.prompt().map(upstream.cache::unreadTokens).orElse(0);
+  }
+
+  private static double cost(PromptFacts prompt, long answerTokens) {
+    return prompt.promptTokens() + ANSWER_TOKEN_COST * answerTokens;
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PeerMessages.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PeerMessages.java
@@ -13,10 +13,14 @@
 import dev.agatepier.core.connection.LinkMessage.SuspicionReport;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.request.AnswerHead;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.version.InstanceList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 /** Keeps track of links and hands each message to the part that it concerns. */
 public final class PeerMessages {
@@ -26,17 +30,20 @@
   private final DemandPublisher demand;
   private final GrantAnswerer grants;
   private final AttemptRelay attempts;
+  private final SlotPlacement slots;
 
   /** Creates the dispatcher. */
   public PeerMessages(
       RouterState state,
       RequestLifecycle lifecycle,
       DemandPublisher demand,
-      AttemptRelay attempts) {
+      AttemptRelay attempts,
+      SlotPlacement slots) {
     this.state = state;
     this.lifecycle = lifecycle;
     this.demand = demand;
     this.attempts = attempts;
+    this.slots = slots;
     grants = new GrantAnswerer(state, lifecycle, demand);
   }
 
@@ -44,6 +51,8 @@
   public void linked(PeerIdentity peer, long nowNanos) {
     if (peer.role() == Role.ROUTER) {
       state.routers.put(peer.instance(), peer);
+      state.leavingRouters.remove(peer.instance());
+      slots.routersChanged(state.stayingRouters(), nowNanos);
       report(peer.instance(), state.quarantine.known(nowNanos));
       return;
     }
@@ -58,7 +67,10 @@
 
   /** Notes a link that is gone. */
   public void unlinked(PeerIdentity peer, long nowNanos) {
-    state.routers.remove(peer.instance(), peer);
+    if (state.routers.remove(peer.instance(), peer)) {
+      slots.routerGone(peer.instance());
+      slots.routersChanged(state.stayingRouters(), nowNanos);
+    }
     LinkedSidecar sidecar = state.sidecars.of(peer);
     if (sidecar == null) {
       return;
@@ -81,6 +93,8 @@
     LinkedSidecar sidecar = state.sidecars.of(peer);
     if (message instanceof SuspicionReport report) {
       suspicions(peer, report, nowNanos);
+    } else if (peer.role() == Role.ROUTER && message instanceof Heartbeat heartbeat) {
+      routerLeaves(peer, heartbeat.draining(), nowNanos);
     } else if (sidecar != null) {
       fromSidecar(sidecar, message, nowNanos);
     }
@@ -91,17 +105,30 @@
       case Heartbeat heartbeat -> heartbeat(sidecar, heartbeat);
       case SlotsFree free -> demand.invited(sidecar);
       case Grant grant -> grants.answer(sidecar, grant, nowNanos);
-      case AttemptHead head -> attempts.head(sidecar, head, nowNanos);
-      case AttemptContent content -> attempts.content(sidecar, content, nowNanos);
-      case AttemptEnd end -> attempts.end(sidecar, end, nowNanos);
-      case AttemptNotRun notRun -> attempts.notRun(sidecar, notRun, nowNanos);
-      case AttemptFailed failed -> attempts.failed(sidecar, failed, nowNanos);
+      case AttemptHead(AttemptId attempt, AnswerHead head) ->
+          answer(sidecar, attempt, request -> attempts.head(request, head, nowNanos));
+      case AttemptContent(AttemptId attempt, int frame, Bytes content) ->
+          answer(sidecar, attempt, request -> attempts.content(request, frame, content, nowNanos));
+      case AttemptEnd(AttemptId attempt, int frames, double cost) ->
+          answer(sidecar, attempt, request -> attempts.end(request, frames, cost, nowNanos));
+      case AttemptNotRun(AttemptId attempt, Reason reason) ->
+          answer(sidecar, attempt, request -> attempts.notRun(request, reason, false, nowNanos));
+      case AttemptFailed(AttemptId attempt, Reason reason) ->
+          answer(sidecar, attempt, request -> attempts.failed(request, reason, nowNanos));
       default -> {
         // Other messages concern other decisions.
       }
     }
   }
 
+  /** Does something with the request of an attempt, if that is its current one. */
+  private void answer(LinkedSidecar sidecar, AttemptId attempt, Consumer<RoutedRequest> step) {
+    RoutedRequest request = state.requests.get(attempt.request());
+    if (request != null && attempt.equals(request.current) && request.target == sidecar) {
+      step.accept(request);
+    }
+  }
+
   private void heartbeat(LinkedSidecar sidecar, Heartbeat heartbeat) {
     sidecar.clockMillis = OptionalLong.of(heartbeat.clockMillis());
     if (state.sidecars.draining(sidecar, heartbeat.draining())) {
@@ -109,6 +136,16 @@
     }
   }
 
+  private void routerLeaves(PeerIdentity peer, boolean leaves, long nowNanos) {
+    boolean changed =
+        leaves
+            ? state.leavingRouters.add(peer.instance())
+            : state.leavingRouters.remove(peer.instance());
+    if (changed) {
+      slots.routersChanged(state.stayingRouters(), nowNanos);
+    }
+  }
+
   private void suspicions(PeerIdentity peer, SuspicionReport report, long nowNanos) {
     List<Suspicion> news = state.quarantine.learn(report.suspicions(), nowNanos);
     for (String router : state.routers.keySet()) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -1,6 +1,6 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.process.RouterEffect.EndAnswer;
 import dev.agatepier.core.process.RouterEffect.FailRequest;
 import dev.agatepier.core.process.internal.RoutedRequest.Phase;
@@ -12,9 +12,6 @@
 /** Moves requests from one phase to the next and keeps every count in step. */
 public final class RequestLifecycle {
 
-  /** How long a retry is kept away from the sidecar that failed it. */
-  private static final long AVOID_NANOS = 200_000_000;
-
   private final RouterState state;
   private final DemandPublisher demand;
 
@@ -30,126 +27,96 @@
     request.queue.use.charge(request.estimatedCost);
     request.queue.use.waiting++;
     request.queue.retries.earn(state.retryShare(request.queue.service));
-    enqueue(request, state.affinity.sidecar(request.call), nowNanos);
+    await(request, nowNanos);
   }
 
   void park(RoutedRequest request) {
-    request.queue.remove(request);
+    request.placement.remove(request);
     request.phase = Phase.PARKED;
+    request.parkedBefore = true;
     state.fingerprints.park(request);
-    demand.changed(request.queue);
   }
 
-  void start(
-      RoutedRequest request, LinkedSidecar sidecar, long grant, boolean alone, long nowNanos) {
-    WaitingQueue queue = request.queue;
-    queue.remove(request);
-    queue.drainRate.depart(nowNanos);
-    queue.use.waiting--;
-    queue.use.running++;
+  /** Takes a waiting request out of its queue for a target, and names the attempt. */
+  AttemptId start(RoutedRequest request, AttemptTarget target, boolean alone, long nowNanos) {
+    request.placement.started(request, nowNanos);
+    request.queue.use.waiting--;
+    request.queue.use.running++;
     state.fingerprints.started(request.fingerprint());
-    AttemptId attempt = request.begin(sidecar, alone, nowNanos);
-    state.outbox.send(
-        sidecar.name(),
-        new StartAttempt(
-            grant,
-            attempt,
-            request.call.workspace(),
-            request.call.head(),
-            request.call.body(),
-            (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
-            request.idempotent,
-            alone,
-            request.fingerprint(),
-            request.call.ticket(),
-            state.policy.windowBytes()));
-    demand.changed(queue);
-    runningChanged(queue);
+    AttemptId attempt = request.begin(target, alone, nowNanos);
+    runningChanged(request.queue);
+    return attempt;
   }
 
-  /** Returns a request that was sent to its queue, away from the sidecar that had it. */
-  void requeue(RoutedRequest request, long nowNanos) {
-    final String avoided = request.lastSidecar;
-    leaveSidecar(request, nowNanos);
+  /** Returns a request that was sent to its queue, away from the target that had it. */
+  void requeue(RoutedRequest request, SlotStage stage, long nowNanos) {
+    final String avoided = request.lastTarget;
+    leaveTarget(request, stage, nowNanos);
     request.phase = Phase.WAITING;
     request.queue.use.waiting++;
-    beginDraining(request.queue, nowNanos);
-    if (request.ticketed()) {
-      request.queue.addPinned(request, avoided);
-    } else {
-      request.queue.addAvoiding(request, avoided, nowNanos + AVOID_NANOS);
-    }
-    demand.changed(request.queue);
+    request.placement.addAgain(request, avoided, nowNanos);
   }
 
   void complete(RoutedRequest request, double cost, long nowNanos) {
     request.queue.observeCost(cost);
     request.queue.use.charge(cost - request.estimatedCost);
-    state.affinity.served(request.call, request.lastSidecar);
+    state.affinity.served(request.call, request.lastTarget);
     if (request.alone) {
       state.quarantine.clear(request.fingerprint());
     }
-    remove(request, nowNanos);
+    remove(request, request.faulty ? SlotStage.FAILED : SlotStage.COMPLETED, nowNanos);
     state.outbox.add(new EndAnswer(request.id(), request.facts(cost, nowNanos)));
   }
 
   void fail(RoutedRequest request, Reason reason, long nowNanos) {
-    fail(request, reason, 0, nowNanos);
+    fail(request, reason, 0, 0, nowNanos);
   }
 
-  void fail(RoutedRequest request, Reason reason, double cost, long nowNanos) {
+  void fail(
+      RoutedRequest request, Reason reason, double cost, long retryAfterMillis, long nowNanos) {
     Outcome outcome = request.provenNotRun() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
     if (outcome == Outcome.NOT_RUN || cost > 0) {
       request.queue.use.charge(cost - request.estimatedCost);
     }
-    remove(request, nowNanos);
+    remove(request, stage(reason), nowNanos);
     state.outbox.add(
-        new FailRequest(request.id(), outcome, reason, 0, request.facts(cost, nowNanos)));
+        new FailRequest(
+            request.id(), outcome, reason, retryAfterMillis, request.facts(cost, nowNanos)));
   }
 
-  private void enqueue(RoutedRequest request, String preferred, long nowNanos) {
-    beginDraining(request.queue, nowNanos);
-    request.phase = Phase.WAITING;
-    LinkedSidecar sidecar = preferred == null ? null : state.sidecars.named(preferred);
-    if (request.ticketed()) {
-      request.queue.addPinned(request, request.call.ticket().get().sidecar());
-    } else if (sidecar != null && sidecar.takesWork() && state.sidecars.sameRegion(sidecar)) {
-      long holdNanos = state.policy.affinityMillis() * RouterState.NANOS_PER_MILLI;
-      request.queue.addAffine(request, preferred, nowNanos + holdNanos);
-    } else {
-      request.queue.addOpen(request);
-    }
-    demand.changed(request.queue);
+  private static SlotStage stage(Reason reason) {
+    return switch (reason) {
+      case CALLER_GONE, DEADLINE, WITHDRAWN -> SlotStage.CANCELLED;
+      default -> SlotStage.FAILED;
+    };
   }
 
-  private void beginDraining(WaitingQueue queue, long nowNanos) {
-    state.queues.touch(queue, nowNanos);
-    if (queue.size() == 0) {
-      queue.drainRate.begin(nowNanos);
-    }
+  private void await(RoutedRequest request, long nowNanos) {
+    request.phase = Phase.WAITING;
+    request.placement.add(request, nowNanos);
   }
 
-  private void remove(RoutedRequest request, long nowNanos) {
+  private void remove(RoutedRequest request, SlotStage stage, long nowNanos) {
     state.requests.remove(request.id());
     state.timers.remove(request);
     state.queues.touch(request.queue, nowNanos);
     switch (request.phase) {
       case WAITING -> {
-        request.queue.remove(request);
+        request.placement.remove(request);
         request.queue.use.waiting--;
-        demand.changed(request.queue);
         release(request.fingerprint(), nowNanos);
       }
       case PARKED -> {
         state.fingerprints.unpark(request);
         request.queue.use.waiting--;
       }
-      default -> leaveSidecar(request, nowNanos);
+      default -> leaveTarget(request, stage, nowNanos);
     }
   }
 
-  private void leaveSidecar(RoutedRequest request, long nowNanos) {
-    request.leaveSidecar();
+  private void leaveTarget(RoutedRequest request, SlotStage stage, long nowNanos) {
+    request.placement.left(request, stage, nowNanos);
+    request.leaveTarget();
     state.fingerprints.ended(request.fingerprint());
     runningChanged(request.queue);
     request.queue.use.running--;
@@ -165,7 +132,7 @@
     boolean all = state.quarantine.deaths(fingerprint, nowNanos) == 0;
     for (RoutedRequest request : state.fingerprints.released(fingerprint, all)) {
       state.fingerprints.unpark(request);
-      enqueue(request, null, nowNanos);
+      await(request, nowNanos);
     }
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -3,22 +3,27 @@
 import dev.agatepier.core.process.RequestFacts;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import java.util.OptionalLong;
 
 /** One call from its admission to its end. */
 final class RoutedRequest {
 
+  /** Stands for the number of an event where there is none. */
+  private static final long NO_EVENT = -1;
+
   /** Where the request stands. */
   enum Phase {
     /** In its queue. */
     WAITING,
     /** Out of its queue until another request with its fingerprint has ended. */
     PARKED,
-    /** Sent to a sidecar. */
+    /** Sent to a sidecar or an upstream. */
     RUNNING,
-    /** Sent to a sidecar and withdrawn; the sidecar's answer is awaited. */
+    /** Sent and withdrawn; the word of the sidecar or of the connection is awaited. */
     WITHDRAWN
   }
 
@@ -27,7 +32,8 @@
   final long sequence;
   final long arrivedNanos;
   final long deadlineNanos;
-  final boolean idempotent;
+  final CallPlan plan;
+  final Placement placement;
   final double estimatedCost;
 
   Phase phase = Phase.WAITING;
@@ -50,13 +56,26 @@
   int deaths;
 
   AttemptId current;
-  LinkedSidecar sidecar;
-  String lastSidecar = "";
+  AttemptTarget target;
+  String lastTarget = "";
   boolean alone;
   boolean begun;
+
+  /** Whether the request has been out of its queue because of a suspicion. */
+  boolean parkedBefore;
+
+  /** Whether the upstream's answer says that it failed. */
+  boolean faulty;
+
   int nextFrame;
 
-  /** Bytes that the caller has taken since the sidecar was last told. */
+  /** Number of the last event passed on; that of the caller's own resumption before the first. */
+  long lastEvent = NO_EVENT;
+
+  /** Tokens of the answer passed on. */
+  long tokens;
+
+  /** Bytes that the caller has taken since the target was last told. */
   long uncreditedBytes;
 
   long sentNanos;
@@ -69,15 +88,18 @@
       long sequence,
       long nowNanos,
       long deadlineNanos,
-      boolean idempotent) {
+      CallPlan plan,
+      Placement placement) {
     this.call = call;
     this.queue = queue;
     this.sequence = sequence;
     this.arrivedNanos = nowNanos;
     this.deadlineNanos = deadlineNanos;
     this.timerNanos = deadlineNanos;
-    this.idempotent = idempotent;
+    this.plan = plan;
+    this.placement = placement;
     this.estimatedCost = queue.estimatedCost();
+    call.resumeAfter().ifPresent(event -> lastEvent = event);
   }
 
   RequestId id() {
@@ -92,7 +114,7 @@
     return call.ticket().isPresent();
   }
 
-  /** Returns whether the request is in the hands of a sidecar. */
+  /** Returns whether the request is in the hands of a sidecar or an upstream. */
   boolean sent() {
     return phase == Phase.RUNNING || phase == Phase.WITHDRAWN;
   }
@@ -105,26 +127,36 @@
     return unproven == 0 && (!ticketed() || proofs > 0);
   }
 
-  /** Notes that the request is handed to a sidecar. */
-  AttemptId begin(LinkedSidecar to, boolean runsAlone, long nowNanos) {
+  /** Returns whether part of the current attempt's answer has come. */
+  boolean answering() {
+    return sent() && nextFrame > 0;
+  }
+
+  /** Returns the number of the event after which an upstream is to go on. */
+  OptionalLong resumeAfter() {
+    return lastEvent == NO_EVENT ? OptionalLong.empty() : OptionalLong.of(lastEvent);
+  }
+
+  /** Notes that the request is handed to a target. */
+  AttemptId begin(AttemptTarget to, boolean runsAlone, long nowNanos) {
     phase = Phase.RUNNING;
     attempts++;
     unproven++;
     current = new AttemptId(id(), attempts);
-    sidecar = to;
-    lastSidecar = to.name();
+    target = to;
+    lastTarget = to.name();
     alone = runsAlone;
     nextFrame = 0;
     uncreditedBytes = 0;
     sentNanos = nowNanos;
-    to.running.put(id(), this);
+    to.running().put(id(), this);
     return current;
   }
 
   /** Notes that nothing more is expected of the current attempt. */
-  void leaveSidecar() {
-    sidecar.running.remove(id());
-    sidecar = null;
+  void leaveTarget() {
+    target.running().remove(id());
+    target = null;
     current = null;
   }
 
@@ -133,7 +165,7 @@
         call.workspace(),
         call.service(),
         attempts,
-        lastSidecar,
+        lastTarget,
         attempts == 0 ? nowNanos - arrivedNanos : sentNanos - arrivedNanos,
         begun ? firstByteNanos - arrivedNanos : 0,
         nowNanos - arrivedNanos,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -10,9 +10,14 @@
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Workspace;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** What the parts of a router's decision share. One task owns it. */
@@ -20,9 +25,13 @@
 
   static final long NANOS_PER_MILLI = 1_000_000;
 
+  /** Time for which a router that is gone still has its part of the fleet's budgets. */
+  private static final long ROUTERS_KNOWN_NANOS = 20_000_000_000L;
+
   /** Limits of a workspace that the table has lost while its requests are still here. */
   private static final Limits UNLIMITED = new Limits(Integer.MAX_VALUE, Integer.MAX_VALUE, 0);
 
+  final PeerIdentity self;
   final RouterPolicy policy;
   final RouterOutbox outbox = new RouterOutbox();
   final LinkedSidecars sidecars;
@@ -33,18 +42,41 @@
   final Quarantine quarantine;
   final RunningFingerprints fingerprints = new RunningFingerprints();
   final PrefixAffinity affinity = new PrefixAffinity();
+  final Set<String> leavingRouters = new HashSet<>();
   Table table = Table.NONE;
   boolean draining;
   long lastSequence;
+  private int mostRouters;
+  private long mostRoutersNanos;
 
   /** Creates the state of a router that knows nothing yet. */
   public RouterState(PeerIdentity self, RouterPolicy policy) {
+    this.self = self;
     this.policy = policy;
     sidecars = new LinkedSidecars(self, policy.sidecarsPerService());
     queues = new WorkspaceQueues(policy.spillMillis() * NANOS_PER_MILLI);
     quarantine = new Quarantine(policy);
   }
 
+  /** Returns the linked routers that stay, and the own one. */
+  Collection<PeerIdentity> stayingRouters() {
+    List<PeerIdentity> staying = new ArrayList<>();
+    staying.add(self);
+    routers.values().stream()
+        .filter(router -> !leavingRouters.contains(router.instance()))
+        .forEach(staying::add);
+    return staying;
+  }
+
+  /** Returns the most routers that were linked at one time lately, the own one counted. */
+  int mostRouters(long nowNanos) {
+    if (routers.size() + 1 >= mostRouters || nowNanos - mostRoutersNanos > ROUTERS_KNOWN_NANOS) {
+      mostRouters = routers.size() + 1;
+      mostRoutersNanos = nowNanos;
+    }
+    return mostRouters;
+  }
+
   /** Returns where effects are collected. */
   public RouterOutbox outbox() {
     return outbox;
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -0,0 +1,253 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.SlotChange;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.SlotKeeperEffect;
+import dev.agatepier.core.process.SlotKeeperEffect.Send;
+import dev.agatepier.core.process.SlotKeeperPolicy;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/** The slots of one service's upstreams: who waits for them and who holds them. */
+public final class ServiceSlots {
+
+  private final String service;
+  private final SlotKeeperPolicy policy;
+  private final SlotRule rule;
+  private final List<SlotKeeperEffect> effects;
+  private final WorkspaceLedger ledger;
+  private final WaitingBoard board;
+  private final SlotPlacer placer;
+  private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
+  private final Map<RequestId, HeldEntry> held = new HashMap<>();
+  private OptionalLong memoryTokens = OptionalLong.empty();
+  private long lastSequence;
+
+  /**
+   * Creates the state of a service without upstreams.
+   *
+   * @param entry the service
+   * @param policy what operators have set
+   * @param ledger accounts of the workspaces, which gives their order
+   * @param effects where effects are added
+   */
+  public ServiceSlots(
+      ServiceEntry entry,
+      SlotKeeperPolicy policy,
+      WorkspaceLedger ledger,
+      List<SlotKeeperEffect> effects) {
+    this.service = entry.name();
+    this.policy = policy;
+    this.rule = SlotRule.of(entry.kind(), policy);
+    this.ledger = ledger;
+    this.effects = effects;
+    this.board = new WaitingBoard(ledger);
+    this.placer = new SlotPlacer(rule, ledger, board, upstreams.values());
+  }
+
+  /** Takes the weights and properties of a table version. */
+  public void inForce(Table table) {
+    ledger.inForce(table);
+    memoryTokens =
+        table
+            .service(service)
+            .flatMap(ServiceEntry::memory)
+            .map(memory -> OptionalLong.of(memory.tokens()))
+            .orElse(OptionalLong.empty());
+    upstreams.values().forEach(upstream -> upstream.memoryTokens = memoryTokens);
+  }
+
+  /** Takes the upstreams whose slots are kept here from now on. */
+  public void upstreams(Collection<Upstream> listed, long nowNanos) {
+    Map<String, UpstreamLoad> before = new HashMap<>(upstreams);
+    upstreams.clear();
+    for (Upstream upstream : listed) {
+      UpstreamLoad load = before.get(upstream.name());
+      if (load == null || restarted(load.upstream, upstream)) {
+        load = new UpstreamLoad(upstream, nowNanos);
+        load.memoryTokens = memoryTokens;
+      }
+      load.upstream = upstream;
+      upstreams.put(upstream.name(), load);
+    }
+  }
+
+  /** Handles what a router says. */
+  public void arrived(String router, SlotMessage message, long nowNanos) {
+    switch (message) {
+      case SlotMessage.SlotsWanted wanted -> wanted(router, wanted, nowNanos);
+      case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
+          changes.forEach(change -> changed(router, change, nowNanos));
+      case SlotMessage.SlotGranted _, SlotMessage.SlotRefused _, SlotMessage.SlotRecalled _ -> {
+        // These go from keepers to routers.
+      }
+    }
+  }
+
+  /** Forgets everything that a router had. */
+  public void routerGone(String router, long nowNanos) {
+    board.removeRouter(router);
+    List.copyOf(held.values()).stream()
+        .filter(entry -> entry.router.equals(router))
+        .forEach(entry -> release(entry, SlotStage.CANCELLED, 0, nowNanos));
+  }
+
+  /** Judges upstreams, grants free slots and refuses what can no longer be in time. */
+  public void advance(long nowNanos) {
+    upstreams.values().forEach(upstream -> judge(upstream, nowNanos));
+    if (board.isEmpty()) {
+      return;
+    }
+    SlotPlacer.Placement placement = placer.next(nowNanos);
+    while (placement != null) {
+      grant(placement, nowNanos);
+      placement = placer.next(nowNanos);
+    }
+    for (WaitingEntry entry : placer.overdue(policy.lateMillis(), nowNanos)) {
+      board.remove(entry.call.request());
+      effects.add(
+          new Send(
+              entry.router,
+              new SlotMessage.SlotRefused(
+                  service, entry.call.request(), policy.retryAfterMillis())));
+    }
+  }
+
+  /** Returns whether nothing waits and nothing is held. */
+  public boolean idle() {
+    return board.isEmpty() && held.isEmpty();
+  }
+
+  /** Returns what operators are told. */
+  public ServiceSlotsStatus status(long nowNanos) {
+    return new ServiceSlotsStatus(
+        service,
+        board.size(),
+        held.size(),
+        upstreams.values().stream().map(load -> load.status(rule, nowNanos)).toList());
+  }
+
+  private void wanted(String router, SlotMessage.SlotsWanted wanted, long nowNanos) {
+    if (wanted.complete()) {
+      routerGone(router, nowNanos);
+    }
+    for (HeldSlot slot : wanted.held()) {
+      UpstreamLoad upstream = upstreams.get(slot.upstream());
+      if (upstream != null) {
+        hold(router, slot.call(), upstream, slot.begun(), nowNanos);
+      }
+    }
+    for (WaitingCall call : wanted.waiting()) {
+      board.add(new WaitingEntry(router, call, ++lastSequence, nowNanos));
+    }
+  }
+
+  private void changed(String router, SlotChange change, long nowNanos) {
+    if (change.stage() == SlotStage.WITHDRAWN) {
+      board.remove(change.request());
+      return;
+    }
+    HeldEntry entry = held.get(change.request());
+    if (entry == null
+        || !entry.router.equals(router)
+        || !entry.upstream.upstream.name().equals(change.upstream())) {
+      return;
+    }
+    switch (change.stage()) {
+      case BEGUN -> entry.upstream.begun(entry, nowNanos);
+      case PROGRESSED -> entry.upstream.progressed(nowNanos);
+      default -> release(entry, change.stage(), change.amount(), nowNanos);
+    }
+  }
+
+  private void grant(SlotPlacer.Placement placement, long nowNanos) {
+    WaitingEntry entry = placement.entry();
+    board.remove(entry.call.request());
+    hold(entry.router, entry.call, placement.upstream(), false, nowNanos);
+    effects.add(
+        new Send(
+            entry.router,
+            new SlotMessage.SlotGranted(
+                service, entry.call.request(), placement.upstream().upstream.name())));
+  }
+
+  private void hold(
+      String router, WaitingCall call, UpstreamLoad upstream, boolean begun, long nowNanos) {
+    double cost = rule.expectedCost(call);
+    HeldEntry entry =
+        new HeldEntry(
+            router,
+            call,
+            upstream,
+            nowNanos,
+            cost,
+            ModelSlotRule.unreadTokens(upstream, call),
+            rule.ownMillis(upstream, call));
+    upstream.add(entry, begun);
+    held.put(call.request(), entry);
+    ledger.addInFlight(call.workspace(), 1);
+    ledger.addRunning(call.workspace(), 1);
+    ledger.charge(call.workspace(), cost);
+  }
+
+  private void release(HeldEntry entry, SlotStage stage, long amount, long nowNanos) {
+    final String workspace = entry.call.workspace();
+    held.remove(entry.call.request());
+    double cost = entry.begun ? rule.finalCost(entry.call, amount) : 0;
+    switch (stage) {
+      case COMPLETED -> {
+        cost = rule.finalCost(entry.call, amount);
+        rule.observe(amount);
+        entry.upstream.health.succeeded();
+      }
+      case TURNED_DOWN, FAILED -> entry.upstream.health.failed(nowNanos);
+      default -> {
+        // The upstream is not to blame.
+      }
+    }
+    entry.upstream.remove(entry, nowNanos);
+    ledger.addInFlight(workspace, -1);
+    ledger.addRunning(workspace, -1);
+    ledger.charge(workspace, cost - entry.chargedCost);
+  }
+
+  /** Leaves an upstream alone that lets requests wait without any sign of work. */
+  private void judge(UpstreamLoad upstream, long nowNanos) {
+    boolean stalled = upstream.silentMillis(nowNanos) > policy.stallMillis();
+    if (stalled == upstream.stalled) {
+      return;
+    }
+    upstream.stalled = stalled;
+    effects.add(
+        new SlotKeeperEffect.UpstreamJudged(
+            upstream.upstream.name(), !stalled, "stalled", (long) upstream.silentMillis(nowNanos)));
+    if (stalled) {
+      upstream.held().stream()
+          .filter(entry -> !entry.begun && entry.call.repeatable())
+          .forEach(entry -> recall(entry, upstream));
+    }
+  }
+
+  private void recall(HeldEntry entry, UpstreamLoad upstream) {
+    effects.add(
+        new Send(
+            entry.router,
+            new SlotMessage.SlotRecalled(service, entry.call.request(), upstream.upstream.name())));
+  }
+
+  private static boolean restarted(Upstream before, Upstream now) {
+    return before.incarnation() != now.incarnation()
+        || before.port() != now.port()
+        || !before.address().equals(now.address());
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
@@ -0,0 +1,80 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+
+/** Has sidecars grant the slots: they are told of the demand and ask for a request in turn. */
+final class SidecarPlacement implements Placement {
+
+  /** How long a retry is kept away from the sidecar that failed it. */
+  private static final long AVOID_NANOS = 200_000_000;
+
+  private final RouterState state;
+  private final DemandPublisher demand;
+
+  SidecarPlacement(RouterState state, DemandPublisher demand) {
+    this.state = state;
+    this.demand = demand;
+  }
+
+  @Override
+  public void add(RoutedRequest request, long nowNanos) {
+    beginDraining(request.queue, nowNanos);
+    String preferred = request.parkedBefore ? null : state.affinity.sidecar(request.call);
+    LinkedSidecar sidecar = preferred == null ? null : state.sidecars.named(preferred);
+    if (request.ticketed()) {
+      request.queue.addPinned(request, request.call.ticket().get().sidecar());
+    } else if (sidecar != null && sidecar.takesWork() && state.sidecars.sameRegion(sidecar)) {
+      long holdNanos = state.policy.affinityMillis() * RouterState.NANOS_PER_MILLI;
+      request.queue.addAffine(request, preferred, nowNanos + holdNanos);
+    } else {
+      request.queue.addOpen(request);
+    }
+    demand.changed(request.queue);
+  }
+
+  @Override
+  public void addAgain(RoutedRequest request, String avoided, long nowNanos) {
+    beginDraining(request.queue, nowNanos);
+    if (request.ticketed()) {
+      request.queue.addPinned(request, avoided);
+    } else {
+      request.queue.addAvoiding(request, avoided, nowNanos + AVOID_NANOS);
+    }
+    demand.changed(request.queue);
+  }
+
+  @Override
+  public void remove(RoutedRequest request) {
+    request.queue.remove(request);
+    demand.changed(request.queue);
+  }
+
+  @Override
+  public void started(RoutedRequest request, long nowNanos) {
+    request.queue.remove(request);
+    request.queue.drainRate.depart(nowNanos);
+    demand.changed(request.queue);
+  }
+
+  @Override
+  public void begun(RoutedRequest request) {
+    // The sidecar has seen it before.
+  }
+
+  @Override
+  public void left(RoutedRequest request, SlotStage stage, long nowNanos) {
+    // The sidecar knows when its slot is free.
+  }
+
+  @Override
+  public boolean takeRetry(RoutedRequest request, long nowNanos) {
+    return request.queue.retries.take();
+  }
+
+  private void beginDraining(WaitingQueue queue, long nowNanos) {
+    state.queues.touch(queue, nowNanos);
+    if (queue.size() == 0) {
+      queue.drainRate.begin(nowNanos);
+    }
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAnswers.java
@@ -0,0 +1,123 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.SlotMessage.SlotGranted;
+import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
+import dev.agatepier.core.connection.SlotMessage.SlotRefused;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.process.RouterEffect;
+import dev.agatepier.core.process.internal.RoutedRequest.Phase;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Upstream;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Acts on what slot keepers say: calls upstreams, refuses requests and moves them. */
+public final class SlotAnswers {
+
+  private final RouterState state;
+  private final RequestLifecycle lifecycle;
+  private final SlotPlacement placement;
+  private final AttemptRelay attempts;
+  private Map<String, DirectUpstream> upstreams = Map.of();
+
+  /** Creates the part; it knows no upstream. */
+  public SlotAnswers(
+      RouterState state,
+      RequestLifecycle lifecycle,
+      SlotPlacement placement,
+      AttemptRelay attempts) {
+    this.state = state;
+    this.lifecycle = lifecycle;
+    this.placement = placement;
+    this.attempts = attempts;
+  }
+
+  /** Takes the upstreams of a version of the instance list. */
+  public void instances(InstanceList list) {
+    Map<String, DirectUpstream> listed = new HashMap<>();
+    for (Upstream upstream : list.upstreams()) {
+      DirectUpstream known = upstreams.get(upstream.name());
+      if (known == null || known.upstream().incarnation() != upstream.incarnation()) {
+        known = new DirectUpstream(upstream);
+      }
+      known.listed(upstream);
+      listed.put(upstream.name(), known);
+    }
+    upstreams = listed;
+  }
+
+  /** Handles one message of a keeper; what a former keeper says does no harm. */
+  public void arrived(String router, SlotMessage message, long nowNanos) {
+    switch (message) {
+      case SlotGranted granted -> granted(router, granted, nowNanos);
+      case SlotRefused refused -> refused(router, refused, nowNanos);
+      case SlotRecalled recalled -> recalled(recalled, nowNanos);
+      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _ -> {
+        // These go from routers to keepers.
+      }
+    }
+  }
+
+  private void granted(String router, SlotGranted granted, long nowNanos) {
+    if (!placement.isKeeper(granted.service(), router)) {
+      return;
+    }
+    RoutedRequest request = waiting(granted.request(), granted.service());
+    DirectUpstream upstream = upstreams.get(granted.upstream());
+    if (request == null) {
+      placement.declined(granted.service(), granted.request(), granted.upstream());
+    } else if (upstream == null || upstream.upstream().leaving()) {
+      placement.declined(granted.service(), granted.request(), granted.upstream());
+      placement.addAgain(request, granted.upstream(), nowNanos);
+    } else {
+      call(request, upstream, nowNanos);
+    }
+  }
+
+  private void call(RoutedRequest request, DirectUpstream upstream, long nowNanos) {
+    AttemptId attempt = lifecycle.start(request, upstream, false, nowNanos);
+    state.outbox.add(
+        new RouterEffect.RunAttempt(
+            attempt,
+            upstream.upstream(),
+            request.call.workspace(),
+            request.call.head(),
+            request.call.body(),
+            request.plan,
+            (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
+            request.resumeAfter(),
+            state.policy.windowBytes()));
+  }
+
+  private void refused(String router, SlotRefused refused, long nowNanos) {
+    RoutedRequest request = waiting(refused.request(), refused.service());
+    if (request != null && placement.isKeeper(refused.service(), router)) {
+      lifecycle.fail(request, Reason.OVERLOADED, 0, refused.retryAfterMillis(), nowNanos);
+    }
+  }
+
+  /** Moves a request that has no answer yet, if it may run twice and the budget allows it. */
+  private void recalled(SlotRecalled recalled, long nowNanos) {
+    RoutedRequest request = state.requests.get(recalled.request());
+    if (request != null
+        && request.phase == Phase.RUNNING
+        && request.lastTarget.equals(recalled.upstream())
+        && !request.answering()) {
+      attempts.moveAway(request, SlotStage.FAILED, nowNanos);
+    }
+  }
+
+  private RoutedRequest waiting(RequestId id, String service) {
+    RoutedRequest request = state.requests.get(id);
+    boolean waits =
+        request != null
+            && request.phase == Phase.WAITING
+            && request.placement == placement
+            && request.queue.service.equals(service);
+    return waits ? request : null;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacer.java
@@ -0,0 +1,147 @@
+package dev.agatepier.core.process.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+/**
+ * Chooses which waiting request gets which slot next: the workspace by the fair order, of its
+ * requests the one that is due first, and the upstream at which its answer begins soonest. Requests
+ * that can no longer be in time come after all others.
+ */
+final class SlotPlacer {
+
+  /** Requests of one workspace that are looked at when the first of them find no room. */
+  private static final int MOST_TRIED = 4;
+
+  /**
+   * Weight of the request's own reading against the backlog before it: reading a part again takes
+   * time from everybody who comes after.
+   */
+  private static final double OWN_READING_WEIGHT = 1.5;
+
+  /** Milliseconds that stand for an upstream whose requests all fail. */
+  private static final double FAILURE_MILLIS = 1_000;
+
+  /** Part of the usual backlog that is allowed to requests that are late already. */
+  private static final double LATE_BACKLOG_SHARE = 0.25;
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final SlotRule rule;
+  private final WorkspaceLedger ledger;
+  private final WaitingBoard board;
+  private final Collection<UpstreamLoad> upstreams;
+
+  /**
+   * One request and the upstream that it gets a slot of.
+   *
+   * @param entry the request
+   * @param upstream the upstream
+   */
+  record Placement(WaitingEntry entry, UpstreamLoad upstream) {}
+
+  SlotPlacer(
+      SlotRule rule,
+      WorkspaceLedger ledger,
+      WaitingBoard board,
+      Collection<UpstreamLoad> upstreams) {
+    this.rule = rule;
+    this.ledger = ledger;
+    this.board = board;
+    this.upstreams = upstreams;
+  }
+
+  /** Returns the next grant, or null if nothing that waits finds room. */
+  Placement next(long nowNanos) {
+    Placement timely = nextOf(true, nowNanos);
+    return timely == null ? nextOf(false, nowNanos) : timely;
+  }
+
+  /**
+   * Returns the requests that cannot be in time any more.
+   *
+   * @param lateMillis how long each may wait on nevertheless, in milliseconds
+   */
+  List<WaitingEntry> overdue(long lateMillis, long nowNanos) {
+    List<WaitingEntry> overdue = new ArrayList<>();
+    for (WaitingEntry entry : board.all()) {
+      double least = leastMillis(entry, nowNanos);
+      long lateNanos = nowNanos + (long) ((least - lateMillis) * NANOS_PER_MILLI) - entry.dueNanos;
+      if (lateNanos > 0) {
+        overdue.add(entry);
+      }
+    }
+    return overdue;
+  }
+
+  private Placement nextOf(boolean timely, long nowNanos) {
+    double share = timely ? 1 : LATE_BACKLOG_SHARE;
+    if (upstreams.stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
+      return null;
+    }
+    for (WorkspaceAccount account : ledger.waitingInOrder()) {
+      int tried = 0;
+      for (WaitingEntry entry : board.of(account.name())) {
+        if (++tried > MOST_TRIED) {
+          break;
+        }
+        UpstreamLoad upstream = soonest(entry, share, timely, nowNanos);
+        if (upstream != null) {
+          return new Placement(entry, upstream);
+        }
+      }
+    }
+    return null;
+  }
+
+  /** Returns the upstream that serves a request soonest, or null if it is better to wait. */
+  private UpstreamLoad soonest(WaitingEntry entry, double share, boolean timely, long nowNanos) {
+    UpstreamLoad best = null;
+    double bestWeight = Double.MAX_VALUE;
+    double bestMillis = 0;
+    for (UpstreamLoad upstream : upstreams) {
+      if (!usable(upstream, nowNanos) || !rule.fits(upstream, entry.call)) {
+        continue;
+      }
+      double backlog = rule.backlogMillis(upstream, nowNanos);
+      double own = rule.ownMillis(upstream, entry.call);
+      double weight = backlog + OWN_READING_WEIGHT * own + penalty(upstream, entry);
+      if (weight < bestWeight) {
+        best = upstream;
+        bestWeight = weight;
+        bestMillis = backlog + own;
+      }
+    }
+    boolean place =
+        best != null
+            && entry.timely(bestMillis, nowNanos) == timely
+            && rule.wantsWork(best, share, nowNanos);
+    return place ? best : null;
+  }
+
+  private static double penalty(UpstreamLoad upstream, WaitingEntry entry) {
+    boolean avoided = upstream.upstream.name().equals(entry.call.avoided());
+    return FAILURE_MILLIS * (upstream.health.failureShare() + (avoided ? 1 : 0));
+  }
+
+  private double leastMillis(WaitingEntry entry, long nowNanos) {
+    double least = Double.MAX_VALUE;
+    for (UpstreamLoad upstream : upstreams) {
+      if (usable(upstream, nowNanos)) {
+        least = Math.min(least, rule.ownMillis(upstream, entry.call));
+      }
+    }
+    return least == Double.MAX_VALUE ? 0 : least;
+  }
+
+  private boolean ready(UpstreamLoad upstream, double share, long nowNanos) {
+    return usable(upstream, nowNanos)
+        && upstream.free() > 0
+        && rule.wantsWork(upstream, share, nowNanos);
+  }
+
+  private static boolean usable(UpstreamLoad upstream, long nowNanos) {
+    return !upstream.upstream.leaving() && !upstream.stalled && !upstream.health.resting(nowNanos);
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
@@ -0,0 +1,43 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.SlotKeeperPolicy;
+import dev.agatepier.core.version.ServiceKind;
+
+/** Says whether an upstream has room for a request, how long it takes and what it costs. */
+interface SlotRule {
+
+  /** Returns whether the upstream has a slot and memory for a request. */
+  boolean fits(UpstreamLoad upstream, WaitingCall call);
+
+  /**
+   * Returns whether the upstream should be given more work now.
+   *
+   * @param share part of the usual backlog that is allowed, from 0 to 1
+   */
+  boolean wantsWork(UpstreamLoad upstream, double share, long nowNanos);
+
+  /** Returns the expected time until what was granted before leaves room, in milliseconds. */
+  double backlogMillis(UpstreamLoad upstream, long nowNanos);
+
+  /** Returns the expected time until the answer begins at an upstream without backlog. */
+  double ownMillis(UpstreamLoad upstream, WaitingCall call);
+
+  /** Returns the expected cost of a request, in cost units. */
+  double expectedCost(WaitingCall call);
+
+  /**
+   * Returns the cost of a request that has ended, in cost units.
+   *
+   * @param amount tokens of the answer for a model request, otherwise milliseconds of the slot
+   */
+  double finalCost(WaitingCall call, long amount);
+
+  /** Takes in the amount of a request that ended whole. */
+  void observe(long amount);
+
+  /** Returns the rule for a kind of service. */
+  static SlotRule of(ServiceKind kind, SlotKeeperPolicy policy) {
+    return kind == ServiceKind.MODEL ? new ModelSlotRule(policy) : new PlainSlotRule();
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamAnswers.java
@@ -0,0 +1,104 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.process.RouterEvent.UpstreamBegan;
+import dev.agatepier.core.process.RouterEvent.UpstreamEnded;
+import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
+import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
+import dev.agatepier.core.process.RouterEvent.UpstreamSent;
+import dev.agatepier.core.request.AttemptId;
+
+/** Judges what upstreams answer that the router itself called, and relays it. */
+public final class UpstreamAnswers {
+
+  /** Least HTTP status by which an upstream says that it failed. */
+  private static final int SERVER_ERROR = 500;
+
+  /** Least HTTP status that is no success. */
+  private static final int NO_SUCCESS = 300;
+
+  private final RouterState state;
+  private final AttemptRelay relay;
+
+  /** Creates the part. */
+  public UpstreamAnswers(RouterState state, AttemptRelay relay) {
+    this.state = state;
+    this.relay = relay;
+  }
+
+  /**
+   * Begins the answer. One by which the upstream says that it failed is tried elsewhere first; a
+   * stream that is resumed keeps the head of its first upstream.
+   */
+  public void began(UpstreamBegan event, long nowNanos) {
+    RoutedRequest request = current(event.attempt());
+    if (request == null) {
+      return;
+    }
+    int status = event.head().status();
+    if (request.begun) {
+      if (status >= NO_SUCCESS) {
+        relay.cut(request, nowNanos);
+      }
+      return;
+    }
+    request.faulty = status >= SERVER_ERROR;
+    if (!request.faulty || !relay.moveAway(request, SlotStage.FAILED, nowNanos)) {
+      relay.head(request, event.head(), nowNanos);
+    }
+  }
+
+  /** Continues the answer; events that the caller has already are left out. */
+  public void sent(UpstreamSent event, long nowNanos) {
+    RoutedRequest request = current(event.attempt());
+    if (request == null) {
+      return;
+    }
+    boolean numbered = event.lastEvent() >= 0;
+    if (numbered && event.lastEvent() <= request.lastEvent) {
+      return;
+    }
+    if (numbered && event.firstEvent() <= request.lastEvent) {
+      relay.cut(request, nowNanos);
+      return;
+    }
+    if (numbered) {
+      request.lastEvent = event.lastEvent();
+    }
+    request.tokens += event.tokens();
+    relay.content(request, request.nextFrame, event.content(), nowNanos);
+  }
+
+  /** Ends the answer as whole. */
+  public void ended(UpstreamEnded event, long nowNanos) {
+    RoutedRequest request = current(event.attempt());
+    if (request != null) {
+      double cost =
+          request.call.prompt().isPresent()
+              ? request.tokens
+              : (double) (nowNanos - request.sentNanos) / RouterState.NANOS_PER_MILLI;
+      relay.end(request, request.nextFrame, cost, nowNanos);
+    }
+  }
+
+  /** Takes the proof that an attempt did not run. */
+  public void notRun(UpstreamNotRun event, long nowNanos) {
+    RoutedRequest request = current(event.attempt());
+    if (request != null) {
+      relay.notRun(request, event.reason(), event.arrived(), nowNanos);
+    }
+  }
+
+  /** Takes the word that an answer will not become whole. */
+  public void failed(UpstreamFailed event, long nowNanos) {
+    RoutedRequest request = current(event.attempt());
+    if (request != null) {
+      relay.failed(request, event.reason(), nowNanos);
+    }
+  }
+
+  private RoutedRequest current(AttemptId attempt) {
+    RoutedRequest request = state.requests.get(attempt.request());
+    return request != null && attempt.equals(request.current) ? request : null;
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingBoard.java
@@ -0,0 +1,79 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.request.RequestId;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/** The requests that wait for a slot of one service, by workspace and by when they are due. */
+final class WaitingBoard {
+
+  private final Map<RequestId, WaitingEntry> byRequest = new LinkedHashMap<>();
+  private final Map<String, TreeSet<WaitingEntry>> byWorkspace = new HashMap<>();
+  private final WorkspaceLedger ledger;
+
+  /** Creates an empty board that tells a ledger of its demand. */
+  WaitingBoard(WorkspaceLedger ledger) {
+    this.ledger = ledger;
+  }
+
+  void add(WaitingEntry entry) {
+    remove(entry.call.request());
+    byRequest.put(entry.call.request(), entry);
+    byWorkspace
+        .computeIfAbsent(entry.workspace(), name -> new TreeSet<>(WaitingEntry.BY_DUE))
+        .add(entry);
+    tellLedger(entry.workspace());
+  }
+
+  /** Removes and returns the entry of a request, or returns null. */
+  WaitingEntry remove(RequestId request) {
+    WaitingEntry entry = byRequest.remove(request);
+    if (entry != null) {
+      TreeSet<WaitingEntry> entries = byWorkspace.get(entry.workspace());
+      entries.remove(entry);
+      if (entries.isEmpty()) {
+        byWorkspace.remove(entry.workspace());
+      }
+      tellLedger(entry.workspace());
+    }
+    return entry;
+  }
+
+  /** Removes what a router has waiting. */
+  void removeRouter(String router) {
+    List.copyOf(byRequest.values()).stream()
+        .filter(entry -> entry.router.equals(router))
+        .forEach(entry -> remove(entry.call.request()));
+  }
+
+  boolean isEmpty() {
+    return byRequest.isEmpty();
+  }
+
+  int size() {
+    return byRequest.size();
+  }
+
+  Collection<WaitingEntry> all() {
+    return byRequest.values();
+  }
+
+  /** Returns the entries of a workspace, the one that is due first at the head. */
+  Collection<WaitingEntry> of(String workspace) {
+    TreeSet<WaitingEntry> entries = byWorkspace.get(workspace);
+    return entries == null ? List.of() : entries;
+  }
+
+  private void tellLedger(String workspace) {
+    TreeSet<WaitingEntry> entries = byWorkspace.get(workspace);
+    if (entries == null) {
+      ledger.setDemand(workspace, 0, 0);
+    } else {
+      ledger.setDemand(workspace, entries.size(), entries.first().arrivedNanos);
+    }
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
@@ -5,6 +5,7 @@
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -87,6 +88,11 @@
     return waiting.isEmpty() ? Optional.empty() : Optional.of(waiting.first());
   }
 
+  /** Returns the waiting workspaces in the order in which they are served. */
+  public List<WorkspaceAccount> waitingInOrder() {
+    return List.copyOf(waiting);
+  }
+
   /** Sets how many requests of a workspace may be granted and since when the oldest waits. */
   public void setDemand(String workspace, int count, long oldestSinceNanos) {
     WorkspaceAccount account = account(workspace);
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/ServiceEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/ServiceEntry.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * One row of the services file.
@@ -11,18 +12,41 @@
  * @param idempotentCalls calls that may be repeated, each a method and a path prefix
  * @param deadlineMillis longest time a request may take, waiting included, in milliseconds
  * @param retryShare retries allowed as a share of first attempts, from 0 to 1
+ * @param keeping who hands out the slots of its upstreams
+ * @param memory memory of its model engines, if it is published
  */
 public record ServiceEntry(
     String name,
     ServiceKind kind,
     List<CallPattern> idempotentCalls,
     long deadlineMillis,
-    double retryShare) {
+    double retryShare,
+    SlotKeeping keeping,
+    Optional<EngineMemory> memory) {
+
+  /** Creates an entry whose slots are kept by sidecars. */
+  public ServiceEntry(
+      String name,
+      ServiceKind kind,
+      List<CallPattern> idempotentCalls,
+      long deadlineMillis,
+      double retryShare) {
+    this(
+        name,
+        kind,
+        idempotentCalls,
+        deadlineMillis,
+        retryShare,
+        SlotKeeping.SIDECAR,
+        Optional.empty());
+  }
 
   /** Checks the parts and copies the patterns. */
   public ServiceEntry {
     Objects.requireNonNull(name, "name");
     Objects.requireNonNull(kind, "kind");
+    Objects.requireNonNull(keeping, "keeping");
+    Objects.requireNonNull(memory, "memory");
     idempotentCalls = List.copyOf(idempotentCalls);
     if (deadlineMillis < 1) {
       throw new IllegalArgumentException("deadline " + deadlineMillis + " ms is below 1 ms");
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/Table.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/Table.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.version;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -9,13 +10,25 @@
  * @param version version number, rising with each accepted change
  * @param workspaces workspaces by name
  * @param services services by name
+ * @param routes routes by host and path; none where callers name the service themselves
+ * @param bounds bounds on what callers may send
  */
 public record Table(
-    long version, Map<String, Workspace> workspaces, Map<String, ServiceEntry> services) {
+    long version,
+    Map<String, Workspace> workspaces,
+    Map<String, ServiceEntry> services,
+    RouteIndex routes,
+    CallerBounds bounds) {
 
   /** The table of a process that has not yet heard of any version. */
   public static final Table NONE = new Table(0, Map.of(), Map.of());
 
+  /** Creates a version without routes. */
+  public Table(
+      long version, Map<String, Workspace> workspaces, Map<String, ServiceEntry> services) {
+    this(version, workspaces, services, new RouteIndex(List.of()), CallerBounds.DEFAULT);
+  }
+
   /** Copies the maps. */
   public Table {
     workspaces = Map.copyOf(workspaces);
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/MembershipSlope.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/MembershipSlope.java
@@ -36,7 +36,8 @@
     List<Instance> instances = FleetInstances.list(size);
     InstanceList list = new InstanceList(1, instances);
     MessagePackCodec codec = new MessagePackCodec();
-    LinkMessage.InstancesTransfer transfer = new LinkMessage.InstancesTransfer(1, instances);
+    LinkMessage.InstancesTransfer transfer =
+        new LinkMessage.InstancesTransfer(1, instances, List.of());
     byte[] content = codec.encode(transfer);
     PeerIdentity router =
         new PeerIdentity("router-00000", 1, Role.ROUTER, "data-centre-0", "region-0", "");
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
@@ -1,6 +1,7 @@
 package dev.agatepier.wire.connection;
 
 import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.SlotMessage;
 
 /** Kinds of traffic that are counted apart. */
 public enum MessageClass {
@@ -31,7 +32,8 @@
       case LinkMessage.DemandUpdate _,
           LinkMessage.SlotsFree _,
           LinkMessage.Grant _,
-          LinkMessage.GrantDeclined _ ->
+          LinkMessage.GrantDeclined _,
+          SlotMessage _ ->
           DEMAND;
       case LinkMessage.StartAttempt _, LinkMessage.AttemptHead _, LinkMessage.AttemptContent _ ->
           PAYLOAD;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesFamily.java
@@ -2,8 +2,10 @@
 
 import dev.agatepier.core.connection.LinkMessage.InstancesRequest;
 import dev.agatepier.core.connection.LinkMessage.InstancesTransfer;
+import dev.agatepier.core.connection.LinkMessage.RoutersKnown;
 import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
 
 /** Messages that carry the platform's instance list from peer to peer. */
@@ -21,13 +23,46 @@
         new MessageType<>(
             51,
             InstancesTransfer.class,
-            2,
+            3,
             (message, output) -> {
               output.number(message.version());
               output.list(message.instances(), InstancesFamily::writeInstance);
+              output.list(message.upstreams(), InstancesFamily::writeUpstream);
             },
             input ->
-                new InstancesTransfer(input.number(), input.list(InstancesFamily::readInstance))));
+                new InstancesTransfer(
+                    input.number(),
+                    input.list(InstancesFamily::readInstance),
+                    input.list(InstancesFamily::readUpstream))),
+        new MessageType<>(
+            52,
+            RoutersKnown.class,
+            1,
+            (message, output) -> output.list(message.routers(), InstancesFamily::writeInstance),
+            input -> new RoutersKnown(input.list(InstancesFamily::readInstance))));
+  }
+
+  private static void writeUpstream(FieldOutput output, Upstream upstream) {
+    output.text(upstream.name());
+    output.number(upstream.incarnation());
+    output.text(upstream.service());
+    output.text(upstream.address());
+    output.integer(upstream.port());
+    output.text(upstream.dataCentre());
+    output.integer(upstream.slots());
+    output.flag(upstream.leaving());
+  }
+
+  private static Upstream readUpstream(FieldInput input) {
+    return new Upstream(
+        input.text(),
+        input.number(),
+        input.text(),
+        input.text(),
+        input.integer(),
+        input.text(),
+        input.integer(),
+        input.flag());
   }
 
   private static void writeInstance(FieldOutput output, Instance instance) {
