Give long shared prefixes one home and refuse hopeless calls at once

Change: routers choose the data centre by expected delay, way and shared reading; a keeper tells its delay; infeasible requests are passed over; a request that cannot be in time behind those before it is refused at once and may ask in one more data centre.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -120,6 +120,15 @@
   record SlotRefused(String service, RequestId request, long retryAfterMillis)
       implements SlotMessage {}
 
+  /**
+   * Slot keeper to routers: how long a request would wait for a slot.
+   *
+   * @param service service called
+   * @param dataCentre data centre whose slots the sender keeps
+   * @param delayMillis expected time until a request that asks now has its slot, in milliseconds
+   */
+  record KeeperLoad(String service, String dataCentre, long delayMillis) implements SlotMessage {}
+
   /**
    * Slot keeper to router: an upstream makes no progress; what may run twice should move.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterPolicy.java
@@ -16,6 +16,8 @@
  *     milliseconds
  * @param retrySlack retries of a service that the whole fleet may make in one window beside those
  *     that its requests earn
+ * @param regionMillis time that the way to another region and back takes until a slot is granted
+ *     and the answer begins, in milliseconds
  * @param retryShare retries allowed as a share of requests, for services whose entries say nothing
  */
 public record RouterPolicy(
@@ -29,11 +31,12 @@
     long ticketMillis,
     long retryWindowMillis,
     int retrySlack,
+    long regionMillis,
     double retryShare) {
 
   /** The values used where settings say nothing. */
   public static final RouterPolicy DEFAULT =
-      new RouterPolicy(16, 500, 50, 3, 3, 600_000, 262_144, 600_000, 10_000, 50, 0.1);
+      new RouterPolicy(16, 500, 50, 3, 3, 600_000, 262_144, 600_000, 10_000, 50, 80, 0.1);
 
   /** Checks that every value is in range. */
   public RouterPolicy {
@@ -43,7 +46,10 @@
     if (spillMillis < 0 || affinityMillis < 0 || quarantineMillis < 0 || ticketMillis < 0) {
       throw new IllegalArgumentException("a time of the router policy is negative");
     }
-    if (retryWindowMillis < 1 || retrySlack < 0 || !(retryShare >= 0 && retryShare <= 1)) {
+    if (retryWindowMillis < 1
+        || retrySlack < 0
+        || regionMillis < 0
+        || !(retryShare >= 0 && retryShare <= 1)) {
       throw new IllegalArgumentException("the retry budget of the router policy is out of range");
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
@@ -15,7 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 
 /**
@@ -75,6 +75,9 @@
       }
     }
     services.values().forEach(service -> service.advance(nowNanos));
+    if (event instanceof SlotKeeperEvent.TimePassed) {
+      services.values().forEach(service -> tellLoad(service, nowNanos));
+    }
     List<SlotKeeperEffect> taken = List.copyOf(effects);
     effects.clear();
     return taken;
@@ -104,6 +107,20 @@
     }
   }
 
+  /** Tells every router how long a request waits, if this is the keeper that they ask. */
+  private void tellLoad(ServiceSlots service, long nowNanos) {
+    boolean keeper =
+        KeeperChoice.keeper(service.name(), self.dataCentre(), routers.values())
+            .filter(self.instance()::equals)
+            .isPresent();
+    OptionalLong delayMillis = keeper ? service.newDelayMillis(nowNanos) : OptionalLong.empty();
+    if (delayMillis.isPresent()) {
+      SlotMessage load =
+          new SlotMessage.KeeperLoad(service.name(), self.dataCentre(), delayMillis.getAsLong());
+      routers.keySet().forEach(router -> effects.add(new SlotKeeperEffect.Send(router, load)));
+    }
+  }
+
   private void listServices() {
     services.keySet().retainAll(table.services().keySet());
     for (ServiceEntry entry : table.services().values()) {
@@ -119,14 +136,10 @@
   }
 
   private void listUpstreams(long nowNanos) {
-    Set<String> territory =
-        KeeperChoice.territory(
-            self.dataCentre(),
-            instances.upstreams().stream().map(Upstream::dataCentre).toList(),
-            routers.values());
     Map<String, List<Upstream>> byService = new TreeMap<>();
     for (Upstream upstream : instances.upstreams()) {
-      if (territory.contains(upstream.dataCentre())) {
+      String caretaker = KeeperChoice.caretaker(upstream.dataCentre(), routers.values());
+      if (caretaker.equals(self.dataCentre())) {
         byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperDialogue.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperDialogue.java
@@ -17,14 +17,21 @@
 final class KeeperDialogue {
 
   private final String service;
+  private final long wayMillis;
   private final RouterOutbox outbox;
   private final Map<RequestId, RoutedRequest> requests = new LinkedHashMap<>();
   private final Map<RequestId, RoutedRequest> wanted = new LinkedHashMap<>();
   private final List<SlotChange> changes = new ArrayList<>();
   private Optional<String> keeper = Optional.empty();
 
-  KeeperDialogue(String service, RouterOutbox outbox) {
+  /**
+   * Creates the dialogue with a keeper that is yet to be chosen.
+   *
+   * @param wayMillis time that the way to its data centre and back takes, in milliseconds
+   */
+  KeeperDialogue(String service, long wayMillis, RouterOutbox outbox) {
     this.service = service;
+    this.wayMillis = wayMillis;
     this.outbox = outbox;
   }
 
@@ -62,6 +69,11 @@
     }
   }
 
+  /** Drops a request that the keeper itself has given up. */
+  void forget(RoutedRequest request) {
+    requests.remove(request.id());
+  }
+
   void left(RoutedRequest request, SlotStage stage, long amount) {
     requests.remove(request.id());
     change(request.id(), request.lastTarget, stage, amount);
@@ -99,12 +111,12 @@
     return new SlotsWanted(service, true, waiting, held);
   }
 
-  private static WaitingCall waitingCall(RoutedRequest request, long nowNanos) {
+  private WaitingCall waitingCall(RoutedRequest request, long nowNanos) {
     return new WaitingCall(
         request.id(),
         request.call.workspace(),
         request.lastTarget,
-        objectiveMillis(request, nowNanos),
+        objectiveMillis(request, nowNanos) - wayMillis,
         (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
         request.plan.repeatable(),
         request.call.prompt());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -41,6 +41,12 @@
     return upstream.backlogMillis(nowNanos);
   }
 
+  /** An engine reads one prompt after the other. */
+  @Override
+  public int lanes() {
+    return 1;
+  }
+
   @Override
   public double ownMillis(UpstreamLoad upstream, WaitingCall call) {
     return upstream.reading.millis(unreadTokens(upstream, call));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
@@ -5,6 +5,9 @@
 /** Grants each slot of a plain upstream to one request. Cost is counted in milliseconds. */
 final class PlainSlotRule implements SlotRule {
 
+  /** Slots that a plain upstream has at the least, so that a wait is rather over-estimated. */
+  private static final int LANES = 4;
+
   /** Weight of the newest request in the mean time that a slot is held. */
   private static final double NEWEST_WEIGHT = 0.1;
 
@@ -28,6 +31,11 @@
     return meanMillis * upstream.running() / upstream.upstream.slots();
   }
 
+  @Override
+  public int lanes() {
+    return LANES;
+  }
+
   @Override
   public double ownMillis(UpstreamLoad upstream, WaitingCall call) {
     return meanMillis;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -7,7 +7,9 @@
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import java.util.HashSet;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /** One call from its admission to its end. */
 final class RoutedRequest {
@@ -55,6 +57,12 @@
   /** Attempts during which the upstream died. */
   int deaths;
 
+  /** Data centre in which it asks for a slot, or has one. */
+  String dataCentre = "";
+
+  /** Data centres whose keepers have refused it a slot. */
+  final Set<String> refusedBy = new HashSet<>();
+
   AttemptId current;
   AttemptTarget target;
   String lastTarget = "";
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -21,6 +21,14 @@
 /** The slots of one service's upstreams: who waits for them and who holds them. */
 public final class ServiceSlots {
 
+  /** Change of the delay that routers are told of at once, in milliseconds. */
+  private static final long DELAY_STEP_MILLIS = 10;
+
+  /** Least time between two words on the delay, and the most. */
+  private static final long SPACING_NANOS = 100_000_000L;
+
+  private static final long REPEAT_NANOS = 1_000_000_000L;
+
   private final String service;
   private final SlotKeeperPolicy policy;
   private final SlotRule rule;
@@ -32,6 +40,8 @@
   private final Map<RequestId, HeldEntry> held = new HashMap<>();
   private OptionalLong memoryTokens = OptionalLong.empty();
   private long lastSequence;
+  private long toldDelayMillis;
+  private long toldNanos = Long.MIN_VALUE / 2;
 
   /**
    * Creates the state of a service without upstreams.
@@ -88,7 +98,10 @@
       case SlotMessage.SlotsWanted wanted -> wanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
           changes.forEach(change -> changed(router, change, nowNanos));
-      case SlotMessage.SlotGranted _, SlotMessage.SlotRefused _, SlotMessage.SlotRecalled _ -> {
+      case SlotMessage.SlotGranted _,
+          SlotMessage.SlotRefused _,
+          SlotMessage.KeeperLoad _,
+          SlotMessage.SlotRecalled _ -> {
         // These go from keepers to routers.
       }
     }
@@ -115,12 +128,29 @@
     }
     for (WaitingEntry entry : placer.overdue(policy.lateMillis(), nowNanos)) {
       board.remove(entry.call.request());
-      effects.add(
-          new Send(
-              entry.router,
-              new SlotMessage.SlotRefused(
-                  service, entry.call.request(), policy.retryAfterMillis())));
+      refuse(entry);
+    }
+  }
+
+  /** Returns the name of the service. */
+  public String name() {
+    return service;
+  }
+
+  /**
+   * Returns the expected time until a request that asks now has its slot, in milliseconds, if the
+   * routers should be told of it anew.
+   */
+  public OptionalLong newDelayMillis(long nowNanos) {
+    long delayMillis = Math.round(placer.delayMillis(nowNanos));
+    boolean changed = Math.abs(delayMillis - toldDelayMillis) > DELAY_STEP_MILLIS;
+    boolean old = nowNanos - toldNanos > REPEAT_NANOS;
+    if (!old && !(changed && nowNanos - toldNanos > SPACING_NANOS)) {
+      return OptionalLong.empty();
     }
+    toldDelayMillis = delayMillis;
+    toldNanos = nowNanos;
+    return OptionalLong.of(delayMillis);
   }
 
   /** Returns whether nothing waits and nothing is held. */
@@ -148,10 +178,22 @@
       }
     }
     for (WaitingCall call : wanted.waiting()) {
-      board.add(new WaitingEntry(router, call, ++lastSequence, nowNanos));
+      WaitingEntry entry = new WaitingEntry(router, call, ++lastSequence, nowNanos);
+      if (placer.hopeless(entry, nowNanos)) {
+        refuse(entry);
+      } else {
+        board.add(entry);
+      }
     }
   }
 
+  private void refuse(WaitingEntry entry) {
+    effects.add(
+        new Send(
+            entry.router,
+            new SlotMessage.SlotRefused(service, entry.call.request(), policy.retryAfterMillis())));
+  }
+
   private void changed(String router, SlotChange change, long nowNanos) {
     if (change.stage() == SlotStage.WITHDRAWN) {
       board.remove(change.request());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAnswers.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAnswers.java
@@ -48,6 +48,7 @@
       listed.put(upstream.name(), known);
     }
     upstreams = listed;
+    placement.listed(list.upstreams());
   }
 
   /** Handles one message of a keeper; what a former keeper says does no harm. */
@@ -56,6 +57,7 @@
       case SlotGranted granted -> granted(router, granted, nowNanos);
       case SlotRefused refused -> refused(router, refused, nowNanos);
       case SlotRecalled recalled -> recalled(recalled, nowNanos);
+      case SlotMessage.KeeperLoad load -> placement.heard(load, nowNanos);
       case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _ -> {
         // These go from routers to keepers.
       }
@@ -63,15 +65,12 @@
   }
 
   private void granted(String router, SlotGranted granted, long nowNanos) {
-    if (!placement.isKeeper(granted.service(), router)) {
-      return;
-    }
     RoutedRequest request = waiting(granted.request(), granted.service());
     DirectUpstream upstream = upstreams.get(granted.upstream());
-    if (request == null) {
-      placement.declined(granted.service(), granted.request(), granted.upstream());
+    if (request == null || !placement.isKeeper(request, router)) {
+      placement.declined(router, granted.service(), granted.request(), granted.upstream());
     } else if (upstream == null || upstream.upstream().leaving()) {
-      placement.declined(granted.service(), granted.request(), granted.upstream());
+      placement.declined(router, granted.service(), granted.request(), granted.upstream());
       placement.addAgain(request, granted.upstream(), nowNanos);
     } else {
       call(request, upstream, nowNanos);
@@ -95,7 +94,9 @@
 
   private void refused(String router, SlotRefused refused, long nowNanos) {
     RoutedRequest request = waiting(refused.request(), refused.service());
-    if (request != null && placement.isKeeper(refused.service(), router)) {
+    if (request != null
+        && placement.isKeeper(request, router)
+        && !placement.askElsewhere(request, nowNanos)) {
       lifecycle.fail(request, Reason.OVERLOADED, 0, refused.retryAfterMillis(), nowNanos);
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacement.java
@@ -1,11 +1,15 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.SlotMessage.KeeperLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.Upstream;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Has a slot keeper grant the slots: it is told of each request that waits and of all that becomes
@@ -13,13 +17,21 @@
  */
 public final class SlotPlacement implements Placement {
 
+  /** Data centres that a request asks in after the first has refused it. */
+  private static final int MOST_SECOND_CHOICES = 1;
+
   private final RouterState state;
-  private final Map<String, KeeperDialogue> dialogues = new HashMap<>();
+  private final DataCentreChoice choice;
+  private final Map<DialogueKey, KeeperDialogue> dialogues = new LinkedHashMap<>();
   private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
 
+  /** What a dialogue is about. */
+  private record DialogueKey(String service, String dataCentre) {}
+
   /** Creates the placement of a router without requests. */
   public SlotPlacement(RouterState state) {
     this.state = state;
+    this.choice = new DataCentreChoice(state.self, state.policy.regionMillis());
   }
 
   @Override
@@ -27,17 +39,42 @@
     if (request.attempts == 0) {
       budget(request).request(nowNanos);
     }
-    dialogue(request.queue.service, nowNanos).waits(request);
+    ask(request, nowNanos);
   }
 
   @Override
   public void addAgain(RoutedRequest request, String avoided, long nowNanos) {
-    dialogue(request.queue.service, nowNanos).waits(request);
+    request.refusedBy.clear();
+    ask(request, nowNanos);
+  }
+
+  /**
+   * Has a request that a keeper refused ask in another data centre, if there is one and the request
+   * may still be in time there.
+   *
+   * @return whether it waits again
+   */
+  boolean askElsewhere(RoutedRequest request, long nowNanos) {
+    dialogue(request, nowNanos).forget(request);
+    request.refusedBy.add(request.dataCentre);
+    long dueNanos =
+        request.arrivedNanos + request.plan.objectiveMillis() * RouterState.NANOS_PER_MILLI;
+    Optional<String> other =
+        request.refusedBy.size() > MOST_SECOND_CHOICES
+            ? Optional.empty()
+            : choice.choose(request, state.stayingRouters(), request.refusedBy, nowNanos);
+    if (other.isEmpty()
+        || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
+      return false;
+    }
+    request.dataCentre = other.get();
+    dialogue(request, nowNanos).waits(request);
+    return true;
   }
 
   @Override
   public void remove(RoutedRequest request) {
-    dialogues.get(request.queue.service).waitsNoLonger(request);
+    dialogues.get(key(request)).waitsNoLonger(request);
   }
 
   @Override
@@ -47,9 +84,7 @@
 
   @Override
   public void begun(RoutedRequest request) {
-    dialogues
-        .get(request.queue.service)
-        .change(request.id(), request.lastTarget, SlotStage.BEGUN, 0);
+    dialogues.get(key(request)).change(request.id(), request.lastTarget, SlotStage.BEGUN, 0);
   }
 
   @Override
@@ -58,7 +93,7 @@
         request.call.prompt().isPresent()
             ? request.tokens
             : (nowNanos - request.sentNanos) / RouterState.NANOS_PER_MILLI;
-    dialogues.get(request.queue.service).left(request, stage, amount);
+    dialogues.get(key(request)).left(request, stage, amount);
   }
 
   @Override
@@ -67,15 +102,30 @@
     return budget(request).take(state.retryShare(request.queue.service), slack, nowNanos);
   }
 
-  /** Returns whether a router is the keeper that a service's requests were told to. */
-  boolean isKeeper(String service, String router) {
-    KeeperDialogue dialogue = dialogues.get(service);
+  /** Returns whether a router is the keeper that a request was told to. */
+  boolean isKeeper(RoutedRequest request, String router) {
+    KeeperDialogue dialogue = dialogues.get(key(request));
     return dialogue != null && dialogue.isKeeper(router);
   }
 
   /** Tells a keeper that a slot it granted is not used. */
-  void declined(String service, RequestId request, String upstream) {
-    dialogues.get(service).change(request, upstream, SlotStage.DECLINED, 0);
+  void declined(String router, String service, RequestId request, String upstream) {
+    for (Map.Entry<DialogueKey, KeeperDialogue> entry : dialogues.entrySet()) {
+      if (entry.getKey().service().equals(service) && entry.getValue().isKeeper(router)) {
+        entry.getValue().change(request, upstream, SlotStage.DECLINED, 0);
+        return;
+      }
+    }
+  }
+
+  /** Takes a keeper's word on its load. */
+  void heard(KeeperLoad load, long nowNanos) {
+    choice.heard(load, nowNanos);
+  }
+
+  /** Takes the upstreams that are listed. */
+  void listed(Collection<Upstream> upstreams) {
+    choice.listed(upstreams);
   }
 
   /** Takes note that a router is gone. */
@@ -86,9 +136,9 @@
   /** Chooses keepers anew among the routers that are reached and stay. */
   void routersChanged(Collection<PeerIdentity> routers, long nowNanos) {
     dialogues.forEach(
-        (service, dialogue) ->
+        (key, dialogue) ->
             dialogue.keeper(
-                KeeperChoice.keeper(service, state.self.dataCentre(), routers), nowNanos));
+                KeeperChoice.keeper(key.service(), key.dataCentre(), routers), nowNanos));
   }
 
   /** Tells each keeper what has changed. */
@@ -96,18 +146,38 @@
     dialogues.values().forEach(dialogue -> dialogue.flush(nowNanos));
   }
 
-  private KeeperDialogue dialogue(String service, long nowNanos) {
-    KeeperDialogue known = dialogues.get(service);
+  private void ask(RoutedRequest request, long nowNanos) {
+    request.dataCentre =
+        choice
+            .choose(request, state.stayingRouters(), request.refusedBy, nowNanos)
+            .orElse(state.self.dataCentre());
+    dialogue(request, nowNanos).waits(request);
+  }
+
+  private KeeperDialogue dialogue(RoutedRequest request, long nowNanos) {
+    KeeperDialogue known = dialogues.get(key(request));
     if (known != null) {
       return known;
     }
-    KeeperDialogue dialogue = new KeeperDialogue(service, state.outbox);
-    dialogues.put(service, dialogue);
+    Collection<PeerIdentity> routers = state.stayingRouters();
+    String region =
+        routers.stream()
+            .filter(router -> router.dataCentre().equals(request.dataCentre))
+            .map(PeerIdentity::region)
+            .findFirst()
+            .orElse("");
+    long wayMillis = (long) choice.wayMillis(request.dataCentre, region);
+    KeeperDialogue dialogue = new KeeperDialogue(request.queue.service, wayMillis, state.outbox);
+    dialogues.put(key(request), dialogue);
     dialogue.keeper(
-        KeeperChoice.keeper(service, state.self.dataCentre(), state.stayingRouters()), nowNanos);
+        KeeperChoice.keeper(request.queue.service, request.dataCentre, routers), nowNanos);
     return dialogue;
   }
 
+  private static DialogueKey key(RoutedRequest request) {
+    return new DialogueKey(request.queue.service, request.dataCentre);
+  }
+
   private WindowedRetryBudget budget(RoutedRequest request) {
     long windowNanos = state.policy.retryWindowMillis() * RouterState.NANOS_PER_MILLI;
     return budgets.computeIfAbsent(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacer.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacer.java
@@ -6,8 +6,8 @@
 
 /**
  * Chooses which waiting request gets which slot next: the workspace by the fair order, of its
- * requests the one that is due first, and the upstream at which its answer begins soonest. Requests
- * that can no longer be in time come after all others.
+ * requests the one that is due first and can still be in time, and the upstream at which its answer
+ * begins soonest. Requests that can no longer be in time come after all others.
  */
 final class SlotPlacer {
 
@@ -26,6 +26,9 @@
   /** Part of the usual backlog that is allowed to requests that are late already. */
   private static final double LATE_BACKLOG_SHARE = 0.25;
 
+  /** Delay that stands for a service without any usable upstream, in milliseconds. */
+  private static final double NOWHERE_MILLIS = 5_000;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final SlotRule rule;
@@ -75,6 +78,52 @@
     return overdue;
   }
 
+  /** Returns whether a request that has just come cannot be in time behind those before it. */
+  boolean hopeless(WaitingEntry entry, long nowNanos) {
+    double ahead = aheadMillis(entry, nowNanos);
+    return ahead > 0 && !entry.timely(ahead + leastMillis(entry, nowNanos), nowNanos);
+  }
+
+  /** Returns the expected time until a request that asks now has its slot, in milliseconds. */
+  double delayMillis(long nowNanos) {
+    double work = 0;
+    for (WaitingEntry entry : board.all()) {
+      work += leastMillis(entry, nowNanos);
+    }
+    return delayBehind(work, nowNanos);
+  }
+
+  /** Returns the expected wait behind what comes before a request in the fair order. */
+  private double aheadMillis(WaitingEntry entry, long nowNanos) {
+    if (board.isEmpty()) {
+      return 0;
+    }
+    double own = ledger.account(entry.workspace()).virtualService();
+    double work = 0;
+    for (WaitingEntry other : board.all()) {
+      boolean same = other.workspace().equals(entry.workspace());
+      boolean before =
+          same
+              ? other.dueNanos <= entry.dueNanos
+              : ledger.account(other.workspace()).virtualService() <= own;
+      work += before ? leastMillis(other, nowNanos) : 0;
+    }
+    return delayBehind(work, nowNanos);
+  }
+
+  /** Returns the wait behind work that all usable upstreams share, beside what they have. */
+  private double delayBehind(double work, long nowNanos) {
+    double backlog = 0;
+    int usable = 0;
+    for (UpstreamLoad upstream : upstreams) {
+      if (usable(upstream, nowNanos)) {
+        usable++;
+        backlog += rule.backlogMillis(upstream, nowNanos);
+      }
+    }
+    return usable == 0 ? NOWHERE_MILLIS : (work + backlog) / (usable * rule.lanes());
+  }
+
   private Placement nextOf(boolean timely, long nowNanos) {
     double share = timely ? 1 : LATE_BACKLOG_SHARE;
     if (upstreams.stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
@@ -83,6 +132,10 @@
     for (WorkspaceAccount account : ledger.waitingInOrder()) {
       int tried = 0;
       for (WaitingEntry entry : board.of(account.name())) {
+        boolean hopeful = entry.timely(leastMillis(entry, nowNanos), nowNanos);
+        if (hopeful != timely) {
+          continue;
+        }
         if (++tried > MOST_TRIED) {
           break;
         }
@@ -115,7 +168,7 @@
     }
     boolean place =
         best != null
-            && entry.timely(bestMillis, nowNanos) == timely
+            && (!timely || entry.timely(bestMillis, nowNanos))
             && rule.wantsWork(best, share, nowNanos);
     return place ? best : null;
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
@@ -20,6 +20,9 @@
   /** Returns the expected time until what was granted before leaves room, in milliseconds. */
   double backlogMillis(UpstreamLoad upstream, long nowNanos);
 
+  /** Returns how many requests an upstream works on side by side without slowing each other. */
+  int lanes();
+
   /** Returns the expected time until the answer begins at an upstream without backlog. */
   double ownMillis(UpstreamLoad upstream, WaitingCall call);
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/AttemptCreditTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/AttemptCreditTest.java
@@ -16,7 +16,7 @@
 
   @Test
   public void creditsEveryByteInQuartersOfTheWindow() {
-    RouterPolicy policy = new RouterPolicy(4, 500, 50, 3, 3, 600_000, 100, 1, 10_000, 50, 0.1);
+    RouterPolicy policy = new RouterPolicy(4, 500, 50, 3, 3, 600_000, 100, 1, 10_000, 50, 80, 0.1);
     RouterFixture router = new RouterFixture(policy, new Limits(10, 5, 0), 0);
     router.link("s1", 1, "a1");
     final RequestId request = router.call("w", "POST", "body", Optional.empty());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/DemandPublisherTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/DemandPublisherTest.java
@@ -71,7 +71,7 @@
 
   @Test
   public void tellsSubsetFromTheOwnDataCentreFirst() {
-    RouterPolicy policy = new RouterPolicy(4, 500, 50, 3, 3, 600_000, 1, 1, 10_000, 50, 0.1);
+    RouterPolicy policy = new RouterPolicy(4, 500, 50, 3, 3, 600_000, 1, 1, 10_000, 50, 80, 0.1);
     RouterFixture router = new RouterFixture(policy, new Limits(10, 5, 0), 0);
     IntStream.range(0, 3).forEach(index -> router.link("s" + index, 1, "a1"));
     IntStream.range(3, 9).forEach(index -> router.link("s" + index, 1, "a2"));
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/QuarantineTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/QuarantineTest.java
@@ -67,7 +67,8 @@
 
   @Test
   public void neverTriesBeyondTheDeathLimit() {
-    RouterPolicy manyAttempts = new RouterPolicy(16, 500, 50, 9, 3, 600_000, 1, 1, 10_000, 50, 0.1);
+    RouterPolicy manyAttempts =
+        new RouterPolicy(16, 500, 50, 9, 3, 600_000, 1, 1, 10_000, 50, 80, 0.1);
     fixture = new RouterFixture(manyAttempts, new Limits(9, 9, 0), 1);
     fixture.run("link s1/1; link s2/1");
     fixture.call("w", "GET", "crash", Optional.empty());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotFamily.java
@@ -1,6 +1,7 @@
 package dev.agatepier.wire.connection.internal;
 
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.KeeperLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
@@ -78,7 +79,17 @@
               output.text(message.upstream());
             },
             input ->
-                new SlotRecalled(input.text(), RequestFields.readRequest(input), input.text())));
+                new SlotRecalled(input.text(), RequestFields.readRequest(input), input.text())),
+        new MessageType<>(
+            65,
+            KeeperLoad.class,
+            3,
+            (message, output) -> {
+              output.text(message.service());
+              output.text(message.dataCentre());
+              output.number(message.delayMillis());
+            },
+            input -> new KeeperLoad(input.text(), input.text(), input.number())));
   }
 
   private static void writeCall(FieldOutput output, WaitingCall call) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -35,6 +35,7 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.KeeperLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
@@ -198,7 +199,8 @@
                 .map(stage -> new SlotChange(REQUEST, "engine-4", stage, 80))
                 .toList()),
         new SlotRefused("plan-model", REQUEST, 1_000),
-        new SlotRecalled("plan-model", REQUEST, "engine-4"));
+        new SlotRecalled("plan-model", REQUEST, "engine-4"),
+        new KeeperLoad("plan-model", "siliguri-a", 35));
   }
 
   private static StartAttempt start(long grant, AttemptId attempt, Optional<Ticket> ticket) {
