--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/AgatepierCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/AgatepierCommand.java
@@ -9,11 +9,15 @@
 import dev.agatepier.wire.process.RouterSurroundings;
 import dev.agatepier.wire.process.SidecarService;
 import dev.agatepier.wire.process.SidecarSettings;
+import java.util.Set;
 import java.util.function.Function;
 
 /** The {@code agatepier} command. */
 public final class AgatepierCommand {
 
+  /** Commands that run a process of the fleet, which logs to standard output. */
+  private static final Set<String> PROGRAMS = Set.of("router", "sidecar");
+
   private AgatepierCommand() {}
 
   /** Runs the command and ends the process with its exit code. */
@@ -29,6 +33,9 @@
    */
   public static void main(
       String[] arguments, Function<RouterSettings, RouterSurroundings> surroundings) {
+    if (arguments.length > 0 && PROGRAMS.contains(arguments[0])) {
+      System.setProperty("agatepier.log.target", "SYSTEM_OUT");
+    }
     Reporter reporter = new ConsoleReporter(System.out, System.err);
     int code =
         run(
--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -129,6 +129,19 @@
    */
   record KeeperLoad(String service, String dataCentre, long delayMillis) implements SlotMessage {}
 
+  /**
+   * Slot keeper to the keepers of other data centres: what workspaces cost in its own.
+   *
+   * @param service service called
+   * @param costs cumulative costs of the workspaces named, in cost units of the service
+   */
+  record CostsCaused(String service, List<LinkMessage.WorkspaceCost> costs) implements SlotMessage {
+    /** Copies the costs. */
+    public CostsCaused {
+      costs = List.copyOf(costs);
+    }
+  }
+
   /**
    * Slot keeper to router: an upstream makes no progress; what may run twice should move.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process;
 
+import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.process.internal.FairOrder;
@@ -76,7 +77,13 @@
     }
     services.values().forEach(service -> service.advance(nowNanos));
     if (event instanceof SlotKeeperEvent.TimePassed) {
-      services.values().forEach(service -> tellLoad(service, nowNanos));
+      services.values().stream()
+          .filter(this::keeps)
+          .forEach(
+              service -> {
+                tellLoad(service, nowNanos);
+                tellCosts(service, nowNanos);
+              });
     }
     List<SlotKeeperEffect> taken = List.copyOf(effects);
     effects.clear();
@@ -107,13 +114,33 @@
     }
   }
 
-  /** Tells every router how long a request waits, if this is the keeper that they ask. */
+  /** Returns whether this is the keeper that routers ask for a service in its data centre. */
+  private boolean keeps(ServiceSlots service) {
+    return KeeperChoice.keeper(service.name(), self.dataCentre(), routers.values())
+        .filter(self.instance()::equals)
+        .isPresent();
+  }
+
+  /** Tells the keepers of other data centres what workspaces cost here. */
+  private void tellCosts(ServiceSlots service, long nowNanos) {
+    List<WorkspaceCost> costs = service.newCosts(nowNanos);
+    if (costs.isEmpty()) {
+      return;
+    }
+    SlotMessage message = new SlotMessage.CostsCaused(service.name(), costs);
+    routers.values().stream()
+        .map(PeerIdentity::dataCentre)
+        .distinct()
+        .filter(dataCentre -> !dataCentre.equals(self.dataCentre()))
+        .forEach(
+            dataCentre ->
+                KeeperChoice.keeper(service.name(), dataCentre, routers.values())
+                    .ifPresent(keeper -> effects.add(new SlotKeeperEffect.Send(keeper, message))));
+  }
+
+  /** Tells every router how long a request waits. */
   private void tellLoad(ServiceSlots service, long nowNanos) {
-    boolean keeper =
-        KeeperChoice.keeper(service.name(), self.dataCentre(), routers.values())
-            .filter(self.instance()::equals)
-            .isPresent();
-    OptionalLong delayMillis = keeper ? service.newDelayMillis(nowNanos) : OptionalLong.empty();
+    OptionalLong delayMillis = service.newDelayMillis(nowNanos);
     if (delayMillis.isPresent()) {
       SlotMessage load =
           new SlotMessage.KeeperLoad(service.name(), self.dataCentre(), delayMillis.getAsLong());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperEffect.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process;
 
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.request.RequestId;
 
 /** Everything that a slot keeper asks for. */
 public sealed interface SlotKeeperEffect {
@@ -13,6 +14,42 @@
    */
   record Send(String router, SlotMessage message) implements SlotKeeperEffect {}
 
+  /**
+   * A slot was granted; for logs.
+   *
+   * @param service service called
+   * @param request the request
+   * @param upstream name of the upstream
+   * @param waitedMillis how long the request waited here, in milliseconds
+   * @param backlogMillis expected wait at the upstream, in milliseconds
+   * @param ownMillis expected time of its own reading, or of its whole work, in milliseconds
+   * @param unreadTokens tokens of its prompt that the upstream is expected to read
+   * @param sharedUnreadTokens those of them that other requests share
+   */
+  record Placed(
+      String service,
+      RequestId request,
+      String upstream,
+      long waitedMillis,
+      long backlogMillis,
+      long ownMillis,
+      int unreadTokens,
+      int sharedUnreadTokens)
+      implements SlotKeeperEffect {}
+
+  /**
+   * A request got no slot; for logs.
+   *
+   * @param service service called
+   * @param request the request
+   * @param waitedMillis how long the request waited here, in milliseconds
+   * @param slackMillis time until its answer should begin, in milliseconds
+   * @param expectedMillis expected time until its answer would begin, in milliseconds
+   */
+  record TurnedAway(
+      String service, RequestId request, long waitedMillis, long slackMillis, long expectedMillis)
+      implements SlotKeeperEffect {}
+
   /**
    * An upstream is taken out of use or back into it; for logs.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PromptCache.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PromptCache.java
@@ -42,6 +42,12 @@
     return Math.max(0, prompt.promptTokens() - read);
   }
 
+  /** Returns the tokens that the engine would have to read of parts that requests share. */
+  int unreadSharedTokens(PromptFacts prompt) {
+    int own = prompt.parts().isEmpty() ? 0 : prompt.parts().getLast().tokens();
+    return Math.max(0, unreadTokens(prompt) - own);
+  }
+
   /** Returns the tokens of parts that running requests use. */
   long pinnedTokens() {
     return pinnedTokens;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
@@ -34,6 +35,7 @@
   private final SlotRule rule;
   private final List<SlotKeeperEffect> effects;
   private final WorkspaceLedger ledger;
+  private final KeeperCosts costs;
   private final WaitingBoard board;
   private final SlotPlacer placer;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
@@ -61,6 +63,7 @@
     this.rule = SlotRule.of(entry.kind(), policy);
     this.ledger = ledger;
     this.effects = effects;
+    this.costs = new KeeperCosts(ledger);
     this.board = new WaitingBoard(ledger);
     this.placer = new SlotPlacer(rule, ledger, board, upstreams.values());
   }
@@ -98,6 +101,8 @@
       case SlotMessage.SlotsWanted wanted -> wanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
           changes.forEach(change -> changed(router, change, nowNanos));
+      case SlotMessage.CostsCaused(String name, List<WorkspaceCost> caused) ->
+          costs.heard(router, caused);
       case SlotMessage.SlotGranted _,
           SlotMessage.SlotRefused _,
           SlotMessage.KeeperLoad _,
@@ -109,6 +114,11 @@
 
   /** Forgets everything that a router had. */
   public void routerGone(String router, long nowNanos) {
+    costs.forget(router);
+    dropRouter(router, nowNanos);
+  }
+
+  private void dropRouter(String router, long nowNanos) {
     board.removeRouter(router);
     List.copyOf(held.values()).stream()
         .filter(entry -> entry.router.equals(router))
@@ -128,7 +138,7 @@
     }
     for (WaitingEntry entry : placer.overdue(policy.lateMillis(), nowNanos)) {
       board.remove(entry.call.request());
-      refuse(entry);
+      refuse(entry, nowNanos);
     }
   }
 
@@ -153,6 +163,11 @@
     return OptionalLong.of(delayMillis);
   }
 
+  /** Returns the costs that keepers of other data centres should be told now. */
+  public List<WorkspaceCost> newCosts(long nowNanos) {
+    return costs.due(nowNanos);
+  }
+
   /** Returns whether nothing waits and nothing is held. */
   public boolean idle() {
     return board.isEmpty() && held.isEmpty();
@@ -169,7 +184,7 @@
 
   private void wanted(String router, SlotMessage.SlotsWanted wanted, long nowNanos) {
     if (wanted.complete()) {
-      routerGone(router, nowNanos);
+      dropRouter(router, nowNanos);
     }
     for (HeldSlot slot : wanted.held()) {
       UpstreamLoad upstream = upstreams.get(slot.upstream());
@@ -180,14 +195,21 @@
     for (WaitingCall call : wanted.waiting()) {
       WaitingEntry entry = new WaitingEntry(router, call, ++lastSequence, nowNanos);
       if (placer.hopeless(entry, nowNanos)) {
-        refuse(entry);
+        refuse(entry, nowNanos);
       } else {
         board.add(entry);
       }
     }
   }
 
-  private void refuse(WaitingEntry entry) {
+  private void refuse(WaitingEntry entry, long nowNanos) {
+    effects.add(
+        new SlotKeeperEffect.TurnedAway(
+            service,
+            entry.call.request(),
+            entry.waitedMillis(nowNanos),
+            entry.slackMillis(nowNanos),
+            Math.round(placer.expectedMillis(entry, nowNanos))));
     effects.add(
         new Send(
             entry.router,
@@ -214,8 +236,19 @@
 
   private void grant(SlotPlacer.Placement placement, long nowNanos) {
     WaitingEntry entry = placement.entry();
+    UpstreamLoad upstream = placement.upstream();
     board.remove(entry.call.request());
-    hold(entry.router, entry.call, placement.upstream(), false, nowNanos);
+    effects.add(
+        new SlotKeeperEffect.Placed(
+            service,
+            entry.call.request(),
+            upstream.upstream.name(),
+            entry.waitedMillis(nowNanos),
+            Math.round(rule.backlogMillis(upstream, nowNanos)),
+            Math.round(rule.ownMillis(upstream, entry.call)),
+            ModelSlotRule.unreadTokens(upstream, entry.call),
+            entry.call.prompt().map(upstream.cache::unreadSharedTokens).orElse(0)));
+    hold(entry.router, entry.call, upstream, false, nowNanos);
     effects.add(
         new Send(
             entry.router,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAnswers.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAnswers.java
@@ -58,8 +58,8 @@
       case SlotRefused refused -> refused(router, refused, nowNanos);
       case SlotRecalled recalled -> recalled(recalled, nowNanos);
       case SlotMessage.KeeperLoad load -> placement.heard(load, nowNanos);
-      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _ -> {
-        // These go from routers to keepers.
+      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.CostsCaused _ -> {
+        // These go to keepers.
       }
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacer.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacer.java
@@ -80,8 +80,12 @@
 
   /** Returns whether a request that has just come cannot be in time behind those before it. */
   boolean hopeless(WaitingEntry entry, long nowNanos) {
-    double ahead = aheadMillis(entry, nowNanos);
-    return ahead > 0 && !entry.timely(ahead + leastMillis(entry, nowNanos), nowNanos);
+    return !board.isEmpty() && !entry.timely(expectedMillis(entry, nowNanos), nowNanos);
+  }
+
+  /** Returns the expected time until the answer to a request begins, in milliseconds. */
+  double expectedMillis(WaitingEntry entry, long nowNanos) {
+    return aheadMillis(entry, nowNanos) + leastMillis(entry, nowNanos);
   }
 
   /** Returns the expected time until a request that asks now has its slot, in milliseconds. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -37,6 +37,16 @@
     return call.workspace();
   }
 
+  /** Returns how long the request has waited here, in milliseconds. */
+  long waitedMillis(long nowNanos) {
+    return (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
+  }
+
+  /** Returns the time until its answer should begin, in milliseconds. */
+  long slackMillis(long nowNanos) {
+    return (dueNanos - nowNanos) / NANOS_PER_MILLI;
+  }
+
   /** Returns whether an answer that begins after a time meets the objective. */
   boolean timely(double expectedMillis, long nowNanos) {
     return nowNanos + (long) (expectedMillis * NANOS_PER_MILLI) <= dueNanos;
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouter.java
@@ -0,0 +1,205 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.SlotMessage.SlotChange;
+import dev.agatepier.core.connection.SlotMessage.SlotGranted;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
+import dev.agatepier.core.process.RouterEffect.ContinueAnswer;
+import dev.agatepier.core.process.RouterEffect.EndAnswer;
+import dev.agatepier.core.process.RouterEffect.FailRequest;
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.process.RouterEffect.Send;
+import dev.agatepier.core.request.AnswerHead;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.ServiceKind;
+import dev.agatepier.core.version.SlotKeeping;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.Workspace;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** A router that calls upstreams itself, in virtual time; the test plays keeper and upstreams. */
+final class DirectRouter {
+
+  static final String SERVICE = "chair-desk";
+  static final CallPlan SAFE = plan(true, false, false, 2);
+  static final CallPlan UNSAFE = plan(false, false, false, 1);
+  static final CallPlan STREAM = plan(false, false, true, 1);
+  static final CallPlan RESUMABLE = plan(false, true, true, 2);
+
+  private static final long MILLI = 1_000_000;
+
+  final RouterDecision decision = new RouterDecision(identity("r1", "a1"), RouterPolicy.DEFAULT);
+  final List<RouterEffect> effects = new ArrayList<>();
+  long now = 3_000 * MILLI;
+  private long calls;
+
+  DirectRouter() {
+    ServiceEntry entry =
+        new ServiceEntry(
+            SERVICE,
+            ServiceKind.PLAIN,
+            List.of(),
+            60_000,
+            0.2,
+            SlotKeeping.ROUTER,
+            Optional.empty());
+    Limits limits = new Limits(1_000, 1_000, 0);
+    Workspace row = new Workspace("w", 1, "00", limits, Set.of(SERVICE));
+    tell(new RouterEvent.TableInForce(new Table(1, Map.of("w", row), Map.of(SERVICE, entry))));
+    tell(
+        new RouterEvent.InstancesInForce(
+            new InstanceList(1, List.of(), List.of(upstream("u1"), upstream("u2")))));
+  }
+
+  static PeerIdentity identity(String name, String dataCentre) {
+    return new PeerIdentity(name, 1, Role.ROUTER, dataCentre, dataCentre, "");
+  }
+
+  static Upstream upstream(String name) {
+    return new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, "a1", 4, false);
+  }
+
+  private static CallPlan plan(
+      boolean idempotent, boolean resumable, boolean streaming, int attempts) {
+    return new CallPlan("r", idempotent, resumable, streaming, attempts, 10_000, 500, 250, 1);
+  }
+
+  List<RouterEffect> tell(RouterEvent event) {
+    List<RouterEffect> news = decision.decide(event, now);
+    effects.addAll(news);
+    return news;
+  }
+
+  RequestId call(CallPlan plan) {
+    return call(plan, OptionalLong.empty());
+  }
+
+  RequestId call(CallPlan plan, OptionalLong resumeAfter) {
+    RequestId request = new RequestId("r1", 1, ++calls);
+    tell(
+        new RouterEvent.CallArrived(
+            request,
+            "w",
+            SERVICE,
+            new CallHead("POST", "/", List.of()),
+            Bytes.EMPTY,
+            new Fingerprint("w", SERVICE, request.toString()),
+            Optional.empty(),
+            now + 10_000 * MILLI,
+            Optional.of(plan),
+            Optional.empty(),
+            resumeAfter));
+    return request;
+  }
+
+  List<RouterEffect> grant(RequestId request, String upstream) {
+    return tell(new RouterEvent.KeeperSaid("r1", new SlotGranted(SERVICE, request, upstream)));
+  }
+
+  /** Calls and has the slot granted. */
+  RequestId run(CallPlan plan, String upstream) {
+    RequestId request = call(plan);
+    grant(request, upstream);
+    return request;
+  }
+
+  AttemptId attempt(RequestId request) {
+    return runs(request).getLast().attempt();
+  }
+
+  /** Returns the attempts that a request made, in order. */
+  List<RunAttempt> runs(RequestId request) {
+    return effects.stream()
+        .filter(RunAttempt.class::isInstance)
+        .map(RunAttempt.class::cast)
+        .filter(run -> run.attempt().request().equals(request))
+        .toList();
+  }
+
+  void began(RequestId request, int status) {
+    tell(new RouterEvent.UpstreamBegan(attempt(request), new AnswerHead(status, List.of())));
+  }
+
+  void event(RequestId request, long number) {
+    Bytes content = Bytes.ofText(number + ";");
+    tell(new RouterEvent.UpstreamSent(attempt(request), content, number, number, 5));
+  }
+
+  void ended(RequestId request) {
+    tell(new RouterEvent.UpstreamEnded(attempt(request)));
+  }
+
+  void failed(RequestId request, Reason reason) {
+    tell(new RouterEvent.UpstreamFailed(attempt(request), reason));
+  }
+
+  void notRun(RequestId request, Reason reason) {
+    tell(new RouterEvent.UpstreamNotRun(attempt(request), reason, true));
+  }
+
+  void pass(long millis) {
+    now += millis * MILLI;
+    tell(new RouterEvent.TimePassed());
+  }
+
+  /** Returns what the caller has of an answer, and how it ended. */
+  String answer(RequestId request) {
+    StringBuilder answer = new StringBuilder();
+    for (RouterEffect effect : effects) {
+      if (effect instanceof RouterEffect.BeginAnswer(RequestId of, AnswerHead head)
+          && of.equals(request)) {
+        answer.append(head.status()).append(' ');
+      } else if (effect instanceof ContinueAnswer(RequestId of, Bytes content)
+          && of.equals(request)) {
+        answer.append(content.text());
+      } else if (effect instanceof EndAnswer end && end.request().equals(request)) {
+        answer.append("whole");
+      } else if (effect instanceof FailRequest fail && fail.request().equals(request)) {
+        answer.append(fail.outcome().code()).append(' ').append(fail.reason().code());
+      }
+    }
+    return answer.toString();
+  }
+
+  /** Returns what the keeper was told of a request, in order. */
+  List<SlotStage> stages(RequestId request) {
+    List<SlotStage> stages = new ArrayList<>();
+    for (RouterEffect effect : effects) {
+      if (effect instanceof Send send && send.message() instanceof SlotsChanged changed) {
+        changed.changes().stream()
+            .filter(change -> change.request().equals(request))
+            .map(SlotChange::stage)
+            .forEach(stages::add);
+      }
+    }
+    return stages;
+  }
+
+  /** Returns the messages of a kind that a keeper was sent. */
+  <M extends SlotMessage> List<M> sent(String keeper, Class<M> kind) {
+    return effects.stream()
+        .filter(effect -> effect instanceof Send send && send.instance().equals(keeper))
+        .map(effect -> ((Send) effect).message())
+        .filter(kind::isInstance)
+        .map(kind::cast)
+        .toList();
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/KeeperFixture.java
@@ -0,0 +1,174 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.SlotMessage.SlotChange;
+import dev.agatepier.core.connection.SlotMessage.SlotGranted;
+import dev.agatepier.core.connection.SlotMessage.SlotRefused;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
+import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.request.PromptFacts;
+import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.EngineProfile;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.ServiceKind;
+import dev.agatepier.core.version.SlotKeeping;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** A slot keeper in virtual time, with model engines and plain upstreams of one data centre. */
+final class KeeperFixture {
+
+  static final String MODEL = "plan-model";
+  static final String PLAIN = "chair-desk";
+  static final String ROUTER = "r1";
+  static final long MEMORY_TOKENS = 100_000;
+
+  private static final long MILLI = 1_000_000;
+
+  final SlotKeeperDecision decision;
+  final List<SlotMessage> sent = new ArrayList<>();
+  final List<SlotKeeperEffect.UpstreamJudged> judged = new ArrayList<>();
+  long now = 7_000 * MILLI;
+  private long lastNumber;
+  private long lastList;
+
+  KeeperFixture(String... upstreams) {
+    decision = new SlotKeeperDecision(router(ROUTER, "a1"), SlotKeeperPolicy.DEFAULT);
+    tell(new SlotKeeperEvent.TableInForce(table()));
+    list(upstreams);
+  }
+
+  static PeerIdentity router(String name, String dataCentre) {
+    return new PeerIdentity(name, 1, Role.ROUTER, dataCentre, "a", "");
+  }
+
+  static Table table() {
+    return new Table(1, Map.of(), Map.of(MODEL, model(), PLAIN, plain()));
+  }
+
+  private static ServiceEntry model() {
+    return new ServiceEntry(
+        MODEL,
+        ServiceKind.MODEL,
+        List.of(),
+        60_000,
+        0.2,
+        SlotKeeping.ROUTER,
+        Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
+  }
+
+  private static ServiceEntry plain() {
+    return new ServiceEntry(
+        PLAIN, ServiceKind.PLAIN, List.of(), 60_000, 0.2, SlotKeeping.ROUTER, Optional.empty());
+  }
+
+  /** Lists upstreams by name: m for engines, p for plain ones, with an x at the end if leaving. */
+  void list(String... names) {
+    List<Upstream> upstreams = Arrays.stream(names).map(KeeperFixture::upstream).toList();
+    tell(new SlotKeeperEvent.InstancesInForce(new InstanceList(++lastList, List.of(), upstreams)));
+  }
+
+  static Upstream upstream(String name) {
+    boolean model = name.startsWith("m");
+    boolean leaving = name.endsWith("x");
+    return new Upstream(
+        leaving ? name.substring(0, name.length() - 1) : name,
+        1,
+        model ? MODEL : PLAIN,
+        "127.0.0.1",
+        8_000,
+        "a1",
+        model ? 8 : 2,
+        leaving);
+  }
+
+  List<SlotMessage> tell(SlotKeeperEvent event) {
+    List<SlotMessage> news = new ArrayList<>();
+    for (SlotKeeperEffect effect : decision.decide(event, now)) {
+      switch (effect) {
+        case SlotKeeperEffect.Send(String router, SlotMessage message) -> {
+          if (!(message instanceof SlotMessage.KeeperLoad)) {
+            news.add(message);
+          }
+        }
+        case SlotKeeperEffect.UpstreamJudged judgement -> judged.add(judgement);
+        case SlotKeeperEffect.Placed _, SlotKeeperEffect.TurnedAway _ -> {
+          // For logs.
+        }
+      }
+    }
+    sent.addAll(news);
+    return news;
+  }
+
+  RequestId plain(String workspace, long objectiveMillis) {
+    return want(PLAIN, workspace, objectiveMillis, Optional.empty());
+  }
+
+  /** Wants a slot for a prompt with a shared part of its own name and a part that is new. */
+  RequestId model(String workspace, long objectiveMillis, String shared, int tokens) {
+    String own = "own-" + (lastNumber + 1);
+    PromptFacts prompt =
+        new PromptFacts(
+            "m",
+            2 * tokens,
+            100,
+            List.of(new PromptPart(shared, tokens), new PromptPart(own, tokens)));
+    return want(MODEL, workspace, objectiveMillis, Optional.of(prompt));
+  }
+
+  private RequestId want(
+      String service, String workspace, long objectiveMillis, Optional<PromptFacts> prompt) {
+    RequestId request = new RequestId(ROUTER, 1, ++lastNumber);
+    WaitingCall call =
+        new WaitingCall(request, workspace, "", objectiveMillis, 15_000, true, prompt);
+    tell(message(new SlotsWanted(service, false, List.of(call), List.of())));
+    return request;
+  }
+
+  void change(String service, RequestId request, SlotStage stage, long amount) {
+    SlotChange change = new SlotChange(request, upstreamOf(request), stage, amount);
+    tell(message(new SlotsChanged(service, List.of(change))));
+  }
+
+  static SlotKeeperEvent message(SlotMessage message) {
+    return new SlotKeeperEvent.MessageArrived(ROUTER, message);
+  }
+
+  List<SlotMessage> pass(long millis) {
+    now += millis * MILLI;
+    return tell(new SlotKeeperEvent.TimePassed());
+  }
+
+  /** Returns the upstream that a request was granted last; empty for none. */
+  String upstreamOf(RequestId request) {
+    String upstream = "";
+    for (SlotMessage message : sent) {
+      if (message instanceof SlotGranted granted && granted.request().equals(request)) {
+        upstream = granted.upstream();
+      }
+    }
+    return upstream;
+  }
+
+  boolean granted(RequestId request) {
+    return !upstreamOf(request).isEmpty();
+  }
+
+  boolean refused(RequestId request) {
+    return sent.stream()
+        .anyMatch(
+            message -> message instanceof SlotRefused refused && refused.request().equals(request));
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RouterDirectoryTest.java
@@ -0,0 +1,104 @@
+package dev.agatepier.core.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.version.Instance;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.testng.annotations.Test;
+
+public class RouterDirectoryTest {
+
+  private static final long SECOND = 1_000_000_000L;
+
+  private final Map<String, RouterDirectory> directories = new HashMap<>();
+  private final Map<String, TreeSet<String>> published = new HashMap<>();
+  private final Deque<Runnable> queue = new ArrayDeque<>();
+  private long now;
+
+  /** Routers that each know one seed alone come to know everybody. */
+  @Test
+  public void everybodyLearnsOfEverybodyThroughOneSeed() {
+    for (String name : List.of("a", "b", "c", "d")) {
+      directories.put(name, new RouterDirectory(instance(name)));
+    }
+    for (String name : List.of("b", "c", "d")) {
+      link(name, "a");
+    }
+    drain();
+    for (String name : directories.keySet()) {
+      TreeSet<String> others = new TreeSet<>(directories.keySet());
+      others.remove(name);
+      assertEquals(published.get(name), others, "known to " + name);
+    }
+  }
+
+  @Test
+  public void forgetsWhomNobodyReaches() {
+    directories.put("a", new RouterDirectory(instance("a")));
+    directories.put("b", new RouterDirectory(instance("b")));
+    link("a", "b");
+    drain();
+    tell("a", new RouterDirectoryEvent.Unlinked(identity("b")));
+    now += 31 * SECOND;
+    tell("a", new RouterDirectoryEvent.TimePassed());
+    assertTrue(published.get("a").isEmpty());
+  }
+
+  @Test
+  public void keepsWhomItReaches() {
+    directories.put("a", new RouterDirectory(instance("a")));
+    directories.put("b", new RouterDirectory(instance("b")));
+    link("a", "b");
+    drain();
+    for (int second = 0; second < 60; second++) {
+      now += SECOND;
+      tell("a", new RouterDirectoryEvent.TimePassed());
+    }
+    assertEquals(published.get("a"), new TreeSet<>(List.of("b")));
+  }
+
+  private void link(String one, String other) {
+    queue.add(() -> tell(one, new RouterDirectoryEvent.Linked(identity(other))));
+    queue.add(() -> tell(other, new RouterDirectoryEvent.Linked(identity(one))));
+  }
+
+  private void drain() {
+    while (!queue.isEmpty()) {
+      queue.poll().run();
+    }
+  }
+
+  private void tell(String name, RouterDirectoryEvent event) {
+    for (RouterDirectoryEffect effect : directories.get(name).decide(event, now)) {
+      switch (effect) {
+        case RouterDirectoryEffect.Send send ->
+            queue.add(
+                () ->
+                    tell(
+                        send.instance(),
+                        new RouterDirectoryEvent.Told(name, send.message().routers())));
+        case RouterDirectoryEffect.Publish(List<Instance> routers) -> {
+          TreeSet<String> names = new TreeSet<>();
+          routers.forEach(router -> names.add(router.name()));
+          published.put(name, names);
+        }
+      }
+    }
+  }
+
+  private static Instance instance(String name) {
+    return new Instance(name, Role.ROUTER, "127.0.0.1", 1, 2, "a1", "a", "", false);
+  }
+
+  private static PeerIdentity identity(String name) {
+    return new PeerIdentity(name, 1, Role.ROUTER, "a1", "a", "");
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotKeeperDecisionTest.java
@@ -0,0 +1,245 @@
+package dev.agatepier.core.process;
+
+import static dev.agatepier.core.process.KeeperFixture.MODEL;
+import static dev.agatepier.core.process.KeeperFixture.PLAIN;
+import static dev.agatepier.core.process.KeeperFixture.ROUTER;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.SlotMessage.CostsCaused;
+import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.request.RequestId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.Test;
+
+public class SlotKeeperDecisionTest {
+
+  @Test
+  public void grantsPlainSlotsAndHoldsTheRestBack() {
+    KeeperFixture keeper = new KeeperFixture("p1", "p2");
+    List<RequestId> requests = new ArrayList<>();
+    for (int index = 0; index < 5; index++) {
+      requests.add(keeper.plain("w", 500));
+    }
+    assertEquals(requests.stream().filter(keeper::granted).count(), 4, "two slots each");
+    keeper.change(PLAIN, requests.get(1), SlotStage.COMPLETED, 40);
+    assertEquals(keeper.upstreamOf(requests.get(4)), keeper.upstreamOf(requests.get(1)));
+  }
+
+  @Test
+  public void turnedDownAndDeclinedSlotsAreFreeAgain() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    final RequestId first = keeper.plain("w", 500);
+    final RequestId second = keeper.plain("w", 500);
+    final RequestId third = keeper.plain("w", 500);
+    final RequestId fourth = keeper.plain("w", 500);
+    keeper.change(PLAIN, first, SlotStage.DECLINED, 0);
+    keeper.change(PLAIN, second, SlotStage.TURNED_DOWN, 0);
+    assertTrue(keeper.granted(third) && keeper.granted(fourth));
+  }
+
+  @Test
+  public void sendsPrefixesWhereTheyAreKept() {
+    KeeperFixture keeper = new KeeperFixture("m1", "m2");
+    RequestId first = keeper.model("w", 1_000, "shared", 4_000);
+    RequestId other = keeper.model("w", 1_000, "else", 4_000);
+    assertNotEquals(keeper.upstreamOf(other), keeper.upstreamOf(first), "the other one is idle");
+    end(keeper, first);
+    end(keeper, other);
+    RequestId again = keeper.model("w", 1_000, "shared", 4_000);
+    RequestId otherAgain = keeper.model("w", 1_000, "else", 4_000);
+    assertEquals(keeper.upstreamOf(again), keeper.upstreamOf(first));
+    assertEquals(keeper.upstreamOf(otherAgain), keeper.upstreamOf(other));
+  }
+
+  @Test
+  public void queuesLittleUnreadPromptAtAnEngine() {
+    KeeperFixture keeper = new KeeperFixture("m1");
+    RequestId first = keeper.model("w", 2_000, "a", 3_000);
+    RequestId second = keeper.model("w", 2_000, "b", 3_000);
+    assertTrue(keeper.granted(first));
+    assertFalse(keeper.granted(second), "the engine still reads");
+    keeper.pass(150);
+    keeper.change(MODEL, first, SlotStage.BEGUN, 0);
+    assertTrue(keeper.granted(second), "the first is read");
+  }
+
+  @Test
+  public void keepsRunningRequestsWithinTheMemory() {
+    KeeperFixture keeper = new KeeperFixture("m1");
+    int granted = 0;
+    for (int index = 0; index < 6; index++) {
+      RequestId request = keeper.model("w", 60_000, "part-" + index, 10_000);
+      keeper.pass(1_000);
+      if (keeper.granted(request)) {
+        granted++;
+        keeper.change(MODEL, request, SlotStage.BEGUN, 0);
+      }
+    }
+    assertEquals(granted, 4, "of 20,100 tokens each in 92,000");
+  }
+
+  @Test
+  public void servesWorkspacesByWhatTheyHadSoFar() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    List<RequestId> hot = new ArrayList<>();
+    for (int index = 0; index < 20; index++) {
+      hot.add(keeper.plain("hot", 10_000));
+    }
+    RequestId small = keeper.plain("small", 10_000);
+    keeper.change(PLAIN, hot.get(0), SlotStage.COMPLETED, 50);
+    keeper.change(PLAIN, hot.get(1), SlotStage.COMPLETED, 50);
+    assertTrue(keeper.granted(small), "one slot at the most goes to others before");
+  }
+
+  /** A workspace's requests that can no longer be in time must not keep the others back. */
+  @Test
+  public void requestsPastHopeBlockNobody() {
+    KeeperFixture keeper = new KeeperFixture("m1");
+    final RequestId running = keeper.model("hot", 10_000, "a", 3_000);
+    for (int index = 0; index < 10; index++) {
+      keeper.model("hot", 260, "b" + index, 3_000);
+    }
+    final RequestId feasible = keeper.model("hot", 2_000, "c", 3_000);
+    keeper.now += 140 * 1_000_000;
+    keeper.change(MODEL, running, SlotStage.BEGUN, 0);
+    assertTrue(keeper.granted(feasible));
+  }
+
+  @Test
+  public void refusesAtOnceWhatCannotBeInTime() {
+    KeeperFixture keeper = new KeeperFixture("m1");
+    keeper.model("w", 10_000, "a", 3_000);
+    for (int index = 0; index < 5; index++) {
+      keeper.model("w", 900, "b" + index, 3_000);
+    }
+    RequestId hopeless = keeper.model("w", 900, "c", 3_000);
+    assertTrue(keeper.refused(hopeless));
+  }
+
+  @Test
+  public void refusesWhatHasBecomeLate() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    keeper.plain("w", 500);
+    keeper.plain("w", 500);
+    RequestId waits = keeper.plain("v", 500);
+    keeper.pass(400);
+    assertFalse(keeper.refused(waits));
+    keeper.pass(100);
+    assertTrue(keeper.refused(waits));
+  }
+
+  @Test
+  public void grantsNothingAtLeavingUpstreams() {
+    KeeperFixture keeper = new KeeperFixture("p1x", "p2");
+    for (int index = 0; index < 3; index++) {
+      assertNotEquals(keeper.upstreamOf(keeper.plain("w", 500)), "p1");
+    }
+  }
+
+  @Test
+  public void leavesFailingUpstreamsAloneForSomeTime() {
+    KeeperFixture keeper = new KeeperFixture("p1", "p2");
+    for (int round = 0; round < 12; round++) {
+      RequestId request = keeper.plain("w", 500);
+      boolean bad = keeper.upstreamOf(request).equals("p1");
+      keeper.change(PLAIN, request, bad ? SlotStage.FAILED : SlotStage.COMPLETED, 30);
+    }
+    assertEquals(keeper.upstreamOf(keeper.plain("w", 500)), "p2");
+  }
+
+  @Test
+  public void movesRequestsAwayFromSilentUpstreams() {
+    KeeperFixture keeper = new KeeperFixture("m1", "m2");
+    RequestId stuck = keeper.model("w", 5_000, "a", 1_000);
+    List<SlotMessage> news = keeper.pass(SlotKeeperPolicy.DEFAULT.stallMillis() + 100);
+    assertEquals(news, List.of(new SlotRecalled(MODEL, stuck, keeper.upstreamOf(stuck))));
+    assertFalse(keeper.judged.getLast().usable());
+    for (int index = 0; index < 3; index++) {
+      RequestId next = keeper.model("w", 5_000, "b" + index, 1_000);
+      assertNotEquals(keeper.upstreamOf(next), keeper.upstreamOf(stuck));
+      end(keeper, next);
+    }
+    keeper.change(MODEL, stuck, SlotStage.BEGUN, 0);
+    keeper.pass(25);
+    assertTrue(keeper.judged.getLast().usable(), "a sign of work");
+  }
+
+  @Test
+  public void forgetsRoutersThatAreGone() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    keeper.tell(new SlotKeeperEvent.RouterLinked(KeeperFixture.router("r2", "a1")));
+    List<WaitingCall> calls = new ArrayList<>();
+    for (int number = 1; number <= 3; number++) {
+      RequestId request = new RequestId("r2", 1, number);
+      calls.add(new WaitingCall(request, "w", "", 5_000, 5_000, false, Optional.empty()));
+    }
+    keeper.tell(
+        new SlotKeeperEvent.MessageArrived("r2", new SlotsWanted(PLAIN, false, calls, List.of())));
+    RequestId own = keeper.plain("v", 5_000);
+    assertFalse(keeper.granted(own));
+    keeper.tell(new SlotKeeperEvent.RouterGone(KeeperFixture.router("r2", "a1")));
+    assertTrue(keeper.granted(own));
+  }
+
+  @Test
+  public void takesOverWhatRunsAlready() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    List<HeldSlot> held = new ArrayList<>();
+    for (int number = 901; number <= 902; number++) {
+      RequestId request = new RequestId(ROUTER, 1, number);
+      WaitingCall call = new WaitingCall(request, "w", "", 5_000, 5_000, false, Optional.empty());
+      held.add(new HeldSlot(call, "p1", true));
+    }
+    keeper.tell(KeeperFixture.message(new SlotsWanted(PLAIN, true, List.of(), held)));
+    RequestId waits = keeper.plain("w", 5_000);
+    assertFalse(keeper.granted(waits), "both slots are taken");
+  }
+
+  @Test
+  public void looksAfterDataCentresWithoutRouters() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    assertTrue(keeper.granted(keeper.plain("w", 500)));
+    keeper.tell(new SlotKeeperEvent.RouterLinked(KeeperFixture.router("r2", "b1")));
+    assertTrue(keeper.granted(keeper.plain("w", 500)), "its own data centre stays its own");
+  }
+
+  /** What a workspace had in another data centre counts against it here. */
+  @Test
+  public void countsCostsOfOtherDataCentres() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    keeper.tell(new SlotKeeperEvent.RouterLinked(KeeperFixture.router("r2", "b1")));
+    RequestId first = keeper.plain("rich", 10_000);
+    keeper.plain("poor", 10_000);
+    keeper.tell(caused(100));
+    keeper.tell(caused(90_000));
+    RequestId rich = keeper.plain("rich", 10_000);
+    RequestId poor = keeper.plain("poor", 10_000);
+    RequestId poorAgain = keeper.plain("poor", 10_000);
+    keeper.change(PLAIN, first, SlotStage.COMPLETED, 50);
+    assertTrue(keeper.granted(poor) && !keeper.granted(rich));
+    keeper.change(PLAIN, poor, SlotStage.COMPLETED, 50);
+    assertTrue(keeper.granted(poorAgain) && !keeper.granted(rich));
+  }
+
+  private static SlotKeeperEvent caused(double cost) {
+    return new SlotKeeperEvent.MessageArrived(
+        "r2", new CostsCaused(PLAIN, List.of(new WorkspaceCost("rich", cost))));
+  }
+
+  private static void end(KeeperFixture keeper, RequestId request) {
+    keeper.pass(300);
+    keeper.change(MODEL, request, SlotStage.BEGUN, 0);
+    keeper.change(MODEL, request, SlotStage.COMPLETED, 100);
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/PromptCacheTest.java
@@ -0,0 +1,62 @@
+package dev.agatepier.core.process.internal;
+
+import static org.testng.Assert.assertEquals;
+
+import dev.agatepier.core.request.PromptFacts;
+import dev.agatepier.core.request.PromptPart;
+import java.util.List;
+import java.util.OptionalLong;
+import org.testng.annotations.Test;
+
+public class PromptCacheTest {
+
+  private final PromptCache cache = new PromptCache();
+
+  @Test
+  public void countsUnreadTokensBehindTheKeptPrefix() {
+    run("a", "b");
+    assertEquals(cache.unreadTokens(prompt("a", "b")), 0);
+    assertEquals(cache.unreadTokens(prompt("a", "c")), 100);
+    assertEquals(cache.unreadTokens(prompt("c", "b")), 200, "all parts before must be kept too");
+  }
+
+  @Test
+  public void unreadPromptsLeaveNothing() {
+    PromptFacts prompt = prompt("d", "e");
+    cache.pin(prompt);
+    cache.unpin(prompt, false);
+    assertEquals(cache.unreadTokens(prompt), 200);
+  }
+
+  @Test
+  public void leastRecentlyUsedPartsYieldButNotThoseInUse() {
+    PromptCache small = new PromptCache();
+    PromptFacts running = prompt("r", "s");
+    small.pin(running);
+    for (String name : List.of("1", "2", "3")) {
+      PromptFacts prompt = new PromptFacts("m", 100, 10, List.of(new PromptPart(name, 100)));
+      small.pin(prompt);
+      small.unpin(prompt, true);
+      small.shrink(OptionalLong.of(450), 50);
+    }
+    assertEquals(small.pinnedTokens(), 200);
+    assertEquals(small.unreadTokens(running), 0);
+    assertEquals(small.unreadTokens(one("1")), 100, "the oldest has yielded");
+    assertEquals(small.unreadTokens(one("3")), 0);
+  }
+
+  private void run(String first, String second) {
+    PromptFacts prompt = prompt(first, second);
+    cache.pin(prompt);
+    cache.unpin(prompt, true);
+  }
+
+  private static PromptFacts one(String part) {
+    return new PromptFacts("m", 100, 10, List.of(new PromptPart(part, 100)));
+  }
+
+  private static PromptFacts prompt(String first, String second) {
+    return new PromptFacts(
+        "m", 200, 10, List.of(new PromptPart(first, 100), new PromptPart(second, 100)));
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/ReadingModelTest.java
@@ -0,0 +1,40 @@
+package dev.agatepier.core.process.internal;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.Test;
+
+public class ReadingModelTest {
+
+  @Test
+  public void learnsConstantAndSlope() {
+    ReadingModel model = new ReadingModel();
+    for (int round = 0; round < 300; round++) {
+      int tokens = 500 + round * 37 % 9_000;
+      model.observe(tokens, 25 + 0.04 * tokens);
+    }
+    assertEquals(model.millis(0), 25, 1);
+    assertEquals(model.millis(10_000), 425, 2);
+  }
+
+  @Test
+  public void staysSaneWithOneSize() {
+    ReadingModel model = new ReadingModel();
+    for (int round = 0; round < 500; round++) {
+      model.observe(1_000, 60);
+    }
+    assertEquals(model.millis(1_000), 60, 3);
+  }
+
+  @Test
+  public void forgetsOldReadings() {
+    ReadingModel model = new ReadingModel();
+    for (int round = 0; round < 100; round++) {
+      model.observe(500 + round * 37 % 4_000, 20);
+    }
+    for (int round = 0; round < 200; round++) {
+      model.observe(500 + round * 37 % 4_000, 200);
+    }
+    assertEquals(model.millis(2_000), 200, 10);
+  }
+}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CostFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CostFamily.java
@@ -65,12 +65,12 @@
                     input.list(FieldInput::text))));
   }
 
-  private static void writeCost(FieldOutput output, WorkspaceCost cost) {
+  static void writeCost(FieldOutput output, WorkspaceCost cost) {
     output.text(cost.workspace());
     output.real(cost.cost());
   }
 
-  private static WorkspaceCost readCost(FieldInput input) {
+  static WorkspaceCost readCost(FieldInput input) {
     return new WorkspaceCost(input.text(), input.real());
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotFamily.java
@@ -1,5 +1,6 @@
 package dev.agatepier.wire.connection.internal;
 
+import dev.agatepier.core.connection.SlotMessage.CostsCaused;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
 import dev.agatepier.core.connection.SlotMessage.KeeperLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
@@ -89,7 +90,16 @@
               output.text(message.dataCentre());
               output.number(message.delayMillis());
             },
-            input -> new KeeperLoad(input.text(), input.text(), input.number())));
+            input -> new KeeperLoad(input.text(), input.text(), input.number())),
+        new MessageType<>(
+            66,
+            CostsCaused.class,
+            2,
+            (message, output) -> {
+              output.text(message.service());
+              output.list(message.costs(), CostFamily::writeCost);
+            },
+            input -> new CostsCaused(input.text(), input.list(CostFamily::readCost))));
   }
 
   private static void writeCall(FieldOutput output, WaitingCall call) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -12,6 +12,8 @@
   STOP_FAILED("stop-failed"),
   REQUEST_ADMITTED("request-admitted"),
   REQUEST_END("request-end"),
+  SLOT_GRANTED("slot-granted"),
+  SLOT_REFUSED("slot-refused"),
   ATTEMPT_STARTED("attempt-started"),
   ATTEMPT_ENDED("attempt-ended"),
   ANSWER_UNSOUND("answer-unsound"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.process.RequestFacts;
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.process.RouterEvent;
+import dev.agatepier.core.process.SlotKeeperEffect;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
@@ -62,6 +63,35 @@
                 .with("reason", reason.code()));
   }
 
+  /** A slot keeper granted a slot. */
+  public static void placed(SlotKeeperEffect.Placed placed) {
+    LOGGER.info(
+        () ->
+            LogEvent.SLOT_GRANTED
+                .message()
+                .with("request", placed.request().toString())
+                .with("service", placed.service())
+                .with("upstream", placed.upstream())
+                .with("waitedMillis", placed.waitedMillis())
+                .with("backlogMillis", placed.backlogMillis())
+                .with("ownMillis", placed.ownMillis())
+                .with("unreadTokens", placed.unreadTokens())
+                .with("sharedUnreadTokens", placed.sharedUnreadTokens()));
+  }
+
+  /** A slot keeper refused a slot. */
+  public static void turnedAway(SlotKeeperEffect.TurnedAway away) {
+    LOGGER.info(
+        () ->
+            LogEvent.SLOT_REFUSED
+                .message()
+                .with("request", away.request().toString())
+                .with("service", away.service())
+                .with("waitedMillis", away.waitedMillis())
+                .with("slackMillis", away.slackMillis())
+                .with("expectedMillis", away.expectedMillis()));
+  }
+
   /** An attempt was handed to an upstream. */
   public static void attemptStarted(RouterEffect.RunAttempt attempt) {
     LOGGER.info(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -179,7 +179,7 @@
     return switch (message) {
       case LinkMessage.CostReport _, LinkMessage.CostChanges _, LinkMessage.DataCentreCosts _ ->
           counted(holder.offer(new HolderEvent.MessageArrived(peer, message)));
-      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _ ->
+      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.CostsCaused _ ->
           counted(
               keeper.offer(
                   new SlotKeeperEvent.MessageArrived(peer.instance(), (SlotMessage) message)));
@@ -326,6 +326,8 @@
           links.send(router, message);
         }
       }
+      case SlotKeeperEffect.Placed placed -> RequestLog.placed(placed);
+      case SlotKeeperEffect.TurnedAway away -> RequestLog.turnedAway(away);
       case SlotKeeperEffect.UpstreamJudged judged ->
           LOGGER.info(
               LogEvent.UPSTREAM_JUDGED
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
@@ -30,4 +30,11 @@
    * @return the list; nothing if the wait ended without change
    */
   CompletableFuture<Optional<InstanceList>> instances(long afterVersion, int waitSeconds);
+
+  /**
+   * Takes the instance list that is in force from now on, which may have come from a peer.
+   *
+   * @param list the list
+   */
+  default void inForce(InstanceList list) {}
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -180,6 +180,7 @@
           listeners.forEach(listener -> listener.tableConfirmed(begun));
       case VersionEffect.PublishInstances(InstanceList newer) -> {
         instances = newer;
+        platform.inForce(newer);
         listeners.forEach(listener -> listener.instancesInForce(newer));
       }
       case VersionEffect.ReportRefusal(long version, List<TableMistake> mistakes) ->
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -46,7 +46,7 @@
       new RequestFacts("howrah", "chair-desk", 1, "desk-2", 0, 0, 0, 1);
   private static final String CALL = "GET /plans HTTP/1.1\r\nHost: a\r\nLabel: one\r\n\r\n";
 
-  private final BlockingQueue<RouterEvent> events = new LinkedBlockingQueue<>();
+  private BlockingQueue<RouterEvent> events;
   private FakeCallDialect dialect;
   private LoopResources loops;
   private Scheduler scheduler;
@@ -55,12 +55,13 @@
 
   @BeforeMethod
   public void startPort() {
-    events.clear();
+    BlockingQueue<RouterEvent> fresh = new LinkedBlockingQueue<>();
+    events = fresh;
     taking = true;
     dialect = new FakeCallDialect();
     loops = LoopResources.create("caller-port-test", 1, true);
     scheduler = Schedulers.fromExecutorService(loops.onServer(true).next());
-    port = new CallerPort(context(), dialect, scheduler);
+    port = new CallerPort(context(fresh), dialect, scheduler);
     port.start().join();
   }
 
@@ -234,7 +235,7 @@
     return RecordingEvents.await(events);
   }
 
-  private RouterSurroundings.Context context() {
+  private RouterSurroundings.Context context(BlockingQueue<RouterEvent> fresh) {
     RouterSettings settings =
         new RouterSettings(
             null,
@@ -247,12 +248,12 @@
         new PeerIdentity("router-1", 7, Role.ROUTER, "kolkata-a", "bengal", ""),
         () -> Table.NONE,
         new TableLease(0, System::nanoTime, System::currentTimeMillis),
-        event -> taking && events.add(event),
-        events::add,
+        event -> taking && fresh.add(event),
+        fresh::add,
         System::nanoTime,
         loops,
         new MetricRegistry(),
         () -> new Readiness(true, ""),
-        failure -> events.add(new RouterEvent.DrainBegun()));
+        failure -> fresh.add(new RouterEvent.DrainBegun()));
   }
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -34,6 +34,7 @@
 import dev.agatepier.core.connection.LinkMessage.WorkspaceDemand;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.SlotMessage.CostsCaused;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
 import dev.agatepier.core.connection.SlotMessage.KeeperLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
@@ -200,7 +201,8 @@
                 .toList()),
         new SlotRefused("plan-model", REQUEST, 1_000),
         new SlotRecalled("plan-model", REQUEST, "engine-4"),
-        new KeeperLoad("plan-model", "siliguri-a", 35));
+        new KeeperLoad("plan-model", "siliguri-a", 35),
+        new CostsCaused("plan-model", List.of(new WorkspaceCost("kolkata-strings", 1_620))));
   }
 
   private static StartAttempt start(long grant, AttemptId attempt, Optional<Ticket> ticket) {
--- /dev/null
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -0,0 +1,295 @@
+package dev.agatepier.wire.connection;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.codahale.metrics.MetricRegistry;
+import dev.agatepier.core.process.RouterEffect;
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.process.RouterEvent;
+import dev.agatepier.core.process.RouterEvent.UpstreamBegan;
+import dev.agatepier.core.process.RouterEvent.UpstreamEnded;
+import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
+import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
+import dev.agatepier.core.process.RouterEvent.UpstreamSent;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.RawSocket;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.resources.LoopResources;
+
+/** Real sockets on loopback; the test plays the router's decision and writes upstreams' bytes. */
+public class UpstreamCallerTest {
+
+  private static final long WINDOW_BYTES = 1_000;
+  private static final String HEAD = "HTTP/1.1 200 OK\r\nLabel: %s\r\nKeep-Alive: timeout=5\r\n";
+  private static final String PLAIN = HEAD + "Content-Length: 5\r\n\r\n";
+  private static final String EVENTS =
+      HEAD + "Content-Type: events\r\nTransfer-Encoding: chunked\r\n\r\n";
+  private static final String EVENT = "12\r\nid: 1\ndata: abcd\n\n\r\n";
+
+  private BlockingQueue<RouterEvent> events;
+  private LoopResources loops;
+  private Scheduler scheduler;
+  private UpstreamCaller caller;
+  private RawUpstream upstream;
+
+  @BeforeMethod
+  public void startCaller() {
+    BlockingQueue<RouterEvent> fresh = new LinkedBlockingQueue<>();
+    events = fresh;
+    upstream = new RawUpstream();
+    loops = LoopResources.create("upstream-caller-test", 1, true);
+    scheduler = Schedulers.fromExecutorService(loops.onServer(true).next());
+    caller =
+        new UpstreamCaller(
+            new FakeUpstreamDialect(),
+            () -> Table.NONE,
+            fresh::add,
+            System::nanoTime,
+            loops,
+            scheduler,
+            new MetricRegistry(),
+            failure -> fresh.add(new RouterEvent.DrainBegun()));
+    caller.start().join();
+  }
+
+  @AfterMethod(alwaysRun = true)
+  public void stopCaller() {
+    upstream.close();
+    caller.stop();
+    loops.dispose();
+  }
+
+  @Test
+  public void passesPlainAnswersOnceTheyAreWhole() throws Exception {
+    AttemptId attempt = run(1);
+    try (RawSocket socket = upstream.accept()) {
+      String request = socket.readUntil("body");
+      assertTrue(request.startsWith("POST /plans HTTP/1.1\r\n"), request);
+      assertTrue(request.contains("content-length: 4\r\n"), request);
+      socket.write(PLAIN.formatted(1) + "sea");
+      assertEquals(events.poll(50, TimeUnit.MILLISECONDS), null);
+      socket.write("ts");
+      assertEquals(next(UpstreamBegan.class).head().status(), 200);
+      assertEquals(next(UpstreamSent.class).content().text(), "seats");
+      assertEquals(next(UpstreamEnded.class).attempt(), attempt);
+    }
+  }
+
+  @Test
+  public void passesEventsAsTheyCome() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(EVENTS.formatted(1) + EVENT);
+      next(UpstreamBegan.class);
+      UpstreamSent sent = next(UpstreamSent.class);
+      assertEquals(sent.content().text(), "id: 1\ndata: abcd\n\n");
+      assertEquals(sent.lastEvent(), 1);
+      socket.write("0\r\n\r\n");
+      next(UpstreamEnded.class);
+    }
+  }
+
+  @Test
+  public void usesTheConnectionAgain() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted(1) + "seats");
+      awaitEnd();
+      run(2);
+      assertTrue(socket.readUntil("body").contains("label: 2"));
+      socket.write(PLAIN.formatted(2) + "chair");
+      awaitEnd();
+    }
+  }
+
+  @DataProvider
+  public Object[][] broken() {
+    return new Object[][] {
+      {PLAIN.formatted(1) + "sea"},
+      {EVENTS.formatted(1) + EVENT},
+      {EVENTS.formatted(1) + "7\r\nid: 1\nd\r\n0\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+      {"this is no answer at all\r\n\r\n"},
+      {""},
+      {"HTTP/1.1 200 OK\r\nLabel: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok"},
+    };
+  }
+
+  /** Whatever breaks an answer, its attempt may have run and nothing looks whole. */
+  @Test(dataProvider = "broken")
+  public void brokenAnswerIsUnknown(String answer) {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(answer);
+    }
+    RouterEvent last = next(RouterEvent.class);
+    while (!(last instanceof UpstreamFailed)) {
+      assertFalse(last instanceof UpstreamEnded || last instanceof UpstreamNotRun, "" + last);
+      last = next(RouterEvent.class);
+    }
+  }
+
+  @Test
+  public void unframedAnswerIsWholeOnlyIfTheUpstreamEndsItInOrder() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(HEAD.formatted(1) + "\r\nseats");
+    }
+    next(UpstreamBegan.class);
+    assertEquals(next(UpstreamSent.class).content().text(), "seats");
+    next(UpstreamEnded.class);
+    run(2);
+    RawSocket socket = upstream.accept();
+    socket.readUntil("body");
+    socket.write(HEAD.formatted(2) + "\r\nseats");
+    socket.reset();
+    next(UpstreamFailed.class);
+  }
+
+  @Test
+  public void refusalOfTheUpstreamIsProof() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write("HTTP/1.1 503 Busy\r\nLabel: 1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+      UpstreamNotRun notRun = next(UpstreamNotRun.class);
+      assertTrue(notRun.arrived());
+      run(2);
+      assertTrue(socket.readUntil("body").contains("label: 2"), "the connection is sound");
+    }
+  }
+
+  @Test
+  public void unreachableUpstreamIsProof() {
+    upstream.close();
+    run(1);
+    UpstreamNotRun notRun = next(UpstreamNotRun.class);
+    assertEquals(notRun.reason(), Reason.UPSTREAM_UNREACHABLE);
+    assertFalse(notRun.arrived());
+  }
+
+  @Test
+  public void dropsAnswersToOthersAndLeavesThatConnection() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted(77) + "other" + PLAIN.formatted(1) + "seats");
+      next(UpstreamBegan.class);
+      assertEquals(next(UpstreamSent.class).content().text(), "seats");
+      next(UpstreamEnded.class);
+      assertEquals(socket.readAll(), "", "closed");
+    }
+  }
+
+  @Test
+  public void neverReusesConnectionWithStrayBytes() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted(1) + "seats" + "HTTP/1.1 200 OK\r\nLabel: 1\r\n\r\n");
+      awaitEnd();
+      assertEquals(socket.readAll(), "", "closed");
+    }
+    run(2);
+    try (RawSocket fresh = upstream.accept()) {
+      fresh.readUntil("body");
+    }
+    next(UpstreamFailed.class);
+  }
+
+  @Test
+  public void neverReusesConnectionThatTheUpstreamAnswersEarly() {
+    RunAttempt large = attempt(1, new Bytes(new byte[8_000_000]));
+    scheduler.schedule(() -> caller.perform(large));
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("\r\n\r\n");
+      socket.write(PLAIN.formatted(1) + "seats");
+      awaitEnd();
+    }
+  }
+
+  @Test
+  public void cancelEndsTheConnection() {
+    AttemptId attempt = run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      scheduler.schedule(() -> caller.perform(new RouterEffect.CancelAttempt(attempt)));
+      assertEquals(next(UpstreamFailed.class).reason(), Reason.WITHDRAWN);
+      assertEquals(socket.readAll(), "");
+    }
+  }
+
+  @Test
+  public void readsNoFurtherThanTheWindow() throws Exception {
+    AttemptId attempt = run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(EVENTS.formatted(1));
+      long seen = 0;
+      for (int index = 0; index < 400; index++) {
+        socket.write(EVENT);
+      }
+      next(UpstreamBegan.class);
+      RouterEvent event = events.poll(200, TimeUnit.MILLISECONDS);
+      while (event instanceof UpstreamSent sent) {
+        seen += sent.content().size();
+        event = events.poll(200, TimeUnit.MILLISECONDS);
+      }
+      assertTrue(seen >= WINDOW_BYTES && seen < 400 * 18, seen + " bytes without credit");
+      scheduler.schedule(() -> caller.perform(new RouterEffect.ReadAttempt(attempt, 100_000)));
+      next(UpstreamSent.class);
+    }
+  }
+
+  private AttemptId run(long number) {
+    RunAttempt attempt = attempt(number, Bytes.ofText("body"));
+    scheduler.schedule(() -> caller.perform(attempt));
+    return attempt.attempt();
+  }
+
+  private RunAttempt attempt(long number, Bytes body) {
+    return new RunAttempt(
+        new AttemptId(new RequestId("router-1", 7, number), 1),
+        new Upstream("u1", 1, "plan-model", "127.0.0.1", upstream.port(), "a1", 8, false),
+        "howrah",
+        new CallHead("POST", "/plans", List.of()),
+        body,
+        new CallPlan("r", false, false, true, 1, 10_000, 500, 0, 1),
+        10_000,
+        OptionalLong.empty(),
+        WINDOW_BYTES);
+  }
+
+  private void awaitEnd() {
+    while (!(next(RouterEvent.class) instanceof UpstreamEnded)) {
+      // The parts before the end do not matter here.
+    }
+  }
+
+  private <E extends RouterEvent> E next(Class<E> kind) {
+    return kind.cast(RecordingEvents.await(events));
+  }
+}
--- /dev/null
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
@@ -0,0 +1,66 @@
+package dev.agatepier.wire.connection.internal;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.testng.annotations.Test;
+
+public class EventStreamSplitterTest {
+
+  private static final String STREAM =
+      ": hello\n\nid: 4\ndata: a\n\nid:5\r\ndata: b\r\n\r\nversion: 2\nid: 6\ndata: c\ndata: d\n\n";
+
+  @Test
+  public void passesWholeEventsHoweverTheBytesCome() {
+    for (int size = 1; size <= STREAM.length(); size++) {
+      EventStreamSplitter splitter = new EventStreamSplitter();
+      StringBuilder passed = new StringBuilder();
+      List<Long> numbers = new ArrayList<>();
+      for (int from = 0; from < STREAM.length(); from += size) {
+        String part = STREAM.substring(from, Math.min(from + size, STREAM.length()));
+        splitter
+            .take(Unpooled.copiedBuffer(part, StandardCharsets.UTF_8))
+            .ifPresent(
+                events -> {
+                  passed.append(events.content().text());
+                  numbers.add(events.firstNumber());
+                  numbers.add(events.lastNumber());
+                });
+      }
+      assertEquals(passed.toString(), STREAM, "in parts of " + size);
+      assertEquals(numbers.getFirst(), 4L);
+      assertEquals(numbers.getLast(), 6L);
+      assertFalse(splitter.midEvent());
+    }
+  }
+
+  @Test
+  public void holdsBackWhatIsNoWholeEvent() {
+    EventStreamSplitter splitter = new EventStreamSplitter();
+    assertTrue(splitter.take(bytes("id: 1\ndata: half\n")).isEmpty());
+    assertTrue(splitter.midEvent());
+    EventStreamSplitter.Events events = splitter.take(bytes("\nid: 2")).orElseThrow();
+    assertEquals(events.content().text(), "id: 1\ndata: half\n\n");
+    assertEquals(events.count(), 1);
+    assertTrue(splitter.midEvent());
+  }
+
+  @Test
+  public void toleratesNumbersThatAreNone() {
+    EventStreamSplitter splitter = new EventStreamSplitter();
+    EventStreamSplitter.Events events =
+        splitter.take(bytes("id: 12x\ndata: a\n\nid: 99999999999999999999\n\n")).orElseThrow();
+    assertEquals(events.count(), 2);
+    assertEquals(events.lastNumber(), EventStreamSplitter.NO_NUMBER);
+  }
+
+  private static ByteBuf bytes(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+  }
+}
