Let a request wait for the upstream that keeps its prefix

Cause: a third of the full drafts read their shared part again because the engine that keeps it had a backlog of a few tens of milliseconds more. Change: among the upstreams at which a request is in time, the least work decides; a wait weighs 0.3 of it, reading shared parts 2.5 times.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -14,6 +14,12 @@
   /** Weight of a token of the answer against one of the prompt; the platform counts so too. */
   private static final double ANSWER_TOKEN_COST = 2;
 
+  /**
+   * Further weight of reading what requests share: it takes memory from what is kept already, and
+   * operators pay for each token that is read again.
+   */
+  private static final double SHARED_WEIGHT = 1.5;
+
   private final SlotKeeperPolicy policy;
 
   ModelSlotRule(SlotKeeperPolicy policy) {
@@ -52,6 +58,14 @@
     return upstream.reading.millis(unreadTokens(upstream, call));
   }
 
+  @Override
+  public double workMillis(UpstreamLoad upstream, WaitingCall call) {
+    int shared = call.prompt().map(upstream.cache::unreadSharedTokens).orElse(0);
+    double own = ownMillis(upstream, call);
+    return own
+        + SHARED_WEIGHT * (own - upstream.reading.millis(unreadTokens(upstream, call) - shared));
+  }
+
   @Override
   public double expectedCost(WaitingCall call) {
     return call.prompt().map(prompt -> cost(prompt, prompt.outputTokens())).orElse(1.0);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
@@ -41,6 +41,11 @@
     return meanMillis;
   }
 
+  @Override
+  public double workMillis(UpstreamLoad upstream, WaitingCall call) {
+    return backlogMillis(upstream, 0);
+  }
+
   @Override
   public double expectedCost(WaitingCall call) {
     return meanMillis;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacer.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacer.java
@@ -7,7 +7,7 @@
 /**
  * Chooses which waiting request gets which slot next: the workspace by the fair order, of its
  * requests the one that is due first and can still be in time, and the upstream at which its answer
- * begins soonest. Requests that can no longer be in time come after all others.
+ * takes the least work. Requests that can no longer be in time come after all others.
  */
 final class SlotPlacer {
 
@@ -15,10 +15,10 @@
   private static final int MOST_TRIED = 4;
 
   /**
-   * Weight of the request's own reading against the backlog before it: reading a part again takes
-   * time from everybody who comes after.
+   * Weight of the wait at an upstream against its work for the request: a wait that is still in
+   * time costs nobody anything, but work takes time from everybody who comes after.
    */
-  private static final double OWN_READING_WEIGHT = 1.5;
+  private static final double BACKLOG_WEIGHT = 0.3;
 
   /** Milliseconds that stand for an upstream whose requests all fail. */
   private static final double FAILURE_MILLIS = 1_000;
@@ -143,7 +143,7 @@
         if (++tried > MOST_TRIED) {
           break;
         }
-        UpstreamLoad upstream = soonest(entry, share, timely, nowNanos);
+        UpstreamLoad upstream = cheapest(entry, share, timely, nowNanos);
         if (upstream != null) {
           return new Placement(entry, upstream);
         }
@@ -152,29 +152,29 @@
     return null;
   }
 
-  /** Returns the upstream that serves a request soonest, or null if it is better to wait. */
-  private UpstreamLoad soonest(WaitingEntry entry, double share, boolean timely, long nowNanos) {
+  /**
+   * Returns the upstream that serves a request in time with the least work; null if there is none
+   * now or if it is better to wait for one.
+   */
+  private UpstreamLoad cheapest(WaitingEntry entry, double share, boolean timely, long nowNanos) {
     UpstreamLoad best = null;
     double bestWeight = Double.MAX_VALUE;
-    double bestMillis = 0;
     for (UpstreamLoad upstream : upstreams) {
       if (!usable(upstream, nowNanos) || !rule.fits(upstream, entry.call)) {
         continue;
       }
       double backlog = rule.backlogMillis(upstream, nowNanos);
       double own = rule.ownMillis(upstream, entry.call);
-      double weight = backlog + OWN_READING_WEIGHT * own + penalty(upstream, entry);
-      if (weight < bestWeight) {
+      double weight =
+          BACKLOG_WEIGHT * backlog
+              + rule.workMillis(upstream, entry.call)
+              + penalty(upstream, entry);
+      if (weight < bestWeight && (!timely || entry.timely(backlog + own, nowNanos))) {
         best = upstream;
         bestWeight = weight;
-        bestMillis = backlog + own;
       }
     }
-    boolean place =
-        best != null
-            && (!timely || entry.timely(bestMillis, nowNanos))
-            && rule.wantsWork(best, share, nowNanos);
-    return place ? best : null;
+    return best != null && rule.wantsWork(best, share, nowNanos) ? best : null;
   }
 
   private static double penalty(UpstreamLoad upstream, WaitingEntry entry) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
@@ -26,6 +26,12 @@
   /** Returns the expected time until the answer begins at an upstream without backlog. */
   double ownMillis(UpstreamLoad upstream, WaitingCall call);
 
+  /**
+   * Returns the work that an upstream has with a request, in milliseconds; what it does a second
+   * time for the fleet weighs more.
+   */
+  double workMillis(UpstreamLoad upstream, WaitingCall call);
+
   /** Returns the expected cost of a request, in cost units. */
   double expectedCost(WaitingCall call);
 
