--- a/agatepier-core/src/test/java/dev/agatepier/core/process/KeeperFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/KeeperFixture.java
@@ -54,10 +54,10 @@
   }
 
   static Table table() {
-    return new Table(1, Map.of(), Map.of(MODEL, model(), PLAIN, plain()));
+    return new Table(1, Map.of(), Map.of(MODEL, modelService(), PLAIN, plainService()));
   }
 
-  private static ServiceEntry model() {
+  private static ServiceEntry modelService() {
     return new ServiceEntry(
         MODEL,
         ServiceKind.MODEL,
@@ -68,7 +68,7 @@
         Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
   }
 
-  private static ServiceEntry plain() {
+  private static ServiceEntry plainService() {
     return new ServiceEntry(
         PLAIN, ServiceKind.PLAIN, List.of(), 60_000, 0.2, SlotKeeping.ROUTER, Optional.empty());
   }
