Go on after SIGHUP, and log when the table's lease ends and holds again

Cause: nothing handled SIGHUP, so that the runtime's default ended the process; the events of the lease and of a platform that answers again were declared but never logged. Change: the signal has the settings read again; what differs, or each mistake, is logged and takes force at the next start. The lease logs each change of its answer with the age, a read that works after failures is logged once. Before: SettingsWatchTest ended the test's process. After: it passes.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
@@ -43,13 +43,15 @@
 
   /** Reads the settings and runs the program; nothing if the settings are wrong. */
   public Optional<Integer> run(Namespace arguments, Reporter reporter) {
+    Path file = Path.of(arguments.getString("settings"));
     S settings;
     try {
-      settings = settingsReader.apply(Path.of(arguments.getString("settings")));
+      settings = settingsReader.apply(file);
     } catch (SettingsException failure) {
       failure.mistakes().forEach(mistake -> reporter.error(mistake.toString()));
       return Optional.empty();
     }
+    HangUp.handle(new SettingsWatch<>(() -> settingsReader.apply(file), settings)::read);
     return Optional.of(program.run(settings));
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/TableLease.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/TableLease.java
@@ -4,8 +4,11 @@
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadMark;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.wire.process.LogEvent;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Says whether the table in force was confirmed lately enough to admit keyed calls. The age is
@@ -17,10 +20,13 @@
   /** Difference between both clocks that their rates and granularity explain, in milliseconds. */
   private static final long EXPLAINED_MILLIS = 500;
 
+  private static final Logger LOGGER = LogManager.getLogger(TableLease.class);
+
   private final long leaseMillis;
   private final MonotonicClock clock;
   private final LongSupplier wallMillis;
   private volatile ReadMark confirmed;
+  private volatile boolean held;
 
   /**
    * Creates a lease on a table that nobody has confirmed.
@@ -35,9 +41,22 @@
     this.wallMillis = wallMillis;
   }
 
-  /** Returns whether the confirmation still holds. */
+  /** Returns whether the confirmation still holds; logs each change of the answer. */
   public boolean holds() {
-    return leaseMillis == 0 || ageMillis() < leaseMillis;
+    if (leaseMillis == 0) {
+      return true;
+    }
+    long age = ageMillis();
+    boolean holds = age < leaseMillis;
+    if (holds != held) {
+      held = holds;
+      LOGGER.info(
+          (holds ? LogEvent.TABLE_CONFIRMED : LogEvent.TABLE_STALE)
+              .message()
+              .with("ageMillis", age)
+              .with("leaseMillis", leaseMillis));
+    }
+    return holds;
   }
 
   /** Returns how old the confirmation is, in milliseconds; the largest number for none. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -22,7 +22,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
@@ -52,6 +54,7 @@
   private final TableFormat format;
   private final MailboxTask<VersionEvent> task;
   private final CompletableFuture<Void> tableReady = new CompletableFuture<>();
+  private final Set<PlatformSubject> failing = ConcurrentHashMap.newKeySet();
   private Disposable ticks = () -> {};
   private volatile Table table = Table.NONE;
   private volatile InstanceList instances = InstanceList.NONE;
@@ -250,8 +253,12 @@
     read.whenComplete(
         (answer, failure) -> {
           if (failure == null) {
+            if (failing.remove(subject)) {
+              LOGGER.info(LogEvent.PLATFORM_READ_AGAIN.message().with("subject", subject));
+            }
             task.offer(answer.map(newVersion).orElse(new VersionEvent.NothingNew(subject, begun)));
           } else {
+            failing.add(subject);
             LOGGER.warn(LogEvent.PLATFORM_READ_FAILED.message().with("subject", subject), failure);
             task.offer(new VersionEvent.ReadFailed(subject, jitter.getAsDouble()));
           }
