Drop requests whose callers left before they were read

Cause: after a restart a router is seconds behind its connections. Change: a whole request is submitted behind what else the loop has read of its connection, and not at all if that was its end. Before: dropsRequestsWhoseCallersLeftDuringPause fails. After: it passes.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallUnderWay.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallUnderWay.java
@@ -33,6 +33,9 @@
   /** Whether the whole request has come. */
   boolean received;
 
+  /** Whether the router was told of it. */
+  boolean submitted;
+
   /** Whether its answer has begun. */
   boolean begun;
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
@@ -113,8 +113,10 @@
     CallUnderWay gone = current;
     if (gone != null) {
       release(gone);
-      if (gone.received) {
+      if (gone.submitted) {
         context.events().accept(new RouterEvent.CallerGone(gone.request));
+      } else if (gone.received) {
+        context.refused(gone.request, gone.label, Reason.CALLER_GONE);
       }
     }
     context.closed(this);
@@ -237,11 +239,28 @@
       refuseBody();
     } else if (content instanceof LastHttpContent) {
       current.received = true;
-      current.refusal.ifPresentOrElse(this::refuse, this::submit);
+      current.refusal.ifPresentOrElse(this::refuse, () -> submitUnlessGone(current));
     }
   }
 
+  /**
+   * Submits a request behind what else the loop has read of its connection. After a pause the
+   * oldest requests come first, and their callers have often left: the end of a connection is read
+   * right behind its request.
+   */
+  private void submitUnlessGone(CallUnderWay call) {
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              if (call == current && channel.isActive()) {
+                submit();
+              }
+            });
+  }
+
   private void submit() {
+    current.submitted = true;
     byte[] body = new byte[current.body.readableBytes()];
     current.body.readBytes(body);
     CallIntake intake = current.intake.orElseThrow();
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
@@ -125,6 +126,24 @@
     assertEquals(next(), new RouterEvent.CallerGone(request));
   }
 
+  @Test
+  public void dropsRequestsWhoseCallersLeftDuringPause() throws Exception {
+    CountDownLatch paused = new CountDownLatch(1);
+    scheduler.schedule(() -> awaitQuietly(paused));
+    for (int round = 0; round < 5; round++) {
+      RawSocket impatient = RawSocket.connect(port.port());
+      impatient.write(CALL);
+      impatient.close();
+    }
+    try (RawSocket caller = RawSocket.connect(port.port())) {
+      caller.write(CALL.replace("one", "last"));
+      paused.countDown();
+      fail(arrived().request(), Outcome.NOT_RUN, Reason.OVERLOADED);
+      assertTrue(caller.readUntil("not-run overloaded").contains("label: last"));
+      assertTrue(events.isEmpty(), "only the caller that stayed was told of");
+    }
+  }
+
   @Test
   public void brokenAnswerNeverLooksWhole() {
     try (RawSocket caller = RawSocket.connect(port.port())) {
@@ -219,6 +238,14 @@
     }
   }
 
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void fail(RequestId request, Outcome outcome, Reason reason) {
     perform(new RouterEffect.FailRequest(request, outcome, reason, 0, FACTS));
   }
