Hand the slots of a data centre over when its routers leave

A keeper that had just started dropped what it was told before its table. Ruled out: stops that take too long (the streams under way last that long). Change: routers and keepers choose among the same candidates, those that stay, or all if none does. A router says at SIGTERM that it leaves, to its own keeper too; waiting and running requests of a data centre without keeper move to the one that looks after it. Messages that come before table and upstreams are kept; what waits for an unknown service is refused. Five new tests fail without the change.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -104,6 +104,7 @@
       case RouterEvent.UpstreamNotRun notRun -> upstreams.notRun(notRun, nowNanos);
       case RouterEvent.UpstreamFailed failed -> upstreams.failed(failed, nowNanos);
       case RouterEvent.TimePassed passed -> state.expire(nowNanos);
+      case RouterEvent.StopAnnounced announced -> peers.stopAnnounced(nowNanos);
       case RouterEvent.DrainBegun begun -> state.beginDrain();
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -192,4 +192,7 @@
 
   /** The process is to take no new request and to finish what it has. */
   record DrainBegun() implements RouterEvent {}
+
+  /** The process has said that it is about to stop, though it still takes requests. */
+  record StopAnnounced() implements RouterEvent {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.process.internal.EarlyMessages;
 import dev.agatepier.core.process.internal.FairOrder;
 import dev.agatepier.core.process.internal.KeeperChoice;
 import dev.agatepier.core.process.internal.ServiceSlots;
@@ -14,9 +15,11 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -37,6 +40,8 @@
   private final List<SlotKeeperEffect> effects = new ArrayList<>();
   private final Map<String, ServiceSlots> services = new TreeMap<>();
   private final Map<String, PeerIdentity> routers = new TreeMap<>();
+  private final Set<String> leaving = new HashSet<>();
+  private final EarlyMessages early = new EarlyMessages();
   private Table table = Table.NONE;
   private InstanceList instances = InstanceList.NONE;
 
@@ -59,17 +64,25 @@
           arrived(router, message, nowNanos);
       case SlotKeeperEvent.RouterLinked(PeerIdentity router) -> {
         routers.put(router.instance(), router);
+        leaving.remove(router.instance());
         listUpstreams(nowNanos);
       }
+      case SlotKeeperEvent.RouterLeaving(String router, boolean leaves) -> {
+        if (leaves ? leaving.add(router) : leaving.remove(router)) {
+          listUpstreams(nowNanos);
+        }
+      }
       case SlotKeeperEvent.RouterGone(PeerIdentity router) -> routerGone(router, nowNanos);
       case SlotKeeperEvent.TableInForce(Table newer) -> {
         table = newer;
         listServices();
         listUpstreams(nowNanos);
+        takeEarly(nowNanos);
       }
       case SlotKeeperEvent.InstancesInForce(InstanceList newer) -> {
         instances = newer;
         listUpstreams(nowNanos);
+        takeEarly(nowNanos);
       }
       case SlotKeeperEvent.TimePassed() -> {
         // Every event lets time pass.
@@ -101,14 +114,42 @@
   }
 
   private void arrived(String router, SlotMessage message, long nowNanos) {
+    if (!ready()) {
+      early.add(router, message);
+      return;
+    }
     ServiceSlots service = services.get(message.service());
     if (service != null) {
       service.arrived(router, message, nowNanos);
+    } else if (message instanceof SlotMessage.SlotsWanted wanted) {
+      refuseAll(router, wanted);
+    }
+  }
+
+  /** Returns whether there is something to decide by: both lists have been in force. */
+  private boolean ready() {
+    return table != Table.NONE && instances != InstanceList.NONE;
+  }
+
+  private void takeEarly(long nowNanos) {
+    if (ready()) {
+      early.take().forEach(message -> arrived(message.router(), message.message(), nowNanos));
+    }
+  }
+
+  /** Refuses what waits for a service that the table in force doesn't have. */
+  private void refuseAll(String router, SlotMessage.SlotsWanted wanted) {
+    for (SlotMessage.WaitingCall call : wanted.waiting()) {
+      SlotMessage refusal =
+          new SlotMessage.SlotRefused(wanted.service(), call.request(), policy.retryAfterMillis());
+      effects.add(new SlotKeeperEffect.Send(router, refusal));
     }
   }
 
   private void routerGone(PeerIdentity router, long nowNanos) {
     if (routers.remove(router.instance(), router)) {
+      leaving.remove(router.instance());
+      early.forget(router.instance());
       services.values().forEach(service -> service.routerGone(router.instance(), nowNanos));
       listUpstreams(nowNanos);
     }
@@ -116,7 +157,7 @@
 
   /** Returns whether this is the keeper that routers ask for a service in its data centre. */
   private boolean keeps(ServiceSlots service) {
-    return KeeperChoice.keeper(service.name(), self.dataCentre(), routers.values())
+    return KeeperChoice.keeper(service.name(), self.dataCentre(), candidates())
         .filter(self.instance()::equals)
         .isPresent();
   }
@@ -134,7 +175,7 @@
         .filter(dataCentre -> !dataCentre.equals(self.dataCentre()))
         .forEach(
             dataCentre ->
-                KeeperChoice.keeper(service.name(), dataCentre, routers.values())
+                KeeperChoice.keeper(service.name(), dataCentre, candidates())
                     .ifPresent(keeper -> effects.add(new SlotKeeperEffect.Send(keeper, message))));
   }
 
@@ -162,11 +203,24 @@
         entry, policy, new WorkspaceLedger(FairOrder.named(ORDER), CATCH_UP_COST), effects);
   }
 
+  private List<PeerIdentity> candidates() {
+    return KeeperChoice.candidates(routers.values(), leaving);
+  }
+
+  /**
+   * Returns whether this keeper grants slots of a data centre. One that is about to stop goes on
+   * until the routers have moved what waits here.
+   */
+  private boolean looksAfter(String dataCentre) {
+    return KeeperChoice.caretaker(dataCentre, candidates()).equals(self.dataCentre())
+        || leaving.contains(self.instance())
+            && KeeperChoice.caretaker(dataCentre, routers.values()).equals(self.dataCentre());
+  }
+
   private void listUpstreams(long nowNanos) {
     Map<String, List<Upstream>> byService = new TreeMap<>();
     for (Upstream upstream : instances.upstreams()) {
-      String caretaker = KeeperChoice.caretaker(upstream.dataCentre(), routers.values());
-      if (caretaker.equals(self.dataCentre())) {
+      if (looksAfter(upstream.dataCentre())) {
         byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperEvent.java
@@ -30,6 +30,14 @@
    */
   record RouterGone(PeerIdentity router) implements SlotKeeperEvent {}
 
+  /**
+   * A router, which may be the keeper's own, has said whether it is about to stop.
+   *
+   * @param router instance name of the router
+   * @param leaving whether it is about to stop
+   */
+  record RouterLeaving(String router, boolean leaving) implements SlotKeeperEvent {}
+
   /**
    * A table version is in force from now on.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperChoice.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperChoice.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -32,6 +33,19 @@
             .toList());
   }
 
+  /**
+   * Returns the routers among which keepers are chosen: those that stay, or all if none does.
+   *
+   * @param reached routers that are reached, the own one among them
+   * @param leaving instance names of routers that have begun to stop
+   */
+  public static List<PeerIdentity> candidates(
+      Collection<PeerIdentity> reached, Set<String> leaving) {
+    List<PeerIdentity> staying =
+        reached.stream().filter(router -> !leaving.contains(router.instance())).toList();
+    return staying.isEmpty() ? List.copyOf(reached) : staying;
+  }
+
   /**
    * Returns the data centre that looks after the upstreams of a data centre.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperDialogue.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperDialogue.java
@@ -23,6 +23,7 @@
   private final Map<RequestId, RoutedRequest> wanted = new LinkedHashMap<>();
   private final List<SlotChange> changes = new ArrayList<>();
   private Optional<String> keeper = Optional.empty();
+  private boolean tellAnew;
 
   /**
    * Creates the dialogue with a keeper that is yet to be chosen.
@@ -52,6 +53,24 @@
     keeper.ifPresent(name -> outbox.send(name, everything(nowNanos)));
   }
 
+  /** Returns the requests that no keeper looks after, which the dialogue has forgotten then. */
+  List<RoutedRequest> takeOrphans() {
+    if (keeper.isPresent()) {
+      return List.of();
+    }
+    List<RoutedRequest> orphans = List.copyOf(requests.values());
+    requests.clear();
+    wanted.clear();
+    changes.clear();
+    return orphans;
+  }
+
+  /** Takes a request that another keeper looked after, whether it waits or runs. */
+  void adopt(RoutedRequest request) {
+    requests.put(request.id(), request);
+    tellAnew = true;
+  }
+
   /** Forgets a keeper whose link is gone; a new link to it begins anew. */
   void keeperGone(String router) {
     keeper = keeper.filter(name -> !name.equals(router));
@@ -85,6 +104,12 @@
 
   /** Tells the keeper what has changed. */
   void flush(long nowNanos) {
+    if (tellAnew && keeper.isPresent()) {
+      outbox.send(keeper.get(), everything(nowNanos));
+      changes.clear();
+      wanted.clear();
+    }
+    tellAnew = false;
     if (keeper.isPresent() && !changes.isEmpty()) {
       outbox.send(keeper.get(), new SlotsChanged(service, changes));
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PeerMessages.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PeerMessages.java
@@ -52,7 +52,7 @@
     if (peer.role() == Role.ROUTER) {
       state.routers.put(peer.instance(), peer);
       state.leavingRouters.remove(peer.instance());
-      slots.routersChanged(state.stayingRouters(), nowNanos);
+      slots.routersChanged(state.keeperCandidates(), nowNanos);
       report(peer.instance(), state.quarantine.known(nowNanos));
       return;
     }
@@ -69,7 +69,7 @@
   public void unlinked(PeerIdentity peer, long nowNanos) {
     if (state.routers.remove(peer.instance(), peer)) {
       slots.routerGone(peer.instance());
-      slots.routersChanged(state.stayingRouters(), nowNanos);
+      slots.routersChanged(state.keeperCandidates(), nowNanos);
     }
     LinkedSidecar sidecar = state.sidecars.of(peer);
     if (sidecar == null) {
@@ -81,6 +81,11 @@
     demand.sidecarsChanged(peer.service());
   }
 
+  /** Notes that the own process is about to stop: others keep the slots from now on. */
+  public void stopAnnounced(long nowNanos) {
+    routerLeaves(state.self, true, nowNanos);
+  }
+
   /** Notes which instances are leaving. */
   public void instances(InstanceList list) {
     for (LinkedSidecar sidecar : state.sidecars.instances(list)) {
@@ -142,7 +147,7 @@
             ? state.leavingRouters.add(peer.instance())
             : state.leavingRouters.remove(peer.instance());
     if (changed) {
-      slots.routersChanged(state.stayingRouters(), nowNanos);
+      slots.routersChanged(state.keeperCandidates(), nowNanos);
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -58,14 +58,11 @@
     quarantine = new Quarantine(policy);
   }
 
-  /** Returns the linked routers that stay, and the own one. */
-  Collection<PeerIdentity> stayingRouters() {
-    List<PeerIdentity> staying = new ArrayList<>();
-    staying.add(self);
-    routers.values().stream()
-        .filter(router -> !leavingRouters.contains(router.instance()))
-        .forEach(staying::add);
-    return staying;
+  /** Returns the routers, the own one among them, of which one keeps the slots of a service. */
+  Collection<PeerIdentity> keeperCandidates() {
+    List<PeerIdentity> reached = new ArrayList<>(routers.values());
+    reached.add(self);
+    return KeeperChoice.candidates(reached, leavingRouters);
   }
 
   /** Returns the most routers that were linked at one time lately, the own one counted. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacement.java
@@ -5,9 +5,11 @@
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -62,7 +64,7 @@
     Optional<String> other =
         request.refusedBy.size() > MOST_SECOND_CHOICES
             ? Optional.empty()
-            : choice.choose(request, state.stayingRouters(), request.refusedBy, nowNanos);
+            : choice.choose(request, state.keeperCandidates(), request.refusedBy, nowNanos);
     if (other.isEmpty()
         || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
       return false;
@@ -133,12 +135,21 @@
     dialogues.values().forEach(dialogue -> dialogue.keeperGone(router));
   }
 
-  /** Chooses keepers anew among the routers that are reached and stay. */
+  /**
+   * Chooses keepers anew among some routers. A data centre that none of them belongs to is looked
+   * after by another, which takes its requests over.
+   */
   void routersChanged(Collection<PeerIdentity> routers, long nowNanos) {
+    List<RoutedRequest> orphans = new ArrayList<>();
     dialogues.forEach(
-        (key, dialogue) ->
-            dialogue.keeper(
-                KeeperChoice.keeper(key.service(), key.dataCentre(), routers), nowNanos));
+        (key, dialogue) -> {
+          dialogue.keeper(KeeperChoice.keeper(key.service(), key.dataCentre(), routers), nowNanos);
+          orphans.addAll(dialogue.takeOrphans());
+        });
+    for (RoutedRequest orphan : orphans) {
+      orphan.dataCentre = KeeperChoice.caretaker(orphan.dataCentre, routers);
+      dialogue(orphan, nowNanos).adopt(orphan);
+    }
   }
 
   /** Tells each keeper what has changed. */
@@ -149,7 +160,7 @@
   private void ask(RoutedRequest request, long nowNanos) {
     request.dataCentre =
         choice
-            .choose(request, state.stayingRouters(), request.refusedBy, nowNanos)
+            .choose(request, state.keeperCandidates(), request.refusedBy, nowNanos)
             .orElse(state.self.dataCentre());
     dialogue(request, nowNanos).waits(request);
   }
@@ -159,7 +170,7 @@
     if (known != null) {
       return known;
     }
-    Collection<PeerIdentity> routers = state.stayingRouters();
+    Collection<PeerIdentity> routers = state.keeperCandidates();
     String region =
         routers.stream()
             .filter(router -> router.dataCentre().equals(request.dataCentre))
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -9,6 +9,7 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.SlotMessage.KeeperLoad;
+import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
 import dev.agatepier.core.connection.SlotMessage.SlotRefused;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
@@ -195,6 +196,30 @@
     assertEquals(everything.held().getFirst().call().request(), running);
   }
 
+  @Test
+  public void movesToAnotherDataCentreWhenItsRoutersLeave() {
+    RequestId runs = router.run(STREAM, "u1");
+    RequestId waits = router.call(SAFE);
+    router.tell(new RouterEvent.PeerLinked(DirectRouter.identity("r2", "b1")));
+    router.tell(new RouterEvent.StopAnnounced());
+    SlotsWanted told = router.sent("r2", SlotsWanted.class).getLast();
+    assertTrue(told.complete());
+    assertEquals(told.held().getFirst().call().request(), runs);
+    assertEquals(told.waiting().getFirst().request(), waits);
+    router.tell(new RouterEvent.KeeperSaid("r2", new SlotGranted(SERVICE, waits, "u2")));
+    router.began(waits, 200);
+    router.ended(waits);
+    assertEquals(router.answer(waits), "200 whole");
+  }
+
+  @Test
+  public void keepsItsSlotsItselfWhileNobodyStays() {
+    RequestId waits = router.call(SAFE);
+    router.tell(new RouterEvent.StopAnnounced());
+    router.grant(waits, "u1");
+    assertEquals(router.runs(waits).size(), 1);
+  }
+
   @Test
   public void movesRepeatableCallsThatAreRecalled() {
     RequestId safe = router.run(SAFE, "u1");
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/KeeperFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/KeeperFixture.java
@@ -44,11 +44,21 @@
   private long lastList;
 
   KeeperFixture(String... upstreams) {
-    decision = new SlotKeeperDecision(router(ROUTER, "a1"), SlotKeeperPolicy.DEFAULT);
+    this(new SlotKeeperDecision(router(ROUTER, "a1"), SlotKeeperPolicy.DEFAULT));
     tell(new SlotKeeperEvent.TableInForce(table()));
     list(upstreams);
   }
 
+  private KeeperFixture(SlotKeeperDecision decision) {
+    this.decision = decision;
+  }
+
+  /** Returns a keeper that has just started and knows neither table nor upstreams. */
+  static KeeperFixture started() {
+    return new KeeperFixture(
+        new SlotKeeperDecision(router(ROUTER, "a1"), SlotKeeperPolicy.DEFAULT));
+  }
+
   static PeerIdentity router(String name, String dataCentre) {
     return new PeerIdentity(name, 1, Role.ROUTER, dataCentre, "a", "");
   }
@@ -73,7 +83,10 @@
         PLAIN, ServiceKind.PLAIN, List.of(), 60_000, 0.2, SlotKeeping.ROUTER, Optional.empty());
   }
 
-  /** Lists upstreams by name: m for engines, p for plain ones, with an x at the end if leaving. */
+  /**
+   * Lists upstreams by name: m for engines, p for plain ones, with an x at the end if leaving, and
+   * with a b- before it in another data centre.
+   */
   void list(String... names) {
     List<Upstream> upstreams = Arrays.stream(names).map(KeeperFixture::upstream).toList();
     tell(new SlotKeeperEvent.InstancesInForce(new InstanceList(++lastList, List.of(), upstreams)));
@@ -81,6 +94,7 @@
 
   static Upstream upstream(String name) {
     boolean model = name.startsWith("m");
+    String dataCentre = name.startsWith("b-") ? "b1" : "a1";
     boolean leaving = name.endsWith("x");
     return new Upstream(
         leaving ? name.substring(0, name.length() - 1) : name,
@@ -88,7 +102,7 @@
         model ? MODEL : PLAIN,
         "127.0.0.1",
         8_000,
-        "a1",
+        dataCentre,
         model ? 8 : 2,
         leaving);
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotKeeperDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotKeeperDecisionTest.java
@@ -214,6 +214,41 @@
     assertTrue(keeper.granted(keeper.plain("w", 500)), "its own data centre stays its own");
   }
 
+  @Test
+  public void looksAfterDataCentresWhoseRoutersAreLeaving() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    keeper.tell(new SlotKeeperEvent.RouterLinked(KeeperFixture.router("r2", "b1")));
+    keeper.tell(new SlotKeeperEvent.RouterLeaving(ROUTER, true));
+    assertTrue(keeper.granted(keeper.plain("w", 500)), "what waits here is not dropped");
+
+    KeeperFixture other = new KeeperFixture("b-p1");
+    other.tell(new SlotKeeperEvent.RouterLinked(KeeperFixture.router("r2", "b1")));
+    assertFalse(other.granted(other.plain("w", 500)), "the other data centre has a keeper");
+    other.tell(new SlotKeeperEvent.RouterLeaving("r2", true));
+    assertTrue(other.granted(other.plain("w", 500)));
+    other.tell(new SlotKeeperEvent.RouterLeaving("r2", false));
+    assertFalse(other.granted(other.plain("w", 500)));
+  }
+
+  @Test
+  public void keepsWhatItIsToldBeforeItKnowsTheTable() {
+    KeeperFixture keeper = KeeperFixture.started();
+    RequestId early = keeper.plain("w", 5_000);
+    keeper.tell(new SlotKeeperEvent.TableInForce(KeeperFixture.table()));
+    assertFalse(keeper.granted(early) || keeper.refused(early), "no upstream is known yet");
+    keeper.list("p1");
+    assertTrue(keeper.granted(early));
+  }
+
+  @Test
+  public void refusesWhatWaitsForUnknownService() {
+    KeeperFixture keeper = new KeeperFixture("p1");
+    RequestId request = new RequestId(ROUTER, 1, 900);
+    WaitingCall call = new WaitingCall(request, "w", "", 500, 500, true, Optional.empty());
+    keeper.tell(KeeperFixture.message(new SlotsWanted("gone", false, List.of(call), List.of())));
+    assertTrue(keeper.refused(request));
+  }
+
   /** What a workspace had in another data centre counts against it here. */
   @Test
   public void countsCostsOfOtherDataCentres() {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -158,6 +158,8 @@
   /** Says that the process is about to stop, though it still takes requests. */
   public void announceStop() {
     draining = true;
+    requests.post(new RouterEvent.StopAnnounced());
+    keeper.post(new SlotKeeperEvent.RouterLeaving(self.instance(), true));
   }
 
   /** Ends the tasks. */
@@ -185,6 +187,10 @@
                   new SlotKeeperEvent.MessageArrived(peer.instance(), (SlotMessage) message)));
       case SlotMessage answer ->
           counted(requests.offer(new RouterEvent.KeeperSaid(peer.instance(), answer)));
+      case LinkMessage.Heartbeat heartbeat when peer.role() == Role.ROUTER -> {
+        keeper.post(new SlotKeeperEvent.RouterLeaving(peer.instance(), heartbeat.draining()));
+        yield counted(requests.offer(new RouterEvent.MessageArrived(peer, message)));
+      }
       default -> counted(requests.offer(new RouterEvent.MessageArrived(peer, message)));
     };
   }
