--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperDialogue.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KeeperDialogue.java
@@ -58,10 +58,10 @@
     if (keeper.isPresent()) {
       return List.of();
     }
-    List<RoutedRequest> orphans = List.copyOf(requests.values());
-    requests.clear();
     wanted.clear();
     changes.clear();
+    List<RoutedRequest> orphans = List.copyOf(requests.values());
+    requests.clear();
     return orphans;
   }
 
