--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperPolicy.java
@@ -20,7 +20,7 @@
     long retryAfterMillis) {
 
   /** The values used where settings say nothing; docs/decisions/0011 gives the rounds. */
-  public static final SlotKeeperPolicy DEFAULT = new SlotKeeperPolicy(120, 0.92, 1_500, 0, 1_000);
+  public static final SlotKeeperPolicy DEFAULT = new SlotKeeperPolicy(80, 0.92, 1_500, 0, 1_000);
 
   /** Checks that every value is in range. */
   public SlotKeeperPolicy {
