Log the table's version and age with each admitted request

Cause: the line of an admission named what was decided but not by which table, nor how old its last confirmation was. Change: both stand in the line.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -212,7 +212,8 @@
     public boolean submit(
         CallerConnection connection, RequestId request, CallIntake intake, Bytes body) {
       underWay.put(request, connection);
-      RequestLog.admitted(request, intake);
+      RequestLog.admitted(
+          request, intake, router.tables().get().version(), router.lease().ageMillis());
       return router.mailbox().offer(arrived(request, intake, body));
     }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -33,8 +33,14 @@
     LOGGER.info(() -> addFacts(ended(request, outcome).with("reason", reason.code()), facts));
   }
 
-  /** A request was handed to the decision. */
-  public static void admitted(RequestId request, CallIntake intake) {
+  /**
+   * A request was handed to the decision.
+   *
+   * @param tableVersion version of the table that admitted it
+   * @param tableAgeMillis time since that version was last confirmed, in milliseconds
+   */
+  public static void admitted(
+      RequestId request, CallIntake intake, long tableVersion, long tableAgeMillis) {
     LOGGER.info(
         () ->
             LogEvent.REQUEST_ADMITTED
@@ -43,7 +49,9 @@
                 .with("label", intake.label())
                 .with("workspace", intake.workspace())
                 .with("service", intake.service())
-                .with("route", intake.plan().route()));
+                .with("route", intake.plan().route())
+                .with("tableVersion", tableVersion)
+                .with("tableAgeMillis", tableAgeMillis));
   }
 
   /** A request was refused before the decision heard of it. */
