--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
@@ -84,7 +84,8 @@
   }
 
   private int run(String line) {
-    String[] arguments = line.replace("F/", folder + "/").replace("S/", "../samples/").split(" ");
+    String[] arguments =
+        line.replace("F/", folder + "/").replace("S/", "../config/sample/").split(" ");
     return AgatepierCommand.run(arguments, reporter, settings -> 0, settings -> 0);
   }
 }
