Read the other subject at once when the platform answers again

Change: an answer to one subject ends the wait of the other after a failure. A failed read is logged with its reason on one line instead of a trace. Before: waitsAfterFailureUntilThePlatformAnswersElsewhere fails. After: it passes.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -88,8 +88,10 @@
           receive(peer, message, nowNanos);
       case VersionEvent.PageArrived arrived -> takePage(arrived, nowNanos);
       case VersionEvent.ManifestRead read -> takePlatformManifest(read, nowNanos);
-      case VersionEvent.InstancesRead(InstanceList list, double jitter) ->
-          takeInstances(instances.read(list, jitter, nowNanos));
+      case VersionEvent.InstancesRead(InstanceList list, double jitter) -> {
+        takeInstances(instances.read(list, jitter, nowNanos));
+        tableReads.platformAnswers(nowNanos);
+      }
       case VersionEvent.NothingNew(PlatformSubject subject, ReadMark begun) ->
           nothingNew(subject, begun, nowNanos);
       case VersionEvent.ReadFailed(PlatformSubject subject, double jitter) ->
@@ -216,6 +218,7 @@
     }
     schedule(subject).answered(nowNanos);
     schedule(subject).reset();
+    schedule(other(subject)).platformAnswers(nowNanos);
   }
 
   private void takePrepared(ManifestTransfer manifest, Table whole) {
@@ -298,6 +301,10 @@
     return subject == PlatformSubject.TABLE ? tableReads : instances.reads();
   }
 
+  private static PlatformSubject other(PlatformSubject subject) {
+    return subject == PlatformSubject.TABLE ? PlatformSubject.INSTANCES : PlatformSubject.TABLE;
+  }
+
   /** Returns whether this process watches the platform; none does before it knows the others. */
   private boolean reader(long nowNanos) {
     return instances().version() > 0 && readers.chosen(instances.settled(nowNanos));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ReadSchedule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ReadSchedule.java
@@ -53,6 +53,13 @@
     failures = 0;
   }
 
+  /** Notes that the platform answers other reads: what waits out a failure is read at once. */
+  public void platformAnswers(long nowNanos) {
+    if (!inFlight && failures > 0) {
+      notBeforeNanos = nowNanos;
+    }
+  }
+
   /** Notes that a read failed or gave something useless. */
   public void failed(double jitter, long nowNanos) {
     inFlight = false;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -221,7 +221,11 @@
 
   private void pageRead(PageReference page, Bytes content, Throwable failure) {
     if (failure != null) {
-      LOGGER.warn(LogEvent.PLATFORM_READ_FAILED.message().with("subject", page.name()), failure);
+      LOGGER.warn(
+          LogEvent.PLATFORM_READ_FAILED
+              .message()
+              .with("subject", page.name())
+              .with("reason", Failures.reason(failure)));
     }
     task.offer(
         new VersionEvent.PageArrived(
@@ -259,7 +263,11 @@
             task.offer(answer.map(newVersion).orElse(new VersionEvent.NothingNew(subject, begun)));
           } else {
             failing.add(subject);
-            LOGGER.warn(LogEvent.PLATFORM_READ_FAILED.message().with("subject", subject), failure);
+            LOGGER.warn(
+                LogEvent.PLATFORM_READ_FAILED
+                    .message()
+                    .with("subject", subject)
+                    .with("reason", Failures.reason(failure)));
             task.offer(new VersionEvent.ReadFailed(subject, jitter.getAsDouble()));
           }
         });
