Let cost age in the order of the workspaces

Change: slots.costWindowMillis, set to the operators' quota window: after a window a seventh of a cost is left in the order. The default keeps all. SlotStage.PROGRESSED, which nobody sent, is gone.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -68,8 +68,6 @@
     TURNED_DOWN,
     /** Its answer has begun. */
     BEGUN,
-    /** More of its answer has come since the last report. */
-    PROGRESSED,
     /** It ended, its answer whole. */
     COMPLETED,
     /** It ended at the caller's will or by its deadline. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotKeeperDecision.java
@@ -90,6 +90,7 @@
     }
     services.values().forEach(service -> service.advance(nowNanos));
     if (event instanceof SlotKeeperEvent.TimePassed) {
+      services.values().forEach(service -> service.age(nowNanos));
       services.values().stream()
           .filter(this::keeps)
           .forEach(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -30,6 +30,14 @@
 
   private static final long REPEAT_NANOS = 1_000_000_000L;
 
+  /**
+   * Ageing of cost over one window, as an exponent: a workspace that is ahead by all it had stands
+   * back for a third of the window, so that within it it gets over half of what others get.
+   */
+  private static final double AGEING = 2;
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
   private final String service;
   private final SlotKeeperPolicy policy;
   private final SlotRule rule;
@@ -43,6 +51,7 @@
   private OptionalLong memoryTokens = OptionalLong.empty();
   private long lastSequence;
   private long toldDelayMillis;
+  private long agedNanos;
   private long toldNanos = Long.MIN_VALUE / 2;
 
   /**
@@ -142,6 +151,15 @@
     }
   }
 
+  /** Lets the cost that workspaces have received count for less the older it is. */
+  public void age(long nowNanos) {
+    if (policy.costWindowMillis() > 0) {
+      double windows = (nowNanos - agedNanos) / NANOS_PER_MILLI / policy.costWindowMillis();
+      ledger.age(Math.exp(-AGEING * windows));
+    }
+    agedNanos = nowNanos;
+  }
+
   /** Returns the name of the service. */
   public String name() {
     return service;
@@ -229,7 +247,6 @@
     }
     switch (change.stage()) {
       case BEGUN -> entry.upstream.begun(entry, nowNanos);
-      case PROGRESSED -> entry.upstream.progressed(nowNanos);
       default -> release(entry, change.stage(), change.amount(), nowNanos);
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
@@ -161,6 +161,16 @@
     change(account, changed -> changed.virtualService = limited);
   }
 
+  /**
+   * Lets cost count for less as it gets older. The order of the workspaces stays as it is.
+   *
+   * @param share what is left of every difference between workspaces, above 0 and up to 1
+   */
+  public void age(double share) {
+    accounts.values().forEach(account -> account.virtualService *= share);
+    lastPicked *= share;
+  }
+
   private void noteActive(WorkspaceAccount account) {
     boolean changed = account.active() ? active.add(account.name) : active.remove(account.name);
     if (changed) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/KeeperFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/KeeperFixture.java
@@ -53,6 +53,23 @@
     this.decision = decision;
   }
 
+  /** Returns a keeper with upstreams that compares costs over four seconds. */
+  static KeeperFixture forgetting(String... upstreams) {
+    SlotKeeperPolicy usual = SlotKeeperPolicy.DEFAULT;
+    SlotKeeperPolicy policy =
+        new SlotKeeperPolicy(
+            usual.backlogMillis(),
+            usual.memoryShare(),
+            usual.stallMillis(),
+            usual.lateMillis(),
+            usual.retryAfterMillis(),
+            4_000);
+    KeeperFixture keeper = new KeeperFixture(new SlotKeeperDecision(router(ROUTER, "a1"), policy));
+    keeper.tell(new SlotKeeperEvent.TableInForce(table()));
+    keeper.list(upstreams);
+    return keeper;
+  }
+
   /** Returns a keeper that has just started and knows neither table nor upstreams. */
   static KeeperFixture started() {
     return new KeeperFixture(
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotKeeperDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotKeeperDecisionTest.java
@@ -18,8 +18,11 @@
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.request.RequestId;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.testng.annotations.Test;
 
 public class SlotKeeperDecisionTest {
@@ -256,8 +259,8 @@
     keeper.tell(new SlotKeeperEvent.RouterLinked(KeeperFixture.router("r2", "b1")));
     RequestId first = keeper.plain("rich", 10_000);
     keeper.plain("poor", 10_000);
-    keeper.tell(caused(100));
-    keeper.tell(caused(90_000));
+    keeper.tell(caused("rich", 100));
+    keeper.tell(caused("rich", 90_000));
     RequestId rich = keeper.plain("rich", 10_000);
     RequestId poor = keeper.plain("poor", 10_000);
     RequestId poorAgain = keeper.plain("poor", 10_000);
@@ -267,9 +270,50 @@
     assertTrue(keeper.granted(poorAgain) && !keeper.granted(rich));
   }
 
-  private static SlotKeeperEvent caused(double cost) {
+  /** A workspace that had much at first gets over half of what a newcomer gets within a window. */
+  @Test
+  public void formerCostHoldsBackForPartOfTheWindowOnly() {
+    KeeperFixture keeper = KeeperFixture.forgetting("p1");
+    keeper.tell(new SlotKeeperEvent.RouterLinked(KeeperFixture.router("r2", "b1")));
+    RequestId first = keeper.plain("former", 60_000);
+    RequestId second = keeper.plain("former", 60_000);
+    keeper.plain("newcomer", 60_000);
+    keeper.tell(caused("former", 1));
+    keeper.tell(caused("former", 4_000));
+    keeper.change(PLAIN, first, SlotStage.COMPLETED, 50);
+    keeper.change(PLAIN, second, SlotStage.COMPLETED, 50);
+    Map<String, Integer> served = serveInTurn(keeper, 4_000, "former", "newcomer");
+    assertTrue(served.get("former") * 2 > served.get("newcomer"), served.toString());
+  }
+
+  /** Has every workspace want slots all the time; each takes 50 ms and costs as much. */
+  private static Map<String, Integer> serveInTurn(
+      KeeperFixture keeper, long millis, String... workspaces) {
+    Map<RequestId, String> open = new LinkedHashMap<>();
+    Map<String, Integer> served = new TreeMap<>();
+    for (long passed = 0; passed < millis; passed += 50) {
+      for (String workspace : workspaces) {
+        served.putIfAbsent(workspace, 0);
+        for (long count = open.values().stream().filter(workspace::equals).count();
+            count < 4;
+            count++) {
+          open.put(keeper.plain(workspace, 60_000), workspace);
+        }
+      }
+      keeper.pass(50);
+      for (RequestId request : List.copyOf(open.keySet())) {
+        if (keeper.granted(request)) {
+          keeper.change(PLAIN, request, SlotStage.COMPLETED, 50);
+          served.merge(open.remove(request), 1, Integer::sum);
+        }
+      }
+    }
+    return served;
+  }
+
+  private static SlotKeeperEvent caused(String workspace, double cost) {
     return new SlotKeeperEvent.MessageArrived(
-        "r2", new CostsCaused(PLAIN, List.of(new WorkspaceCost("rich", cost))));
+        "r2", new CostsCaused(PLAIN, List.of(new WorkspaceCost(workspace, cost))));
   }
 
   private static void end(KeeperFixture keeper, RequestId request) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
@@ -54,6 +54,17 @@
     assertEquals(ledger.account("early").virtualService(), 5_020.0, "it left of its own will");
   }
 
+  @Test
+  public void oldCostCountsForLess() {
+    WorkspaceLedger ledger = ledger("virtual-service");
+    ledger.age(0.5);
+    assertEquals(ledger.account("ahead").virtualService(), 10.0);
+    assertEquals(ledger.account("early").virtualService(), 5.0);
+    assertEquals(ledger.next().orElseThrow().name(), "early");
+    ledger.charge("early", 6);
+    assertEquals(ledger.next().orElseThrow().name(), "ahead");
+  }
+
   @Test
   public void breaksTiesByOldestWaitThenName() {
     WorkspaceLedger ledger = new WorkspaceLedger(FairOrder.named("virtual-service"), 1_000);
