Read header fields in one place

Cause: the adapter's EndToEnd wrote HopHeaders' selection again, and both connections converted the library's fields each by itself. Change: HeaderFields converts and selects; HopHeaders and the adapter say only what each drops besides. Behaviour is the same. Before and after: the tests of both dialects, ports and parsers pass.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
@@ -3,7 +3,6 @@
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.request.AnswerHead;
 import dev.agatepier.core.request.Bytes;
-import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
@@ -11,6 +10,7 @@
 import dev.agatepier.wire.request.CallIntake;
 import dev.agatepier.wire.request.CallRefusal;
 import dev.agatepier.wire.request.FleetAnswer;
+import dev.agatepier.wire.request.HeaderFields;
 import dev.agatepier.wire.request.ReceivedHead;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -29,11 +29,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
@@ -369,10 +365,7 @@
   }
 
   private static ReceivedHead head(HttpRequest request) {
-    List<Header> headers = new ArrayList<>();
-    for (Map.Entry<String, String> entry : request.headers()) {
-      headers.add(new Header(entry.getKey().toLowerCase(Locale.ROOT), entry.getValue()));
-    }
-    return new ReceivedHead(request.method().name(), request.uri(), headers);
+    return new ReceivedHead(
+        request.method().name(), request.uri(), HeaderFields.of(request.headers()));
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
+import dev.agatepier.wire.request.HeaderFields;
 import dev.agatepier.wire.request.UpstreamDialect.Judgement;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -25,10 +26,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 
 /**
  * The task of one connection to an upstream: it owns the socket and carries one attempt at a time.
@@ -187,7 +185,7 @@
   }
 
   private void judge(HttpResponse response) {
-    List<Header> headers = headers(response);
+    List<Header> headers = HeaderFields.of(response.headers());
     reusable &= HttpUtil.isKeepAlive(response);
     unframed =
         !HttpUtil.isTransferEncodingChunked(response)
@@ -271,14 +269,6 @@
     return status == 204 || status == 304;
   }
 
-  private static List<Header> headers(HttpResponse response) {
-    List<Header> headers = new ArrayList<>();
-    for (Map.Entry<String, String> entry : response.headers()) {
-      headers.add(new Header(entry.getKey().toLowerCase(Locale.ROOT), entry.getValue()));
-    }
-    return headers;
-  }
-
   private static FullHttpRequest request(RunAttempt attempt, List<Header> headers) {
     ByteBuf body = Unpooled.wrappedBuffer(attempt.body().array());
     FullHttpRequest request =
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/HopHeaders.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/internal/HopHeaders.java
@@ -1,33 +1,17 @@
 package dev.agatepier.wire.request.internal;
 
 import dev.agatepier.core.request.Header;
+import dev.agatepier.wire.request.HeaderFields;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Set;
 
-/** Tells header fields that travel from end to end from those of one connection. */
+/** Tells header fields that the fleet passes on from those that it uses itself. */
 public final class HopHeaders {
 
-  /** Fields of one connection, and those that the HTTP library sets itself. */
-  private static final Set<String> CONNECTION =
-      Set.of(
-          "connection",
-          "keep-alive",
-          "proxy-connection",
-          "te",
-          "trailer",
-          "transfer-encoding",
-          "upgrade",
-          "host",
-          "expect",
-          "content-length");
-
-  /** Fields by which callers prove who they are. */
-  private static final Set<String> CREDENTIALS = Set.of("authorization", "proxy-authorization");
+  /** The field that the HTTP library sets itself, and those by which callers prove who they are. */
+  private static final Set<String> NOT_PASSED_ON =
+      Set.of("host", "authorization", "proxy-authorization");
 
   /** Start of the names that the fleet uses itself. */
   private static final String OWN_PREFIX = "agatepier-";
@@ -36,22 +20,8 @@
 
   /** Returns the end-to-end fields, names in lower case, without credentials and the fleet's. */
   public static List<Header> endToEnd(HttpHeaders headers) {
-    Set<String> named = new HashSet<>();
-    for (String value : headers.getAll("connection")) {
-      for (String name : value.split(",")) {
-        named.add(name.strip().toLowerCase(Locale.ROOT));
-      }
-    }
-    List<Header> kept = new ArrayList<>();
-    for (Map.Entry<String, String> entry : headers) {
-      String name = entry.getKey().toLowerCase(Locale.ROOT);
-      if (!CONNECTION.contains(name)
-          && !CREDENTIALS.contains(name)
-          && !named.contains(name)
-          && !name.startsWith(OWN_PREFIX)) {
-        kept.add(new Header(name, entry.getValue()));
-      }
-    }
-    return kept;
+    return HeaderFields.endToEnd(
+        HeaderFields.of(headers),
+        name -> NOT_PASSED_ON.contains(name) || name.startsWith(OWN_PREFIX));
   }
 }
