Close tasks before their scheduler, and take out what the change wrote twice

A member disposed of the scheduler before its tasks were closed, and a mailbox that still had messages scheduled itself on it. Change: routers and sidecars dispose of their scheduler once all tasks have ended; a mailbox that is closed drops what is left. MailboxTaskTest.closesWithMessagesLeft fails before and passes after.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
@@ -4,6 +4,7 @@
 import dev.agatepier.cli.process.Program;
 import dev.agatepier.wire.process.CommonSettings;
 import dev.agatepier.wire.process.FleetService;
+import dev.agatepier.wire.process.LogEvent;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -14,7 +15,6 @@
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
 
 /**
  * Runs a service until the process is told to stop, then stops it gracefully.
@@ -59,7 +59,7 @@
     try {
       service.start().join();
     } catch (CompletionException failure) {
-      logger.error(event("start-failed"), failure.getCause());
+      logger.error(LogEvent.START_FAILED.message(), failure.getCause());
       return ExitCode.UNREACHABLE.code();
     }
     Thread hook =
@@ -77,19 +77,22 @@
   }
 
   private static int stop(FleetService service, long timeoutMillis, Logger logger) {
-    logger.info(event("stop-begun"));
+    logger.info(LogEvent.STOP_BEGUN.message());
     try {
       service.stop().get(timeoutMillis, TimeUnit.MILLISECONDS);
-      logger.info(event("stop-done").with("cut", 0));
+      logger.info(LogEvent.STOP_DONE.message().with("cut", 0));
       return ExitCode.OK.code();
     } catch (TimeoutException late) {
       List<String> cut = service.underWay();
-      cut.forEach(name -> logger.error(event("request-cut").with("request", name)));
+      cut.forEach(name -> logger.error(LogEvent.REQUEST_CUT.message().with("request", name)));
       logger.error(
-          event("stop-timeout").with("timeoutMillis", timeoutMillis).with("cut", cut.size()));
+          LogEvent.STOP_TIMEOUT
+              .message()
+              .with("timeoutMillis", timeoutMillis)
+              .with("cut", cut.size()));
       return ExitCode.TIMEOUT.code();
     } catch (ExecutionException | InterruptedException failure) {
-      logger.error(event("stop-failed"), failure);
+      logger.error(LogEvent.STOP_FAILED.message(), failure);
       return ExitCode.FINDINGS.code();
     }
   }
@@ -99,8 +102,4 @@
     return (System.currentTimeMillis() << RANDOM_BITS)
         | new SecureRandom().nextInt(1 << RANDOM_BITS);
   }
-
-  private static StringMapMessage event(String name) {
-    return new StringMapMessage().with("event", name);
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/MailboxTask.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/MailboxTask.java
@@ -2,6 +2,7 @@
 
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import reactor.core.scheduler.Scheduler;
@@ -81,7 +82,18 @@
   private void enqueue(M message) {
     queue.add(message);
     if (queued.getAndIncrement() == 0) {
+      scheduleDrain();
+    }
+  }
+
+  /** What is left when the task has been closed is dropped with it. */
+  private void scheduleDrain() {
+    try {
       worker.schedule(this::drain);
+    } catch (RejectedExecutionException rejected) {
+      if (!closed) {
+        throw rejected;
+      }
     }
   }
 
@@ -92,7 +104,7 @@
     }
     reserved.addAndGet(-count);
     if (queued.addAndGet(-count) > 0) {
-      worker.schedule(this::drain);
+      scheduleDrain();
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -122,6 +122,13 @@
     return call.ticket().isPresent();
   }
 
+  /** Returns what the attempt has cost: tokens of the answer, else milliseconds of the slot. */
+  double cost(long nowNanos) {
+    return call.prompt().isPresent()
+        ? tokens
+        : (double) (nowNanos - sentNanos) / RouterState.NANOS_PER_MILLI;
+  }
+
   /** Returns whether the request is in the hands of a sidecar or an upstream. */
   boolean sent() {
     return phase == Phase.RUNNING || phase == Phase.WITHDRAWN;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -245,9 +245,10 @@
         || !entry.upstream.upstream.name().equals(change.upstream())) {
       return;
     }
-    switch (change.stage()) {
-      case BEGUN -> entry.upstream.begun(entry, nowNanos);
-      default -> release(entry, change.stage(), change.amount(), nowNanos);
+    if (change.stage() == SlotStage.BEGUN) {
+      entry.upstream.begun(entry, nowNanos);
+    } else {
+      release(entry, change.stage(), change.amount(), nowNanos);
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotPlacement.java
@@ -91,11 +91,7 @@
 
   @Override
   public void left(RoutedRequest request, SlotStage stage, long nowNanos) {
-    long amount =
-        request.call.prompt().isPresent()
-            ? request.tokens
-            : (nowNanos - request.sentNanos) / RouterState.NANOS_PER_MILLI;
-    dialogues.get(key(request)).left(request, stage, amount);
+    dialogues.get(key(request)).left(request, stage, (long) request.cost(nowNanos));
   }
 
   @Override
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamAnswers.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamAnswers.java
@@ -73,11 +73,7 @@
   public void ended(UpstreamEnded event, long nowNanos) {
     RoutedRequest request = current(event.attempt());
     if (request != null) {
-      double cost =
-          request.call.prompt().isPresent()
-              ? request.tokens
-              : (double) (nowNanos - request.sentNanos) / RouterState.NANOS_PER_MILLI;
-      relay.end(request, request.nextFrame, cost, nowNanos);
+      relay.end(request, request.nextFrame, request.cost(nowNanos), nowNanos);
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -21,16 +21,12 @@
   /** When the answer should begin. */
   final long dueNanos;
 
-  /** When the request is given up by its router. */
-  final long deadlineNanos;
-
   WaitingEntry(String router, WaitingCall call, long sequence, long nowNanos) {
     this.router = router;
     this.call = call;
     this.sequence = sequence;
     this.arrivedNanos = nowNanos;
     this.dueNanos = nowNanos + call.objectiveMillis() * NANOS_PER_MILLI;
-    this.deadlineNanos = nowNanos + call.timeLeftMillis() * NANOS_PER_MILLI;
   }
 
   String workspace() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/MailboxTaskTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/MailboxTaskTest.java
@@ -4,14 +4,19 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import org.testng.annotations.Test;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 
 public class MailboxTaskTest {
 
@@ -85,4 +90,38 @@
       }
     }
   }
+
+  /** What still waits when a task closes itself is dropped without noise on its worker. */
+  @Test
+  public void closesWithMessagesLeft() throws InterruptedException {
+    List<Throwable> uncaught = new CopyOnWriteArrayList<>();
+    Schedulers.onHandleError("closing", (thread, failure) -> uncaught.add(failure));
+    Scheduler single = Schedulers.newSingle("closing");
+    CountDownLatch filled = new CountDownLatch(1);
+    AtomicReference<MailboxTask<Integer>> task = new AtomicReference<>();
+    task.set(
+        new MailboxTask<>(
+            1_000,
+            single.createWorker(),
+            message -> {
+              awaitQuietly(filled);
+              task.get().close();
+            },
+            uncaught::add));
+    for (int message = 0; message < 1_000; message++) {
+      task.get().offer(message);
+    }
+    filled.countDown();
+    single.disposeGracefully().block(Duration.ofSeconds(10));
+    Schedulers.resetOnHandleError("closing");
+    assertEquals(uncaught, List.of());
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -10,6 +10,7 @@
   STOP_DONE("stop-done"),
   STOP_TIMEOUT("stop-timeout"),
   STOP_FAILED("stop-failed"),
+  REQUEST_CUT("request-cut"),
   REQUEST_ADMITTED("request-admitted"),
   REQUEST_END("request-end"),
   SLOT_GRANTED("slot-granted"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -26,6 +26,7 @@
   private final Optional<UpstreamCaller> upstreams;
   private final List<ManagedService> services;
   private final FleetMember member;
+  private final Scheduler scheduler;
   private final Duration grace;
 
   /**
@@ -54,7 +55,7 @@
     PeerIdentity self =
         new PeerIdentity(
             common.instance(), incarnation, Role.ROUTER, common.dataCentre(), common.region(), "");
-    Scheduler scheduler = surroundings.scheduler();
+    scheduler = surroundings.scheduler();
     LinkRegistry links = new LinkRegistry();
     MetricRegistry metrics = new MetricRegistry();
     TableLease lease =
@@ -120,11 +121,7 @@
         .start()
         .thenCompose(ignored -> callers.start())
         .thenCompose(ignored -> all(services.stream().map(ManagedService::start).toList()))
-        .thenCompose(
-            ignored ->
-                upstreams
-                    .map(UpstreamCaller::start)
-                    .orElse(CompletableFuture.completedFuture(null)));
+        .thenCompose(ignored -> ManagedService.orNone(upstreams).start());
   }
 
   /**
@@ -139,9 +136,10 @@
         .then(Mono.fromFuture(callers::stop))
         .then(Mono.fromFuture(tasks::drain))
         .then(Mono.fromFuture(() -> all(services.stream().map(ManagedService::stop).toList())))
-        .then(Mono.fromFuture(this::stopUpstreams))
+        .then(Mono.fromFuture(ManagedService.orNone(upstreams)::stop))
         .then(Mono.fromFuture(member::stop))
         .then(Mono.fromFuture(tasks::close))
+        .doFinally(signal -> scheduler.dispose())
         .toFuture();
   }
 
@@ -150,10 +148,6 @@
     return callers.underWay();
   }
 
-  private CompletableFuture<Void> stopUpstreams() {
-    return upstreams.map(UpstreamCaller::stop).orElse(CompletableFuture.completedFuture(null));
-  }
-
   private void performForCaller(RouterEffect effect) {
     callers.perform(effect);
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
@@ -24,6 +24,7 @@
   private final SidecarTasks tasks;
   private final UpstreamClient upstream;
   private final FleetMember member;
+  private final Scheduler scheduler;
 
   /**
    * Creates the sidecar; nothing is opened yet.
@@ -42,7 +43,7 @@
             common.dataCentre(),
             common.region(),
             settings.service());
-    Scheduler scheduler = Schedulers.newParallel("sidecar", TASK_THREADS);
+    scheduler = Schedulers.newParallel("sidecar", TASK_THREADS);
     LinkRegistry links = new LinkRegistry();
     MetricRegistry metrics = new MetricRegistry();
     tasks =
@@ -78,6 +79,7 @@
         .then(Mono.fromFuture(upstream::stop))
         .then(Mono.fromFuture(member::stop))
         .then(Mono.fromFuture(tasks::close))
+        .doFinally(signal -> scheduler.dispose())
         .toFuture();
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -22,8 +22,10 @@
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.AdministrationSettings;
 import dev.agatepier.wire.process.CommonSettings;
+import dev.agatepier.wire.process.Endpoint;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.MetricsReport;
+import dev.agatepier.wire.process.PagePort;
 import dev.agatepier.wire.process.ProcessStatus;
 import dev.agatepier.wire.process.Readiness;
 import dev.agatepier.wire.version.Platform;
@@ -38,6 +40,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Mono;
@@ -51,15 +54,16 @@
 
   private static final Logger LOGGER = LogManager.getLogger(FleetMember.class);
 
+  private static final String METRICS_PATH = "/metrics";
+
   private final PeerIdentity self;
-  private final Scheduler scheduler;
   private final LinkRegistry links;
   private final VersionService versions;
   private final LinkListener linkListener;
   private final PeerDialer dialer;
   private final Optional<SeedLinks> seeds;
   private final AdministrationListener administration;
-  private final Optional<MetricsPort> metricsPort;
+  private final ManagedService metricsPort;
   private final MetricRegistry metrics;
   private final MemberTasks tasks;
 
@@ -69,7 +73,7 @@
    * @param settings what the process is told
    * @param self identity of the process
    * @param plan whom it dials
-   * @param scheduler runs its tasks
+   * @param scheduler runs its tasks; whoever gave it disposes of it once all have ended
    * @param links registry that its tasks send through
    * @param metrics registry of its metrics
    * @param tasks what only this kind of process does
@@ -89,7 +93,6 @@
       TableFormat format,
       List<VersionListener> listeners) {
     this.self = self;
-    this.scheduler = scheduler;
     this.links = links;
     this.metrics = metrics;
     this.tasks = tasks;
@@ -123,7 +126,7 @@
             links::linked,
             scheduler,
             this::failed);
-    seeds = seedLinks(settings, network);
+    seeds = seedLinks(settings, network, scheduler);
     administration =
         new AdministrationListener(
             new AdministrationSettings(
@@ -132,18 +135,15 @@
                 settings.administrationKey().value()),
             this::readiness,
             routes());
-    metricsPort = settings.metrics().map(endpoint -> new MetricsPort(endpoint, this::report));
+    metricsPort = ManagedService.orNone(settings.metrics().map(this::metricsPort));
   }
 
   @Override
   public CompletableFuture<Void> start() {
     return CompletableFuture.allOf(
-            linkListener.start(),
-            administration.start(),
-            metricsPort.map(MetricsPort::start).orElse(CompletableFuture.completedFuture(null)))
+            linkListener.start(), administration.start(), metricsPort.start())
         .thenCompose(ignored -> versions.start())
-        .thenCompose(
-            ignored -> seeds.map(SeedLinks::start).orElse(CompletableFuture.completedFuture(null)))
+        .thenCompose(ignored -> ManagedService.orNone(seeds).start())
         .thenRun(
             () ->
                 LOGGER.info(
@@ -156,21 +156,26 @@
   /** Closes links once peers have every frame, then listeners; the tasks must have finished. */
   @Override
   public CompletableFuture<Void> stop() {
-    return Mono.fromFuture(
-            () -> seeds.map(SeedLinks::stop).orElse(CompletableFuture.completedFuture(null)))
+    return Mono.fromFuture(ManagedService.orNone(seeds)::stop)
         .then(Mono.fromFuture(() -> CompletableFuture.allOf(dialer.stop(), linkListener.stop())))
         .then(Mono.fromFuture(versions::stop))
         .then(Mono.fromFuture(administration::stop))
-        .then(
-            Mono.fromFuture(
-                () ->
-                    metricsPort
-                        .map(MetricsPort::stop)
-                        .orElse(CompletableFuture.completedFuture(null))))
-        .doFinally(signal -> scheduler.dispose())
+        .then(Mono.fromFuture(metricsPort::stop))
         .toFuture();
   }
 
+  private ManagedService metricsPort(Endpoint endpoint) {
+    return new PagePort(
+        "metrics",
+        endpoint,
+        METRICS_PATH,
+        UnaryOperator.identity(),
+        (request, response) ->
+            response
+                .header("Content-Type", "text/plain; charset=utf-8")
+                .sendString(Mono.fromFuture(report()).map(MetricsText::of)));
+  }
+
   /** Returns the table in force. */
   public Table table() {
     return versions.table();
@@ -250,7 +255,8 @@
     return report;
   }
 
-  private Optional<SeedLinks> seedLinks(CommonSettings settings, LinkNetwork network) {
+  private Optional<SeedLinks> seedLinks(
+      CommonSettings settings, LinkNetwork network, Scheduler scheduler) {
     if (settings.seeds().isEmpty()) {
       return Optional.empty();
     }
