Pass on between peers how lately the table was confirmed

Only a reader's own reads confirmed a table; peers passed on versions, not their age.

Change: a router whose confirmation is older than half the lease asks a peer, readers of its data centre first, the next one after 250 ms without a better answer. What it learns counts from before its question, less the age that the peer tells; both clocks are carried along.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -38,6 +38,8 @@
         LinkMessage.ManifestRequest,
         LinkMessage.PageRequest,
         LinkMessage.PageTransfer,
+        LinkMessage.ConfirmationRequest,
+        LinkMessage.ConfirmationTransfer,
         LinkMessage.InstancesRequest,
         LinkMessage.InstancesTransfer,
         LinkMessage.RoutersKnown,
@@ -335,6 +337,23 @@
    */
   record PageTransfer(String digest, Bytes content) implements LinkMessage {}
 
+  /**
+   * Asks a peer how lately its table was confirmed to be the newest.
+   *
+   * @param number number of the question
+   */
+  record ConfirmationRequest(long number) implements LinkMessage {}
+
+  /**
+   * Answers a {@link ConfirmationRequest}.
+   *
+   * @param number number of the question
+   * @param version table version that was confirmed; 0 if the sender knows of no lasting one
+   * @param ageMillis time from before the read that confirmed it to the question's arrival, in
+   *     milliseconds
+   */
+  record ConfirmationTransfer(long number, long version, long ageMillis) implements LinkMessage {}
+
   /**
    * Asks a peer for its newest instance list.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -5,6 +5,7 @@
 import dev.agatepier.core.connection.LinkMessage.PageReference;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.process.internal.ColdStart;
+import dev.agatepier.core.process.internal.Confirmations;
 import dev.agatepier.core.process.internal.InstanceFollower;
 import dev.agatepier.core.process.internal.PageStore;
 import dev.agatepier.core.process.internal.PlatformReaders;
@@ -37,6 +38,7 @@
   private final Refusals refusals = new Refusals();
   private final Question manifestQuestion;
   private final PageStore pages = new PageStore();
+  private final Confirmations confirmations;
 
   private ManifestTransfer inForce = new ManifestTransfer(0, List.of());
   private Table table = Table.NONE;
@@ -45,10 +47,6 @@
   private Table prepared = Table.NONE;
   private double latestJitter;
 
-  /** Version that the platform told last, and when that read was begun. */
-  private long manifestVersion;
-
-  private ReadMark manifestBegun = ReadMark.UNTIMED;
   private List<VersionEffect> effects = new ArrayList<>();
 
   /**
@@ -63,6 +61,7 @@
     readers = new PlatformReaders(instance, dataCentre, policy.readersPerDataCentre());
     tableReads = new ReadSchedule(policy);
     instances = new InstanceFollower(policy);
+    confirmations = new Confirmations(policy.leaseMillis());
     manifestQuestion = new Question(transferNanos());
     coldStart = new ColdStart(TimeUnit.MILLISECONDS.toNanos(policy.coldStartMillis()));
   }
@@ -84,8 +83,7 @@
     switch (event) {
       case VersionEvent.PeerLinked(PeerIdentity peer) -> readers.link(peer);
       case VersionEvent.PeerUnlinked(PeerIdentity peer) -> unlink(peer, nowNanos);
-      case VersionEvent.MessageArrived(PeerIdentity peer, LinkMessage message) ->
-          receive(peer, message, nowNanos);
+      case VersionEvent.MessageArrived arrived -> receive(arrived, nowNanos);
       case VersionEvent.PageArrived arrived -> takePage(arrived, nowNanos);
       case VersionEvent.ManifestRead read -> takePlatformManifest(read, nowNanos);
       case VersionEvent.InstancesRead(InstanceList list, double jitter) -> {
@@ -99,7 +97,10 @@
       case VersionEvent.TablePrepared(ManifestTransfer manifest, Table whole) ->
           takePrepared(manifest, whole);
       case VersionEvent.TableRefused refused -> refuse(refused);
-      case VersionEvent.TimePassed(double jitter) -> passTime(jitter, nowNanos);
+      case VersionEvent.TimePassed(double jitter, ReadMark now) -> {
+        passTime(jitter, nowNanos);
+        askForConfirmation(now, nowNanos);
+      }
     }
     publishTrusted(nowNanos);
     return effects;
@@ -112,9 +113,9 @@
     }
   }
 
-  private void receive(PeerIdentity peer, LinkMessage message, long nowNanos) {
-    String sender = peer.instance();
-    switch (message) {
+  private void receive(VersionEvent.MessageArrived arrived, long nowNanos) {
+    String sender = arrived.peer().instance();
+    switch (arrived.message()) {
       case LinkMessage.Heartbeat heartbeat -> hearHeartbeat(sender, heartbeat, nowNanos);
       case LinkMessage.ManifestRequest(long known) -> {
         if (inForce.version() > known) {
@@ -130,10 +131,26 @@
           instances.newerThan(known).ifPresent(transfer -> send(sender, transfer));
       case LinkMessage.InstancesTransfer(long version, var list, var upstreams) ->
           takeInstances(instances.take(new InstanceList(version, list, upstreams), nowNanos));
+      case LinkMessage.ConfirmationRequest request ->
+          send(sender, confirmations.answer(request, table.version(), arrived.arrived()));
+      case LinkMessage.ConfirmationTransfer answer ->
+          confirm(confirmations.answered(answer, table.version()));
       default -> {}
     }
   }
 
+  private void askForConfirmation(ReadMark now, long nowNanos) {
+    if (policy.leaseMillis() > 0 && table.version() > 0) {
+      confirmations
+          .peerToAsk(readers.peersByRank(), now, nowNanos)
+          .ifPresent(peer -> send(peer, confirmations.request()));
+    }
+  }
+
+  private void confirm(Optional<ReadMark> begun) {
+    begun.ifPresent(mark -> effects.add(new VersionEffect.ConfirmTable(mark)));
+  }
+
   private void hearHeartbeat(String sender, LinkMessage.Heartbeat heartbeat, long nowNanos) {
     readers.draining(sender, heartbeat.draining());
     coldStart.heardPeer(heartbeat.tableVersion());
@@ -196,11 +213,7 @@
     coldStart.heardPlatform();
     ManifestTransfer manifest = read.manifest();
     final boolean useful = manifest.version() > newestKnown() && !refusals.contains(manifest);
-    manifestVersion = manifest.version();
-    manifestBegun = read.begun();
-    if (manifestVersion == table.version()) {
-      effects.add(new VersionEffect.ConfirmTable(manifestBegun));
-    }
+    confirm(confirmations.told(manifest.version(), table.version(), read.begun()));
     if (useful && (reader(nowNanos) || coldStart.overdue(nowNanos))) {
       tableReads.answered(nowNanos);
       beginTransfer(manifest, PLATFORM, nowNanos);
@@ -212,9 +225,7 @@
   private void nothingNew(PlatformSubject subject, ReadMark begun, long nowNanos) {
     if (subject == PlatformSubject.TABLE) {
       coldStart.heardPlatform();
-      if (table.version() > 0 && watchedVersion() == table.version()) {
-        effects.add(new VersionEffect.ConfirmTable(begun));
-      }
+      confirm(confirmations.told(watchedVersion(), table.version(), begun));
     }
     schedule(subject).answered(nowNanos);
     schedule(subject).reset();
@@ -253,9 +264,7 @@
     inForce = preparedManifest;
     dropUnusedPages();
     effects.add(new VersionEffect.PublishTable(table));
-    if (manifestVersion == table.version()) {
-      effects.add(new VersionEffect.ConfirmTable(manifestBegun));
-    }
+    confirm(confirmations.inForce(table.version()));
   }
 
   private void dropUnusedPages() {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
@@ -32,8 +32,10 @@
    *
    * @param peer the sender
    * @param message the message
+   * @param arrived when it came, by both clocks
    */
-  record MessageArrived(PeerIdentity peer, LinkMessage message) implements VersionEvent {}
+  record MessageArrived(PeerIdentity peer, LinkMessage message, ReadMark arrived)
+      implements VersionEvent {}
 
   /**
    * A page that was asked for came, and its digest has been checked.
@@ -106,6 +108,7 @@
    * Time has passed.
    *
    * @param jitter random number from 0 to 1
+   * @param now the time of the event, by both clocks
    */
-  record TimePassed(double jitter) implements VersionEvent {}
+  record TimePassed(double jitter, ReadMark now) implements VersionEvent {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlatformReaders.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlatformReaders.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.version.Instance;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -73,12 +74,7 @@
    * @param settled whether links had time to come up, so that an unlinked instance counts as gone
    */
   public boolean chosen(boolean settled) {
-    Set<String> live = new HashSet<>();
-    linked.values().stream()
-        .filter(peer -> peer.dataCentre().equals(dataCentre))
-        .map(PeerIdentity::instance)
-        .filter(name -> !draining.contains(name))
-        .forEach(live::add);
+    Set<String> live = linkedHere();
     if (!settled) {
       listed.stream()
           .filter(other -> other.dataCentre().equals(dataCentre) && !other.leaving())
@@ -88,4 +84,21 @@
     live.add(instance);
     return RendezvousHash.sorted(dataCentre, live).stream().limit(count).anyMatch(instance::equals);
   }
+
+  /** Returns the linked peers: first those of the own data centre, its readers before all. */
+  public List<String> peersByRank() {
+    List<String> ranked = new ArrayList<>(RendezvousHash.sorted(dataCentre, linkedHere()));
+    linked.keySet().stream().filter(name -> !ranked.contains(name)).forEach(ranked::add);
+    return ranked;
+  }
+
+  private Set<String> linkedHere() {
+    Set<String> here = new HashSet<>();
+    linked.values().stream()
+        .filter(peer -> peer.dataCentre().equals(dataCentre))
+        .map(PeerIdentity::instance)
+        .filter(name -> !draining.contains(name))
+        .forEach(here::add);
+    return here;
+  }
 }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -18,6 +18,8 @@
 
   private static final int NODES = 20;
 
+  private static final long LEASE_MILLIS = 5_000;
+
   /** Two watches, the manifest and two pages, with one retry of each. */
   private static final int READS_PER_READER = 10;
 
@@ -64,7 +66,8 @@
     PeerIdentity peer = new PeerIdentity("router-1", 1, Role.ROUTER, "kolkata-a", "kolkata", "");
     assertEquals(
         node.decide(new VersionEvent.ManifestRead(stale, 0.5, ReadMark.UNTIMED), 0), List.of());
-    assertEquals(node.decide(new VersionEvent.MessageArrived(peer, stale), 0), List.of());
+    assertEquals(
+        node.decide(new VersionEvent.MessageArrived(peer, stale, ReadMark.UNTIMED), 0), List.of());
     VersionEvent prepared = new VersionEvent.TablePrepared(stale, new Table(4, Map.of(), Map.of()));
     assertEquals(node.decide(prepared, 0), List.of());
     InstanceList old = new InstanceList(0, List.of());
@@ -72,6 +75,44 @@
     assertEquals(node.table().version(), 5);
   }
 
+  @Test
+  public void peersPassOnHowLatelyTheTableWasConfirmed() {
+    VersionFleet leased = leased();
+    leased.cutFromPlatform.add("router-3");
+    for (int seconds = 0; seconds < 20; seconds++) {
+      leased.run(1_000);
+      assertEquals(leased.confirmedWithin(LEASE_MILLIS), NODES, "after " + seconds + " s");
+    }
+    leased.publish(6, "a", "c");
+    leased.run(1_000);
+    assertEquals(leased.having(6), NODES);
+    leased.run(LEASE_MILLIS);
+    assertEquals(leased.confirmedWithin(LEASE_MILLIS), NODES);
+  }
+
+  @Test
+  public void peersConfirmNothingThatThePlatformDoesNot() {
+    VersionFleet leased = leased();
+    leased.nodes.keySet().forEach(leased.cutFromPlatform::add);
+    leased.run(2 * LEASE_MILLIS);
+    assertEquals(leased.confirmedWithin(LEASE_MILLIS), 0);
+    leased.cutFromPlatform.clear();
+    leased.run(LEASE_MILLIS);
+    assertEquals(leased.confirmedWithin(LEASE_MILLIS), NODES);
+  }
+
+  private static VersionFleet leased() {
+    VersionFleet leased =
+        new VersionFleet(new VersionPolicy(2, 0, 100, 1, 250, 1_000, 2_000, LEASE_MILLIS));
+    for (int number = 0; number < NODES; number++) {
+      leased.add("router-" + number);
+    }
+    leased.publish(5, "a", "b");
+    leased.list(1);
+    leased.run(5_000);
+    return leased;
+  }
+
   @Test
   public void badVersionIsRefusedOnceAndTheNextOneTaken() {
     fleet.badVersions.add(6L);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
@@ -35,11 +35,13 @@
   final Map<String, Integer> pagesFromPlatform = new TreeMap<>();
   ManifestTransfer manifest = new ManifestTransfer(0, List.of());
   InstanceList instances = InstanceList.NONE;
+  final Map<String, ReadMark> confirmed = new TreeMap<>();
   int reads;
   int pagesFromPeers;
 
   private final VersionPolicy policy;
   private final Map<String, Map<PlatformSubject, Long>> watches = new LinkedHashMap<>();
+  private final Map<String, Long> watchedSince = new TreeMap<>();
   private final Queue<Runnable> work = new ArrayDeque<>();
   private long nowMillis = 1_000_000;
 
@@ -76,7 +78,7 @@
     for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
       nowMillis += STEP_MILLIS;
       for (String name : List.copyOf(nodes.keySet())) {
-        tell(name, new VersionEvent.TimePassed((Math.abs(name.hashCode()) % 100) / 100.0));
+        tell(name, new VersionEvent.TimePassed((Math.abs(name.hashCode()) % 100) / 100.0, now()));
         wake(name);
       }
       heartbeats();
@@ -91,6 +93,14 @@
     return nodes.keySet().stream().filter(name -> version(name) == version).count();
   }
 
+  /** Counts the nodes whose table was confirmed within some time. */
+  long confirmedWithin(long millis) {
+    return nodes.keySet().stream()
+        .filter(confirmed::containsKey)
+        .filter(name -> confirmed.get(name).ageMillis(now()) < millis)
+        .count();
+  }
+
   long watching() {
     return watches.values().stream().filter(w -> w.containsKey(PlatformSubject.TABLE)).count();
   }
@@ -101,6 +111,10 @@
         .toList();
   }
 
+  private ReadMark now() {
+    return new ReadMark(TimeUnit.MILLISECONDS.toNanos(nowMillis), nowMillis);
+  }
+
   private void heartbeats() {
     for (String from : nodes.keySet()) {
       VersionDecision node = nodes.get(from);
@@ -109,7 +123,7 @@
               node.table().version(), node.instances().version(), false, nowMillis);
       nodes.keySet().stream()
           .filter(to -> !to.equals(from))
-          .forEach(to -> tell(to, new VersionEvent.MessageArrived(peer(from), heartbeat)));
+          .forEach(to -> tell(to, new VersionEvent.MessageArrived(peer(from), heartbeat, now())));
     }
   }
 
@@ -147,7 +161,7 @@
         tell(to, new VersionEvent.PageArrived(name, digest, Optional.of(content)));
       }
       case VersionEffect.Send(String to, LinkMessage message) ->
-          tell(to, new VersionEvent.MessageArrived(peer(name), message));
+          tell(to, new VersionEvent.MessageArrived(peer(name), message, now()));
       case VersionEffect.ReadPlatform read -> read(name, read);
       case VersionEffect.ReadPage(PageReference page) -> {
         reads++;
@@ -167,7 +181,7 @@
                       whole, new Table(whole.version(), Map.of(), Map.of())));
       case VersionEffect.ReportRefusal refusal -> refusals.add(refusal.version());
       case VersionEffect.PublishTable ignored -> {}
-      case VersionEffect.ConfirmTable ignored -> {}
+      case VersionEffect.ConfirmTable(ReadMark begun) -> confirmed.put(name, begun);
       case VersionEffect.PublishInstances ignored -> {}
     }
   }
@@ -178,6 +192,7 @@
       tell(name, new VersionEvent.ReadFailed(read.subject(), 0.5));
     } else if (read.waitSeconds() > 0) {
       watches.get(name).put(read.subject(), read.afterVersion());
+      watchedSince.put(name, nowMillis);
     } else {
       answer(name, read.subject());
     }
@@ -190,6 +205,10 @@
       if (current > held.get(subject)) {
         held.remove(subject);
         answer(name, subject);
+      } else if (nowMillis - watchedSince.get(name) >= watchMillis()) {
+        held.remove(subject);
+        ReadMark begun = now().before(watchMillis());
+        tell(name, new VersionEvent.NothingNew(subject, begun));
       }
     }
   }
@@ -198,10 +217,14 @@
     tell(
         name,
         subject == PlatformSubject.TABLE
-            ? new VersionEvent.ManifestRead(manifest, 0.5, ReadMark.UNTIMED)
+            ? new VersionEvent.ManifestRead(manifest, 0.5, now())
             : new VersionEvent.InstancesRead(instances, 0.5));
   }
 
+  private long watchMillis() {
+    return TimeUnit.SECONDS.toMillis(policy.watchSeconds());
+  }
+
   private static PeerIdentity peer(String name) {
     return new PeerIdentity(name, 1, Role.ROUTER, "kolkata-a", "kolkata", "");
   }
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/ConfirmationsTest.java
@@ -0,0 +1,106 @@
+package dev.agatepier.core.process.internal;
+
+import static org.testng.Assert.assertEquals;
+
+import dev.agatepier.core.connection.LinkMessage.ConfirmationRequest;
+import dev.agatepier.core.connection.LinkMessage.ConfirmationTransfer;
+import dev.agatepier.core.version.ReadMark;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+public class ConfirmationsTest {
+
+  private static final long LEASE_MILLIS = 5_000;
+  private static final List<String> PEERS = List.of("reader-1", "reader-2", "router-9");
+
+  private Confirmations confirmations;
+
+  @BeforeMethod
+  public void createConfirmations() {
+    confirmations = new Confirmations(LEASE_MILLIS);
+  }
+
+  @Test
+  public void asksNobodyWhileTheReadsOfItsOwnAreFresh() {
+    confirmations.told(7, 7, at(1_000));
+    assertEquals(ask(1_000 + LEASE_MILLIS / 2 - 1), Optional.empty());
+    assertEquals(ask(1_000 + LEASE_MILLIS / 2), Optional.of("reader-1"));
+  }
+
+  @Test
+  public void asksTheNextPeerAfterSilenceAndStaysWithOneThatHelped() {
+    assertEquals(ask(1_000), Optional.of("reader-1"));
+    assertEquals(ask(1_100), Optional.empty(), "the question is open");
+    assertEquals(ask(1_300), Optional.of("reader-2"));
+    assertEquals(answer(7, 400), Optional.of(at(900)));
+    assertEquals(ask(900 + LEASE_MILLIS / 2), Optional.of("reader-2"));
+  }
+
+  @Test
+  public void countsFromTheQuestionHoweverLateTheAnswerCame() {
+    ask(1_000);
+    assertEquals(answer(7, 300), Optional.of(at(700)));
+    assertEquals(
+        confirmations.answer(new ConfirmationRequest(4), 7, at(4_000)),
+        new ConfirmationTransfer(4, 7, 3_300));
+  }
+
+  @Test
+  public void answerToAnOlderQuestionCountsNothing() {
+    ask(1_000);
+    ConfirmationRequest first = confirmations.request();
+    ask(1_300);
+    assertEquals(
+        confirmations.answered(new ConfirmationTransfer(first.number(), 7, 0), 7),
+        Optional.empty());
+  }
+
+  @Test
+  public void olderConfirmationDoesNotReplaceLaterOne() {
+    ask(1_000);
+    confirmations.told(7, 7, at(950));
+    assertEquals(answer(7, 400), Optional.empty());
+  }
+
+  @Test
+  public void versionThatIsNotInForceYetIsConfirmedOnceItIs() {
+    ask(1_000);
+    assertEquals(answer(8, 100), Optional.empty());
+    assertEquals(confirmations.inForce(8), Optional.of(at(900)));
+  }
+
+  @Test
+  public void olderVersionConfirmsNothing() {
+    ask(1_000);
+    assertEquals(answer(6, 100), Optional.empty());
+    assertEquals(confirmations.inForce(8), Optional.empty());
+  }
+
+  @Test
+  public void tellsNothingThatHasRunOut() {
+    ConfirmationTransfer nothing = new ConfirmationTransfer(4, 0, 0);
+    ConfirmationRequest request = new ConfirmationRequest(4);
+    assertEquals(confirmations.answer(request, 7, at(1_000)), nothing);
+    confirmations.told(7, 7, at(1_000));
+    assertEquals(confirmations.answer(request, 7, at(1_000 + LEASE_MILLIS)), nothing);
+    ReadMark suspended = new ReadMark(TimeUnit.MILLISECONDS.toNanos(1_100), 3_000);
+    assertEquals(confirmations.answer(request, 7, suspended), nothing);
+    assertEquals(answer(0, 0), Optional.empty(), "an answer of nothing confirms nothing");
+  }
+
+  private Optional<String> ask(long millis) {
+    return confirmations.peerToAsk(PEERS, at(millis), TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+
+  private Optional<ReadMark> answer(long version, long ageMillis) {
+    long number = confirmations.request().number();
+    return confirmations.answered(new ConfirmationTransfer(number, version, ageMillis), 7);
+  }
+
+  private static ReadMark at(long millis) {
+    return new ReadMark(TimeUnit.MILLISECONDS.toNanos(millis), millis);
+  }
+}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
@@ -51,6 +51,8 @@
           COST;
       case LinkMessage.ManifestTransfer _,
           LinkMessage.ManifestRequest _,
+          LinkMessage.ConfirmationRequest _,
+          LinkMessage.ConfirmationTransfer _,
           LinkMessage.PageRequest _,
           LinkMessage.PageTransfer _ ->
           TABLE;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/TableFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/TableFamily.java
@@ -1,5 +1,7 @@
 package dev.agatepier.wire.connection.internal;
 
+import dev.agatepier.core.connection.LinkMessage.ConfirmationRequest;
+import dev.agatepier.core.connection.LinkMessage.ConfirmationTransfer;
 import dev.agatepier.core.connection.LinkMessage.ManifestRequest;
 import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
 import dev.agatepier.core.connection.LinkMessage.PageReference;
@@ -42,7 +44,23 @@
               output.text(message.digest());
               output.bytes(message.content());
             },
-            input -> new PageTransfer(input.text(), input.bytes())));
+            input -> new PageTransfer(input.text(), input.bytes())),
+        new MessageType<>(
+            44,
+            ConfirmationRequest.class,
+            1,
+            (message, output) -> output.number(message.number()),
+            input -> new ConfirmationRequest(input.number())),
+        new MessageType<>(
+            45,
+            ConfirmationTransfer.class,
+            3,
+            (message, output) -> {
+              output.number(message.number());
+              output.number(message.version());
+              output.number(message.ageMillis());
+            },
+            input -> new ConfirmationTransfer(input.number(), input.number(), input.number())));
   }
 
   private static void writeReference(FieldOutput output, PageReference page) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/TableLease.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/TableLease.java
@@ -5,7 +5,6 @@
 import dev.agatepier.core.version.ReadMark;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.LogEvent;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -17,9 +16,6 @@
  */
 public final class TableLease implements VersionListener {
 
-  /** Difference between both clocks that their rates and granularity explain, in milliseconds. */
-  private static final long EXPLAINED_MILLIS = 500;
-
   private static final Logger LOGGER = LogManager.getLogger(TableLease.class);
 
   private final long leaseMillis;
@@ -65,9 +61,7 @@
     if (mark == null) {
       return Long.MAX_VALUE;
     }
-    long steady = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - mark.nanos());
-    long ofDay = wallMillis.getAsLong() - mark.wallMillis();
-    return ofDay - steady > EXPLAINED_MILLIS ? Long.MAX_VALUE : steady;
+    return mark.ageMillis(new ReadMark(clock.nanoTime(), wallMillis.getAsLong()));
   }
 
   @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -143,6 +143,8 @@
       case ManifestTransfer ignored -> true;
       case LinkMessage.PageRequest ignored -> true;
       case LinkMessage.PageTransfer ignored -> true;
+      case LinkMessage.ConfirmationRequest ignored -> true;
+      case LinkMessage.ConfirmationTransfer ignored -> true;
       case LinkMessage.InstancesRequest ignored -> true;
       case LinkMessage.InstancesTransfer ignored -> true;
       default -> false;
@@ -154,7 +156,7 @@
     return message instanceof LinkMessage.PageTransfer(String digest, Bytes content)
         ? task.offer(
             new VersionEvent.PageArrived(peer.instance(), digest, matching(digest, content)))
-        : task.offer(new VersionEvent.MessageArrived(peer, message));
+        : task.offer(new VersionEvent.MessageArrived(peer, message, now()));
   }
 
   private static Optional<Bytes> matching(String digest, Bytes content) {
@@ -162,7 +164,11 @@
   }
 
   private void tick() {
-    task.offer(new VersionEvent.TimePassed(jitter.getAsDouble()));
+    task.offer(new VersionEvent.TimePassed(jitter.getAsDouble(), now()));
+  }
+
+  private ReadMark now() {
+    return new ReadMark(clock.nanoTime(), System.currentTimeMillis());
   }
 
   private void handle(VersionEvent event) {
@@ -233,7 +239,7 @@
   }
 
   private void readPlatform(VersionEffect.ReadPlatform read) {
-    ReadMark begun = new ReadMark(clock.nanoTime(), System.currentTimeMillis());
+    ReadMark begun = now();
     if (read.subject() == PlatformSubject.TABLE) {
       tellAnswer(
           read.subject(),
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -8,6 +8,8 @@
 import dev.agatepier.core.connection.LinkMessage.AttemptHead;
 import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
 import dev.agatepier.core.connection.LinkMessage.AttemptWithdrawn;
+import dev.agatepier.core.connection.LinkMessage.ConfirmationRequest;
+import dev.agatepier.core.connection.LinkMessage.ConfirmationTransfer;
 import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
@@ -136,7 +138,9 @@
         new ManifestTransfer(12, List.of(new PageReference("workspaces-1", "ab12", 17))),
         new PageRequest("ab12"),
         new PageTransfer("ab12", Bytes.ofText("workspace,weight\n")),
-        new PageTransfer("cd34", Bytes.EMPTY));
+        new PageTransfer("cd34", Bytes.EMPTY),
+        new ConfirmationRequest(5),
+        new ConfirmationTransfer(5, 12, 1_040));
   }
 
   private static List<LinkMessage> instances() {
