--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/TableFiles.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/TableFiles.java
@@ -1,6 +1,6 @@
 package dev.agatepier.cli.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.TableException;
--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -1,16 +1,9 @@
 package dev.agatepier.core.connection;
 
-import dev.agatepier.core.request.AnswerHead;
-import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Bytes;
-import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.Fingerprint;
-import dev.agatepier.core.request.Reason;
-import dev.agatepier.core.request.Ticket;
 import dev.agatepier.core.version.Instance;
-import dev.agatepier.core.version.Upstream;
 import java.util.List;
-import java.util.Optional;
 
 /** Every message that crosses a link between two processes of the fleet. */
 public sealed interface LinkMessage
@@ -21,28 +14,14 @@
         LinkMessage.SlotsFree,
         LinkMessage.Grant,
         LinkMessage.GrantDeclined,
-        LinkMessage.StartAttempt,
-        LinkMessage.AttemptHead,
-        LinkMessage.AttemptContent,
-        LinkMessage.AttemptEnd,
-        LinkMessage.AttemptNotRun,
-        LinkMessage.AttemptFailed,
-        LinkMessage.AttemptCredit,
-        LinkMessage.AttemptWithdrawn,
         LinkMessage.CostReport,
         LinkMessage.CostChanges,
         LinkMessage.FleetCosts,
         LinkMessage.DataCentreCosts,
         LinkMessage.SuspicionReport,
-        LinkMessage.ManifestTransfer,
-        LinkMessage.ManifestRequest,
-        LinkMessage.PageRequest,
-        LinkMessage.PageTransfer,
-        LinkMessage.ConfirmationRequest,
-        LinkMessage.ConfirmationTransfer,
-        LinkMessage.InstancesRequest,
-        LinkMessage.InstancesTransfer,
         LinkMessage.RoutersKnown,
+        AttemptMessage,
+        VersionMessage,
         SlotMessage {
 
   /**
@@ -117,93 +96,6 @@
    */
   record GrantDeclined(long grantNumber) implements LinkMessage {}
 
-  /**
-   * Router to sidecar: run this request in the slot of the grant.
-   *
-   * @param grantNumber number of the grant that this answers
-   * @param attempt the attempt's name
-   * @param workspace workspace of the caller
-   * @param head head of the request
-   * @param body whole body of the request
-   * @param timeLeftMillis time until the deadline, in milliseconds
-   * @param idempotent whether running it twice is harmless
-   * @param alone whether nothing else may run beside it
-   * @param fingerprint recognises resends of the same content
-   * @param ticket the ticket, already authenticated, of a call that is made under one
-   * @param windowBytes bytes of answer the sidecar may send before it waits for credit
-   */
-  record StartAttempt(
-      long grantNumber,
-      AttemptId attempt,
-      String workspace,
-      CallHead head,
-      Bytes body,
-      long timeLeftMillis,
-      boolean idempotent,
-      boolean alone,
-      Fingerprint fingerprint,
-      Optional<Ticket> ticket,
-      long windowBytes)
-      implements LinkMessage {}
-
-  /**
-   * Sidecar to router: head of the answer.
-   *
-   * @param attempt the attempt answered
-   * @param head status and headers
-   */
-  record AttemptHead(AttemptId attempt, AnswerHead head) implements LinkMessage {}
-
-  /**
-   * Sidecar to router: next part of the answer's body.
-   *
-   * @param attempt the attempt answered
-   * @param frameNumber number of the part, from 0, without gaps
-   * @param content the part
-   */
-  record AttemptContent(AttemptId attempt, int frameNumber, Bytes content) implements LinkMessage {}
-
-  /**
-   * Sidecar to router: the answer is whole.
-   *
-   * @param attempt the attempt answered
-   * @param frameCount number of parts sent
-   * @param cost final cost, in cost units of the service
-   */
-  record AttemptEnd(AttemptId attempt, int frameCount, double cost) implements LinkMessage {}
-
-  /**
-   * Sidecar to router: the attempt did not run and never will in this incarnation.
-   *
-   * @param attempt the attempt refused
-   * @param reason why
-   */
-  record AttemptNotRun(AttemptId attempt, Reason reason) implements LinkMessage {}
-
-  /**
-   * Sidecar to router: the attempt was handed to the upstream and its answer will not become whole.
-   *
-   * @param attempt the attempt that failed
-   * @param reason why
-   */
-  record AttemptFailed(AttemptId attempt, Reason reason) implements LinkMessage {}
-
-  /**
-   * Router to sidecar: the caller has taken this much more of the answer.
-   *
-   * @param attempt the attempt answered
-   * @param bytes bytes taken since the last credit
-   */
-  record AttemptCredit(AttemptId attempt, long bytes) implements LinkMessage {}
-
-  /**
-   * Router to sidecar: never start this attempt; if it runs, stop it. Answered by {@link
-   * AttemptNotRun} or {@link AttemptFailed}.
-   *
-   * @param attempt the attempt withdrawn
-   */
-  record AttemptWithdrawn(AttemptId attempt) implements LinkMessage {}
-
   /**
    * Cumulative cost of one workspace.
    *
@@ -293,90 +185,6 @@
     }
   }
 
-  /**
-   * One page of a published table version.
-   *
-   * @param name name of the page at the platform
-   * @param digest lower-case hexadecimal SHA-256 of its content
-   * @param size size in bytes
-   */
-  record PageReference(String name, String digest, int size) {}
-
-  /**
-   * A peer tells what a table version consists of.
-   *
-   * @param version the table version
-   * @param pages its pages, workspaces first, services last
-   */
-  record ManifestTransfer(long version, List<PageReference> pages) implements LinkMessage {
-    /** Copies the pages. */
-    public ManifestTransfer {
-      pages = List.copyOf(pages);
-    }
-  }
-
-  /**
-   * Asks a peer for the manifest of its newest table version.
-   *
-   * @param knownVersion version that the sender has in force; 0 for none
-   */
-  record ManifestRequest(long knownVersion) implements LinkMessage {}
-
-  /**
-   * Asks a peer for a page.
-   *
-   * @param digest digest of the page's content
-   */
-  record PageRequest(String digest) implements LinkMessage {}
-
-  /**
-   * Answers a {@link PageRequest}.
-   *
-   * @param digest digest of the content
-   * @param content the page; empty if the sender does not have it
-   */
-  record PageTransfer(String digest, Bytes content) implements LinkMessage {}
-
-  /**
-   * Asks a peer how lately its table was confirmed to be the newest.
-   *
-   * @param number number of the question
-   */
-  record ConfirmationRequest(long number) implements LinkMessage {}
-
-  /**
-   * Answers a {@link ConfirmationRequest}.
-   *
-   * @param number number of the question
-   * @param version table version that was confirmed; 0 if the sender knows of no lasting one
-   * @param ageMillis time from before the read that confirmed it to the question's arrival, in
-   *     milliseconds
-   */
-  record ConfirmationTransfer(long number, long version, long ageMillis) implements LinkMessage {}
-
-  /**
-   * Asks a peer for its newest instance list.
-   *
-   * @param knownVersion version that the sender has; 0 for none
-   */
-  record InstancesRequest(long knownVersion) implements LinkMessage {}
-
-  /**
-   * Answers an {@link InstancesRequest} when the sender has a newer list.
-   *
-   * @param version version of the list
-   * @param instances the whole list of instances
-   * @param upstreams the whole list of upstreams
-   */
-  record InstancesTransfer(long version, List<Instance> instances, List<Upstream> upstreams)
-      implements LinkMessage {
-    /** Copies the lists. */
-    public InstancesTransfer {
-      instances = List.copyOf(instances);
-      upstreams = List.copyOf(upstreams);
-    }
-  }
-
   /**
    * Routers that the sender knows, itself among them.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SidecarDecision.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process;
 
+import dev.agatepier.core.connection.AttemptMessage;
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.LinkMessage.WorkspaceDemand;
 import dev.agatepier.core.connection.PeerIdentity;
@@ -152,9 +153,10 @@
       case LinkMessage.DemandUpdate(List<WorkspaceDemand> changes) ->
           changes.forEach(change -> demand.update(router, change, nowNanos));
       case LinkMessage.GrantDeclined(long number) -> granter.declined(number, router, nowNanos);
-      case LinkMessage.StartAttempt start -> attempts.start(router, start, nowNanos);
-      case LinkMessage.AttemptWithdrawn withdrawn -> attempts.withdraw(router, withdrawn.attempt());
-      case LinkMessage.AttemptCredit credit -> attempts.credit(credit.attempt(), credit.bytes());
+      case AttemptMessage.StartAttempt start -> attempts.start(router, start, nowNanos);
+      case AttemptMessage.AttemptWithdrawn withdrawn ->
+          attempts.withdraw(router, withdrawn.attempt());
+      case AttemptMessage.AttemptCredit credit -> attempts.credit(credit.attempt(), credit.bytes());
       case LinkMessage.FleetCosts costs -> exchange.sumsArrived(peer, costs);
       default -> {
         // Other messages are handled by the task that owns the link.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -1,9 +1,10 @@
 package dev.agatepier.core.process;
 
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.VersionMessage;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.process.internal.ColdStart;
 import dev.agatepier.core.process.internal.Confirmations;
 import dev.agatepier.core.process.internal.InstanceFollower;
@@ -117,7 +118,7 @@
     String sender = arrived.peer().instance();
     switch (arrived.message()) {
       case LinkMessage.Heartbeat heartbeat -> hearHeartbeat(sender, heartbeat, nowNanos);
-      case LinkMessage.ManifestRequest(long known) -> {
+      case VersionMessage.ManifestRequest(long known) -> {
         if (inForce.version() > known) {
           send(sender, inForce);
         }
@@ -126,14 +127,14 @@
         manifestQuestion.answered();
         beginTransfer(manifest, sender, nowNanos);
       }
-      case LinkMessage.PageRequest(String digest) -> sendPage(sender, digest);
-      case LinkMessage.InstancesRequest(long known) ->
+      case VersionMessage.PageRequest(String digest) -> sendPage(sender, digest);
+      case VersionMessage.InstancesRequest(long known) ->
           instances.newerThan(known).ifPresent(transfer -> send(sender, transfer));
-      case LinkMessage.InstancesTransfer(long version, var list, var upstreams) ->
+      case VersionMessage.InstancesTransfer(long version, var list, var upstreams) ->
           takeInstances(instances.take(new InstanceList(version, list, upstreams), nowNanos));
-      case LinkMessage.ConfirmationRequest request ->
+      case VersionMessage.ConfirmationRequest request ->
           send(sender, confirmations.answer(request, table.version(), arrived.arrived()));
-      case LinkMessage.ConfirmationTransfer answer ->
+      case VersionMessage.ConfirmationTransfer answer ->
           confirm(confirmations.answered(answer, table.version()));
       default -> {}
     }
@@ -156,10 +157,10 @@
     coldStart.heardPeer(heartbeat.tableVersion());
     long offered = heartbeat.tableVersion();
     if (offered > newestKnown() && !refusals.contains(offered) && manifestQuestion.ask(nowNanos)) {
-      send(sender, new LinkMessage.ManifestRequest(inForce.version()));
+      send(sender, new VersionMessage.ManifestRequest(inForce.version()));
     }
     if (instances.wants(heartbeat.instancesVersion(), nowNanos)) {
-      send(sender, new LinkMessage.InstancesRequest(instances().version()));
+      send(sender, new VersionMessage.InstancesRequest(instances().version()));
     }
   }
 
@@ -186,7 +187,7 @@
     } else if (transfer.source().equals(PLATFORM)) {
       effects.add(new VersionEffect.ReadPage(missing.get()));
     } else {
-      send(transfer.source(), new LinkMessage.PageRequest(missing.get().digest()));
+      send(transfer.source(), new VersionMessage.PageRequest(missing.get().digest()));
     }
   }
 
@@ -320,7 +321,7 @@
   }
 
   private void sendPage(String receiver, String digest) {
-    send(receiver, new LinkMessage.PageTransfer(digest, pages.get(digest)));
+    send(receiver, new VersionMessage.PageTransfer(digest, pages.get(digest)));
   }
 
   private void send(String instance, LinkMessage message) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process;
 
 import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.VersionMessage;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadMark;
@@ -36,7 +37,7 @@
    *
    * @param page the page
    */
-  record ReadPage(LinkMessage.PageReference page) implements VersionEffect {}
+  record ReadPage(VersionMessage.PageReference page) implements VersionEffect {}
 
   /**
    * Decode and check a table; answered by {@link VersionEvent.TablePrepared} or {@link
@@ -45,7 +46,7 @@
    * @param manifest what it consists of
    * @param pages content of its pages, in the manifest's order
    */
-  record PrepareTable(LinkMessage.ManifestTransfer manifest, List<Bytes> pages)
+  record PrepareTable(VersionMessage.ManifestTransfer manifest, List<Bytes> pages)
       implements VersionEffect {
     /** Copies the pages. */
     public PrepareTable {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.VersionMessage;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadMark;
@@ -54,7 +55,7 @@
    * @param jitter random number from 0 to 1
    * @param begun when the read was begun
    */
-  record ManifestRead(LinkMessage.ManifestTransfer manifest, double jitter, ReadMark begun)
+  record ManifestRead(VersionMessage.ManifestTransfer manifest, double jitter, ReadMark begun)
       implements VersionEvent {}
 
   /**
@@ -87,7 +88,7 @@
    * @param manifest the manifest
    * @param table the version
    */
-  record TablePrepared(LinkMessage.ManifestTransfer manifest, Table table)
+  record TablePrepared(VersionMessage.ManifestTransfer manifest, Table table)
       implements VersionEvent {}
 
   /**
@@ -96,7 +97,7 @@
    * @param manifest the manifest
    * @param mistakes what is wrong
    */
-  record TableRefused(LinkMessage.ManifestTransfer manifest, List<TableMistake> mistakes)
+  record TableRefused(VersionMessage.ManifestTransfer manifest, List<TableMistake> mistakes)
       implements VersionEvent {
     /** Copies the mistakes. */
     public TableRefused {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AnswerReplay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AnswerReplay.java
@@ -1,6 +1,6 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.AttemptMessage;
 import dev.agatepier.core.process.SidecarEffect;
 import dev.agatepier.core.process.SidecarEffect.Send;
 import dev.agatepier.core.request.AttemptId;
@@ -28,13 +28,13 @@
     while (nextFrame < frames.size() && windowBytes > 0) {
       Bytes frame = frames.get(nextFrame);
       windowBytes -= frame.size();
-      effects.add(new Send(router, new LinkMessage.AttemptContent(attempt, nextFrame, frame)));
+      effects.add(new Send(router, new AttemptMessage.AttemptContent(attempt, nextFrame, frame)));
       nextFrame++;
     }
     if (nextFrame < frames.size()) {
       return false;
     }
-    effects.add(new Send(router, new LinkMessage.AttemptEnd(attempt, nextFrame, 0)));
+    effects.add(new Send(router, new AttemptMessage.AttemptEnd(attempt, nextFrame, 0)));
     return true;
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptAdmission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptAdmission.java
@@ -1,9 +1,9 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
-import dev.agatepier.core.connection.LinkMessage.AttemptHead;
-import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.AttemptMessage.AttemptFailed;
+import dev.agatepier.core.connection.AttemptMessage.AttemptHead;
+import dev.agatepier.core.connection.AttemptMessage.AttemptNotRun;
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.process.SidecarEffect;
 import dev.agatepier.core.process.SidecarEffect.Send;
 import dev.agatepier.core.process.internal.AttemptMarks.Mark;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Confirmations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Confirmations.java
@@ -1,7 +1,7 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.ConfirmationRequest;
-import dev.agatepier.core.connection.LinkMessage.ConfirmationTransfer;
+import dev.agatepier.core.connection.VersionMessage.ConfirmationRequest;
+import dev.agatepier.core.connection.VersionMessage.ConfirmationTransfer;
 import dev.agatepier.core.version.ReadMark;
 import java.util.List;
 import java.util.Optional;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/GrantAnswerer.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/GrantAnswerer.java
@@ -1,8 +1,8 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.connection.LinkMessage.Grant;
 import dev.agatepier.core.connection.LinkMessage.GrantDeclined;
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Reason;
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/InstanceFollower.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/InstanceFollower.java
@@ -1,6 +1,6 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.InstancesTransfer;
+import dev.agatepier.core.connection.VersionMessage.InstancesTransfer;
 import dev.agatepier.core.process.VersionPolicy;
 import dev.agatepier.core.version.InstanceList;
 import java.util.Optional;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecar.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/LinkedSidecar.java
@@ -1,7 +1,7 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.AttemptCredit;
-import dev.agatepier.core.connection.LinkMessage.AttemptWithdrawn;
+import dev.agatepier.core.connection.AttemptMessage.AttemptCredit;
+import dev.agatepier.core.connection.AttemptMessage.AttemptWithdrawn;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.request.AttemptId;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PageStore.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PageStore.java
@@ -1,7 +1,7 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.request.Bytes;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Refusals.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Refusals.java
@@ -1,6 +1,6 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
 import java.util.TreeMap;
 
 /** Remembers refused table versions, bounded in number. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempt.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempt.java
@@ -1,6 +1,6 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import java.util.Optional;
 
 /** One attempt that holds a slot: waiting to run alone, or handed to the upstream. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RunningAttempts.java
@@ -1,8 +1,9 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.AttemptMessage;
+import dev.agatepier.core.connection.AttemptMessage.AttemptFailed;
+import dev.agatepier.core.connection.AttemptMessage.AttemptNotRun;
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
-import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.process.SidecarEffect;
 import dev.agatepier.core.process.SidecarEffect.CancelUpstream;
@@ -110,7 +111,7 @@
     RunningAttempt attempt = running.get(id);
     if (attempt != null) {
       attempt.ticket.ifPresent(entry -> tickets.began(entry, head));
-      answer(attempt, new LinkMessage.AttemptHead(id, head));
+      answer(attempt, new AttemptMessage.AttemptHead(id, head));
     }
   }
 
@@ -124,7 +125,7 @@
     if (attempt.detached) {
       effects.add(new ReadUpstream(id, content.size()));
     }
-    answer(attempt, new LinkMessage.AttemptContent(id, attempt.frames, content));
+    answer(attempt, new AttemptMessage.AttemptContent(id, attempt.frames, content));
     attempt.frames++;
     attempt.tokens += tokens;
     meter.grow(attempt, nowNanos);
@@ -141,7 +142,7 @@
     LinkMessage end =
         attempt.withdrawn
             ? new AttemptFailed(id, Reason.WITHDRAWN)
-            : new LinkMessage.AttemptEnd(id, attempt.frames, cost);
+            : new AttemptMessage.AttemptEnd(id, attempt.frames, cost);
     remove(attempt);
     answerEnd(attempt, end);
     startNext(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarAttempts.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarAttempts.java
@@ -1,6 +1,6 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.process.SidecarEffect;
 import dev.agatepier.core.process.SidecarEvent;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/TableTransfer.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/TableTransfer.java
@@ -1,7 +1,7 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import java.util.Optional;
 
 /** One table version on its way from one source: pages are asked for one at a time. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RouterFixture.java
@@ -1,14 +1,14 @@
 package dev.agatepier.core.process;
 
+import dev.agatepier.core.connection.AttemptMessage.AttemptContent;
+import dev.agatepier.core.connection.AttemptMessage.AttemptEnd;
+import dev.agatepier.core.connection.AttemptMessage.AttemptFailed;
+import dev.agatepier.core.connection.AttemptMessage.AttemptHead;
+import dev.agatepier.core.connection.AttemptMessage.AttemptNotRun;
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.AttemptContent;
-import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
-import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
-import dev.agatepier.core.connection.LinkMessage.AttemptHead;
-import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
 import dev.agatepier.core.connection.LinkMessage.Grant;
 import dev.agatepier.core.connection.LinkMessage.Heartbeat;
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.process.RouterEffect.EndAnswer;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarBench.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarBench.java
@@ -1,9 +1,9 @@
 package dev.agatepier.core.process;
 
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.LinkMessage.DemandUpdate;
 import dev.agatepier.core.connection.LinkMessage.Grant;
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
 import dev.agatepier.core.connection.LinkMessage.WorkspaceDemand;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarDecisionTest.java
@@ -6,11 +6,12 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.connection.AttemptMessage;
+import dev.agatepier.core.connection.AttemptMessage.AttemptContent;
+import dev.agatepier.core.connection.AttemptMessage.AttemptEnd;
+import dev.agatepier.core.connection.AttemptMessage.AttemptFailed;
+import dev.agatepier.core.connection.AttemptMessage.AttemptNotRun;
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.AttemptContent;
-import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
-import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
-import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
 import dev.agatepier.core.connection.LinkMessage.Grant;
 import dev.agatepier.core.connection.LinkMessage.GrantDeclined;
 import dev.agatepier.core.connection.LinkMessage.SlotsFree;
@@ -101,7 +102,7 @@
   @Test
   public void marksBeforeItAnswersWithdrawal() {
     SidecarBench bench = SidecarBench.model(1);
-    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1)));
+    bench.hear(new AttemptMessage.AttemptWithdrawn(attempt(1)));
     assertEquals(bench.only(AttemptNotRun.class).reason(), Reason.WITHDRAWN);
     bench.run("quartet", attempt(1));
     assertFalse(bench.did(StartUpstream.class));
@@ -112,9 +113,9 @@
   public void saysNotRunOfNoAttemptThatItForgot() {
     SidecarBench bench = SidecarBench.model(1);
     for (long number = 1; number <= 8_193; number++) {
-      bench.hear(new LinkMessage.AttemptWithdrawn(attempt(number)));
+      bench.hear(new AttemptMessage.AttemptWithdrawn(attempt(number)));
     }
-    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1)));
+    bench.hear(new AttemptMessage.AttemptWithdrawn(attempt(1)));
     assertEquals(bench.sent(AttemptNotRun.class), List.of());
     bench.only(AttemptFailed.class);
   }
@@ -124,22 +125,22 @@
     SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
     bench.tell(new RouterUnlinked(SidecarBench.ROUTER));
     bench.tell(new SidecarEvent.RouterLinked(SidecarBench.ROUTER));
-    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1))).only(AttemptFailed.class);
+    bench.hear(new AttemptMessage.AttemptWithdrawn(attempt(1))).only(AttemptFailed.class);
     bench.tell(new UpstreamBroke(attempt(1), true, Reason.UPSTREAM_FAILED));
-    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1))).only(AttemptFailed.class);
+    bench.hear(new AttemptMessage.AttemptWithdrawn(attempt(1))).only(AttemptFailed.class);
   }
 
   @Test
   public void passesCreditOn() {
     SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
-    bench.hear(new LinkMessage.AttemptCredit(attempt(1), 70));
+    bench.hear(new AttemptMessage.AttemptCredit(attempt(1), 70));
     assertEquals(bench.effects, List.of(new SidecarEffect.ReadUpstream(attempt(1), 70)));
   }
 
   @Test
   public void cancelsWithdrawnAttemptThatRuns() {
     SidecarBench bench = SidecarBench.model(1).run("quartet", attempt(1));
-    bench.hear(new LinkMessage.AttemptWithdrawn(attempt(1)));
+    bench.hear(new AttemptMessage.AttemptWithdrawn(attempt(1)));
     assertTrue(bench.did(CancelUpstream.class));
     bench.tell(new UpstreamSent(attempt(1), TOKEN, 1));
     assertEquals(bench.sent(AttemptContent.class), List.of());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarTicketsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SidecarTicketsTest.java
@@ -6,12 +6,12 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.AttemptContent;
-import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
-import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
-import dev.agatepier.core.connection.LinkMessage.AttemptHead;
-import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
+import dev.agatepier.core.connection.AttemptMessage;
+import dev.agatepier.core.connection.AttemptMessage.AttemptContent;
+import dev.agatepier.core.connection.AttemptMessage.AttemptEnd;
+import dev.agatepier.core.connection.AttemptMessage.AttemptFailed;
+import dev.agatepier.core.connection.AttemptMessage.AttemptHead;
+import dev.agatepier.core.connection.AttemptMessage.AttemptNotRun;
 import dev.agatepier.core.connection.LinkMessage.Grant;
 import dev.agatepier.core.process.SidecarEffect.CancelUpstream;
 import dev.agatepier.core.process.SidecarEffect.StartUpstream;
@@ -84,7 +84,7 @@
     assertFalse(bench.did(StartUpstream.class));
     assertEquals(bench.only(AttemptHead.class).head(), HEAD);
     assertEquals(bench.sent(AttemptContent.class).size(), 2, "the window holds two frames");
-    bench.hear(new LinkMessage.AttemptCredit(attempt(2), 2 * FRAME_BYTES));
+    bench.hear(new AttemptMessage.AttemptCredit(attempt(2), 2 * FRAME_BYTES));
     assertEquals(
         bench.sent(AttemptContent.class).stream().map(AttemptContent::frameNumber).toList(),
         List.of(2, 3));
@@ -121,7 +121,7 @@
       {new SidecarEvent.RouterUnlinked(SidecarBench.ROUTER)},
       {
         new SidecarEvent.MessageArrived(
-            SidecarBench.ROUTER, new LinkMessage.AttemptWithdrawn(attempt(1)))
+            SidecarBench.ROUTER, new AttemptMessage.AttemptWithdrawn(attempt(1)))
       },
     };
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/TruthFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/TruthFleet.java
@@ -1,7 +1,7 @@
 package dev.agatepier.core.process;
 
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.RequestId;
 import java.util.ArrayList;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -3,9 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
-import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.VersionMessage;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadMark;
 import dev.agatepier.core.version.Table;
@@ -62,7 +62,7 @@
   @Test
   public void staleReadChangesNothing() {
     VersionDecision node = fleet.nodes.get("router-0");
-    LinkMessage.ManifestTransfer stale = new LinkMessage.ManifestTransfer(4, List.of());
+    VersionMessage.ManifestTransfer stale = new VersionMessage.ManifestTransfer(4, List.of());
     PeerIdentity peer = new PeerIdentity("router-1", 1, Role.ROUTER, "kolkata-a", "kolkata", "");
     assertEquals(
         node.decide(new VersionEvent.ManifestRead(stale, 0.5, ReadMark.UNTIMED), 0), List.of());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
@@ -1,10 +1,11 @@
 package dev.agatepier.core.process;
 
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.VersionMessage;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.InstanceList;
@@ -156,7 +157,7 @@
     switch (effect) {
       case VersionEffect.Send(
               String to,
-              LinkMessage.PageTransfer(String digest, Bytes content)) -> {
+              VersionMessage.PageTransfer(String digest, Bytes content)) -> {
         pagesFromPeers++;
         tell(to, new VersionEvent.PageArrived(name, digest, Optional.of(content)));
       }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/AttemptCreditTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/AttemptCreditTest.java
@@ -2,7 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
-import dev.agatepier.core.connection.LinkMessage.AttemptCredit;
+import dev.agatepier.core.connection.AttemptMessage.AttemptCredit;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterFixture;
 import dev.agatepier.core.process.RouterPolicy;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/ConfirmationsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/ConfirmationsTest.java
@@ -2,8 +2,8 @@
 
 import static org.testng.Assert.assertEquals;
 
-import dev.agatepier.core.connection.LinkMessage.ConfirmationRequest;
-import dev.agatepier.core.connection.LinkMessage.ConfirmationTransfer;
+import dev.agatepier.core.connection.VersionMessage.ConfirmationRequest;
+import dev.agatepier.core.connection.VersionMessage.ConfirmationTransfer;
 import dev.agatepier.core.version.ReadMark;
 import java.util.List;
 import java.util.Optional;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/GrantAnswererTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/GrantAnswererTest.java
@@ -2,8 +2,8 @@
 
 import static org.testng.Assert.assertEquals;
 
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.connection.LinkMessage.GrantDeclined;
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
 import dev.agatepier.core.process.RouterFixture;
 import dev.agatepier.core.process.RouterPolicy;
 import dev.agatepier.core.version.Limits;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/QuarantineTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/QuarantineTest.java
@@ -2,7 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.connection.LinkMessage.Suspicion;
 import dev.agatepier.core.connection.LinkMessage.SuspicionReport;
 import dev.agatepier.core.connection.PeerIdentity;
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/PlatformClient.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/PlatformClient.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -44,7 +43,7 @@
       entries
           .addObject()
           .put("name", instance.name())
-          .put("role", instance.role().name().toLowerCase(Locale.ROOT))
+          .put("role", instance.role().text())
           .put("address", instance.address())
           .put("port", instance.port())
           .put("administrationPort", instance.administrationPort())
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/MembershipSlope.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/MembershipSlope.java
@@ -1,8 +1,8 @@
 package dev.agatepier.standin.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.VersionMessage;
 import dev.agatepier.core.process.LinkPlan;
 import dev.agatepier.core.process.RouterPolicy;
 import dev.agatepier.core.version.Instance;
@@ -36,8 +36,8 @@
     List<Instance> instances = FleetInstances.list(size);
     InstanceList list = new InstanceList(1, instances);
     MessagePackCodec codec = new MessagePackCodec();
-    LinkMessage.InstancesTransfer transfer =
-        new LinkMessage.InstancesTransfer(1, instances, List.of());
+    VersionMessage.InstancesTransfer transfer =
+        new VersionMessage.InstancesTransfer(1, instances, List.of());
     byte[] content = codec.encode(transfer);
     PeerIdentity router =
         new PeerIdentity("router-00000", 1, Role.ROUTER, "data-centre-0", "region-0", "");
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/TableSlope.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/TableSlope.java
@@ -1,7 +1,7 @@
 package dev.agatepier.standin.process.internal;
 
-import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.VersionMessage;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.standin.version.TablePage;
 import dev.agatepier.standin.version.TablePages;
@@ -52,7 +52,7 @@
             .map(page -> new PageReference(page.name(), DIGEST, page.content().size()))
             .toList();
     MessagePackCodec codec = new MessagePackCodec();
-    int manifest = codec.encode(new LinkMessage.ManifestTransfer(1, references)).length;
+    int manifest = codec.encode(new VersionMessage.ManifestTransfer(1, references)).length;
     double page = pages.stream().mapToInt(each -> each.content().length()).average().orElseThrow();
     TableReader reader = new TableReader();
     return List.of(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
@@ -1,7 +1,9 @@
 package dev.agatepier.wire.connection;
 
+import dev.agatepier.core.connection.AttemptMessage;
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.VersionMessage;
 
 /** Kinds of traffic that are counted apart. */
 public enum MessageClass {
@@ -35,31 +37,22 @@
           LinkMessage.GrantDeclined _,
           SlotMessage _ ->
           DEMAND;
-      case LinkMessage.StartAttempt _, LinkMessage.AttemptHead _, LinkMessage.AttemptContent _ ->
+      case AttemptMessage.StartAttempt _,
+          AttemptMessage.AttemptHead _,
+          AttemptMessage.AttemptContent _ ->
           PAYLOAD;
-      case LinkMessage.AttemptEnd _,
-          LinkMessage.AttemptNotRun _,
-          LinkMessage.AttemptFailed _,
-          LinkMessage.AttemptCredit _,
-          LinkMessage.AttemptWithdrawn _ ->
-          ATTEMPT;
+      case AttemptMessage _ -> ATTEMPT;
       case LinkMessage.CostReport _,
           LinkMessage.CostChanges _,
           LinkMessage.FleetCosts _,
           LinkMessage.DataCentreCosts _,
           LinkMessage.SuspicionReport _ ->
           COST;
-      case LinkMessage.ManifestTransfer _,
-          LinkMessage.ManifestRequest _,
-          LinkMessage.ConfirmationRequest _,
-          LinkMessage.ConfirmationTransfer _,
-          LinkMessage.PageRequest _,
-          LinkMessage.PageTransfer _ ->
-          TABLE;
-      case LinkMessage.InstancesRequest _,
-          LinkMessage.InstancesTransfer _,
+      case VersionMessage.InstancesRequest _,
+          VersionMessage.InstancesTransfer _,
           LinkMessage.RoutersKnown _ ->
           INSTANCES;
+      case VersionMessage _ -> TABLE;
     };
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptFamily.java
@@ -1,13 +1,13 @@
 package dev.agatepier.wire.connection.internal;
 
-import dev.agatepier.core.connection.LinkMessage.AttemptContent;
-import dev.agatepier.core.connection.LinkMessage.AttemptCredit;
-import dev.agatepier.core.connection.LinkMessage.AttemptEnd;
-import dev.agatepier.core.connection.LinkMessage.AttemptFailed;
-import dev.agatepier.core.connection.LinkMessage.AttemptHead;
-import dev.agatepier.core.connection.LinkMessage.AttemptNotRun;
-import dev.agatepier.core.connection.LinkMessage.AttemptWithdrawn;
-import dev.agatepier.core.connection.LinkMessage.StartAttempt;
+import dev.agatepier.core.connection.AttemptMessage.AttemptContent;
+import dev.agatepier.core.connection.AttemptMessage.AttemptCredit;
+import dev.agatepier.core.connection.AttemptMessage.AttemptEnd;
+import dev.agatepier.core.connection.AttemptMessage.AttemptFailed;
+import dev.agatepier.core.connection.AttemptMessage.AttemptHead;
+import dev.agatepier.core.connection.AttemptMessage.AttemptNotRun;
+import dev.agatepier.core.connection.AttemptMessage.AttemptWithdrawn;
+import dev.agatepier.core.connection.AttemptMessage.StartAttempt;
 import dev.agatepier.core.request.AnswerHead;
 import dev.agatepier.core.request.Reason;
 import java.util.List;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesFamily.java
@@ -1,9 +1,9 @@
 package dev.agatepier.wire.connection.internal;
 
-import dev.agatepier.core.connection.LinkMessage.InstancesRequest;
-import dev.agatepier.core.connection.LinkMessage.InstancesTransfer;
 import dev.agatepier.core.connection.LinkMessage.RoutersKnown;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.VersionMessage.InstancesRequest;
+import dev.agatepier.core.connection.VersionMessage.InstancesTransfer;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.Upstream;
 import java.util.List;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/TableFamily.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/TableFamily.java
@@ -1,12 +1,12 @@
 package dev.agatepier.wire.connection.internal;
 
-import dev.agatepier.core.connection.LinkMessage.ConfirmationRequest;
-import dev.agatepier.core.connection.LinkMessage.ConfirmationTransfer;
-import dev.agatepier.core.connection.LinkMessage.ManifestRequest;
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
-import dev.agatepier.core.connection.LinkMessage.PageRequest;
-import dev.agatepier.core.connection.LinkMessage.PageTransfer;
+import dev.agatepier.core.connection.VersionMessage.ConfirmationRequest;
+import dev.agatepier.core.connection.VersionMessage.ConfirmationTransfer;
+import dev.agatepier.core.connection.VersionMessage.ManifestRequest;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
+import dev.agatepier.core.connection.VersionMessage.PageRequest;
+import dev.agatepier.core.connection.VersionMessage.PageTransfer;
 import java.util.List;
 
 /** Messages that carry table versions from peer to peer. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -19,14 +19,9 @@
 import dev.agatepier.wire.connection.LinkSettings;
 import dev.agatepier.wire.connection.LinkTls;
 import dev.agatepier.wire.process.AdministrationListener;
-import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.AdministrationSettings;
 import dev.agatepier.wire.process.CommonSettings;
-import dev.agatepier.wire.process.Endpoint;
 import dev.agatepier.wire.process.LogEvent;
-import dev.agatepier.wire.process.MetricsReport;
-import dev.agatepier.wire.process.PagePort;
-import dev.agatepier.wire.process.ProcessStatus;
 import dev.agatepier.wire.process.Readiness;
 import dev.agatepier.wire.version.Platform;
 import dev.agatepier.wire.version.TableFormat;
@@ -34,13 +29,10 @@
 import dev.agatepier.wire.version.VersionService;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.UnaryOperator;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Mono;
@@ -54,8 +46,6 @@
 
   private static final Logger LOGGER = LogManager.getLogger(FleetMember.class);
 
-  private static final String METRICS_PATH = "/metrics";
-
   private final PeerIdentity self;
   private final LinkRegistry links;
   private final VersionService versions;
@@ -64,7 +54,6 @@
   private final Optional<SeedLinks> seeds;
   private final AdministrationListener administration;
   private final ManagedService metricsPort;
-  private final MetricRegistry metrics;
   private final MemberTasks tasks;
 
   /**
@@ -94,7 +83,6 @@
       List<VersionListener> listeners) {
     this.self = self;
     this.links = links;
-    this.metrics = metrics;
     this.tasks = tasks;
     List<VersionListener> told = new ArrayList<>(listeners);
     told.add(new Versions());
@@ -127,6 +115,7 @@
             scheduler,
             this::failed);
     seeds = seedLinks(settings, network, scheduler);
+    MemberPages pages = new MemberPages(self, links, versions, metrics, tasks);
     administration =
         new AdministrationListener(
             new AdministrationSettings(
@@ -134,8 +123,8 @@
                 settings.administration().port(),
                 settings.administrationKey().value()),
             this::readiness,
-            routes());
-    metricsPort = ManagedService.orNone(settings.metrics().map(this::metricsPort));
+            pages.routes());
+    metricsPort = ManagedService.orNone(settings.metrics().map(pages::metricsPort));
   }
 
   @Override
@@ -149,7 +138,7 @@
                 LOGGER.info(
                     LogEvent.PROCESS_STARTED
                         .message()
-                        .with("role", roleName())
+                        .with("role", self.role().text())
                         .with("incarnation", Long.toHexString(self.incarnation()))));
   }
 
@@ -164,18 +153,6 @@
         .toFuture();
   }
 
-  private ManagedService metricsPort(Endpoint endpoint) {
-    return new PagePort(
-        "metrics",
-        endpoint,
-        METRICS_PATH,
-        UnaryOperator.identity(),
-        (request, response) ->
-            response
-                .header("Content-Type", "text/plain; charset=utf-8")
-                .sendString(Mono.fromFuture(report()).map(MetricsText::of)));
-  }
-
   /** Returns the table in force. */
   public Table table() {
     return versions.table();
@@ -204,57 +181,6 @@
         : tasks.readiness();
   }
 
-  private List<AdministrationRoute> routes() {
-    List<AdministrationRoute> routes = new ArrayList<>(tasks.routes());
-    routes.add(
-        AdministrationRoute.of(
-            "GET",
-            "/v1/status",
-            parameters ->
-                tasks.snapshot().thenApply(this::status).thenApply(AdministrationReplies::ok)));
-    routes.add(
-        AdministrationRoute.of(
-            "GET", "/v1/metrics", parameters -> report().thenApply(AdministrationReplies::ok)));
-    routes.add(
-        AdministrationRoute.of(
-            "POST",
-            "/v1/drain",
-            parameters -> {
-              tasks.drainRequested();
-              return CompletableFuture.completedFuture(AdministrationReplies.draining());
-            }));
-    return routes;
-  }
-
-  private ProcessStatus status(Object snapshot) {
-    return new ProcessStatus(
-        self.instance(),
-        roleName(),
-        self.dataCentre(),
-        self.region(),
-        self.service(),
-        Long.toHexString(self.incarnation()),
-        versions.table().version(),
-        versions.instances().version(),
-        tasks.draining(),
-        links.names(),
-        snapshot);
-  }
-
-  private CompletableFuture<MetricsReport> report() {
-    return tasks.gauges().thenApply(this::metricsReport);
-  }
-
-  private MetricsReport metricsReport(Map<String, Object> gauges) {
-    MetricsReport report = MetricsReport.of(metrics);
-    report.gauges().putAll(gauges);
-    report.gauges().put("links.up", links.names().size());
-    report.gauges().put("table.version", versions.table().version());
-    report.gauges().put("instances.version", versions.instances().version());
-    links.traffic().forEach((name, bytes) -> report.gauges().put("links." + name, bytes));
-    return report;
-  }
-
   private Optional<SeedLinks> seedLinks(
       CommonSettings settings, LinkNetwork network, Scheduler scheduler) {
     if (settings.seeds().isEmpty()) {
@@ -276,10 +202,6 @@
             own, settings.seeds(), network, links, dialer::listed, scheduler, this::failed));
   }
 
-  private String roleName() {
-    return self.role().name().toLowerCase(Locale.ROOT);
-  }
-
   private static LinkSettings linkSettings(CommonSettings settings) {
     LinkSettings base = LinkSettings.DEFAULT;
     return new LinkSettings(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -16,22 +16,16 @@
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterPolicy;
-import dev.agatepier.core.process.RouterSnapshot;
-import dev.agatepier.core.process.RouterSnapshot.QueueStatus;
 import dev.agatepier.core.process.SlotKeeperDecision;
 import dev.agatepier.core.process.SlotKeeperEffect;
 import dev.agatepier.core.process.SlotKeeperEvent;
 import dev.agatepier.core.process.SlotKeeperPolicy;
 import dev.agatepier.core.request.Outcome;
-import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
-import dev.agatepier.wire.process.AdministrationAnswer;
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.Readiness;
-import dev.agatepier.wire.process.RequestReport;
-import dev.agatepier.wire.process.WorkspacesStatus;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -46,8 +40,6 @@
 
   private static final Logger LOGGER = LogManager.getLogger(RouterTasks.class);
 
-  private static final int HEXADECIMAL = 16;
-
   /** Events that may wait for a task. */
   private static final int MAILBOX_CAPACITY = 16_384;
 
@@ -65,13 +57,12 @@
   private final Consumer<RouterEffect> callers;
   private final Consumer<RouterEffect> upstreams;
   private final Runnable stop;
-  private final RouterDecision decision;
   private final DecisionTask<RouterEvent, RouterEffect> requests;
   private final DecisionTask<HolderEvent, HolderEffect> holder;
-  private final SlotKeeperDecision keeperDecision;
   private final DecisionTask<SlotKeeperEvent, SlotKeeperEffect> keeper;
   private final RequestMetrics metrics;
   private final RequestHistory history = new RequestHistory();
+  private final RouterPages pages;
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private final Counter refusedEvents;
   private volatile boolean draining;
@@ -107,7 +98,7 @@
     this.stop = stop;
     this.metrics = new RequestMetrics(metrics);
     refusedEvents = metrics.counter(MAILBOX_FULL);
-    decision = new RouterDecision(self, policy);
+    RouterDecision decision = new RouterDecision(self, policy);
     requests =
         new DecisionTask<>(
             decision,
@@ -116,6 +107,7 @@
             scheduler,
             System::nanoTime,
             RouterTasks::failed);
+    pages = new RouterPages(requests, decision, history, this.metrics, () -> table);
     holder =
         new DecisionTask<>(
             new HolderDecision(self, HolderPolicy.DEFAULT),
@@ -124,10 +116,9 @@
             scheduler,
             System::nanoTime,
             RouterTasks::failed);
-    keeperDecision = new SlotKeeperDecision(self, keeperPolicy);
     keeper =
         new DecisionTask<>(
-            keeperDecision,
+            new SlotKeeperDecision(self, keeperPolicy),
             this::perform,
             MAILBOX_CAPACITY,
             scheduler,
@@ -241,64 +232,17 @@
 
   @Override
   public CompletableFuture<Object> snapshot() {
-    return requests.ask(decision::snapshot);
+    return pages.snapshot();
   }
 
   @Override
   public CompletableFuture<Map<String, Object>> gauges() {
-    return requests.ask(
-        now -> {
-          RouterSnapshot snapshot = decision.snapshot(now);
-          List<QueueStatus> queues = snapshot.queues();
-          return Map.of(
-              "router.sidecars", snapshot.sidecars().size(),
-              "router.waiting", queues.stream().mapToInt(QueueStatus::waiting).sum(),
-              "router.running", queues.stream().mapToInt(QueueStatus::running).sum(),
-              "router.oldest-wait-millis",
-                  queues.stream().mapToLong(QueueStatus::oldestWaitMillis).max().orElse(0));
-        });
+    return pages.gauges();
   }
 
   @Override
   public List<AdministrationRoute> routes() {
-    return List.of(
-        AdministrationRoute.of(
-            "GET",
-            "/v1/workspaces",
-            parameters -> requests.ask(this::workspaces).thenApply(AdministrationReplies::ok)),
-        AdministrationRoute.of(
-            "GET",
-            "/v1/requests/{router}/{incarnation}/{number}",
-            parameters ->
-                requests.ask(
-                    now ->
-                        request(parameters)
-                            .flatMap(request -> report(request, now))
-                            .map(AdministrationAnswer::ok)
-                            .orElseGet(AdministrationReplies::notRemembered))));
-  }
-
-  private static Optional<RequestId> request(Map<String, String> parameters) {
-    try {
-      return Optional.of(
-          new RequestId(
-              parameters.get("router"),
-              Long.parseUnsignedLong(parameters.get("incarnation"), HEXADECIMAL),
-              Long.parseLong(parameters.get("number"))));
-    } catch (NumberFormatException notNumber) {
-      return Optional.empty();
-    }
-  }
-
-  private Optional<RequestReport> report(RequestId request, long nowNanos) {
-    return decision
-        .progress(request, nowNanos)
-        .map(progress -> RequestReport.underWay(request, progress))
-        .or(() -> history.find(request));
-  }
-
-  private WorkspacesStatus workspaces(long nowNanos) {
-    return WorkspaceReport.ofRouter(decision.snapshot(nowNanos), metrics.workspaces(), table);
+    return pages.routes();
   }
 
   private void perform(RouterEffect effect) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/PlatformClient.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/PlatformClient.java
@@ -1,7 +1,7 @@
 package dev.agatepier.wire.version;
 
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.wire.request.Digests;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -1,9 +1,10 @@
 package dev.agatepier.wire.version;
 
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.VersionMessage;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.process.MailboxTask;
 import dev.agatepier.core.process.ManagedService;
 import dev.agatepier.core.process.MonotonicClock;
@@ -137,23 +138,12 @@
 
   /** Returns whether a message is for this service. */
   public static boolean takes(LinkMessage message) {
-    return switch (message) {
-      case LinkMessage.Heartbeat ignored -> true;
-      case LinkMessage.ManifestRequest ignored -> true;
-      case ManifestTransfer ignored -> true;
-      case LinkMessage.PageRequest ignored -> true;
-      case LinkMessage.PageTransfer ignored -> true;
-      case LinkMessage.ConfirmationRequest ignored -> true;
-      case LinkMessage.ConfirmationTransfer ignored -> true;
-      case LinkMessage.InstancesRequest ignored -> true;
-      case LinkMessage.InstancesTransfer ignored -> true;
-      default -> false;
-    };
+    return message instanceof VersionMessage || message instanceof LinkMessage.Heartbeat;
   }
 
   /** Hands the task a message that came over a link; returns false if its mailbox is full. */
   public boolean receive(PeerIdentity peer, LinkMessage message) {
-    return message instanceof LinkMessage.PageTransfer(String digest, Bytes content)
+    return message instanceof VersionMessage.PageTransfer(String digest, Bytes content)
         ? task.offer(
             new VersionEvent.PageArrived(peer.instance(), digest, matching(digest, content)))
         : task.offer(new VersionEvent.MessageArrived(peer, message, now()));
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
@@ -4,7 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import dev.agatepier.core.connection.LinkMessage.AttemptContent;
+import dev.agatepier.core.connection.AttemptMessage.AttemptContent;
 import dev.agatepier.core.connection.LinkMessage.Grant;
 import dev.agatepier.core.connection.LinkMessage.Heartbeat;
 import dev.agatepier.core.connection.LinkMessage.Hello;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/MessagePackCodecTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/MessagePackCodecTest.java
@@ -6,8 +6,8 @@
 
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.LinkMessage.Grant;
-import dev.agatepier.core.connection.LinkMessage.PageRequest;
 import dev.agatepier.core.connection.LinkMessage.SlotsFree;
+import dev.agatepier.core.connection.VersionMessage.PageRequest;
 import dev.agatepier.wire.GoldenFile;
 import java.util.Arrays;
 import java.util.HashSet;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/PeerTransferTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/PeerTransferTest.java
@@ -3,10 +3,11 @@
 import static org.testng.Assert.assertEquals;
 
 import dev.agatepier.core.connection.LinkMessage;
-import dev.agatepier.core.connection.LinkMessage.ManifestTransfer;
-import dev.agatepier.core.connection.LinkMessage.PageReference;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.VersionMessage;
+import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.process.VersionDecision;
 import dev.agatepier.core.process.VersionPolicy;
 import dev.agatepier.core.request.Bytes;
@@ -58,11 +59,11 @@
 
   private boolean answer(String instance, LinkMessage message) {
     switch (message) {
-      case LinkMessage.ManifestRequest ignored -> service.receive(PEER, manifest());
-      case LinkMessage.PageRequest(String digest) -> {
+      case VersionMessage.ManifestRequest ignored -> service.receive(PEER, manifest());
+      case VersionMessage.PageRequest(String digest) -> {
         requests.add(digest);
         Bytes content = requests.size() == 1 ? Bytes.ofText("tampered") : page(digest);
-        service.receive(PEER, new LinkMessage.PageTransfer(digest, content));
+        service.receive(PEER, new VersionMessage.PageTransfer(digest, content));
         service.receive(PEER, HEARTBEAT);
       }
       default -> {}
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/PlatformClientTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/PlatformClientTest.java
@@ -4,7 +4,7 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
-import dev.agatepier.core.connection.LinkMessage.PageReference;
+import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.wire.request.Digests;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
