Split what follows the table, holds slots and watches callers' time

Change: TableFollower brings versions of the table into force beside InstanceFollower, and VersionDecision hands events out; HeldSlots keeps who holds slots and what that costs; CallerPatience ends idle connections and slow heads; the judgement of an upstream is logged with the other lines. Peers are ranked only when one is to be asked, no more at each tick.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -4,23 +4,16 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.VersionMessage;
 import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
-import dev.agatepier.core.connection.VersionMessage.PageReference;
-import dev.agatepier.core.process.internal.ColdStart;
-import dev.agatepier.core.process.internal.Confirmations;
 import dev.agatepier.core.process.internal.InstanceFollower;
-import dev.agatepier.core.process.internal.PageStore;
 import dev.agatepier.core.process.internal.PlatformReaders;
-import dev.agatepier.core.process.internal.Question;
 import dev.agatepier.core.process.internal.ReadSchedule;
-import dev.agatepier.core.process.internal.Refusals;
-import dev.agatepier.core.process.internal.TableTransfer;
+import dev.agatepier.core.process.internal.TableFollower;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadMark;
 import dev.agatepier.core.version.Table;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Follows table and instance list. A few processes of each data centre watch the platform, the
@@ -33,22 +26,9 @@
 
   private final VersionPolicy policy;
   private final PlatformReaders readers;
-  private final ReadSchedule tableReads;
   private final InstanceFollower instances;
-  private final ColdStart coldStart;
-  private final Refusals refusals = new Refusals();
-  private final Question manifestQuestion;
-  private final PageStore pages = new PageStore();
-  private final Confirmations confirmations;
-
-  private ManifestTransfer inForce = new ManifestTransfer(0, List.of());
-  private Table table = Table.NONE;
-  private TableTransfer transfer;
-  private ManifestTransfer preparedManifest = inForce;
-  private Table prepared = Table.NONE;
-  private double latestJitter;
-
-  private List<VersionEffect> effects = new ArrayList<>();
+  private final List<VersionEffect> effects = new ArrayList<>();
+  private final TableFollower table;
 
   /**
    * Creates the decision of a process that has just started.
@@ -60,16 +40,13 @@
   public VersionDecision(String instance, String dataCentre, VersionPolicy policy) {
     this.policy = policy;
     readers = new PlatformReaders(instance, dataCentre, policy.readersPerDataCentre());
-    tableReads = new ReadSchedule(policy);
     instances = new InstanceFollower(policy);
-    confirmations = new Confirmations(policy.leaseMillis());
-    manifestQuestion = new Question(transferNanos());
-    coldStart = new ColdStart(TimeUnit.MILLISECONDS.toNanos(policy.coldStartMillis()));
+    table = new TableFollower(policy, effects::add);
   }
 
   /** Returns the table in force. */
   public Table table() {
-    return table;
+    return table.table();
   }
 
   /** Returns the instance list in force. */
@@ -79,200 +56,79 @@
 
   @Override
   public List<VersionEffect> decide(VersionEvent event, long nowNanos) {
-    effects = new ArrayList<>();
-    coldStart.begin(nowNanos);
+    table.begin(nowNanos);
     switch (event) {
       case VersionEvent.PeerLinked(PeerIdentity peer) -> readers.link(peer);
-      case VersionEvent.PeerUnlinked(PeerIdentity peer) -> unlink(peer, nowNanos);
+      case VersionEvent.PeerUnlinked(PeerIdentity peer) -> {
+        readers.unlink(peer);
+        table.peerGone(peer.instance(), nowNanos);
+      }
       case VersionEvent.MessageArrived arrived -> receive(arrived, nowNanos);
-      case VersionEvent.PageArrived arrived -> takePage(arrived, nowNanos);
-      case VersionEvent.ManifestRead read -> takePlatformManifest(read, nowNanos);
+      case VersionEvent.PageArrived arrived -> table.pageArrived(arrived, nowNanos);
+      case VersionEvent.ManifestRead read -> table.manifestRead(read, reader(nowNanos), nowNanos);
       case VersionEvent.InstancesRead(InstanceList list, double jitter) -> {
         takeInstances(instances.read(list, jitter, nowNanos));
-        tableReads.platformAnswers(nowNanos);
+        table.reads().platformAnswers(nowNanos);
       }
       case VersionEvent.NothingNew(PlatformSubject subject, ReadMark begun) ->
           nothingNew(subject, begun, nowNanos);
       case VersionEvent.ReadFailed(PlatformSubject subject, double jitter) ->
           schedule(subject).failed(jitter, nowNanos);
       case VersionEvent.TablePrepared(ManifestTransfer manifest, Table whole) ->
-          takePrepared(manifest, whole);
-      case VersionEvent.TableRefused refused -> refuse(refused);
+          table.prepared(manifest, whole);
+      case VersionEvent.TableRefused refused -> table.refused(refused);
       case VersionEvent.TimePassed(double jitter, ReadMark now) -> {
         passTime(jitter, nowNanos);
-        askForConfirmation(now, nowNanos);
+        table.askForConfirmation(readers::peersByRank, now, nowNanos);
       }
     }
-    publishTrusted(nowNanos);
-    return effects;
-  }
-
-  private void unlink(PeerIdentity peer, long nowNanos) {
-    readers.unlink(peer);
-    if (transfer != null && transfer.source().equals(peer.instance())) {
-      abandonTransfer(nowNanos);
-    }
+    table.publishTrusted(nowNanos);
+    List<VersionEffect> taken = List.copyOf(effects);
+    effects.clear();
+    return taken;
   }
 
   private void receive(VersionEvent.MessageArrived arrived, long nowNanos) {
     String sender = arrived.peer().instance();
     switch (arrived.message()) {
       case LinkMessage.Heartbeat heartbeat -> hearHeartbeat(sender, heartbeat, nowNanos);
-      case VersionMessage.ManifestRequest(long known) -> {
-        if (inForce.version() > known) {
-          send(sender, inForce);
-        }
-      }
-      case ManifestTransfer manifest -> {
-        manifestQuestion.answered();
-        beginTransfer(manifest, sender, nowNanos);
-      }
-      case VersionMessage.PageRequest(String digest) -> sendPage(sender, digest);
+      case VersionMessage.ManifestRequest(long known) -> table.manifestAsked(sender, known);
+      case ManifestTransfer manifest -> table.manifestTold(sender, manifest, nowNanos);
+      case VersionMessage.PageRequest(String digest) -> table.pageAsked(sender, digest);
+      case VersionMessage.ConfirmationRequest request ->
+          table.confirmationAsked(sender, request, arrived.arrived());
+      case VersionMessage.ConfirmationTransfer answer -> table.confirmationTold(answer);
       case VersionMessage.InstancesRequest(long known) ->
-          instances.newerThan(known).ifPresent(transfer -> send(sender, transfer));
+          instances
+              .newerThan(known)
+              .ifPresent(list -> effects.add(new VersionEffect.Send(sender, list)));
       case VersionMessage.InstancesTransfer(long version, var list, var upstreams) ->
           takeInstances(instances.take(new InstanceList(version, list, upstreams), nowNanos));
-      case VersionMessage.ConfirmationRequest request ->
-          send(sender, confirmations.answer(request, table.version(), arrived.arrived()));
-      case VersionMessage.ConfirmationTransfer answer ->
-          confirm(confirmations.answered(answer, table.version()));
-      default -> {}
-    }
-  }
-
-  private void askForConfirmation(ReadMark now, long nowNanos) {
-    if (policy.leaseMillis() > 0 && table.version() > 0) {
-      confirmations
-          .peerToAsk(readers.peersByRank(), now, nowNanos)
-          .ifPresent(peer -> send(peer, confirmations.request()));
+      default -> {
+        // Other messages concern other decisions; pages come as events of their own.
+      }
     }
   }
 
-  private void confirm(Optional<ReadMark> begun) {
-    begun.ifPresent(mark -> effects.add(new VersionEffect.ConfirmTable(mark)));
-  }
-
   private void hearHeartbeat(String sender, LinkMessage.Heartbeat heartbeat, long nowNanos) {
     readers.draining(sender, heartbeat.draining());
-    coldStart.heardPeer(heartbeat.tableVersion());
-    long offered = heartbeat.tableVersion();
-    if (offered > newestKnown() && !refusals.contains(offered) && manifestQuestion.ask(nowNanos)) {
-      send(sender, new VersionMessage.ManifestRequest(inForce.version()));
-    }
+    table.offered(sender, heartbeat.tableVersion(), nowNanos);
     if (instances.wants(heartbeat.instancesVersion(), nowNanos)) {
-      send(sender, new VersionMessage.InstancesRequest(instances().version()));
-    }
-  }
-
-  /** Returns the highest version in force, prepared, or on its way. */
-  private long newestKnown() {
-    long onItsWay = transfer == null ? 0 : transfer.manifest().version();
-    return Math.max(onItsWay, preparedManifest.version());
-  }
-
-  private void beginTransfer(ManifestTransfer manifest, String source, long nowNanos) {
-    if (manifest.version() <= newestKnown() || refusals.contains(manifest)) {
-      return;
-    }
-    transfer = new TableTransfer(manifest, source, transferNanos());
-    dropUnusedPages();
-    continueTransfer(nowNanos);
-  }
-
-  private void continueTransfer(long nowNanos) {
-    Optional<PageReference> missing = transfer.next(pages, nowNanos);
-    if (missing.isEmpty()) {
       effects.add(
-          new VersionEffect.PrepareTable(transfer.manifest(), pages.content(transfer.manifest())));
-    } else if (transfer.source().equals(PLATFORM)) {
-      effects.add(new VersionEffect.ReadPage(missing.get()));
-    } else {
-      send(transfer.source(), new VersionMessage.PageRequest(missing.get().digest()));
-    }
-  }
-
-  private void takePage(VersionEvent.PageArrived arrived, long nowNanos) {
-    if (transfer == null || !transfer.asked(arrived.source(), arrived.digest())) {
-      return;
-    }
-    if (arrived.content().isEmpty()) {
-      abandonTransfer(nowNanos);
-      return;
-    }
-    pages.put(arrived.digest(), arrived.content().get());
-    continueTransfer(nowNanos);
-  }
-
-  private void abandonTransfer(long nowNanos) {
-    if (transfer.source().equals(PLATFORM)) {
-      tableReads.failed(latestJitter, nowNanos);
-    }
-    transfer = null;
-  }
-
-  private void takePlatformManifest(VersionEvent.ManifestRead read, long nowNanos) {
-    coldStart.heardPlatform();
-    ManifestTransfer manifest = read.manifest();
-    final boolean useful = manifest.version() > newestKnown() && !refusals.contains(manifest);
-    confirm(confirmations.told(manifest.version(), table.version(), read.begun()));
-    if (useful && (reader(nowNanos) || coldStart.overdue(nowNanos))) {
-      tableReads.answered(nowNanos);
-      beginTransfer(manifest, PLATFORM, nowNanos);
-    } else {
-      tableReads.failed(read.jitter(), nowNanos);
+          new VersionEffect.Send(
+              sender, new VersionMessage.InstancesRequest(instances().version())));
     }
   }
 
   private void nothingNew(PlatformSubject subject, ReadMark begun, long nowNanos) {
     if (subject == PlatformSubject.TABLE) {
-      coldStart.heardPlatform();
-      confirm(confirmations.told(watchedVersion(), table.version(), begun));
+      table.nothingNew(begun);
     }
     schedule(subject).answered(nowNanos);
     schedule(subject).reset();
     schedule(other(subject)).platformAnswers(nowNanos);
   }
 
-  private void takePrepared(ManifestTransfer manifest, Table whole) {
-    endTransfer(manifest);
-    tableReads.reset();
-    if (manifest.version() > preparedManifest.version()) {
-      preparedManifest = manifest;
-      prepared = whole;
-    }
-  }
-
-  private void refuse(VersionEvent.TableRefused refused) {
-    endTransfer(refused.manifest());
-    refusals.add(refused.manifest());
-    dropUnusedPages();
-    effects.add(new VersionEffect.ReportRefusal(refused.manifest().version(), refused.mistakes()));
-  }
-
-  private void endTransfer(ManifestTransfer manifest) {
-    if (transfer != null && transfer.manifest().equals(manifest)) {
-      transfer = null;
-    }
-  }
-
-  private void publishTrusted(long nowNanos) {
-    boolean first = table.version() == 0;
-    if (prepared.version() <= table.version()
-        || (first && !coldStart.trusts(prepared.version(), nowNanos))) {
-      return;
-    }
-    table = prepared;
-    inForce = preparedManifest;
-    dropUnusedPages();
-    effects.add(new VersionEffect.PublishTable(table));
-    confirm(confirmations.inForce(table.version()));
-  }
-
-  private void dropUnusedPages() {
-    ManifestTransfer onItsWay = transfer == null ? inForce : transfer.manifest();
-    pages.retain(List.of(inForce, preparedManifest, onItsWay));
-  }
-
   private void takeInstances(Optional<InstanceList> newer) {
     newer.ifPresent(
         list -> {
@@ -282,33 +138,19 @@
   }
 
   private void passTime(double jitter, long nowNanos) {
-    latestJitter = jitter;
-    if (transfer != null && transfer.overdue(nowNanos)) {
-      abandonTransfer(nowNanos);
-    }
+    table.timePassed(jitter, nowNanos);
     boolean reader = reader(nowNanos);
-    if ((reader || instances().version() == 0) && instances.due(jitter, nowNanos)) {
-      read(PlatformSubject.INSTANCES, instances().version(), reader, nowNanos);
+    long known = instances().version();
+    if ((reader || known == 0) && instances.due(jitter, nowNanos)) {
+      int waitSeconds = reader && known > 0 ? policy.watchSeconds() : 0;
+      instances.reads().begin(waitSeconds, nowNanos);
+      effects.add(new VersionEffect.ReadPlatform(PlatformSubject.INSTANCES, known, waitSeconds));
     }
-    boolean wanted = reader || (table.version() == 0 && coldStart.wantsPlatform(nowNanos));
-    if (wanted && transfer == null && tableReads.due(jitter, nowNanos)) {
-      read(PlatformSubject.TABLE, watchedVersion(), reader, nowNanos);
-    }
-  }
-
-  /** Returns the version that the platform has to exceed; refused ones are not read again. */
-  private long watchedVersion() {
-    return Math.max(preparedManifest.version(), refusals.highest());
-  }
-
-  private void read(PlatformSubject subject, long known, boolean watch, long nowNanos) {
-    int waitSeconds = watch && known > 0 ? policy.watchSeconds() : 0;
-    schedule(subject).begin(waitSeconds, nowNanos);
-    effects.add(new VersionEffect.ReadPlatform(subject, known, waitSeconds));
+    table.readIfDue(reader, jitter, nowNanos);
   }
 
   private ReadSchedule schedule(PlatformSubject subject) {
-    return subject == PlatformSubject.TABLE ? tableReads : instances.reads();
+    return subject == PlatformSubject.TABLE ? table.reads() : instances.reads();
   }
 
   private static PlatformSubject other(PlatformSubject subject) {
@@ -319,16 +161,4 @@
   private boolean reader(long nowNanos) {
     return instances().version() > 0 && readers.chosen(instances.settled(nowNanos));
   }
-
-  private void sendPage(String receiver, String digest) {
-    send(receiver, new VersionMessage.PageTransfer(digest, pages.get(digest)));
-  }
-
-  private void send(String instance, LinkMessage message) {
-    effects.add(new VersionEffect.Send(instance, message));
-  }
-
-  private long transferNanos() {
-    return TimeUnit.MILLISECONDS.toNanos(policy.transferMillis());
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Confirmations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Confirmations.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Knows when the table in force was last confirmed to be the newest. Processes that do not read the
@@ -77,15 +78,17 @@
   }
 
   /** Returns the peer to ask now, if the confirmation grows old; each question asks one. */
-  public Optional<String> peerToAsk(List<String> peersByRank, ReadMark now, long nowNanos) {
-    if (ageMillis(now) < leaseMillis / ASK_AFTER_PART
-        || peersByRank.isEmpty()
-        || !question.ask(nowNanos)) {
+  public Optional<String> peerToAsk(
+      Supplier<List<String>> peersByRank, ReadMark now, long nowNanos) {
+    if (ageMillis(now) < leaseMillis / ASK_AFTER_PART || !question.ask(nowNanos)) {
       return Optional.empty();
     }
     asked++;
     askedAt = now;
-    return Optional.of(peersByRank.get(Math.floorMod(nextPeer++, peersByRank.size())));
+    List<String> peers = peersByRank.get();
+    return peers.isEmpty()
+        ? Optional.empty()
+        : Optional.of(peers.get(Math.floorMod(nextPeer++, peers.size())));
   }
 
   /** Returns the question for the peer that was chosen last. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlatformReaders.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlatformReaders.java
@@ -2,9 +2,9 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.version.Instance;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -87,9 +87,9 @@
 
   /** Returns the linked peers: first those of the own data centre, its readers before all. */
   public List<String> peersByRank() {
-    List<String> ranked = new ArrayList<>(RendezvousHash.sorted(dataCentre, linkedHere()));
-    linked.keySet().stream().filter(name -> !ranked.contains(name)).forEach(ranked::add);
-    return ranked;
+    Set<String> ranked = new LinkedHashSet<>(RendezvousHash.sorted(dataCentre, linkedHere()));
+    ranked.addAll(linked.keySet());
+    return List.copyOf(ranked);
   }
 
   private Set<String> linkedHere() {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -9,7 +9,6 @@
 import dev.agatepier.core.process.SlotKeeperEffect;
 import dev.agatepier.core.process.SlotKeeperEffect.Send;
 import dev.agatepier.core.process.SlotKeeperPolicy;
-import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
@@ -47,7 +46,7 @@
   private final WaitingBoard board;
   private final SlotPlacer placer;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
-  private final Map<RequestId, HeldEntry> held = new HashMap<>();
+  private final HeldSlots held;
   private OptionalLong memoryTokens = OptionalLong.empty();
   private long lastSequence;
   private long toldDelayMillis;
@@ -73,6 +72,7 @@
     this.ledger = ledger;
     this.effects = effects;
     this.costs = new KeeperCosts(ledger);
+    this.held = new HeldSlots(rule, ledger);
     this.board = new WaitingBoard(ledger);
     this.placer = new SlotPlacer(rule, ledger, board, upstreams.values());
   }
@@ -129,9 +129,7 @@
 
   private void dropRouter(String router, long nowNanos) {
     board.removeRouter(router);
-    List.copyOf(held.values()).stream()
-        .filter(entry -> entry.router.equals(router))
-        .forEach(entry -> release(entry, SlotStage.CANCELLED, 0, nowNanos));
+    held.dropRouter(router, nowNanos);
   }
 
   /** Judges upstreams, grants free slots and refuses what can no longer be in time. */
@@ -207,7 +205,7 @@
     for (HeldSlot slot : wanted.held()) {
       UpstreamLoad upstream = upstreams.get(slot.upstream());
       if (upstream != null) {
-        hold(router, slot.call(), upstream, slot.begun(), nowNanos);
+        held.hold(router, slot.call(), upstream, slot.begun(), nowNanos);
       }
     }
     for (WaitingCall call : wanted.waiting()) {
@@ -239,17 +237,7 @@
       board.remove(change.request());
       return;
     }
-    HeldEntry entry = held.get(change.request());
-    if (entry == null
-        || !entry.router.equals(router)
-        || !entry.upstream.upstream.name().equals(change.upstream())) {
-      return;
-    }
-    if (change.stage() == SlotStage.BEGUN) {
-      entry.upstream.begun(entry, nowNanos);
-    } else {
-      release(entry, change.stage(), change.amount(), nowNanos);
-    }
+    held.changed(router, change, nowNanos);
   }
 
   private void grant(SlotPlacer.Placement placement, long nowNanos) {
@@ -270,7 +258,7 @@
                 .mapToInt(other -> ModelSlotRule.unreadTokens(other, entry.call))
                 .min()
                 .orElse(0)));
-    hold(entry.router, entry.call, upstream, false, nowNanos);
+    held.hold(entry.router, entry.call, upstream, false, nowNanos);
     effects.add(
         new Send(
             entry.router,
@@ -278,46 +266,6 @@
                 service, entry.call.request(), placement.upstream().upstream.name())));
   }
 
-  private void hold(
-      String router, WaitingCall call, UpstreamLoad upstream, boolean begun, long nowNanos) {
-    double cost = rule.expectedCost(call);
-    HeldEntry entry =
-        new HeldEntry(
-            router,
-            call,
-            upstream,
-            nowNanos,
-            cost,
-            ModelSlotRule.unreadTokens(upstream, call),
-            rule.ownMillis(upstream, call));
-    upstream.add(entry, begun);
-    held.put(call.request(), entry);
-    ledger.addInFlight(call.workspace(), 1);
-    ledger.addRunning(call.workspace(), 1);
-    ledger.charge(call.workspace(), cost);
-  }
-
-  private void release(HeldEntry entry, SlotStage stage, long amount, long nowNanos) {
-    final String workspace = entry.call.workspace();
-    held.remove(entry.call.request());
-    double cost = entry.begun ? rule.finalCost(entry.call, amount) : 0;
-    switch (stage) {
-      case COMPLETED -> {
-        cost = rule.finalCost(entry.call, amount);
-        rule.observe(amount);
-        entry.upstream.health.succeeded();
-      }
-      case TURNED_DOWN, FAILED -> entry.upstream.health.failed(nowNanos);
-      default -> {
-        // The upstream is not to blame.
-      }
-    }
-    entry.upstream.remove(entry, nowNanos);
-    ledger.addInFlight(workspace, -1);
-    ledger.addRunning(workspace, -1);
-    ledger.charge(workspace, cost - entry.chargedCost);
-  }
-
   /** Leaves an upstream alone that lets requests wait without any sign of work. */
   private void judge(UpstreamLoad upstream, long nowNanos) {
     boolean stalled = upstream.silentMillis(nowNanos) > policy.stallMillis();
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/ConfirmationsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/ConfirmationsTest.java
@@ -92,7 +92,7 @@
   }
 
   private Optional<String> ask(long millis) {
-    return confirmations.peerToAsk(PEERS, at(millis), TimeUnit.MILLISECONDS.toNanos(millis));
+    return confirmations.peerToAsk(() -> PEERS, at(millis), TimeUnit.MILLISECONDS.toNanos(millis));
   }
 
   private Optional<ReadMark> answer(long version, long ageMillis) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
@@ -31,7 +31,6 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The task of one caller's connection: it owns the socket, takes in one request after the other and
@@ -54,11 +53,7 @@
   /** Whether what still comes is dropped, because the connection is about to be closed. */
   private boolean deaf;
 
-  /** When the connection last had nothing to do, and when the first byte of a head came. */
-  private long idleSinceNanos;
-
-  private long headSinceNanos;
-  private boolean inHead;
+  private CallerPatience patience;
 
   /** Creates the task of a connection that is about to be opened. */
   public CallerConnection(CallerPortContext context) {
@@ -69,8 +64,14 @@
   public void handlerAdded(ChannelHandlerContext added) {
     channel = added.channel();
     writer = new AnswerWriter(channel);
-    idleSinceNanos = context.clock().nanoTime();
-    watchTime();
+    patience =
+        new CallerPatience(
+            channel,
+            context.clock(),
+            this::bounds,
+            () -> current == null,
+            () -> refuseUnread(Reason.HEAD_TIMEOUT));
+    patience.begin();
   }
 
   /** Reads without being asked, after the library's own handler has ended that. */
@@ -82,9 +83,8 @@
 
   /** Notes that bytes came, before they are decoded. */
   void bytesArrived() {
-    if (current == null && !inHead) {
-      inHead = true;
-      headSinceNanos = context.clock().nanoTime();
+    if (current == null) {
+      patience.headBegins();
     }
   }
 
@@ -135,7 +135,7 @@
   /** Closes the connection if nothing is under way on it. */
   public void closeIfIdle() {
     writer.closeAfterNext();
-    if (current == null && !inHead) {
+    if (current == null && !patience.awaitsHead()) {
       channel.close();
     }
   }
@@ -202,7 +202,7 @@
   }
 
   private void receive(HttpRequest request) {
-    inHead = false;
+    patience.headEnds();
     ReceivedHead head = head(request);
     Optional<CallIntake> intake = Optional.empty();
     Optional<Reason> refusal = Optional.empty();
@@ -295,22 +295,27 @@
     if (current != null) {
       release(current);
     }
-    deaf = true;
+    goDeaf();
     FleetAnswer answer = context.dialect().failure("", Outcome.NOT_RUN, reason, 0);
     writer.closeGently(writer.whole(answer, false, false));
   }
 
   private void finish(ChannelFuture written) {
     release(current);
-    idleSinceNanos = context.clock().nanoTime();
+    patience.idles();
     if (writer.closing()) {
-      deaf = true;
+      goDeaf();
       writer.closeGently(written);
     } else {
       takeKept();
     }
   }
 
+  private void goDeaf() {
+    deaf = true;
+    patience.end();
+  }
+
   private void release(CallUnderWay call) {
     current = null;
     call.body.release();
@@ -334,32 +339,6 @@
     }
   }
 
-  /** Ends a connection that stays idle, or that sends a head too slowly. */
-  private void watchTime() {
-    long left = inHead ? millisLeft(headSinceNanos, bounds().headerMillis()) : Long.MAX_VALUE;
-    if (current == null) {
-      left = Math.min(left, millisLeft(idleSinceNanos, bounds().idleMillis()));
-    }
-    if (left <= 0 && inHead) {
-      refuseUnread(Reason.HEAD_TIMEOUT);
-    } else if (left <= 0) {
-      channel.close();
-    } else {
-      long delay = Math.clamp(left, 1, bounds().headerMillis());
-      channel.eventLoop().schedule(this::watchTimeAgain, delay, TimeUnit.MILLISECONDS);
-    }
-  }
-
-  private void watchTimeAgain() {
-    if (channel.isOpen() && !deaf) {
-      watchTime();
-    }
-  }
-
-  private long millisLeft(long sinceNanos, long spanMillis) {
-    return spanMillis - TimeUnit.NANOSECONDS.toMillis(context.clock().nanoTime() - sinceNanos);
-  }
-
   private CallerBounds bounds() {
     return context.dialect().bounds();
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -147,6 +147,18 @@
         .with("attempt", attempt.number());
   }
 
+  /** An upstream is left alone from now on, or used again. */
+  static void judged(SlotKeeperEffect.UpstreamJudged judged) {
+    LOGGER.info(
+        () ->
+            LogEvent.UPSTREAM_JUDGED
+                .message()
+                .with("upstream", judged.upstream())
+                .with("usable", judged.usable())
+                .with("reason", judged.reason())
+                .with("sinceMillis", judged.sinceMillis()));
+  }
+
   /** A ticket was handed out. */
   public static void ticket(RequestId request, Ticket ticket) {
     LOGGER.info(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -278,14 +278,7 @@
       }
       case SlotKeeperEffect.Placed placed -> RequestLog.placed(placed);
       case SlotKeeperEffect.TurnedAway away -> RequestLog.turnedAway(away);
-      case SlotKeeperEffect.UpstreamJudged judged ->
-          LOGGER.info(
-              LogEvent.UPSTREAM_JUDGED
-                  .message()
-                  .with("upstream", judged.upstream())
-                  .with("usable", judged.usable())
-                  .with("reason", judged.reason())
-                  .with("sinceMillis", judged.sinceMillis()));
+      case SlotKeeperEffect.UpstreamJudged judged -> RequestLog.judged(judged);
     }
   }
 
