--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/OperatorCommandsIntegrationTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/OperatorCommandsIntegrationTest.java
@@ -134,6 +134,7 @@
     assertTrue(metrics.at("/counters/callers.refused.key-missing").asInt() > 0, metrics.toString());
     assertEquals(metrics.at("/counters/mailbox.full").asInt(-1), 0);
     assertEquals(metrics.at("/gauges/links.up").asInt(), fleet.nodes().size() - 1);
+    assertTrue(metrics.at("/gauges/table.confirmed-age-millis").isNumber(), metrics.toString());
     JsonNode sidecar = metrics(fleet.sidecars().getFirst());
     assertTrue(sidecar.at("/gauges/sidecar.slots").asInt() > 0, sidecar.toString());
     assertTrue(sidecar.at("/gauges/sidecar.upstream-healthy").asBoolean());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -21,6 +21,9 @@
 /** A whole router: an entry instance between callers and the upstreams' side. */
 public final class RouterService implements FleetService {
 
+  /** Gauge of the time since the table was last confirmed to be the newest, in milliseconds. */
+  private static final String CONFIRMED_AGE = "table.confirmed-age-millis";
+
   private final RouterTasks tasks;
   private final RouterCallers callers;
   private final Optional<UpstreamCaller> upstreams;
@@ -61,6 +64,7 @@
     TableLease lease =
         new TableLease(
             common.versions().leaseMillis(), System::nanoTime, System::currentTimeMillis);
+    metrics.registerGauge(CONFIRMED_AGE, lease::ageMillis);
     tasks =
         new RouterTasks(
             self,
