Untie the circle between the table's checker and its rows

Cause: TableChecker used the readers of rows, which used its bounds.

Change: TableBounds holds the bounds and the form of names; checker and rows both look there.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/KeyCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/KeyCommand.java
@@ -2,7 +2,7 @@
 
 import dev.agatepier.cli.process.ExitCode;
 import dev.agatepier.cli.process.Reporter;
-import dev.agatepier.core.version.TableChecker;
+import dev.agatepier.core.version.TableBounds;
 import dev.agatepier.wire.request.Digests;
 import java.util.HexFormat;
 import java.util.function.Supplier;
@@ -41,7 +41,7 @@
   @Override
   public ExitCode run(Namespace arguments, Reporter reporter) {
     String workspace = arguments.getString("workspace");
-    if (!TableChecker.legalName(workspace)) {
+    if (!TableBounds.legalName(workspace)) {
       reporter.error("'" + workspace + "' is not a legal name of a workspace");
       return ExitCode.USAGE;
     }
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ObjectReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ObjectReader.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import dev.agatepier.cli.process.SettingsMistake;
-import dev.agatepier.core.version.TableChecker;
+import dev.agatepier.core.version.TableBounds;
 import dev.agatepier.wire.process.Endpoint;
 import java.net.InetAddress;
 import java.util.ArrayList;
@@ -73,7 +73,7 @@
   /** Reads a name that the table or the instance list could hold too. */
   String name(String field) {
     String text = text(field);
-    if (!text.isEmpty() && !TableChecker.legalName(text)) {
+    if (!text.isEmpty() && !TableBounds.legalName(text)) {
       refuse(field, "must be a name of 1 to 63 of a-z, 0-9, '.', '-' and '_'");
     }
     return text;
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/TableChecker.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/TableChecker.java
@@ -1,7 +1,6 @@
 package dev.agatepier.core.version;
 
 import dev.agatepier.core.version.internal.MistakeList;
-import dev.agatepier.core.version.internal.RowReader;
 import dev.agatepier.core.version.internal.ServiceRows;
 import dev.agatepier.core.version.internal.WorkspaceRows;
 import java.util.List;
@@ -10,12 +9,6 @@
 /** Checks the cells of a table and builds the version, or names every mistake. */
 public final class TableChecker {
 
-  /** Most workspaces of one table. */
-  public static final int MAXIMUM_WORKSPACES = 100_000;
-
-  /** Most services of one table. */
-  public static final int MAXIMUM_SERVICES = 1_000;
-
   private TableChecker() {}
 
   /**
@@ -45,9 +38,4 @@
   private static List<TablePage> select(List<TablePage> pages, String prefix) {
     return pages.stream().filter(page -> page.name().startsWith(prefix)).toList();
   }
-
-  /** Returns whether a text is a legal name of a workspace or service. */
-  public static boolean legalName(String text) {
-    return RowReader.legalName(text);
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/internal/RowReader.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/internal/RowReader.java
@@ -1,14 +1,12 @@
 package dev.agatepier.core.version.internal;
 
+import dev.agatepier.core.version.TableBounds;
 import dev.agatepier.core.version.TableCell;
 import java.util.List;
-import java.util.regex.Pattern;
 
 /** Reads the cells of one row; a bad cell is noted and gives a harmless value. */
 public final class RowReader {
 
-  private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
-
   private final String page;
   private final List<TableCell> cells;
   private final MistakeList mistakes;
@@ -21,11 +19,6 @@
     this.mistakes = mistakes;
   }
 
-  /** Returns whether a text is a legal name. */
-  public static boolean legalName(String text) {
-    return NAME.matcher(text).matches();
-  }
-
   /** Returns whether no cell read so far was bad. */
   public boolean sound() {
     return sound;
@@ -45,7 +38,7 @@
   /** Reads a name of at most 63 lower-case letters, digits, dots, hyphens and underscores. */
   public String name(int index) {
     String text = text(index);
-    if (!legalName(text)) {
+    if (!TableBounds.legalName(text)) {
       refuse(
           index,
           "a name has 1 to 63 of a-z, 0-9, '.', '-' and '_' and starts with a letter or digit");
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/internal/ServiceRows.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/internal/ServiceRows.java
@@ -3,7 +3,7 @@
 import dev.agatepier.core.version.CallPattern;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.ServiceKind;
-import dev.agatepier.core.version.TableChecker;
+import dev.agatepier.core.version.TableBounds;
 import dev.agatepier.core.version.TablePage;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,7 +23,7 @@
 
   /** Creates the reader. */
   public ServiceRows(MistakeList mistakes) {
-    super(TablePage.SERVICES_PREFIX, HEADER, TableChecker.MAXIMUM_SERVICES, mistakes);
+    super(TablePage.SERVICES_PREFIX, HEADER, TableBounds.MAXIMUM_SERVICES, mistakes);
   }
 
   @Override
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/internal/WorkspaceRows.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/internal/WorkspaceRows.java
@@ -1,7 +1,7 @@
 package dev.agatepier.core.version.internal;
 
 import dev.agatepier.core.version.Limits;
-import dev.agatepier.core.version.TableChecker;
+import dev.agatepier.core.version.TableBounds;
 import dev.agatepier.core.version.TablePage;
 import dev.agatepier.core.version.Workspace;
 import java.util.HashSet;
@@ -34,7 +34,7 @@
 
   /** Creates the reader; the services that rows may name are known already. */
   public WorkspaceRows(MistakeList mistakes, Set<String> knownServices) {
-    super(TablePage.WORKSPACES_PREFIX, HEADER, TableChecker.MAXIMUM_WORKSPACES, mistakes);
+    super(TablePage.WORKSPACES_PREFIX, HEADER, TableBounds.MAXIMUM_WORKSPACES, mistakes);
     this.knownServices = knownServices;
   }
 
