--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouter.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouter.java
@@ -41,6 +41,7 @@
   static final String SERVICE = "chair-desk";
   static final CallPlan SAFE = plan(true, false, false, 2);
   static final CallPlan UNSAFE = plan(false, false, false, 1);
+  static final CallPlan UNSAFE_WITH_ATTEMPTS = plan(false, false, false, 3);
   static final CallPlan STREAM = plan(false, false, true, 1);
   static final CallPlan RESUMABLE = plan(false, true, true, 2);
 
@@ -77,6 +78,10 @@
     return new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, "a1", 4, false);
   }
 
+  static Upstream leaving(String name) {
+    return new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, "a1", 4, true);
+  }
+
   private static CallPlan plan(
       boolean idempotent, boolean resumable, boolean streaming, int attempts) {
     return new CallPlan("r", idempotent, resumable, streaming, attempts, 10_000, 500, 250, 1);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -5,6 +5,7 @@
 import static dev.agatepier.core.process.DirectRouter.SERVICE;
 import static dev.agatepier.core.process.DirectRouter.STREAM;
 import static dev.agatepier.core.process.DirectRouter.UNSAFE;
+import static dev.agatepier.core.process.DirectRouter.UNSAFE_WITH_ATTEMPTS;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -60,6 +61,22 @@
     assertEquals(router.stages(request), List.of(SlotStage.TURNED_DOWN));
   }
 
+  @Test
+  public void failsUnsafeCallThoughItsRouteAllowsSeveralAttempts() {
+    RequestId request = router.run(UNSAFE_WITH_ATTEMPTS, "u1");
+    router.failed(request, Reason.UPSTREAM_DIED);
+    assertEquals(router.answer(request), "unknown upstream-died");
+    assertEquals(router.runs(request).size(), 1);
+  }
+
+  @Test
+  public void saysNotRunWhenEveryAttemptWasTurnedDown() {
+    RequestId request = router.run(UNSAFE, "u1");
+    router.notRun(request, Reason.UPSTREAM_BUSY);
+    router.pass(10_000);
+    assertEquals(router.answer(request), "not-run deadline");
+  }
+
   @Test
   public void triesSafeCallElsewhereAfterFailureAndErrorStatus() {
     RequestId request = router.run(SAFE, "u1");
@@ -135,7 +152,19 @@
   }
 
   @Test
-  public void declinesSlotsOfUpstreamsThatLeave() {
+  public void declinesSlotsOfUpstreamsThatAreAboutToLeave() {
+    RequestId request = router.call(UNSAFE);
+    router.tell(
+        new RouterEvent.InstancesInForce(
+            new InstanceList(
+                2, List.of(), List.of(DirectRouter.leaving("u1"), DirectRouter.upstream("u2")))));
+    router.grant(request, "u1");
+    assertEquals(router.stages(request), List.of(SlotStage.DECLINED));
+    assertEquals(router.runs(request), List.of());
+  }
+
+  @Test
+  public void declinesSlotsOfUpstreamsThatAreGone() {
     RequestId request = router.call(UNSAFE);
     router.tell(
         new RouterEvent.InstancesInForce(
