--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Confirmations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Confirmations.java
@@ -18,7 +18,7 @@
   /** How long a peer may take before the next is asked, in milliseconds: far above a round trip. */
   private static final long ANSWER_MILLIS = 250;
 
-  /** Part of the lease after which peers are asked: a watch of a quarter ends twice before. */
+  /** Divisor of the lease for the age at which peers are asked: half of it is left for answers. */
   private static final int ASK_AFTER_PART = 2;
 
   private final long leaseMillis;
