Accept fractions where the platform's settings have them

Cause: the settings template wrote 000 behind a number of seconds to get milliseconds, which gives no JSON number for 2.5, and the reader took policy.retrySlack and all durations as integers only.

Change: a duration of a policy may be set in seconds beside milliseconds and may have a fraction in either unit; retrySlack is a double.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/PolicyReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/PolicyReader.java
@@ -5,9 +5,17 @@
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.RecordComponent;
 
-/** Reads a policy record from settings; missing fields keep their defaults. */
+/**
+ * Reads a policy record from settings; missing fields keep their defaults. A duration whose
+ * component is named {@code ...Millis} may also be set in seconds, by a field named {@code
+ * ...Seconds}. Durations may have fractions in either unit and are rounded to milliseconds.
+ */
 final class PolicyReader {
 
+  private static final String MILLIS_SUFFIX = "Millis";
+  private static final String SECONDS_SUFFIX = "Seconds";
+  private static final double MILLIS_PER_SECOND = 1_000;
+
   private PolicyReader() {}
 
   /** Reads a record of integers, doubles and strings; its constructor checks the ranges. */
@@ -33,6 +41,9 @@
 
   private static Object value(ObjectReader object, RecordComponent component, Object fallback) {
     String field = component.getName();
+    if (fallback instanceof Long millis && field.endsWith(MILLIS_SUFFIX)) {
+      return durationMillis(object, field, millis);
+    }
     if (!object.has(field)) {
       return fallback;
     }
@@ -41,12 +52,30 @@
       case Integer number ->
           (int) object.integerInRange(field, value, 0, Integer.MAX_VALUE, number);
       case Long number -> object.integerInRange(field, value, 0, Long.MAX_VALUE, number);
-      case Double ignored -> number(object, field, value, fallback);
+      case Double number -> number(object, field, value, number);
       default -> text(object, field, value, fallback);
     };
   }
 
-  private static Object number(ObjectReader object, String field, JsonNode value, Object fallback) {
+  private static long durationMillis(ObjectReader object, String millisField, long fallback) {
+    String secondsField =
+        millisField.substring(0, millisField.length() - MILLIS_SUFFIX.length()) + SECONDS_SUFFIX;
+    boolean hasMillis = object.has(millisField);
+    boolean hasSeconds = object.has(secondsField);
+    if (hasMillis && hasSeconds) {
+      object.addMistake(secondsField, "must not be set together with " + millisField);
+      return fallback;
+    }
+    if (!hasMillis && !hasSeconds) {
+      return fallback;
+    }
+    String field = hasMillis ? millisField : secondsField;
+    double unitMillis = hasMillis ? 1 : MILLIS_PER_SECOND;
+    double number = number(object, field, object.value(field), fallback / unitMillis);
+    return Math.round(number * unitMillis);
+  }
+
+  private static double number(ObjectReader object, String field, JsonNode value, double fallback) {
     if (value.isNumber()) {
       return value.doubleValue();
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterPolicy.java
@@ -16,7 +16,7 @@
  * @param retryWindowMillis window of the retry budget that the fleet has for a service, in
  *     milliseconds
  * @param retrySlack retries of a service that the whole fleet may make in one window in addition to
- *     the share of its requests
+ *     the share of its requests; may have a fraction
  * @param regionMillis total time of the round trips to another region until a slot is granted and
  *     the response starts, in milliseconds
  * @param retryShare maximum ratio of retries to requests, from 0 to 1, for services whose entries
@@ -32,7 +32,7 @@
     long windowBytes,
     long ticketMillis,
     long retryWindowMillis,
-    int retrySlack,
+    double retrySlack,
     long regionMillis,
     double retryShare) {
 
@@ -67,7 +67,7 @@
               + ": none may be negative");
     }
     if (retryWindowMillis < 1
-        || retrySlack < 0
+        || !(retrySlack >= 0)
         || regionMillis < 0
         || !(retryShare >= 0 && retryShare <= 1)) {
       throw new IllegalArgumentException(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -98,7 +98,7 @@
 
   @Override
   public boolean tryAcquireRetry(RoutedRequest request, long nowNanos) {
-    double slack = (double) state.policy.retrySlack() / state.recentPeakRouters(nowNanos);
+    double slack = state.policy.retrySlack() / state.recentPeakRouters(nowNanos);
     return budget(request).tryAcquire(state.retryShare(request.queue.service), slack, nowNanos);
   }
 
