Run the links of a router on its own event loop

Cause: links used Reactor Netty's default event loops and their dialers and directory the parallel scheduler. On an instance with one core each message of a peer crossed two threads, from the link's event loop to that of the router and back for the reply, with a wake-up each time.

Change: LinkNetwork takes event loops and scheduler from the environment of the router, as callers and upstreams do.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkDialer.java
@@ -18,7 +18,6 @@
 import reactor.core.Disposable;
 import reactor.core.Disposables;
 import reactor.core.publisher.Mono;
-import reactor.core.scheduler.Schedulers;
 import reactor.netty.Connection;
 import reactor.netty.resources.ConnectionProvider;
 import reactor.netty.tcp.TcpClient;
@@ -68,7 +67,7 @@
     this.mailbox =
         new MailboxTask<>(
             Integer.MAX_VALUE,
-            Schedulers.parallel().createWorker(),
+            context.scheduler().createWorker(),
             this::handle,
             failure -> LOGGER.error(logMessage(LogEvent.TASK_FAILED), failure));
   }
@@ -121,6 +120,7 @@
   private TcpClient configuredClient() {
     TcpClient plain =
         TcpClient.create(ConnectionProvider.newConnection())
+            .runOn(context.eventLoops())
             .host(address)
             .port(port)
             .option(
@@ -150,7 +150,7 @@
   private void scheduleConnect() {
     if (!stopped) {
       pendingConnect =
-          Mono.delay(Duration.ofMillis(backoff.nextDelayMillis()), Schedulers.parallel())
+          Mono.delay(Duration.ofMillis(backoff.nextDelayMillis()), context.scheduler())
               .subscribe(ignored -> mailbox.post(new ConnectDue()));
     }
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkListener.java
@@ -60,7 +60,12 @@
   }
 
   private TcpServer configuredServer() {
-    TcpServer plain = TcpServer.create().host(address).port(port).doOnConnection(this::accept);
+    TcpServer plain =
+        TcpServer.create()
+            .runOn(context.eventLoops())
+            .host(address)
+            .port(port)
+            .doOnConnection(this::accept);
     return context
         .settings()
         .tls()
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkNetwork.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkNetwork.java
@@ -8,6 +8,8 @@
 import dev.agatepier.wire.connection.internal.LinkDirectory;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.resources.LoopResources;
 
 /**
  * Creates the listeners and dialers of one process. Only one of two processes should dial the
@@ -26,6 +28,8 @@
    * @param heartbeat supplies the next heartbeat; called on event loops
    * @param eventHandler receives the events of every link
    * @param clock monotonic clock of the process
+   * @param eventLoops event loops of the sockets
+   * @param scheduler runs the tasks that open and register links
    */
   public LinkNetwork(
       PeerIdentity self,
@@ -33,11 +37,21 @@
       LinkSettings settings,
       Supplier<Heartbeat> heartbeat,
       LinkEventHandler eventHandler,
-      MonotonicClock clock) {
-    LinkDirectory directory = new LinkDirectory(eventHandler);
+      MonotonicClock clock,
+      LoopResources eventLoops,
+      Scheduler scheduler) {
+    LinkDirectory directory = new LinkDirectory(eventHandler, scheduler);
     context =
         new LinkContext(
-            self, secret, settings, heartbeat, clock, new MessagePackCodec(), directory);
+            self,
+            secret,
+            settings,
+            heartbeat,
+            clock,
+            new MessagePackCodec(),
+            directory,
+            eventLoops,
+            scheduler);
   }
 
   /** Returns a service that accepts links; port 0 lets the operating system choose a port. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkContext.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkContext.java
@@ -7,6 +7,8 @@
 import dev.agatepier.wire.connection.LinkSettings;
 import dev.agatepier.wire.connection.MessageCodec;
 import java.util.function.Supplier;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.resources.LoopResources;
 
 /**
  * Dependencies shared by all links of a process.
@@ -18,6 +20,8 @@
  * @param clock monotonic clock of the process
  * @param codec encodes and decodes messages
  * @param directory tracks the active link to each peer
+ * @param eventLoops event loops of the sockets
+ * @param scheduler runs the tasks that open and register links
  */
 public record LinkContext(
     PeerIdentity self,
@@ -26,4 +30,6 @@
     Supplier<Heartbeat> heartbeat,
     MonotonicClock clock,
     MessageCodec codec,
-    LinkDirectory directory) {}
+    LinkDirectory directory,
+    LoopResources eventLoops,
+    Scheduler scheduler) {}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkDirectory.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkDirectory.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import reactor.core.scheduler.Schedulers;
+import reactor.core.scheduler.Scheduler;
 
 /**
  * The task that tracks the active link to each peer and reports links in order. A link reads no
@@ -32,13 +32,18 @@
   /** A link is closed. */
   private record LinkClosed(LinkTask link, String reason) implements DirectoryEvent {}
 
-  /** Creates an empty directory that reports to the given event handler. */
-  public LinkDirectory(LinkEventHandler eventHandler) {
+  /**
+   * Creates an empty directory.
+   *
+   * @param eventHandler receives the events of every link
+   * @param scheduler runs the task
+   */
+  public LinkDirectory(LinkEventHandler eventHandler, Scheduler scheduler) {
     this.eventHandler = eventHandler;
     this.mailbox =
         new MailboxTask<>(
             Integer.MAX_VALUE,
-            Schedulers.parallel().createWorker(),
+            scheduler.createWorker(),
             this::handle,
             failure -> LOGGER.error(LogEvent.TASK_FAILED.message(), failure));
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -81,6 +81,7 @@
             common,
             self,
             new LinkPlan(self, settings.policy().sidecarsPerService()),
+            environment.eventLoops(),
             scheduler,
             links,
             metrics,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
@@ -14,6 +14,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
+import reactor.netty.tcp.TcpResources;
 
 /** Service of a sidecar process, through which all requests reach its upstream. */
 public final class SidecarService implements FleetService {
@@ -59,6 +60,7 @@
             common,
             self,
             new LinkPlan(self, 1),
+            TcpResources.get(),
             scheduler,
             links,
             metrics,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -37,6 +37,7 @@
 import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
+import reactor.netty.resources.LoopResources;
 
 /**
  * Part that every process of the fleet has: links to its peers, the active versions and the
@@ -62,6 +63,7 @@
    * @param settings settings of the process
    * @param self identity of the process
    * @param plan selects the peers to dial
+   * @param eventLoops event loops of the links
    * @param scheduler runs its tasks; the caller disposes of it after all tasks have ended
    * @param links registry of the links to send through
    * @param metrics metric registry of the process
@@ -74,6 +76,7 @@
       CommonSettings settings,
       PeerIdentity self,
       LinkPlan plan,
+      LoopResources eventLoops,
       Scheduler scheduler,
       LinkRegistry links,
       MetricRegistry metrics,
@@ -103,7 +106,9 @@
             linkSettings(settings),
             this::currentHeartbeat,
             new LinkEventForwarder(),
-            System::nanoTime);
+            System::nanoTime,
+            eventLoops,
+            scheduler);
     linkListener = network.listener(settings.links().address(), settings.links().port());
     dialer =
         new PeerDialer(
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
@@ -24,6 +24,8 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.tcp.TcpResources;
 
 public class LinkNetworkTest {
 
@@ -284,7 +286,14 @@
   private LinkNetwork network(
       PeerIdentity self, Bytes secret, LinkSettings settings, LinkEventHandler events) {
     return new LinkNetwork(
-        self, secret, settings, () -> new Heartbeat(1, 1, false, 0), events, clockNanos::get);
+        self,
+        secret,
+        settings,
+        () -> new Heartbeat(1, 1, false, 0),
+        events,
+        clockNanos::get,
+        TcpResources.get(),
+        Schedulers.parallel());
   }
 
   /** Performs the dialing side of the handshake with a valid proof. */
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/LinkTaskTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/LinkTaskTest.java
@@ -16,7 +16,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import reactor.core.scheduler.Schedulers;
 import reactor.netty.Connection;
+import reactor.netty.tcp.TcpResources;
 
 /**
  * Guards against a link that fails to close because it uses the channel of a disposed Reactor Netty
@@ -56,7 +58,9 @@
         () -> new Heartbeat(0, 0, false, 0),
         System::nanoTime,
         new MessagePackCodec(),
-        new LinkDirectory(new NoOpLinkEvents()));
+        new LinkDirectory(new NoOpLinkEvents(), Schedulers.parallel()),
+        TcpResources.get(),
+        Schedulers.parallel());
   }
 
   /** Returns a channel without an event loop once it has ended, as Reactor Netty does. */
