Bound a slot allocator's work for each event and its load reports

Cause: after every event, of any service, the allocator compared all waiting requests with all upstreams, and each new request was compared with all that waited at all upstreams. It also reported its delay to every router up to ten times a second, as the delay of a busy allocator always changes by more than 10 ms.

Change: a message leads to grants of its own service only. Requests that are too late are refused, and stalled upstreams are found, at the tick of 25 ms. The work of a waiting request is estimated when it arrives and at each tick. The delay is reported at most four times a second, and between the regular reports only when it has changed by a quarter and 10 ms.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -91,8 +91,9 @@
         // Handled after the switch.
       }
     }
-    services.values().forEach(service -> service.advance(nowNanos));
+    grantSlots(event, nowNanos);
     if (event instanceof SlotAllocatorEvent.Tick) {
+      services.values().forEach(service -> service.review(nowNanos));
       services.values().forEach(service -> service.decayCosts(nowNanos));
       services.values().stream()
           .filter(this::isAllocatorFor)
@@ -117,6 +118,18 @@
     return services.values().stream().map(service -> service.status(nowNanos)).toList();
   }
 
+  /** Grants the slots that an event may have made available; a message concerns one service. */
+  private void grantSlots(SlotAllocatorEvent event, long nowNanos) {
+    if (event instanceof SlotAllocatorEvent.MessageReceived received) {
+      ServiceSlots service = services.get(received.message().service());
+      if (service != null) {
+        service.grantSlots(nowNanos);
+      }
+    } else {
+      services.values().forEach(service -> service.grantSlots(nowNanos));
+    }
+  }
+
   private void onMessage(String router, SlotMessage message, long nowNanos) {
     if (!hasTableAndInstances()) {
       startupMessages.add(router, message);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -21,11 +21,16 @@
 /** Allocates the slots of one service's upstreams to waiting requests. */
 public final class ServiceSlots {
 
-  /** Change of the delay that is reported before the maximum interval is over, in milliseconds. */
+  /**
+   * Change of the delay that is reported before the maximum interval is over: a fixed part, in
+   * milliseconds, and a share of the last reported delay. Every router receives each report.
+   */
   private static final long DELAY_CHANGE_MILLIS = 10;
 
+  private static final double DELAY_CHANGE_SHARE = 0.25;
+
   /** Minimum and maximum time between two reports of the delay. */
-  private static final long MIN_INTERVAL_NANOS = 100_000_000L;
+  private static final long MIN_INTERVAL_NANOS = 250_000_000L;
 
   private static final long MAX_INTERVAL_NANOS = 1_000_000_000L;
 
@@ -132,9 +137,8 @@
     allocations.releaseRouter(router, nowNanos);
   }
 
-  /** Updates stalled upstreams, grants free slots and refuses requests that are too late. */
-  public void advance(long nowNanos) {
-    upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
+  /** Grants free slots. */
+  public void grantSlots(long nowNanos) {
     if (waiting.isEmpty()) {
       return;
     }
@@ -143,6 +147,17 @@
       grant(assignment, nowNanos);
       assignment = scheduler.next(nowNanos);
     }
+  }
+
+  /**
+   * Updates stalled upstreams and refuses requests that are too late. The work grows with the
+   * number of waiting requests, so it is done periodically and not for each event.
+   */
+  public void review(long nowNanos) {
+    upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
+    if (waiting.isEmpty()) {
+      return;
+    }
     for (WaitingEntry entry : scheduler.overdue(policy.lateMillis(), nowNanos)) {
       waiting.remove(entry.call.request());
       refuse(entry, nowNanos);
@@ -169,7 +184,9 @@
    */
   public OptionalLong takeDueDelayMillis(long nowNanos) {
     long delayMillis = Math.round(scheduler.delayMillis(nowNanos));
-    boolean changed = Math.abs(delayMillis - reportedDelayMillis) > DELAY_CHANGE_MILLIS;
+    boolean changed =
+        Math.abs(delayMillis - reportedDelayMillis)
+            > DELAY_CHANGE_MILLIS + DELAY_CHANGE_SHARE * reportedDelayMillis;
     boolean expired = nowNanos - reportedNanos > MAX_INTERVAL_NANOS;
     if (!expired && !(changed && nowNanos - reportedNanos > MIN_INTERVAL_NANOS)) {
       return OptionalLong.empty();
@@ -213,6 +230,7 @@
       if (scheduler.cannotMeetObjective(entry, nowNanos)) {
         refuse(entry, nowNanos);
       } else {
+        scheduler.estimateWork(entry, nowNanos);
         waiting.add(entry);
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -69,8 +69,9 @@
   List<WaitingEntry> overdue(long lateMillis, long nowNanos) {
     List<WaitingEntry> overdue = new ArrayList<>();
     for (WaitingEntry entry : waiting.all()) {
-      double min = minFirstByteMillis(entry, nowNanos);
-      long lateNanos = nowNanos + (long) ((min - lateMillis) * NANOS_PER_MILLI) - entry.dueNanos;
+      estimateWork(entry, nowNanos);
+      long lateNanos =
+          nowNanos + (long) ((entry.workMillis - lateMillis) * NANOS_PER_MILLI) - entry.dueNanos;
       if (lateNanos > 0) {
         overdue.add(entry);
       }
@@ -78,6 +79,11 @@
     return overdue;
   }
 
+  /** Updates the work of a request to what it takes at the upstream that is best for it now. */
+  void estimateWork(WaitingEntry entry, long nowNanos) {
+    entry.workMillis = minFirstByteMillis(entry, nowNanos);
+  }
+
   /** Returns whether a new request cannot meet its objective behind those already waiting. */
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
     return !waiting.isEmpty() && !entry.meetsObjective(expectedMillis(entry, nowNanos), nowNanos);
@@ -92,7 +98,7 @@
   double delayMillis(long nowNanos) {
     double work = 0;
     for (WaitingEntry entry : waiting.all()) {
-      work += minFirstByteMillis(entry, nowNanos);
+      work += entry.workMillis;
     }
     return delayBehind(work, nowNanos);
   }
@@ -110,7 +116,7 @@
           sameWorkspace
               ? other.dueNanos <= entry.dueNanos
               : ledger.account(other.workspace()).virtualService() <= ownService;
-      work += before ? minFirstByteMillis(other, nowNanos) : 0;
+      work += before ? other.workMillis : 0;
     }
     return delayBehind(work, nowNanos);
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -21,6 +21,9 @@
   /** Time by which the response should start. */
   final long dueNanos;
 
+  /** Time until the first byte that it takes at the upstream, as last estimated. */
+  double workMillis;
+
   WaitingEntry(String router, WaitingCall call, long sequence, long nowNanos) {
     this.router = router;
     this.call = call;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
@@ -93,6 +93,36 @@
     assertEquals(granted, 4, "of 20,100 tokens each in 92,000");
   }
 
+  @Test
+  public void reportsDelayOftenOnlyWhileItChangesMuch() {
+    SlotAllocatorFixture allocator = new SlotAllocatorFixture("m1");
+    allocator.advance(2_000);
+    allocator.loadReports = 0;
+    for (int index = 0; index < 40; index++) {
+      allocator.advance(25);
+    }
+    assertTrue(allocator.loadReports <= 2, allocator.loadReports + " reports of equal delays");
+    allocator.loadReports = 0;
+    for (int index = 0; index < 40; index++) {
+      allocator.requestModel("w", 60_000, "part-" + index, 20_000);
+      allocator.advance(25);
+    }
+    assertTrue(
+        allocator.loadReports >= 2 && allocator.loadReports <= 6,
+        allocator.loadReports + " reports of growing delays in a second, of two services");
+  }
+
+  @Test
+  public void refusesOverdueRequestsAtNextTick() {
+    SlotAllocatorFixture allocator = new SlotAllocatorFixture("m1");
+    allocator.requestModel("w", 20_000, "a", 20_000);
+    RequestId waiting = allocator.requestModel("w", 400, "b", 3_000);
+    allocator.advance(200);
+    assertFalse(allocator.isRejected(waiting));
+    allocator.advance(199);
+    assertTrue(allocator.isRejected(waiting));
+  }
+
   @Test
   public void servesWorkspacesByTheirCostSoFar() {
     SlotAllocatorFixture allocator = new SlotAllocatorFixture("p1");
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -43,6 +43,10 @@
   final List<SlotMessage> sent = new ArrayList<>();
   final List<SlotAllocatorEffect.UpstreamUsabilityChanged> usabilityChanges = new ArrayList<>();
   long now = 7_000 * MILLI;
+
+  /** Reports of the delay that routers have received. */
+  int loadReports;
+
   private long lastNumber;
   private long lastList;
 
@@ -141,7 +145,9 @@
     for (SlotAllocatorEffect effect : decision.decide(event, now)) {
       switch (effect) {
         case SlotAllocatorEffect.Send(String router, SlotMessage message) -> {
-          if (!(message instanceof SlotMessage.AllocatorLoad)) {
+          if (message instanceof SlotMessage.AllocatorLoad) {
+            loadReports++;
+          } else {
             messages.add(message);
           }
         }
