Measure whether a router keeps up with its callers

Cause: neither logs nor metrics told whether callers wait because their connections are accepted late, because the event loop is late, or for a slot.

Change: OverloadMonitor notes since when the accept queue of the caller port has not been empty and how late the event loop runs its timers; gauges and the events overload-begun and overload-ended show both. Nothing depends on it yet.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -7,11 +7,13 @@
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.wire.connection.internal.AcceptQueueHandler;
 import dev.agatepier.wire.connection.internal.CallerConnection;
 import dev.agatepier.wire.connection.internal.CallerPipeline;
 import dev.agatepier.wire.connection.internal.CallerPortContext;
 import dev.agatepier.wire.process.CallerFrontEnd;
 import dev.agatepier.wire.process.ListenerException;
+import dev.agatepier.wire.process.OverloadMonitor;
 import dev.agatepier.wire.process.RouterEnvironment;
 import dev.agatepier.wire.process.internal.CallerMetrics;
 import dev.agatepier.wire.process.internal.RequestLog;
@@ -19,6 +21,7 @@
 import dev.agatepier.wire.request.CallDialect;
 import dev.agatepier.wire.request.internal.ContentDigest;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,7 +29,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
 import reactor.core.scheduler.Scheduler;
 import reactor.netty.DisposableServer;
 import reactor.netty.tcp.TcpServer;
@@ -43,10 +49,15 @@
   /** Accept backlog of the server socket; sized for bursts of callers that connect at once. */
   private static final int ACCEPT_BACKLOG = 1_024;
 
+  /** Connections accepted before the event loop turns to open ones. */
+  private static final int MAXIMUM_ACCEPTS = 16;
+
   private final RouterEnvironment.Context router;
   private final CallDialect dialect;
   private final Scheduler scheduler;
   private final CallerMetrics metrics;
+  private final OverloadMonitor overload;
+  private final Disposable.Swap overloadTimer = Disposables.swap();
   private final Map<RequestId, CallerConnection> inFlight = new HashMap<>();
   private final Set<CallerConnection> connections = new HashSet<>();
   private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -68,6 +79,7 @@
     this.dialect = dialect;
     this.scheduler = scheduler;
     this.metrics = new CallerMetrics(router.metrics());
+    this.overload = new OverloadMonitor(router.clock(), router.metrics());
   }
 
   @Override
@@ -77,6 +89,9 @@
         .host(router.settings().callers().address())
         .port(router.settings().callers().port())
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAXIMUM_ACCEPTS))
         .doOnChannelInit(
             (observer, channel, remote) -> {
               CallerConnection connection = new CallerConnection(context);
@@ -87,7 +102,7 @@
               }
             })
         .bind()
-        .doOnNext(bound -> server = bound)
+        .doOnNext(this::onBound)
         .onErrorMap(
             failure ->
                 new ListenerException(
@@ -100,6 +115,24 @@
         .toFuture();
   }
 
+  private void onBound(DisposableServer bound) {
+    server = bound;
+    bound.channel().pipeline().addFirst(new AcceptQueueHandler(overload, MAXIMUM_ACCEPTS));
+    scheduleOverloadTimer();
+  }
+
+  /** Schedules the timer once: a periodic one would catch up after a delay. */
+  private void scheduleOverloadTimer() {
+    overloadTimer.replace(
+        scheduler.schedule(
+            () -> {
+              overload.onTimer();
+              scheduleOverloadTimer();
+            },
+            OverloadMonitor.TIMER_MILLIS,
+            TimeUnit.MILLISECONDS));
+  }
+
   /** Returns the bound TCP port; call it only after {@link #start} has completed. */
   public int port() {
     return server.port();
@@ -172,6 +205,7 @@
     runOnEventLoop(
         () -> {
           stopping = true;
+          overloadTimer.dispose();
           server.dispose();
           List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
           completeStopIfIdle();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -11,6 +11,8 @@
   STOP_TIMEOUT("stop-timeout"),
   STOP_FAILED("stop-failed"),
   REQUEST_CUT("request-cut"),
+  OVERLOAD_BEGUN("overload-begun"),
+  OVERLOAD_ENDED("overload-ended"),
   REQUEST_ADMITTED("request-admitted"),
   REQUEST_END("request-end"),
   SLOT_GRANTED("slot-granted"),
