Show that an overloaded router works for callers that have left

Connections are read in the order of their arrival, however long they have waited; callers wait a second or less.

--- a/agatepier-wire/src/test/java/dev/agatepier/wire/RawSocket.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/RawSocket.java
@@ -46,13 +46,22 @@
 
   /** Reads up to and including a terminator. */
   public String readUntil(String terminator) {
+    String read = readUntilOrEnd(terminator);
+    if (!read.endsWith(terminator)) {
+      throw new IllegalStateException(
+          "connection closed after " + read.length() + " bytes, before the terminator");
+    }
+    return read;
+  }
+
+  /** Reads up to and including a terminator, or until the peer closes or resets the connection. */
+  public String readUntilOrEnd(String terminator) {
     StringBuilder read = new StringBuilder();
     while (read.length() < terminator.length()
         || read.indexOf(terminator, read.length() - terminator.length()) < 0) {
       int next = readByte();
       if (next < 0) {
-        throw new IllegalStateException(
-            "connection closed after " + read.length() + " bytes, before the terminator");
+        break;
       }
       read.append((char) next);
     }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -26,6 +26,7 @@
 import dev.agatepier.wire.process.RouterEnvironment;
 import dev.agatepier.wire.process.RouterSettings;
 import dev.agatepier.wire.version.TableLease;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
@@ -144,6 +145,34 @@
     }
   }
 
+  /** Callers wait a second or less, so that work for those at the end of the queue is lost. */
+  @Test
+  public void closesConnectionsUnreadThatWaitTooLongToBeAccepted() {
+    int callers = 300;
+    dialect.workNanos = TimeUnit.MILLISECONDS.toNanos(10);
+    List<RawSocket> connected = sendDuringPause(callers, CALL.replace("/plans", "/rejected"));
+    long closedUnread =
+        connected.stream()
+            .filter(caller -> caller.readUntilOrEnd("route-unknown").isEmpty())
+            .count();
+    connected.forEach(RawSocket::close);
+    assertEquals(dialect.calls + closedUnread, callers);
+    assertTrue(closedUnread > callers / 2, closedUnread + " of " + callers + " closed unread");
+  }
+
+  private List<RawSocket> sendDuringPause(int count, String request) {
+    CountDownLatch paused = new CountDownLatch(1);
+    scheduler.schedule(() -> awaitLatch(paused));
+    List<RawSocket> connected = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      RawSocket caller = RawSocket.connect(port.port());
+      caller.write(request);
+      connected.add(caller);
+    }
+    paused.countDown();
+    return connected;
+  }
+
   @Test
   public void incompleteResponseHasNoFinalChunk() {
     try (RawSocket caller = RawSocket.connect(port.port())) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeCallDialect.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeCallDialect.java
@@ -16,12 +16,19 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.locks.LockSupport;
 
 /** Accepts every call except for paths that start with {@code /rejected}. */
 final class FakeCallDialect implements CallDialect {
 
   CallerBounds bounds = new CallerBounds(1_024, 1_000, 60_000, 60_000);
 
+  /** Processor time that each call takes on the event loop. */
+  long workNanos;
+
+  /** Calls that were read. */
+  volatile int calls;
+
   @Override
   public CallerBounds bounds() {
     return bounds;
@@ -34,6 +41,8 @@
 
   @Override
   public AcceptedCall accept(ReceivedHead head, long nowNanos) {
+    calls++;
+    LockSupport.parkNanos(workNanos);
     if (head.path().startsWith("/rejected")) {
       throw new CallRejectedException(Reason.ROUTE_UNKNOWN, "rejected by the test");
     }
