Accept several connections before serving open ones

Cause: Netty 4.2's epoll transport accepts one connection for each iteration of the event loop, as it compares the descriptor that accept() returns with a number of bytes. A router that relays streams has long iterations, so that it accepts a few dozen connections a second however short its queue of requests is; the others wait in the accept queue until their callers leave.

Change: the caller port accepts up to 16 connections in one iteration.

Class: a library's default that holds for idle servers only. The listeners of links, readiness and administration have the same default, but each gets a few connections a second.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -49,7 +49,10 @@
   /** Accept backlog of the server socket; sized for bursts of callers that connect at once. */
   private static final int ACCEPT_BACKLOG = 1_024;
 
-  /** Connections accepted before the event loop turns to open ones. */
+  /**
+   * Connections accepted before the event loop turns to open ones. Netty's epoll transport accepts
+   * only one unless it is told not to rely on the number of bytes read.
+   */
   private static final int MAXIMUM_ACCEPTS = 16;
 
   private final RouterEnvironment.Context router;
@@ -91,7 +94,9 @@
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(
             ChannelOption.RECVBUF_ALLOCATOR,
-            new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAXIMUM_ACCEPTS))
+            new ServerChannelRecvByteBufAllocator()
+                .respectMaybeMoreData(false)
+                .maxMessagesPerRead(MAXIMUM_ACCEPTS))
         .doOnChannelInit(
             (observer, channel, remote) -> {
               CallerConnection connection = new CallerConnection(context);
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -145,6 +145,16 @@
     }
   }
 
+  @Test
+  public void acceptsSeveralConnectionsBeforeItServesOpenOnes() {
+    List<RawSocket> connected = sendDuringPause(20, CALL.replace("/plans", "/rejected"));
+    connected.forEach(caller -> caller.readUntil("route-unknown"));
+    connected.forEach(RawSocket::close);
+    assertTrue(
+        dialect.boundsReadBeforeFirstCall >= 16,
+        "bounds read " + dialect.boundsReadBeforeFirstCall + " times by new connections");
+  }
+
   /** Callers wait a second or less, so that work for those at the end of the queue is lost. */
   @Test
   public void closesConnectionsUnreadThatWaitTooLongToBeAccepted() {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeCallDialect.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeCallDialect.java
@@ -26,11 +26,17 @@
   /** Processor time that each call takes on the event loop. */
   long workNanos;
 
+  /** How often the bounds were read before the first call; each new connection reads them. */
+  volatile int boundsReadBeforeFirstCall;
+
   /** Calls that were read. */
   volatile int calls;
 
+  private int boundsRead;
+
   @Override
   public CallerBounds bounds() {
+    boundsRead++;
     return bounds;
   }
 
@@ -41,7 +47,9 @@
 
   @Override
   public AcceptedCall accept(ReceivedHead head, long nowNanos) {
-    calls++;
+    if (calls++ == 0) {
+      boundsReadBeforeFirstCall = boundsRead;
+    }
     LockSupport.parkNanos(workNanos);
     if (head.path().startsWith("/rejected")) {
       throw new CallRejectedException(Reason.ROUTE_UNKNOWN, "rejected by the test");
