Turn callers away early from a router that does not keep up

A router with less processor time than its callers ask for reads connections in the order of their arrival. Once the queue takes longer than callers wait, it works for callers that have left, and the load balancer sends more, as it still reports that it is ready.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -14,6 +14,7 @@
 import dev.agatepier.wire.process.CallerFrontEnd;
 import dev.agatepier.wire.process.ListenerException;
 import dev.agatepier.wire.process.OverloadMonitor;
+import dev.agatepier.wire.process.Readiness;
 import dev.agatepier.wire.process.RouterEnvironment;
 import dev.agatepier.wire.process.internal.CallerMetrics;
 import dev.agatepier.wire.process.internal.RequestLog;
@@ -138,6 +139,12 @@
             TimeUnit.MILLISECONDS));
   }
 
+  /** Returns not ready while overloaded, so that a load balancer selects other routers. */
+  @Override
+  public Readiness readiness() {
+    return overload.overloaded() ? new Readiness(false, "overloaded") : Readiness.READY;
+  }
+
   /** Returns the bound TCP port; call it only after {@link #start} has completed. */
   public int port() {
     return server.port();
@@ -260,6 +267,9 @@
     public boolean submit(
         CallerConnection connection, RequestId request, AcceptedCall call, Bytes body) {
       inFlight.put(request, connection);
+      if (overload.overloaded()) {
+        connection.closeAfterResponse();
+      }
       RequestLog.logAdmitted(
           request, call, router.activeTable().get().version(), router.lease().ageMillis());
       return router.mailbox().offer(callArrived(request, call, body));
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AcceptQueueHandler.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AcceptQueueHandler.java
@@ -1,10 +1,15 @@
 package dev.agatepier.wire.connection.internal;
 
 import dev.agatepier.wire.process.OverloadMonitor;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
-/** Observes how a server socket accepts connections. */
+/**
+ * Observes how a server socket accepts connections, and closes those that it accepts too late
+ * without reading them. Their callers have given up or are about to; one that still waits learns at
+ * once that its request was not read and can turn to another router.
+ */
 public final class AcceptQueueHandler extends ChannelInboundHandlerAdapter {
 
   private final OverloadMonitor overload;
@@ -25,7 +30,12 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     accepted++;
-    ctx.fireChannelRead(message);
+    if (overload.acceptsTooLate() && message instanceof Channel connection) {
+      connection.unsafe().closeForcibly();
+      overload.onConnectionClosedUnread();
+    } else {
+      ctx.fireChannelRead(message);
+    }
   }
 
   @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerFrontEnd.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerFrontEnd.java
@@ -13,6 +13,9 @@
   /** Closes each connection after its next response; new connections are still accepted. */
   void closeAfterResponses();
 
+  /** Returns whether the front end accepts further callers. */
+  Readiness readiness();
+
   /** Returns the ids of the requests in flight, sorted. */
   List<String> inFlight();
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -115,6 +115,12 @@
     listener.closeAfterResponses();
   }
 
+  /** Returns ready: connections beyond the bound are closed. */
+  @Override
+  public Readiness readiness() {
+    return Readiness.READY;
+  }
+
   @Override
   public List<String> inFlight() {
     return exchanges.keySet().stream().map(RequestId::toString).sorted().toList();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -100,7 +100,7 @@
             System::nanoTime,
             environment.eventLoops(),
             metrics,
-            member::readiness,
+            this::readiness,
             member::logTaskFailure);
     callers = environment.callerFrontEnd(context);
     upstreams =
@@ -154,6 +154,11 @@
     return callers.inFlight();
   }
 
+  private Readiness readiness() {
+    Readiness readiness = member.readiness();
+    return readiness.ready() ? callers.readiness() : readiness;
+  }
+
   private void performForCaller(RouterEffect effect) {
     callers.perform(effect);
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -231,7 +231,7 @@
 
   @Override
   public Readiness readiness() {
-    return new Readiness(true, "");
+    return Readiness.READY;
   }
 
   @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SidecarTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SidecarTasks.java
@@ -145,7 +145,7 @@
 
   @Override
   public Readiness readiness() {
-    return new Readiness(true, "");
+    return Readiness.READY;
   }
 
   @Override
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -168,6 +168,7 @@
     connected.forEach(RawSocket::close);
     assertEquals(dialect.calls + closedUnread, callers);
     assertTrue(closedUnread > callers / 2, closedUnread + " of " + callers + " closed unread");
+    assertEquals(port.readiness(), new Readiness(false, "overloaded"));
   }
 
   private List<RawSocket> sendDuringPause(int count, String request) {
@@ -319,7 +320,7 @@
         System::nanoTime,
         loops,
         new MetricRegistry(),
-        () -> new Readiness(true, ""),
+        () -> Readiness.READY,
         failure -> newEvents.add(new RouterEvent.DrainStarted()));
   }
 }
