Show that a prompt part can crash one upstream after the other

Cause: routers that call upstreams themselves know nothing of the requests that ran when one crashed. Quarantine exists on the path with sidecars only, and by whole content, so that a part that many different requests share is not found.

--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -17,6 +17,8 @@
 import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.PromptMetadata;
+import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
@@ -54,6 +56,7 @@
   final List<RouterEffect> effects = new ArrayList<>();
   long now = 3_000 * MILLI;
   private long calls;
+  private long incarnation = 1;
 
   DirectRouterFixture() {
     ServiceEntry entry =
@@ -83,13 +86,28 @@
   }
 
   private static Upstream upstream(String name, boolean leaving) {
-    return new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, "a1", 4, leaving);
+    return upstream(name, 1, leaving);
+  }
+
+  private static Upstream upstream(String name, long incarnation, boolean leaving) {
+    return new Upstream(name, incarnation, SERVICE, "127.0.0.1", 8_000, "a1", 4, leaving);
   }
 
   static Upstream leaving(String name) {
     return upstream(name, true);
   }
 
+  /** Replaces the instance list by one in which every upstream has started again. */
+  void restartUpstreams() {
+    incarnation++;
+    dispatch(
+        new RouterEvent.InstancesActivated(
+            new InstanceList(
+                incarnation,
+                List.of(),
+                List.of(upstream("u1", incarnation, false), upstream("u2", incarnation, false)))));
+  }
+
   private static CallPlan plan(
       boolean idempotent, boolean resumable, boolean streaming, int attempts) {
     return new CallPlan("r", idempotent, resumable, streaming, attempts, 10_000, 500, 250, 1);
@@ -101,11 +119,25 @@
     return newEffects;
   }
 
+  /** Makes a call with the named shared prompt parts and a last part that no other call has. */
+  RequestId callWithParts(CallPlan plan, String... shared) {
+    List<PromptPart> parts = new ArrayList<>();
+    for (String part : shared) {
+      parts.add(new PromptPart(part, 10));
+    }
+    parts.add(new PromptPart("own-" + calls, 10));
+    return call(plan, OptionalLong.empty(), parts);
+  }
+
   RequestId call(CallPlan plan) {
     return call(plan, OptionalLong.empty());
   }
 
   RequestId call(CallPlan plan, OptionalLong resumeAfter) {
+    return call(plan, resumeAfter, List.of());
+  }
+
+  private RequestId call(CallPlan plan, OptionalLong resumeAfter, List<PromptPart> parts) {
     RequestId request = new RequestId("r1", 1, ++calls);
     dispatch(
         new RouterEvent.CallArrived(
@@ -118,7 +150,9 @@
             Optional.empty(),
             now + 10_000 * MILLI,
             Optional.of(plan),
-            Optional.empty(),
+            parts.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new PromptMetadata("m", 10 * parts.size(), 5, parts)),
             resumeAfter));
     return request;
   }
