Quarantine prompt parts that crash upstreams called directly

Cause: a part of a prompt, shared by requests that otherwise differ, crashed each upstream that began to respond. Routers that call upstreams themselves had no memory of crashes at all; the quarantine of the path with sidecars is by whole content and could not have found a part.

Change: DirectCrashes suspects the content and each shared prompt part of an attempt whose connection ended before the response progressed. Routers send each other what they suspect, once for each incarnation of an upstream; a request that completes anywhere clears its parts. Three crashes without a completion in between quarantine a part: its requests are rejected as not run, also when they already wait. Whole requests that crash upstreams are now found on this path too.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -19,6 +19,7 @@
         LinkMessage.FleetCosts,
         LinkMessage.DataCentreCosts,
         LinkMessage.SuspicionReport,
+        LinkMessage.DirectCrashReport,
         LinkMessage.KnownRouters,
         AttemptMessage,
         VersionMessage,
@@ -168,10 +169,11 @@
   /**
    * A crash of an upstream while a request was running on it.
    *
-   * @param fingerprint fingerprint of the request that was running
-   * @param sidecar instance name of the sidecar that detected the crash
-   * @param incarnation incarnation of that sidecar
-   * @param crashNumber number of the crash within the incarnation
+   * @param fingerprint fingerprint of the request that was running, or of a part of its prompt
+   * @param sidecar instance name of the sidecar that detected the crash, or name of the upstream if
+   *     a router called it directly
+   * @param incarnation incarnation of that sidecar or upstream
+   * @param crashNumber number of the crash within the incarnation; 0 for an upstream
    * @param exclusive whether no other request was running on the upstream
    */
   record Suspicion(
@@ -193,6 +195,21 @@
     }
   }
 
+  /**
+   * Router to router: what the sender learned from requests that it ran on upstreams itself.
+   *
+   * @param suspicions fingerprints of requests that were running when an upstream crashed
+   * @param cleared suspected fingerprints of which a request has completed
+   */
+  record DirectCrashReport(List<Suspicion> suspicions, List<Fingerprint> cleared)
+      implements LinkMessage {
+    /** Copies the lists. */
+    public DirectCrashReport {
+      suspicions = List.copyOf(suspicions);
+      cleared = List.copyOf(cleared);
+    }
+  }
+
   /**
    * Routers that the sender knows, including itself.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -5,6 +5,7 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
@@ -117,6 +118,14 @@
    */
   record CancelAttempt(AttemptId attempt) implements RouterEffect {}
 
+  /**
+   * Report that a fingerprint is quarantined or no longer is.
+   *
+   * @param fingerprint the request or prompt part
+   * @param upstream the upstream whose crash was the last one; empty if the quarantine has ended
+   */
+  record QuarantineChanged(Fingerprint fingerprint, String upstream) implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.version.SlotAllocationMode;
 import dev.agatepier.core.version.Workspace;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Admits calls to their queues or refuses them. Refusing a call without a ticket has the outcome
@@ -122,8 +123,12 @@
   }
 
   private Optional<Refusal> checkQuarantine(CallArrived call, long nowNanos) {
-    return state.quarantine.isQuarantined(call.fingerprint(), nowNanos)
-        ? refusal(Reason.QUARANTINED, state.quarantine.millisLeft(call.fingerprint(), nowNanos))
+    if (state.quarantine.isQuarantined(call.fingerprint(), nowNanos)) {
+      return refusal(Reason.QUARANTINED, state.quarantine.millisLeft(call.fingerprint(), nowNanos));
+    }
+    OptionalLong millisLeft = state.directCrashes.quarantineMillis(call, nowNanos);
+    return millisLeft.isPresent()
+        ? refusal(Reason.QUARANTINED, millisLeft.getAsLong())
         : Optional.empty();
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -103,6 +103,7 @@
   /** Handles a failed attempt that may have run. */
   void onAttemptFailed(RoutedRequest request, Reason reason, long nowNanos) {
     request.crashes += reason == Reason.UPSTREAM_DIED ? 1 : 0;
+    state.directCrashes.onAttemptFailed(request, reason, nowNanos);
     failOrRetry(request, reason, nowNanos);
   }
 
@@ -219,7 +220,8 @@
       lifecycle.fail(request, reason, nowNanos);
     } else if (request.deadlineNanos <= nowNanos) {
       lifecycle.fail(request, Reason.DEADLINE, nowNanos);
-    } else if (state.quarantine.isQuarantined(request, nowNanos)) {
+    } else if (state.quarantine.isQuarantined(request, nowNanos)
+        || state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
       lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
     } else if (!request.placement.tryAcquireRetry(request, nowNanos)) {
       lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PeerMessageDispatcher.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PeerMessageDispatcher.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.connection.AttemptMessage.AttemptHead;
 import dev.agatepier.core.connection.AttemptMessage.AttemptNotRun;
 import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.LinkMessage.DirectCrashReport;
 import dev.agatepier.core.connection.LinkMessage.FreeSlots;
 import dev.agatepier.core.connection.LinkMessage.Grant;
 import dev.agatepier.core.connection.LinkMessage.Heartbeat;
@@ -54,6 +55,7 @@
       state.leavingRouters.remove(peer.instance());
       allocatorPlacement.onRoutersChanged(state.allocatorCandidates(), nowNanos);
       sendSuspicions(peer.instance(), state.quarantine.activeReports(nowNanos));
+      state.directCrashes.onRouterConnected(peer.instance(), nowNanos);
       return;
     }
     ConnectedSidecar previous = state.sidecars.findByName(peer.instance());
@@ -101,6 +103,8 @@
     ConnectedSidecar sidecar = state.sidecars.findByIdentity(peer);
     if (message instanceof SuspicionReport report) {
       onSuspicionReport(peer, report, nowNanos);
+    } else if (message instanceof DirectCrashReport report) {
+      state.directCrashes.onReport(report, nowNanos);
     } else if (peer.role() == Role.ROUTER && message instanceof Heartbeat heartbeat) {
       setRouterLeaving(peer, heartbeat.draining(), nowNanos);
     } else if (sidecar != null) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
@@ -29,6 +29,7 @@
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final int maximumCrashes;
+  private final long minimumGapNanos;
   private final long quarantineNanos;
 
   private final Map<Fingerprint, Suspect> suspects =
@@ -52,6 +53,10 @@
     private final Map<Crash, Suspicion> cleared = new LinkedHashMap<>();
     private long lastNanos;
 
+    private boolean isWithin(long gapNanos, long nowNanos) {
+      return !counted.isEmpty() && nowNanos - lastNanos < gapNanos;
+    }
+
     private void retire() {
       cleared.putAll(counted);
       counted.clear();
@@ -61,7 +66,14 @@
     }
   }
 
-  Quarantine(RouterPolicy policy) {
+  /**
+   * Creates an empty quarantine.
+   *
+   * @param minimumGapNanos time after a crash in which another one of the same fingerprint does not
+   *     count, because one event, such as a network failure, may look like several crashes
+   */
+  Quarantine(RouterPolicy policy, long minimumGapNanos) {
+    this.minimumGapNanos = minimumGapNanos;
     maximumCrashes = policy.quarantineDeaths();
     quarantineNanos = policy.quarantineMillis() * NANOS_PER_MILLI;
   }
@@ -76,7 +88,10 @@
       if (!known && nowNanos - suspect.lastNanos >= quarantineNanos) {
         suspect.retire();
       }
-      if (!known && suspect.counted.size() < Math.max(CRASH_CAPACITY, maximumCrashes)) {
+      if (!known && suspect.isWithin(minimumGapNanos, nowNanos)) {
+        suspect.cleared.put(crash, report);
+        added.add(report);
+      } else if (!known && suspect.counted.size() < Math.max(CRASH_CAPACITY, maximumCrashes)) {
         suspect.counted.put(crash, report);
         suspect.lastNanos = nowNanos;
         suspects.remove(report.fingerprint());
@@ -123,12 +138,24 @@
     return Math.max(1, (quarantineNanos - sinceNanos) / NANOS_PER_MILLI);
   }
 
-  /** Clears the crashes of a fingerprint after a request completed while running exclusively. */
-  void clear(Fingerprint fingerprint) {
+  /**
+   * Clears the crashes of a fingerprint after a request completed that cannot have crashed its
+   * upstream.
+   *
+   * @return whether there were any
+   */
+  boolean clear(Fingerprint fingerprint) {
     Suspect suspect = suspects.get(fingerprint);
-    if (suspect != null) {
+    boolean suspected = suspect != null && !suspect.counted.isEmpty();
+    if (suspected) {
       suspect.retire();
     }
+    return suspected;
+  }
+
+  /** Returns whether no fingerprint is recorded. */
+  boolean isEmpty() {
+    return suspects.isEmpty();
   }
 
   /** Drops the fingerprints whose last crash is older than the retention time. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -70,6 +70,9 @@
     if (request.exclusive) {
       state.quarantine.clear(request.fingerprint());
     }
+    if (!request.upstreamError) {
+      state.directCrashes.onCompleted(request, nowNanos);
+    }
     remove(request, request.upstreamError ? SlotStage.FAILED : SlotStage.COMPLETED, nowNanos);
     state.outbox.add(new EndResponse(request.id(), request.metadata(cost, nowNanos)));
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -40,6 +40,7 @@
   final Map<RequestId, RoutedRequest> requests = new HashMap<>();
   final RequestTimers timers = new RequestTimers();
   final Quarantine quarantine;
+  final DirectCrashes directCrashes;
   final RunningFingerprints fingerprints = new RunningFingerprints();
   final PrefixAffinity affinity = new PrefixAffinity();
   final Set<String> leavingRouters = new HashSet<>();
@@ -55,7 +56,8 @@
     this.policy = policy;
     sidecars = new ConnectedSidecars(self, policy.sidecarsPerService());
     queues = new WorkspaceQueues(policy.spillMillis() * NANOS_PER_MILLI);
-    quarantine = new Quarantine(policy);
+    quarantine = new Quarantine(policy, 0);
+    directCrashes = new DirectCrashes(this);
   }
 
   /**
@@ -108,6 +110,7 @@
   public void expire(long nowNanos) {
     queues.expire(this, nowNanos);
     quarantine.expire(nowNanos);
+    directCrashes.expire(nowNanos);
   }
 
   /** Returns the state that is shown to operators. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -72,6 +72,9 @@
     } else if (upstream == null || upstream.upstream().leaving()) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
+    } else if (state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
+      placement.decline(router, granted.service(), granted.request(), granted.upstream());
+      lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
     } else {
       call(request, upstream, nowNanos);
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
@@ -24,4 +24,9 @@
           "promptTokens " + promptTokens + " or outputTokens " + outputTokens + " is negative");
     }
   }
+
+  /** Returns the parts that other requests may have too: all but the last. */
+  public List<PromptPart> sharedParts() {
+    return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+  }
 }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectCrashesTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectCrashesTest.java
@@ -4,9 +4,16 @@
 import static dev.agatepier.core.process.DirectRouterFixture.STREAM;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.connection.LinkMessage.DirectCrashReport;
+import dev.agatepier.core.connection.LinkMessage.Suspicion;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -15,6 +22,10 @@
 
   private static final String QUARANTINED = "not-run quarantined";
 
+  private static final PeerIdentity PEER = DirectRouterFixture.identity("r9", "b1");
+  private static final Fingerprint DEADLY =
+      Fingerprint.ofPart(DirectRouterFixture.SERVICE, new PromptPart("deadly", 10));
+
   private DirectRouterFixture router;
 
   @BeforeMethod
@@ -99,6 +110,43 @@
     assertEquals(complete(router.callWithParts(STREAM, "victim")), "200 complete");
   }
 
+  @Test
+  public void learnsFromOtherRouters() {
+    router.dispatch(new RouterEvent.PeerConnected(PEER));
+    for (int crash = 1; crash <= 3; crash++) {
+      Suspicion suspicion = new Suspicion(DEADLY, "u9", crash, 0, false);
+      receive(new DirectCrashReport(List.of(suspicion), List.of()));
+      receive(new DirectCrashReport(List.of(suspicion), List.of()));
+      router.advance(1_000);
+    }
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "deadly")), QUARANTINED);
+    receive(new DirectCrashReport(List.of(), List.of(DEADLY)));
+    assertEquals(complete(router.callWithParts(STREAM, "deadly")), "200 complete");
+  }
+
+  @Test
+  public void reportsCrashesAndCompletionsToOtherRouters() {
+    router.dispatch(new RouterEvent.PeerConnected(PEER));
+    crashUpstream("deadly");
+    DirectCrashReport crashed = router.sentReports(PEER.instance()).getLast();
+    assertTrue(
+        crashed.suspicions().contains(new Suspicion(DEADLY, "u1", 1, 0, false)),
+        crashed.toString());
+    complete(router.callWithParts(STREAM, "deadly"));
+    assertEquals(router.sentReports(PEER.instance()).getLast().cleared(), List.of(DEADLY));
+  }
+
+  @Test
+  public void sendsWhatCountsToRouterThatConnects() {
+    crashUpstream("deadly");
+    router.dispatch(new RouterEvent.PeerConnected(PEER));
+    assertEquals(router.sentReports(PEER.instance()).getLast().suspicions().size(), 2);
+  }
+
+  private void receive(DirectCrashReport report) {
+    router.dispatch(new RouterEvent.MessageReceived(PEER, report));
+  }
+
   private void crashUpstream(String... parts) {
     fail(router.callWithParts(STREAM, parts), "u1");
     router.restartUpstreams();
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process;
 
+import dev.agatepier.core.connection.LinkMessage.DirectCrashReport;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.connection.SlotMessage;
@@ -244,6 +245,16 @@
     return stages;
   }
 
+  /** Returns the reports of crashes that were sent to another router, in order. */
+  List<DirectCrashReport> sentReports(String other) {
+    return effects.stream()
+        .filter(effect -> effect instanceof Send send && send.instance().equals(other))
+        .map(effect -> ((Send) effect).message())
+        .filter(DirectCrashReport.class::isInstance)
+        .map(DirectCrashReport.class::cast)
+        .toList();
+  }
+
   /** Returns the messages of one type that were sent to an allocator. */
   <M extends SlotMessage> List<M> sent(String allocator, Class<M> kind) {
     return effects.stream()
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -136,6 +136,7 @@
           RouterEffect.RunAttempt _,
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
+          RouterEffect.QuarantineChanged _,
           RouterEffect.Drained _ -> {
         // The callers only wait for the end of the response, and the router calls no upstream
         // itself, as each one has a sidecar.
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -186,6 +186,7 @@
           RouterEffect.RunAttempt _,
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
+          RouterEffect.QuarantineChanged _,
           RouterEffect.Drained _ -> {
         // Other components perform these effects.
       }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
@@ -46,7 +46,8 @@
           LinkMessage.CostChanges _,
           LinkMessage.FleetCosts _,
           LinkMessage.DataCentreCosts _,
-          LinkMessage.SuspicionReport _ ->
+          LinkMessage.SuspicionReport _,
+          LinkMessage.DirectCrashReport _ ->
           COST;
       case VersionMessage.InstancesRequest _,
           VersionMessage.InstancesTransfer _,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CostMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CostMessageCodec.java
@@ -3,10 +3,12 @@
 import dev.agatepier.core.connection.LinkMessage.CostChanges;
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
+import dev.agatepier.core.connection.LinkMessage.DirectCrashReport;
 import dev.agatepier.core.connection.LinkMessage.FleetCosts;
 import dev.agatepier.core.connection.LinkMessage.Suspicion;
 import dev.agatepier.core.connection.LinkMessage.SuspicionReport;
 import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
+import dev.agatepier.core.request.Fingerprint;
 import java.util.List;
 
 /** Encodes the messages about the costs of workspaces and about suspicious requests. */
@@ -54,6 +56,18 @@
             (message, output) ->
                 output.writeList(message.suspicions(), CostMessageCodec::writeSuspicion),
             input -> new SuspicionReport(input.readList(CostMessageCodec::readSuspicion))),
+        new MessageType<>(
+            35,
+            DirectCrashReport.class,
+            2,
+            (message, output) -> {
+              output.writeList(message.suspicions(), CostMessageCodec::writeSuspicion);
+              output.writeList(message.cleared(), CostMessageCodec::writeFingerprint);
+            },
+            input ->
+                new DirectCrashReport(
+                    input.readList(CostMessageCodec::readSuspicion),
+                    input.readList(RequestFields::readFingerprint))),
         new MessageType<>(
             34,
             CostChanges.class,
@@ -79,6 +93,10 @@
     return new WorkspaceCost(input.readString(), input.readDouble());
   }
 
+  private static void writeFingerprint(FieldOutput output, Fingerprint fingerprint) {
+    RequestFields.writeFingerprint(fingerprint, output);
+  }
+
   private static void writeSuspicion(FieldOutput output, Suspicion suspicion) {
     RequestFields.writeFingerprint(suspicion.fingerprint(), output);
     output.writeString(suspicion.sidecar());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -154,6 +154,7 @@
           RouterEffect.RunAttempt _,
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
+          RouterEffect.QuarantineChanged _,
           RouterEffect.Drained _ -> {}
     }
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -20,6 +20,7 @@
   ATTEMPT_STARTED("attempt-started"),
   ATTEMPT_ENDED("attempt-ended"),
   ANSWER_UNSOUND("answer-unsound"),
+  QUARANTINE_CHANGED("quarantine-changed"),
   UPSTREAM_JUDGED("upstream-judged"),
   TABLE_STALE("table-stale"),
   TABLE_CONFIRMED("table-confirmed"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -162,6 +162,19 @@
                 .with("sinceMillis", change.sinceMillis()));
   }
 
+  /** Logs a request or prompt part that is quarantined or no longer is. */
+  static void logQuarantineChanged(RouterEffect.QuarantineChanged change) {
+    LOGGER.warn(
+        () ->
+            LogEvent.QUARANTINE_CHANGED
+                .message()
+                .with("workspace", change.fingerprint().workspace())
+                .with("service", change.fingerprint().service())
+                .with("content", change.fingerprint().contentDigest())
+                .with("quarantined", !change.upstream().isEmpty())
+                .with("upstream", change.upstream()));
+  }
+
   /** Logs the end of a request with the ticket that was issued. */
   public static void logTicketIssued(RequestId request, Ticket ticket) {
     LOGGER.info(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -254,6 +254,7 @@
       case RouterEffect.Send(String instance, LinkMessage message) -> send(instance, message);
       case RouterEffect.RunAttempt _, RouterEffect.ReadAttempt _, RouterEffect.CancelAttempt _ ->
           upstreamEffects.accept(effect);
+      case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
       case RouterEffect.Drained _ -> drained.complete(null);
       case RouterEffect.EndResponse end -> {
         metrics.recordEnded(Outcome.COMPLETED, Optional.empty(), end.metadata());
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.connection.LinkMessage.CostReport;
 import dev.agatepier.core.connection.LinkMessage.DataCentreCosts;
 import dev.agatepier.core.connection.LinkMessage.DemandUpdate;
+import dev.agatepier.core.connection.LinkMessage.DirectCrashReport;
 import dev.agatepier.core.connection.LinkMessage.FleetCosts;
 import dev.agatepier.core.connection.LinkMessage.FreeSlots;
 import dev.agatepier.core.connection.LinkMessage.Grant;
@@ -129,6 +130,8 @@
         new FleetCosts(7, costs),
         new DataCentreCosts("plan-model", costs),
         new SuspicionReport(List.of(new Suspicion(FINGERPRINT, "engine-3", 9, 1, true))),
+        new DirectCrashReport(
+            List.of(new Suspicion(FINGERPRINT, "engine-3", 9, 0, false)), List.of(FINGERPRINT)),
         new CostChanges(costs, List.of("siliguri-festival"), List.of("howrah-winds")));
   }
 
