--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
@@ -21,7 +21,7 @@
 final class DirectCrashes {
 
   /** Time in which failures at several upstreams count as one, as a network failure causes them. */
-  private static final long MINIMUM_GAP_NANOS = 300_000_000;
+  private static final long MINIMUM_GAP_NANOS = 200_000_000;
 
   /** Content frames after which a response has progressed beyond its start. */
   private static final int STARTED_FRAMES = 1;
