Send the heartbeats of all links from one timer

Cause: each link had a timer of its own, so that a router with 30 links woke up a hundred times a second to send heartbeats, one each time.

Change: the directory of the links, which is one task, sends the heartbeats of all active links in one run. The interval, the first heartbeat of a link and the check for silence stay as they were.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkNetwork.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/LinkNetwork.java
@@ -40,7 +40,8 @@
       MonotonicClock clock,
       LoopResources eventLoops,
       Scheduler scheduler) {
-    LinkDirectory directory = new LinkDirectory(eventHandler, scheduler);
+    LinkDirectory directory =
+        new LinkDirectory(eventHandler, settings.heartbeatMillis(), scheduler);
     context =
         new LinkContext(
             self,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkDirectory.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkDirectory.java
@@ -5,7 +5,9 @@
 import dev.agatepier.wire.connection.LinkEventHandler;
 import dev.agatepier.wire.process.LogEvent;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import reactor.core.scheduler.Scheduler;
@@ -21,8 +23,13 @@
 
   private final LinkEventHandler eventHandler;
   private final Map<String, LinkTask> activeLinks = new HashMap<>();
+  private final long heartbeatMillis;
+  private final Scheduler scheduler;
   private final MailboxTask<DirectoryEvent> mailbox;
 
+  /** Whether the timer of the heartbeats runs; it stops when there is no active link. */
+  private boolean heartbeatsScheduled;
+
   /** A change of one link. */
   private sealed interface DirectoryEvent {}
 
@@ -32,14 +39,20 @@
   /** A link is closed. */
   private record LinkClosed(LinkTask link, String reason) implements DirectoryEvent {}
 
+  /** The heartbeats of all active links are due. */
+  private record HeartbeatsDue() implements DirectoryEvent {}
+
   /**
    * Creates an empty directory.
    *
    * @param eventHandler receives the events of every link
+   * @param heartbeatMillis interval of the heartbeats, in milliseconds
    * @param scheduler runs the task
    */
-  public LinkDirectory(LinkEventHandler eventHandler, Scheduler scheduler) {
+  public LinkDirectory(LinkEventHandler eventHandler, long heartbeatMillis, Scheduler scheduler) {
     this.eventHandler = eventHandler;
+    this.heartbeatMillis = heartbeatMillis;
+    this.scheduler = scheduler;
     this.mailbox =
         new MailboxTask<>(
             Integer.MAX_VALUE,
@@ -71,6 +84,7 @@
     switch (event) {
       case LinkAuthenticated(LinkTask link) -> activate(link);
       case LinkClosed(LinkTask link, String reason) -> deactivate(link, reason);
+      case HeartbeatsDue() -> sendHeartbeats();
     }
   }
 
@@ -94,6 +108,27 @@
     activeLinks.put(link.peer().instance(), link);
     eventHandler.onPeerConnected(link.peer(), link);
     link.onActivated();
+    if (!heartbeatsScheduled) {
+      scheduleHeartbeats();
+    }
+  }
+
+  /**
+   * Sends the heartbeats of all links in one run: a timer for each link wakes the event loop far
+   * more often.
+   */
+  private void sendHeartbeats() {
+    heartbeatsScheduled = false;
+    if (!activeLinks.isEmpty()) {
+      List.copyOf(activeLinks.values()).forEach(LinkTask::sendHeartbeat);
+      scheduleHeartbeats();
+    }
+  }
+
+  private void scheduleHeartbeats() {
+    heartbeatsScheduled = true;
+    scheduler.schedule(
+        () -> mailbox.post(new HeartbeatsDue()), heartbeatMillis, TimeUnit.MILLISECONDS);
   }
 
   private void deactivate(LinkTask link, String reason) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/LinkTask.java
@@ -226,7 +226,7 @@
             .message()
             .with("peer", peer.instance())
             .with("incarnation", peer.incarnation()));
-    sendHeartbeats();
+    sendHeartbeat();
     inbound.request(1);
   }
 
@@ -243,11 +243,14 @@
     }
   }
 
-  private void sendHeartbeats() {
-    if (closeReason.get() == null && !closeIfSilent()) {
-      write(context.heartbeat().get());
-      schedule(context.settings().heartbeatMillis(), this::sendHeartbeats);
-    }
+  /** Sends a heartbeat, or closes the link if it has been silent for too long. */
+  void sendHeartbeat() {
+    runGuarded(
+        () -> {
+          if (closeReason.get() == null && !closeIfSilent()) {
+            write(context.heartbeat().get());
+          }
+        });
   }
 
   /**
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
@@ -211,6 +211,30 @@
     }
   }
 
+  @Test
+  public void sendsHeartbeatsOverEveryLink() {
+    LinkSettings settings =
+        new LinkSettings(20, 4, 5_000, 1_048_576, 64, 262_144, 5, 20, Optional.empty());
+    LinkNetwork network = network(LinkSessions.SIDECAR, SECRET, settings, sidecarEvents);
+    LinkListener listener = network.listener(LOOPBACK, 0);
+    start(listener);
+    try (RawPeer first = new RawPeer(listener.port());
+        RawPeer second = new RawPeer(listener.port())) {
+      authenticate(first, "router-3");
+      authenticate(second, "router-4");
+      for (int heartbeat = 0; heartbeat < 3; heartbeat++) {
+        assertTrue(first.read() instanceof Heartbeat);
+        assertTrue(second.read() instanceof Heartbeat);
+      }
+    }
+    try (RawPeer later = new RawPeer(listener.port())) {
+      authenticate(later, "router-5");
+      for (int heartbeat = 0; heartbeat < 3; heartbeat++) {
+        assertTrue(later.read() instanceof Heartbeat, "the timer runs again");
+      }
+    }
+  }
+
   @Test
   public void newerIncarnationReplacesOlderLink() {
     int port = listen(LONG_TIMEOUTS);
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/LinkTaskTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/LinkTaskTest.java
@@ -58,7 +58,8 @@
         () -> new Heartbeat(0, 0, false, 0),
         System::nanoTime,
         new MessagePackCodec(),
-        new LinkDirectory(new NoOpLinkEvents(), Schedulers.parallel()),
+        new LinkDirectory(
+            new NoOpLinkEvents(), LinkSettings.DEFAULT.heartbeatMillis(), Schedulers.parallel()),
         TcpResources.get(),
         Schedulers.parallel());
   }
