Let a router that starts learn all counted crashes at once

Cause: a router that connects receives what its peer counts in one message. As crashes within 200 ms count as one, it counted a single crash of a part that the others had quarantined, and sent its requests to two more upstreams.

Change: several reports of one fingerprint in a message all count; the gap applies between messages.

Measured: learnsAllAtOnceAfterItsStart, red before; the tests of quarantine, direct crashes and outcomes under faults pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
@@ -8,8 +8,10 @@
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.Reason;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Finds the requests and the prompt parts that crash upstreams which routers call directly, and
@@ -103,11 +105,16 @@
   }
 
   private List<Suspicion> addReports(List<Suspicion> reports, long nowNanos) {
-    List<Suspicion> added = new ArrayList<>();
+    Set<Fingerprint> quarantinedBefore = new HashSet<>();
     for (Suspicion report : reports) {
-      boolean before = quarantine.isQuarantined(report.fingerprint(), nowNanos);
-      added.addAll(quarantine.addReports(List.of(report), nowNanos));
-      if (!before && quarantine.isQuarantined(report.fingerprint(), nowNanos)) {
+      if (quarantine.isQuarantined(report.fingerprint(), nowNanos)) {
+        quarantinedBefore.add(report.fingerprint());
+      }
+    }
+    List<Suspicion> added = quarantine.addReports(reports, nowNanos);
+    for (Suspicion report : added) {
+      if (quarantine.isQuarantined(report.fingerprint(), nowNanos)
+          && quarantinedBefore.add(report.fingerprint())) {
         state.outbox.add(new QuarantineChanged(report.fingerprint(), report.sidecar()));
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
@@ -4,9 +4,11 @@
 import dev.agatepier.core.process.RouterPolicy;
 import dev.agatepier.core.request.Fingerprint;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Records the fingerprints of requests that ran while upstreams crashed, and refuses a fingerprint
@@ -78,9 +80,13 @@
     quarantineNanos = policy.quarantineMillis() * NANOS_PER_MILLI;
   }
 
-  /** Adds reports, and returns those that were not known. */
+  /**
+   * Adds reports, and returns those that were not known. Several reports of one fingerprint are
+   * what a peer has counted, so that they all count here.
+   */
   List<Suspicion> addReports(List<Suspicion> reports, long nowNanos) {
     List<Suspicion> added = new ArrayList<>();
+    Set<Fingerprint> countedNow = new HashSet<>();
     for (Suspicion report : reports) {
       Suspect suspect = suspects.getOrDefault(report.fingerprint(), new Suspect());
       Crash crash = new Crash(report.sidecar(), report.incarnation(), report.crashNumber());
@@ -88,10 +94,13 @@
       if (!known && nowNanos - suspect.lastNanos >= quarantineNanos) {
         suspect.retire();
       }
-      if (!known && suspect.isWithin(minimumGapNanos, nowNanos)) {
+      if (!known
+          && !countedNow.contains(report.fingerprint())
+          && suspect.isWithin(minimumGapNanos, nowNanos)) {
         suspect.cleared.put(crash, report);
         added.add(report);
       } else if (!known && suspect.counted.size() < Math.max(CRASH_CAPACITY, maximumCrashes)) {
+        countedNow.add(report.fingerprint());
         suspect.counted.put(crash, report);
         suspect.lastNanos = nowNanos;
         suspects.remove(report.fingerprint());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectCrashesTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectCrashesTest.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -124,6 +125,17 @@
     assertEquals(complete(router.callWithParts(STREAM, "deadly")), "200 complete");
   }
 
+  @Test
+  public void learnsAllAtOnceAfterItsStart() {
+    router.dispatch(new RouterEvent.PeerConnected(PEER));
+    List<Suspicion> counted = new ArrayList<>();
+    for (int crash = 1; crash <= 3; crash++) {
+      counted.add(new Suspicion(DEADLY, "u9", crash, 0, false));
+    }
+    receive(new DirectCrashReport(counted, List.of()));
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "deadly")), QUARANTINED);
+  }
+
   @Test
   public void reportsCrashesAndCompletionsToOtherRouters() {
     router.dispatch(new RouterEvent.PeerConnected(PEER));
