Read the gauges of an overload safely from other threads

Cause: found on reading the change again. The metrics server reads the gauges on its own thread, while the event loop changes the fields behind them; the time since which the accept queue is not empty was read twice, so that the gauge could fail when the queue became empty in between.

Change: both fields are volatile, and the time is read once.

Measured: formatter, linter, OverloadMonitorTest, CallerPortTest and ArchitectureTest pass; no test provokes the race.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/OverloadMonitor.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/OverloadMonitor.java
@@ -11,7 +11,7 @@
 /**
  * Tells whether a front end keeps up with its callers. It does not while the accept queue of the
  * server socket never becomes empty, or while the event loop runs its timers late. All methods but
- * {@link #overloaded} run on the event loop.
+ * {@link #overloaded} run on the event loop; the gauges are read on any thread.
  */
 public final class OverloadMonitor {
 
@@ -41,10 +41,10 @@
   private static final long RECURRENCE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   private final MonotonicClock clock;
-  private OptionalLong queuedSinceNanos = OptionalLong.empty();
+  private volatile OptionalLong queuedSinceNanos = OptionalLong.empty();
   private OptionalLong lateSinceNanos = OptionalLong.empty();
   private long expectedTimerNanos;
-  private long timerDelayNanos;
+  private volatile long timerDelayNanos;
   private long holdNanos = MINIMUM_HOLD_NANOS;
   private long beginNanos;
   private long endNanos;
@@ -137,7 +137,8 @@
   }
 
   private long queuedNanos() {
-    return queuedSinceNanos.isEmpty() ? 0 : clock.nanoTime() - queuedSinceNanos.getAsLong();
+    OptionalLong since = queuedSinceNanos;
+    return since.isEmpty() ? 0 : clock.nanoTime() - since.getAsLong();
   }
 
   private static long millis(long nanos) {
