Name the socket transport in the line at start

Cause: nothing in logs or metrics said that a machine had fallen back to NIO; only the name of a thread did.

Change: process-started has the field transport (epoll or nio).

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -18,6 +18,7 @@
 import dev.agatepier.wire.connection.LinkNetwork;
 import dev.agatepier.wire.connection.LinkSettings;
 import dev.agatepier.wire.connection.LinkTls;
+import dev.agatepier.wire.connection.SocketTransport;
 import dev.agatepier.wire.process.AdministrationListener;
 import dev.agatepier.wire.process.AdministrationSettings;
 import dev.agatepier.wire.process.CommonSettings;
@@ -57,6 +58,7 @@
   private final AdministrationListener administration;
   private final ManagedService metricsServer;
   private final MemberTasks tasks;
+  private final SocketTransport transport;
 
   /**
    * Creates the member without opening a socket.
@@ -89,6 +91,7 @@
     this.links = links;
     this.tasks = tasks;
     this.heartbeats = new PeerHeartbeats(self.role());
+    this.transport = SocketTransport.of(eventLoops);
     List<VersionListener> allListeners = new ArrayList<>(listeners);
     allListeners.add(new VersionForwarder());
     versions =
@@ -148,7 +151,8 @@
                     LogEvent.PROCESS_STARTED
                         .message()
                         .with("role", self.role().text())
-                        .with("incarnation", Long.toHexString(self.incarnation()))));
+                        .with("incarnation", Long.toHexString(self.incarnation()))
+                        .with("transport", transport.name())));
   }
 
   /** Closes links after peers have received every frame, then listeners; tasks must have ended. */
