Notice callers that left during a pause on NIO too

Callers saw: on a machine without a native transport, a router that wakes up works for callers that have left before it turns to those that still wait.

Cause: NIO stops reading when a read does not fill its buffer, so that the end of a connection behind a request is seen one iteration of the event loop after the request was submitted. Epoll reports it with the request.

Change: on NIO the caller port reads until nothing is left.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -21,6 +21,7 @@
 import dev.agatepier.wire.request.AcceptedCall;
 import dev.agatepier.wire.request.CallDialect;
 import dev.agatepier.wire.request.internal.ContentDigest;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import java.util.HashMap;
@@ -56,6 +57,9 @@
    */
   private static final int MAXIMUM_ACCEPTS = 16;
 
+  /** Reads from one connection before the event loop turns to the next. */
+  private static final int MAXIMUM_READS = 16;
+
   private final RouterEnvironment.Context router;
   private final CallDialect dialect;
   private final Scheduler scheduler;
@@ -88,7 +92,7 @@
 
   @Override
   public CompletableFuture<Void> start() {
-    return TcpServer.create()
+    return configureReads(TcpServer.create())
         .runOn(router.eventLoops())
         .host(router.settings().callers().address())
         .port(router.settings().callers().port())
@@ -121,6 +125,20 @@
         .toFuture();
   }
 
+  /**
+   * Lets NIO read until nothing is left, so that a request and the end of its connection are seen
+   * together. A native transport reports the end without reading.
+   */
+  private TcpServer configureReads(TcpServer server) {
+    return SocketTransport.of(router.eventLoops()).isNio()
+        ? server.childOption(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator()
+                .respectMaybeMoreData(false)
+                .maxMessagesPerRead(MAXIMUM_READS))
+        : server;
+  }
+
   private void onBound(DisposableServer bound) {
     server = bound;
     bound.channel().pipeline().addFirst(new AcceptQueueHandler(overload, MAXIMUM_ACCEPTS));
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -61,12 +61,16 @@
     events = newEvents;
     accepting = true;
     dialect = new FakeCallDialect();
-    loops = LoopResources.create("caller-port-test", 1, true);
+    loops = createLoops();
     scheduler = Schedulers.fromExecutorService(loops.onServer(true).next());
     port = new CallerPort(context(newEvents), dialect, scheduler);
     port.start().join();
   }
 
+  LoopResources createLoops() {
+    return LoopResources.create("caller-port-test", 1, true);
+  }
+
   @AfterMethod(alwaysRun = true)
   public void stopPort() {
     port.stop();
