Show what becomes of requests by their size

Callers saw: of the largest tenth of a kind of request far fewer were served than of all (SHORT).

Neither log nor metric gave the size of a request, nor told that two requests are tries of the same one, so that no hypothesis could be tested.

Change: request-admitted has the tokens of prompt and output and a digest of the content; histograms of the expected cost by route and result. No logic of requests changes.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -3,8 +3,10 @@
 import dev.agatepier.core.process.RequestMetadata;
 import dev.agatepier.core.process.RouterEffect.FailRequest;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
+import dev.agatepier.core.process.RouterEvent.TicketRequested;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.Ticket;
@@ -95,10 +97,15 @@
     return allowed ? Optional.empty() : refusal(Reason.SERVICE_NOT_ALLOWED, 0);
   }
 
-  /** Ends a request that was never queued. */
-  void refuse(
-      RequestId request, String workspace, String service, Outcome outcome, Refusal refusal) {
-    RequestMetadata metadata = new RequestMetadata(workspace, service, 0, "", 0, 0, 0, 0);
+  /** Ends a request for a ticket that is not issued. */
+  void refuse(TicketRequested wanted, Refusal refusal) {
+    RequestMetadata metadata =
+        RequestMetadata.ofUnqueued(wanted.workspace(), wanted.service(), wanted.service(), 0);
+    refuse(wanted.request(), Outcome.NOT_RUN, refusal, metadata);
+  }
+
+  private void refuse(
+      RequestId request, Outcome outcome, Refusal refusal, RequestMetadata metadata) {
     state.outbox.add(
         new FailRequest(request, outcome, refusal.reason(), refusal.retryAfterMillis(), metadata));
   }
@@ -106,7 +113,13 @@
   private void refuse(CallArrived call, Refusal refusal) {
     boolean mayHaveRun = call.ticket().isPresent() && refusal.reason() != Reason.TICKET_INVALID;
     Outcome outcome = mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-    refuse(call.request(), call.workspace(), call.service(), outcome, refusal);
+    RequestMetadata metadata =
+        RequestMetadata.ofUnqueued(
+            call.workspace(),
+            call.service(),
+            call.plan().map(CallPlan::route).orElse(call.service()),
+            call.prompt().map(PromptMetadata::expectedCost).orElse(0.0));
+    refuse(call.request(), outcome, refusal, metadata);
   }
 
   private Optional<Refusal> checkTicket(CallArrived call) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -11,9 +11,6 @@
  */
 final class ModelSlotRule implements SlotRule {
 
-  /** Cost of an output token relative to a prompt token; the platform uses the same weight. */
-  private static final double OUTPUT_TOKEN_COST = 2;
-
   /**
    * Additional weight of prefilling shared prompt parts: it evicts cached parts, and operators pay
    * for each token that is prefilled again.
@@ -72,12 +69,12 @@
 
   @Override
   public double expectedCost(WaitingCall call) {
-    return call.prompt().map(prompt -> cost(prompt, prompt.outputTokens())).orElse(1.0);
+    return call.prompt().map(PromptMetadata::expectedCost).orElse(1.0);
   }
 
   @Override
   public double actualCost(WaitingCall call, long amount) {
-    return call.prompt().map(prompt -> cost(prompt, amount)).orElse(1.0);
+    return call.prompt().map(prompt -> prompt.cost(amount)).orElse(1.0);
   }
 
   @Override
@@ -88,8 +85,4 @@
   static int uncachedTokens(UpstreamLoad upstream, WaitingCall call) {
     return call.prompt().map(upstream.cache::uncachedTokens).orElse(0);
   }
-
-  private static double cost(PromptMetadata prompt, long outputTokens) {
-    return prompt.promptTokens() + OUTPUT_TOKEN_COST * outputTokens;
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -5,6 +5,7 @@
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import java.util.HashSet;
@@ -188,6 +189,8 @@
     return new RequestMetadata(
         call.workspace(),
         call.service(),
+        plan.route(),
+        call.prompt().map(PromptMetadata::expectedCost).orElse(0.0),
         attempts,
         lastTarget,
         attempts == 0 ? nowNanos - arrivedNanos : sentNanos - arrivedNanos,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/TicketIssuer.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/TicketIssuer.java
@@ -3,7 +3,6 @@
 import dev.agatepier.core.process.RouterEffect.IssueTicket;
 import dev.agatepier.core.process.RouterEvent.TicketRequested;
 import dev.agatepier.core.process.internal.Admission.Refusal;
-import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.Ticket;
 import java.util.Optional;
@@ -26,8 +25,7 @@
     Optional<ConnectedSidecar> home = state.sidecars.ticketHome(wanted.service(), wanted.request());
     if (refusal.isPresent() || home.isEmpty()) {
       Refusal reason = refusal.orElse(new Refusal(Reason.NO_UPSTREAM, 0));
-      admission.refuse(
-          wanted.request(), wanted.workspace(), wanted.service(), Outcome.NOT_RUN, reason);
+      admission.refuse(wanted, reason);
       return;
     }
     ConnectedSidecar sidecar = home.get();
--- a/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
@@ -15,6 +15,9 @@
 public record PromptMetadata(
     String model, int promptTokens, int outputTokens, List<PromptPart> parts) {
 
+  /** Cost of an output token relative to a prompt token; the platform uses the same weight. */
+  private static final double OUTPUT_TOKEN_COST = 2;
+
   /** Rejects a null model and negative numbers; copies the parts. */
   public PromptMetadata {
     Objects.requireNonNull(model, "model");
@@ -25,6 +28,16 @@
     }
   }
 
+  /** Returns the expected cost of the request, in prompt tokens. */
+  public double expectedCost() {
+    return cost(outputTokens);
+  }
+
+  /** Returns the cost of the request for a length of the response, in prompt tokens. */
+  public double cost(long responseTokens) {
+    return promptTokens + OUTPUT_TOKEN_COST * responseTokens;
+  }
+
   /** Returns the parts that other requests may have too: all but the last. */
   public List<PromptPart> sharedParts() {
     return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -289,9 +289,10 @@
       if (overload.overloaded()) {
         connection.closeAfterResponse();
       }
+      RouterEvent.CallArrived arrived = callArrived(request, call, body);
       RequestLog.logAdmitted(
-          request, call, router.activeTable().get().version(), router.lease().ageMillis());
-      return router.mailbox().offer(callArrived(request, call, body));
+          arrived, call, router.activeTable().get().version(), router.lease().ageMillis());
+      return router.mailbox().offer(arrived);
     }
 
     @Override
@@ -319,7 +320,7 @@
       connections.remove(connection);
     }
 
-    private RouterEvent callArrived(RequestId request, AcceptedCall call, Bytes body) {
+    private RouterEvent.CallArrived callArrived(RequestId request, AcceptedCall call, Bytes body) {
       return new RouterEvent.CallArrived(
           request,
           call.workspace(),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.Ticket;
@@ -39,20 +40,25 @@
   /**
    * Logs a request that is passed to the decision.
    *
+   * @param arrived the request as the decision receives it
+   * @param call the request as it was accepted from its caller
    * @param tableVersion version of the table that was active at its admission
    * @param tableAgeMillis time since the last confirmation of that version, in milliseconds
    */
   public static void logAdmitted(
-      RequestId request, AcceptedCall call, long tableVersion, long tableAgeMillis) {
+      RouterEvent.CallArrived arrived, AcceptedCall call, long tableVersion, long tableAgeMillis) {
     LOGGER.info(
         () ->
             LogEvent.REQUEST_ADMITTED
                 .message()
-                .with("request", request.toString())
+                .with("request", arrived.request().toString())
                 .with("label", call.label())
+                .with("content", arrived.fingerprint().contentDigest())
                 .with("workspace", call.workspace())
                 .with("service", call.service())
                 .with("route", call.plan().route())
+                .with("promptTokens", call.prompt().map(PromptMetadata::promptTokens).orElse(0))
+                .with("outputTokens", call.prompt().map(PromptMetadata::outputTokens).orElse(0))
                 .with("tableVersion", tableVersion)
                 .with("tableAgeMillis", tableAgeMillis));
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestMetrics.java
@@ -8,16 +8,20 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-/** Counters and histograms of ended requests, per service and per workspace and service. */
+/**
+ * Counters and histograms of ended requests, per service, per route and per workspace and service.
+ */
 public final class RequestMetrics {
 
   private final MetricRegistry registry;
   private final WorkspaceMetrics workspaces;
+  private final RouteMetrics routes;
 
   /** Creates the metrics in a registry. */
   public RequestMetrics(MetricRegistry registry) {
     this.registry = registry;
     this.workspaces = new WorkspaceMetrics(registry);
+    this.routes = new RouteMetrics(registry);
   }
 
   /** Records the end of a request. */
@@ -34,6 +38,7 @@
       histogram(service + "wait-millis").update(toMillis(metadata.waitNanos()));
     }
     workspaces.recordEnded(reason, metadata);
+    routes.recordEnded(outcome, reason, metadata);
   }
 
   /** Returns the metrics per workspace and service. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/WorkspaceMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/WorkspaceMetrics.java
@@ -5,7 +5,6 @@
 import dev.agatepier.core.process.RequestMetadata;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.wire.process.WorkspacesStatus.Percentiles;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -43,10 +42,11 @@
   }
 
   private final MetricRegistry registry;
-  private final Map<Pair, PairStatistics> pairs = new LinkedHashMap<>(16, 0.75f, true);
+  private final Map<Pair, PairStatistics> pairs;
 
   WorkspaceMetrics(MetricRegistry registry) {
     this.registry = registry;
+    this.pairs = new LeastRecentlyUsedMap<>(MAXIMUM_PAIRS, this::onEvicted);
   }
 
   /** Records the end of a request; a completed one has no reason. */
@@ -59,9 +59,6 @@
     if (metadata.attempts() > 0) {
       statistics.waitMillis.update(TimeUnit.NANOSECONDS.toMillis(metadata.waitNanos()));
     }
-    if (pairs.size() > MAXIMUM_PAIRS) {
-      evict(pairs.keySet().iterator().next());
-    }
   }
 
   /** Returns the pairs that have statistics. */
@@ -97,8 +94,7 @@
         registry.histogram(histogramName(pair), () -> new Histogram(new HistogramReservoir())));
   }
 
-  private void evict(Pair pair) {
-    pairs.remove(pair);
+  private void onEvicted(Pair pair) {
     registry.remove(histogramName(pair));
     registry.counter("workspaces.forgotten").inc();
   }
