Say why a slot allocator rejects a request

Cause: open. slot-refused had the expected time as one number, so that three hypotheses on SHORT looked the same in the logs: the request's own size against its objective, memory that smaller requests take first, callers that come back behind those already waiting.

Change: slot-refused has the part of the expected time that is the request's own work, and the number of upstreams with a slot and memory for it. No logic changes.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -49,9 +49,17 @@
    * @param waitedMillis time for which the request waited at this allocator, in milliseconds
    * @param slackMillis time left until the response should start, in milliseconds
    * @param expectedMillis expected time until the response would start, in milliseconds
+   * @param ownMillis the part of it that is the request's own work at the best upstream
+   * @param upstreamsWithCapacity number of usable upstreams with a free slot and enough memory
    */
   record Rejected(
-      String service, RequestId request, long waitedMillis, long slackMillis, long expectedMillis)
+      String service,
+      RequestId request,
+      long waitedMillis,
+      long slackMillis,
+      long expectedMillis,
+      long ownMillis,
+      int upstreamsWithCapacity)
       implements SlotAllocatorEffect {}
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -243,7 +243,9 @@
             entry.call.request(),
             entry.waitedMillis(nowNanos),
             entry.slackMillis(nowNanos),
-            Math.round(scheduler.expectedMillis(entry, nowNanos))));
+            Math.round(scheduler.expectedMillis(entry, nowNanos)),
+            Math.round(scheduler.minFirstByteMillis(entry, nowNanos)),
+            scheduler.countWithCapacity(entry, nowNanos)));
     effects.add(
         new Send(
             entry.router,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -190,7 +190,17 @@
     return FAILURE_MILLIS * (upstream.health.failureShare() + (avoided ? 1 : 0));
   }
 
-  private double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
+  /** Returns the number of usable upstreams that have a free slot and memory for a request. */
+  int countWithCapacity(WaitingEntry entry, long nowNanos) {
+    return (int)
+        upstreams.stream()
+            .filter(
+                upstream -> usable(upstream, nowNanos) && rule.hasCapacity(upstream, entry.call))
+            .count();
+  }
+
+  /** Returns the time to the first byte at the best upstream without backlog, in milliseconds. */
+  double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
     double min = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
       if (usable(upstream, nowNanos)) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -107,7 +107,9 @@
                 .with("service", rejection.service())
                 .with("waitedMillis", rejection.waitedMillis())
                 .with("slackMillis", rejection.slackMillis())
-                .with("expectedMillis", rejection.expectedMillis()));
+                .with("expectedMillis", rejection.expectedMillis())
+                .with("ownMillis", rejection.ownMillis())
+                .with("upstreamsWithCapacity", rejection.upstreamsWithCapacity()));
   }
 
   /** Logs an attempt that is passed to an upstream. */
