Serve the largest requests at least half as often as all

Cause: one bound for unequal sizes. A slot allocator rejects a request whose expected time to the first byte is beyond the objective of its route, on arrival and while it waits. That time contains the request's own prefill. Under overload the queue is about as long as the objective of a small request allows, so that a large one never finds it short enough.

Change: a router compares how often requests of each size get slots with how often all of their route do (SizeFairness) and reports a request whose size gets slots less than half as often as underserved. Only the wait of such a request is compared with its objective.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -24,6 +24,8 @@
    *     overdue
    * @param timeLeftMillis time until the request times out, in milliseconds
    * @param repeatable whether the request may run more than once
+   * @param underserved whether requests of its size have got slots less often than others of the
+   *     same kind, so that its own work does not count against its objective
    * @param prompt metadata of the prompt of a model request; empty for other requests
    */
   record WaitingCall(
@@ -33,6 +35,7 @@
       long objectiveMillis,
       long timeLeftMillis,
       boolean repeatable,
+      boolean underserved,
       Optional<PromptMetadata> prompt) {}
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -93,7 +93,10 @@
           peers.onPeerDisconnected(disconnected.peer(), nowNanos);
       case RouterEvent.MessageReceived received ->
           peers.onMessage(received.peer(), received.message(), nowNanos);
-      case RouterEvent.TableActivated activated -> state.onTableActivated(activated.table());
+      case RouterEvent.TableActivated activated -> {
+        state.onTableActivated(activated.table());
+        allocatorPlacement.onTableActivated(activated.table());
+      }
       case RouterEvent.InstancesActivated activated -> {
         peers.onInstancesActivated(activated.instances());
         slotReplies.onInstancesActivated(activated.instances());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -4,14 +4,17 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Obtains slots from slot allocators: reports each waiting request and its changes of state to the
@@ -26,6 +29,7 @@
   private final DataCentreSelector selector;
   private final Map<SessionKey, AllocatorSession> sessions = new LinkedHashMap<>();
   private final Map<String, SlidingWindowRetryBudget> budgets = new HashMap<>();
+  private final SizeFairness sizes = new SizeFairness();
 
   /** Service and data centre that a session covers. */
   private record SessionKey(String service, String dataCentre) {}
@@ -40,6 +44,12 @@
   public void add(RoutedRequest request, long nowNanos) {
     if (request.attempts == 0) {
       budget(request).recordRequest(nowNanos);
+      request.underserved =
+          request
+              .call
+              .prompt()
+              .filter(prompt -> sizes.recordArrived(request.plan.route(), prompt))
+              .isPresent();
     }
     requestSlot(request, nowNanos);
   }
@@ -81,7 +91,9 @@
 
   @Override
   public void recordStarted(RoutedRequest request, long nowNanos) {
-    // The allocator that granted the slot has recorded it.
+    if (request.attempts == 0) {
+      request.call.prompt().ifPresent(prompt -> sizes.recordGranted(request.plan.route(), prompt));
+    }
   }
 
   @Override
@@ -128,6 +140,13 @@
     selector.setUpstreams(upstreams);
   }
 
+  /** Forgets the routes that a version of the table no longer contains. */
+  public void onTableActivated(Table table) {
+    Set<String> routes = new HashSet<>(table.services().keySet());
+    table.routes().routes().forEach(route -> routes.add(route.plan().route()));
+    sizes.retainRoutes(routes);
+  }
+
   /** Clears a disconnected router as allocator. */
   void onRouterDisconnected(String router) {
     sessions.values().forEach(session -> session.onAllocatorDisconnected(router));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -144,6 +144,7 @@
         objectiveMillis(request, nowNanos) - roundTripMillis,
         (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
         request.plan.repeatable(),
+        request.underserved,
         request.call.prompt());
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -60,6 +60,9 @@
   /** Attempts during which the upstream crashed. */
   int crashes;
 
+  /** Whether requests of its size have got slots less often than others of its route. */
+  boolean underserved;
+
   /** Data centre in which the request waits for a slot or holds one. */
   String dataCentre = "";
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -71,7 +71,9 @@
     for (WaitingEntry entry : waiting.all()) {
       estimateWork(entry, nowNanos);
       long lateNanos =
-          nowNanos + (long) ((entry.workMillis - lateMillis) * NANOS_PER_MILLI) - entry.dueNanos;
+          nowNanos
+              + (long) ((entry.countedMillis(entry.workMillis) - lateMillis) * NANOS_PER_MILLI)
+              - entry.dueNanos;
       if (lateNanos > 0) {
         overdue.add(entry);
       }
@@ -86,7 +88,9 @@
 
   /** Returns whether a new request cannot meet its objective behind those already waiting. */
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
-    return !waiting.isEmpty() && !entry.meetsObjective(expectedMillis(entry, nowNanos), nowNanos);
+    double ownMillis = entry.countedMillis(minFirstByteMillis(entry, nowNanos));
+    return !waiting.isEmpty()
+        && !entry.meetsObjective(waitAheadMillis(entry, nowNanos) + ownMillis, nowNanos);
   }
 
   /** Returns the expected time until the response to a request starts, in milliseconds. */
@@ -143,7 +147,8 @@
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
         boolean meetsObjective =
-            entry.meetsObjective(minFirstByteMillis(entry, nowNanos), nowNanos);
+            entry.meetsObjective(
+                entry.countedMillis(minFirstByteMillis(entry, nowNanos)), nowNanos);
         if (meetsObjective != timely) {
           continue;
         }
@@ -177,7 +182,8 @@
           BACKLOG_WEIGHT * backlog
               + rule.workMillis(upstream, entry.call)
               + penalty(upstream, entry);
-      if (score < bestScore && (!timely || entry.meetsObjective(backlog + firstByte, nowNanos))) {
+      double counted = entry.countedMillis(backlog + firstByte);
+      if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
         best = upstream;
         bestScore = score;
       }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -46,6 +46,15 @@
     return (dueNanos - nowNanos) / NANOS_PER_MILLI;
   }
 
+  /**
+   * Returns the part of the request's own work that counts against its objective, in milliseconds.
+   * None does if requests of its size are underserved: then only the wait counts, as the work would
+   * exclude the largest requests for good.
+   */
+  double countedMillis(double ownMillis) {
+    return call.underserved() ? 0 : ownMillis;
+  }
+
   /** Returns whether a response that starts after the given time meets the objective. */
   boolean meetsObjective(double expectedMillis, long nowNanos) {
     return nowNanos + (long) (expectedMillis * NANOS_PER_MILLI) <= dueNanos;
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
@@ -0,0 +1,132 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.PromptMetadata;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.EngineProfile;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.ServiceKind;
+import dev.agatepier.core.version.SlotAllocationMode;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.Workspace;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** The decisions of one router that allocates the slots of its data centre, in virtual time. */
+final class AllocatingRouter {
+
+  static final String SERVICE = "plan-model";
+
+  private static final PeerIdentity SELF =
+      new PeerIdentity("r1", 1, Role.ROUTER, "kolkata-a", "bengal", "");
+  private static final long MEMORY_TOKENS = 600_000;
+  private static final int SLOTS = 64;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final RouterDecision router = new RouterDecision(SELF, RouterPolicy.DEFAULT);
+  private final SlotAllocatorDecision allocator =
+      new SlotAllocatorDecision(SELF, SlotAllocatorPolicy.DEFAULT);
+  private final List<RouterEffect> effects = new ArrayList<>();
+  private long nowNanos;
+  private long lastNumber;
+
+  /** Activates a table with the given workspaces and an instance list with the given engines. */
+  AllocatingRouter(Collection<String> workspaces, Collection<String> engines) {
+    Map<String, Workspace> rows = new HashMap<>();
+    Limits limits = new Limits(10_000, 10_000, 0);
+    workspaces.forEach(
+        name -> rows.put(name, new Workspace(name, 1, "00", limits, Set.of(SERVICE))));
+    ServiceEntry service =
+        new ServiceEntry(
+            SERVICE,
+            ServiceKind.MODEL,
+            List.of(),
+            60_000,
+            0.2,
+            SlotAllocationMode.ROUTER,
+            Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
+    Table table = new Table(1, rows, Map.of(SERVICE, service));
+    List<Upstream> upstreams =
+        engines.stream()
+            .map(
+                name ->
+                    new Upstream(
+                        name, 1, SERVICE, "127.0.0.1", 8_000, SELF.dataCentre(), SLOTS, false))
+            .toList();
+    InstanceList instances = new InstanceList(1, List.of(), upstreams);
+    dispatch(new SlotAllocatorEvent.TableActivated(table));
+    dispatch(new SlotAllocatorEvent.InstancesActivated(instances));
+    dispatch(new RouterEvent.TableActivated(table));
+    dispatch(new RouterEvent.InstancesActivated(instances));
+  }
+
+  void advance(long millis) {
+    nowNanos += millis * NANOS_PER_MILLI;
+  }
+
+  void tick() {
+    dispatch(new SlotAllocatorEvent.Tick());
+    dispatch(new RouterEvent.Tick());
+  }
+
+  RequestId call(String workspace, CallPlan plan, PromptMetadata prompt) {
+    RequestId request = new RequestId(SELF.instance(), 1, ++lastNumber);
+    dispatch(
+        new RouterEvent.CallArrived(
+            request,
+            workspace,
+            SERVICE,
+            new CallHead("POST", "/", List.of()),
+            Bytes.EMPTY,
+            new Fingerprint(workspace, SERVICE, request.toString()),
+            Optional.empty(),
+            nowNanos + plan.timeoutMillis() * NANOS_PER_MILLI,
+            Optional.of(plan),
+            Optional.of(prompt),
+            OptionalLong.empty()));
+    return request;
+  }
+
+  /** Returns the effects for callers and upstreams since the last call. */
+  List<RouterEffect> takeEffects() {
+    List<RouterEffect> taken = List.copyOf(effects);
+    effects.clear();
+    return taken;
+  }
+
+  void dispatch(RouterEvent event) {
+    for (RouterEffect effect : router.decide(event, nowNanos)) {
+      if (effect instanceof RouterEffect.Send send
+          && send.instance().equals(SELF.instance())
+          && send.message() instanceof SlotMessage message) {
+        dispatch(new SlotAllocatorEvent.MessageReceived(SELF.instance(), message));
+      } else {
+        effects.add(effect);
+      }
+    }
+  }
+
+  private void dispatch(SlotAllocatorEvent event) {
+    for (SlotAllocatorEffect effect : allocator.decide(event, nowNanos)) {
+      if (effect instanceof SlotAllocatorEffect.Send(String instance, SlotMessage message)
+          && instance.equals(SELF.instance())) {
+        dispatch(new RouterEvent.AllocatorMessageReceived(instance, message));
+      }
+    }
+  }
+}
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
@@ -164,6 +164,31 @@
     assertTrue(allocator.isRejected(overdue));
   }
 
+  @Test
+  public void ownWorkOfUnderservedSizesDoesNotCountAgainstTheObjective() {
+    SlotAllocatorFixture allocator = new SlotAllocatorFixture("m1");
+    final RequestId running = allocator.requestModel("w", 10_000, "a", 3_000);
+    final RequestId next = allocator.requestModel("w", 900, "b", 3_000);
+    RequestId large = allocator.requestUnderserved("w", 900, 60_000);
+    allocator.advance(140);
+    allocator.sendChange(MODEL, running, SlotStage.RESPONSE_STARTED, 0);
+    assertTrue(allocator.isGranted(next));
+    allocator.advance(140);
+    allocator.sendChange(MODEL, next, SlotStage.RESPONSE_STARTED, 0);
+    assertTrue(allocator.isGranted(large), "its prefill alone takes longer than its objective");
+  }
+
+  @Test
+  public void requestsOfUnderservedSizesAreRejectedWhenTheyHaveWaitedTooLong() {
+    SlotAllocatorFixture allocator = new SlotAllocatorFixture("m1");
+    allocator.requestModel("w", 20_000, "a", 20_000);
+    RequestId waiting = allocator.requestUnderserved("w", 400, 3_000);
+    allocator.advance(399);
+    assertFalse(allocator.isRejected(waiting));
+    allocator.advance(2);
+    assertTrue(allocator.isRejected(waiting));
+  }
+
   @Test
   public void rejectsWaitingRequestsThatBecomeOverdue() {
     SlotAllocatorFixture allocator = new SlotAllocatorFixture("p1");
@@ -220,7 +245,7 @@
     List<WaitingCall> calls = new ArrayList<>();
     for (int number = 1; number <= 3; number++) {
       RequestId request = new RequestId("r2", 1, number);
-      calls.add(new WaitingCall(request, "w", "", 5_000, 5_000, false, Optional.empty()));
+      calls.add(new WaitingCall(request, "w", "", 5_000, 5_000, false, false, Optional.empty()));
     }
     allocator.dispatch(
         new SlotAllocatorEvent.MessageReceived(
@@ -238,7 +263,8 @@
     List<HeldSlot> held = new ArrayList<>();
     for (int number = 901; number <= 902; number++) {
       RequestId request = new RequestId(ROUTER, 1, number);
-      WaitingCall call = new WaitingCall(request, "w", "", 5_000, 5_000, false, Optional.empty());
+      WaitingCall call =
+          new WaitingCall(request, "w", "", 5_000, 5_000, false, false, Optional.empty());
       held.add(new HeldSlot(call, "p1", true));
     }
     allocator.dispatch(SlotAllocatorFixture.message(new SlotsWanted(PLAIN, true, List.of(), held)));
@@ -291,7 +317,7 @@
   public void rejectsRequestsForUnknownService() {
     SlotAllocatorFixture allocator = new SlotAllocatorFixture("p1");
     RequestId request = new RequestId(ROUTER, 1, 900);
-    WaitingCall call = new WaitingCall(request, "w", "", 500, 500, true, Optional.empty());
+    WaitingCall call = new WaitingCall(request, "w", "", 500, 500, true, false, Optional.empty());
     allocator.dispatch(
         SlotAllocatorFixture.message(new SlotsWanted("unknown", false, List.of(call), List.of())));
     assertTrue(allocator.isRejected(request));
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -162,7 +162,7 @@
   }
 
   RequestId requestPlain(String workspace, long objectiveMillis) {
-    return requestSlot(PLAIN, workspace, objectiveMillis, Optional.empty());
+    return requestSlot(PLAIN, workspace, objectiveMillis, false, Optional.empty());
   }
 
   /**
@@ -176,14 +176,25 @@
             2 * tokens,
             100,
             List.of(new PromptPart(shared, tokens), new PromptPart(own, tokens)));
-    return requestSlot(MODEL, workspace, objectiveMillis, Optional.of(prompt));
+    return requestSlot(MODEL, workspace, objectiveMillis, false, Optional.of(prompt));
+  }
+
+  /** Requests a slot for a prompt of its own whose size is underserved. */
+  RequestId requestUnderserved(String workspace, long objectiveMillis, int tokens) {
+    PromptPart own = new PromptPart("own-" + (lastNumber + 1), tokens);
+    PromptMetadata prompt = new PromptMetadata("m", tokens, 100, List.of(own));
+    return requestSlot(MODEL, workspace, objectiveMillis, true, Optional.of(prompt));
   }
 
   private RequestId requestSlot(
-      String service, String workspace, long objectiveMillis, Optional<PromptMetadata> prompt) {
+      String service,
+      String workspace,
+      long objectiveMillis,
+      boolean underserved,
+      Optional<PromptMetadata> prompt) {
     RequestId request = new RequestId(ROUTER, 1, ++lastNumber);
     WaitingCall call =
-        new WaitingCall(request, workspace, "", objectiveMillis, 15_000, true, prompt);
+        new WaitingCall(request, workspace, "", objectiveMillis, 15_000, true, underserved, prompt);
     dispatch(message(new SlotsWanted(service, false, List.of(call), List.of())));
     return request;
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -116,6 +116,7 @@
     output.writeLong(call.objectiveMillis());
     output.writeLong(call.timeLeftMillis());
     output.writeBoolean(call.repeatable());
+    output.writeBoolean(call.underserved());
     output.writeList(call.prompt().stream().toList(), SlotMessageCodec::writePrompt);
   }
 
@@ -127,6 +128,7 @@
         input.readLong(),
         input.readLong(),
         input.readBoolean(),
+        input.readBoolean(),
         readPrompt(input));
   }
 
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
@@ -31,6 +31,7 @@
 
   private static final Bytes SECRET = Bytes.ofText("a secret of the fleet");
   private static final String LOOPBACK = "127.0.0.1";
+  private static final int PROTOCOL_VERSION = 2;
   private static final LinkSettings SHORT_INTERVALS =
       new LinkSettings(20, 100, 5_000, 1_048_576, 64, 262_144, 5, 20, Optional.empty());
 
@@ -93,7 +94,7 @@
   public void rejectsWrongSecret() {
     int port = listen(LONG_TIMEOUTS);
     try (RawPeer peer = new RawPeer(port)) {
-      peer.send(new Hello(1, LinkSessions.ROUTER, new Bytes(new byte[16])));
+      peer.send(new Hello(PROTOCOL_VERSION, LinkSessions.ROUTER, new Bytes(new byte[16])));
       peer.read();
       peer.send(new HelloProof(new Bytes(new byte[32])));
       peer.awaitClose();
@@ -105,7 +106,7 @@
   public void rejectsItsOwnProofReflected() {
     int port = listen(LONG_TIMEOUTS);
     try (RawPeer peer = new RawPeer(port)) {
-      peer.send(new Hello(1, LinkSessions.ROUTER, new Bytes(new byte[16])));
+      peer.send(new Hello(PROTOCOL_VERSION, LinkSessions.ROUTER, new Bytes(new byte[16])));
       peer.read();
       peer.send(peer.read());
       peer.awaitClose();
@@ -118,7 +119,7 @@
     int port = listen(LONG_TIMEOUTS);
     try (RawPeer peer = new RawPeer(port)) {
       Hello remoteHello = (Hello) peer.read();
-      peer.send(new Hello(1, LinkSessions.ROUTER, remoteHello.nonce()));
+      peer.send(new Hello(PROTOCOL_VERSION, LinkSessions.ROUTER, remoteHello.nonce()));
       peer.awaitClose();
     }
     assertTrue(sidecarEvents.lines.isEmpty());
@@ -128,7 +129,7 @@
   public void rejectsOtherProtocolVersion() {
     int port = listen(LONG_TIMEOUTS);
     try (RawPeer peer = new RawPeer(port)) {
-      peer.send(new Hello(2, LinkSessions.ROUTER, new Bytes(new byte[16])));
+      peer.send(new Hello(PROTOCOL_VERSION + 1, LinkSessions.ROUTER, new Bytes(new byte[16])));
       peer.awaitClose();
     }
     assertTrue(sidecarEvents.lines.isEmpty());
@@ -326,7 +327,7 @@
   }
 
   private static void authenticate(RawPeer peer, PeerIdentity self) {
-    Hello localHello = new Hello(1, self, new Bytes("0123456789abcdef".getBytes()));
+    Hello localHello = new Hello(PROTOCOL_VERSION, self, new Bytes("0123456789abcdef".getBytes()));
     peer.send(localHello);
     Hello remoteHello = (Hello) peer.read();
     peer.read();
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -181,7 +181,8 @@
 
   private static List<LinkMessage> slots() {
     WaitingCall plain =
-        new WaitingCall(REQUEST, "kolkata-strings", "engine-4", -20, 900, false, Optional.empty());
+        new WaitingCall(
+            REQUEST, "kolkata-strings", "engine-4", -20, 900, false, false, Optional.empty());
     WaitingCall model =
         new WaitingCall(
             REQUEST,
@@ -190,6 +191,7 @@
             1_000,
             15_000,
             true,
+            true,
             Optional.of(
                 new PromptMetadata(
                     "m",
