Allow for the expected prefill before an engine counts as stalled

Callers saw: large prompts were taken from engines that were still reading them and sent to another one from the start; meanwhile no other request was sent to the first.

An engine without any progress for 1.5 s counts as stalled, whatever it is working on. The prefill of a prompt of 40,000 tokens takes longer than that on an engine at half its usual speed.

Change: the expected prefill of the oldest pending prompt is added to the bound.

Measured: SlotAllocatorDecisionTest.prefillOfLargePromptIsNoStall red before (recalled after 1.6 s), green now.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -6,8 +6,8 @@
  * @param backlogMillis maximum pending prefill at a model engine that is granted another request,
  *     in milliseconds
  * @param memoryShare share of a model engine's memory that running requests may use, from 0 to 1
- * @param stallMillis time without any progress after which an upstream is considered stalled, in
- *     milliseconds
+ * @param stallMillis time without any progress, beyond the expected prefill of the next prompt,
+ *     after which an upstream is considered stalled, in milliseconds
  * @param lateMillis time for which a request continues to wait after it can no longer meet its
  *     objective, in milliseconds
  * @param retryAfterMillis retry delay advised to a caller whose request was rejected, in
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -288,7 +288,7 @@
 
   /** Marks an upstream as stalled, and recalls requests from it, if it makes no progress. */
   private void updateStalled(UpstreamLoad upstream, long nowNanos) {
-    boolean stalled = upstream.millisSinceProgress(nowNanos) > policy.stallMillis();
+    boolean stalled = upstream.millisOverdue(nowNanos) > policy.stallMillis();
     if (stalled == upstream.stalled) {
       return;
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -142,4 +142,14 @@
   double millisSinceProgress(long nowNanos) {
     return pending.isEmpty() ? 0 : (nowNanos - progressNanos) / NANOS_PER_MILLI;
   }
+
+  /**
+   * Returns the milliseconds for which the oldest pending prefill has taken longer than expected;
+   * negative if it has not.
+   */
+  double millisOverdue(long nowNanos) {
+    return pending.isEmpty()
+        ? 0
+        : millisSinceProgress(nowNanos) - pending.values().iterator().next().prefillMillis;
+  }
 }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
@@ -237,6 +237,18 @@
     assertTrue(allocator.usabilityChanges.getLast().usable(), "the upstream made progress");
   }
 
+  /** The prefill of a large prompt takes longer than an upstream may be without progress. */
+  @Test
+  public void prefillOfLargePromptIsNoStall() {
+    SlotAllocatorFixture allocator = new SlotAllocatorFixture("m1", "m2");
+    allocator.requestUnderserved("w", 5_000, 60_000);
+    long stallMillis = SlotAllocatorPolicy.DEFAULT.stallMillis();
+    assertEquals(allocator.advance(stallMillis + 100), List.of());
+    assertEquals(allocator.usabilityChanges, List.of());
+    allocator.advance(2 * stallMillis);
+    assertFalse(allocator.usabilityChanges.getLast().usable());
+  }
+
   @Test
   public void removesRequestsOfDisconnectedRouters() {
     SlotAllocatorFixture allocator = new SlotAllocatorFixture("p1");
