Leave an engine's memory to the large request that waits for it

Callers would see: while engines are short of memory, large prompts wait until they are rejected and small ones of the same route are served.

Each response that ends frees memory for a small request, which takes it at once, so that a large one never finds enough.

Change: the first request of an underserved size that finds no memory has the upstream with the least memory in use left to it, until it fits or has waited too long.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -36,6 +37,9 @@
   private final WaitingRequests waiting;
   private final Collection<UpstreamLoad> upstreams;
 
+  /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
+  private UpstreamLoad reserved;
+
   /**
    * A request and the upstream that it is assigned to.
    *
@@ -57,6 +61,7 @@
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
   Assignment next(long nowNanos) {
+    reserved = null;
     Assignment timely = nextAssignment(true, nowNanos);
     return timely == null ? nextAssignment(false, nowNanos) : timely;
   }
@@ -159,6 +164,9 @@
         if (upstream != null) {
           return new Assignment(entry, upstream);
         }
+        if (reserved == null && entry.call.underserved()) {
+          reserved = selectForMemory(entry, nowNanos);
+        }
       }
     }
     return null;
@@ -173,7 +181,9 @@
     UpstreamLoad best = null;
     double bestScore = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
-      if (!usable(upstream, nowNanos) || !rule.hasCapacity(upstream, entry.call)) {
+      if (upstream == reserved
+          || !usable(upstream, nowNanos)
+          || !rule.hasCapacity(upstream, entry.call)) {
         continue;
       }
       double backlog = rule.backlogMillis(upstream, nowNanos);
@@ -191,6 +201,19 @@
     return best != null && rule.acceptsBacklog(best, share, nowNanos) ? best : null;
   }
 
+  /**
+   * Returns the upstream that will have enough memory for a request first if no other is sent to
+   * it; null if an upstream has enough now.
+   */
+  private UpstreamLoad selectForMemory(WaitingEntry entry, long nowNanos) {
+    return countWithCapacity(entry, nowNanos) > 0
+        ? null
+        : upstreams.stream()
+            .filter(upstream -> usable(upstream, nowNanos))
+            .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
+            .orElse(null);
+  }
+
   private static double penalty(UpstreamLoad upstream, WaitingEntry entry) {
     boolean avoided = upstream.upstream.name().equals(entry.call.avoidedUpstream());
     return FAILURE_MILLIS * (upstream.health.failureShare() + (avoided ? 1 : 0));
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
@@ -17,7 +17,9 @@
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.request.RequestId;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -93,6 +95,30 @@
     assertEquals(granted, 4, "of 20,100 tokens each in 92,000");
   }
 
+  /** Small requests fit into the memory that each response frees, large ones never do. */
+  @Test
+  public void smallRequestsDoNotTakeTheMemoryThatUnderservedRequestWaitsFor() {
+    SlotAllocatorFixture allocator = new SlotAllocatorFixture("m1");
+    Deque<RequestId> running = new ArrayDeque<>();
+    for (int index = 0; index < 4; index++) {
+      RequestId request = allocator.requestModel("w", 60_000, "running-" + index, 10_000);
+      allocator.advance(1_000);
+      allocator.sendChange(MODEL, request, SlotStage.RESPONSE_STARTED, 0);
+      running.add(request);
+    }
+    RequestId large = allocator.requestUnderserved("w", 60_000, 60_000);
+    for (int index = 0; index < 8 && !allocator.isGranted(large); index++) {
+      RequestId small = allocator.requestModel("w", 60_000, "small-" + index, 10_000);
+      allocator.sendChange(MODEL, running.remove(), SlotStage.COMPLETED, 100);
+      allocator.advance(1_000);
+      if (allocator.isGranted(small)) {
+        allocator.sendChange(MODEL, small, SlotStage.RESPONSE_STARTED, 0);
+        running.add(small);
+      }
+    }
+    assertTrue(allocator.isGranted(large));
+  }
+
   @Test
   public void reportsDelayOftenOnlyWhileItChangesMuch() {
     SlotAllocatorFixture allocator = new SlotAllocatorFixture("m1");
