--- a/agatepier-core/src/main/java/dev/agatepier/core/version/Route.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/Route.java
@@ -36,12 +36,16 @@
    */
   public record WeightedService(String service, double weight) {
 
-    /** Rejects a null service and a weight that is negative or not a number. */
+    /** Rejects a null service and a weight that is negative, infinite or not a number. */
     public WeightedService {
       Objects.requireNonNull(service, "service");
-      if (!(weight >= 0)) {
+      if (!(weight >= 0 && weight < Double.POSITIVE_INFINITY)) {
         throw new IllegalArgumentException(
-            "weight " + weight + " of service " + service + " is not at least 0");
+            "weight "
+                + weight
+                + " of service "
+                + service
+                + " is not a finite number of at least 0");
       }
     }
   }
