Never send a request twice over one upstream connection

Callers of other operators saw: 'not run, try again' for requests that an engine had run or was running, or such a request ran at a second engine, because a faulty engine wrote an earlier refusal once more on a kept connection.

Shown here: responses are told apart by the identity of the request, which a second attempt of the same request shares with the first. After a rejection the connection was idle again and the next to be used, also for that second attempt: the copy of the rejection was then taken for its response, while the engine ran it. The same with a failure (500) of a request that may be repeated. A rejection that names no request was taken for the current one.

Change: a connection remembers the requests that had no success on it and is not used for them again; after 16 of them it is closed. A rejection without identity counts only on a connection that has carried no other request; otherwise the attempt fails as malformed. After 421 the connection is closed, since the address belongs to another upstream.

Measured: UpstreamCallerTest.requestIsNotSentTwiceOverOneConnection (2 cases) and rejectionWithoutIdentityOnReusedConnectionProvesNothing red before, green now.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
 import io.netty.buffer.ByteBuf;
@@ -51,6 +52,10 @@
     return attempt.attempt();
   }
 
+  RequestId request() {
+    return id().request();
+  }
+
   /** Returns whether the head of the response has been received. */
   boolean responseStarted() {
     return response.isPresent();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
 import dev.agatepier.wire.request.HeaderFields;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
 import io.netty.buffer.ByteBuf;
@@ -26,7 +27,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The task of one upstream connection: it owns the socket and runs one attempt at a time. The
@@ -34,7 +37,17 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
+  /** Maximum number of requests that are kept from using the connection again. */
+  private static final int MAXIMUM_RETURNED = 16;
+
   private final UpstreamPool pool;
+
+  /**
+   * Requests without success here, which may be sent again: on this connection, a repeated response
+   * to the first attempt could not be told from the response to the second.
+   */
+  private final Set<RequestId> returned = new HashSet<>();
+
   private Channel channel;
   private AttemptExchange exchange;
   private ChannelFuture requestWritten;
@@ -42,6 +55,9 @@
   /** Whether the connection can be reused after the current attempt. */
   private boolean reusable;
 
+  /** Whether the connection has carried an earlier attempt. */
+  private boolean reused;
+
   /** Kind of the response being received. */
   private ResponseKind responseKind = ResponseKind.NONE;
 
@@ -80,6 +96,11 @@
     return exchange == null && !broken && channel.isActive() && nowNanos - idleUntilNanos < 0;
   }
 
+  /** Returns whether a request may be sent over this connection. */
+  boolean accepts(RequestId request) {
+    return !returned.contains(request);
+  }
+
   /** Returns the exchange in flight, or null. */
   AttemptExchange exchange() {
     return exchange;
@@ -196,10 +217,19 @@
         responseKind = ResponseKind.ATTEMPT;
         exchange.onResponseHead(matched);
         idleUntilNanos = pool.idleUntil(headers);
+        if (response.status().codeClass() != HttpStatusClass.SUCCESS) {
+          returned.add(exchange.request());
+        }
       }
-      case Classification.NotRun(Reason reason) -> {
+      case Classification.NotRun(Reason reason, boolean identified) -> {
+        if (reused && !identified) {
+          failMalformed("a rejection on a reused connection does not name its request");
+          return;
+        }
         responseKind = ResponseKind.DISCARDED;
         idleUntilNanos = pool.idleUntil(headers);
+        returned.add(exchange.request());
+        reusable &= reason != Reason.UPSTREAM_OTHER;
         exchange.notRun(reason, true);
       }
       case Classification.Mismatched() -> {
@@ -239,7 +269,8 @@
       exchange.onResponseEnded();
     }
     exchange = null;
-    reusable &= requestWritten.isSuccess() && !closeDelimited;
+    reused = true;
+    reusable &= requestWritten.isSuccess() && !closeDelimited && returned.size() < MAXIMUM_RETURNED;
     if (reusable) {
       channel.config().setAutoRead(true);
       pool.release(this);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
 import io.netty.channel.Channel;
@@ -59,7 +60,7 @@
   public void start(RunAttempt attempt, int tokensPerEvent) {
     AttemptExchange exchange =
         new AttemptExchange(attempt, tokensPerEvent, event -> context.events().accept(event));
-    UpstreamConnection connection = acquireIdle();
+    UpstreamConnection connection = acquireIdle(exchange.request());
     if (connection == null) {
       connect(exchange);
     } else {
@@ -137,14 +138,17 @@
     context.onMalformedResponse(upstream, exchange == null ? null : exchange.id(), detail);
   }
 
-  private UpstreamConnection acquireIdle() {
+  /** Removes and returns an idle connection that may carry a request; null if there is none. */
+  private UpstreamConnection acquireIdle(RequestId request) {
     long now = context.clock().nanoTime();
-    while (!idle.isEmpty()) {
-      UpstreamConnection connection = idle.pop();
-      if (connection.isUsable(now)) {
+    for (UpstreamConnection connection : List.copyOf(idle)) {
+      if (!connection.isUsable(now)) {
+        idle.remove(connection);
+        connection.close();
+      } else if (connection.accepts(request)) {
+        idle.remove(connection);
         return connection;
       }
-      connection.close();
     }
     return null;
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
@@ -31,8 +31,10 @@
      * The upstream did not run the attempt and never will.
      *
      * @param reason why it did not run
+     * @param identified whether the response names the request; otherwise it may be a repeated
+     *     response to an earlier one on the same connection
      */
-    record NotRun(Reason reason) implements Classification {}
+    record NotRun(Reason reason, boolean identified) implements Classification {}
 
     /** The response belongs to another request and must be discarded. */
     record Mismatched() implements Classification {}
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
@@ -13,6 +13,8 @@
  */
 final class FakeUpstreamDialect implements UpstreamDialect {
 
+  private static final int MISDIRECTED = 421;
+
   @Override
   public List<Header> headers(RunAttempt attempt) {
     return List.of(
@@ -24,17 +26,18 @@
   public Classification classifyResponse(RunAttempt attempt, int status, List<Header> headers) {
     String expected = Long.toString(attempt.attempt().request().number());
     String label = firstValue(headers, "label");
-    if (label.isEmpty()) {
-      return new Classification.Malformed("no label");
-    }
-    if (!label.equals(expected)) {
+    if (!label.isEmpty() && !label.equals(expected)) {
       return new Classification.Mismatched();
     }
-    return firstValue(headers, "not-run").isEmpty()
-        ? new Classification.Matched(
+    if (!firstValue(headers, "not-run").isEmpty()) {
+      return new Classification.NotRun(
+          status == MISDIRECTED ? Reason.UPSTREAM_OTHER : Reason.UPSTREAM_BUSY, !label.isEmpty());
+    }
+    return label.isEmpty()
+        ? new Classification.Malformed("no label")
+        : new Classification.Matched(
             new ResponseHead(status, List.of()),
-            firstValue(headers, "content-type").equals("events"))
-        : new Classification.NotRun(Reason.UPSTREAM_BUSY);
+            firstValue(headers, "content-type").equals("events"));
   }
 
   private static String firstValue(List<Header> headers, String name) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -189,6 +189,65 @@
     }
   }
 
+  @DataProvider
+  public Object[][] returned() {
+    return new Object[][] {{"503 Busy\r\nNot-Run: 1"}, {"500 Failed"}};
+  }
+
+  /**
+   * An upstream may write a response once more; on the connection of the first attempt that would
+   * be taken for the response to the second one, which the upstream runs.
+   */
+  @Test(dataProvider = "returned")
+  public void requestIsNotSentTwiceOverOneConnection(String response) {
+    run(1);
+    try (RawSocket first = upstream.accept()) {
+      first.readUntil("body");
+      String rejection = "HTTP/1.1 " + response + "\r\nLabel: 1\r\nContent-Length: 0\r\n\r\n";
+      first.write(rejection);
+      awaitEnd();
+      perform(attempt(1, 2, Bytes.ofText("body")));
+      try (RawSocket second = upstream.accept()) {
+        assertTrue(second.readUntil("body").contains("label: 1"));
+        first.write(rejection);
+        assertEquals(first.readAll(), "", "the connection is closed without data");
+        second.write(PLAIN.formatted(1) + "seats");
+        awaitCompletion();
+      }
+    }
+  }
+
+  @Test
+  public void rejectionWithoutIdentityOnReusedConnectionProvesNothing() {
+    String rejection = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(rejection);
+      nextEvent(UpstreamNotRun.class);
+      run(2);
+      socket.readUntil("body");
+      socket.write(rejection);
+      nextEvent(UpstreamFailed.class);
+      assertEquals(socket.readAll(), "", "the connection is closed without data");
+    }
+  }
+
+  @Test
+  public void doesNotReuseConnectionToAnotherUpstream() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write("HTTP/1.1 421 Other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+      assertEquals(nextEvent(UpstreamNotRun.class).reason(), Reason.UPSTREAM_OTHER);
+      run(2);
+      try (RawSocket other = upstream.accept()) {
+        other.readUntil("body");
+      }
+      assertEquals(socket.readAll(), "", "the connection is closed without data");
+    }
+  }
+
   @Test
   public void unreachableUpstreamIsNotRun() {
     upstream.close();
@@ -229,8 +288,7 @@
 
   @Test
   public void doesNotReuseConnectionAfterEarlyResponse() {
-    RunAttempt large = attempt(1, new Bytes(new byte[8_000_000]));
-    scheduler.schedule(() -> caller.perform(large));
+    perform(attempt(1, new Bytes(new byte[8_000_000])));
     try (RawSocket socket = upstream.accept()) {
       socket.readUntil("\r\n\r\n");
       socket.write(PLAIN.formatted(1) + "seats");
@@ -273,13 +331,21 @@
 
   private AttemptId run(long number) {
     RunAttempt attempt = attempt(number, Bytes.ofText("body"));
-    scheduler.schedule(() -> caller.perform(attempt));
+    perform(attempt);
     return attempt.attempt();
   }
 
+  private void perform(RunAttempt attempt) {
+    scheduler.schedule(() -> caller.perform(attempt));
+  }
+
   private RunAttempt attempt(long number, Bytes body) {
+    return attempt(number, 1, body);
+  }
+
+  private RunAttempt attempt(long number, int attempt, Bytes body) {
     return new RunAttempt(
-        new AttemptId(new RequestId("router-1", 7, number), 1),
+        new AttemptId(new RequestId("router-1", 7, number), attempt),
         new Upstream("u1", 1, "plan-model", "127.0.0.1", upstream.port(), "a1", 8, false),
         "howrah",
         new CallHead("POST", "/plans", List.of()),
@@ -291,9 +357,16 @@
   }
 
   private void awaitCompletion() {
-    while (!(nextEvent(RouterEvent.class) instanceof UpstreamResponseCompleted)) {
-      // Skips the events before the end of the response.
+    assertTrue(awaitEnd() instanceof UpstreamResponseCompleted);
+  }
+
+  /** Returns the event that ends an attempt; skips the events before it. */
+  private RouterEvent awaitEnd() {
+    RouterEvent event = nextEvent(RouterEvent.class);
+    while (event instanceof UpstreamResponseStarted || event instanceof UpstreamResponseData) {
+      event = nextEvent(RouterEvent.class);
     }
+    return event;
   }
 
   private <E extends RouterEvent> E nextEvent(Class<E> type) {
