Continue a broken stream with an event stream only

Shown here: a resumed response of 300 and above was dropped already. One of 200 that is no event stream, or events without numbers, was appended; one of 204 or an empty one ended the stream as complete.

Change: an attempt continues a stream only with a success that is an event stream and whose first event has a number above the last one sent. Anything else counts as incomplete: it is retried within attempts and budget, or the caller's transfer is aborted.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -136,8 +136,10 @@
    *
    * @param attempt the attempt
    * @param head status and headers
+   * @param eventStream whether the body is an event stream
    */
-  record UpstreamResponseStarted(AttemptId attempt, ResponseHead head) implements RouterEvent {}
+  record UpstreamResponseStarted(AttemptId attempt, ResponseHead head, boolean eventStream)
+      implements RouterEvent {}
 
   /**
    * Part of the response body of an upstream that the router itself called was received.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -75,6 +75,9 @@
   boolean exclusive;
   boolean responseStarted;
 
+  /** Whether the current attempt continues a response that an earlier one has started. */
+  boolean resumes;
+
   /** Whether the request has been parked because its fingerprint is a suspect. */
   boolean parkedBefore;
 
@@ -174,6 +177,7 @@
     target = newTarget;
     lastTarget = newTarget.name();
     exclusive = runsExclusively;
+    resumes = responseStarted;
     nextFrame = 0;
     uncreditedBytes = 0;
     sentNanos = nowNanos;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -28,7 +28,7 @@
 
   /**
    * Relays the head of a response. A server error is first retried elsewhere; a resumed stream
-   * keeps the head from its first upstream.
+   * keeps the head from its first upstream and is continued by an event stream only.
    */
   public void onResponseStarted(UpstreamResponseStarted event, long nowNanos) {
     RoutedRequest request = current(event.attempt());
@@ -37,7 +37,7 @@
     }
     int status = event.head().status();
     if (request.responseStarted) {
-      if (status >= REDIRECTION) {
+      if (status >= REDIRECTION || !event.eventStream()) {
         relay.abortIncomplete(request, nowNanos);
       }
       return;
@@ -58,7 +58,8 @@
     if (numbered && event.lastEvent() <= request.lastEvent) {
       return;
     }
-    if (numbered && event.firstEvent() <= request.lastEvent) {
+    boolean joinsUnknownEvent = !numbered && request.resumes && request.nextFrame == 0;
+    if (joinsUnknownEvent || (numbered && event.firstEvent() <= request.lastEvent)) {
       relay.abortIncomplete(request, nowNanos);
       return;
     }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -184,10 +184,21 @@
         .toList();
   }
 
+  /** Starts an event stream if the status is 200, otherwise another response. */
   void startResponse(RequestId request, int status) {
+    startResponse(request, status, status == 200);
+  }
+
+  void startResponse(RequestId request, int status, boolean eventStream) {
     dispatch(
         new RouterEvent.UpstreamResponseStarted(
-            attempt(request), new ResponseHead(status, List.of())));
+            attempt(request), new ResponseHead(status, List.of()), eventStream));
+  }
+
+  /** Sends content without event numbers. */
+  void sendContent(RequestId request, String content) {
+    dispatch(
+        new RouterEvent.UpstreamResponseData(attempt(request), Bytes.ofText(content), -1, -1, 0));
   }
 
   void sendEvent(RequestId request, long number) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -104,6 +104,48 @@
     assertEquals(router.responseTo(request), "200 1;2;3;complete");
   }
 
+  @DataProvider
+  public Object[][] responsesThatContinueNoStream() {
+    return new Object[][] {
+      {503, false, "busy"},
+      {500, false, "failed"},
+      {404, false, "gone"},
+      {302, false, "moved"},
+      {200, false, "{\"error\":1}"},
+      {204, false, ""},
+      {200, true, "data: error\n\n"},
+    };
+  }
+
+  /** Nothing of a response that does not continue the stream may reach its caller. */
+  @Test(dataProvider = "responsesThatContinueNoStream")
+  public void streamIsNotContinuedByAnotherResponse(
+      int status, boolean eventStream, String content) {
+    RequestId request = router.run(RESUMABLE, "u1");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "u2");
+    router.startResponse(request, status, eventStream);
+    if (!content.isEmpty()) {
+      router.sendContent(request, content);
+    }
+    router.endResponse(request);
+    assertEquals(router.responseTo(request), "200 1;unknown answer-incomplete");
+  }
+
+  @Test
+  public void resumedStreamThatHasNoFurtherEventsIsComplete() {
+    RequestId request = router.run(RESUMABLE, "u1");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "u2");
+    router.startResponse(request, 200);
+    router.endResponse(request);
+    assertEquals(router.responseTo(request), "200 1;complete");
+  }
+
   @Test
   public void failsInterruptedStreamThatIsNotResumable() {
     RequestId request = router.run(STREAM, "u1");
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SimulatedEngines.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SimulatedEngines.java
@@ -87,7 +87,7 @@
         decodes.add(new Decode(head.attempt, steps + DECODE_STEPS));
         router.dispatch(
             new RouterEvent.UpstreamResponseStarted(
-                head.attempt, new ResponseHead(200, List.of())));
+                head.attempt, new ResponseHead(200, List.of()), true));
         router.dispatch(new RouterEvent.UpstreamResponseData(head.attempt, FIRST_EVENT, 1, 1, 1));
       }
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -155,7 +155,9 @@
   private void emitHead(ResponseHead head) {
     if (!headEmitted) {
       headEmitted = true;
-      events.accept(new RouterEvent.UpstreamResponseStarted(id(), head));
+      events.accept(
+          new RouterEvent.UpstreamResponseStarted(
+              id(), head, response.orElseThrow().eventStream()));
     }
   }
 
