Close connections whose discarded response has no end

Callers would see: fewer and fewer upstream connections, while a router reads bytes of servers in trouble until they stop.

Cause: bytes that are no answer may come without end, in a head or a body. Heads, chunk sizes, events and responses that are forwarded whole were bounded. The body of a rejection and of a response to another request were not: after a rejection the attempt had ended, and nothing closed the connection any more.

Change: at most 256 KiB of a response that is not forwarded are read. The tests of faulty upstreams have a class of their own.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -37,6 +37,9 @@
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
+  /** Maximum size of a response that is not forwarded, in bytes. */
+  private static final int MAXIMUM_DISCARDED_BYTES = 262_144;
+
   /** Maximum number of requests that are kept from using the connection again. */
   private static final int MAXIMUM_RETURNED = 16;
 
@@ -63,6 +66,7 @@
 
   private boolean closeDelimited;
   private boolean broken;
+  private long discardedBytes;
 
   /** Time after which the idle connection is not reused, in nanoseconds of the process clock. */
   private long idleUntilNanos;
@@ -206,6 +210,7 @@
   }
 
   private void onFinalResponse(HttpResponse response) {
+    discardedBytes = 0;
     List<Header> headers = HeaderFields.of(response.headers());
     reusable &= HttpUtil.isKeepAlive(response);
     closeDelimited =
@@ -248,6 +253,12 @@
         return;
       }
       channel.config().setAutoRead(exchange.canRead());
+    } else {
+      discardedBytes += content.content().readableBytes();
+      if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+        failMalformed("a response that is not forwarded is longer than its maximum");
+        return;
+      }
     }
     if (content instanceof LastHttpContent) {
       onResponseEnded();
--- /dev/null
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
@@ -0,0 +1,194 @@
+package dev.agatepier.wire.connection;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.core.process.RouterEvent;
+import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
+import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
+import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
+import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
+import dev.agatepier.core.process.RouterEvent.UpstreamResponseStarted;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.wire.RawSocket;
+import java.io.UncheckedIOException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Responses that break the protocol, or that belong to another attempt. */
+public class FaultyUpstreamTest extends UpstreamCallerFixture {
+
+  @DataProvider
+  public Object[][] broken() {
+    return new Object[][] {
+      {PLAIN.formatted(1) + "sea"},
+      {EVENTS.formatted(1) + EVENT},
+      {EVENTS.formatted(1) + "7\r\nid: 1\nd\r\n0\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+      {"this is not an HTTP response\r\n\r\n"},
+      {""},
+      {"HTTP/1.1 200 OK\r\nLabel: 1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok"},
+    };
+  }
+
+  /**
+   * An attempt with a malformed or incomplete response may have run: it must be reported as failed,
+   * never as completed or not run.
+   */
+  @Test(dataProvider = "broken")
+  public void reportsBrokenResponseAsFailed(String response) {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(response);
+    }
+    RouterEvent last = nextEvent(RouterEvent.class);
+    while (!(last instanceof UpstreamFailed)) {
+      assertFalse(
+          last instanceof UpstreamResponseCompleted || last instanceof UpstreamNotRun, "" + last);
+      last = nextEvent(RouterEvent.class);
+    }
+  }
+
+  @DataProvider
+  public Object[][] endless() {
+    String head = HEAD.formatted(1);
+    String kilobyte = "x".repeat(1_024);
+    return new Object[][] {
+      {"", kilobyte},
+      {"HTTP/1.1 200 OK\r\nLong: ", kilobyte},
+      {"HTTP/1.1 200 OK\r\n", "Field: " + kilobyte + "\r\n"},
+      {head + "\r\n", kilobyte},
+      {head + "Content-Length: 99999999999\r\n\r\n", kilobyte},
+      {head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + kilobyte + "\r\n"},
+      {head + "Transfer-Encoding: chunked\r\n\r\n", "0".repeat(1_024)},
+      {EVENTS.formatted(1), "400\r\n" + kilobyte + "\r\n"},
+      {EVENTS.formatted(1), "400\r\n" + "\n".repeat(1_024) + "\r\n"},
+      {EVENTS.formatted(1) + "0\r\n", "Field: " + kilobyte + "\r\n"},
+    };
+  }
+
+  @Test(dataProvider = "endless")
+  public void responseWithoutEndFailsAndClosesConnection(String start, String repeated) {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      assertTrue(writeUntilClosed(socket, start, repeated), "the connection is closed");
+      assertTrue(awaitEnd() instanceof UpstreamFailed);
+    }
+  }
+
+  @Test
+  public void rejectionWithoutEndIsNotRunAndClosesConnection() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      String head = "HTTP/1.1 503 Busy\r\nLabel: 1\r\nNot-Run: 1\r\n\r\n";
+      assertTrue(writeUntilClosed(socket, head, "x".repeat(1_024)), "the connection is closed");
+      nextEvent(UpstreamNotRun.class);
+    }
+  }
+
+  /** Writes bytes without end; returns whether the peer closes before it has read 64 MiB. */
+  private static boolean writeUntilClosed(RawSocket socket, String start, String repeated) {
+    try {
+      socket.write(start);
+      for (int count = 0; count < 65_536; count++) {
+        socket.write(repeated);
+      }
+      return false;
+    } catch (UncheckedIOException closed) {
+      return true;
+    }
+  }
+
+  @DataProvider
+  public Object[][] returned() {
+    return new Object[][] {{"503 Busy\r\nNot-Run: 1"}, {"500 Failed"}};
+  }
+
+  /**
+   * An upstream may write a response once more; on the connection of the first attempt that would
+   * be taken for the response to the second one, which the upstream runs.
+   */
+  @Test(dataProvider = "returned")
+  public void requestIsNotSentTwiceOverOneConnection(String response) {
+    run(1);
+    try (RawSocket first = upstream.accept()) {
+      first.readUntil("body");
+      String rejection = "HTTP/1.1 " + response + "\r\nLabel: 1\r\nContent-Length: 0\r\n\r\n";
+      first.write(rejection);
+      awaitEnd();
+      perform(attempt(1, 2, Bytes.ofText("body")));
+      try (RawSocket second = upstream.accept()) {
+        assertTrue(second.readUntil("body").contains("label: 1"));
+        first.write(rejection);
+        assertEquals(first.readAll(), "", "the connection is closed without data");
+        second.write(PLAIN.formatted(1) + "seats");
+        awaitCompletion();
+      }
+    }
+  }
+
+  @Test
+  public void rejectionWithoutIdentityOnReusedConnectionProvesNothing() {
+    String rejection = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(rejection);
+      nextEvent(UpstreamNotRun.class);
+      run(2);
+      socket.readUntil("body");
+      socket.write(rejection);
+      nextEvent(UpstreamFailed.class);
+      assertEquals(socket.readAll(), "", "the connection is closed without data");
+    }
+  }
+
+  @Test
+  public void doesNotReuseConnectionToAnotherUpstream() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write("HTTP/1.1 421 Other\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+      assertEquals(nextEvent(UpstreamNotRun.class).reason(), Reason.UPSTREAM_OTHER);
+      run(2);
+      try (RawSocket other = upstream.accept()) {
+        other.readUntil("body");
+      }
+      assertEquals(socket.readAll(), "", "the connection is closed without data");
+    }
+  }
+
+  @Test
+  public void discardsMismatchedResponseAndClosesConnection() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted(77) + "other" + PLAIN.formatted(1) + "seats");
+      nextEvent(UpstreamResponseStarted.class);
+      assertEquals(nextEvent(UpstreamResponseData.class).content().text(), "seats");
+      nextEvent(UpstreamResponseCompleted.class);
+      assertEquals(socket.readAll(), "", "the connection is closed without data");
+    }
+  }
+
+  @Test
+  public void doesNotReuseConnectionWithUnexpectedBytes() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted(1) + "seats" + "HTTP/1.1 200 OK\r\nLabel: 1\r\n\r\n");
+      awaitCompletion();
+      assertEquals(socket.readAll(), "", "the connection is closed without data");
+    }
+    run(2);
+    try (RawSocket newConnection = upstream.accept()) {
+      newConnection.readUntil("body");
+    }
+    nextEvent(UpstreamFailed.class);
+  }
+}
