Follow recalls of the current slot allocator only

Callers would see: a request that runs well is taken from its engine and started again elsewhere.

Cause: a router checked the sender of a grant and of a rejection, not that of a recall. An allocator that was replaced does not see the progress of the requests that moved, and recalls them when its stall time is over.

Change: a recall counts only from the allocator that the request was reported to.

Measured: DirectRouterTest.ignoresRecallsOfRoutersThatAreNotTheAllocator red before, green now.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -56,7 +56,7 @@
     switch (message) {
       case SlotGranted granted -> onGranted(router, granted, nowNanos);
       case SlotRefused refused -> onRefused(router, refused, nowNanos);
-      case SlotRecalled recalled -> onRecalled(recalled, nowNanos);
+      case SlotRecalled recalled -> onRecalled(router, recalled, nowNanos);
       case SlotMessage.AllocatorLoad load -> placement.onAllocatorLoad(load, nowNanos);
       case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.AllocatorCosts _ -> {
         // Sent by routers to allocators only.
@@ -107,10 +107,12 @@
   /**
    * Retries a request elsewhere if no response has started, it may run twice and budget is left.
    */
-  private void onRecalled(SlotRecalled recalled, long nowNanos) {
+  private void onRecalled(String router, SlotRecalled recalled, long nowNanos) {
     RoutedRequest request = state.requests.get(recalled.request());
     if (request != null
         && request.phase == Phase.RUNNING
+        && request.placement == placement
+        && placement.isAllocator(request, router)
         && request.lastTarget.equals(recalled.upstream())
         && !request.receivesResponse()) {
       attempts.retryElsewhere(request, SlotStage.FAILED, nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -303,6 +303,16 @@
     assertEquals(router.runs(waiting).size(), 1);
   }
 
+  /** A former allocator does not see the progress of the request, and may recall it late. */
+  @Test
+  public void ignoresRecallsOfRoutersThatAreNotTheAllocator() {
+    RequestId safe = router.run(SAFE, "u1");
+    router.dispatch(
+        new RouterEvent.AllocatorMessageReceived("r9", new SlotRecalled(SERVICE, safe, "u1")));
+    router.grant(safe, "u2");
+    assertEquals(router.runs(safe).size(), 1);
+  }
+
   @Test
   public void movesRecalledCallsThatAreRepeatable() {
     RequestId safe = router.run(SAFE, "u1");
