Log whether a request's size is underserved

Cause: slot-granted and slot-refused name the inputs of a decision, but not this one, which decides since large requests are served in proportion.

Change: field underserved in both events.

Measured: SlotAllocatorDecisionTest, LargestRequestsTest green.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -28,6 +28,7 @@
    *     its prefix cache
    * @param sharedUnreadTokens those of the pending prefill tokens that other requests share
    * @param leastUnreadTokens minimum of the pending prefill tokens over all upstreams
+   * @param underserved whether requests of its size have got slots less often than others
    */
   record Placed(
       String service,
@@ -38,7 +39,8 @@
       long ownMillis,
       int unreadTokens,
       int sharedUnreadTokens,
-      int leastUnreadTokens)
+      int leastUnreadTokens,
+      boolean underserved)
       implements SlotAllocatorEffect {}
 
   /**
@@ -51,6 +53,7 @@
    * @param expectedMillis expected time until the response would start, in milliseconds
    * @param ownMillis the part of it that is the request's own work at the best upstream
    * @param upstreamsWithCapacity number of usable upstreams with a free slot and enough memory
+   * @param underserved whether requests of its size have got slots less often than others
    */
   record Rejected(
       String service,
@@ -59,7 +62,8 @@
       long slackMillis,
       long expectedMillis,
       long ownMillis,
-      int upstreamsWithCapacity)
+      int upstreamsWithCapacity,
+      boolean underserved)
       implements SlotAllocatorEffect {}
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -245,7 +245,8 @@
             entry.slackMillis(nowNanos),
             Math.round(scheduler.expectedMillis(entry, nowNanos)),
             Math.round(scheduler.minFirstByteMillis(entry, nowNanos)),
-            scheduler.countWithCapacity(entry, nowNanos)));
+            scheduler.countWithCapacity(entry, nowNanos),
+            entry.call.underserved()));
     effects.add(
         new Send(
             entry.router,
@@ -277,7 +278,8 @@
             upstreams.values().stream()
                 .mapToInt(other -> ModelSlotRule.uncachedTokens(other, entry.call))
                 .min()
-                .orElse(0)));
+                .orElse(0),
+            entry.call.underserved()));
     allocations.allocate(entry.router, entry.call, upstream, false, nowNanos);
     effects.add(
         new Send(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -94,7 +94,8 @@
                 .with("ownMillis", grant.ownMillis())
                 .with("unreadTokens", grant.unreadTokens())
                 .with("sharedUnreadTokens", grant.sharedUnreadTokens())
-                .with("leastUnreadTokens", grant.leastUnreadTokens()));
+                .with("leastUnreadTokens", grant.leastUnreadTokens())
+                .with("underserved", grant.underserved()));
   }
 
   /** Logs a request for a slot that the slot allocator has rejected. */
@@ -109,7 +110,8 @@
                 .with("slackMillis", rejection.slackMillis())
                 .with("expectedMillis", rejection.expectedMillis())
                 .with("ownMillis", rejection.ownMillis())
-                .with("upstreamsWithCapacity", rejection.upstreamsWithCapacity()));
+                .with("upstreamsWithCapacity", rejection.upstreamsWithCapacity())
+                .with("underserved", rejection.underserved()));
   }
 
   /** Logs an attempt that is passed to an upstream. */
