Count failed requests as not served when sizes are compared

Cause: sizes were compared by the slots that their requests got, and measured by cost, in which an output token counts twice. An engine takes about ten times as long for an output token as for a prompt token.

Change: a request counts as served from its first slot on unless it fails later; its size is its prompt and ten times its output. Logs and histograms have the same size.

Measured: DirectRouterTest.reportsSizeWhoseRequestsFailAsUnderserved red without the change, green with it.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RequestMetadata.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RequestMetadata.java
@@ -6,8 +6,7 @@
  * @param workspace workspace of the caller
  * @param service the called service
  * @param route name of the matched route; the name of the service if none was matched
- * @param expectedCost cost that the prompt leads to expect, in cost units of the service; 0 for a
- *     request without a prompt
+ * @param size size of a model request, in prompt tokens; 0 for other requests
  * @param attempts number of attempts that were sent
  * @param lastSidecar instance name of the sidecar of the last attempt; empty if there was none
  * @param waitNanos time until the last attempt was sent, in nanoseconds; the time so far if none
@@ -20,7 +19,7 @@
     String workspace,
     String service,
     String route,
-    double expectedCost,
+    long size,
     int attempts,
     String lastSidecar,
     long waitNanos,
@@ -30,7 +29,7 @@
 
   /** Returns the metadata of a request that ended before it was queued. */
   public static RequestMetadata ofUnqueued(
-      String workspace, String service, String route, double expectedCost) {
-    return new RequestMetadata(workspace, service, route, expectedCost, 0, "", 0, 0, 0, 0);
+      String workspace, String service, String route, long size) {
+    return new RequestMetadata(workspace, service, route, size, 0, "", 0, 0, 0, 0);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -118,7 +118,7 @@
             call.workspace(),
             call.service(),
             call.plan().map(CallPlan::route).orElse(call.service()),
-            call.prompt().map(PromptMetadata::expectedCost).orElse(0.0));
+            call.prompt().map(PromptMetadata::size).orElse(0L));
     refuse(call.request(), outcome, refusal, metadata);
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -108,6 +108,13 @@
     sessions.get(key(request)).release(request, stage, (long) request.cost(nowNanos));
   }
 
+  @Override
+  public void recordFailed(RoutedRequest request) {
+    if (request.attempts > 0) {
+      request.call.prompt().ifPresent(prompt -> sizes.recordFailed(request.plan.route(), prompt));
+    }
+  }
+
   @Override
   public boolean tryAcquireRetry(RoutedRequest request, long nowNanos) {
     double slack = state.policy.retrySlack() / state.recentPeakRouters(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
@@ -23,6 +23,9 @@
   /** Records that a request has released its slot. */
   void recordReleased(RoutedRequest request, SlotStage stage, long nowNanos);
 
+  /** Records that a request ends without a complete response. */
+  void recordFailed(RoutedRequest request);
+
   /** Takes one retry from the retry budget; returns whether one was available. */
   boolean tryAcquireRetry(RoutedRequest request, long nowNanos);
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -87,6 +87,7 @@
     if (outcome == Outcome.NOT_RUN || cost > 0) {
       request.queue.usage.charge(cost - request.estimatedCost);
     }
+    request.placement.recordFailed(request);
     remove(request, stage(reason), nowNanos);
     state.outbox.add(
         new FailRequest(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -197,7 +197,7 @@
         call.workspace(),
         call.service(),
         plan.route(),
-        call.prompt().map(PromptMetadata::expectedCost).orElse(0.0),
+        call.prompt().map(PromptMetadata::size).orElse(0L),
         attempts,
         lastTarget,
         attempts == 0 ? nowNanos - arrivedNanos : sentNanos - arrivedNanos,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
@@ -66,6 +66,11 @@
     // Nothing to do: the sidecar knows when its slot is free.
   }
 
+  @Override
+  public void recordFailed(RoutedRequest request) {
+    // Sidecars grant slots to workspaces, whatever the size of their requests.
+  }
+
   @Override
   public boolean tryAcquireRetry(RoutedRequest request, long nowNanos) {
     return request.queue.retries.tryAcquire();
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SizeFairness.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SizeFairness.java
@@ -6,13 +6,13 @@
 import java.util.Set;
 
 /**
- * Compares how often requests of each size get a slot with how often all requests of their route
- * do. Sizes are expected costs, rounded to steps of half a doubling. Earlier requests of a route
- * lose weight with each new one.
+ * Compares how often requests of each size are served with how often all requests of their route
+ * are. A request counts as served from its first slot on, unless it fails later. Sizes are rounded
+ * to steps of half a doubling. Earlier requests of a route lose weight with each new one.
  */
 final class SizeFairness {
 
-  /** Minimum rate at which requests of each size get slots, relative to all of their route. */
+  /** Minimum rate at which requests of each size are served, relative to all of their route. */
   private static final double MINIMUM_SHARE = 0.5;
 
   /** Factor by which each request multiplies the weight of the earlier ones of its route. */
@@ -22,14 +22,18 @@
 
   private final Map<String, RouteCounts> routes = new HashMap<>();
 
-  /** Weighted counts of the requests that arrived and of those that got a slot. */
+  /** Weighted counts of the requests that arrived and of those that are served. */
   private static final class Counts {
     private double arrived;
-    private double granted;
+    private double served;
 
     private void decay() {
       arrived *= DECAY_FACTOR;
-      granted *= DECAY_FACTOR;
+      served *= DECAY_FACTOR;
+    }
+
+    private void addServed(int change) {
+      served = Math.max(0, served + change);
     }
   }
 
@@ -55,16 +59,24 @@
     Counts size = counts.ofSize(prompt);
     counts.total.arrived++;
     size.arrived++;
-    return size.granted * counts.total.arrived
-        < MINIMUM_SHARE * size.arrived * counts.total.granted;
+    return size.served * counts.total.arrived < MINIMUM_SHARE * size.arrived * counts.total.served;
   }
 
-  /** Records that a request got a slot. */
+  /** Records that a request got its first slot. */
   void recordGranted(String route, PromptMetadata prompt) {
+    addServed(route, prompt, 1);
+  }
+
+  /** Records that a request which had got a slot has failed. */
+  void recordFailed(String route, PromptMetadata prompt) {
+    addServed(route, prompt, -1);
+  }
+
+  private void addServed(String route, PromptMetadata prompt, int change) {
     RouteCounts counts = routes.get(route);
     if (counts != null) {
-      counts.total.granted++;
-      counts.ofSize(prompt).granted++;
+      counts.total.addServed(change);
+      counts.ofSize(prompt).addServed(change);
     }
   }
 
@@ -74,7 +86,7 @@
   }
 
   private static int step(PromptMetadata prompt) {
-    double doublings = Math.log(Math.max(1, prompt.expectedCost())) / Math.log(2);
+    double doublings = Math.log(Math.max(1, prompt.size())) / Math.log(2);
     return (int) Math.round(STEPS_PER_DOUBLING * doublings);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
@@ -18,6 +18,9 @@
   /** Cost of an output token relative to a prompt token; the platform uses the same weight. */
   private static final double OUTPUT_TOKEN_COST = 2;
 
+  /** Time that an engine takes for an output token, relative to a prompt token. */
+  private static final long OUTPUT_TOKEN_SIZE = 10;
+
   /** Rejects a null model and negative numbers; copies the parts. */
   public PromptMetadata {
     Objects.requireNonNull(model, "model");
@@ -28,6 +31,11 @@
     }
   }
 
+  /** Returns the size of the request: about the time that an engine takes, in prompt tokens. */
+  public long size() {
+    return promptTokens + OUTPUT_TOKEN_SIZE * outputTokens;
+  }
+
   /** Returns the expected cost of the request, in prompt tokens. */
   public double expectedCost() {
     return cost(outputTokens);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -266,6 +266,11 @@
         .toList();
   }
 
+  /** Returns the last waiting request that was reported to the allocator. */
+  SlotMessage.WaitingCall lastWaiting() {
+    return sent("r1", SlotMessage.SlotsWanted.class).getLast().waiting().getLast();
+  }
+
   /** Returns the messages of one type that were sent to an allocator. */
   <M extends SlotMessage> List<M> sent(String allocator, Class<M> kind) {
     return effects.stream()
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -7,6 +7,7 @@
 import static dev.agatepier.core.process.DirectRouterFixture.UNSAFE;
 import static dev.agatepier.core.process.DirectRouterFixture.UNSAFE_WITH_ATTEMPTS;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
@@ -303,6 +304,25 @@
     assertEquals(router.runs(waiting).size(), 1);
   }
 
+  /** Large requests that get slots but never complete are underserved too. */
+  @Test
+  public void reportsSizeWhoseRequestsFailAsUnderserved() {
+    for (int index = 0; index < 10; index++) {
+      RequestId small = router.callWithParts(STREAM);
+      router.grant(small, "u1");
+      router.startResponse(small, 200);
+      router.sendEvent(small, 1);
+      router.endResponse(small);
+      RequestId large = router.callWithParts(STREAM, "a", "b", "c", "d", "e", "f", "g");
+      router.grant(large, "u1");
+      router.failAttempt(large, Reason.UPSTREAM_DIED);
+    }
+    router.callWithParts(STREAM);
+    assertFalse(router.lastWaiting().underserved());
+    router.callWithParts(STREAM, "a", "b", "c", "d", "e", "f", "g");
+    assertTrue(router.lastWaiting().underserved());
+  }
+
   /** A former allocator does not see the progress of the request, and may recall it late. */
   @Test
   public void ignoresRecallsOfRoutersThatAreNotTheAllocator() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/SizeFairnessTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/SizeFairnessTest.java
@@ -36,6 +36,18 @@
     assertEquals(granted, 50, 10, "a quarter of 200, as half of the others get a slot");
   }
 
+  @Test
+  public void requestThatFailsAfterItsSlotIsNotServed() {
+    serve("slow", SMALL, 20, 20);
+    serve("slow", LARGE, 10, 10);
+    assertFalse(sizes.recordArrived("slow", LARGE));
+    for (int index = 0; index < 8; index++) {
+      sizes.recordFailed("slow", LARGE);
+    }
+    assertTrue(sizes.recordArrived("slow", LARGE));
+    assertFalse(sizes.recordArrived("slow", SMALL));
+  }
+
   @Test
   public void routesAreIndependent() {
     serve("busy", SMALL, 20, 10);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouteMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouteMetrics.java
@@ -11,9 +11,9 @@
 import java.util.Optional;
 
 /**
- * Expected cost of ended requests by route and result, which shows whether requests of some size
- * are served less often than others. Beyond the maximum number of routes, the least recently used
- * one is evicted with its histograms. Confined to the request task of the router.
+ * Sizes of ended requests by route and result, which show whether requests of some size are served
+ * less often than others. Beyond the maximum number of routes, the least recently used one is
+ * evicted with its histograms. Confined to the request task of the router.
  */
 final class RouteMetrics {
 
@@ -52,14 +52,14 @@
     this.routes = new LeastRecentlyUsedMap<>(MAXIMUM_ROUTES, this::onEvicted);
   }
 
-  /** Records the end of a request; one without a prompt has no expected cost and is ignored. */
+  /** Records the end of a request; one without a prompt has no size and is ignored. */
   void recordEnded(Outcome outcome, Optional<Reason> reason, RequestMetadata metadata) {
-    if (metadata.expectedCost() > 0) {
+    if (metadata.size() > 0) {
       routes
           .computeIfAbsent(metadata.route(), route -> new EnumMap<>(Result.class))
           .computeIfAbsent(
               Result.of(outcome, reason), result -> newHistogram(metadata.route(), result))
-          .update(Math.round(metadata.expectedCost()));
+          .update(metadata.size());
     }
   }
 
@@ -76,6 +76,6 @@
   }
 
   private static String histogramName(String route, Result result) {
-    return "route." + route + ".cost." + result.name().toLowerCase(Locale.ROOT);
+    return "route." + route + ".size." + result.name().toLowerCase(Locale.ROOT);
   }
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/process/internal/RouteMetricsTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/process/internal/RouteMetricsTest.java
@@ -29,10 +29,10 @@
   }
 
   @Test(dataProvider = "results")
-  public void recordsExpectedCostByResult(Outcome outcome, Optional<Reason> reason, String result) {
+  public void recordsSizeByResult(Outcome outcome, Optional<Reason> reason, String result) {
     String route = "draft-" + outcome + reason;
     routes.recordEnded(outcome, reason, metadata(route, 12_000));
-    String name = "route." + route + ".cost." + result;
+    String name = "route." + route + ".size." + result;
     assertEquals(registry.getHistograms().get(name).getCount(), 1);
     assertEquals(registry.getHistograms().get(name).getSnapshot().getMax(), 12_031, 64);
   }
@@ -59,8 +59,7 @@
     return (name, metric) -> name.contains(part);
   }
 
-  private static RequestMetadata metadata(String route, double expectedCost) {
-    return new RequestMetadata(
-        "howrah", "plan-model", route, expectedCost, 1, "engine-1", 0, 0, 0, 1);
+  private static RequestMetadata metadata(String route, long size) {
+    return new RequestMetadata("howrah", "plan-model", route, size, 1, "engine-1", 0, 0, 0, 1);
   }
 }
