Log deferred removals of upstreams

The logs show when a list is activated, but not whether a removal was deferred, from when and until when, so that a deferral, a late read and a late withdrawal by the slot allocators look alike.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -25,6 +25,8 @@
   TABLE_STALE("table-stale"),
   TABLE_CONFIRMED("table-confirmed"),
   UPSTREAMS_IN_FORCE("upstreams-in-force"),
+  UPSTREAM_REMOVAL_DEFERRED("upstream-removal-deferred"),
+  UPSTREAM_REMOVED("upstream-removed"),
   ENTRY_IGNORED("entry-ignored"),
   SETTINGS_CHANGED("settings-changed"),
   SETTINGS_UNCHANGED("settings-unchanged"),
