Reject what a stopping router cannot complete

Callers saw: requests that waited at a stopping router when its grace time ended lost their connection without an answer, though no upstream had seen them (LOST); so did requests without a response, which ran.

Cause: a stop had a timeout for the process and none for its requests. The router waited for all of them until the process was killed; new requests were rejected only once none was left.

Slots were granted to the router until the end.

Change: the announcement of a stop says when every request must have ended, 700 ms before the timeout. A waiting request is rejected as not run, with a Retry-After of 100 ms, as soon as it is known that it would not be completed; the expected wait and the time of an attempt are moving averages by route. Started responses go on. Why this works: every request without a response has a timer within the life of the process.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -95,7 +95,7 @@
           peers.onMessage(received.peer(), received.message(), nowNanos);
       case RouterEvent.TableActivated activated -> {
         state.onTableActivated(activated.table());
-        allocatorPlacement.onTableActivated(activated.table());
+        allocatorPlacement.onTableActivated();
       }
       case RouterEvent.InstancesActivated activated -> {
         peers.onInstancesActivated(activated.instances());
@@ -111,7 +111,10 @@
       case RouterEvent.UpstreamNotRun notRun -> upstreams.onAttemptNotRun(notRun, nowNanos);
       case RouterEvent.UpstreamFailed failed -> upstreams.onAttemptFailed(failed, nowNanos);
       case RouterEvent.Tick tick -> state.expire(nowNanos);
-      case RouterEvent.StopAnnounced announced -> peers.onStopAnnounced(nowNanos);
+      case RouterEvent.StopAnnounced(long endNanos) -> {
+        peers.onStopAnnounced(nowNanos);
+        attempts.onStopAnnounced(endNanos, nowNanos);
+      }
       case RouterEvent.DrainStarted started -> state.startDrain();
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -199,6 +199,11 @@
   /** The process must accept no new requests and complete the accepted ones. */
   record DrainStarted() implements RouterEvent {}
 
-  /** The process has announced that it will stop soon. It still accepts requests. */
-  record StopAnnounced() implements RouterEvent {}
+  /**
+   * The process has announced that it will stop soon. It still accepts requests that it can serve.
+   *
+   * @param endNanos time by which every request must have ended, as a reading of the process's
+   *     monotonic clock
+   */
+  record StopAnnounced(long endNanos) implements RouterEvent {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -28,6 +28,9 @@
   /** Minimum retry-after time; a refusal without one has 0. */
   private static final long MINIMUM_RETRY_AFTER_MILLIS = 1_000;
 
+  /** Retry-after time of a router that stops; other routers can take the call at once. */
+  static final long DRAINING_RETRY_MILLIS = 100;
+
   private final RouterState state;
   private final RequestLifecycle lifecycle;
   private final Placement sidecarPlacement;
@@ -59,7 +62,8 @@
         checkAccess(call.workspace(), call.service())
             .or(() -> checkTicket(call))
             .or(() -> checkQuarantine(call, nowNanos))
-            .or(() -> checkLoad(call, nowNanos));
+            .or(() -> checkLoad(call, nowNanos))
+            .or(() -> checkStop(call, nowNanos));
     if (refusal.isPresent()) {
       refuse(call, refusal.get());
       return;
@@ -84,7 +88,7 @@
       return refusal(Reason.NOT_READY, MINIMUM_RETRY_AFTER_MILLIS);
     }
     if (state.draining) {
-      return refusal(Reason.DRAINING, MINIMUM_RETRY_AFTER_MILLIS);
+      return refusal(Reason.DRAINING, DRAINING_RETRY_MILLIS);
     }
     Optional<Workspace> row = state.table.workspace(workspace);
     if (row.isEmpty()) {
@@ -117,7 +121,7 @@
         RequestMetadata.ofUnqueued(
             call.workspace(),
             call.service(),
-            call.plan().map(CallPlan::route).orElse(call.service()),
+            route(call),
             call.prompt().map(PromptMetadata::size).orElse(0L));
     refuse(call.request(), outcome, refusal, metadata);
   }
@@ -170,6 +174,12 @@
     return Optional.empty();
   }
 
+  private Optional<Refusal> checkStop(CallArrived call, long nowNanos) {
+    return state.stop.canServe(route(call), call.prompt(), nowNanos)
+        ? Optional.empty()
+        : refusal(Reason.DRAINING, DRAINING_RETRY_MILLIS);
+  }
+
   private CallPlan plan(ServiceEntry entry, CallArrived call) {
     return new CallPlan(
         entry.name(),
@@ -183,6 +193,10 @@
         0);
   }
 
+  private static String route(CallArrived call) {
+    return call.plan().map(CallPlan::route).orElse(call.service());
+  }
+
   private long deadline(CallArrived call, long nowNanos) {
     long maximumMillis =
         call.plan()
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -4,17 +4,14 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.request.RequestId;
-import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Obtains slots from slot allocators: reports each waiting request and its changes of state to the
@@ -147,11 +144,9 @@
     selector.setUpstreams(upstreams);
   }
 
-  /** Forgets the routes that a version of the table no longer contains. */
-  public void onTableActivated(Table table) {
-    Set<String> routes = new HashSet<>(table.services().keySet());
-    table.routes().routes().forEach(route -> routes.add(route.plan().route()));
-    sizes.retainRoutes(routes);
+  /** Forgets the routes that the active table no longer contains. */
+  public void onTableActivated() {
+    sizes.retainRoutes(state.routes());
   }
 
   /** Clears a disconnected router as allocator. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -183,8 +183,17 @@
     }
   }
 
+  /** Ends the requests that cannot be served before the router stops, oldest first. */
+  public void onStopAnnounced(long endNanos, long nowNanos) {
+    state.stop.announce(endNanos);
+    state.requests.values().forEach(request -> lifecycle.updateTimer(request, nowNanos));
+    runDueTimers(nowNanos);
+  }
+
   private void onTimer(RoutedRequest request, long nowNanos) {
-    if (request.phase == Phase.RUNNING) {
+    if (nowNanos < request.deadlineNanos && request.phase != Phase.WITHDRAWN) {
+      onStopTimer(request, nowNanos);
+    } else if (request.phase == Phase.RUNNING) {
       withdraw(request, Reason.DEADLINE, nowNanos);
     } else if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
@@ -194,6 +203,18 @@
     }
   }
 
+  /** Ends a request because the router stops, unless its response has started. */
+  private void onStopTimer(RoutedRequest request, long nowNanos) {
+    if (request.phase != Phase.RUNNING) {
+
+      lifecycle.fail(request, Reason.DRAINING, 0, Admission.DRAINING_RETRY_MILLIS, nowNanos);
+    } else if (request.responseStarted) {
+      state.timers.reschedule(request, request.deadlineNanos);
+    } else {
+      withdraw(request, Reason.DRAINING, nowNanos);
+    }
+  }
+
   private boolean isTicketHomeGone(RoutedRequest request) {
     return request
         .call
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -25,6 +25,7 @@
 
   void admit(RoutedRequest request, long nowNanos) {
     state.requests.put(request.id(), request);
+    request.timerNanos = state.stop.timerNanos(request, nowNanos);
     state.timers.add(request);
     request.queue.usage.charge(request.estimatedCost);
     request.queue.usage.waiting++;
@@ -46,10 +47,14 @@
    */
   AttemptId start(RoutedRequest request, AttemptTarget target, boolean exclusive, long nowNanos) {
     request.placement.recordStarted(request, nowNanos);
+    if (request.attempts == 0) {
+      state.times.recordWait(request.plan.route(), nowNanos - request.arrivedNanos);
+    }
     request.queue.usage.waiting--;
     request.queue.usage.running++;
     state.fingerprints.addRunning(request.fingerprint());
     AttemptId attempt = request.startAttempt(target, exclusive, nowNanos);
+    updateTimer(request, nowNanos);
     publishRunning(request.queue);
     return attempt;
   }
@@ -61,10 +66,21 @@
     request.phase = Phase.WAITING;
     request.queue.usage.waiting++;
     request.placement.requeue(request, avoided, nowNanos);
+    updateTimer(request, nowNanos);
+  }
+
+  /** Sets the timer of a request to its deadline, or to what a stop of the router leaves. */
+  void updateTimer(RoutedRequest request, long nowNanos) {
+    long timerNanos = state.stop.timerNanos(request, nowNanos);
+    if (timerNanos != request.timerNanos) {
+      state.timers.reschedule(request, timerNanos);
+    }
   }
 
   void complete(RoutedRequest request, double cost, long nowNanos) {
     request.queue.observeCost(cost);
+    state.times.recordRun(
+        request.plan.route(), request.call.prompt(), nowNanos - request.sentNanos);
     request.queue.usage.charge(cost - request.estimatedCost);
     state.affinity.recordServed(request.call, request.lastTarget);
     if (request.exclusive) {
@@ -96,7 +112,7 @@
 
   private static SlotStage stage(Reason reason) {
     return switch (reason) {
-      case CALLER_GONE, DEADLINE, WITHDRAWN -> SlotStage.CANCELLED;
+      case CALLER_GONE, DEADLINE, DRAINING, WITHDRAWN -> SlotStage.CANCELLED;
       default -> SlotStage.FAILED;
     };
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -42,6 +42,8 @@
   final Quarantine quarantine;
   final DirectCrashes directCrashes;
   final RunningFingerprints fingerprints = new RunningFingerprints();
+  final RouteTimes times = new RouteTimes();
+  final StopSchedule stop = new StopSchedule(times);
   final PrefixAffinity affinity = new PrefixAffinity();
   final Set<String> leavingRouters = new HashSet<>();
   Table table = Table.NONE;
@@ -88,9 +90,17 @@
   public void onTableActivated(Table newer) {
     if (newer.version() >= table.version()) {
       table = newer;
+      times.retainRoutes(routes());
     }
   }
 
+  /** Returns the names of all routes and services of the active table. */
+  Set<String> routes() {
+    Set<String> names = new HashSet<>(table.services().keySet());
+    table.routes().routes().forEach(route -> names.add(route.plan().route()));
+    return names;
+  }
+
   /** Returns whether a drain has started and no request is left. */
   public boolean drained() {
     return draining && requests.isEmpty();
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -284,7 +284,7 @@
     RequestId running = router.run(STREAM, "u1");
     RequestId waiting = router.call(SAFE);
     router.dispatch(new RouterEvent.PeerConnected(DirectRouterFixture.identity("r2", "b1")));
-    router.dispatch(new RouterEvent.StopAnnounced());
+    router.dispatch(new RouterEvent.StopAnnounced(router.now + 60_000_000_000L));
     SlotsWanted state = router.sent("r2", SlotsWanted.class).getLast();
     assertTrue(state.complete());
     assertEquals(state.held().getFirst().call().request(), running);
@@ -299,7 +299,7 @@
   @Test
   public void allocatesSlotsItselfWhileNoOtherRouterRemains() {
     RequestId waiting = router.call(SAFE);
-    router.dispatch(new RouterEvent.StopAnnounced());
+    router.dispatch(new RouterEvent.StopAnnounced(router.now + 60_000_000_000L));
     router.grant(waiting, "u1");
     assertEquals(router.runs(waiting).size(), 1);
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -24,13 +24,19 @@
   /** Gauge of the time since the table was last confirmed to be the latest, in milliseconds. */
   private static final String CONFIRMED_AGE = "table.confirmed-age-millis";
 
+  /** Time before the timeout of a stop at which requests without a response end. */
+  private static final Duration FINAL_ANSWERS = Duration.ofMillis(700);
+
+  /** Part of the timeout of a stop that is kept for final answers at most. */
+  private static final int FINAL_ANSWERS_PART = 10;
+
   private final RouterTasks tasks;
   private final CallerFrontEnd callers;
   private final Optional<UpstreamCaller> upstreams;
   private final List<ManagedService> services;
   private final FleetMember member;
   private final Scheduler scheduler;
-  private final Duration grace;
+  private final StopSettings stopSettings;
 
   /**
    * Creates a router in the default environment without opening a socket.
@@ -54,7 +60,7 @@
   public RouterService(
       RouterSettings settings, RouterEnvironment environment, long incarnation, Runnable stop) {
     CommonSettings common = settings.common();
-    grace = Duration.ofMillis(common.stop().graceMillis());
+    stopSettings = common.stop();
     PeerIdentity self =
         new PeerIdentity(
             common.instance(), incarnation, Role.ROUTER, common.dataCentre(), common.region(), "");
@@ -132,13 +138,13 @@
   /**
    * Drains the router and closes everything. First waits for the grace period, so that the load
    * balancer stops sending, then for every request. A request that still arrives on an open
-   * connection is served, and the connection is closed after the response.
+   * connection is served if there is time for it, and the connection is closed after the response.
    */
   @Override
   public CompletableFuture<Void> stop() {
-    tasks.announceStop();
+    tasks.announceStop(System.nanoTime() + answerTime().toNanos());
     callers.closeAfterResponses();
-    return Mono.delay(grace)
+    return Mono.delay(Duration.ofMillis(stopSettings.graceMillis()))
         .then(Mono.fromFuture(callers::stop))
         .then(Mono.fromFuture(tasks::drain))
         .then(Mono.fromFuture(() -> allOf(services.stream().map(ManagedService::stop).toList())))
@@ -154,6 +160,13 @@
     return callers.inFlight();
   }
 
+  /** Returns the time from the beginning of a stop until every request must have ended. */
+  private Duration answerTime() {
+    Duration timeout = Duration.ofMillis(stopSettings.timeoutMillis());
+    Duration kept = timeout.dividedBy(FINAL_ANSWERS_PART);
+    return timeout.minus(kept.compareTo(FINAL_ANSWERS) < 0 ? kept : FINAL_ANSWERS);
+  }
+
   private Readiness readiness() {
     Readiness readiness = member.readiness();
     return readiness.ready() ? callers.readiness() : readiness;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -147,10 +147,14 @@
     return drained.copy();
   }
 
-  /** Announces that the process is about to stop; requests are still accepted. */
-  public void announceStop() {
+  /**
+   * Announces that the process is about to stop; requests that it can serve are still accepted.
+   *
+   * @param endNanos time by which every request must have ended
+   */
+  public void announceStop(long endNanos) {
     draining = true;
-    requestTask.post(new RouterEvent.StopAnnounced());
+    requestTask.post(new RouterEvent.StopAnnounced(endNanos));
     slotAllocator.post(new SlotAllocatorEvent.RouterLeaving(self.instance(), true));
   }
 
