--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/internal/BodyReader.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/BodyReader.java
@@ -1,7 +1,6 @@
-package dev.agatepier.wire.version.internal;
+package dev.agatepier.wire.version;
 
 import dev.agatepier.core.request.Bytes;
-import dev.agatepier.wire.version.PlatformException;
 import java.io.ByteArrayOutputStream;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/PlatformClient.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/PlatformClient.java
@@ -5,7 +5,6 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.wire.request.Digests;
-import dev.agatepier.wire.version.internal.BodyReader;
 import dev.agatepier.wire.version.internal.PlatformJson;
 import java.time.Duration;
 import java.util.Optional;
