Bound incomplete responses of all upstreams together

Callers saw in a trial: 40 requests to an upstream that answers without end exhausted the heap of the router (71 OutOfMemoryErrors in 15 s); of those to another service 8 lost their connection, 12 got 503, the longest took 2.5 s.

Cause: responses are kept until they are complete, up to 8 MB each; nothing bounded them together, and the heap is 96 MB.

Evidence: the stack traces are those of the array of a kept response. One response without end was closed in time before (FaultyUpstreamTest).

Change: incomplete responses and events share a budget, an eighth of the heap; when it is exceeded, the largest is given up and its connection closed, so that small responses go on. A gauge and a counter.

Measured: FaultyUpstreamTest.givesUpLargestResponseWhenAllTogetherAreTooLarge red without the bound, green now.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -1,6 +1,7 @@
 package dev.agatepier.wire.connection;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import dev.agatepier.core.process.ManagedService;
 import dev.agatepier.core.process.MonotonicClock;
@@ -11,6 +12,7 @@
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.connection.internal.ResponseBudget;
 import dev.agatepier.wire.connection.internal.UpstreamCallerContext;
 import dev.agatepier.wire.connection.internal.UpstreamPool;
 import dev.agatepier.wire.process.internal.RequestLog;
@@ -42,6 +44,7 @@
   private final Scheduler scheduler;
   private final Counter connectionsOpened;
   private final Counter malformedResponses;
+  private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
   private final Map<AttemptId, UpstreamPool> poolsByAttempt = new HashMap<>();
   private final UpstreamCallerContext context;
@@ -66,6 +69,7 @@
    * @param scheduler runs tasks on that event loop
    * @param metrics metric registry of the process
    * @param failureHandler receives unexpected exceptions of connections
+   * @param maximumBufferedBytes maximum bytes of incomplete responses that are buffered
    */
   public UpstreamCaller(
       UpstreamDialect dialect,
@@ -75,7 +79,8 @@
       LoopResources eventLoops,
       Scheduler scheduler,
       MetricRegistry metrics,
-      Consumer<Throwable> failureHandler) {
+      Consumer<Throwable> failureHandler,
+      long maximumBufferedBytes) {
     this.dialect = dialect;
     this.activeTable = activeTable;
     this.clock = clock;
@@ -83,6 +88,10 @@
     this.scheduler = scheduler;
     connectionsOpened = metrics.counter("upstreams.connections-opened");
     malformedResponses = metrics.counter("upstreams.unsound-answers");
+    responses =
+        new ResponseBudget(
+            maximumBufferedBytes, metrics.counter("upstreams.answers-given-up")::inc);
+    metrics.register("upstreams.buffered-bytes", (Gauge<Long>) responses::totalBytes);
     context = new Context(eventSink, failureHandler);
   }
 
@@ -176,6 +185,11 @@
       return failureHandler;
     }
 
+    @Override
+    public ResponseBudget responses() {
+      return responses;
+    }
+
     @Override
     public LoopResources eventLoops() {
       return eventLoops;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -66,6 +66,11 @@
     return ended;
   }
 
+  /** Returns the number of response bytes that wait here for the rest of the response or event. */
+  long bufferedBytes() {
+    return buffered.readableBytes() + splitter.partialEventBytes();
+  }
+
   /** Returns whether flow-control credit is left to read more of the response. */
   boolean canRead() {
     return window > 0;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -66,6 +66,11 @@
     return size > 0;
   }
 
+  /** Returns the number of bytes of the incomplete event. */
+  int partialEventBytes() {
+    return size;
+  }
+
   /** Returns whether the incomplete event exceeds the maximum size. */
   boolean exceedsMaximumEventSize() {
     return size > MAXIMUM_EVENT_BYTES;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
@@ -23,6 +23,9 @@
   /** Returns the handler of unexpected failures in the task of a connection. */
   Consumer<Throwable> failureHandler();
 
+  /** Returns the budget for buffered parts of responses. */
+  ResponseBudget responses();
+
   /** Returns the event loops for connections. */
   LoopResources eventLoops();
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -35,7 +35,8 @@
  * The task of one upstream connection: it owns the socket and runs one attempt at a time. The
  * connection is not reused after any error or unexpected response.
  */
-final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+final class UpstreamConnection extends ChannelInboundHandlerAdapter
+    implements ResponseBudget.Holder {
 
   /** Maximum size of a response that is not forwarded, in bytes. */
   private static final int MAXIMUM_DISCARDED_BYTES = 262_144;
@@ -68,6 +69,9 @@
   private boolean broken;
   private long discardedBytes;
 
+  /** Response bytes that count against the budget. */
+  private long bufferedBytes;
+
   /** Time after which the idle connection is not reused, in nanoseconds of the process clock. */
   private long idleUntilNanos;
 
@@ -122,8 +126,7 @@
   /** Cancels the attempt by closing the connection, which is how the upstream detects it. */
   void cancel() {
     broken = true;
-    AttemptExchange cancelled = exchange;
-    exchange = null;
+    AttemptExchange cancelled = takeExchange();
     if (cancelled != null) {
       cancelled.fail(Reason.WITHDRAWN);
     }
@@ -178,14 +181,34 @@
 
   private void fail(Reason reason) {
     broken = true;
-    AttemptExchange failed = exchange;
-    exchange = null;
+    AttemptExchange failed = takeExchange();
     if (failed != null) {
       failed.fail(reason);
     }
     channel.close();
   }
 
+  @Override
+  public void giveUp() {
+    fail(Reason.ANSWER_INCOMPLETE);
+  }
+
+  /** Returns the exchange in flight, or null, and leaves the connection without one. */
+  private AttemptExchange takeExchange() {
+    AttemptExchange taken = exchange;
+    exchange = null;
+    setBufferedBytes(0);
+    return taken;
+  }
+
+  /** Counts the buffered bytes against the budget, which may give up this response. */
+  private void setBufferedBytes(long bytes) {
+    if (bytes != bufferedBytes) {
+      bufferedBytes = bytes;
+      pool.responses().set(this, bytes);
+    }
+  }
+
   private void receive(HttpObject part) {
     if (part.decoderResult().isFailure()) {
       failMalformed("response cannot be decoded: " + part.decoderResult().cause().getMessage());
@@ -252,6 +275,10 @@
         cancel();
         return;
       }
+      setBufferedBytes(exchange.bufferedBytes());
+      if (broken) {
+        return;
+      }
       channel.config().setAutoRead(exchange.canRead());
     } else {
       discardedBytes += content.content().readableBytes();
@@ -279,7 +306,7 @@
       }
       exchange.onResponseEnded();
     }
-    exchange = null;
+    takeExchange();
     reused = true;
     reusable &= requestWritten.isSuccess() && !closeDelimited && returned.size() < MAXIMUM_RETURNED;
     if (reusable) {
@@ -298,8 +325,7 @@
   }
 
   private void failMalformed(String detail) {
-    AttemptExchange failed = exchange;
-    exchange = null;
+    AttemptExchange failed = takeExchange();
     pool.onMalformedResponse(failed, detail);
     close();
     if (failed != null) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -107,6 +107,10 @@
     return context.failureHandler();
   }
 
+  ResponseBudget responses() {
+    return context.responses();
+  }
+
   Classification classifyResponse(RunAttempt attempt, int status, List<Header> headers) {
     return context.dialect().classifyResponse(attempt, status, headers);
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -30,6 +30,9 @@
   /** Part of the timeout of a stop that is kept for final answers at most. */
   private static final int FINAL_ANSWERS_PART = 10;
 
+  /** Part of the heap that incomplete responses of upstreams may take. */
+  private static final int BUFFERED_RESPONSES_PART = 8;
+
   private final RouterTasks tasks;
   private final CallerFrontEnd callers;
   private final Optional<UpstreamCaller> upstreams;
@@ -122,7 +125,8 @@
                         environment.eventLoops(),
                         scheduler,
                         metrics,
-                        member::logTaskFailure));
+                        member::logTaskFailure,
+                        Runtime.getRuntime().maxMemory() / BUFFERED_RESPONSES_PART));
     services = environment.services(context);
   }
 
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
@@ -91,6 +91,33 @@
     }
   }
 
+  /** Guards against responses without end that together use up the memory of the process. */
+  @Test
+  public void givesUpLargestResponseWhenAllTogetherAreTooLarge() {
+    int megabyte = 1024 * 1024;
+    try (RawSocket first = startResponse(1, 5 * megabyte / 2);
+        RawSocket endless = startResponse(2, 7 * megabyte / 2);
+        RawSocket second = startResponse(3, 5 * megabyte / 2)) {
+      UpstreamFailed failed = nextEvent(UpstreamFailed.class);
+      assertEquals(failed.attempt().request().number(), 2);
+      assertEquals(endless.readAll(), "", "the connection is closed without data");
+      first.write("x");
+      awaitCompletion();
+      second.write("x");
+      awaitCompletion();
+    }
+  }
+
+  /** Starts an attempt and writes its response but for the last byte. */
+  private RawSocket startResponse(long attempt, int bytes) {
+    run(attempt);
+    RawSocket socket = upstream.accept();
+    socket.readUntil("body");
+    socket.write(HEAD.formatted(attempt) + "Content-Length: " + (bytes + 1) + "\r\n\r\n");
+    socket.write("x".repeat(bytes));
+    return socket;
+  }
+
   /** Writes bytes without end; returns whether the peer closes before it has read 64 MiB. */
   private static boolean writeUntilClosed(RawSocket socket, String start, String repeated) {
     try {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
@@ -32,6 +32,7 @@
 abstract class UpstreamCallerFixture {
 
   static final long WINDOW_BYTES = 1_000;
+  static final long BUFFERED_BYTES = 8 * 1024 * 1024;
   static final String HEAD = "HTTP/1.1 200 OK\r\nLabel: %s\r\nKeep-Alive: timeout=5\r\n";
   static final String PLAIN = HEAD + "Content-Length: 5\r\n\r\n";
   static final String EVENTS = HEAD + "Content-Type: events\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -59,7 +60,8 @@
             loops,
             scheduler,
             new MetricRegistry(),
-            failure -> newEvents.add(new RouterEvent.DrainStarted()));
+            failure -> newEvents.add(new RouterEvent.DrainStarted()),
+            BUFFERED_BYTES);
     caller.start().join();
   }
 
