Give rejections of a stop their Retry-After in one place

Cause: a request that was withdrawn before it was sent got 503 without a Retry-After; the other rejections of a stop had one. Two constants were named for parts though they are divisors.

Change: RequestLifecycle adds the Retry-After to each rejection of a stop.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -206,8 +206,7 @@
   /** Ends a request because the router stops, unless its response has started. */
   private void onStopTimer(RoutedRequest request, long nowNanos) {
     if (request.phase != Phase.RUNNING) {
-
-      lifecycle.fail(request, Reason.DRAINING, 0, Admission.DRAINING_RETRY_MILLIS, nowNanos);
+      lifecycle.fail(request, Reason.DRAINING, nowNanos);
     } else if (request.responseStarted) {
       state.timers.reschedule(request, request.deadlineNanos);
     } else {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -94,7 +94,8 @@
   }
 
   void fail(RoutedRequest request, Reason reason, long nowNanos) {
-    fail(request, reason, 0, 0, nowNanos);
+    boolean elsewhere = reason == Reason.DRAINING && request.provenNotRun();
+    fail(request, reason, 0, elsewhere ? Admission.DRAINING_RETRY_MILLIS : 0, nowNanos);
   }
 
   void fail(
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StoppingRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StoppingRouterTest.java
@@ -119,6 +119,7 @@
     advance(STOP_MILLIS);
     router.reportNotRun(running, Reason.WITHDRAWN);
     assertEquals(router.responseTo(running), "not-run draining");
+    assertTrue(failure(running).retryAfterMillis() > 0, "the caller must be told to come back");
   }
 
   @Test
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -27,11 +27,11 @@
   /** Time before the timeout of a stop at which requests without a response end. */
   private static final Duration FINAL_ANSWERS = Duration.ofMillis(700);
 
-  /** Part of the timeout of a stop that is kept for final answers at most. */
-  private static final int FINAL_ANSWERS_PART = 10;
+  /** Divisor of the timeout of a stop that gives the maximum time kept for final answers. */
+  private static final int FINAL_ANSWERS_DIVISOR = 10;
 
-  /** Part of the heap that incomplete responses of upstreams may take. */
-  private static final int BUFFERED_RESPONSES_PART = 8;
+  /** Divisor of the heap's size that gives the maximum bytes of incomplete responses. */
+  private static final int BUFFERED_RESPONSES_DIVISOR = 8;
 
   private final RouterTasks tasks;
   private final CallerFrontEnd callers;
@@ -126,7 +126,7 @@
                         scheduler,
                         metrics,
                         member::logTaskFailure,
-                        Runtime.getRuntime().maxMemory() / BUFFERED_RESPONSES_PART));
+                        Runtime.getRuntime().maxMemory() / BUFFERED_RESPONSES_DIVISOR));
     services = environment.services(context);
   }
 
@@ -167,7 +167,7 @@
   /** Returns the time from the beginning of a stop until every request must have ended. */
   private Duration answerTime() {
     Duration timeout = Duration.ofMillis(stopSettings.timeoutMillis());
-    Duration kept = timeout.dividedBy(FINAL_ANSWERS_PART);
+    Duration kept = timeout.dividedBy(FINAL_ANSWERS_DIVISOR);
     return timeout.minus(kept.compareTo(FINAL_ANSWERS) < 0 ? kept : FINAL_ANSWERS);
   }
 
