--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -146,7 +146,7 @@
 
   /** Forgets the routes that the active table no longer contains. */
   public void onTableActivated() {
-    sizes.retainRoutes(state.routes());
+    sizes.retainRoutes(state.routes);
   }
 
   /** Clears a disconnected router as allocator. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -47,6 +47,10 @@
   final PrefixAffinity affinity = new PrefixAffinity();
   final Set<String> leavingRouters = new HashSet<>();
   Table table = Table.NONE;
+
+  /** Names of all routes and services of the active table. */
+  Set<String> routes = Set.of();
+
   boolean draining;
   long lastSequence;
   private int peakRouters;
@@ -90,17 +94,12 @@
   public void onTableActivated(Table newer) {
     if (newer.version() >= table.version()) {
       table = newer;
-      times.retainRoutes(routes());
+      routes = new HashSet<>(table.services().keySet());
+      table.routes().routes().forEach(route -> routes.add(route.plan().route()));
+      times.retainRoutes(routes);
     }
   }
 
-  /** Returns the names of all routes and services of the active table. */
-  Set<String> routes() {
-    Set<String> names = new HashSet<>(table.services().keySet());
-    table.routes().routes().forEach(route -> names.add(route.plan().route()));
-    return names;
-  }
-
   /** Returns whether a drain has started and no request is left. */
   public boolean drained() {
     return draining && requests.isEmpty();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
@@ -25,7 +26,7 @@
   private static final String CONFIRMED_AGE = "table.confirmed-age-millis";
 
   /** Time before the timeout of a stop at which requests without a response end. */
-  private static final Duration FINAL_ANSWERS = Duration.ofMillis(700);
+  private static final long FINAL_ANSWERS_MILLIS = 700;
 
   /** Divisor of the timeout of a stop that gives the maximum time kept for final answers. */
   private static final int FINAL_ANSWERS_DIVISOR = 10;
@@ -146,7 +147,7 @@
    */
   @Override
   public CompletableFuture<Void> stop() {
-    tasks.announceStop(System.nanoTime() + answerTime().toNanos());
+    tasks.announceStop(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(answerMillis()));
     callers.closeAfterResponses();
     return Mono.delay(Duration.ofMillis(stopSettings.graceMillis()))
         .then(Mono.fromFuture(callers::stop))
@@ -164,11 +165,10 @@
     return callers.inFlight();
   }
 
-  /** Returns the time from the beginning of a stop until every request must have ended. */
-  private Duration answerTime() {
-    Duration timeout = Duration.ofMillis(stopSettings.timeoutMillis());
-    Duration kept = timeout.dividedBy(FINAL_ANSWERS_DIVISOR);
-    return timeout.minus(kept.compareTo(FINAL_ANSWERS) < 0 ? kept : FINAL_ANSWERS);
+  /** Returns the milliseconds from the beginning of a stop until every request must have ended. */
+  private long answerMillis() {
+    long timeoutMillis = stopSettings.timeoutMillis();
+    return timeoutMillis - Math.min(FINAL_ANSWERS_MILLIS, timeoutMillis / FINAL_ANSWERS_DIVISOR);
   }
 
   private Readiness readiness() {
