Log and count the fair order at each slot decision

Cause: neither logs nor metrics showed where a workspace stood in the fair order when its request got a slot or was rejected, so that a wrong order looked like a lack of capacity.

Change: slot-granted and slot-refused name the workspace, its virtual service, that of the workspace that is next and how many wait. The slot allocator counts granted cost and rejected slots by workspace and service, with a histogram of the virtual service. No decision changes.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -19,6 +19,8 @@
    *
    * @param service the called service
    * @param request the request
+   * @param position where its workspace stood in the fair order before the grant
+   * @param cost expected cost of the request, in cost units
    * @param upstream name of the upstream
    * @param waitedMillis time for which the request waited at this allocator, in milliseconds
    * @param backlogMillis expected waiting time at the upstream, in milliseconds
@@ -33,6 +35,8 @@
   record Placed(
       String service,
       RequestId request,
+      FairPosition position,
+      double cost,
       String upstream,
       long waitedMillis,
       long backlogMillis,
@@ -48,6 +52,7 @@
    *
    * @param service the called service
    * @param request the request
+   * @param position where its workspace stands in the fair order
    * @param waitedMillis time for which the request waited at this allocator, in milliseconds
    * @param slackMillis time left until the response should start, in milliseconds
    * @param expectedMillis expected time until the response would start, in milliseconds
@@ -58,6 +63,7 @@
   record Rejected(
       String service,
       RequestId request,
+      FairPosition position,
       long waitedMillis,
       long slackMillis,
       long expectedMillis,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
@@ -241,6 +242,7 @@
         new SlotAllocatorEffect.Rejected(
             service,
             entry.call.request(),
+            ledger.position(entry.workspace()),
             entry.waitedMillis(nowNanos),
             entry.slackMillis(nowNanos),
             Math.round(scheduler.expectedMillis(entry, nowNanos)),
@@ -264,11 +266,14 @@
   private void grant(SlotScheduler.Assignment assignment, long nowNanos) {
     WaitingEntry entry = assignment.entry();
     UpstreamLoad upstream = assignment.upstream();
+    FairPosition position = ledger.position(entry.workspace());
     waiting.remove(entry.call.request());
     effects.add(
         new SlotAllocatorEffect.Placed(
             service,
             entry.call.request(),
+            position,
+            rule.expectedCost(entry.call),
             upstream.upstream.name(),
             entry.waitedMillis(nowNanos),
             Math.round(rule.backlogMillis(upstream, nowNanos)),
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.version.Table;
 import java.util.Collection;
 import java.util.Collections;
@@ -94,6 +95,15 @@
     return List.copyOf(waiting);
   }
 
+  /** Returns where a workspace stands in the fair order now. */
+  public FairPosition position(String workspace) {
+    return new FairPosition(
+        workspace,
+        account(workspace).virtualService,
+        waiting.isEmpty() ? 0 : waiting.first().virtualService,
+        waiting.size());
+  }
+
   /**
    * Sets how many requests of a workspace may be granted and when the oldest one started to wait.
    */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.expectThrows;
 
+import dev.agatepier.core.process.FairPosition;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -66,6 +67,15 @@
     assertEquals(ledger.next().orElseThrow().name(), "ahead");
   }
 
+  @Test
+  public void reportsPositionInFairOrder() {
+    WorkspaceLedger ledger = ledger("virtual-service");
+    assertEquals(ledger.position("ahead"), new FairPosition("ahead", 20, 10, 2));
+    ledger.setDemand("early", 0, 0);
+    ledger.setDemand("ahead", 0, 0);
+    assertEquals(ledger.position("ahead"), new FairPosition("ahead", 20, 0, 0));
+  }
+
   @Test
   public void breaksTiesByOldestWaitThenName() {
     WorkspaceLedger ledger = new WorkspaceLedger(FairOrder.byName("virtual-service"), 1_000);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -1,5 +1,6 @@
 package dev.agatepier.wire.process.internal;
 
+import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.RequestMetadata;
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.process.RouterEvent;
@@ -84,10 +85,8 @@
   public static void logSlotGranted(SlotAllocatorEffect.Placed grant) {
     LOGGER.info(
         () ->
-            LogEvent.SLOT_GRANTED
-                .message()
-                .with("request", grant.request().toString())
-                .with("service", grant.service())
+            slotEvent(LogEvent.SLOT_GRANTED, grant.service(), grant.request(), grant.position())
+                .with("cost", Math.round(grant.cost()))
                 .with("upstream", grant.upstream())
                 .with("waitedMillis", grant.waitedMillis())
                 .with("backlogMillis", grant.backlogMillis())
@@ -102,10 +101,11 @@
   public static void logSlotRejected(SlotAllocatorEffect.Rejected rejection) {
     LOGGER.info(
         () ->
-            LogEvent.SLOT_REFUSED
-                .message()
-                .with("request", rejection.request().toString())
-                .with("service", rejection.service())
+            slotEvent(
+                    LogEvent.SLOT_REFUSED,
+                    rejection.service(),
+                    rejection.request(),
+                    rejection.position())
                 .with("waitedMillis", rejection.waitedMillis())
                 .with("slackMillis", rejection.slackMillis())
                 .with("expectedMillis", rejection.expectedMillis())
@@ -153,6 +153,18 @@
                 .with("flaw", detail));
   }
 
+  private static StringMapMessage slotEvent(
+      LogEvent event, String service, RequestId request, FairPosition position) {
+    return event
+        .message()
+        .with("request", request.toString())
+        .with("service", service)
+        .with("workspace", position.workspace())
+        .with("virtualService", Math.round(position.virtualService()))
+        .with("firstVirtualService", Math.round(position.firstVirtualService()))
+        .with("waitingWorkspaces", position.waitingWorkspaces());
+  }
+
   private static StringMapMessage attemptEvent(LogEvent event, AttemptId attempt) {
     return event
         .message()
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -61,6 +61,7 @@
   private final DecisionTask<CostAggregatorEvent, CostAggregatorEffect> costAggregator;
   private final DecisionTask<SlotAllocatorEvent, SlotAllocatorEffect> slotAllocator;
   private final RequestMetrics metrics;
+  private final SlotMetrics slotMetrics;
   private final RequestHistory history = new RequestHistory();
   private final RouterAdministration administration;
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -97,6 +98,7 @@
     this.upstreamEffects = upstreams;
     this.stop = stop;
     this.metrics = new RequestMetrics(metrics);
+    slotMetrics = new SlotMetrics(metrics);
     rejectedEvents = metrics.counter(MAILBOX_FULL);
     RouterDecision decision = new RouterDecision(self, policy);
     requestTask =
@@ -287,8 +289,14 @@
           links.send(router, message);
         }
       }
-      case SlotAllocatorEffect.Placed grant -> RequestLog.logSlotGranted(grant);
-      case SlotAllocatorEffect.Rejected rejection -> RequestLog.logSlotRejected(rejection);
+      case SlotAllocatorEffect.Placed grant -> {
+        slotMetrics.recordGranted(grant);
+        RequestLog.logSlotGranted(grant);
+      }
+      case SlotAllocatorEffect.Rejected rejection -> {
+        slotMetrics.recordRejected(rejection);
+        RequestLog.logSlotRejected(rejection);
+      }
       case SlotAllocatorEffect.UpstreamUsabilityChanged change ->
           RequestLog.logUpstreamUsabilityChanged(change);
     }
