--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -0,0 +1,259 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.PromptMetadata;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.version.EngineProfile;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.ServiceKind;
+import dev.agatepier.core.version.SlotAllocationMode;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.Workspace;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Routers in several data centres, each the slot allocator of its own, in virtual time. Engines
+ * prefill one prompt after the other and decode each response in a fixed time for a token.
+ */
+final class AllocatingFleet {
+
+  private static final String SERVICE = "plan-model";
+  private static final long MEMORY_TOKENS = 600_000;
+  private static final int SLOTS = 64;
+  private static final int ENGINES = 6;
+  private static final int TICK_MILLIS = 25;
+  private static final int REGION_MILLIS = 20;
+  private static final int DECODE_MILLIS_PER_TOKEN = 5;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final Bytes FIRST_EVENT = Bytes.ofText("1;");
+
+  private final VirtualTime time;
+  private final Observer observer;
+  private final double tokensPerMilli;
+  private final Map<String, Node> nodes = new TreeMap<>();
+  private final Map<String, Deque<Prefill>> prefills = new HashMap<>();
+  private long lastNumber;
+
+  /** Is told what becomes of requests. */
+  interface Observer {
+
+    /** Called when a response starts. */
+    void onStarted(RequestId request);
+
+    /** Called when a request is rejected. */
+    void onRejected(RequestId request, long retryAfterMillis);
+  }
+
+  /** An attempt whose prompt waits for its prefill or is in it. */
+  private record Prefill(Node node, AttemptId attempt, PromptMetadata prompt) {}
+
+  /**
+   * Creates a fleet of one router for each data centre.
+   *
+   * @param tokensPerMilli prompt tokens that an engine prefills in a millisecond
+   */
+  AllocatingFleet(
+      VirtualTime time,
+      Collection<String> dataCentres,
+      Collection<String> workspaces,
+      SlotAllocatorPolicy policy,
+      double tokensPerMilli,
+      Observer observer) {
+    this.time = time;
+    this.observer = observer;
+    this.tokensPerMilli = tokensPerMilli;
+    Table table = table(workspaces);
+    InstanceList instances = new InstanceList(1, List.of(), upstreams(dataCentres));
+    dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy)));
+    nodes.values().forEach(node -> node.start(table, instances));
+    tick();
+  }
+
+  /** Calls the model through the router of a data centre. */
+  RequestId call(String dataCentre, String workspace, CallPlan plan, PromptMetadata prompt) {
+    Node node = nodes.get("r-" + dataCentre);
+    RequestId request = new RequestId(node.self.instance(), 1, ++lastNumber);
+    node.prompts.put(request, prompt);
+    node.dispatch(
+        new RouterEvent.CallArrived(
+            request,
+            workspace,
+            SERVICE,
+            new CallHead("POST", "/", List.of()),
+            Bytes.EMPTY,
+            new Fingerprint(workspace, SERVICE, request.toString()),
+            Optional.empty(),
+            nowNanos() + plan.timeoutMillis() * NANOS_PER_MILLI,
+            Optional.of(plan),
+            Optional.of(prompt),
+            OptionalLong.empty()));
+    return request;
+  }
+
+  private static Table table(Collection<String> workspaces) {
+    Map<String, Workspace> rows = new HashMap<>();
+    Limits limits = new Limits(10_000, 10_000, 0);
+    workspaces.forEach(
+        name -> rows.put(name, new Workspace(name, 1, "00", limits, Set.of(SERVICE))));
+    ServiceEntry service =
+        new ServiceEntry(
+            SERVICE,
+            ServiceKind.MODEL,
+            List.of(),
+            60_000,
+            0.2,
+            SlotAllocationMode.ROUTER,
+            Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
+    return new Table(1, rows, Map.of(SERVICE, service));
+  }
+
+  private static List<Upstream> upstreams(Collection<String> dataCentres) {
+    List<Upstream> upstreams = new ArrayList<>();
+    for (String dataCentre : dataCentres) {
+      for (int index = 0; index < ENGINES; index++) {
+        String name = dataCentre + "-" + index;
+        upstreams.add(new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, dataCentre, SLOTS, false));
+      }
+    }
+    return upstreams;
+  }
+
+  private void tick() {
+    nodes.values().forEach(Node::tick);
+    time.after(TICK_MILLIS, this::tick);
+  }
+
+  private long nowNanos() {
+    return time.nowMillis() * NANOS_PER_MILLI;
+  }
+
+  private void startPrefill(String engine, Prefill prefill) {
+    Deque<Prefill> queue = prefills.computeIfAbsent(engine, name -> new ArrayDeque<>());
+    queue.add(prefill);
+    if (queue.size() == 1) {
+      scheduleHead(queue);
+    }
+  }
+
+  private void scheduleHead(Deque<Prefill> queue) {
+    long millis = Math.max(1, Math.round(queue.peek().prompt.promptTokens() / tokensPerMilli));
+    time.after(
+        millis,
+        () -> {
+          Prefill head = queue.remove();
+          if (!queue.isEmpty()) {
+            scheduleHead(queue);
+          }
+          decode(head);
+        });
+  }
+
+  private void decode(Prefill prefill) {
+    AttemptId attempt = prefill.attempt;
+    observer.onStarted(attempt.request());
+    prefill.node.dispatch(
+        new RouterEvent.UpstreamResponseStarted(attempt, new ResponseHead(200, List.of()), true));
+    prefill.node.dispatch(
+        new RouterEvent.UpstreamResponseData(
+            attempt, FIRST_EVENT, 1, 1, prefill.prompt.outputTokens()));
+    time.after(
+        (long) DECODE_MILLIS_PER_TOKEN * prefill.prompt.outputTokens(),
+        () -> prefill.node.dispatch(new RouterEvent.UpstreamResponseCompleted(attempt)));
+  }
+
+  /** A router with its slot allocator. */
+  private final class Node {
+    private final PeerIdentity self;
+    private final RouterDecision router;
+    private final SlotAllocatorDecision allocator;
+    private final Map<RequestId, PromptMetadata> prompts = new HashMap<>();
+
+    private Node(String dataCentre, SlotAllocatorPolicy policy) {
+      self = new PeerIdentity("r-" + dataCentre, 1, Role.ROUTER, dataCentre, dataCentre, "");
+      router = new RouterDecision(self, RouterPolicy.DEFAULT);
+      allocator = new SlotAllocatorDecision(self, policy);
+    }
+
+    private void start(Table table, InstanceList instances) {
+      for (Node peer : nodes.values()) {
+        if (peer != this) {
+          dispatch(new RouterEvent.PeerConnected(peer.self));
+          dispatch(new SlotAllocatorEvent.RouterConnected(peer.self));
+        }
+      }
+      dispatch(new SlotAllocatorEvent.TableActivated(table));
+      dispatch(new SlotAllocatorEvent.InstancesActivated(instances));
+      dispatch(new RouterEvent.TableActivated(table));
+      dispatch(new RouterEvent.InstancesActivated(instances));
+    }
+
+    private void tick() {
+      dispatch(new SlotAllocatorEvent.Tick());
+      dispatch(new RouterEvent.Tick());
+    }
+
+    private void dispatch(RouterEvent event) {
+      for (RouterEffect effect : router.decide(event, nowNanos())) {
+        switch (effect) {
+          case RouterEffect.Send send when send.message() instanceof SlotMessage message ->
+              send(send.instance(), message);
+          case RouterEffect.RunAttempt run ->
+              startPrefill(
+                  run.upstream().name(),
+                  new Prefill(this, run.attempt(), prompts.get(run.attempt().request())));
+          case RouterEffect.FailRequest fail ->
+              observer.onRejected(fail.request(), fail.retryAfterMillis());
+          default -> {
+            // Concerns callers that this simulation does not have.
+          }
+        }
+      }
+    }
+
+    private void dispatch(SlotAllocatorEvent event) {
+      for (SlotAllocatorEffect effect : allocator.decide(event, nowNanos())) {
+        if (effect instanceof SlotAllocatorEffect.Send(String instance, SlotMessage message)) {
+          send(instance, message);
+        }
+      }
+    }
+
+    private void send(String instance, SlotMessage message) {
+      Node receiver = nodes.get(instance);
+      if (receiver == this) {
+        receive(instance, message);
+      } else {
+        time.after(REGION_MILLIS, () -> receiver.receive(self.instance(), message));
+      }
+    }
+
+    private void receive(String sender, SlotMessage message) {
+      switch (message) {
+        case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.AllocatorCosts _ ->
+            dispatch(new SlotAllocatorEvent.MessageReceived(sender, message));
+        default -> dispatch(new RouterEvent.AllocatorMessageReceived(sender, message));
+      }
+    }
+  }
+}
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VirtualTime.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VirtualTime.java
@@ -39,6 +39,15 @@
     actions.add(new Action(nowMillis + millis, ++actionCount, body));
   }
 
+  /** Runs the actions up to a time, including it. */
+  void runUntil(long millis) {
+    while (!actions.isEmpty() && actions.peek().atMillis() <= millis) {
+      Action action = actions.poll();
+      nowMillis = action.atMillis();
+      action.body().run();
+    }
+  }
+
   void run() {
     while (!actions.isEmpty()) {
       Action action = actions.poll();
