Count the costs of other data centres in full

Callers saw: workspaces got a third to a half of their share while the largest one was served in other data centres.

Cause: a slot allocator added costs of other data centres only up to the least virtual service that waits + 100,000 tokens, which a large fleet serves in an eighth of a second, and took the first report of each allocator as a baseline, so that a new allocator knew of no earlier service.

Change: allocators report the decayed cost of each workspace, which replaces what they reported before. Receivers charge the difference, without a cap where costs decay: how far a workspace can be set back is bounded by the window. Where costs never lose weight the cap stays.

Measured: countsCostsOfOtherDataCentresInFullFromTheFirstReport and countsCostsOnceWhenAnAllocatorReconnects fail without the change.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -143,7 +143,8 @@
    * centre.
    *
    * @param service service called
-   * @param costs cumulative costs of the listed workspaces, in cost units of the service
+   * @param costs costs of the listed workspaces, decayed since they were incurred, in cost units of
+   *     the service
    */
   record AllocatorCosts(String service, List<LinkMessage.WorkspaceCost> costs)
       implements SlotMessage {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -18,6 +18,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
@@ -34,7 +35,10 @@
   /** Name of the fair-queueing order of the workspaces. */
   private static final String ORDER = "virtual-service";
 
-  /** Maximum cost per weight that a report from elsewhere adds to a workspace, in tokens. */
+  /**
+   * Maximum cost per weight that reports from elsewhere set a workspace back by if costs never lose
+   * weight, in tokens.
+   */
   private static final double CATCH_UP_COST = 100_000;
 
   private final PeerIdentity self;
@@ -136,7 +140,10 @@
       return;
     }
     ServiceSlots service = services.get(message.service());
-    if (service != null) {
+    if (service != null && message instanceof SlotMessage.AllocatorCosts costs) {
+      Optional.ofNullable(routers.get(router))
+          .ifPresent(identity -> service.onCosts(identity, costs.costs()));
+    } else if (service != null) {
       service.onMessage(router, message, nowNanos);
     } else if (message instanceof SlotMessage.SlotsWanted wanted) {
       rejectAll(router, wanted);
@@ -220,8 +227,10 @@
   }
 
   private ServiceSlots newService(ServiceEntry entry) {
+    boolean decays = policy.costWindowMillis() > 0;
+    double catchUpCost = decays ? Double.POSITIVE_INFINITY : CATCH_UP_COST;
     return new ServiceSlots(
-        entry, policy, new WorkspaceLedger(FairOrder.byName(ORDER), CATCH_UP_COST), effects);
+        entry, policy, new WorkspaceLedger(FairOrder.byName(ORDER), catchUpCost), effects);
   }
 
   private List<PeerIdentity> candidates() {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
+import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
@@ -116,8 +117,9 @@
       case SlotMessage.SlotsWanted wanted -> onSlotsWanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
           changes.forEach(change -> onSlotChange(router, change, nowNanos));
-      case SlotMessage.AllocatorCosts(String name, List<WorkspaceCost> received) ->
-          costs.onCosts(router, received);
+      case SlotMessage.AllocatorCosts _ -> {
+        // Depends on the process of the router, see onCosts.
+      }
       case SlotMessage.SlotGranted _,
           SlotMessage.SlotRefused _,
           SlotMessage.AllocatorLoad _,
@@ -127,13 +129,13 @@
     }
   }
 
-  /** Drops the waiting requests, slots and cost totals of a router. */
-  public void removeRouter(String router, long nowNanos) {
-    costs.removeRouter(router);
-    releaseRouter(router, nowNanos);
+  /** Handles the costs that the slot allocator of another data centre reports. */
+  public void onCosts(PeerIdentity router, List<WorkspaceCost> received) {
+    costs.onCosts(router, received);
   }
 
-  private void releaseRouter(String router, long nowNanos) {
+  /** Drops the waiting requests and slots of a router. */
+  public void removeRouter(String router, long nowNanos) {
     waiting.removeRouter(router);
     allocations.releaseRouter(router, nowNanos);
   }
@@ -169,7 +171,9 @@
   public void decayCosts(long nowNanos) {
     if (policy.costWindowMillis() > 0) {
       double windows = (nowNanos - decayedNanos) / NANOS_PER_MILLI / policy.costWindowMillis();
-      ledger.decay(Math.exp(-DECAY_EXPONENT * windows));
+      double share = Math.exp(-DECAY_EXPONENT * windows);
+      ledger.decay(share);
+      costs.decay(share);
     }
     decayedNanos = nowNanos;
   }
@@ -218,7 +222,7 @@
 
   private void onSlotsWanted(String router, SlotMessage.SlotsWanted wanted, long nowNanos) {
     if (wanted.complete()) {
-      releaseRouter(router, nowNanos);
+      removeRouter(router, nowNanos);
     }
     for (HeldSlot slot : wanted.held()) {
       UpstreamLoad upstream = upstreams.get(slot.upstream());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceAccount.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceAccount.java
@@ -33,12 +33,12 @@
     return virtualService;
   }
 
-  /** Returns the cost incurred at this sidecar, in cost units. */
+  /** Returns the cost incurred here, decayed since, in cost units. */
   public double localCost() {
     return localCost;
   }
 
-  /** Returns the cost incurred at other sidecars, in cost units. */
+  /** Returns the cost incurred elsewhere, decayed since, in cost units. */
   public double fleetCost() {
     return fleetCost;
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
@@ -39,8 +39,8 @@
    * Creates an empty ledger.
    *
    * @param order order in which waiting workspaces are served
-   * @param catchUpCost maximum by which costs of other sidecars set a workspace back, as cost that
-   *     is divided by its weight
+   * @param catchUpCost maximum by which costs incurred elsewhere set a workspace back, as cost that
+   *     is divided by its weight; infinite if costs decay
    */
   public WorkspaceLedger(FairOrder order, double catchUpCost) {
     this.order = order;
@@ -157,11 +157,11 @@
   }
 
   /**
-   * Charges cost incurred at other sidecars. Such a charge raises the virtual service of a
-   * workspace at most to the minimum of the waiting workspaces + catch-up cost / weight. So a
-   * workspace that was served on the other side of a network partition is set back by no more than
-   * that, and one that was not served there is preferred only until it has caught up with that
-   * amount.
+   * Charges cost incurred elsewhere. Such a charge raises the virtual service of a workspace at
+   * most to the minimum of the waiting workspaces + catch-up cost / weight. So a workspace that was
+   * served on the other side of a network partition is set back by no more than that, and one that
+   * was not served there is preferred only until it has caught up with that amount. A negative cost
+   * corrects earlier ones.
    */
   public void chargeFleet(String workspace, double cost) {
     WorkspaceAccount account = account(workspace);
@@ -169,20 +169,25 @@
     if (!order.countsFleetCost()) {
       return;
     }
-    double ceiling = minimumVirtualService() + catchUpCost / account.weight;
     double uncapped = account.virtualService + cost / account.weight;
-    double capped = Math.max(account.virtualService, Math.min(uncapped, ceiling));
+    double ceiling = minimumVirtualService() + catchUpCost / account.weight;
+    double capped =
+        cost < 0 ? uncapped : Math.max(account.virtualService, Math.min(uncapped, ceiling));
     change(account, changed -> changed.virtualService = capped);
   }
 
   /**
-   * Decays the virtual service of all workspaces, so that older cost counts less. The order of the
-   * workspaces does not change.
+   * Decays the costs and the virtual service of all workspaces, so that older cost counts less. The
+   * order of the workspaces does not change.
    *
-   * @param share factor by which each virtual service is multiplied, above 0 and up to 1
+   * @param share factor by which each is multiplied, above 0 and up to 1
    */
   public void decay(double share) {
-    accounts.values().forEach(account -> account.virtualService *= share);
+    for (WorkspaceAccount account : accounts.values()) {
+      account.localCost *= share;
+      account.fleetCost *= share;
+      account.virtualService *= share;
+    }
     highestServedVirtualService *= share;
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
@@ -9,6 +9,7 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
+import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.connection.SlotMessage.AllocatorCosts;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
@@ -29,6 +30,8 @@
 
 public class SlotAllocatorDecisionTest {
 
+  private static final PeerIdentity PEER = SlotAllocatorFixture.router("r2", "b1");
+
   @Test
   public void grantsPlainSlotsUpToTheLimit() {
     SlotAllocatorFixture allocator = new SlotAllocatorFixture("p1", "p2");
@@ -380,15 +383,44 @@
     assertTrue(allocator.isGranted(poorAgain) && !allocator.isGranted(rich));
   }
 
+  /** Workspaces that got much in other data centres are ordered by how much, from the start. */
+  @Test
+  public void countsCostsOfOtherDataCentresInFullFromTheFirstReport() {
+    SlotAllocatorFixture allocator = connectedTo(PEER);
+    RequestId first = allocator.requestPlain("other", 10_000);
+    allocator.requestPlain("other", 10_000);
+    final RequestId large = allocator.requestPlain("large", 10_000);
+    final RequestId medium = allocator.requestPlain("medium", 10_000);
+    allocator.dispatch(costsReceived("large", 900_000));
+    allocator.dispatch(costsReceived("medium", 300_000));
+    allocator.sendChange(PLAIN, first, SlotStage.COMPLETED, 50);
+    assertTrue(allocator.isGranted(medium) && !allocator.isGranted(large));
+  }
+
+  /** A link that closes for a moment must not count the same costs twice. */
+  @Test
+  public void countsCostsOnceWhenAnAllocatorReconnects() {
+    SlotAllocatorFixture allocator = connectedTo(PEER);
+    RequestId first = allocator.requestPlain("other", 10_000);
+    allocator.requestPlain("other", 10_000);
+    final RequestId more = allocator.requestPlain("more", 10_000);
+    final RequestId steady = allocator.requestPlain("steady", 10_000);
+    allocator.dispatch(costsReceived("steady", 300_000));
+    allocator.dispatch(costsReceived("more", 500_000));
+    allocator.dispatch(new SlotAllocatorEvent.RouterDisconnected(PEER));
+    allocator.dispatch(new SlotAllocatorEvent.RouterConnected(PEER));
+    allocator.dispatch(costsReceived("steady", 300_000));
+    allocator.sendChange(PLAIN, first, SlotStage.COMPLETED, 50);
+    assertTrue(allocator.isGranted(steady) && !allocator.isGranted(more));
+  }
+
   /**
    * Within one cost window, a workspace with a high earlier cost must get more than half as many
    * slots as a new workspace.
    */
   @Test
   public void earlierCostDelaysWorkspaceForPartOfTheWindowOnly() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withShortCostWindow("p1");
-    allocator.dispatch(
-        new SlotAllocatorEvent.RouterConnected(SlotAllocatorFixture.router("r2", "b1")));
+    SlotAllocatorFixture allocator = connectedTo(PEER);
     RequestId first = allocator.requestPlain("former", 60_000);
     RequestId second = allocator.requestPlain("former", 60_000);
     allocator.requestPlain("newcomer", 60_000);
@@ -427,6 +459,13 @@
     return served;
   }
 
+  /** Returns an allocator with one plain upstream and a link to one in another data centre. */
+  private static SlotAllocatorFixture connectedTo(PeerIdentity peer) {
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withShortCostWindow("p1");
+    allocator.dispatch(new SlotAllocatorEvent.RouterConnected(peer));
+    return allocator;
+  }
+
   private static SlotAllocatorEvent costsReceived(String workspace, double cost) {
     return new SlotAllocatorEvent.MessageReceived(
         "r2", new AllocatorCosts(PLAIN, List.of(new WorkspaceCost(workspace, cost))));
