Send rejected requests to a data centre that serves their workspace

Callers saw: requests of a workspace rejected in the data centre that its callers use, while another got several times as much in other data centres.

Cause: a rejected request was sent once more to where the total delay was least. Every queue is full of the requests of the largest workspace, so the delays say nothing about a smaller one, which would be first in another data centre.

Evidence: crowd with logs: the largest workspace was granted 566 thousand tokens of 1,310 in one data centre and 73 of 1,217 in another, in which workspaces with less service were rejected.

Change: allocators report the highest virtual service that got a slot during the last two reports, if any request was rejected meanwhile. A rejection names a data centre whose level is above the workspace's virtual service; the router sends the request there, at most twice. If there is none it is rejected at once, without a second attempt that can't succeed.

Why it works: a workspace below the level precedes the one that was served there.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -123,8 +123,9 @@
    * @param service service called
    * @param request identity of the request
    * @param retryAfterMillis estimated time until a slot is free, in milliseconds
+   * @param alternative data centre that probably has a slot in time; empty for none
    */
-  record SlotRefused(String service, RequestId request, long retryAfterMillis)
+  record SlotRefused(String service, RequestId request, long retryAfterMillis, String alternative)
       implements SlotMessage {}
 
   /**
@@ -140,14 +141,20 @@
 
   /**
    * Slot allocator to the allocators of other data centres: the costs of workspaces in its own data
-   * centre.
+   * centre, and which workspaces get slots there in time.
    *
    * @param service service called
+   * @param servedBelow virtual service below which workspaces get slots in time; {@link
+   *     #ALL_SERVED} if all do
    * @param costs costs of the listed workspaces, decayed since they were incurred, in cost units of
    *     the service
    */
-  record AllocatorCosts(String service, List<LinkMessage.WorkspaceCost> costs)
+  record AllocatorCosts(String service, double servedBelow, List<LinkMessage.WorkspaceCost> costs)
       implements SlotMessage {
+
+    /** Virtual service that no workspace reaches. */
+    public static final double ALL_SERVED = Double.MAX_VALUE;
+
     /** Copies the costs. */
     public AllocatorCosts {
       costs = List.copyOf(costs);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -1,6 +1,5 @@
 package dev.agatepier.core.process;
 
-import dev.agatepier.core.connection.LinkMessage.WorkspaceCost;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.process.internal.AllocatorSelection;
@@ -15,6 +14,7 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -142,7 +142,7 @@
     ServiceSlots service = services.get(message.service());
     if (service != null && message instanceof SlotMessage.AllocatorCosts costs) {
       Optional.ofNullable(routers.get(router))
-          .ifPresent(identity -> service.onCosts(identity, costs.costs()));
+          .ifPresent(identity -> service.onCosts(identity, costs, nowNanos));
     } else if (service != null) {
       service.onMessage(router, message, nowNanos);
     } else if (message instanceof SlotMessage.SlotsWanted wanted) {
@@ -167,7 +167,8 @@
   private void rejectAll(String router, SlotMessage.SlotsWanted wanted) {
     for (SlotMessage.WaitingCall call : wanted.waiting()) {
       SlotMessage rejection =
-          new SlotMessage.SlotRefused(wanted.service(), call.request(), policy.retryAfterMillis());
+          new SlotMessage.SlotRefused(
+              wanted.service(), call.request(), policy.retryAfterMillis(), "");
       effects.add(new SlotAllocatorEffect.Send(router, rejection));
     }
   }
@@ -190,19 +191,19 @@
 
   /** Sends the costs incurred in this data centre to the allocators of the other ones. */
   private void sendCosts(ServiceSlots service, long nowNanos) {
-    List<WorkspaceCost> costs = service.takeDueCosts(nowNanos);
-    if (costs.isEmpty()) {
-      return;
-    }
-    SlotMessage message = new SlotMessage.AllocatorCosts(service.name(), costs);
-    routers.values().stream()
-        .map(PeerIdentity::dataCentre)
-        .distinct()
-        .filter(dataCentre -> !dataCentre.equals(self.dataCentre()))
-        .forEach(
-            dataCentre ->
-                AllocatorSelection.select(service.name(), dataCentre, candidates())
-                    .ifPresent(
+    service
+        .takeDueCosts(nowNanos)
+        .ifPresent(
+            message ->
+                routers.values().stream()
+                    .map(PeerIdentity::dataCentre)
+                    .distinct()
+                    .filter(dataCentre -> !dataCentre.equals(self.dataCentre()))
+                    .flatMap(
+                        dataCentre ->
+                            AllocatorSelection.select(service.name(), dataCentre, candidates())
+                                .stream())
+                    .forEach(
                         allocator ->
                             effects.add(new SlotAllocatorEffect.Send(allocator, message))));
   }
@@ -251,13 +252,25 @@
 
   private void updateUpstreams(long nowNanos) {
     Map<String, List<Upstream>> byService = new TreeMap<>();
+    Map<String, Set<String>> elsewhere = new TreeMap<>();
+    Map<String, String> responsible = new HashMap<>();
+    List<PeerIdentity> candidates = candidates();
     for (Upstream upstream : instances.upstreams()) {
       if (isResponsibleFor(upstream.dataCentre())) {
         byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
+      } else if (!upstream.leaving()) {
+        elsewhere
+            .computeIfAbsent(upstream.service(), name -> new HashSet<>())
+            .add(
+                responsible.computeIfAbsent(
+                    upstream.dataCentre(),
+                    name -> AllocatorSelection.responsibleDataCentre(name, candidates)));
       }
     }
     services.forEach(
-        (name, service) ->
-            service.updateUpstreams(byService.getOrDefault(name, List.of()), nowNanos));
+        (name, service) -> {
+          service.updateUpstreams(byService.getOrDefault(name, List.of()), nowNanos);
+          service.setOtherDataCentres(elsewhere.getOrDefault(name, Set.of()));
+        });
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorCostExchange.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorCostExchange.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -43,9 +44,9 @@
   }
 
   /** Returns the costs to send to the other allocators now; empty before the interval is over. */
-  List<WorkspaceCost> takeDue(long nowNanos) {
+  Optional<List<WorkspaceCost>> takeDue(long nowNanos) {
     if (nowNanos - sentNanos < MIN_INTERVAL_NANOS) {
-      return List.of();
+      return Optional.empty();
     }
     sentNanos = nowNanos;
     Set<String> changed = ledger.takeCharged();
@@ -58,7 +59,7 @@
         costs.add(new WorkspaceCost(account.name(), account.localCost()));
       }
     }
-    return costs;
+    return Optional.of(costs);
   }
 
   /** Charges the difference between another allocator's costs and those that it had reported. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -11,7 +11,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * Obtains slots from slot allocators: reports each waiting request and its changes of state to the
@@ -19,8 +18,8 @@
  */
 public final class AllocatorPlacement implements Placement {
 
-  /** Further data centres that a request is tried in after the first has refused it. */
-  private static final int MAX_FALLBACKS = 1;
+  /** Maximum number of further data centres that a refused request is sent to. */
+  private static final int MAX_FALLBACKS = 2;
 
   private final RouterState state;
   private final DataCentreSelector selector;
@@ -58,29 +57,33 @@
   }
 
   /**
-   * Requests a slot in another data centre for a request that an allocator refused, if there is one
-   * and the round trip leaves time to meet the objective.
+   * Requests a slot in another data centre for a request that an allocator refused, if the
+   * allocator named one and the round trip leaves time to meet the objective.
    *
+   * @param alternative data centre that the allocator named; empty for none
    * @return whether it waits again
    */
-  boolean requeueElsewhere(RoutedRequest request, long nowNanos) {
+  boolean requeueElsewhere(RoutedRequest request, String alternative, long nowNanos) {
     session(request, nowNanos).remove(request);
     request.refusedBy.add(request.dataCentre);
     long dueNanos =
         request.arrivedNanos + request.plan.objectiveMillis() * RouterState.NANOS_PER_MILLI;
-    Optional<String> fallback =
-        request.refusedBy.size() > MAX_FALLBACKS
-            ? Optional.empty()
-            : selector.choose(request, state.allocatorCandidates(), request.refusedBy, nowNanos);
-    if (fallback.isEmpty()
+    if (request.refusedBy.size() > MAX_FALLBACKS
+        || request.refusedBy.contains(alternative)
+        || !hasAllocator(alternative)
         || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
       return false;
     }
-    request.dataCentre = fallback.get();
+    request.dataCentre = alternative;
     session(request, nowNanos).addWaiting(request);
     return true;
   }
 
+  private boolean hasAllocator(String dataCentre) {
+    return state.allocatorCandidates().stream()
+        .anyMatch(router -> router.dataCentre().equals(dataCentre));
+  }
+
   @Override
   public void remove(RoutedRequest request) {
     sessions.get(key(request)).withdraw(request);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -18,7 +18,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /** Allocates the slots of one service's upstreams to waiting requests. */
 public final class ServiceSlots {
@@ -54,6 +56,8 @@
   private final SlotScheduler scheduler;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
+  private final ServedLevels levels = new ServedLevels();
+  private Set<String> otherDataCentres = Set.of();
   private OptionalLong memoryTokens = OptionalLong.empty();
   private long lastSequence;
   private long reportedDelayMillis;
@@ -129,9 +133,15 @@
     }
   }
 
-  /** Handles the costs that the slot allocator of another data centre reports. */
-  public void onCosts(PeerIdentity router, List<WorkspaceCost> received) {
-    costs.onCosts(router, received);
+  /** Handles the costs and the level that the slot allocator of another data centre reports. */
+  public void onCosts(PeerIdentity router, SlotMessage.AllocatorCosts received, long nowNanos) {
+    costs.onCosts(router, received.costs());
+    levels.recordLevel(router.dataCentre(), received.servedBelow(), nowNanos);
+  }
+
+  /** Replaces the other data centres in which requests of the service can get slots. */
+  public void setOtherDataCentres(Set<String> names) {
+    otherDataCentres = Set.copyOf(names);
   }
 
   /** Drops the waiting requests and slots of a router. */
@@ -163,6 +173,7 @@
     }
     for (WaitingEntry entry : scheduler.overdue(policy.lateMillis(), nowNanos)) {
       waiting.remove(entry.call.request());
+      levels.recordRejected();
       refuse(entry, nowNanos);
     }
   }
@@ -201,9 +212,16 @@
     return OptionalLong.of(delayMillis);
   }
 
-  /** Returns the costs to send to allocators in other data centres now; empty if none are due. */
-  public List<WorkspaceCost> takeDueCosts(long nowNanos) {
-    return costs.takeDue(nowNanos);
+  /** Returns what to send to the allocators of other data centres now; empty if nothing is due. */
+  public Optional<SlotMessage.AllocatorCosts> takeDueCosts(long nowNanos) {
+    Optional<List<WorkspaceCost>> due = costs.takeDue(nowNanos);
+    if (due.isEmpty()) {
+      return Optional.empty();
+    }
+    double level = levels.takeLevel();
+    return due.get().isEmpty() && level == SlotMessage.AllocatorCosts.ALL_SERVED
+        ? Optional.empty()
+        : Optional.of(new SlotMessage.AllocatorCosts(service, level, due.get()));
   }
 
   /** Returns whether no request waits and no slot is occupied. */
@@ -233,6 +251,9 @@
     for (WaitingCall call : wanted.waiting()) {
       WaitingEntry entry = new WaitingEntry(router, call, ++lastSequence, nowNanos);
       if (scheduler.cannotMeetObjective(entry, nowNanos)) {
+        if (scheduler.meetsObjectiveAlone(entry, nowNanos)) {
+          levels.recordRejected();
+        }
         refuse(entry, nowNanos);
       } else {
         scheduler.estimateWork(entry, nowNanos);
@@ -242,6 +263,11 @@
   }
 
   private void refuse(WaitingEntry entry, long nowNanos) {
+    double virtualService = ledger.account(entry.workspace()).virtualService();
+    String alternative =
+        levels
+            .alternative(entry.call.request(), virtualService, otherDataCentres, nowNanos)
+            .orElse("");
     effects.add(
         new SlotAllocatorEffect.Rejected(
             service,
@@ -256,7 +282,8 @@
     effects.add(
         new Send(
             entry.router,
-            new SlotMessage.SlotRefused(service, entry.call.request(), policy.retryAfterMillis())));
+            new SlotMessage.SlotRefused(
+                service, entry.call.request(), policy.retryAfterMillis(), alternative)));
   }
 
   private void onSlotChange(String router, SlotChange change, long nowNanos) {
@@ -271,6 +298,7 @@
     WaitingEntry entry = assignment.entry();
     UpstreamLoad upstream = assignment.upstream();
     FairPosition position = ledger.position(entry.workspace());
+    levels.recordGranted(position.virtualService());
     waiting.remove(entry.call.request());
     effects.add(
         new SlotAllocatorEffect.Placed(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -99,7 +99,7 @@
     RoutedRequest request = findWaiting(refused.request(), refused.service());
     if (request != null
         && placement.isAllocator(request, router)
-        && !placement.requeueElsewhere(request, nowNanos)) {
+        && !placement.requeueElsewhere(request, refused.alternative(), nowNanos)) {
       lifecycle.fail(request, Reason.OVERLOADED, 0, refused.retryAfterMillis(), nowNanos);
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -98,6 +98,11 @@
         && !entry.meetsObjective(waitAheadMillis(entry, nowNanos) + ownMillis, nowNanos);
   }
 
+  /** Returns whether a new request could meet its objective if no other one waited. */
+  boolean meetsObjectiveAlone(WaitingEntry entry, long nowNanos) {
+    return entry.meetsObjective(entry.countedMillis(minFirstByteMillis(entry, nowNanos)), nowNanos);
+  }
+
   /** Returns the expected time until the response to a request starts, in milliseconds. */
   double expectedMillis(WaitingEntry entry, long nowNanos) {
     return waitAheadMillis(entry, nowNanos) + minFirstByteMillis(entry, nowNanos);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -65,15 +65,19 @@
         new MessageType<>(
             63,
             SlotRefused.class,
-            3,
+            4,
             (message, output) -> {
               output.writeString(message.service());
               RequestFields.writeRequest(message.request(), output);
               output.writeLong(message.retryAfterMillis());
+              output.writeString(message.alternative());
             },
             input ->
                 new SlotRefused(
-                    input.readString(), RequestFields.readRequest(input), input.readLong())),
+                    input.readString(),
+                    RequestFields.readRequest(input),
+                    input.readLong(),
+                    input.readString())),
         new MessageType<>(
             64,
             SlotRecalled.class,
@@ -99,14 +103,17 @@
         new MessageType<>(
             66,
             AllocatorCosts.class,
-            2,
+            3,
             (message, output) -> {
               output.writeString(message.service());
+              output.writeDouble(message.servedBelow());
               output.writeList(message.costs(), CostMessageCodec::writeCost);
             },
             input ->
                 new AllocatorCosts(
-                    input.readString(), input.readList(CostMessageCodec::readCost))));
+                    input.readString(),
+                    input.readDouble(),
+                    input.readList(CostMessageCodec::readCost))));
   }
 
   private static void writeCall(FieldOutput output, WaitingCall call) {
