Correct charges as they have decayed

Callers would see: requests of a workspace whose callers leave precede those of others, though it got more than they did.

Cause: the charge for a request decays from its grant on, but its correction at the end did not. A cancelled request returned the complete charge, up to seven times of what was left of it after a window, so that virtual service became negative.

Change: an allocation remembers the decay at its grant; the correction is decayed by what has passed since.

Measured: cancelledRequestEarnsNoCredit fails without the change, and correctsChargeAsItHasDecayed is new.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -182,9 +182,8 @@
   public void decayCosts(long nowNanos) {
     if (policy.costWindowMillis() > 0) {
       double windows = (nowNanos - decayedNanos) / NANOS_PER_MILLI / policy.costWindowMillis();
-      double share = Math.exp(-DECAY_EXPONENT * windows);
-      ledger.decay(share);
-      costs.decay(share);
+      ledger.decay(DECAY_EXPONENT * windows);
+      costs.decay(Math.exp(-DECAY_EXPONENT * windows));
     }
     decayedNanos = nowNanos;
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocation.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocation.java
@@ -13,6 +13,9 @@
   /** Cost charged in advance, in cost units. */
   final double chargedCost;
 
+  /** Decay exponent of the ledger at the time of the charge. */
+  final double chargedExponent;
+
   /** Prompt tokens outside the engine's prefix cache when the slot was granted. */
   final int uncachedTokens;
 
@@ -27,6 +30,7 @@
       UpstreamLoad upstream,
       long grantedNanos,
       double chargedCost,
+      double chargedExponent,
       int uncachedTokens,
       double prefillMillis) {
     this.router = router;
@@ -34,6 +38,7 @@
     this.upstream = upstream;
     this.grantedNanos = grantedNanos;
     this.chargedCost = chargedCost;
+    this.chargedExponent = chargedExponent;
     this.uncachedTokens = uncachedTokens;
     this.prefillMillis = prefillMillis;
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -43,6 +43,7 @@
             upstream,
             nowNanos,
             cost,
+            ledger.decayExponent(),
             ModelSlotRule.uncachedTokens(upstream, call),
             rule.firstByteMillis(upstream, call));
     upstream.add(allocation, responseStarted);
@@ -92,6 +93,6 @@
     allocation.upstream.remove(allocation, nowNanos);
     ledger.addInFlight(workspace, -1);
     ledger.addRunning(workspace, -1);
-    ledger.charge(workspace, cost - allocation.chargedCost);
+    ledger.correct(workspace, cost - allocation.chargedCost, allocation.chargedExponent);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
@@ -33,6 +33,7 @@
   private final Set<String> charged = new HashSet<>();
   private final Set<String> activeChanged = new HashSet<>();
   private double highestServedVirtualService;
+  private double decayExponent;
   private Table table = Table.NONE;
 
   /**
@@ -156,6 +157,21 @@
         });
   }
 
+  /** Returns the sum of all exponents by which costs were decayed. */
+  public double decayExponent() {
+    return decayExponent;
+  }
+
+  /**
+   * Corrects an earlier charge, which has decayed since.
+   *
+   * @param cost what was charged too little, or too much if negative
+   * @param chargedExponent value of {@link #decayExponent} at the time of the charge
+   */
+  public void correct(String workspace, double cost, double chargedExponent) {
+    charge(workspace, cost * Math.exp(chargedExponent - decayExponent));
+  }
+
   /**
    * Charges cost incurred elsewhere. Such a charge raises the virtual service of a workspace at
    * most to the minimum of the waiting workspaces + catch-up cost / weight. So a workspace that was
@@ -180,9 +196,11 @@
    * Decays the costs and the virtual service of all workspaces, so that older cost counts less. The
    * order of the workspaces does not change.
    *
-   * @param share factor by which each is multiplied, above 0 and up to 1
+   * @param exponent negative logarithm of the factor by which each is multiplied, at least 0
    */
-  public void decay(double share) {
+  public void decay(double exponent) {
+    decayExponent += exponent;
+    double share = Math.exp(-exponent);
     for (WorkspaceAccount account : accounts.values()) {
       account.localCost *= share;
       account.fleetCost *= share;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
@@ -467,6 +467,25 @@
     assertTrue(served.get("former") * 2 > served.get("newcomer"), served.toString());
   }
 
+  /** The charge of a cancelled request has decayed since its grant; more must not be returned. */
+  @Test
+  public void cancelledRequestEarnsNoCredit() {
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withShortCostWindow("p1", "p2", "p3");
+    allocator.advance(50);
+    allocator.requestPlain("small", 60_000);
+    final RequestId cancelled = allocator.requestPlain("large", 60_000);
+    for (int index = 0; index < 3; index++) {
+      allocator.requestPlain("large", 60_000);
+    }
+    allocator.advance(700);
+    allocator.requestPlain("small", 60_000);
+    allocator.advance(700);
+    RequestId small = allocator.requestPlain("small", 60_000);
+    RequestId large = allocator.requestPlain("large", 60_000);
+    allocator.sendChange(PLAIN, cancelled, SlotStage.CANCELLED, 0);
+    assertTrue(allocator.isGranted(small) && !allocator.isGranted(large));
+  }
+
   /**
    * Keeps requests of every workspace waiting; each request holds a slot for 50 ms and costs 50.
    */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
@@ -59,14 +59,24 @@
   @Test
   public void decaysOldCost() {
     WorkspaceLedger ledger = ledger("virtual-service");
-    ledger.decay(0.5);
-    assertEquals(ledger.account("ahead").virtualService(), 10.0);
-    assertEquals(ledger.account("early").virtualService(), 5.0);
+    ledger.decay(Math.log(2));
+    assertEquals(ledger.account("ahead").virtualService(), 10.0, 1e-9);
+    assertEquals(ledger.account("early").virtualService(), 5.0, 1e-9);
     assertEquals(ledger.next().orElseThrow().name(), "early");
     ledger.charge("early", 6);
     assertEquals(ledger.next().orElseThrow().name(), "ahead");
   }
 
+  @Test
+  public void correctsChargeAsItHasDecayed() {
+    WorkspaceLedger ledger = ledger("virtual-service");
+    double exponent = ledger.decayExponent();
+    ledger.charge("early", 80);
+    ledger.decay(Math.log(2));
+    ledger.correct("early", -80, exponent);
+    assertEquals(ledger.account("early").virtualService(), 5.0, 1e-9);
+  }
+
   @Test
   public void reportsPositionInFairOrder() {
     WorkspaceLedger ledger = ledger("virtual-service");
