Let a router without most of its links grant its share of slots only

Cause: a router that is short of time for a second loses all links. It then selects itself as the slot allocator of its data centre, and of all others, while the routers that are still connected select another one. Both grant all slots of the same upstreams, and the lone one orders only its own callers, without the costs of others.

Change: an allocator that is connected to less than half of the routers that it was connected to within 10 s grants their share of each upstream's slots and backlog. The majority goes on as before, so that a fleet that loses some routers uses all slots.

Measured: routerThatLostMostLinksGrantsItsShareOnly fails without the minority rule (4 slots instead of 2).

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.process.internal.AllocatorSelection;
 import dev.agatepier.core.process.internal.FairOrder;
+import dev.agatepier.core.process.internal.RecentPeak;
 import dev.agatepier.core.process.internal.ServiceSlots;
 import dev.agatepier.core.process.internal.ServiceSlotsStatus;
 import dev.agatepier.core.process.internal.StartupMessageBuffer;
@@ -41,13 +42,21 @@
    */
   private static final double CATCH_UP_COST = 100_000;
 
+  /** Share of the routers from which on the connected ones are not a minority. */
+  private static final double MAJORITY = 0.5;
+
+  /** Time for which disconnected routers are regarded as allocators that this one cannot see. */
+  private static final long PEAK_NANOS = 10_000_000_000L;
+
   private final PeerIdentity self;
   private final SlotAllocatorPolicy policy;
+  private final RecentPeak peakRouters = new RecentPeak(PEAK_NANOS);
   private final List<SlotAllocatorEffect> effects = new ArrayList<>();
   private final Map<String, ServiceSlots> services = new TreeMap<>();
   private final Map<String, PeerIdentity> routers = new TreeMap<>();
   private final Set<String> leavingRouters = new HashSet<>();
   private final StartupMessageBuffer startupMessages = new StartupMessageBuffer();
+  private double share = 1;
   private Table table = Table.NONE;
   private InstanceList instances = InstanceList.NONE;
 
@@ -95,6 +104,7 @@
         // Handled after the switch.
       }
     }
+    updateShare(nowNanos);
     grantSlots(event, nowNanos);
     if (event instanceof SlotAllocatorEvent.Tick) {
       services.values().forEach(service -> service.review(nowNanos));
@@ -218,6 +228,19 @@
     }
   }
 
+  /**
+   * Limits the slots that are granted to the share of connected routers while these are a minority:
+   * the majority has selected allocators for the same upstreams.
+   */
+  private void updateShare(long nowNanos) {
+    double connected = routers.size() / (double) peakRouters.update(routers.size(), nowNanos);
+    double newShare = connected < MAJORITY ? connected : 1;
+    if (newShare != share) {
+      share = newShare;
+      services.values().forEach(service -> service.setShare(newShare));
+    }
+  }
+
   private void updateServices() {
     services.keySet().retainAll(table.services().keySet());
     for (ServiceEntry entry : table.services().values()) {
@@ -271,6 +294,7 @@
         (name, service) -> {
           service.updateUpstreams(byService.getOrDefault(name, List.of()), nowNanos);
           service.setOtherDataCentres(elsewhere.getOrDefault(name, Set.of()));
+          service.setShare(share);
         });
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -37,7 +37,7 @@
 
   @Override
   public boolean acceptsBacklog(UpstreamLoad upstream, double share, long nowNanos) {
-    return upstream.backlogMillis(nowNanos) <= share * policy.backlogMillis();
+    return upstream.backlogMillis(nowNanos) <= share * upstream.share * policy.backlogMillis();
   }
 
   @Override
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -53,8 +53,7 @@
 
   boolean draining;
   long lastSequence;
-  private int peakRouters;
-  private long peakRoutersNanos;
+  private final RecentPeak peakRouters = new RecentPeak(ROUTER_COUNT_NANOS);
 
   /** Creates a state without a table, peers or requests. */
   public RouterState(PeerIdentity self, RouterPolicy policy) {
@@ -78,11 +77,7 @@
 
   /** Returns the recent maximum number of routers connected at one time, including this one. */
   int recentPeakRouters(long nowNanos) {
-    if (routers.size() + 1 >= peakRouters || nowNanos - peakRoutersNanos > ROUTER_COUNT_NANOS) {
-      peakRouters = routers.size() + 1;
-      peakRoutersNanos = nowNanos;
-    }
-    return peakRouters;
+    return peakRouters.update(routers.size() + 1, nowNanos);
   }
 
   /** Returns the outbox to which all parts of the decision add their effects. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -139,6 +139,11 @@
     levels.recordLevel(router.dataCentre(), received.servedBelow(), nowNanos);
   }
 
+  /** Sets the share of each upstream's slots that this allocator may grant, up to 1. */
+  public void setShare(double share) {
+    upstreams.values().forEach(upstream -> upstream.share = share);
+  }
+
   /** Replaces the other data centres in which requests of the service can get slots. */
   public void setOtherDataCentres(Set<String> names) {
     otherDataCentres = Set.copyOf(names);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -26,6 +26,9 @@
   /** Memory of the engine in tokens; empty if the table does not specify it. */
   OptionalLong memoryTokens = OptionalLong.empty();
 
+  /** Share of its slots and its backlog that this allocator may use, above 0 and up to 1. */
+  double share = 1;
+
   /** Whether requests have waited longer than the stall time without any progress. */
   boolean stalled;
 
@@ -47,7 +50,7 @@
   }
 
   int freeSlots() {
-    return upstream.slots() - allocations.size();
+    return Math.max(1, (int) (share * upstream.slots())) - allocations.size();
   }
 
   /** Returns the tokens in memory for running requests, including their expected output. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorDecisionTest.java
@@ -467,6 +467,25 @@
     assertTrue(served.get("former") * 2 > served.get("newcomer"), served.toString());
   }
 
+  /** A router that was short of time loses all links at once; the others select an allocator. */
+  @Test
+  public void routerThatLostMostLinksGrantsItsShareOnly() {
+    SlotAllocatorFixture allocator = new SlotAllocatorFixture("p1", "p2");
+    List<PeerIdentity> peers = new ArrayList<>();
+    for (int index = 2; index <= 8; index++) {
+      peers.add(SlotAllocatorFixture.router("r" + index, "a1"));
+    }
+    peers.forEach(peer -> allocator.dispatch(new SlotAllocatorEvent.RouterConnected(peer)));
+    peers.forEach(peer -> allocator.dispatch(new SlotAllocatorEvent.RouterDisconnected(peer)));
+    List<RequestId> requests = new ArrayList<>();
+    for (int index = 0; index < 4; index++) {
+      requests.add(allocator.requestPlain("w", 60_000));
+    }
+    assertEquals(requests.stream().filter(allocator::isGranted).count(), 2, "one of two slots");
+    allocator.advance(11_000);
+    assertEquals(requests.stream().filter(allocator::isGranted).count(), 4, "they are gone");
+  }
+
   /** The charge of a cancelled request has decayed since its grant; more must not be returned. */
   @Test
   public void cancelledRequestEarnsNoCredit() {
