Raise a new workspace to the least that holds a slot if nobody waits

Callers would see: a workspace that was idle for an instant waits behind one that never was, by whatever a third one has consumed.

Cause: a workspace that becomes active is raised to the least virtual service that waits. With an empty queue, the usual state between two bursts, the highest virtual service ever served was taken instead. Start-time fair queueing takes the least start tag in service, and the greatest finish tag only if nothing is.

Evidence: raisesNewWorkspaceToLeastThatHoldsSlotIfNobodyWaits, 5,000 instead of 100 without the change.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WorkspaceLedger.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.version.Table;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -19,16 +20,18 @@
  *
  * <p>Virtual service grows by cost / weight, at the weight that is active when the cost is charged.
  * The virtual service of a workspace that becomes active is raised to the minimum of the waiting
- * workspaces, so that idle workspaces do not accumulate credit; a higher value is kept. A workspace
- * whose demand was lost with the link to its router is not regarded as idle: when its demand
- * returns, its virtual service is raised only to the minimum - catch-up cost / weight.
+ * workspaces, or if none waits of those that hold a slot, so that idle workspaces do not accumulate
+ * credit; a higher value is kept. A workspace whose demand was lost with the link to its router is
+ * not regarded as idle: when its demand returns, its virtual service is raised only to the minimum
+ * - catch-up cost / weight.
  */
 public final class WorkspaceLedger {
   private final FairOrder order;
   private final double catchUpCost;
   private final Map<String, WorkspaceAccount> accounts = new HashMap<>();
   private final TreeSet<WorkspaceAccount> waiting;
-  private final TreeSet<WorkspaceAccount> byVirtualService;
+  private final TreeSet<WorkspaceAccount> waitingByVirtualService;
+  private final TreeSet<WorkspaceAccount> servedByVirtualService;
   private final Set<String> active = new TreeSet<>();
   private final Set<String> charged = new HashSet<>();
   private final Set<String> activeChanged = new HashSet<>();
@@ -47,7 +50,9 @@
     this.order = order;
     this.catchUpCost = catchUpCost;
     this.waiting = new TreeSet<>(order.comparator());
-    this.byVirtualService = new TreeSet<>(new VirtualServiceOrder(true).comparator());
+    Comparator<WorkspaceAccount> byVirtualService = new VirtualServiceOrder(true).comparator();
+    this.waitingByVirtualService = new TreeSet<>(byVirtualService);
+    this.servedByVirtualService = new TreeSet<>(byVirtualService);
   }
 
   /** Activates a table version; its weights apply to all cost charged from now on. */
@@ -137,8 +142,7 @@
     if (difference > 0) {
       highestServedVirtualService = Math.max(highestServedVirtualService, account.virtualService);
     }
-    account.inFlight += difference;
-    updateActive(account);
+    change(account, changed -> changed.inFlight += difference);
   }
 
   /** Changes the number of running attempts of a workspace. */
@@ -216,21 +220,31 @@
     }
   }
 
+  /**
+   * Returns the minimum of the waiting workspaces, otherwise of those that hold a slot, and if
+   * there are none the highest virtual service that was served.
+   */
   private double minimumVirtualService() {
-    return byVirtualService.isEmpty()
-        ? highestServedVirtualService
-        : byVirtualService.first().virtualService;
+    TreeSet<WorkspaceAccount> competing =
+        waitingByVirtualService.isEmpty() ? servedByVirtualService : waitingByVirtualService;
+    return competing.isEmpty() ? highestServedVirtualService : competing.first().virtualService;
   }
 
   private void change(WorkspaceAccount account, Consumer<WorkspaceAccount> change) {
     if (account.waiting > 0) {
       waiting.remove(account);
-      byVirtualService.remove(account);
+      waitingByVirtualService.remove(account);
+    }
+    if (account.inFlight > 0) {
+      servedByVirtualService.remove(account);
     }
     change.accept(account);
     if (account.waiting > 0) {
       waiting.add(account);
-      byVirtualService.add(account);
+      waitingByVirtualService.add(account);
+    }
+    if (account.inFlight > 0) {
+      servedByVirtualService.add(account);
     }
     updateActive(account);
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/WorkspaceLedgerTest.java
@@ -42,6 +42,28 @@
     assertEquals(ledger.account("ahead").virtualService(), 20.0);
   }
 
+  /** A third workspace that was served alone says nothing about the two that compete now. */
+  @Test
+  public void raisesNewWorkspaceToLeastThatHoldsSlotIfNobodyWaits() {
+    WorkspaceLedger ledger = new WorkspaceLedger(FairOrder.byName("virtual-service"), 1_000);
+    ledger.charge("steady", 100);
+    ledger.addInFlight("steady", 1);
+    ledger.charge("alone", 5_000);
+    ledger.addInFlight("alone", 1);
+    ledger.setDemand("newcomer", 1, 50);
+    assertEquals(ledger.account("newcomer").virtualService(), 100.0);
+  }
+
+  @Test
+  public void raisesNewWorkspaceToHighestServedIfNoneIsActive() {
+    WorkspaceLedger ledger = new WorkspaceLedger(FairOrder.byName("virtual-service"), 1_000);
+    ledger.charge("alone", 5_000);
+    ledger.addInFlight("alone", 1);
+    ledger.addInFlight("alone", -1);
+    ledger.setDemand("newcomer", 1, 50);
+    assertEquals(ledger.account("newcomer").virtualService(), 5_000.0);
+  }
+
   @Test
   public void limitsCatchUpOfWorkspaceWhoseDemandWasLost() {
     WorkspaceLedger ledger = ledger("virtual-service");
