Select slot allocators among the larger routers

Cause: the allocator of a data centre is selected without regard to the capacity of its router. Three of six were on routers of 0.27 cores, which also serve callers; two routers of 1.5 cores stood beside each.

Change: an instance's cores and their share come from the settings, and the handshake of a link carries the capacity. Routers with less than half of the largest capacity of their data centre are not selected as allocators.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsParser.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsParser.java
@@ -15,6 +15,7 @@
 import dev.agatepier.wire.process.CommonSettings;
 import dev.agatepier.wire.process.Endpoint;
 import dev.agatepier.wire.process.LimitSettings;
+import dev.agatepier.wire.process.ProcessorSettings;
 import dev.agatepier.wire.process.RouterSettings;
 import dev.agatepier.wire.process.Secret;
 import dev.agatepier.wire.process.SidecarSettings;
@@ -130,6 +131,7 @@
         root.name("instance"),
         root.name("dataCentre"),
         root.name("region"),
+        policy("processor", ProcessorSettings.class, ProcessorSettings.DEFAULT),
         linksEndpoint,
         seeds,
         heartbeatMillis,
--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/PeerIdentity.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/PeerIdentity.java
@@ -11,6 +11,7 @@
  * @param dataCentre data centre in which the process runs
  * @param region region of that data centre
  * @param service service of a sidecar; empty for a router
+ * @param capacity processor capacity of the instance, in thousandths of a core; 0 if unknown
  */
 public record PeerIdentity(
     String instance,
@@ -18,7 +19,19 @@
     Role role,
     String dataCentre,
     String region,
-    String service) {
+    String service,
+    int capacity) {
+
+  /** Creates the identity of a process on an instance of unknown capacity. */
+  public PeerIdentity(
+      String instance,
+      long incarnation,
+      Role role,
+      String dataCentre,
+      String region,
+      String service) {
+    this(instance, incarnation, role, dataCentre, region, service, 0);
+  }
 
   /** Rejects null names. */
   public PeerIdentity {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSelection.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSelection.java
@@ -18,6 +18,8 @@
 
   /**
    * Returns the instance name of the slot allocator; empty if no router is in the data centre.
+   * Routers with less than half of the largest capacity there are left out: all callers of the data
+   * centre wait for its allocator.
    *
    * @param service name of the service
    * @param dataCentre data centre of the upstreams
@@ -25,10 +27,13 @@
    */
   public static Optional<String> select(
       String service, String dataCentre, Collection<PeerIdentity> routers) {
+    List<PeerIdentity> local =
+        routers.stream().filter(router -> router.dataCentre().equals(dataCentre)).toList();
+    int largest = local.stream().mapToInt(PeerIdentity::capacity).max().orElse(0);
     return RendezvousHash.choose(
         service + '\n' + dataCentre,
-        routers.stream()
-            .filter(router -> router.dataCentre().equals(dataCentre))
+        local.stream()
+            .filter(router -> 2 * router.capacity() >= largest)
             .map(PeerIdentity::instance)
             .toList());
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/HandshakeMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/HandshakeMessageCodec.java
@@ -14,7 +14,7 @@
   public List<MessageType<?>> messageTypes() {
     return List.of(
         new MessageType<>(
-            1, Hello.class, 8, HandshakeMessageCodec::writeHello, HandshakeMessageCodec::readHello),
+            1, Hello.class, 9, HandshakeMessageCodec::writeHello, HandshakeMessageCodec::readHello),
         new MessageType<>(
             2,
             HelloProof.class,
@@ -40,6 +40,7 @@
     output.writeString(peer.dataCentre());
     output.writeString(peer.region());
     output.writeString(peer.service());
+    output.writeInt(peer.capacity());
     output.writeBytes(hello.nonce());
   }
 
@@ -52,7 +53,8 @@
             Role.valueOf(input.readString()),
             input.readString(),
             input.readString(),
-            input.readString());
+            input.readString(),
+            input.readInt());
     return new Hello(version, peer, input.readBytes());
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CommonSettings.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CommonSettings.java
@@ -10,6 +10,7 @@
  * @param instance name of this instance, as listed by the platform
  * @param dataCentre data centre of this instance
  * @param region region of that data centre
+ * @param processor processor time of this instance
  * @param links endpoint that accepts links from peers
  * @param seeds endpoints for the discovery of peers that no platform lists; may include this
  *     instance
@@ -28,6 +29,7 @@
     String instance,
     String dataCentre,
     String region,
+    ProcessorSettings processor,
     Endpoint links,
     List<Endpoint> seeds,
     int heartbeatMillis,
--- /dev/null
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/ProcessorSettings.java
@@ -0,0 +1,34 @@
+package dev.agatepier.wire.process;
+
+/**
+ * Processor time of the instance.
+ *
+ * @param cores number of cores
+ * @param share share of each core that the process may use, up to 1; 0 if unknown
+ */
+public record ProcessorSettings(int cores, double share) {
+
+  /** The default: unknown. */
+  public static final ProcessorSettings DEFAULT = new ProcessorSettings(1, 0);
+
+  private static final int MAXIMUM_CORES = 4_096;
+
+  /** Checks that every value is in range. */
+  public ProcessorSettings {
+    if (cores < 1 || cores > MAXIMUM_CORES || !(share >= 0 && share <= 1)) {
+      throw new IllegalArgumentException(
+          "processor settings: cores "
+              + cores
+              + " must be from 1 to "
+              + MAXIMUM_CORES
+              + ", share "
+              + share
+              + " from 0 to 1");
+    }
+  }
+
+  /** Returns the capacity in thousandths of a core; 0 if unknown. */
+  int capacity() {
+    return (int) Math.round(1_000 * cores * share);
+  }
+}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -67,7 +67,13 @@
     stopSettings = common.stop();
     PeerIdentity self =
         new PeerIdentity(
-            common.instance(), incarnation, Role.ROUTER, common.dataCentre(), common.region(), "");
+            common.instance(),
+            incarnation,
+            Role.ROUTER,
+            common.dataCentre(),
+            common.region(),
+            "",
+            common.processor().capacity());
     scheduler = environment.scheduler();
     LinkRegistry links = new LinkRegistry();
     MetricRegistry metrics = new MetricRegistry();
