--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/ProcessorSettings.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/ProcessorSettings.java
@@ -4,7 +4,7 @@
  * Processor time of the instance.
  *
  * @param cores number of cores
- * @param share share of each core that the process may use, up to 1; 0 if unknown
+ * @param share share of each core that the process may use; 0 if unknown
  */
 public record ProcessorSettings(int cores, double share) {
 
@@ -13,9 +13,11 @@
 
   private static final int MAXIMUM_CORES = 4_096;
 
+  private static final double MAXIMUM_SHARE = 16;
+
   /** Checks that every value is in range. */
   public ProcessorSettings {
-    if (cores < 1 || cores > MAXIMUM_CORES || !(share >= 0 && share <= 1)) {
+    if (cores < 1 || cores > MAXIMUM_CORES || !(share >= 0 && share <= MAXIMUM_SHARE)) {
       throw new IllegalArgumentException(
           "processor settings: cores "
               + cores
@@ -23,7 +25,8 @@
               + MAXIMUM_CORES
               + ", share "
               + share
-              + " from 0 to 1");
+              + " from 0 to "
+              + MAXIMUM_SHARE);
     }
   }
 
