Wait for the links before the test reads their number

Cause, by reading: it runs first, as soon as every process answers /ready with 200. Readiness means a table and a reply of a peer, not all links, so that the last link may come up after the test read the gauge, which it does once.

Change: the test reads the metrics until all links are up, for at most its usual time-out, and then asserts the same number. A link that never comes up fails it as before.

--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/OperatorCommandsIntegrationTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/OperatorCommandsIntegrationTest.java
@@ -33,6 +33,7 @@
   private static final TrialWorkspace QUARTET =
       new TrialWorkspace("bengal-quartet", 1, 0, 50, SERVICES);
   private static final Duration TIMEOUT = Duration.ofSeconds(60);
+  private static final long POLL_MILLIS = 50;
   private static final String DESK = "desk-siliguri-a";
 
   private final ObjectMapper mapper = new ObjectMapper();
@@ -134,10 +135,10 @@
         processes
             .caller()
             .call("GET", router.front().httpUrl("/services/x/"), Map.of(), "", TIMEOUT));
-    JsonNode metrics = metrics(router);
+    JsonNode metrics = metricsOnceLinked(router);
     assertTrue(metrics.at("/counters/callers.refused.key-missing").asInt() > 0, metrics.toString());
     assertEquals(metrics.at("/counters/mailbox.full").asInt(-1), 0);
-    assertEquals(metrics.at("/gauges/links.up").asInt(), fleet.nodes().size() - 1);
+    assertEquals(linksUp(metrics), fleet.nodes().size() - 1);
     assertTrue(metrics.at("/gauges/table.confirmed-age-millis").isNumber(), metrics.toString());
     JsonNode sidecar = metrics(fleet.sidecars().getFirst());
     assertTrue(sidecar.at("/gauges/sidecar.slots").asInt() > 0, sidecar.toString());
@@ -167,6 +168,21 @@
     }
   }
 
+  /** Returns the metrics of a router that is linked to all nodes; it is ready before. */
+  private JsonNode metricsOnceLinked(FleetNode router) throws Exception {
+    long endNanos = System.nanoTime() + TIMEOUT.toNanos();
+    JsonNode metrics = metrics(router);
+    while (linksUp(metrics) < fleet.nodes().size() - 1 && System.nanoTime() < endNanos) {
+      TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+      metrics = metrics(router);
+    }
+    return metrics;
+  }
+
+  private static int linksUp(JsonNode metrics) {
+    return metrics.at("/gauges/links.up").asInt();
+  }
+
   private JsonNode metrics(FleetNode node) throws Exception {
     String authorization = "Bearer " + Files.readString(key);
     String url = node.administration().httpUrl("/v1/metrics");
