--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/SettingsReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/SettingsReader.java
@@ -1,6 +1,7 @@
 package dev.agatepier.cli.process;
 
 import dev.agatepier.cli.process.internal.SettingsParser;
+import dev.agatepier.wire.process.ProcessorSettings;
 import dev.agatepier.wire.process.RouterSettings;
 import dev.agatepier.wire.process.SidecarSettings;
 import java.nio.file.Path;
@@ -16,7 +17,17 @@
    * @throws SettingsException if the file is unreadable or has mistakes
    */
   public static RouterSettings readRouter(Path file) {
-    return SettingsParser.read(file, SettingsParser::parseRouter);
+    return readRouter(file, ProcessorSettings.DEFAULT);
+  }
+
+  /**
+   * Reads the settings of a router.
+   *
+   * @param processor processor time of the instance if the file doesn't state it
+   * @throws SettingsException if the file is unreadable or has mistakes
+   */
+  public static RouterSettings readRouter(Path file, ProcessorSettings processor) {
+    return SettingsParser.read(file, processor, SettingsParser::parseRouter);
   }
 
   /**
@@ -25,6 +36,16 @@
    * @throws SettingsException if the file is unreadable or has mistakes
    */
   public static SidecarSettings readSidecar(Path file) {
-    return SettingsParser.read(file, SettingsParser::parseSidecar);
+    return readSidecar(file, ProcessorSettings.DEFAULT);
+  }
+
+  /**
+   * Reads the settings of a sidecar.
+   *
+   * @param processor processor time of the instance if the file doesn't state it
+   * @throws SettingsException if the file is unreadable or has mistakes
+   */
+  public static SidecarSettings readSidecar(Path file, ProcessorSettings processor) {
+    return SettingsParser.read(file, processor, SettingsParser::parseSidecar);
   }
 }
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
@@ -3,9 +3,10 @@
 import dev.agatepier.cli.process.Program;
 import dev.agatepier.cli.process.Reporter;
 import dev.agatepier.cli.process.SettingsException;
+import dev.agatepier.wire.process.ProcessorSettings;
 import java.nio.file.Path;
 import java.util.Optional;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 
@@ -16,12 +17,15 @@
  */
 public final class ProgramCommand<S> {
 
+  private static final String CORE_SHARE = "core_share";
+
   private final String name;
-  private final Function<Path, S> settingsReader;
+  private final BiFunction<Path, ProcessorSettings, S> settingsReader;
   private final Program<S> program;
 
   /** Creates the command; the reader throws {@link SettingsException} if a file is invalid. */
-  public ProgramCommand(String name, Function<Path, S> settingsReader, Program<S> program) {
+  public ProgramCommand(
+      String name, BiFunction<Path, ProcessorSettings, S> settingsReader, Program<S> program) {
     this.name = name;
     this.settingsReader = settingsReader;
     this.program = program;
@@ -39,20 +43,38 @@
         .required(true)
         .metavar("FILE")
         .help("file with the settings of the " + name + ", in JSON");
+    parser
+        .addArgument("--cores")
+        .type(Integer.class)
+        .setDefault(ProcessorSettings.DEFAULT.cores())
+        .help("cores of the instance, unless the settings state them");
+    parser
+        .addArgument("--core-share")
+        .type(Double.class)
+        .setDefault(ProcessorSettings.DEFAULT.share())
+        .help("share of each core that the process may use; 0 if unknown");
   }
 
   /** Reads the settings and runs the program; empty if the settings are invalid. */
   public Optional<Integer> run(Namespace arguments, Reporter reporter) {
     Path file = Path.of(arguments.getString("settings"));
+    ProcessorSettings processor;
+    try {
+      processor = new ProcessorSettings(arguments.getInt("cores"), arguments.getDouble(CORE_SHARE));
+    } catch (IllegalArgumentException invalid) {
+      reporter.printError(invalid.getMessage());
+      return Optional.empty();
+    }
     S settings;
     try {
-      settings = settingsReader.apply(file);
+      settings = settingsReader.apply(file, processor);
     } catch (SettingsException failure) {
       failure.mistakes().forEach(mistake -> reporter.printError(mistake.toString()));
       return Optional.empty();
     }
     HangupSignal.handle(
-        new SettingsChangeDetector<>(() -> settingsReader.apply(file), settings)::checkForChanges);
+        new SettingsChangeDetector<>(() -> settingsReader.apply(file, processor), settings)
+            ::checkForChanges);
     return Optional.of(program.run(settings));
   }
 }
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsParser.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsParser.java
@@ -44,20 +44,25 @@
 
   private final ObjectReader root;
   private final SecretFiles files;
+  private final ProcessorSettings processor;
 
-  private SettingsParser(ObjectReader root, SecretFiles files) {
+  private SettingsParser(ObjectReader root, SecretFiles files, ProcessorSettings processor) {
     this.root = root;
     this.files = files;
+    this.processor = processor;
   }
 
   /**
    * Reads a file as the settings of a program; throws {@link SettingsException} with all mistakes.
+   *
+   * @param processor processor time of the instance if the file doesn't state it
    */
-  public static <S> S read(Path file, Function<SettingsParser, S> program) {
+  public static <S> S read(
+      Path file, ProcessorSettings processor, Function<SettingsParser, S> program) {
     List<SettingsMistake> mistakes = new ArrayList<>();
     ObjectReader root = new ObjectReader(parse(file), "$", mistakes);
     Path folder = file.toAbsolutePath().getParent();
-    S settings = program.apply(new SettingsParser(root, new SecretFiles(folder)));
+    S settings = program.apply(new SettingsParser(root, new SecretFiles(folder), processor));
     root.checkUnknownFields();
     if (!mistakes.isEmpty()) {
       throw new SettingsException(mistakes);
@@ -131,7 +136,7 @@
         root.name("instance"),
         root.name("dataCentre"),
         root.name("region"),
-        policy("processor", ProcessorSettings.class, ProcessorSettings.DEFAULT),
+        policy("processor", ProcessorSettings.class, processor),
         linksEndpoint,
         seeds,
         heartbeatMillis,
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
@@ -64,6 +64,8 @@
       {"drain --instances http://127.0.0.1:1 --key-file F/key", 2, "name the instances to drain"},
       {"watch --timeout 0 --address 127.0.0.1:1 --key-file F/key", 4, "not every process runs"},
       {"router --settings F/key", 2, "$: is not valid JSON"},
+      {"router --settings F/key --cores 2 --core-share 0.75", 2, "$: is not valid JSON"},
+      {"router --settings F/key --cores 0", 2, "processor settings: cores 0 must be from 1"},
       {"sail", 2, "invalid choice: 'sail'"},
     };
   }
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.expectThrows;
 
 import dev.agatepier.core.process.RouterPolicy;
+import dev.agatepier.wire.process.ProcessorSettings;
 import dev.agatepier.wire.process.RouterSettings;
 import dev.agatepier.wire.process.Secret;
 import java.io.IOException;
@@ -56,6 +57,16 @@
     assertEquals(settings.policy().spillMillis(), 251);
   }
 
+  @Test
+  public void processorTimeOfTheFilePrecedesTheDefault() throws IOException {
+    ProcessorSettings machine = new ProcessorSettings(2, 0.75);
+    assertEquals(SettingsReader.readRouter(write(ROUTER), machine).common().processor(), machine);
+    Path file = write(ROUTER.replace("{'instance'", "{'processor':{'cores':4},'instance'"));
+    assertEquals(
+        SettingsReader.readRouter(file, machine).common().processor(),
+        new ProcessorSettings(4, 0.75));
+  }
+
   @DataProvider
   public Object[][] mistakes() {
     return new Object[][] {
