Estimate the work of a request once before its decision

Found in reading the change: a rejection, the most frequent decision under overload, computed the time to the first byte over all upstreams up to four times and looked up the account of its workspace twice.

Change: the work of a new request is estimated before it is judged, and all that follows uses the estimate; a rejection takes its place in the fair order once. Both parts of the decay take the exponent. The eldest report is removed by the collection's own method. No decision changes.

Measured: SlotAllocatorDecisionTest, LargestRequestsTest, WorkspaceSharesTest, WorkspaceLedgerTest and StoppingRouterTest pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorCostExchange.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorCostExchange.java
@@ -4,11 +4,11 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SequencedMap;
 import java.util.Set;
 
 /**
@@ -32,7 +32,7 @@
   private static final int MAXIMUM_ROUTERS = 256;
 
   private final WorkspaceLedger ledger;
-  private final Map<String, Report> reports = new LinkedHashMap<>(16, 0.75f, true);
+  private final SequencedMap<String, Report> reports = new LinkedHashMap<>(16, 0.75f, true);
   private long sentNanos;
   private long sentAllNanos;
 
@@ -68,7 +68,9 @@
     if (report == null || report.incarnation != router.incarnation()) {
       report = new Report(router.incarnation(), new HashMap<>());
       reports.put(router.instance(), report);
-      removeLeastRecent();
+      if (reports.size() > MAXIMUM_ROUTERS) {
+        reports.pollFirstEntry();
+      }
     }
     for (WorkspaceCost cost : costs) {
       Double previous = report.costs.put(cost.workspace(), cost.cost());
@@ -76,19 +78,12 @@
     }
   }
 
-  /** Decays the reported costs like those of the ledger. */
-  void decay(double share) {
+  /** Decays the reported costs by the exponent by which those of the ledger decay. */
+  void decay(double exponent) {
+    double share = Math.exp(-exponent);
     for (Report report : reports.values()) {
       report.costs.replaceAll((workspace, cost) -> cost * share);
       report.costs.values().removeIf(cost -> cost < NEGLIGIBLE_COST);
     }
   }
-
-  private void removeLeastRecent() {
-    if (reports.size() > MAXIMUM_ROUTERS) {
-      Iterator<String> oldest = reports.keySet().iterator();
-      oldest.next();
-      oldest.remove();
-    }
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -187,8 +187,9 @@
   public void decayCosts(long nowNanos) {
     if (policy.costWindowMillis() > 0) {
       double windows = (nowNanos - decayedNanos) / NANOS_PER_MILLI / policy.costWindowMillis();
-      ledger.decay(DECAY_EXPONENT * windows);
-      costs.decay(Math.exp(-DECAY_EXPONENT * windows));
+      double exponent = DECAY_EXPONENT * windows;
+      ledger.decay(exponent);
+      costs.decay(exponent);
     }
     decayedNanos = nowNanos;
   }
@@ -254,33 +255,34 @@
     }
     for (WaitingCall call : wanted.waiting()) {
       WaitingEntry entry = new WaitingEntry(router, call, ++lastSequence, nowNanos);
+      scheduler.estimateWork(entry, nowNanos);
       if (scheduler.cannotMeetObjective(entry, nowNanos)) {
         if (scheduler.meetsObjectiveAlone(entry, nowNanos)) {
           levels.recordRejected();
         }
         refuse(entry, nowNanos);
       } else {
-        scheduler.estimateWork(entry, nowNanos);
         waiting.add(entry);
       }
     }
   }
 
   private void refuse(WaitingEntry entry, long nowNanos) {
-    double virtualService = ledger.account(entry.workspace()).virtualService();
+    FairPosition position = ledger.position(entry.workspace());
     String alternative =
         levels
-            .alternative(entry.call.request(), virtualService, otherDataCentres, nowNanos)
+            .alternative(
+                entry.call.request(), position.virtualService(), otherDataCentres, nowNanos)
             .orElse("");
     effects.add(
         new SlotAllocatorEffect.Rejected(
             service,
             entry.call.request(),
-            ledger.position(entry.workspace()),
+            position,
             entry.waitedMillis(nowNanos),
             entry.slackMillis(nowNanos),
             Math.round(scheduler.expectedMillis(entry, nowNanos)),
-            Math.round(scheduler.minFirstByteMillis(entry, nowNanos)),
+            Math.round(entry.workMillis),
             scheduler.countWithCapacity(entry, nowNanos),
             entry.call.underserved()));
     effects.add(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -91,21 +91,27 @@
     entry.workMillis = minFirstByteMillis(entry, nowNanos);
   }
 
-  /** Returns whether a new request cannot meet its objective behind those already waiting. */
+  /**
+   * Returns whether a new request, whose work is estimated, cannot meet its objective behind those
+   * already waiting.
+   */
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
-    double ownMillis = entry.countedMillis(minFirstByteMillis(entry, nowNanos));
+    double ownMillis = entry.countedMillis(entry.workMillis);
     return !waiting.isEmpty()
         && !entry.meetsObjective(waitAheadMillis(entry, nowNanos) + ownMillis, nowNanos);
   }
 
-  /** Returns whether a new request could meet its objective if no other one waited. */
+  /** Returns whether a request, whose work is estimated, would be in time if no other waited. */
   boolean meetsObjectiveAlone(WaitingEntry entry, long nowNanos) {
-    return entry.meetsObjective(entry.countedMillis(minFirstByteMillis(entry, nowNanos)), nowNanos);
+    return entry.meetsObjective(entry.countedMillis(entry.workMillis), nowNanos);
   }
 
-  /** Returns the expected time until the response to a request starts, in milliseconds. */
+  /**
+   * Returns the expected time until the response to a request, whose work is estimated, starts, in
+   * milliseconds.
+   */
   double expectedMillis(WaitingEntry entry, long nowNanos) {
-    return waitAheadMillis(entry, nowNanos) + minFirstByteMillis(entry, nowNanos);
+    return waitAheadMillis(entry, nowNanos) + entry.workMillis;
   }
 
   /** Returns the expected time until a request that arrives now gets a slot, in milliseconds. */
@@ -234,7 +240,7 @@
   }
 
   /** Returns the time to the first byte at the best upstream without backlog, in milliseconds. */
-  double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
+  private double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
     double min = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
       if (usable(upstream, nowNanos)) {
