Ask once for each data centre who allocates its slots

Found in reading the change: updateUpstreams asked for each upstream whether this allocator is responsible for its data centre, and once more for each data centre that it is not responsible for. The answer is the same for all upstreams of a data centre.

Change: it is kept for the time of the update. No decision changes.

Measured: SlotAllocatorDecisionTest passes.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -276,10 +276,11 @@
   private void updateUpstreams(long nowNanos) {
     Map<String, List<Upstream>> byService = new TreeMap<>();
     Map<String, Set<String>> elsewhere = new TreeMap<>();
+    Map<String, Boolean> own = new HashMap<>();
     Map<String, String> responsible = new HashMap<>();
     List<PeerIdentity> candidates = candidates();
     for (Upstream upstream : instances.upstreams()) {
-      if (isResponsibleFor(upstream.dataCentre())) {
+      if (own.computeIfAbsent(upstream.dataCentre(), this::isResponsibleFor)) {
         byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
       } else if (!upstream.leaving()) {
         elsewhere
