Remove the excluded data centres of the selector

Found in reading the change: since a rejection names the data centre that a request goes to next, the selector is asked only for requests that none has rejected, so that its set of excluded data centres is always empty.

Change: the set and the empty result are gone; without routers it returns its own data centre, as its only caller did.

Measured: DirectRouterTest, WorkspaceSharesTest and StoppingRouterTest pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -181,10 +181,7 @@
   }
 
   private void requestSlot(RoutedRequest request, long nowNanos) {
-    request.dataCentre =
-        selector
-            .choose(request, state.allocatorCandidates(), request.refusedBy, nowNanos)
-            .orElse(state.self.dataCentre());
+    request.dataCentre = selector.choose(request, state.allocatorCandidates(), nowNanos);
     session(request, nowNanos).addWaiting(request);
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -78,21 +77,16 @@
   }
 
   /**
-   * Returns the data centre in which a request gets its slot; empty if all are excluded.
+   * Returns the data centre in which a request gets its slot; its own if there are no routers.
    *
    * @param routers routers that are connected and not leaving
-   * @param excluded data centres that have rejected the request
    */
-  Optional<String> choose(
-      RoutedRequest request,
-      Collection<PeerIdentity> routers,
-      Set<String> excluded,
-      long nowNanos) {
+  String choose(RoutedRequest request, Collection<PeerIdentity> routers, long nowNanos) {
     String service = request.queue.service;
     Optional<String> home = homeDataCentre(service, request.call.prompt(), routers);
     Map<String, String> regions = new TreeMap<>();
     routers.forEach(router -> regions.put(router.dataCentre(), router.region()));
-    String best = null;
+    String best = self.dataCentre();
     double bestMillis = Double.MAX_VALUE;
     for (Map.Entry<String, String> candidate : regions.entrySet()) {
       String dataCentre = candidate.getKey();
@@ -102,12 +96,12 @@
               + (home.isEmpty() || home.get().equals(dataCentre)
                   ? 0
                   : sharedPrefillMillis(request));
-      if (!excluded.contains(dataCentre) && millis < bestMillis) {
+      if (millis < bestMillis) {
         best = dataCentre;
         bestMillis = millis;
       }
     }
-    return Optional.ofNullable(best);
+    return best;
   }
 
   /** Returns the expected round-trip time to a data centre, in milliseconds. */
