Let sidecars state the capacity that they are given

Change: it says what was given. Nothing reads the capacity of a sidecar, so that no decision changes.

Measured: no test of its own; it compiles, and the checks of the build follow.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/SidecarService.java
@@ -43,7 +43,8 @@
             Role.SIDECAR,
             common.dataCentre(),
             common.region(),
-            settings.service());
+            settings.service(),
+            common.processor().capacity());
     scheduler = Schedulers.newParallel("sidecar", TASK_THREADS);
     LinkRegistry links = new LinkRegistry();
     MetricRegistry metrics = new MetricRegistry();
