Create the histograms of the process in one place

Found in reading the change: SlotMetrics made its histogram like three other classes, and looked up its counters by a name that it put together at each decision of the slot allocator.

Change: Histograms makes all of them, and SlotMetrics keeps the counters of a pair beside its histogram. Names and values stay; a counter that is still 0 is shown from the first decision on its pair.

Measured: CallerListenerTest and the other tests of the package that were run pass; SlotMetrics has none of its own.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestMetrics.java
@@ -47,7 +47,7 @@
   }
 
   private Histogram histogram(String name) {
-    return registry.histogram(name, () -> new Histogram(new HistogramReservoir()));
+    return Histograms.get(registry, name);
   }
 
   private static long toMillis(long nanos) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouteMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouteMetrics.java
@@ -64,8 +64,7 @@
   }
 
   private Histogram newHistogram(String route, Result result) {
-    return registry.histogram(
-        histogramName(route, result), () -> new Histogram(new HistogramReservoir()));
+    return Histograms.get(registry, histogramName(route, result));
   }
 
   private void onEvicted(String route) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
@@ -1,7 +1,9 @@
 package dev.agatepier.wire.process.internal;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.wire.process.internal.WorkspaceMetrics.Pair;
 import java.util.Map;
@@ -18,7 +20,10 @@
   private static final String VIRTUAL_SERVICE = "virtual-service";
 
   private final MetricRegistry registry;
-  private final Map<Pair, Histogram> pairs;
+  private final Map<Pair, PairStatistics> pairs;
+
+  /** Statistics of the decisions on one pair. */
+  private record PairStatistics(Histogram virtualService, Counter granted, Counter rejected) {}
 
   SlotMetrics(MetricRegistry registry) {
     this.registry = registry;
@@ -26,23 +31,25 @@
   }
 
   void recordGranted(SlotAllocatorEffect.Placed grant) {
-    Pair pair = new Pair(grant.position().workspace(), grant.service());
-    virtualService(pair).update(Math.round(grant.position().virtualService()));
-    registry.counter(name(pair, GRANTED)).inc(Math.round(grant.cost()));
+    recordDecision(grant.service(), grant.position()).granted.inc(Math.round(grant.cost()));
   }
 
   void recordRejected(SlotAllocatorEffect.Rejected rejection) {
-    Pair pair = new Pair(rejection.position().workspace(), rejection.service());
-    virtualService(pair).update(Math.round(rejection.position().virtualService()));
-    registry.counter(name(pair, REJECTED)).inc();
+    recordDecision(rejection.service(), rejection.position()).rejected.inc();
+  }
+
+  private PairStatistics recordDecision(String service, FairPosition position) {
+    Pair pair = new Pair(position.workspace(), service);
+    PairStatistics statistics = pairs.computeIfAbsent(pair, this::newStatistics);
+    statistics.virtualService.update(Math.round(position.virtualService()));
+    return statistics;
   }
 
-  private Histogram virtualService(Pair pair) {
-    return pairs.computeIfAbsent(
-        pair,
-        newPair ->
-            registry.histogram(
-                name(newPair, VIRTUAL_SERVICE), () -> new Histogram(new HistogramReservoir())));
+  private PairStatistics newStatistics(Pair pair) {
+    return new PairStatistics(
+        Histograms.get(registry, name(pair, VIRTUAL_SERVICE)),
+        registry.counter(name(pair, GRANTED)),
+        registry.counter(name(pair, REJECTED)));
   }
 
   private void onEvicted(Pair pair) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/WorkspaceMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/WorkspaceMetrics.java
@@ -90,8 +90,7 @@
   }
 
   private PairStatistics newStatistics(Pair pair) {
-    return new PairStatistics(
-        registry.histogram(histogramName(pair), () -> new Histogram(new HistogramReservoir())));
+    return new PairStatistics(Histograms.get(registry, histogramName(pair)));
   }
 
   private void onEvicted(Pair pair) {
