Share what the simulations of slot allocators have in common

Found in reading the change: AllocatingFleet wrote the table, the engines and the arrival of a call of AllocatingRouter again, WorkspaceSharesTest the policy of SlotAllocatorFixture, and VirtualTime.runUntil the loop of run.

Change: each stands once.

--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -5,21 +5,13 @@
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Bytes;
-import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.CallPlan;
-import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
-import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.InstanceList;
-import dev.agatepier.core.version.Limits;
-import dev.agatepier.core.version.ServiceEntry;
-import dev.agatepier.core.version.ServiceKind;
-import dev.agatepier.core.version.SlotAllocationMode;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
-import dev.agatepier.core.version.Workspace;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -27,9 +19,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -38,9 +27,6 @@
  */
 final class AllocatingFleet {
 
-  private static final String SERVICE = "plan-model";
-  private static final long MEMORY_TOKENS = 600_000;
-  private static final int SLOTS = 64;
   private static final int ENGINES = 6;
   private static final int TICK_MILLIS = 25;
   private static final int REGION_MILLIS = 20;
@@ -83,7 +69,7 @@
     this.time = time;
     this.observer = observer;
     this.tokensPerMilli = tokensPerMilli;
-    Table table = table(workspaces);
+    Table table = AllocatingRouter.table(workspaces);
     InstanceList instances = new InstanceList(1, List.of(), upstreams(dataCentres));
     dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy)));
     nodes.values().forEach(node -> node.start(table, instances));
@@ -95,45 +81,15 @@
     Node node = nodes.get("r-" + dataCentre);
     RequestId request = new RequestId(node.self.instance(), 1, ++lastNumber);
     node.prompts.put(request, prompt);
-    node.dispatch(
-        new RouterEvent.CallArrived(
-            request,
-            workspace,
-            SERVICE,
-            new CallHead("POST", "/", List.of()),
-            Bytes.EMPTY,
-            new Fingerprint(workspace, SERVICE, request.toString()),
-            Optional.empty(),
-            nowNanos() + plan.timeoutMillis() * NANOS_PER_MILLI,
-            Optional.of(plan),
-            Optional.of(prompt),
-            OptionalLong.empty()));
+    node.dispatch(AllocatingRouter.arrival(request, workspace, plan, prompt, nowNanos()));
     return request;
   }
 
-  private static Table table(Collection<String> workspaces) {
-    Map<String, Workspace> rows = new HashMap<>();
-    Limits limits = new Limits(10_000, 10_000, 0);
-    workspaces.forEach(
-        name -> rows.put(name, new Workspace(name, 1, "00", limits, Set.of(SERVICE))));
-    ServiceEntry service =
-        new ServiceEntry(
-            SERVICE,
-            ServiceKind.MODEL,
-            List.of(),
-            60_000,
-            0.2,
-            SlotAllocationMode.ROUTER,
-            Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
-    return new Table(1, rows, Map.of(SERVICE, service));
-  }
-
   private static List<Upstream> upstreams(Collection<String> dataCentres) {
     List<Upstream> upstreams = new ArrayList<>();
     for (String dataCentre : dataCentres) {
       for (int index = 0; index < ENGINES; index++) {
-        String name = dataCentre + "-" + index;
-        upstreams.add(new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, dataCentre, SLOTS, false));
+        upstreams.add(AllocatingRouter.engine(dataCentre + "-" + index, dataCentre));
       }
     }
     return upstreams;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
@@ -47,6 +47,18 @@
 
   /** Activates a table with the given workspaces and an instance list with the given engines. */
   AllocatingRouter(Collection<String> workspaces, Collection<String> engines) {
+    Table table = table(workspaces);
+    InstanceList instances =
+        new InstanceList(
+            1, List.of(), engines.stream().map(name -> engine(name, SELF.dataCentre())).toList());
+    dispatch(new SlotAllocatorEvent.TableActivated(table));
+    dispatch(new SlotAllocatorEvent.InstancesActivated(instances));
+    dispatch(new RouterEvent.TableActivated(table));
+    dispatch(new RouterEvent.InstancesActivated(instances));
+  }
+
+  /** Returns a table with the model service and workspaces that may call it. */
+  static Table table(Collection<String> workspaces) {
     Map<String, Workspace> rows = new HashMap<>();
     Limits limits = new Limits(10_000, 10_000, 0);
     workspaces.forEach(
@@ -60,19 +72,29 @@
             0.2,
             SlotAllocationMode.ROUTER,
             Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
-    Table table = new Table(1, rows, Map.of(SERVICE, service));
-    List<Upstream> upstreams =
-        engines.stream()
-            .map(
-                name ->
-                    new Upstream(
-                        name, 1, SERVICE, "127.0.0.1", 8_000, SELF.dataCentre(), SLOTS, false))
-            .toList();
-    InstanceList instances = new InstanceList(1, List.of(), upstreams);
-    dispatch(new SlotAllocatorEvent.TableActivated(table));
-    dispatch(new SlotAllocatorEvent.InstancesActivated(instances));
-    dispatch(new RouterEvent.TableActivated(table));
-    dispatch(new RouterEvent.InstancesActivated(instances));
+    return new Table(1, rows, Map.of(SERVICE, service));
+  }
+
+  /** Returns an engine of the model service. */
+  static Upstream engine(String name, String dataCentre) {
+    return new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, dataCentre, SLOTS, false);
+  }
+
+  /** Returns the arrival of a call of the model service. */
+  static RouterEvent.CallArrived arrival(
+      RequestId request, String workspace, CallPlan plan, PromptMetadata prompt, long nowNanos) {
+    return new RouterEvent.CallArrived(
+        request,
+        workspace,
+        SERVICE,
+        new CallHead("POST", "/", List.of()),
+        Bytes.EMPTY,
+        new Fingerprint(workspace, SERVICE, request.toString()),
+        Optional.empty(),
+        nowNanos + plan.timeoutMillis() * NANOS_PER_MILLI,
+        Optional.of(plan),
+        Optional.of(prompt),
+        OptionalLong.empty());
   }
 
   void advance(long millis) {
@@ -86,19 +108,7 @@
 
   RequestId call(String workspace, CallPlan plan, PromptMetadata prompt) {
     RequestId request = new RequestId(SELF.instance(), 1, ++lastNumber);
-    dispatch(
-        new RouterEvent.CallArrived(
-            request,
-            workspace,
-            SERVICE,
-            new CallHead("POST", "/", List.of()),
-            Bytes.EMPTY,
-            new Fingerprint(workspace, SERVICE, request.toString()),
-            Optional.empty(),
-            nowNanos + plan.timeoutMillis() * NANOS_PER_MILLI,
-            Optional.of(plan),
-            Optional.of(prompt),
-            OptionalLong.empty()));
+    dispatch(arrival(request, workspace, plan, prompt, nowNanos));
     return request;
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -64,22 +64,26 @@
 
   /** Returns an allocator with upstreams that compares costs over a window of four seconds. */
   static SlotAllocatorFixture withShortCostWindow(String... upstreams) {
-    SlotAllocatorPolicy defaults = SlotAllocatorPolicy.DEFAULT;
-    SlotAllocatorPolicy policy =
-        new SlotAllocatorPolicy(
-            defaults.backlogMillis(),
-            defaults.memoryShare(),
-            defaults.stallMillis(),
-            defaults.lateMillis(),
-            defaults.retryAfterMillis(),
-            4_000);
     SlotAllocatorFixture allocator =
-        new SlotAllocatorFixture(new SlotAllocatorDecision(router(ROUTER, "a1"), policy));
+        new SlotAllocatorFixture(
+            new SlotAllocatorDecision(router(ROUTER, "a1"), withCostWindow(4_000)));
     allocator.dispatch(new SlotAllocatorEvent.TableActivated(table()));
     allocator.publishUpstreams(upstreams);
     return allocator;
   }
 
+  /** Returns the default policy with costs that lose weight over a period. */
+  static SlotAllocatorPolicy withCostWindow(long millis) {
+    SlotAllocatorPolicy defaults = SlotAllocatorPolicy.DEFAULT;
+    return new SlotAllocatorPolicy(
+        defaults.backlogMillis(),
+        defaults.memoryShare(),
+        defaults.stallMillis(),
+        defaults.lateMillis(),
+        defaults.retryAfterMillis(),
+        millis);
+  }
+
   /** Returns an allocator that has just started and has neither a table nor upstreams. */
   static SlotAllocatorFixture withoutTable() {
     return new SlotAllocatorFixture(
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VirtualTime.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VirtualTime.java
@@ -49,10 +49,6 @@
   }
 
   void run() {
-    while (!actions.isEmpty()) {
-      Action action = actions.poll();
-      nowMillis = action.atMillis();
-      action.body().run();
-    }
+    runUntil(Long.MAX_VALUE);
   }
 }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/WorkspaceSharesTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/WorkspaceSharesTest.java
@@ -238,15 +238,7 @@
   }
 
   private static Callers serve(Demand demand, IntUnaryOperator preferred, long seed) {
-    SlotAllocatorPolicy defaults = SlotAllocatorPolicy.DEFAULT;
-    SlotAllocatorPolicy policy =
-        new SlotAllocatorPolicy(
-            defaults.backlogMillis(),
-            defaults.memoryShare(),
-            defaults.stallMillis(),
-            defaults.lateMillis(),
-            defaults.retryAfterMillis(),
-            COST_WINDOW_MILLIS);
+    SlotAllocatorPolicy policy = SlotAllocatorFixture.withCostWindow(COST_WINDOW_MILLIS);
     VirtualTime time = new VirtualTime(seed);
     Callers callers = new Callers(time, preferred);
     List<String> names =
