Decide in one place whether an upstream may get requests

Cause: whether an upstream gets requests was decided from separate conditions in the slot allocator, the selection of data centres and the router's handling of grants.

Change: UpstreamAvailability holds what is known of an upstream and returns its state; these users ask it. Ejection and stalls stay inputs that only the slot allocator has. The cold state is an input that nothing sets yet. The crash tracker has no such condition: it counts failures of each incarnation, whatever its state.

Counting an ejection that ends now as active turns UpstreamAvailabilityTest red.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -99,7 +99,7 @@
       }
       case RouterEvent.InstancesActivated activated -> {
         peers.onInstancesActivated(activated.instances());
-        slotReplies.onInstancesActivated(activated.instances());
+        slotReplies.onInstancesActivated(activated.instances(), nowNanos);
       }
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
           slotReplies.onMessage(router, message, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.process.internal.ServiceSlots;
 import dev.agatepier.core.process.internal.ServiceSlotsStatus;
 import dev.agatepier.core.process.internal.StartupMessageBuffer;
+import dev.agatepier.core.process.internal.UpstreamAvailability;
 import dev.agatepier.core.process.internal.WorkspaceLedger;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ServiceEntry;
@@ -282,7 +283,7 @@
     for (Upstream upstream : instances.upstreams()) {
       if (own.computeIfAbsent(upstream.dataCentre(), this::isResponsibleFor)) {
         byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
-      } else if (!upstream.leaving()) {
+      } else if (UpstreamAvailability.ofEntry(upstream, false).state(nowNanos).serving()) {
         elsewhere
             .computeIfAbsent(upstream.service(), name -> new HashSet<>())
             .add(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -143,8 +143,8 @@
   }
 
   /** Replaces the upstreams by those of the instance list. */
-  void updateUpstreams(Collection<Upstream> upstreams) {
-    selector.setUpstreams(upstreams);
+  void updateUpstreams(Collection<Upstream> upstreams, long nowNanos) {
+    selector.setUpstreams(upstreams, nowNanos);
   }
 
   /** Forgets the routes that the active table no longer contains. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -66,11 +66,11 @@
         key(load.service(), load.dataCentre()), new ReceivedLoad(load.delayMillis(), nowNanos));
   }
 
-  /** Replaces the upstreams that may be homes of prefixes; those that are leaving may not. */
-  void setUpstreams(Collection<Upstream> updated) {
+  /** Replaces the upstreams that may be homes of prefixes; those that serve no more may not. */
+  void setUpstreams(Collection<Upstream> updated, long nowNanos) {
     upstreams.clear();
     for (Upstream upstream : updated) {
-      if (!upstream.leaving()) {
+      if (UpstreamAvailability.ofEntry(upstream, false).state(nowNanos).serving()) {
         upstreams.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -257,8 +257,6 @@
   }
 
   private static boolean usable(UpstreamLoad upstream, long nowNanos) {
-    return !upstream.upstream.leaving()
-        && !upstream.stalled
-        && !upstream.health.isEjected(nowNanos);
+    return upstream.availability().state(nowNanos).usable();
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamHealth.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamHealth.java
@@ -20,7 +20,7 @@
 
   private double failureShare;
   private int consecutiveFailures;
-  private long ejectedUntilNanos = Long.MIN_VALUE;
+  private long ejectedUntilNanos = UpstreamAvailability.NO_TIME;
 
   /** Records a completed request. */
   void recordSuccess() {
@@ -31,7 +31,7 @@
   /** Records progress of the upstream: resets the failure count and ends an ejection. */
   void recordProgress() {
     consecutiveFailures = 0;
-    ejectedUntilNanos = Long.MIN_VALUE;
+    ejectedUntilNanos = UpstreamAvailability.NO_TIME;
   }
 
   /** Records a request that failed through a fault of the upstream. */
@@ -49,8 +49,12 @@
     ejectedUntilNanos = nowNanos + nanos;
   }
 
-  boolean isEjected(long nowNanos) {
-    return ejectedUntilNanos != Long.MIN_VALUE && nowNanos < ejectedUntilNanos;
+  /**
+   * Returns the time until which the upstream is ejected; {@link UpstreamAvailability#NO_TIME} if
+   * it is not.
+   */
+  long ejectedUntilNanos() {
+    return ejectedUntilNanos;
   }
 
   /** Returns the moving average of failed requests, from 0 to 1. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -45,6 +45,12 @@
     this.progressNanos = nowNanos;
   }
 
+  /** Returns what the slot allocator knows of whether the upstream may get requests. */
+  UpstreamAvailability availability() {
+    return UpstreamAvailability.ofEntry(upstream, false)
+        .withProgress(stalled, health.ejectedUntilNanos());
+  }
+
   int running() {
     return allocations.size();
   }
@@ -138,7 +144,7 @@
         rule.backlogMillis(this, nowNanos),
         runningTokens(),
         health.failureShare(),
-        !upstream.leaving() && !stalled && !health.isEjected(nowNanos));
+        availability().state(nowNanos).usable());
   }
 
   /** Returns the milliseconds without progress; 0 if no response is pending. */
