--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/PolicyReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/PolicyReader.java
@@ -18,7 +18,9 @@
 
   private PolicyReader() {}
 
-  /** Reads a record of integers, doubles and strings; its constructor checks the ranges. */
+  /**
+   * Reads a record of integers, doubles, booleans and strings; its constructor checks the ranges.
+   */
   static <R extends Record> R read(ObjectReader object, Class<R> type, R defaults) {
     RecordComponent[] components = type.getRecordComponents();
     Class<?>[] types = new Class<?>[components.length];
@@ -53,6 +55,7 @@
           (int) object.integerInRange(field, value, 0, Integer.MAX_VALUE, number);
       case Long number -> object.integerInRange(field, value, 0, Long.MAX_VALUE, number);
       case Double number -> number(object, field, value, number);
+      case Boolean _ -> flag(object, field, value, fallback);
       default -> text(object, field, value, fallback);
     };
   }
@@ -83,6 +86,14 @@
     return fallback;
   }
 
+  private static Object flag(ObjectReader object, String field, JsonNode value, Object fallback) {
+    if (value.isBoolean()) {
+      return value.booleanValue();
+    }
+    object.addMistake(field, "must be true or false, without quotes");
+    return fallback;
+  }
+
   private static Object text(ObjectReader object, String field, JsonNode value, Object fallback) {
     if (value.isTextual()) {
       return value.textValue();
--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -47,11 +47,23 @@
    *
    * @param tableVersion active table version of the sender; 0 for none
    * @param instancesVersion newest instance list version that the sender has; 0 for none
+   * @param evacuatedRevision revision of the evacuated data centres in that list; 0 for none
    * @param draining whether the sender is draining and accepts no new work
    * @param clockMillis the sender's own monotonic clock, in milliseconds
    */
-  record Heartbeat(long tableVersion, long instancesVersion, boolean draining, long clockMillis)
-      implements LinkMessage {}
+  record Heartbeat(
+      long tableVersion,
+      long instancesVersion,
+      long evacuatedRevision,
+      boolean draining,
+      long clockMillis)
+      implements LinkMessage {
+
+    /** Creates a heartbeat of a sender that knows of no evacuation. */
+    public Heartbeat(long tableVersion, long instancesVersion, boolean draining, long clockMillis) {
+      this(tableVersion, instancesVersion, 0, draining, clockMillis);
+    }
+  }
 
   /**
    * Demand of one workspace at one router.
--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/VersionMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/VersionMessage.java
@@ -1,8 +1,7 @@
 package dev.agatepier.core.connection;
 
 import dev.agatepier.core.request.Bytes;
-import dev.agatepier.core.version.Instance;
-import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.InstanceList;
 import java.util.List;
 
 /** Messages that transfer table versions and instance lists between peers. */
@@ -64,32 +63,39 @@
    *
    * @param number number of the request
    * @param version confirmed table version; 0 if the sender has no confirmation that is still valid
+   * @param evacuatedRevision revision of the evacuated data centres that the sender knows, which
+   *     the same read confirms; 0 for none
    * @param ageMillis time from just before the read that confirmed the version to the arrival of
    *     the request, in milliseconds
    */
-  record ConfirmationTransfer(long number, long version, long ageMillis)
-      implements VersionMessage {}
+  record ConfirmationTransfer(long number, long version, long evacuatedRevision, long ageMillis)
+      implements VersionMessage {
+
+    /** Creates the response of a sender that knows of no evacuation. */
+    public ConfirmationTransfer(long number, long version, long ageMillis) {
+      this(number, version, 0, ageMillis);
+    }
+
+    /** Returns this response with the revision of the evacuated data centres. */
+    public ConfirmationTransfer withEvacuatedRevision(long revision) {
+      return new ConfirmationTransfer(number, version, revision, ageMillis);
+    }
+  }
 
   /**
    * Requests a peer's newest instance list.
    *
    * @param knownVersion instance list version that the sender has; 0 for none
+   * @param knownEvacuatedRevision revision of the evacuated data centres that the sender has; 0 for
+   *     none
    */
-  record InstancesRequest(long knownVersion) implements VersionMessage {}
+  record InstancesRequest(long knownVersion, long knownEvacuatedRevision)
+      implements VersionMessage {}
 
   /**
    * Response to an {@link InstancesRequest}, sent only if the sender has a newer list.
    *
-   * @param version version of the list
-   * @param instances all instances of the list
-   * @param upstreams all upstreams of the list
+   * @param list the list, with all instances, upstreams and evacuated data centres
    */
-  record InstancesTransfer(long version, List<Instance> instances, List<Upstream> upstreams)
-      implements VersionMessage {
-    /** Copies the lists. */
-    public InstancesTransfer {
-      instances = List.copyOf(instances);
-      upstreams = List.copyOf(upstreams);
-    }
-  }
+  record InstancesTransfer(InstanceList list) implements VersionMessage {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -24,6 +24,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * Allocates the slots of upstreams that have no sidecar, for the routers of a data centre. Requests
@@ -114,6 +116,7 @@
           .filter(this::isAllocatorFor)
           .forEach(
               service -> {
+                service.reportAvailability(nowNanos);
                 sendLoad(service, nowNanos);
                 sendCosts(service, nowNanos);
               });
@@ -133,6 +136,14 @@
     return services.values().stream().map(service -> service.status(nowNanos)).toList();
   }
 
+  /** Returns the number of upstreams in each state whose slots this router allocates. */
+  public Map<UpstreamState, Long> upstreamCounts(long nowNanos) {
+    return services.values().stream()
+        .filter(this::isAllocatorFor)
+        .flatMap(service -> service.upstreamStates(nowNanos).stream())
+        .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
+  }
+
   /** Grants the slots that an event may have made available; a message concerns one service. */
   private void grantSlots(SlotAllocatorEvent event, long nowNanos) {
     if (event instanceof SlotAllocatorEvent.MessageReceived received) {
@@ -283,7 +294,9 @@
     for (Upstream upstream : instances.upstreams()) {
       if (own.computeIfAbsent(upstream.dataCentre(), this::isResponsibleFor)) {
         byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
-      } else if (UpstreamAvailability.ofEntry(upstream, false).state(nowNanos).serving()) {
+      } else if (UpstreamAvailability.ofEntry(upstream, instances.isEvacuated(upstream))
+          .state(nowNanos)
+          .serving()) {
         elsewhere
             .computeIfAbsent(upstream.service(), name -> new HashSet<>())
             .add(
@@ -294,7 +307,8 @@
     }
     services.forEach(
         (name, service) -> {
-          service.updateUpstreams(byService.getOrDefault(name, List.of()), nowNanos);
+          service.updateUpstreams(
+              byService.getOrDefault(name, List.of()), instances.evacuated(), nowNanos);
           service.setOtherDataCentres(elsewhere.getOrDefault(name, Set.of()));
           service.setShare(share);
         });
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -72,6 +72,23 @@
       boolean underserved)
       implements SlotAllocatorEffect {}
 
+  /**
+   * Log that the state of an upstream has changed.
+   *
+   * @param service service that it serves
+   * @param upstream name of the upstream
+   * @param dataCentre data centre of the upstream
+   * @param state the new state
+   * @param previous the state before
+   */
+  record UpstreamAvailabilityChanged(
+      String service,
+      String upstream,
+      String dataCentre,
+      UpstreamState state,
+      UpstreamState previous)
+      implements SlotAllocatorEffect {}
+
   /**
    * Log that an upstream became usable or unusable.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/UpstreamState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/UpstreamState.java
@@ -1,5 +1,7 @@
 package dev.agatepier.core.process;
 
+import java.util.Locale;
+
 /** Whether an upstream may get requests, and the reason if it may not. */
 public enum UpstreamState {
   /** It gets requests. */
@@ -19,6 +21,11 @@
   /** The instance list does not contain it. */
   GONE;
 
+  /** Returns the stable name in logs and metrics. */
+  public String code() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
   /** Returns whether an upstream in this state gets requests. */
   public boolean usable() {
     return this == READY || this == COLD;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.VersionMessage;
 import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.process.internal.EvacuationReport;
 import dev.agatepier.core.process.internal.InstanceFollower;
 import dev.agatepier.core.process.internal.PlatformReaders;
 import dev.agatepier.core.process.internal.ReadSchedule;
@@ -29,6 +30,7 @@
   private final InstanceFollower instances;
   private final List<VersionEffect> effects = new ArrayList<>();
   private final TableFollower table;
+  private final EvacuationReport evacuations = new EvacuationReport();
 
   /**
    * Creates the decision of a process that has neither table nor instance list.
@@ -67,7 +69,7 @@
       case VersionEvent.ManifestRead read ->
           table.onManifestRead(read, isPlatformReader(nowNanos), nowNanos);
       case VersionEvent.InstancesRead(InstanceList list, double jitter) -> {
-        acceptInstances(instances.onRead(list, jitter, nowNanos));
+        acceptInstances(instances.onRead(list, jitter, nowNanos), PLATFORM, nowNanos);
         table.reads().recordPlatformReachable(nowNanos);
       }
       case VersionEvent.PlatformUnchanged(PlatformSubject subject, ReadTimestamp startedAt) ->
@@ -96,15 +98,15 @@
       case ManifestTransfer manifest -> table.onManifestTransfer(sender, manifest, nowNanos);
       case VersionMessage.PageRequest(String digest) -> table.onPageRequest(sender, digest);
       case VersionMessage.ConfirmationRequest request ->
-          table.onConfirmationRequest(sender, request, received.receivedAt());
-      case VersionMessage.ConfirmationTransfer confirmation ->
-          table.onConfirmationTransfer(confirmation);
-      case VersionMessage.InstancesRequest(long known) ->
+          table.onConfirmationRequest(
+              sender, request, instances().evacuatedRevision(), received.receivedAt());
+      case VersionMessage.ConfirmationTransfer confirmation -> onConfirmationTransfer(confirmation);
+      case VersionMessage.InstancesRequest known ->
           instances
               .newerThan(known)
               .ifPresent(list -> effects.add(new VersionEffect.Send(sender, list)));
-      case VersionMessage.InstancesTransfer(long version, var list, var upstreams) ->
-          acceptInstances(instances.accept(new InstanceList(version, list, upstreams), nowNanos));
+      case VersionMessage.InstancesTransfer(InstanceList list) ->
+          acceptInstances(instances.accept(list, nowNanos), sender, nowNanos);
       default -> {
         // Other decisions handle the other messages. Pages arrive as PageReceived events.
       }
@@ -114,10 +116,18 @@
   private void onHeartbeat(String sender, LinkMessage.Heartbeat heartbeat, long nowNanos) {
     readers.setDraining(sender, heartbeat.draining());
     table.onVersionOffered(sender, heartbeat.tableVersion(), nowNanos);
-    if (instances.shouldRequest(heartbeat.instancesVersion(), nowNanos)) {
-      effects.add(
-          new VersionEffect.Send(
-              sender, new VersionMessage.InstancesRequest(instances().version())));
+    if (instances.shouldRequest(heartbeat, nowNanos)) {
+      effects.add(new VersionEffect.Send(sender, instances.request()));
+    }
+  }
+
+  /**
+   * Handles a peer's confirmation of the table. The peer's read also confirmed which data centres
+   * are evacuated, so it counts only once that is known here too.
+   */
+  private void onConfirmationTransfer(VersionMessage.ConfirmationTransfer confirmation) {
+    if (confirmation.evacuatedRevision() <= instances().evacuatedRevision()) {
+      table.onConfirmationTransfer(confirmation);
     }
   }
 
@@ -131,10 +141,11 @@
     schedule(other(subject)).recordPlatformReachable(nowNanos);
   }
 
-  private void acceptInstances(Optional<InstanceList> newer) {
+  private void acceptInstances(Optional<InstanceList> newer, String source, long nowNanos) {
     newer.ifPresent(
         list -> {
           readers.setInstances(list.instances());
+          effects.addAll(evacuations.update(list.evacuated(), source, nowNanos));
           effects.add(new VersionEffect.PublishInstances(list));
         });
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
@@ -75,6 +75,17 @@
    */
   record PublishInstances(InstanceList instances) implements VersionEffect {}
 
+  /**
+   * Report to operators that the evacuation of a data centre started or ended here.
+   *
+   * @param dataCentre name of the data centre
+   * @param started whether it started
+   * @param ageMillis time for which the data centre was evacuated here, in milliseconds
+   * @param source instance name of the peer that sent the list, or {@link VersionDecision#PLATFORM}
+   */
+  record ReportEvacuation(String dataCentre, boolean started, long ageMillis, String source)
+      implements VersionEffect {}
+
   /**
    * Report to operators that a table version was rejected.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionPolicy.java
@@ -15,6 +15,7 @@
  * @param transferMillis timeout for the reply of a peer, in milliseconds
  * @param leaseMillis time without a confirming read after which calls with a key are no longer
  *     admitted under the active table, in milliseconds; 0 for no limit
+ * @param evacuations whether the platform's evacuations of data centres are read
  */
 public record VersionPolicy(
     int readersPerDataCentre,
@@ -24,7 +25,8 @@
     long firstRetryMillis,
     long lastRetryMillis,
     long transferMillis,
-    long leaseMillis) {
+    long leaseMillis,
+    boolean evacuations) {
 
   /** The default values. */
   public static final VersionPolicy DEFAULT =
@@ -50,6 +52,28 @@
         0);
   }
 
+  /** Creates a policy that ignores evacuations. */
+  public VersionPolicy(
+      int readersPerDataCentre,
+      long coldStartMillis,
+      long startSpreadMillis,
+      int watchSeconds,
+      long firstRetryMillis,
+      long lastRetryMillis,
+      long transferMillis,
+      long leaseMillis) {
+    this(
+        readersPerDataCentre,
+        coldStartMillis,
+        startSpreadMillis,
+        watchSeconds,
+        firstRetryMillis,
+        lastRetryMillis,
+        transferMillis,
+        leaseMillis,
+        false);
+  }
+
   /** Checks that every value is in range. */
   public VersionPolicy {
     if (readersPerDataCentre < 1 || watchSeconds < 1) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -61,6 +61,7 @@
     Optional<Refusal> refusal =
         checkAccess(call.workspace(), call.service())
             .or(() -> checkTicket(call))
+            .or(() -> checkUpstreams(call))
             .or(() -> checkQuarantine(call, nowNanos))
             .or(() -> checkLoad(call, nowNanos))
             .or(() -> checkStop(call, nowNanos));
@@ -78,10 +79,14 @@
             nowNanos,
             deadline(call, nowNanos),
             call.plan().orElseGet(() -> plan(entry, call)),
-            entry.keeping() == SlotAllocationMode.ROUTER ? routerPlacement : sidecarPlacement);
+            placement(entry));
     lifecycle.admit(request, nowNanos);
   }
 
+  private Placement placement(ServiceEntry entry) {
+    return entry.keeping() == SlotAllocationMode.ROUTER ? routerPlacement : sidecarPlacement;
+  }
+
   /** Returns why a workspace cannot use a service now; empty if it can. */
   Optional<Refusal> checkAccess(String workspace, String service) {
     if (state.table.version() == 0) {
@@ -139,6 +144,22 @@
     return restarted ? refusal(Reason.TICKET_HOME_GONE, 0) : Optional.empty();
   }
 
+  private Optional<Refusal> checkUpstreams(CallArrived call) {
+    ServiceEntry entry = state.table.service(call.service()).orElseThrow();
+    return placement(entry).isWithoutUpstreams(entry.name())
+        ? refusal(Reason.NO_UPSTREAM, noUpstreamRetryMillis(call.request()))
+        : Optional.empty();
+  }
+
+  /**
+   * Returns when to retry a call that no upstream can serve, in milliseconds. Calls that were
+   * rejected at the same time get different times, so that they do not return at once.
+   */
+  static long noUpstreamRetryMillis(RequestId request) {
+    return MINIMUM_RETRY_AFTER_MILLIS
+        + Math.floorMod(request.hashCode(), MINIMUM_RETRY_AFTER_MILLIS);
+  }
+
   private Optional<Refusal> checkQuarantine(CallArrived call, long nowNanos) {
     if (state.quarantine.isQuarantined(call.fingerprint(), nowNanos)) {
       return refusal(Reason.QUARANTINED, state.quarantine.millisLeft(call.fingerprint(), nowNanos));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -4,7 +4,7 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.request.RequestId;
-import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.InstanceList;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -53,7 +53,38 @@
   @Override
   public void requeue(RoutedRequest request, String avoided, long nowNanos) {
     request.refusedBy.clear();
+    AllocatorSession previous = sessions.get(key(request));
     requestSlot(request, nowNanos);
+    if (session(request, nowNanos) != previous) {
+      previous.remove(request);
+    }
+  }
+
+  @Override
+  public boolean isWithoutUpstreams(String service) {
+    return selector.isWithoutUpstreams(service);
+  }
+
+  /**
+   * Moves the waiting requests of data centres that serve their service no more, because of an
+   * evacuation, to others. They keep their age.
+   *
+   * @return the requests that have moved
+   */
+  List<RoutedRequest> moveFromEvacuated(long nowNanos) {
+    Collection<PeerIdentity> routers = state.allocatorCandidates();
+    List<RoutedRequest> moved = new ArrayList<>();
+    sessions.forEach(
+        (key, session) -> {
+          if (!selector.serves(key.service(), key.dataCentre(), routers)) {
+            moved.addAll(session.withdrawWaiting());
+          }
+        });
+    for (RoutedRequest request : moved) {
+      request.refusedBy.clear();
+      requestSlot(request, nowNanos);
+    }
+    return moved;
   }
 
   /**
@@ -71,6 +102,7 @@
     if (request.refusedBy.size() > MAX_FALLBACKS
         || request.refusedBy.contains(alternative)
         || !hasAllocator(alternative)
+        || !selector.serves(request.queue.service, alternative, state.allocatorCandidates())
         || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
       return false;
     }
@@ -143,8 +175,8 @@
   }
 
   /** Replaces the upstreams by those of the instance list. */
-  void updateUpstreams(Collection<Upstream> upstreams, long nowNanos) {
-    selector.setUpstreams(upstreams, nowNanos);
+  void updateUpstreams(InstanceList list, long nowNanos) {
+    selector.setUpstreams(list, nowNanos);
   }
 
   /** Forgets the routes that the active table no longer contains. */
@@ -173,6 +205,7 @@
       orphan.dataCentre = AllocatorSelection.responsibleDataCentre(orphan.dataCentre, routers);
       session(orphan, nowNanos).adopt(orphan);
     }
+    moveFromEvacuated(nowNanos);
   }
 
   /** Sends the pending changes to each allocator. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -88,6 +88,14 @@
     }
   }
 
+  /** Withdraws and returns all requests that wait for a slot. */
+  List<RoutedRequest> withdrawWaiting() {
+    List<RoutedRequest> waiting =
+        requests.values().stream().filter(request -> !request.sent()).toList();
+    waiting.forEach(this::withdraw);
+    return waiting;
+  }
+
   /** Removes a request that the allocator has refused, without sending a change. */
   void remove(RoutedRequest request) {
     requests.remove(request.id());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -157,6 +157,7 @@
   boolean retryElsewhere(RoutedRequest request, SlotStage stage, long nowNanos) {
     if (!repeatable(request)
         || request.deadlineNanos <= nowNanos
+        || request.placement.isWithoutUpstreams(request.queue.service)
         || !request.placement.tryAcquireRetry(request, nowNanos)) {
       return false;
     }
@@ -236,7 +237,8 @@
   private void failOrRetry(RoutedRequest request, Reason reason, long nowNanos) {
     if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
-    } else if (!repeatable(request)) {
+    } else if (!repeatable(request)
+        || request.placement.isWithoutUpstreams(request.queue.service)) {
       lifecycle.fail(request, reason, nowNanos);
     } else if (request.deadlineNanos <= nowNanos) {
       lifecycle.fail(request, Reason.DEADLINE, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -47,6 +48,9 @@
   private final Map<String, ReceivedLoad> loads = new HashMap<>();
   private final Map<String, List<Upstream>> upstreams = new HashMap<>();
 
+  /** Whether any data centre is evacuated. */
+  private boolean evacuations;
+
   /** The last queueing delay that a slot allocator reported, and when it was received. */
   private record ReceivedLoad(long delayMillis, long receivedNanos) {}
 
@@ -67,17 +71,40 @@
   }
 
   /** Replaces the upstreams that may be homes of prefixes; those that serve no more may not. */
-  void setUpstreams(Collection<Upstream> updated, long nowNanos) {
+  void setUpstreams(InstanceList list, long nowNanos) {
+    evacuations = !list.evacuated().isEmpty();
     upstreams.clear();
-    for (Upstream upstream : updated) {
-      if (UpstreamAvailability.ofEntry(upstream, false).state(nowNanos).serving()) {
+    for (Upstream upstream : list.upstreams()) {
+      if (UpstreamAvailability.ofEntry(upstream, list.isEvacuated(upstream))
+          .state(nowNanos)
+          .serving()) {
         upstreams.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
       }
     }
   }
 
   /**
-   * Returns the data centre in which a request gets its slot; its own if there are no routers.
+   * Returns whether a service has upstreams whose slots a data centre allocates. It counts only
+   * while some data centre is evacuated: only then may a data centre with routers have none.
+   *
+   * @param routers routers that are connected and not leaving
+   */
+  boolean serves(String service, String dataCentre, Collection<PeerIdentity> routers) {
+    return !evacuations
+        || upstreams.getOrDefault(service, List.of()).stream()
+            .map(Upstream::dataCentre)
+            .distinct()
+            .anyMatch(
+                name -> AllocatorSelection.responsibleDataCentre(name, routers).equals(dataCentre));
+  }
+
+  /** Returns whether evacuations leave a service without any upstream. */
+  boolean isWithoutUpstreams(String service) {
+    return evacuations && !upstreams.containsKey(service);
+  }
+
+  /**
+   * Returns the data centre in which a request gets its slot; its own if no other serves it.
    *
    * @param routers routers that are connected and not leaving
    */
@@ -90,6 +117,9 @@
     double bestMillis = Double.MAX_VALUE;
     for (Map.Entry<String, String> candidate : regions.entrySet()) {
       String dataCentre = candidate.getKey();
+      if (!serves(service, dataCentre, routers)) {
+        continue;
+      }
       double millis =
           delayMillis(service, dataCentre, nowNanos)
               + roundTripMillis(dataCentre, candidate.getValue())
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/InstanceFollower.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/InstanceFollower.java
@@ -1,5 +1,7 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.LinkMessage.Heartbeat;
+import dev.agatepier.core.connection.VersionMessage.InstancesRequest;
 import dev.agatepier.core.connection.VersionMessage.InstancesTransfer;
 import dev.agatepier.core.process.VersionPolicy;
 import dev.agatepier.core.version.InstanceList;
@@ -27,13 +29,22 @@
     return list;
   }
 
-  /** Returns the message with the list for a peer, if the list is newer than the peer's. */
-  public Optional<InstancesTransfer> newerThan(long knownVersion) {
-    return list.version() > knownVersion
-        ? Optional.of(new InstancesTransfer(list.version(), list.instances(), list.upstreams()))
+  /** Returns the message with the list for a peer, if any part of it is newer than the peer's. */
+  public Optional<InstancesTransfer> newerThan(InstancesRequest known) {
+    return isNewer(
+            list.version(),
+            list.evacuatedRevision(),
+            known.knownVersion(),
+            known.knownEvacuatedRevision())
+        ? Optional.of(new InstancesTransfer(list))
         : Optional.empty();
   }
 
+  /** Returns the request for a list that is newer than the known one in any part. */
+  public InstancesRequest request() {
+    return new InstancesRequest(list.version(), list.evacuatedRevision());
+  }
+
   /** Returns the schedule for reads of the platform's list. */
   public ReadSchedule reads() {
     return reads;
@@ -56,29 +67,47 @@
     return newer;
   }
 
-  /** Replaces the list if the offered one is newer, and then returns it. */
+  /**
+   * Replaces the list if the offered one is newer, and then returns it. The evacuated data centres
+   * have their own revision: of two lists, the one with the newer upstreams may come from a reader
+   * that does not know the latest evacuation yet.
+   */
   public Optional<InstanceList> accept(InstanceList offered, long nowNanos) {
     listRequest.complete();
-    if (offered.version() <= list.version()) {
+    if (!isNewer(
+        offered.version(), offered.evacuatedRevision(), list.version(), list.evacuatedRevision())) {
       return Optional.empty();
     }
     if (list.version() == 0) {
       firstListNanos = nowNanos;
     }
-    list = offered;
-    return Optional.of(offered);
+    list =
+        offered.version() > list.version()
+            ? offered.withNewerEvacuations(list)
+            : list.withNewerEvacuations(offered);
+    return Optional.of(list);
   }
 
   /**
    * Returns whether to request a peer's list: it is newer and no request is outstanding. If so,
    * records the request.
    */
-  public boolean shouldRequest(long offeredVersion, long nowNanos) {
-    return offeredVersion > list.version() && listRequest.trySend(nowNanos);
+  public boolean shouldRequest(Heartbeat heartbeat, long nowNanos) {
+    return isNewer(
+            heartbeat.instancesVersion(),
+            heartbeat.evacuatedRevision(),
+            list.version(),
+            list.evacuatedRevision())
+        && listRequest.trySend(nowNanos);
   }
 
   /** Returns whether links have had time to connect since the first list was received. */
   public boolean settled(long nowNanos) {
     return list.version() > 0 && nowNanos - firstListNanos >= settleNanos;
   }
+
+  private static boolean isNewer(
+      long version, long evacuatedRevision, long thanVersion, long thanEvacuatedRevision) {
+    return version > thanVersion || evacuatedRevision > thanEvacuatedRevision;
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
@@ -11,6 +11,9 @@
   /** Adds a request that waits again after an attempt; the attempt's target is to be avoided. */
   void requeue(RoutedRequest request, String avoided, long nowNanos);
 
+  /** Returns whether no upstream can serve a service, so that its requests must not wait. */
+  boolean isWithoutUpstreams(String service);
+
   /** Removes a waiting request that needs no slot any more. */
   void remove(RoutedRequest request);
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -67,6 +67,14 @@
     request.queue.usage.waiting++;
     request.placement.requeue(request, avoided, nowNanos);
     updateTimer(request, nowNanos);
+    rejectWithoutUpstreams(request, nowNanos);
+  }
+
+  /** Ends a waiting request if no upstream can serve it. */
+  void rejectWithoutUpstreams(RoutedRequest request, long nowNanos) {
+    if (request.placement.isWithoutUpstreams(request.queue.service)) {
+      fail(request, Reason.NO_UPSTREAM, 0, Admission.noUpstreamRetryMillis(request.id()), nowNanos);
+    }
   }
 
   /** Sets the timer of a request to its deadline, or to what a stop of the router leaves. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -11,6 +11,7 @@
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
+import dev.agatepier.core.process.UpstreamState;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
@@ -54,6 +55,7 @@
   private final AllocatorCostExchange costs;
   private final WaitingRequests waiting;
   private final SlotScheduler scheduler;
+  private final AvailabilityReport availability;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
   private final ServedLevels levels = new ServedLevels();
@@ -86,6 +88,7 @@
     this.allocations = new SlotAllocations(rule, ledger);
     this.waiting = new WaitingRequests(ledger);
     this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values());
+    this.availability = new AvailabilityReport(service, upstreams.values(), effects);
   }
 
   /** Applies the workspace weights and the engine profile of a table version. */
@@ -100,8 +103,13 @@
     upstreams.values().forEach(upstream -> upstream.memoryTokens = memoryTokens);
   }
 
-  /** Replaces the upstreams; one that restarted or moved starts with no recorded load. */
-  public void updateUpstreams(Collection<Upstream> listed, long nowNanos) {
+  /**
+   * Replaces the upstreams; one that restarted or moved starts with no recorded load.
+   *
+   * @param listed the upstreams
+   * @param evacuated names of the evacuated data centres
+   */
+  public void updateUpstreams(Collection<Upstream> listed, Set<String> evacuated, long nowNanos) {
     Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
     upstreams.clear();
     for (Upstream upstream : listed) {
@@ -111,6 +119,7 @@
         load.memoryTokens = memoryTokens;
       }
       load.upstream = upstream;
+      load.evacuated = evacuated.contains(upstream.dataCentre());
       upstreams.put(upstream.name(), load);
     }
   }
@@ -229,6 +238,16 @@
         : Optional.of(new SlotMessage.AllocatorCosts(service, level, due.get()));
   }
 
+  /** Reports the upstreams whose state has changed since the last call. */
+  public void reportAvailability(long nowNanos) {
+    availability.reportChanges(nowNanos);
+  }
+
+  /** Returns the state of each upstream. */
+  public List<UpstreamState> upstreamStates(long nowNanos) {
+    return availability.states(nowNanos);
+  }
+
   /** Returns whether no request waits and no slot is occupied. */
   public boolean isIdle() {
     return waiting.isEmpty() && allocations.isEmpty();
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
@@ -32,6 +32,11 @@
     demand.onQueueChanged(request.queue);
   }
 
+  @Override
+  public boolean isWithoutUpstreams(String service) {
+    return false;
+  }
+
   @Override
   public void requeue(RoutedRequest request, String avoided, long nowNanos) {
     startDrainRate(request.queue, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -14,6 +14,7 @@
 import dev.agatepier.core.version.Upstream;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** Handles messages of slot allocators: calls upstreams, refuses requests and moves them. */
 public final class SlotReplyHandler {
@@ -23,6 +24,7 @@
   private final AllocatorPlacement placement;
   private final AttemptRelay attempts;
   private Map<String, DirectUpstream> upstreams = Map.of();
+  private Set<String> evacuated = Set.of();
 
   /** Creates a handler without upstreams. */
   public SlotReplyHandler(
@@ -48,7 +50,11 @@
       listed.put(upstream.name(), direct);
     }
     upstreams = listed;
-    placement.updateUpstreams(list.upstreams(), nowNanos);
+    evacuated = list.evacuated();
+    placement.updateUpstreams(list, nowNanos);
+    placement
+        .moveFromEvacuated(nowNanos)
+        .forEach(request -> lifecycle.rejectWithoutUpstreams(request, nowNanos));
   }
 
   /** Handles an allocator's message; declines grants and ignores refusals of a previous one. */
@@ -72,6 +78,7 @@
     } else if (!availability(upstream).state(nowNanos).usable()) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
+      lifecycle.rejectWithoutUpstreams(request, nowNanos);
     } else if (state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
@@ -80,10 +87,11 @@
     }
   }
 
-  private static UpstreamAvailability availability(DirectUpstream upstream) {
-    return upstream == null
+  private UpstreamAvailability availability(DirectUpstream direct) {
+    return direct == null
         ? UpstreamAvailability.GONE
-        : UpstreamAvailability.ofEntry(upstream.upstream(), false);
+        : UpstreamAvailability.ofEntry(
+            direct.upstream(), evacuated.contains(direct.upstream().dataCentre()));
   }
 
   private void call(RoutedRequest request, DirectUpstream upstream, long nowNanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/TableFollower.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/TableFollower.java
@@ -206,10 +206,18 @@
     }
   }
 
-  /** Replies to a peer that asked when the table was last confirmed. */
+  /**
+   * Replies to a peer that asked when the table was last confirmed.
+   *
+   * @param evacuatedRevision revision of the evacuated data centres known here
+   */
   public void onConfirmationRequest(
-      String peer, ConfirmationRequest request, ReadTimestamp receivedAt) {
-    send(peer, confirmations.reply(request, table.version(), receivedAt));
+      String peer, ConfirmationRequest request, long evacuatedRevision, ReadTimestamp receivedAt) {
+    send(
+        peer,
+        confirmations
+            .reply(request, table.version(), receivedAt)
+            .withEvacuatedRevision(evacuatedRevision));
   }
 
   /** Handles a peer's reply about when the table was last confirmed. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.UpstreamState;
 import dev.agatepier.core.process.internal.ServiceSlotsStatus.UpstreamStatus;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
@@ -29,6 +30,12 @@
   /** Share of its slots and its backlog that this allocator may use, above 0 and up to 1. */
   double share = 1;
 
+  /** Whether its data centre is evacuated. */
+  boolean evacuated;
+
+  /** State that was last reported to operators. */
+  UpstreamState reportedState = UpstreamState.READY;
+
   /** Whether requests have waited longer than the stall time without any progress. */
   boolean stalled;
 
@@ -47,7 +54,7 @@
 
   /** Returns what the slot allocator knows of whether the upstream may get requests. */
   UpstreamAvailability availability() {
-    return UpstreamAvailability.ofEntry(upstream, false)
+    return UpstreamAvailability.ofEntry(upstream, evacuated)
         .withProgress(stalled, health.ejectedUntilNanos());
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -39,11 +40,16 @@
   private final double tokensPerMilli;
   private final Map<String, Node> nodes = new TreeMap<>();
   private final Map<String, Deque<Prefill>> prefills = new HashMap<>();
+  private final InstanceList instances;
   private long lastNumber;
+  private long evacuatedRevision;
 
   /** Is told what becomes of requests. */
   interface Observer {
 
+    /** Called when a router sends a request to an engine. */
+    default void onSent(RequestId request, String engine) {}
+
     /** Called when a response starts. */
     void onStarted(RequestId request);
 
@@ -70,9 +76,9 @@
     this.observer = observer;
     this.tokensPerMilli = tokensPerMilli;
     Table table = AllocatingRouter.table(workspaces);
-    InstanceList instances = new InstanceList(1, List.of(), upstreams(dataCentres));
+    instances = new InstanceList(1, List.of(), upstreams(dataCentres));
     dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy)));
-    nodes.values().forEach(node -> node.start(table, instances));
+    nodes.values().forEach(node -> node.start(table));
     tick();
   }
 
@@ -85,6 +91,27 @@
     return request;
   }
 
+  /**
+   * Lets each router activate a list with evacuated data centres, one after the other.
+   *
+   * @param spreadMillis time between two routers
+   */
+  void evacuate(Set<String> dataCentres, long spreadMillis) {
+    evacuatedRevision++;
+    InstanceList list =
+        new InstanceList(
+            instances.version(),
+            instances.instances(),
+            instances.upstreams(),
+            dataCentres,
+            evacuatedRevision);
+    long delayMillis = 0;
+    for (Node node : nodes.values()) {
+      time.after(delayMillis, () -> node.activate(list));
+      delayMillis += spreadMillis;
+    }
+  }
+
   private static List<Upstream> upstreams(Collection<String> dataCentres) {
     List<Upstream> upstreams = new ArrayList<>();
     for (String dataCentre : dataCentres) {
@@ -151,7 +178,7 @@
       allocator = new SlotAllocatorDecision(self, policy);
     }
 
-    private void start(Table table, InstanceList instances) {
+    private void start(Table table) {
       for (Node peer : nodes.values()) {
         if (peer != this) {
           dispatch(new RouterEvent.PeerConnected(peer.self));
@@ -159,9 +186,13 @@
         }
       }
       dispatch(new SlotAllocatorEvent.TableActivated(table));
-      dispatch(new SlotAllocatorEvent.InstancesActivated(instances));
       dispatch(new RouterEvent.TableActivated(table));
-      dispatch(new RouterEvent.InstancesActivated(instances));
+      activate(instances);
+    }
+
+    private void activate(InstanceList list) {
+      dispatch(new SlotAllocatorEvent.InstancesActivated(list));
+      dispatch(new RouterEvent.InstancesActivated(list));
     }
 
     private void tick() {
@@ -174,10 +205,12 @@
         switch (effect) {
           case RouterEffect.Send send when send.message() instanceof SlotMessage message ->
               send(send.instance(), message);
-          case RouterEffect.RunAttempt run ->
-              startPrefill(
-                  run.upstream().name(),
-                  new Prefill(this, run.attempt(), prompts.get(run.attempt().request())));
+          case RouterEffect.RunAttempt run -> {
+            observer.onSent(run.attempt().request(), run.upstream().name());
+            startPrefill(
+                run.upstream().name(),
+                new Prefill(this, run.attempt(), prompts.get(run.attempt().request())));
+          }
           case RouterEffect.FailRequest fail ->
               observer.onRejected(fail.request(), fail.retryAfterMillis());
           default -> {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -58,6 +58,7 @@
   long now = 3_000 * MILLI;
   private long calls;
   private long incarnation = 1;
+  private long evacuatedRevision;
 
   DirectRouterFixture() {
     ServiceEntry entry =
@@ -94,6 +95,15 @@
     return new Upstream(name, incarnation, SERVICE, "127.0.0.1", 8_000, "a1", 4, leaving);
   }
 
+  /** Activates a list with one upstream in each data centre, some of which are evacuated. */
+  void evacuate(Set<String> evacuated) {
+    Upstream other = new Upstream("u3", 1, SERVICE, "127.0.0.1", 8_000, "b1", 4, false);
+    List<Upstream> upstreams = List.of(upstream("u1"), upstream("u2"), other);
+    dispatch(
+        new RouterEvent.InstancesActivated(
+            new InstanceList(2, List.of(), upstreams, evacuated, ++evacuatedRevision)));
+  }
+
   static Upstream leaving(String name) {
     return upstream(name, true);
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
@@ -44,6 +45,8 @@
   final SlotAllocatorDecision decision;
   final List<SlotMessage> sent = new ArrayList<>();
   final List<SlotAllocatorEffect.UpstreamUsabilityChanged> usabilityChanges = new ArrayList<>();
+  final List<SlotAllocatorEffect.UpstreamAvailabilityChanged> availabilityChanges =
+      new ArrayList<>();
   long now = 7_000 * MILLI;
 
   /** Reports of the delay that routers have received. */
@@ -51,6 +54,7 @@
 
   private long lastNumber;
   private long lastList;
+  private long lastEvacuated;
 
   SlotAllocatorFixture(String... upstreams) {
     this(new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT));
@@ -131,6 +135,14 @@
             new InstanceList(++lastList, List.of(), upstreams)));
   }
 
+  /** Publishes upstreams by name while data centres are evacuated. */
+  void publishEvacuated(Set<String> evacuated, String... names) {
+    List<Upstream> upstreams = Arrays.stream(names).map(SlotAllocatorFixture::upstream).toList();
+    dispatch(
+        new SlotAllocatorEvent.InstancesActivated(
+            new InstanceList(lastList, List.of(), upstreams, evacuated, ++lastEvacuated)));
+  }
+
   static Upstream upstream(String name) {
     boolean model = name.startsWith("m");
     String dataCentre = name.startsWith("b-") ? "b1" : "a1";
@@ -158,6 +170,8 @@
           }
         }
         case SlotAllocatorEffect.UpstreamUsabilityChanged change -> usabilityChanges.add(change);
+        case SlotAllocatorEffect.UpstreamAvailabilityChanged change ->
+            availabilityChanges.add(change);
         case SlotAllocatorEffect.Placed _, SlotAllocatorEffect.Rejected _ -> {
           // Only logged.
         }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -11,6 +11,8 @@
 import dev.agatepier.core.version.Table;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -104,6 +106,58 @@
     assertEquals(leasedFleet.countConfirmedWithin(LEASE_MILLIS), NODES);
   }
 
+  @Test
+  public void evacuationReachesAllNodesAndThoseThatJoinLate() {
+    fleet.readInstances("router-0", 1, Set.of("kolkata-a"), 9);
+    fleet.withoutPlatform.add("router-late");
+    fleet.add("router-late");
+    fleet.run(VersionFleet.STEP_MILLIS);
+    assertEquals(fleet.countWithEvacuated(Set.of("kolkata-a")), NODES + 1);
+  }
+
+  /** Guards against an evacuation lost where a reader without it publishes newer upstreams. */
+  @Test
+  public void readersThatKnowDifferentEvacuationsAgreeOnTheNewest() {
+    fleet.readInstances("router-0", 1, Set.of("kolkata-a"), 9);
+    fleet.readInstances("router-1", 12, Set.of("kolkata-a", "kolkata-b"), 10);
+    fleet.readInstances("router-2", 13, Set.of(), 8);
+    fleet.run(2 * VersionFleet.STEP_MILLIS);
+    assertEquals(fleet.countWithEvacuated(Set.of("kolkata-a", "kolkata-b")), NODES);
+    fleet.readInstances("router-3", 13, Set.of(), 11);
+    fleet.run(VersionFleet.STEP_MILLIS);
+    assertEquals(fleet.countWithEvacuated(Set.of()), NODES);
+  }
+
+  /** Guards against a lease prolonged by a read whose evacuations are not known here. */
+  @Test
+  public void confirmationOfNewerEvacuationsDoesNotCount() {
+    VersionFleet leasedFleet = startFleetWithLeases();
+    VersionDecision node = leasedFleet.nodes.get("router-0");
+    ReadTimestamp late = new ReadTimestamp(TimeUnit.DAYS.toNanos(1), TimeUnit.DAYS.toMillis(1));
+    PeerIdentity peer = new PeerIdentity("router-1", 1, Role.ROUTER, "kolkata-a", "kolkata", "");
+    long number = requestConfirmation(node, late);
+    VersionMessage.ConfirmationTransfer reply =
+        new VersionMessage.ConfirmationTransfer(number, 5, 100);
+    assertEquals(
+        node.decide(
+            new VersionEvent.MessageReceived(peer, reply.withEvacuatedRevision(9), late),
+            late.nanos()),
+        List.of());
+    assertEquals(
+        node.decide(new VersionEvent.MessageReceived(peer, reply, late), late.nanos()),
+        List.of(new VersionEffect.ConfirmTable(late.before(100))));
+  }
+
+  private static long requestConfirmation(VersionDecision node, ReadTimestamp now) {
+    return node.decide(new VersionEvent.Tick(0.5, now), now.nanos()).stream()
+        .filter(VersionEffect.Send.class::isInstance)
+        .map(effect -> ((VersionEffect.Send) effect).message())
+        .filter(VersionMessage.ConfirmationRequest.class::isInstance)
+        .mapToLong(message -> ((VersionMessage.ConfirmationRequest) message).number())
+        .findFirst()
+        .orElseThrow();
+  }
+
   private static VersionFleet startFleetWithLeases() {
     VersionFleet leasedFleet =
         new VersionFleet(new VersionPolicy(2, 0, 100, 1, 250, 1_000, 2_000, LEASE_MILLIS));
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
@@ -77,6 +77,19 @@
         new InstanceList(version, nodes.keySet().stream().map(VersionFleet::instance).toList());
   }
 
+  /** Lets one node read a list of its own from the platform. */
+  void readInstances(String name, long version, Set<String> evacuated, long evacuatedRevision) {
+    InstanceList list =
+        new InstanceList(version, instances.instances(), List.of(), evacuated, evacuatedRevision);
+    dispatch(name, new VersionEvent.InstancesRead(list, 0.5));
+  }
+
+  long countWithEvacuated(Set<String> evacuated) {
+    return nodes.values().stream()
+        .filter(node -> node.instances().evacuated().equals(evacuated))
+        .count();
+  }
+
   void run(long millis) {
     for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
       nowMillis += STEP_MILLIS;
@@ -121,9 +134,10 @@
   private void heartbeats() {
     for (String from : nodes.keySet()) {
       VersionDecision node = nodes.get(from);
+      InstanceList list = node.instances();
       var heartbeat =
           new LinkMessage.Heartbeat(
-              node.table().version(), node.instances().version(), false, nowMillis);
+              node.table().version(), list.version(), list.evacuatedRevision(), false, nowMillis);
       nodes.keySet().stream()
           .filter(to -> !to.equals(from))
           .forEach(
@@ -186,6 +200,7 @@
                       new Table(manifestToPrepare.version(), Map.of(), Map.of())));
       case VersionEffect.ReportRefusal refusal -> refusals.add(refusal.version());
       case VersionEffect.PublishTable ignored -> {}
+      case VersionEffect.ReportEvacuation ignored -> {}
       case VersionEffect.ConfirmTable(ReadTimestamp started) -> confirmed.put(name, started);
       case VersionEffect.PublishInstances ignored -> {}
     }
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/MembershipSlope.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/MembershipSlope.java
@@ -39,8 +39,7 @@
     List<Instance> instances = FleetInstances.list(size);
     InstanceList list = new InstanceList(1, instances);
     MessagePackCodec codec = new MessagePackCodec();
-    VersionMessage.InstancesTransfer transfer =
-        new VersionMessage.InstancesTransfer(1, instances, List.of());
+    VersionMessage.InstancesTransfer transfer = new VersionMessage.InstancesTransfer(list);
     byte[] content = codec.encode(transfer);
     PeerIdentity router =
         new PeerIdentity("router-00000", 1, Role.ROUTER, "data-centre-0", "region-0", "");
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/HandshakeMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/HandshakeMessageCodec.java
@@ -24,11 +24,15 @@
         new MessageType<>(
             3,
             Heartbeat.class,
-            4,
+            5,
             HandshakeMessageCodec::writeHeartbeat,
             input ->
                 new Heartbeat(
-                    input.readLong(), input.readLong(), input.readBoolean(), input.readLong())));
+                    input.readLong(),
+                    input.readLong(),
+                    input.readLong(),
+                    input.readBoolean(),
+                    input.readLong())));
   }
 
   private static void writeHello(Hello hello, FieldOutput output) {
@@ -61,6 +65,7 @@
   private static void writeHeartbeat(Heartbeat heartbeat, FieldOutput output) {
     output.writeLong(heartbeat.tableVersion());
     output.writeLong(heartbeat.instancesVersion());
+    output.writeLong(heartbeat.evacuatedRevision());
     output.writeBoolean(heartbeat.draining());
     output.writeLong(heartbeat.clockMillis());
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesMessageCodec.java
@@ -5,8 +5,10 @@
 import dev.agatepier.core.connection.VersionMessage.InstancesRequest;
 import dev.agatepier.core.connection.VersionMessage.InstancesTransfer;
 import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.List;
+import java.util.Set;
 
 /** Encodes the messages that distribute the instance list of the platform between peers. */
 public final class InstancesMessageCodec implements MessageTypeProvider {
@@ -17,23 +19,18 @@
         new MessageType<>(
             50,
             InstancesRequest.class,
-            1,
-            (message, output) -> output.writeLong(message.knownVersion()),
-            input -> new InstancesRequest(input.readLong())),
+            2,
+            (message, output) -> {
+              output.writeLong(message.knownVersion());
+              output.writeLong(message.knownEvacuatedRevision());
+            },
+            input -> new InstancesRequest(input.readLong(), input.readLong())),
         new MessageType<>(
             51,
             InstancesTransfer.class,
-            3,
-            (message, output) -> {
-              output.writeLong(message.version());
-              output.writeList(message.instances(), InstancesMessageCodec::writeInstance);
-              output.writeList(message.upstreams(), InstancesMessageCodec::writeUpstream);
-            },
-            input ->
-                new InstancesTransfer(
-                    input.readLong(),
-                    input.readList(InstancesMessageCodec::readInstance),
-                    input.readList(InstancesMessageCodec::readUpstream))),
+            5,
+            (message, output) -> writeList(message.list(), output),
+            input -> new InstancesTransfer(readList(input))),
         new MessageType<>(
             52,
             KnownRouters.class,
@@ -43,6 +40,23 @@
             input -> new KnownRouters(input.readList(InstancesMessageCodec::readInstance))));
   }
 
+  private static void writeList(InstanceList list, FieldOutput output) {
+    output.writeLong(list.version());
+    output.writeList(list.instances(), InstancesMessageCodec::writeInstance);
+    output.writeList(list.upstreams(), InstancesMessageCodec::writeUpstream);
+    output.writeList(list.evacuated().stream().sorted().toList(), FieldOutput::writeString);
+    output.writeLong(list.evacuatedRevision());
+  }
+
+  private static InstanceList readList(FieldInput input) {
+    return new InstanceList(
+        input.readLong(),
+        input.readList(InstancesMessageCodec::readInstance),
+        input.readList(InstancesMessageCodec::readUpstream),
+        Set.copyOf(input.readList(FieldInput::readString)),
+        input.readLong());
+  }
+
   private static void writeUpstream(FieldOutput output, Upstream upstream) {
     output.writeString(upstream.name());
     output.writeLong(upstream.incarnation());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/TableMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/TableMessageCodec.java
@@ -56,14 +56,16 @@
         new MessageType<>(
             45,
             ConfirmationTransfer.class,
-            3,
+            4,
             (message, output) -> {
               output.writeLong(message.number());
               output.writeLong(message.version());
+              output.writeLong(message.evacuatedRevision());
               output.writeLong(message.ageMillis());
             },
             input ->
-                new ConfirmationTransfer(input.readLong(), input.readLong(), input.readLong())));
+                new ConfirmationTransfer(
+                    input.readLong(), input.readLong(), input.readLong(), input.readLong())));
   }
 
   private static void writeReference(FieldOutput output, PageReference page) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -177,9 +177,11 @@
   }
 
   private Heartbeat currentHeartbeat() {
+    InstanceList instances = versions.instances();
     return new Heartbeat(
         versions.table().version(),
-        versions.instances().version(),
+        instances.version(),
+        instances.evacuatedRevision(),
         tasks.draining(),
         TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
   }
@@ -265,8 +267,7 @@
 
     private boolean onHeartbeat(PeerIdentity peer, Heartbeat heartbeat) {
       long tableVersion = versions.table().version();
-      long listVersion = versions.instances().version();
-      if (!heartbeats.isNews(peer, heartbeat, tableVersion, listVersion)) {
+      if (!heartbeats.isNews(peer, heartbeat, tableVersion, versions.instances())) {
         return true;
       }
       versions.receive(peer, heartbeat);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberAdministration.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberAdministration.java
@@ -103,6 +103,7 @@
     report.gauges().put("links.up", links.peerNames().size());
     report.gauges().put("table.version", versions.table().version());
     report.gauges().put("instances.version", versions.instances().version());
+    report.gauges().put("instances.evacuated", versions.instances().evacuated().size());
     links.trafficBytes().forEach((name, bytes) -> report.gauges().put("links." + name, bytes));
     return report;
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/PeerHeartbeats.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/PeerHeartbeats.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.LinkMessage.Heartbeat;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.version.InstanceList;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -25,7 +26,7 @@
    * Returns whether a heartbeat reports a newer version than the active one, another draining flag
    * than the last one, or is the first on its link. Sidecars' clocks change with each heartbeat.
    */
-  boolean isNews(PeerIdentity peer, Heartbeat heartbeat, long tableVersion, long listVersion) {
+  boolean isNews(PeerIdentity peer, Heartbeat heartbeat, long tableVersion, InstanceList list) {
     if (self != Role.ROUTER || peer.role() != Role.ROUTER) {
       return true;
     }
@@ -33,7 +34,8 @@
     return draining == null
         || draining != heartbeat.draining()
         || heartbeat.tableVersion() > tableVersion
-        || heartbeat.instancesVersion() > listVersion;
+        || heartbeat.instancesVersion() > list.version()
+        || heartbeat.evacuatedRevision() > list.evacuatedRevision();
   }
 
   /** Records a heartbeat that has been handled. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -184,6 +184,20 @@
                 .with("sinceMillis", change.sinceMillis()));
   }
 
+  /** Logs a change of the state of an upstream. */
+  static void logUpstreamAvailabilityChanged(
+      SlotAllocatorEffect.UpstreamAvailabilityChanged change) {
+    LOGGER.info(
+        () ->
+            LogEvent.UPSTREAM_AVAILABILITY_CHANGED
+                .message()
+                .with("service", change.service())
+                .with("upstream", change.upstream())
+                .with("dataCentre", change.dataCentre())
+                .with("state", change.state().code())
+                .with("previous", change.previous().code()));
+  }
+
   /** Logs a request or prompt part that is quarantined or no longer is. */
   static void logQuarantineChanged(RouterEffect.QuarantineChanged change) {
     LOGGER.warn(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -20,15 +20,18 @@
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEvent;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
+import dev.agatepier.core.process.UpstreamState;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.Readiness;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -59,6 +62,7 @@
   private final Runnable stop;
   private final DecisionTask<RouterEvent, RouterEffect> requestTask;
   private final DecisionTask<CostAggregatorEvent, CostAggregatorEffect> costAggregator;
+  private final SlotAllocatorDecision allocatorDecision;
   private final DecisionTask<SlotAllocatorEvent, SlotAllocatorEffect> slotAllocator;
   private final RequestMetrics metrics;
   private final SlotMetrics slotMetrics;
@@ -119,9 +123,10 @@
             scheduler,
             System::nanoTime,
             RouterTasks::logTaskFailure);
+    allocatorDecision = new SlotAllocatorDecision(self, allocatorPolicy);
     slotAllocator =
         new DecisionTask<>(
-            new SlotAllocatorDecision(self, allocatorPolicy),
+            allocatorDecision,
             this::perform,
             MAILBOX_CAPACITY,
             scheduler,
@@ -247,7 +252,27 @@
 
   @Override
   public CompletableFuture<Map<String, Object>> gauges() {
-    return administration.gauges();
+    return administration.gauges().thenCombine(upstreamCounts(), RouterTasks::joinGauges);
+  }
+
+  /** Returns the number of upstreams whose slots this router allocates, by state. */
+  private CompletableFuture<Map<String, Object>> upstreamCounts() {
+    return slotAllocator.ask(
+        now -> {
+          Map<UpstreamState, Long> counts = allocatorDecision.upstreamCounts(now);
+          Map<String, Object> gauges = new TreeMap<>();
+          for (UpstreamState state : EnumSet.complementOf(EnumSet.of(UpstreamState.GONE))) {
+            gauges.put("upstreams.state." + state.code(), counts.getOrDefault(state, 0L));
+          }
+          return gauges;
+        });
+  }
+
+  private static Map<String, Object> joinGauges(
+      Map<String, Object> first, Map<String, Object> second) {
+    Map<String, Object> joined = new TreeMap<>(first);
+    joined.putAll(second);
+    return joined;
   }
 
   @Override
@@ -297,6 +322,8 @@
         slotMetrics.recordRejected(rejection);
         RequestLog.logSlotRejected(rejection);
       }
+      case SlotAllocatorEffect.UpstreamAvailabilityChanged change ->
+          RequestLog.logUpstreamAvailabilityChanged(change);
       case SlotAllocatorEffect.UpstreamUsabilityChanged change ->
           RequestLog.logUpstreamUsabilityChanged(change);
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
@@ -25,7 +25,8 @@
   /**
    * Reads the instance list.
    *
-   * @param afterVersion wait for a version greater than this one
+   * @param afterVersion wait for a version greater than this one, or for evacuations that are newer
+   *     than those of the active list
    * @param waitSeconds maximum wait in seconds; 0 to read the current version at once
    * @return the list; empty if the wait ended without a newer version
    */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -184,6 +184,7 @@
         platform.onInstancesActivated(newInstances);
         listeners.forEach(listener -> listener.onInstancesActivated(newInstances));
       }
+      case VersionEffect.ReportEvacuation report -> logEvacuation(report);
       case VersionEffect.ReportRefusal(long version, List<TableMistake> mistakes) ->
           LOGGER.error(
               LogEvent.TABLE_REFUSED
@@ -194,6 +195,17 @@
     }
   }
 
+  private static void logEvacuation(VersionEffect.ReportEvacuation report) {
+    LogEvent event = report.started() ? LogEvent.EVACUATION_STARTED : LogEvent.EVACUATION_ENDED;
+    boolean platform = report.source().equals(VersionDecision.PLATFORM);
+    LOGGER.info(
+        event
+            .message()
+            .with("dataCentre", report.dataCentre())
+            .with("ageMillis", report.ageMillis())
+            .with("source", platform ? "platform" : report.source()));
+  }
+
   private void publishTable(Table newTable) {
     table = newTable;
     LOGGER.info(
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -60,11 +60,13 @@
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
 import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Message sequences of the golden files; together they cover every message type. */
 final class LinkSessions {
@@ -100,7 +102,7 @@
         new Hello(1, SIDECAR, new Bytes("0123456789abcdef".getBytes())),
         new HelloProof(Bytes.ofText("proof of the router")),
         new HelloProof(Bytes.ofText("proof of the sidecar")),
-        new Heartbeat(12, 3, false, 86_400_000),
+        new Heartbeat(12, 3, 2, false, 86_400_000),
         new FreeSlots(4),
         new DemandUpdate(List.of(new WorkspaceDemand("kolkata-strings", 2, 150, 37.5))),
         new Grant(1, "kolkata-strings"),
@@ -143,28 +145,31 @@
         new PageTransfer("ab12", Bytes.ofText("workspace,weight\n")),
         new PageTransfer("cd34", Bytes.EMPTY),
         new ConfirmationRequest(5),
-        new ConfirmationTransfer(5, 12, 1_040));
+        new ConfirmationTransfer(5, 12, 2, 1_040));
   }
 
   private static List<LinkMessage> instances() {
     return List.of(
-        new InstancesRequest(2),
+        new InstancesRequest(2, 1),
         new InstancesTransfer(
-            3,
-            List.of(
-                new Instance(
-                    "engine-3",
-                    Role.SIDECAR,
-                    "127.0.2.3",
-                    7003,
-                    9003,
-                    "siliguri-a",
-                    "hills",
-                    "plan-model",
-                    true)),
-            List.of(
-                new Upstream(
-                    "engine-4", 5, "plan-model", "127.0.2.4", 8004, "siliguri-a", 64, false))),
+            new InstanceList(
+                3,
+                List.of(
+                    new Instance(
+                        "engine-3",
+                        Role.SIDECAR,
+                        "127.0.2.3",
+                        7003,
+                        9003,
+                        "siliguri-a",
+                        "hills",
+                        "plan-model",
+                        true)),
+                List.of(
+                    new Upstream(
+                        "engine-4", 5, "plan-model", "127.0.2.4", 8004, "siliguri-a", 64, false)),
+                Set.of("siliguri-a", "kolkata-a"),
+                2)),
         new KnownRouters(
             List.of(
                 new Instance(
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/process/internal/PeerHeartbeatsTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/process/internal/PeerHeartbeatsTest.java
@@ -7,6 +7,9 @@
 import dev.agatepier.core.connection.LinkMessage.Heartbeat;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.version.InstanceList;
+import java.util.List;
+import java.util.Set;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -15,6 +18,9 @@
   private static final PeerIdentity PEER = peer(Role.ROUTER);
   private static final long TABLE = 7;
   private static final long LIST = 3;
+  private static final long EVACUATED = 2;
+  private static final InstanceList ACTIVE =
+      new InstanceList(LIST, List.of(), List.of(), Set.of(), EVACUATED);
 
   private PeerHeartbeats heartbeats;
 
@@ -48,6 +54,14 @@
     assertTrue(receive(new Heartbeat(TABLE, LIST + 1, false, 4)));
   }
 
+  /** Guards against an evacuation that doesn't reach a router which has the newest upstreams. */
+  @Test
+  public void newerEvacuationIsNews() {
+    receive(new Heartbeat(TABLE, LIST, false, 1));
+    assertFalse(receive(new Heartbeat(TABLE, LIST, EVACUATED, false, 2)));
+    assertTrue(receive(new Heartbeat(TABLE, LIST, EVACUATED + 1, false, 3)));
+  }
+
   @Test
   public void firstHeartbeatOfNewLinkIsNews() {
     receive(new Heartbeat(TABLE, LIST, false, 1));
@@ -58,8 +72,8 @@
   @Test
   public void heartbeatThatWasNotAcceptedIsNewsAgain() {
     Heartbeat heartbeat = new Heartbeat(TABLE, LIST, true, 1);
-    assertTrue(heartbeats.isNews(PEER, heartbeat, TABLE, LIST));
-    assertTrue(heartbeats.isNews(PEER, heartbeat, TABLE, LIST));
+    assertTrue(heartbeats.isNews(PEER, heartbeat, TABLE, ACTIVE));
+    assertTrue(heartbeats.isNews(PEER, heartbeat, TABLE, ACTIVE));
   }
 
   @Test
@@ -67,11 +81,11 @@
     PeerIdentity sidecar = peer(Role.SIDECAR);
     Heartbeat heartbeat = new Heartbeat(TABLE, LIST, false, 1);
     heartbeats.recordHandled(sidecar, heartbeat);
-    assertTrue(heartbeats.isNews(sidecar, heartbeat, TABLE, LIST));
+    assertTrue(heartbeats.isNews(sidecar, heartbeat, TABLE, ACTIVE));
   }
 
   private boolean receive(Heartbeat heartbeat) {
-    boolean news = heartbeats.isNews(PEER, heartbeat, TABLE, LIST);
+    boolean news = heartbeats.isNews(PEER, heartbeat, TABLE, ACTIVE);
     if (news) {
       heartbeats.recordHandled(PEER, heartbeat);
     }
