--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -96,6 +96,11 @@
       {
         "'policy':", "'stop':{'graceMillis':'1s'},'policy':", "$.stop.graceMillis: must be a number"
       },
+      {
+        "'policy':",
+        "'versions':{'evacuations':'yes'},'policy':",
+        "$.versions.evacuations: must be true or false"
+      },
       {"'policy':", "'stop':{'timeoutMillis':0},'policy':", "$.stop: graceMillis must be from 0"},
       {"'keyFile':'key'", "'keyFile':'none'", "$.administration.keyFile: the file cannot be read"},
       {
