--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.UpstreamState;
 import dev.agatepier.core.process.internal.ServiceSlotsStatus.UpstreamStatus;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
@@ -29,6 +30,12 @@
   /** Share of its slots and its backlog that this allocator may use, above 0 and up to 1. */
   double share = 1;
 
+  /** Whether its data centre is evacuated. */
+  boolean evacuated;
+
+  /** State that was last reported to operators. */
+  UpstreamState reportedState = UpstreamState.READY;
+
   /** Whether requests have waited longer than the stall time without any progress. */
   boolean stalled;
 
@@ -45,6 +52,12 @@
     this.progressNanos = nowNanos;
   }
 
+  /** Returns what the slot allocator knows of whether the upstream may get requests. */
+  UpstreamAvailability availability() {
+    return UpstreamAvailability.ofEntry(upstream, evacuated)
+        .withProgress(stalled, health.ejectedUntilNanos());
+  }
+
   int running() {
     return allocations.size();
   }
@@ -138,7 +151,7 @@
         rule.backlogMillis(this, nowNanos),
         runningTokens(),
         health.failureShare(),
-        !upstream.leaving() && !stalled && !health.isEjected(nowNanos));
+        availability().state(nowNanos).usable());
   }
 
   /** Returns the milliseconds without progress; 0 if no response is pending. */
