--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -81,7 +81,9 @@
     /** The request was cancelled by the caller or by its deadline. */
     CANCELLED,
     /** The request ended because of an upstream failure. */
-    FAILED
+    FAILED,
+    /** The request ended because the connection to the upstream failed. */
+    DISCONNECTED
   }
 
   /**
@@ -114,8 +116,25 @@
    * @param service service called
    * @param request identity of the request
    * @param upstream upstream of the granted slot
+   * @param cold whether the grant is void once it is late, as the upstream is cold
+   * @param waitedMillis time for which the request waited at the allocator, in milliseconds
+   * @param timeLeftMillis {@link WaitingCall#timeLeftMillis} of the report that is replied to,
+   *     which identifies that report
    */
-  record SlotGranted(String service, RequestId request, String upstream) implements SlotMessage {}
+  record SlotGranted(
+      String service,
+      RequestId request,
+      String upstream,
+      boolean cold,
+      long waitedMillis,
+      long timeLeftMillis)
+      implements SlotMessage {
+
+    /** Creates a grant for an upstream that is not cold. */
+    public SlotGranted(String service, RequestId request, String upstream) {
+      this(service, request, upstream, false, 0, 0);
+    }
+  }
 
   /**
    * Slot allocator to router: rejects a request because no slot will be free in time.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -88,6 +88,8 @@
    * @param timeLeftMillis time until the deadline, in milliseconds
    * @param resumeAfter number of the event after which to resume an interrupted stream
    * @param windowBytes response bytes that may be read before {@link ReadAttempt} grants more
+   * @param sendByNanos time after which the request must not be sent any more, as a reading of the
+   *     process's monotonic clock; empty for none
    */
   record RunAttempt(
       AttemptId attempt,
@@ -98,8 +100,39 @@
       CallPlan plan,
       long timeLeftMillis,
       OptionalLong resumeAfter,
-      long windowBytes)
-      implements RouterEffect {}
+      long windowBytes,
+      OptionalLong sendByNanos)
+      implements RouterEffect {
+
+    /** Creates an attempt that may be sent at any time. */
+    public RunAttempt(
+        AttemptId attempt,
+        Upstream upstream,
+        String workspace,
+        CallHead head,
+        Bytes body,
+        CallPlan plan,
+        long timeLeftMillis,
+        OptionalLong resumeAfter,
+        long windowBytes) {
+      this(
+          attempt,
+          upstream,
+          workspace,
+          head,
+          body,
+          plan,
+          timeLeftMillis,
+          resumeAfter,
+          windowBytes,
+          OptionalLong.empty());
+    }
+
+    /** Returns whether it is too late to send the request. */
+    public boolean isTooLate(long nowNanos) {
+      return sendByNanos.isPresent() && nowNanos - sendByNanos.getAsLong() > 0;
+    }
+  }
 
   /**
    * Read more of the response of an upstream that the router called.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -48,15 +48,24 @@
   /** Time for which disconnected routers are regarded as allocators that this one cannot see. */
   private static final long PEAK_NANOS = 10_000_000_000L;
 
+  /**
+   * The same for cold upstreams. They end if several parts of a divided fleet use them in full, so
+   * it is longer than a division usually lasts.
+   */
+  private static final long COLD_PEAK_NANOS = 600_000_000_000L;
+
   private final PeerIdentity self;
   private final SlotAllocatorPolicy policy;
   private final RecentPeak peakRouters = new RecentPeak(PEAK_NANOS);
+  private final RecentPeak coldPeakRouters = new RecentPeak(COLD_PEAK_NANOS);
   private final List<SlotAllocatorEffect> effects = new ArrayList<>();
   private final Map<String, ServiceSlots> services = new TreeMap<>();
   private final Map<String, PeerIdentity> routers = new TreeMap<>();
   private final Set<String> leavingRouters = new HashSet<>();
   private final StartupMessageBuffer startupMessages = new StartupMessageBuffer();
+  private final Set<String> ownDataCentres = new HashSet<>();
   private double share = 1;
+  private double coldShare = 1;
   private Table table = Table.NONE;
   private InstanceList instances = InstanceList.NONE;
 
@@ -91,7 +100,7 @@
           onRouterDisconnected(router, nowNanos);
       case SlotAllocatorEvent.TableActivated(Table newer) -> {
         table = newer;
-        updateServices();
+        updateServices(nowNanos);
         updateUpstreams(nowNanos);
         processStartupMessages(nowNanos);
       }
@@ -233,19 +242,40 @@
    * the majority has selected allocators for the same upstreams.
    */
   private void updateShare(long nowNanos) {
-    double connected = routers.size() / (double) peakRouters.update(routers.size(), nowNanos);
-    double newShare = connected < MAJORITY ? connected : 1;
+    double newShare = share(peakRouters, nowNanos);
     if (newShare != share) {
       share = newShare;
       services.values().forEach(service -> service.setShare(newShare));
     }
+    double newColdShare = share(coldPeakRouters, nowNanos);
+    if (newColdShare != coldShare) {
+      coldShare = newColdShare;
+      services.values().forEach(service -> updateColdStarts(service, nowNanos));
+    }
+  }
+
+  private double share(RecentPeak peak, long nowNanos) {
+    double connected = routers.size() / (double) peak.update(routers.size(), nowNanos);
+    return connected < MAJORITY ? connected : 1;
+  }
+
+  private void updateColdStarts(ServiceSlots service, long nowNanos) {
+    service.setColdStarts(isAllocatorFor(service), coldShare, nowNanos);
+  }
+
+  /**
+   * Treats the upstreams of data centres as cold whose evacuation has ended; to be called when a
+   * list without these evacuations has been activated.
+   */
+  void onEvacuationEnded(Set<String> dataCentres, long nowNanos) {
+    services.values().forEach(service -> service.onEvacuationEnded(dataCentres, nowNanos));
   }
 
-  private void updateServices() {
+  private void updateServices(long nowNanos) {
     services.keySet().retainAll(table.services().keySet());
     for (ServiceEntry entry : table.services().values()) {
       if (entry.keeping() == SlotAllocationMode.ROUTER) {
-        services.computeIfAbsent(entry.name(), name -> newService(entry)).activate(table);
+        services.computeIfAbsent(entry.name(), name -> newService(entry)).activate(table, nowNanos);
       }
     }
   }
@@ -291,9 +321,15 @@
                     name -> AllocatorSelection.responsibleDataCentre(name, candidates)));
       }
     }
+    own.values().removeIf(isOwn -> !isOwn);
+    Set<String> takenOver = new HashSet<>(own.keySet());
+    takenOver.removeAll(ownDataCentres);
+    ownDataCentres.clear();
+    ownDataCentres.addAll(own.keySet());
     services.forEach(
         (name, service) -> {
-          service.updateUpstreams(byService.getOrDefault(name, List.of()), nowNanos);
+          service.updateUpstreams(byService.getOrDefault(name, List.of()), takenOver, nowNanos);
+          updateColdStarts(service, nowNanos);
           service.setOtherDataCentres(elsewhere.getOrDefault(name, Set.of()));
           service.setShare(share);
         });
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -73,7 +73,16 @@
       implements SlotAllocatorEffect {}
 
   /**
-   * Log that an upstream became usable or unusable.
+   * Report the grants to cold upstreams.
+   *
+   * @param service the service
+   * @param most grants of the last second to the cold upstream that got most
+   * @param bound requests that a cold upstream may get in any second, from all routers together
+   */
+  record ColdGrants(String service, int most, int bound) implements SlotAllocatorEffect {}
+
+  /**
+   * Log that an upstream became usable or unusable, cold or warm.
    *
    * @param upstream name of the upstream
    * @param usable whether its slots are granted
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -15,6 +15,9 @@
  * @param costWindowMillis period over which operators compare the service of workspaces, in
  *     milliseconds: older cost has little weight in the fair-queueing order; 0 if cost never loses
  *     weight
+ * @param coldOverage factor of the rate that a cold upstream tolerates in the number of requests
+ *     that it may get in a second; 0 if requests to cold upstreams are not limited
+ * @param coldSlack requests that a cold upstream may get in a second in addition
  */
 public record SlotAllocatorPolicy(
     long backlogMillis,
@@ -22,7 +25,31 @@
     long stallMillis,
     long lateMillis,
     long retryAfterMillis,
-    long costWindowMillis) {
+    long costWindowMillis,
+    double coldOverage,
+    double coldSlack) {
+
+  /** Creates a policy that does not limit the requests to cold upstreams. */
+  public SlotAllocatorPolicy(
+      long backlogMillis,
+      double memoryShare,
+      long stallMillis,
+      long lateMillis,
+      long retryAfterMillis,
+      long costWindowMillis) {
+    this(
+        backlogMillis,
+        memoryShare,
+        stallMillis,
+        lateMillis,
+        retryAfterMillis,
+        costWindowMillis,
+        0,
+        0);
+  }
+
+  /** Maximum sum of the overage and the slack, far above any useful one. */
+  private static final double MAXIMUM_COLD = 1_000;
 
   /** The default values. docs/decisions/0011 documents the experiments behind them. */
   public static final SlotAllocatorPolicy DEFAULT =
@@ -52,5 +79,14 @@
       throw new IllegalArgumentException(
           "slot allocator policy: memoryShare " + memoryShare + " must be above 0 and at most 1");
     }
+    if (!(coldOverage >= 0 && coldSlack >= 0) || coldOverage + coldSlack > MAXIMUM_COLD) {
+      throw new IllegalArgumentException(
+          "slot allocator policy: coldOverage "
+              + coldOverage
+              + " and coldSlack "
+              + coldSlack
+              + " must be at least 0 and their sum at most "
+              + MAXIMUM_COLD);
+    }
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -137,12 +137,14 @@
   }
 
   private WaitingCall waitingCall(RoutedRequest request, long nowNanos) {
+    request.reportedTimeLeftMillis =
+        (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI;
     return new WaitingCall(
         request.id(),
         request.call.workspace(),
         request.lastTarget,
         objectiveMillis(request, nowNanos) - roundTripMillis,
-        (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
+        request.reportedTimeLeftMillis,
         request.plan.repeatable(),
         request.underserved,
         request.call.prompt());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -96,7 +96,7 @@
     } else if (arrived && !request.placement.tryAcquireRetry(request, nowNanos)) {
       lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
     } else {
-      lifecycle.requeue(request, SlotStage.REJECTED, nowNanos);
+      lifecycle.requeue(request, notRunStage(reason), nowNanos);
     }
   }
 
@@ -246,10 +246,18 @@
     } else if (!request.placement.tryAcquireRetry(request, nowNanos)) {
       lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
     } else {
-      lifecycle.requeue(request, SlotStage.FAILED, nowNanos);
+      lifecycle.requeue(request, RequestLifecycle.stage(reason), nowNanos);
     }
   }
 
+  private static SlotStage notRunStage(Reason reason) {
+    return switch (reason) {
+      case WITHDRAWN -> SlotStage.DECLINED;
+      case UPSTREAM_UNREACHABLE -> SlotStage.DISCONNECTED;
+      default -> SlotStage.REJECTED;
+    };
+  }
+
   /**
    * Returns whether a request may run again; once its response has started, only a resumable one.
    */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -111,9 +111,11 @@
             request.id(), outcome, reason, retryAfterMillis, request.metadata(cost, nowNanos)));
   }
 
-  private static SlotStage stage(Reason reason) {
+  /** Returns the state change of a slot whose attempt ends for a reason. */
+  static SlotStage stage(Reason reason) {
     return switch (reason) {
       case CALLER_GONE, DEADLINE, DRAINING, WITHDRAWN -> SlotStage.CANCELLED;
+      case UPSTREAM_UNREACHABLE, UPSTREAM_DIED, ANSWER_INCOMPLETE -> SlotStage.DISCONNECTED;
       default -> SlotStage.FAILED;
     };
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -66,6 +66,9 @@
   /** Data centre in which the request waits for a slot or holds one. */
   String dataCentre = "";
 
+  /** Time left that the last report to a slot allocator stated, in milliseconds. */
+  long reportedTimeLeftMillis;
+
   /** Data centres whose slot allocators have refused the request a slot. */
   final Set<String> refusedBy = new HashSet<>();
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -54,6 +54,7 @@
   private final AllocatorCostExchange costs;
   private final WaitingRequests waiting;
   private final SlotScheduler scheduler;
+  private final ColdStarts coldStarts;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
   private final ServedLevels levels = new ServedLevels();
@@ -85,12 +86,14 @@
     this.costs = new AllocatorCostExchange(ledger);
     this.allocations = new SlotAllocations(rule, ledger);
     this.waiting = new WaitingRequests(ledger);
-    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values());
+    this.coldStarts = new ColdStarts(service, policy, upstreams.values());
+    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldStarts);
   }
 
-  /** Applies the workspace weights and the engine profile of a table version. */
-  public void activate(Table table) {
+  /** Applies the workspace weights, the engine profile and the warm-up of a table version. */
+  public void activate(Table table, long nowNanos) {
     ledger.activate(table);
+    coldStarts.activate(table.service(service).flatMap(ServiceEntry::warmUp), nowNanos);
     memoryTokens =
         table
             .service(service)
@@ -100,18 +103,25 @@
     upstreams.values().forEach(upstream -> upstream.memoryTokens = memoryTokens);
   }
 
-  /** Replaces the upstreams; one that restarted or moved starts with no recorded load. */
-  public void updateUpstreams(Collection<Upstream> listed, long nowNanos) {
+  /**
+   * Replaces the upstreams; one that restarted or moved starts with no recorded load.
+   *
+   * @param takenOver data centres whose slots another allocator may have granted until now
+   */
+  public void updateUpstreams(Collection<Upstream> listed, Set<String> takenOver, long nowNanos) {
     Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
     upstreams.clear();
     for (Upstream upstream : listed) {
-      UpstreamLoad load = previous.get(upstream.name());
-      if (load == null || restarted(load.upstream, upstream)) {
+      UpstreamLoad earlier = previous.get(upstream.name());
+      UpstreamLoad load = earlier;
+      if (earlier == null || !earlier.isSameProcess(upstream)) {
         load = new UpstreamLoad(upstream, nowNanos);
         load.memoryTokens = memoryTokens;
+        coldStarts.onProcessReplaced(load, earlier);
       }
       load.upstream = upstream;
       upstreams.put(upstream.name(), load);
+      coldStarts.onListed(load, takenOver.contains(upstream.dataCentre()), nowNanos);
     }
   }
 
@@ -144,6 +154,22 @@
     upstreams.values().forEach(upstream -> upstream.share = share);
   }
 
+  /**
+   * Sets what limits the use of cold upstreams beside their own rate.
+   *
+   * @param allocating whether routers of this data centre use this allocator
+   * @param share share of the usual rate that this allocator may use, up to 1
+   */
+  public void setColdStarts(boolean allocating, double share, long nowNanos) {
+    coldStarts.setAllocating(allocating, nowNanos);
+    coldStarts.setShare(share);
+  }
+
+  /** Treats the upstreams of data centres as cold whose evacuation has ended. */
+  public void onEvacuationEnded(Set<String> dataCentres, long nowNanos) {
+    coldStarts.onEvacuationEnded(dataCentres, nowNanos);
+  }
+
   /** Replaces the other data centres in which requests of the service can get slots. */
   public void setOtherDataCentres(Set<String> names) {
     otherDataCentres = Set.copyOf(names);
@@ -173,6 +199,7 @@
    */
   public void review(long nowNanos) {
     upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
+    coldStarts.report(effects, nowNanos);
     if (waiting.isEmpty()) {
       return;
     }
@@ -324,11 +351,17 @@
                 .orElse(0),
             entry.call.underserved()));
     allocations.allocate(entry.router, entry.call, upstream, false, nowNanos);
+    coldStarts.recordGrant(upstream, nowNanos);
     effects.add(
         new Send(
             entry.router,
             new SlotMessage.SlotGranted(
-                service, entry.call.request(), assignment.upstream().upstream.name())));
+                service,
+                entry.call.request(),
+                upstream.upstream.name(),
+                coldStarts.isCold(upstream, nowNanos),
+                entry.waitedMillis(nowNanos),
+                entry.call.timeLeftMillis())));
   }
 
   /** Marks an upstream as stalled, and recalls requests from it, if it makes no progress. */
@@ -358,10 +391,4 @@
             new SlotMessage.SlotRecalled(
                 service, allocation.call.request(), upstream.upstream.name())));
   }
-
-  private static boolean restarted(Upstream previous, Upstream current) {
-    return previous.incarnation() != current.incarnation()
-        || previous.port() != current.port()
-        || !previous.address().equals(current.address());
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -84,8 +84,15 @@
         cost = rule.actualCost(allocation.call, amount);
         rule.observe(amount);
         allocation.upstream.health.recordSuccess();
+        allocation.upstream.warmUp.onResponse(nowNanos);
       }
       case REJECTED, FAILED -> allocation.upstream.health.recordFailure(nowNanos);
+      case DISCONNECTED -> {
+        allocation.upstream.health.recordFailure(nowNanos);
+        if (allocation.upstream.health.isEjected(nowNanos)) {
+          allocation.upstream.warmUp.onDisconnected();
+        }
+      }
       default -> {
         // Not a fault of the upstream.
       }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -14,6 +14,7 @@
 import dev.agatepier.core.version.Upstream;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /** Handles messages of slot allocators: calls upstreams, refuses requests and moves them. */
 public final class SlotReplyHandler {
@@ -67,20 +68,44 @@
   private void onGranted(String router, SlotGranted granted, long nowNanos) {
     RoutedRequest request = findWaiting(granted.request(), granted.service());
     DirectUpstream upstream = upstreams.get(granted.upstream());
-    if (request == null || !placement.isAllocator(request, router)) {
+    if (request == null
+        || !placement.isAllocator(request, router)
+        || repliesToEarlierReport(request, granted)) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
-    } else if (upstream == null || upstream.upstream().leaving()) {
+    } else if (upstream == null
+        || upstream.upstream().leaving()
+        || granted.cold() && nowNanos - sendByNanos(request, granted) > 0) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
     } else if (state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
     } else {
-      call(request, upstream, nowNanos);
+      OptionalLong sendBy =
+          granted.cold() ? OptionalLong.of(sendByNanos(request, granted)) : OptionalLong.empty();
+      call(request, upstream, sendBy, nowNanos);
     }
   }
 
-  private void call(RoutedRequest request, DirectUpstream upstream, long nowNanos) {
+  /** Returns whether a grant for a cold upstream is a repeated one: each is counted only once. */
+  private static boolean repliesToEarlierReport(RoutedRequest request, SlotGranted granted) {
+    return granted.cold() && granted.timeLeftMillis() != request.reportedTimeLeftMillis;
+  }
+
+  /**
+   * Returns until when a request may be sent to a cold upstream. The time since the router reported
+   * the request, less its wait at the allocator, is at least the time since the grant.
+   */
+  private static long sendByNanos(RoutedRequest request, SlotGranted granted) {
+    long reportedNanos =
+        request.deadlineNanos - (granted.timeLeftMillis() + 1) * RouterState.NANOS_PER_MILLI;
+    return reportedNanos
+        + granted.waitedMillis() * RouterState.NANOS_PER_MILLI
+        + ColdGrantWindow.MAX_AGE_NANOS;
+  }
+
+  private void call(
+      RoutedRequest request, DirectUpstream upstream, OptionalLong sendByNanos, long nowNanos) {
     AttemptId attempt = lifecycle.start(request, upstream, false, nowNanos);
     state.outbox.add(
         new RouterEffect.RunAttempt(
@@ -92,7 +117,8 @@
             request.plan,
             (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
             request.resumeAfter(),
-            state.policy.windowBytes()));
+            state.policy.windowBytes(),
+            sendByNanos));
   }
 
   private void onRefused(String router, SlotRefused refused, long nowNanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -36,6 +36,7 @@
   private final WorkspaceLedger ledger;
   private final WaitingRequests waiting;
   private final Collection<UpstreamLoad> upstreams;
+  private final ColdStarts coldStarts;
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -52,11 +53,13 @@
       SlotRule rule,
       WorkspaceLedger ledger,
       WaitingRequests waiting,
-      Collection<UpstreamLoad> upstreams) {
+      Collection<UpstreamLoad> upstreams,
+      ColdStarts coldStarts) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
+    this.coldStarts = coldStarts;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
@@ -120,7 +123,7 @@
     for (WaitingEntry entry : waiting.all()) {
       work += entry.workMillis;
     }
-    return delayBehind(work, nowNanos);
+    return delayBehind(work, waiting.size(), nowNanos);
   }
 
   /** Returns the expected wait behind the requests that precede one in fair order. */
@@ -130,6 +133,7 @@
     }
     double ownService = ledger.account(entry.workspace()).virtualService();
     double work = 0;
+    int ahead = 0;
     for (WaitingEntry other : waiting.all()) {
       boolean sameWorkspace = other.workspace().equals(entry.workspace());
       boolean before =
@@ -137,21 +141,34 @@
               ? other.dueNanos <= entry.dueNanos
               : ledger.account(other.workspace()).virtualService() <= ownService;
       work += before ? other.workMillis : 0;
+      ahead += before ? 1 : 0;
     }
-    return delayBehind(work, nowNanos);
+    return delayBehind(work, ahead, nowNanos);
   }
 
-  /** Returns the wait behind work spread over all usable upstreams, including their backlog. */
-  private double delayBehind(double work, long nowNanos) {
+  /**
+   * Returns the wait behind work spread over all usable upstreams, including their backlog. Cold
+   * ones count only if no other is left: then their rate is what limits the requests.
+   */
+  private double delayBehind(double work, int requests, long nowNanos) {
     double backlog = 0;
     int usable = 0;
+    int cold = 0;
     for (UpstreamLoad upstream : upstreams) {
-      if (usable(upstream, nowNanos)) {
+      if (!usable(upstream, nowNanos)) {
+        continue;
+      }
+      if (coldStarts.isCold(upstream, nowNanos)) {
+        cold++;
+      } else {
         usable++;
         backlog += rule.backlogMillis(upstream, nowNanos);
       }
     }
-    return usable == 0 ? NO_UPSTREAM_MILLIS : (work + backlog) / (usable * rule.parallelism());
+    if (usable == 0) {
+      return cold == 0 ? NO_UPSTREAM_MILLIS : requests * coldStarts.grantMillis() / cold;
+    }
+    return (work + backlog) / (usable * rule.parallelism());
   }
 
   private Assignment nextAssignment(boolean timely, long nowNanos) {
@@ -159,6 +176,8 @@
     if (upstreams.stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
       return null;
     }
+    Assignment cheapestCold = null;
+    double cheapestMillis = Double.MAX_VALUE;
     for (WorkspaceAccount account : ledger.waitingInOrder()) {
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
@@ -175,17 +194,52 @@
         if (upstream != null) {
           return new Assignment(entry, upstream);
         }
+        UpstreamLoad cold = selectCold(entry, share, timely, nowNanos);
+        if (cold != null && rule.workMillis(cold, entry.call) < cheapestMillis) {
+          cheapestMillis = rule.workMillis(cold, entry.call);
+          cheapestCold = new Assignment(entry, cold);
+        }
         if (reserved == null && entry.call.underserved()) {
           reserved = selectForMemory(entry, nowNanos);
         }
       }
     }
-    return null;
+    return cheapestCold;
+  }
+
+  /**
+   * Returns the cold upstream with the least work for a request, which also meets the objective if
+   * {@code timely}; null if none may get it. Cold upstreams get what the others can't take now.
+   */
+  private UpstreamLoad selectCold(WaitingEntry entry, double share, boolean timely, long nowNanos) {
+    if (!coldStarts.limited()) {
+      return null;
+    }
+    UpstreamLoad best = null;
+    double bestScore = Double.MAX_VALUE;
+    for (UpstreamLoad upstream : upstreams) {
+      if (!coldStarts.isCold(upstream, nowNanos)
+          || !ready(upstream, share, nowNanos)
+          || !rule.hasCapacity(upstream, entry.call)) {
+        continue;
+      }
+      double backlog =
+          Math.max(
+              rule.backlogMillis(upstream, nowNanos),
+              upstream.pending() * coldStarts.requestMillis());
+      double counted = entry.countedMillis(backlog + firstByteMillis(upstream, entry, nowNanos));
+      double score = rule.workMillis(upstream, entry.call) + penalty(upstream, entry);
+      if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
+        best = upstream;
+        bestScore = score;
+      }
+    }
+    return best;
   }
 
   /**
-   * Returns the upstream with the lowest score, which also meets the objective if {@code timely};
-   * null if there is none or if it accepts no more backlog now.
+   * Returns the upstream that is not cold with the lowest score, which also meets the objective if
+   * {@code timely}; null if there is none or if it accepts no more backlog now.
    */
   private UpstreamLoad selectUpstream(
       WaitingEntry entry, double share, boolean timely, long nowNanos) {
@@ -194,6 +248,7 @@
     for (UpstreamLoad upstream : upstreams) {
       if (upstream == reserved
           || !usable(upstream, nowNanos)
+          || coldStarts.isCold(upstream, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
       }
@@ -209,7 +264,7 @@
         bestScore = score;
       }
     }
-    return best != null && rule.acceptsBacklog(best, share, nowNanos) ? best : null;
+    return best != null && acceptsBacklog(best, share, nowNanos) ? best : null;
   }
 
   /**
@@ -221,6 +276,7 @@
         ? null
         : upstreams.stream()
             .filter(upstream -> usable(upstream, nowNanos))
+            .filter(upstream -> !coldStarts.isCold(upstream, nowNanos))
             .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
             .orElse(null);
   }
@@ -244,16 +300,32 @@
     double min = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
       if (usable(upstream, nowNanos)) {
-        min = Math.min(min, rule.firstByteMillis(upstream, entry.call));
+        min = Math.min(min, firstByteMillis(upstream, entry, nowNanos));
       }
     }
     return min == Double.MAX_VALUE ? 0 : min;
   }
 
+  /** Returns the time to the first byte without backlog, which is longer at a cold upstream. */
+  private double firstByteMillis(UpstreamLoad upstream, WaitingEntry entry, long nowNanos) {
+    double millis = rule.firstByteMillis(upstream, entry.call);
+    return coldStarts.isCold(upstream, nowNanos)
+        ? Math.max(millis, coldStarts.requestMillis())
+        : millis;
+  }
+
   private boolean ready(UpstreamLoad upstream, double share, long nowNanos) {
     return usable(upstream, nowNanos)
         && upstream.freeSlots() > 0
-        && rule.acceptsBacklog(upstream, share, nowNanos);
+        && (coldStarts.isCold(upstream, nowNanos)
+            ? coldStarts.permits(upstream, nowNanos)
+                && rule.acceptsBacklog(upstream, share, nowNanos)
+            : acceptsBacklog(upstream, share, nowNanos));
+  }
+
+  private boolean acceptsBacklog(UpstreamLoad upstream, double share, long nowNanos) {
+    return rule.acceptsBacklog(
+        upstream, share * coldStarts.backlogShare(upstream, nowNanos), nowNanos);
   }
 
   private static boolean usable(UpstreamLoad upstream, long nowNanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -20,6 +20,7 @@
   final PrefillTimeModel prefillTime = new PrefillTimeModel();
   final PrefixCacheModel cache = new PrefixCacheModel();
   final UpstreamHealth health = new UpstreamHealth();
+  final WarmUpState warmUp = new WarmUpState();
 
   Upstream upstream;
 
@@ -53,6 +54,18 @@
     return Math.max(1, (int) (share * upstream.slots())) - allocations.size();
   }
 
+  /** Returns the number of requests whose response has not started. */
+  int pending() {
+    return pending.size();
+  }
+
+  /** Returns whether an entry belongs to the same process as the current one. */
+  boolean isSameProcess(Upstream entry) {
+    return entry.incarnation() == upstream.incarnation()
+        && entry.port() == upstream.port()
+        && entry.address().equals(upstream.address());
+  }
+
   /** Returns the tokens in memory for running requests, including their expected output. */
   long runningTokens() {
     return cache.pinnedTokens() + outputTokens;
@@ -95,6 +108,7 @@
   void recordProgress(long nowNanos) {
     progressNanos = Math.max(progressNanos, nowNanos);
     health.recordProgress();
+    warmUp.onResponse(nowNanos);
   }
 
   /** Releases a slot; does nothing if it is already released. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/ServiceEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/ServiceEntry.java
@@ -14,6 +14,7 @@
  * @param retryShare retry budget as a fraction of first attempts, from 0 to 1
  * @param keeping which process allocates the slots of its upstreams
  * @param engine published properties of its model engines; empty for none
+ * @param warmUp warm-up of its upstreams; empty if they need none
  */
 public record ServiceEntry(
     String name,
@@ -22,7 +23,21 @@
     long deadlineMillis,
     double retryShare,
     SlotAllocationMode keeping,
-    Optional<EngineProfile> engine) {
+    Optional<EngineProfile> engine,
+    Optional<WarmUp> warmUp) {
+
+  /** Creates an entry whose upstreams need no warm-up. */
+  public ServiceEntry(
+      String name,
+      ServiceKind kind,
+      List<CallPattern> idempotentCalls,
+      long deadlineMillis,
+      double retryShare,
+      SlotAllocationMode keeping,
+      Optional<EngineProfile> engine) {
+    this(
+        name, kind, idempotentCalls, deadlineMillis, retryShare, keeping, engine, Optional.empty());
+  }
 
   /** Creates an entry without an engine profile, whose slots are allocated by sidecars. */
   public ServiceEntry(
@@ -47,6 +62,7 @@
     Objects.requireNonNull(kind, "kind");
     Objects.requireNonNull(keeping, "keeping");
     Objects.requireNonNull(engine, "engine");
+    Objects.requireNonNull(warmUp, "warmUp");
     idempotentCalls = List.copyOf(idempotentCalls);
     if (deadlineMillis < 1) {
       throw new IllegalArgumentException("deadlineMillis " + deadlineMillis + " is below 1");
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/Upstream.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/Upstream.java
@@ -14,6 +14,7 @@
  * @param dataCentre data centre in which it runs
  * @param slots maximum number of requests that it runs concurrently
  * @param leaving whether it is leaving and accepts no new work
+ * @param cold whether it reports that part of its warm-up remains
  */
 public record Upstream(
     String name,
@@ -23,7 +24,21 @@
     int port,
     String dataCentre,
     int slots,
-    boolean leaving) {
+    boolean leaving,
+    boolean cold) {
+
+  /** Creates an upstream that is not cold. */
+  public Upstream(
+      String name,
+      long incarnation,
+      String service,
+      String address,
+      int port,
+      String dataCentre,
+      int slots,
+      boolean leaving) {
+    this(name, incarnation, service, address, port, dataCentre, slots, leaving, false);
+  }
 
   /** Rejects null names and numbers out of range. */
   public Upstream {
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -0,0 +1,385 @@
+package dev.agatepier.core.process;
+
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.ServiceKind;
+import dev.agatepier.core.version.SlotAllocationMode;
+import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.WarmUp;
+import dev.agatepier.core.version.Workspace;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.testng.Reporter;
+import org.testng.annotations.Test;
+
+/**
+ * Explores all sequences of a bounded number of steps, with the decisions of two routers and one
+ * upstream that stays cold: messages that are lost, delayed or repeated, changes of the slot
+ * allocator, and routers that are suspended at any point between a grant and its request. {@code
+ * -Dexplorer.depth} sets the number of steps.
+ */
+public class ColdUpstreamExplorerTest {
+
+  private static final int DEPTH = Integer.getInteger("explorer.depth", 4);
+  private static final long MILLI = 1_000_000;
+  private static final long SECOND = 1_000 * MILLI;
+  private static final long SLICE_MILLIS = 50;
+
+  /** Times that a step takes: less than the maximum age of a grant, and more than a second. */
+  private static final long[] STEP_MILLIS = {SLICE_MILLIS, 1_150};
+
+  private static final int WAITING = 6;
+  private static final String SERVICE = "plan-model";
+  private static final CallPlan PLAN =
+      new CallPlan("r", true, false, false, 3, 60_000, 60_000, 250, 1);
+
+  /** A bound of 6: each allocator may make 2 grants in a window. */
+  private static final int BOUND = 6;
+
+  private static final SlotAllocatorPolicy POLICY =
+      new SlotAllocatorPolicy(80, 0.92, 60_000, 0, 1_000, 0, 0.1, 5);
+
+  private enum Fault {
+    NONE,
+    SUSPEND_OR_RESUME_FIRST,
+    SUSPEND_OR_RESUME_SECOND,
+    HOLD_OR_RELEASE_FIRST,
+    HOLD_OR_RELEASE_SECOND,
+    CUT_OR_CONNECT,
+    REPEAT_GRANTS,
+    HAND_OVER_OR_BACK
+  }
+
+  @Test
+  public void noOrderOfMessagesExceedsTheBound() {
+    int choices = Fault.values().length * STEP_MILLIS.length;
+    long sequences = Math.round(Math.pow(choices, DEPTH));
+    Set<Integer> states = new HashSet<>();
+    int most = 0;
+    for (long sequence = 0; sequence < sequences; sequence++) {
+      World world = new World();
+      List<String> steps = new ArrayList<>();
+      long rest = sequence;
+      for (int step = 0; step < DEPTH; step++) {
+        Fault fault = Fault.values()[(int) (rest % Fault.values().length)];
+        long millis = STEP_MILLIS[(int) (rest / Fault.values().length % STEP_MILLIS.length)];
+        rest /= choices;
+        steps.add(fault + " " + millis);
+        world.step(fault, millis);
+        states.add(world.state());
+        most = Math.max(most, world.most);
+        assertTrue(world.most <= BOUND, world.most + " requests in a second: " + steps);
+      }
+    }
+    Reporter.log(
+        "%d sequences, %d states, at most %d of %d requests in a second"
+            .formatted(sequences, states.size(), most, BOUND),
+        true);
+    assertTrue(most >= BOUND / 2, "the sequences must use the upstream: " + most);
+  }
+
+  private static Table table() {
+    ServiceEntry service =
+        new ServiceEntry(
+            SERVICE,
+            ServiceKind.PLAIN,
+            List.of(),
+            60_000,
+            0.2,
+            SlotAllocationMode.ROUTER,
+            Optional.empty(),
+            Optional.of(new WarmUp(60_000, 10)));
+    Limits limits = new Limits(1_000, 1_000, 0);
+    Workspace workspace = new Workspace("w", 1, "00", limits, Set.of(SERVICE));
+    return new Table(1, Map.of("w", workspace), Map.of(SERVICE, service));
+  }
+
+  /** Two routers, the link between them, and the upstream. */
+  private static final class World {
+    private final Node[] nodes = {new Node("r1"), new Node("r2")};
+    private final Deque<Long> arrivals = new ArrayDeque<>();
+    private long nowNanos = 10 * SECOND;
+    private boolean connected;
+    private int arrived;
+    private int most;
+
+    private World() {
+      InstanceList list =
+          new InstanceList(
+              1,
+              List.of(),
+              List.of(new Upstream("u1", 1, SERVICE, "127.0.0.1", 8_000, "a1", 64, false, true)));
+      for (Node node : nodes) {
+        node.dispatch(new SlotAllocatorEvent.TableActivated(table()));
+        node.dispatch(new SlotAllocatorEvent.InstancesActivated(list));
+        node.dispatch(new RouterEvent.TableActivated(table()));
+        node.dispatch(new RouterEvent.InstancesActivated(list));
+      }
+      toggleLink();
+      pass(1_300);
+    }
+
+    private void step(Fault fault, long millis) {
+      switch (fault) {
+        case NONE -> {
+          // Time passes.
+        }
+        case SUSPEND_OR_RESUME_FIRST -> nodes[0].suspended = !nodes[0].suspended;
+        case SUSPEND_OR_RESUME_SECOND -> nodes[1].suspended = !nodes[1].suspended;
+        case HOLD_OR_RELEASE_FIRST -> nodes[0].held = !nodes[0].held;
+        case HOLD_OR_RELEASE_SECOND -> nodes[1].held = !nodes[1].held;
+        case CUT_OR_CONNECT -> toggleLink();
+        case REPEAT_GRANTS -> {
+          for (Node node : nodes) {
+            node.granted.forEach(node::receiveLater);
+          }
+        }
+        case HAND_OVER_OR_BACK -> {
+          // The first allocator's router is about to stop, or not any more.
+          nodes[0].leaving = !nodes[0].leaving;
+          nodes[0].announceLeaving(nodes[0]);
+          nodes[1].announceLeaving(nodes[0]);
+        }
+      }
+      pass(millis);
+    }
+
+    private void toggleLink() {
+      connected = !connected;
+      for (int index = 0; index < nodes.length; index++) {
+        nodes[index].inFlight.clear();
+        nodes[index].onLinkChanged(nodes[1 - index], connected);
+      }
+    }
+
+    private void pass(long millis) {
+      for (long slice = 0; slice < millis; slice += SLICE_MILLIS) {
+        nowNanos += SLICE_MILLIS * MILLI;
+        for (Node node : nodes) {
+          node.run();
+        }
+        // Messages of this slice are delivered within it unless they are held.
+        for (int index = 0; index < nodes.length; index++) {
+          nodes[index].deliverTo(nodes[1 - index]);
+        }
+        for (Node node : nodes) {
+          node.run();
+        }
+      }
+    }
+
+    private void onArrival(Node node, RouterEffect.RunAttempt run) {
+      arrivals.add(nowNanos);
+      while (nowNanos - arrivals.peek() > SECOND) {
+        arrivals.remove();
+      }
+      most = Math.max(most, arrivals.size());
+      AttemptId attempt = run.attempt();
+      node.waiting--;
+      if (++arrived % 3 == 0) {
+        node.waiting++;
+        node.inbox.add(
+            () -> node.dispatch(new RouterEvent.UpstreamFailed(attempt, Reason.UPSTREAM_FAILED)));
+        return;
+      }
+      node.inbox.add(
+          () -> {
+            node.dispatch(
+                new RouterEvent.UpstreamResponseStarted(
+                    attempt, new ResponseHead(200, List.of()), false));
+            node.dispatch(new RouterEvent.UpstreamResponseCompleted(attempt));
+          });
+    }
+
+    /** Returns a hash of what can be observed. */
+    private int state() {
+      List<Object> parts = new ArrayList<>();
+      arrivals.forEach(nanos -> parts.add(nowNanos - nanos));
+      for (Node node : nodes) {
+        parts.add(
+            List.of(
+                node.suspended,
+                node.held,
+                node.leaving,
+                connected,
+                node.inFlight.size(),
+                node.inbox.size(),
+                node.outgoing.size(),
+                node.grantTimes.stream().map(nanos -> nowNanos - nanos).toList()));
+      }
+      return Objects.hash(parts.toArray());
+    }
+
+    /** A router with its slot allocator. */
+    private final class Node {
+      private final PeerIdentity self;
+      private final RouterDecision router;
+      private final SlotAllocatorDecision allocator;
+      private final Deque<Runnable> inbox = new ArrayDeque<>();
+      private final Deque<SlotMessage> inFlight = new ArrayDeque<>();
+      private final Deque<RouterEffect.RunAttempt> outgoing = new ArrayDeque<>();
+      private final List<Runnable> granted = new ArrayList<>();
+      private final Deque<Long> grantTimes = new ArrayDeque<>();
+      private boolean suspended;
+      private boolean held;
+      private boolean leaving;
+      private int waiting;
+      private long lastNumber;
+
+      private Node(String name) {
+        self = new PeerIdentity(name, 1, Role.ROUTER, "a1", "a", "");
+        router = new RouterDecision(self, RouterPolicy.DEFAULT);
+        allocator = new SlotAllocatorDecision(self, POLICY);
+      }
+
+      /** Handles what has been received, unless the process is suspended. */
+      private void run() {
+        if (suspended) {
+          return;
+        }
+        while (!outgoing.isEmpty()) {
+          RouterEffect.RunAttempt run = outgoing.remove();
+          if (run.isTooLate(nowNanos)) {
+            dispatch(new RouterEvent.UpstreamNotRun(run.attempt(), Reason.WITHDRAWN, false));
+          } else {
+            onArrival(this, run);
+          }
+        }
+        for (int count = inbox.size(); count > 0; count--) {
+          inbox.remove().run();
+        }
+        while (waiting < WAITING) {
+          waiting++;
+          dispatch(call());
+        }
+        dispatch(new SlotAllocatorEvent.Tick());
+      }
+
+      private void receiveLater(Runnable message) {
+        inbox.add(message);
+      }
+
+      private void deliverTo(Node receiver) {
+        while (connected && !held && !inFlight.isEmpty()) {
+          SlotMessage message = inFlight.remove();
+          receiver.inbox.add(() -> receiver.receive(self.instance(), message));
+        }
+      }
+
+      private void onLinkChanged(Node peer, boolean up) {
+        inbox.add(
+            () -> {
+              dispatch(
+                  up
+                      ? new SlotAllocatorEvent.RouterConnected(peer.self)
+                      : new SlotAllocatorEvent.RouterDisconnected(peer.self));
+              dispatch(
+                  up
+                      ? new RouterEvent.PeerConnected(peer.self)
+                      : new RouterEvent.PeerDisconnected(peer.self));
+            });
+      }
+
+      private void announceLeaving(Node of) {
+        boolean newValue = of.leaving;
+        inbox.add(
+            () -> {
+              dispatch(new SlotAllocatorEvent.RouterLeaving(of.self.instance(), newValue));
+              dispatch(
+                  new RouterEvent.MessageReceived(
+                      of.self, new LinkMessage.Heartbeat(0, 0, newValue, 0)));
+            });
+      }
+
+      private RouterEvent call() {
+        RequestId request = new RequestId(self.instance(), 1, ++lastNumber);
+        return new RouterEvent.CallArrived(
+            request,
+            "w",
+            SERVICE,
+            new CallHead("POST", "/", List.of()),
+            Bytes.EMPTY,
+            new Fingerprint("w", SERVICE, request.toString()),
+            Optional.empty(),
+            nowNanos + 60 * SECOND,
+            Optional.of(PLAN),
+            Optional.empty(),
+            OptionalLong.empty());
+      }
+
+      private void receive(String sender, SlotMessage message) {
+        if (message instanceof SlotMessage.SlotGranted) {
+          granted.add(() -> receive(message, sender));
+        }
+        receive(message, sender);
+      }
+
+      private void receive(SlotMessage message, String sender) {
+        switch (message) {
+          case SlotMessage.SlotsWanted _,
+              SlotMessage.SlotsChanged _,
+              SlotMessage.AllocatorCosts _ ->
+              dispatch(new SlotAllocatorEvent.MessageReceived(sender, message));
+          default -> dispatch(new RouterEvent.AllocatorMessageReceived(sender, message));
+        }
+      }
+
+      private void dispatch(RouterEvent event) {
+        for (RouterEffect effect : router.decide(event, nowNanos)) {
+          switch (effect) {
+            case RouterEffect.Send send when send.message() instanceof SlotMessage message ->
+                send(send.instance(), message);
+            case RouterEffect.RunAttempt run -> outgoing.add(run);
+            case RouterEffect.FailRequest _ -> waiting--;
+            default -> {
+              // Concerns callers and other decisions.
+            }
+          }
+        }
+      }
+
+      private void dispatch(SlotAllocatorEvent event) {
+        for (SlotAllocatorEffect effect : allocator.decide(event, nowNanos)) {
+          if (effect instanceof SlotAllocatorEffect.Send(String receiver, SlotMessage message)) {
+            if (message instanceof SlotMessage.SlotGranted) {
+              grantTimes.add(nowNanos);
+            }
+            send(receiver, message);
+          }
+        }
+      }
+
+      private void send(String receiver, SlotMessage message) {
+        if (receiver.equals(self.instance())) {
+          inbox.add(() -> receive(receiver, message));
+        } else if (connected) {
+          inFlight.add(message);
+        }
+      }
+    }
+  }
+}
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -21,6 +21,7 @@
 import dev.agatepier.core.version.SlotAllocationMode;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.WarmUp;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -39,6 +40,12 @@
   static final String ROUTER = "r1";
   static final long MEMORY_TOKENS = 100_000;
 
+  static final WarmUp WARM_UP = new WarmUp(3_000, 10);
+
+  /** Limits a cold upstream of that warm-up to 20 requests a second. */
+  static final SlotAllocatorPolicy COLD_STARTS =
+      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 1.5, 5);
+
   private static final long MILLI = 1_000_000;
 
   final SlotAllocatorDecision decision;
@@ -72,6 +79,23 @@
     return allocator;
   }
 
+  /** Returns an allocator with upstreams whose service warms up, after its first window. */
+  static SlotAllocatorFixture withColdStarts(String... upstreams) {
+    SlotAllocatorFixture allocator = newWithColdStarts(COLD_STARTS, Optional.of(WARM_UP));
+    allocator.publishUpstreams(upstreams);
+    allocator.advance(1_351);
+    return allocator;
+  }
+
+  /** Returns a new allocator without upstreams. */
+  static SlotAllocatorFixture newWithColdStarts(
+      SlotAllocatorPolicy policy, Optional<WarmUp> warmUp) {
+    SlotAllocatorFixture allocator =
+        new SlotAllocatorFixture(new SlotAllocatorDecision(router(ROUTER, "a1"), policy));
+    allocator.dispatch(new SlotAllocatorEvent.TableActivated(table(warmUp)));
+    return allocator;
+  }
+
   /** Returns the default policy with costs that lose weight over a period. */
   static SlotAllocatorPolicy withCostWindow(long millis) {
     SlotAllocatorPolicy defaults = SlotAllocatorPolicy.DEFAULT;
@@ -95,10 +119,14 @@
   }
 
   static Table table() {
-    return new Table(1, Map.of(), Map.of(MODEL, modelService(), PLAIN, plainService()));
+    return table(Optional.empty());
+  }
+
+  private static Table table(Optional<WarmUp> warmUp) {
+    return new Table(1, Map.of(), Map.of(MODEL, modelService(warmUp), PLAIN, plainService(warmUp)));
   }
 
-  private static ServiceEntry modelService() {
+  private static ServiceEntry modelService(Optional<WarmUp> warmUp) {
     return new ServiceEntry(
         MODEL,
         ServiceKind.MODEL,
@@ -106,10 +134,11 @@
         60_000,
         0.2,
         SlotAllocationMode.ROUTER,
-        Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
+        Optional.of(new EngineProfile(MEMORY_TOKENS, 5)),
+        warmUp);
   }
 
-  private static ServiceEntry plainService() {
+  private static ServiceEntry plainService(Optional<WarmUp> warmUp) {
     return new ServiceEntry(
         PLAIN,
         ServiceKind.PLAIN,
@@ -117,12 +146,13 @@
         60_000,
         0.2,
         SlotAllocationMode.ROUTER,
-        Optional.empty());
+        Optional.empty(),
+        warmUp);
   }
 
   /**
    * Publishes upstreams by name: prefix m for engines and p for plain upstreams, suffix x for
-   * leaving ones, and prefix b- for another data centre.
+   * leaving ones, suffix c for cold ones, and prefix b- for another data centre.
    */
   void publishUpstreams(String... names) {
     List<Upstream> upstreams = Arrays.stream(names).map(SlotAllocatorFixture::upstream).toList();
@@ -135,15 +165,17 @@
     boolean model = name.startsWith("m");
     String dataCentre = name.startsWith("b-") ? "b1" : "a1";
     boolean leaving = name.endsWith("x");
+    boolean cold = name.endsWith("c");
     return new Upstream(
-        leaving ? name.substring(0, name.length() - 1) : name,
+        leaving || cold ? name.substring(0, name.length() - 1) : name,
         1,
         model ? MODEL : PLAIN,
         "127.0.0.1",
         8_000,
         dataCentre,
         model ? 8 : 2,
-        leaving);
+        leaving,
+        cold);
   }
 
   List<SlotMessage> dispatch(SlotAllocatorEvent event) {
@@ -158,7 +190,9 @@
           }
         }
         case SlotAllocatorEffect.UpstreamUsabilityChanged change -> usabilityChanges.add(change);
-        case SlotAllocatorEffect.Placed _, SlotAllocatorEffect.Rejected _ -> {
+        case SlotAllocatorEffect.Placed _,
+            SlotAllocatorEffect.Rejected _,
+            SlotAllocatorEffect.ColdGrants _ -> {
           // Only logged.
         }
       }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesMessageCodec.java
@@ -52,6 +52,7 @@
     output.writeString(upstream.dataCentre());
     output.writeInt(upstream.slots());
     output.writeBoolean(upstream.leaving());
+    output.writeBoolean(upstream.cold());
   }
 
   private static Upstream readUpstream(FieldInput input) {
@@ -63,6 +64,7 @@
         input.readInt(),
         input.readString(),
         input.readInt(),
+        input.readBoolean(),
         input.readBoolean());
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -53,15 +53,23 @@
         new MessageType<>(
             62,
             SlotGranted.class,
-            3,
+            6,
             (message, output) -> {
               output.writeString(message.service());
               RequestFields.writeRequest(message.request(), output);
               output.writeString(message.upstream());
+              output.writeBoolean(message.cold());
+              output.writeLong(message.waitedMillis());
+              output.writeLong(message.timeLeftMillis());
             },
             input ->
                 new SlotGranted(
-                    input.readString(), RequestFields.readRequest(input), input.readString())),
+                    input.readString(),
+                    RequestFields.readRequest(input),
+                    input.readString(),
+                    input.readBoolean(),
+                    input.readLong(),
+                    input.readLong())),
         new MessageType<>(
             63,
             SlotRefused.class,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -157,7 +157,13 @@
     return null;
   }
 
+  /** Sends a request, unless its process was suspended or connected for too long since. */
   private void send(AttemptExchange exchange, UpstreamConnection connection) {
+    if (exchange.attempt().isTooLate(context.clock().nanoTime())) {
+      connection.close();
+      exchange.notRun(Reason.WITHDRAWN, false);
+      return;
+    }
     busy.put(exchange.id(), connection);
     connection.send(exchange, context.dialect().headers(exchange.attempt()));
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -297,6 +297,7 @@
         slotMetrics.recordRejected(rejection);
         RequestLog.logSlotRejected(rejection);
       }
+      case SlotAllocatorEffect.ColdGrants grants -> slotMetrics.recordColdGrants(grants);
       case SlotAllocatorEffect.UpstreamUsabilityChanged change ->
           RequestLog.logUpstreamUsabilityChanged(change);
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
@@ -1,6 +1,7 @@
 package dev.agatepier.wire.process.internal;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import dev.agatepier.core.process.FairPosition;
@@ -17,6 +18,8 @@
 
   private static final String GRANTED = "granted-cost";
   private static final String REJECTED = "rejected-slots";
+  private static final String COLD_GRANTS = "cold-grants";
+  private static final String COLD_BOUND = "cold-bound";
   private static final String VIRTUAL_SERVICE = "virtual-service";
 
   private final MetricRegistry registry;
@@ -38,6 +41,16 @@
     recordDecision(rejection.service(), rejection.position()).rejected.inc();
   }
 
+  void recordColdGrants(SlotAllocatorEffect.ColdGrants grants) {
+    gauge(grants.service(), COLD_GRANTS).setValue(grants.most());
+    gauge(grants.service(), COLD_BOUND).setValue(grants.bound());
+  }
+
+  private DefaultSettableGauge<Integer> gauge(String service, String statistic) {
+    return registry.gauge(
+        "slots." + service + "." + statistic, () -> new DefaultSettableGauge<>(0));
+  }
+
   private PairStatistics recordDecision(String service, FairPosition position) {
     Pair pair = new Pair(position.workspace(), service);
     PairStatistics statistics = pairs.computeIfAbsent(pair, this::newStatistics);
