--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -26,14 +26,16 @@
 import dev.agatepier.core.version.Workspace;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.testng.Reporter;
 import org.testng.annotations.Test;
 
@@ -51,9 +53,16 @@
   private static final long SLICE_MILLIS = 50;
 
   /** Times that a step takes: less than the maximum age of a grant, and more than a second. */
-  private static final long[] STEP_MILLIS = {SLICE_MILLIS, 1_150};
+  private static final long[] STEP_MILLIS = {SLICE_MILLIS, 200, 1_150};
+
+  /** Age from which on an event has no influence any more, in milliseconds. */
+  private static final long MOST_AGE = 1_500;
 
   private static final int WAITING = 6;
+
+  /** Number of the last grants that are repeated. */
+  private static final int REPEATED = 4;
+
   private static final String SERVICE = "plan-model";
   private static final CallPlan PLAN =
       new CallPlan("r", true, false, false, 3, 60_000, 60_000, 250, 1);
@@ -64,6 +73,8 @@
    */
   private static final int BOUND = 4;
 
+  private static final int QUOTA = BOUND / 2;
+
   private static final SlotAllocatorPolicy POLICY =
       new SlotAllocatorPolicy(80, 0.92, 60_000, 0, 1_000, 0, 0.1, 5);
 
@@ -75,37 +86,50 @@
     HOLD_OR_RELEASE_SECOND,
     CUT_OR_CONNECT,
     REPEAT_GRANTS,
+    RESTART_FIRST,
     HAND_OVER_OR_BACK
   }
 
+  /** A step: a fault, and the time that passes after it. */
+  private record Step(Fault fault, long millis) {}
+
   @Test
   public void noOrderOfMessagesExceedsTheBound() {
-    int choices = Fault.values().length * STEP_MILLIS.length;
-    long sequences = Math.round(Math.pow(choices, DEPTH));
-    Set<Integer> states = new HashSet<>();
+    Set<List<Object>> states = new HashSet<>();
+    List<List<Step>> level = List.of(List.of());
+    int sequences = 0;
     int most = 0;
-    for (long sequence = 0; sequence < sequences; sequence++) {
-      World world = new World();
-      List<String> steps = new ArrayList<>();
-      long rest = sequence;
-      for (int step = 0; step < DEPTH; step++) {
-        Fault fault = Fault.values()[(int) (rest % Fault.values().length)];
-        long millis = STEP_MILLIS[(int) (rest / Fault.values().length % STEP_MILLIS.length)];
-        rest /= choices;
-        steps.add(fault + " " + millis);
-        world.step(fault, millis);
-        states.add(world.state());
-        most = Math.max(most, world.most);
-        assertTrue(world.most <= BOUND, world.most + " requests in a second: " + steps);
+    for (int depth = 0; depth < DEPTH; depth++) {
+      List<List<Step>> next = new ArrayList<>();
+      for (List<Step> steps : level) {
+        for (Step step : choices()) {
+          List<Step> extended = Stream.concat(steps.stream(), Stream.of(step)).toList();
+          World world = new World();
+          extended.forEach(world::take);
+          sequences++;
+          most = Math.max(most, world.most);
+          assertTrue(world.most <= BOUND, world.most + " requests in a second: " + extended);
+          assertTrue(world.mostOfOne <= QUOTA, world.mostOfOne + " of one allocator: " + extended);
+          if (states.add(world.state())) {
+            next.add(extended);
+          }
+        }
       }
+      level = next;
     }
     Reporter.log(
-        "%d sequences, %d states, at most %d of %d requests in a second"
-            .formatted(sequences, states.size(), most, BOUND),
+        "%d steps, %d states, at most %d requests in a second"
+            .formatted(sequences, states.size(), most),
         true);
     assertEquals(most, BOUND, "the sequences must make full use of the bound");
   }
 
+  private static List<Step> choices() {
+    return Arrays.stream(Fault.values())
+        .flatMap(fault -> Arrays.stream(STEP_MILLIS).mapToObj(millis -> new Step(fault, millis)))
+        .toList();
+  }
+
   private static Table table() {
     ServiceEntry service =
         new ServiceEntry(
@@ -125,11 +149,15 @@
   /** Two routers, the link between them, and the upstream. */
   private static final class World {
     private final Node[] nodes = {new Node("r1"), new Node("r2")};
-    private final Deque<Long> arrivals = new ArrayDeque<>();
+    private final Deque<Arrival> arrivals = new ArrayDeque<>();
     private long nowNanos = 10 * SECOND;
     private boolean connected;
     private int arrived;
     private int most;
+    private int mostOfOne;
+
+    /** A request that the upstream got by a grant of a router's allocator. */
+    private record Arrival(long nanos, String allocator) {}
 
     private World() {
       InstanceList list =
@@ -147,8 +175,8 @@
       pass(1_300);
     }
 
-    private void step(Fault fault, long millis) {
-      switch (fault) {
+    private void take(Step step) {
+      switch (step.fault) {
         case NONE -> {
           // Time passes.
         }
@@ -159,7 +187,7 @@
         case CUT_OR_CONNECT -> toggleLink();
         case REPEAT_GRANTS -> {
           for (Node node : nodes) {
-            node.granted.forEach(node::receiveLater);
+            node.inbox.addAll(node.granted);
           }
         }
         case HAND_OVER_OR_BACK -> {
@@ -168,8 +196,19 @@
           nodes[0].announceLeaving(nodes[0]);
           nodes[1].announceLeaving(nodes[0]);
         }
+        case RESTART_FIRST -> {
+          boolean wasConnected = connected;
+          if (wasConnected) {
+            toggleLink();
+          }
+          nodes[0] = new Node("r1");
+          nodes[0].start();
+          if (wasConnected) {
+            toggleLink();
+          }
+        }
       }
-      pass(millis);
+      pass(step.millis);
     }
 
     private void toggleLink() {
@@ -197,12 +236,15 @@
     }
 
     private void onArrival(Node node, RouterEffect.RunAttempt run) {
-      arrivals.add(nowNanos);
-      while (nowNanos - arrivals.peek() > SECOND) {
+      AttemptId attempt = run.attempt();
+      String allocator = node.grantedBy.get(attempt.request());
+      arrivals.add(new Arrival(nowNanos, allocator));
+      while (nowNanos - arrivals.peek().nanos > SECOND) {
         arrivals.remove();
       }
       most = Math.max(most, arrivals.size());
-      AttemptId attempt = run.attempt();
+      long ofOne = arrivals.stream().filter(one -> one.allocator.equals(allocator)).count();
+      mostOfOne = Math.max(mostOfOne, (int) ofOne);
       node.waiting--;
       if (++arrived % 3 == 0) {
         node.waiting++;
@@ -219,23 +261,34 @@
           });
     }
 
-    /** Returns a hash of what can be observed. */
-    private int state() {
+    /** Returns what can be observed; two worlds that agree in it go on alike. */
+    private List<Object> state() {
       List<Object> parts = new ArrayList<>();
-      arrivals.forEach(nanos -> parts.add(nowNanos - nanos));
+      arrivals.forEach(arrival -> parts.add(age(arrival.nanos) + arrival.allocator));
+      parts.add(arrived % 3);
+      parts.add(connected);
       for (Node node : nodes) {
-        parts.add(
+        parts.addAll(
             List.of(
                 node.suspended,
                 node.held,
                 node.leaving,
-                connected,
                 node.inFlight.size(),
                 node.inbox.size(),
-                node.outgoing.size(),
-                node.grantTimes.stream().map(nanos -> nowNanos - nanos).toList()));
+                node.outgoing.stream().map(run -> age(run.sendByNanos().orElse(0))).toList(),
+                node.granted.size(),
+                age(node.changedNanos),
+                node.allocator.snapshot(nowNanos).stream()
+                    .map(status -> status.waiting() + "/" + status.held())
+                    .toList(),
+                node.grantTimes.stream().map(this::age).filter(age -> age < MOST_AGE).toList()));
       }
-      return Objects.hash(parts.toArray());
+      return parts;
+    }
+
+    /** Returns the age of an event in milliseconds, up to one from which on none matters. */
+    private long age(long nanos) {
+      return Math.min((nowNanos - nanos) / MILLI, MOST_AGE);
     }
 
     /** A router with its slot allocator. */
@@ -246,8 +299,10 @@
       private final Deque<Runnable> inbox = new ArrayDeque<>();
       private final Deque<SlotMessage> inFlight = new ArrayDeque<>();
       private final Deque<RouterEffect.RunAttempt> outgoing = new ArrayDeque<>();
-      private final List<Runnable> granted = new ArrayList<>();
+      private final Deque<Runnable> granted = new ArrayDeque<>();
       private final Deque<Long> grantTimes = new ArrayDeque<>();
+      private final Map<RequestId, String> grantedBy = new HashMap<>();
+      private long changedNanos = nowNanos;
       private boolean suspended;
       private boolean held;
       private boolean leaving;
@@ -260,6 +315,16 @@
         allocator = new SlotAllocatorDecision(self, POLICY);
       }
 
+      private void start() {
+        Upstream upstream =
+            new Upstream("u1", 1, SERVICE, "127.0.0.1", 8_000, "a1", 64, false, true);
+        InstanceList list = new InstanceList(1, List.of(), List.of(upstream));
+        dispatch(new SlotAllocatorEvent.TableActivated(table()));
+        dispatch(new SlotAllocatorEvent.InstancesActivated(list));
+        dispatch(new RouterEvent.TableActivated(table()));
+        dispatch(new RouterEvent.InstancesActivated(list));
+      }
+
       /** Handles what has been received, unless the process is suspended. */
       private void run() {
         if (suspended) {
@@ -283,10 +348,6 @@
         dispatch(new SlotAllocatorEvent.Tick());
       }
 
-      private void receiveLater(Runnable message) {
-        inbox.add(message);
-      }
-
       private void deliverTo(Node receiver) {
         while (connected && !held && !inFlight.isEmpty()) {
           SlotMessage message = inFlight.remove();
@@ -297,6 +358,7 @@
       private void onLinkChanged(Node peer, boolean up) {
         inbox.add(
             () -> {
+              changedNanos = nowNanos;
               dispatch(
                   up
                       ? new SlotAllocatorEvent.RouterConnected(peer.self)
@@ -312,6 +374,7 @@
         boolean newValue = of.leaving;
         inbox.add(
             () -> {
+              changedNanos = nowNanos;
               dispatch(new SlotAllocatorEvent.RouterLeaving(of.self.instance(), newValue));
               dispatch(
                   new RouterEvent.MessageReceived(
@@ -336,8 +399,12 @@
       }
 
       private void receive(String sender, SlotMessage message) {
-        if (message instanceof SlotMessage.SlotGranted) {
+        if (message instanceof SlotMessage.SlotGranted grant) {
           granted.add(() -> receive(message, sender));
+          if (granted.size() > REPEATED) {
+            granted.remove();
+          }
+          grantedBy.put(grant.request(), sender);
         }
         receive(message, sender);
       }
