--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -172,7 +172,8 @@
         node.dispatch(new RouterEvent.InstancesActivated(list));
       }
       toggleLink();
-      pass(1_300);
+      // Ends when the first grants have been received and their requests are not sent yet.
+      pass(1_400);
     }
 
     private void take(Step step) {
@@ -246,7 +247,7 @@
       long ofOne = arrivals.stream().filter(one -> one.allocator.equals(allocator)).count();
       mostOfOne = Math.max(mostOfOne, (int) ofOne);
       node.waiting--;
-      if (++arrived % 3 == 0) {
+      if (++arrived % 2 == 0) {
         node.waiting++;
         node.inbox.add(
             () -> node.dispatch(new RouterEvent.UpstreamFailed(attempt, Reason.UPSTREAM_FAILED)));
@@ -265,7 +266,7 @@
     private List<Object> state() {
       List<Object> parts = new ArrayList<>();
       arrivals.forEach(arrival -> parts.add(age(arrival.nanos) + arrival.allocator));
-      parts.add(arrived % 3);
+      parts.add(arrived % 2);
       parts.add(connected);
       for (Node node : nodes) {
         parts.addAll(
