--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -96,6 +96,10 @@
       {
         "'policy':", "'stop':{'graceMillis':'1s'},'policy':", "$.stop.graceMillis: must be a number"
       },
+      {
+        "'policy':", "'slots':{'coldOverage':-1},'policy':", "$.slots: slot allocator policy: coldO"
+      },
+      {"'policy':", "'slots':{'coldSlack':'5'},'policy':", "$.slots.coldSlack: must be a number"},
       {"'policy':", "'stop':{'timeoutMillis':0},'policy':", "$.stop: graceMillis must be from 0"},
       {"'keyFile':'key'", "'keyFile':'none'", "$.administration.keyFile: the file cannot be read"},
       {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -128,6 +128,21 @@
           OptionalLong.empty());
     }
 
+    /** Returns the attempt with a time after which it must not be sent. */
+    public RunAttempt sendBy(long nanos) {
+      return new RunAttempt(
+          attempt,
+          upstream,
+          workspace,
+          head,
+          body,
+          plan,
+          timeLeftMillis,
+          resumeAfter,
+          windowBytes,
+          OptionalLong.of(nanos));
+    }
+
     /** Returns whether it is too late to send the request. */
     public boolean isTooLate(long nowNanos) {
       return sendByNanos.isPresent() && nowNanos - sendByNanos.getAsLong() > 0;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -164,6 +164,15 @@
             "r1", new SlotGranted(SERVICE, request, upstream)));
   }
 
+  /** Grants a slot of a cold upstream in reply to a report, by its waiting call. */
+  List<RouterEffect> grantCold(SlotMessage.WaitingCall report, String upstream, long waited) {
+    return dispatch(
+        new RouterEvent.AllocatorMessageReceived(
+            "r1",
+            new SlotGranted(
+                SERVICE, report.request(), upstream, true, waited, report.timeLeftMillis())));
+  }
+
   /** Makes a call and grants it a slot. */
   RequestId run(CallPlan plan, String upstream) {
     RequestId request = call(plan);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -8,8 +8,10 @@
 import static dev.agatepier.core.process.DirectRouterFixture.UNSAFE_WITH_ATTEMPTS;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
@@ -209,6 +211,52 @@
     assertEquals(router.runs(request), List.of());
   }
 
+  /** A suspended router gets all grants at once when it resumes. */
+  @Test
+  public void declinesLateGrantsOfColdUpstreams() {
+    RequestId request = router.call(UNSAFE);
+    SlotMessage.WaitingCall report = router.lastWaiting();
+    router.advance(1_251);
+    router.grantCold(report, "u1", 1_000);
+    assertEquals(router.stages(request), List.of(SlotStage.DECLINED));
+    assertEquals(router.runs(request), List.of());
+    assertNotEquals(router.lastWaiting(), report, "it waits again");
+  }
+
+  @Test
+  public void limitsTimeUntilRequestIsSentToColdUpstream() {
+    RequestId request = router.call(UNSAFE);
+    router.advance(1_100);
+    router.grantCold(router.lastWaiting(), "u1", 1_000);
+    RouterEffect.RunAttempt run = router.runs(request).getFirst();
+    assertFalse(run.isTooLate(router.now + 140_000_000L));
+    assertTrue(run.isTooLate(router.now + 150_000_001L), "250 ms after the grant");
+    router.dispatch(new RouterEvent.UpstreamNotRun(run.attempt(), Reason.WITHDRAWN, false));
+    assertEquals(router.stages(request), List.of(SlotStage.DECLINED), "no fault of the upstream");
+  }
+
+  /** The allocator counts a grant once, so it may be used once. */
+  @Test
+  public void declinesRepeatedGrantOfColdUpstream() {
+    RequestId request = router.call(SAFE);
+    SlotMessage.WaitingCall report = router.lastWaiting();
+    router.grantCold(report, "u1", 0);
+    router.advance(10);
+    router.failAttempt(request, Reason.UPSTREAM_FAILED);
+    router.grantCold(report, "u1", 0);
+    assertEquals(router.runs(request).size(), 1);
+  }
+
+  /** Consecutive failed connections mean that the upstream may be back cold. */
+  @Test
+  public void reportsFailedConnections() {
+    RequestId request = router.run(SAFE, "u1");
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "u2");
+    router.reportNotRun(request, Reason.UPSTREAM_UNREACHABLE);
+    assertEquals(router.stages(request), List.of(SlotStage.DISCONNECTED, SlotStage.DISCONNECTED));
+  }
+
   @Test
   public void declinesSlotsOfRemovedUpstreams() {
     RequestId request = router.call(UNSAFE);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -161,6 +161,29 @@
             new InstanceList(++lastList, List.of(), upstreams)));
   }
 
+  /** Publishes upstreams whose processes have been replaced. */
+  void publishRestarted(String... names) {
+    List<Upstream> upstreams =
+        Arrays.stream(names)
+            .map(SlotAllocatorFixture::upstream)
+            .map(
+                old ->
+                    new Upstream(
+                        old.name(),
+                        2,
+                        old.service(),
+                        old.address(),
+                        old.port(),
+                        old.dataCentre(),
+                        old.slots(),
+                        old.leaving(),
+                        old.cold()))
+            .toList();
+    dispatch(
+        new SlotAllocatorEvent.InstancesActivated(
+            new InstanceList(++lastList, List.of(), upstreams)));
+  }
+
   static Upstream upstream(String name) {
     boolean model = name.startsWith("m");
     String dataCentre = name.startsWith("b-") ? "b1" : "a1";
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.process.RouterEffect;
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
@@ -36,6 +37,19 @@
     }
   }
 
+  /** A process that was suspended after the decision would send all its requests at once. */
+  @Test
+  public void doesNotSendRequestThatIsTooLate() {
+    RunAttempt late = attempt(1, Bytes.ofText("body")).sendBy(System.nanoTime() - 1);
+    perform(late);
+    assertEquals(
+        nextEvent(UpstreamNotRun.class),
+        new UpstreamNotRun(late.attempt(), Reason.WITHDRAWN, false));
+    try (RawSocket socket = upstream.accept()) {
+      assertEquals(socket.readAll(), "");
+    }
+  }
+
   @Test
   public void streamsEventsAsReceived() {
     run(1);
