--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ColdStarts.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ColdStarts.java
@@ -148,7 +148,8 @@
     }
     if (most != reportedGrants) {
       reportedGrants = most;
-      effects.add(new SlotAllocatorEffect.ColdGrants(service, most, limit.bound()));
+      int bound = limit == null ? 0 : limit.bound();
+      effects.add(new SlotAllocatorEffect.ColdGrants(service, most, bound));
     }
   }
 
