--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
@@ -88,10 +88,12 @@
   @Test
   public void usesColdUpstreamsOnlyWhenOthersAreBusy() {
     SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("m1", "m2c");
-    RequestId first = allocator.requestModel("w", 2_000, "a", 3_000);
-    RequestId second = allocator.requestModel("w", 2_000, "b", 10);
+    RequestId first = allocator.requestModel("w", 2_000, "a", 500);
+    RequestId second = allocator.requestModel("w", 2_000, "b", 20);
+    RequestId third = allocator.requestModel("w", 2_000, "c", 20);
     assertEquals(allocator.upstreamOf(first), "m1");
-    assertEquals(allocator.upstreamOf(second), "m2", "the other one is in prefill");
+    assertEquals(allocator.upstreamOf(second), "m1", "it accepts more backlog");
+    assertEquals(allocator.upstreamOf(third), "m2");
   }
 
   /** A long prompt takes the time of many short ones. */
