--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -68,6 +68,7 @@
   private double coldShare = 1;
   private Table table = Table.NONE;
   private InstanceList instances = InstanceList.NONE;
+  private long listedNanos;
 
   /**
    * Creates the decision of an allocator without routers, table or instance list.
@@ -106,6 +107,7 @@
       }
       case SlotAllocatorEvent.InstancesActivated(InstanceList newer) -> {
         instances = newer;
+        listedNanos = nowNanos;
         updateUpstreams(nowNanos);
         processStartupMessages(nowNanos);
       }
@@ -250,7 +252,7 @@
     double newColdShare = share(coldPeakRouters, nowNanos);
     if (newColdShare != coldShare) {
       coldShare = newColdShare;
-      services.values().forEach(service -> updateColdStarts(service, nowNanos));
+      services.values().forEach(service -> updateColdUpstreams(service, nowNanos));
     }
   }
 
@@ -259,8 +261,8 @@
     return connected < MAJORITY ? connected : 1;
   }
 
-  private void updateColdStarts(ServiceSlots service, long nowNanos) {
-    service.setColdStarts(isAllocatorFor(service), coldShare, nowNanos);
+  private void updateColdUpstreams(ServiceSlots service, long nowNanos) {
+    service.setColdUpstreams(isAllocatorFor(service), coldShare, nowNanos);
   }
 
   /**
@@ -328,8 +330,9 @@
     ownDataCentres.addAll(own.keySet());
     services.forEach(
         (name, service) -> {
-          service.updateUpstreams(byService.getOrDefault(name, List.of()), takenOver, nowNanos);
-          updateColdStarts(service, nowNanos);
+          service.updateUpstreams(
+              byService.getOrDefault(name, List.of()), listedNanos, takenOver, nowNanos);
+          updateColdUpstreams(service, nowNanos);
           service.setOtherDataCentres(elsewhere.getOrDefault(name, Set.of()));
           service.setShare(share);
         });
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ColdStarts.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ColdUpstreams.java
@@ -12,7 +12,7 @@
  * Limits the requests to the cold upstreams of one service at its slot allocator. Without a limit
  * no upstream is cold.
  */
-final class ColdStarts {
+final class ColdUpstreams {
 
   private static final String COLD = "cold";
   private static final String WARM = "warm";
@@ -33,7 +33,7 @@
    *
    * @param upstreams the upstreams of the service, which may change
    */
-  ColdStarts(String service, SlotAllocatorPolicy policy, Collection<UpstreamLoad> upstreams) {
+  ColdUpstreams(String service, SlotAllocatorPolicy policy, Collection<UpstreamLoad> upstreams) {
     this.service = service;
     this.policy = policy;
     this.upstreams = upstreams;
@@ -53,16 +53,9 @@
     return limit != null;
   }
 
-  /**
-   * Records what the instance list says of an upstream.
-   *
-   * @param takenOver whether another allocator may have granted its slots until now
-   */
-  void onListed(UpstreamLoad upstream, boolean takenOver, long nowNanos) {
-    upstream.warmUp.onListed(upstream.upstream.cold(), nowNanos);
-    if (takenOver) {
-      fill(upstream, nowNanos);
-    }
+  /** Records that another allocator may have granted the slots of an upstream until now. */
+  void onTakenOver(UpstreamLoad upstream, long nowNanos) {
+    fill(upstream, nowNanos);
   }
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -54,7 +54,7 @@
   private final AllocatorCostExchange costs;
   private final WaitingRequests waiting;
   private final SlotScheduler scheduler;
-  private final ColdStarts coldStarts;
+  private final ColdUpstreams coldUpstreams;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
   private final ServedLevels levels = new ServedLevels();
@@ -86,14 +86,14 @@
     this.costs = new AllocatorCostExchange(ledger);
     this.allocations = new SlotAllocations(rule, ledger);
     this.waiting = new WaitingRequests(ledger);
-    this.coldStarts = new ColdStarts(service, policy, upstreams.values());
-    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldStarts);
+    this.coldUpstreams = new ColdUpstreams(service, policy, upstreams.values());
+    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldUpstreams);
   }
 
   /** Applies the workspace weights, the engine profile and the warm-up of a table version. */
   public void activate(Table table, long nowNanos) {
     ledger.activate(table);
-    coldStarts.activate(table.service(service).flatMap(ServiceEntry::warmUp), nowNanos);
+    coldUpstreams.activate(table.service(service).flatMap(ServiceEntry::warmUp), nowNanos);
     memoryTokens =
         table
             .service(service)
@@ -106,9 +106,11 @@
   /**
    * Replaces the upstreams; one that restarted or moved starts with no recorded load.
    *
+   * @param listedNanos when the list was activated
    * @param takenOver data centres whose slots another allocator may have granted until now
    */
-  public void updateUpstreams(Collection<Upstream> listed, Set<String> takenOver, long nowNanos) {
+  public void updateUpstreams(
+      Collection<Upstream> listed, long listedNanos, Set<String> takenOver, long nowNanos) {
     Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
     upstreams.clear();
     for (Upstream upstream : listed) {
@@ -117,11 +119,14 @@
       if (earlier == null || !earlier.isSameProcess(upstream)) {
         load = new UpstreamLoad(upstream, nowNanos);
         load.memoryTokens = memoryTokens;
-        coldStarts.onProcessReplaced(load, earlier);
+        coldUpstreams.onProcessReplaced(load, earlier);
       }
       load.upstream = upstream;
       upstreams.put(upstream.name(), load);
-      coldStarts.onListed(load, takenOver.contains(upstream.dataCentre()), nowNanos);
+      load.warmUp.onListed(upstream.cold(), listedNanos);
+      if (takenOver.contains(upstream.dataCentre())) {
+        coldUpstreams.onTakenOver(load, nowNanos);
+      }
     }
   }
 
@@ -160,14 +165,14 @@
    * @param allocating whether routers of this data centre use this allocator
    * @param share share of the usual rate that this allocator may use, up to 1
    */
-  public void setColdStarts(boolean allocating, double share, long nowNanos) {
-    coldStarts.setAllocating(allocating, nowNanos);
-    coldStarts.setShare(share);
+  public void setColdUpstreams(boolean allocating, double share, long nowNanos) {
+    coldUpstreams.setAllocating(allocating, nowNanos);
+    coldUpstreams.setShare(share);
   }
 
   /** Treats the upstreams of data centres as cold whose evacuation has ended. */
   public void onEvacuationEnded(Set<String> dataCentres, long nowNanos) {
-    coldStarts.onEvacuationEnded(dataCentres, nowNanos);
+    coldUpstreams.onEvacuationEnded(dataCentres, nowNanos);
   }
 
   /** Replaces the other data centres in which requests of the service can get slots. */
@@ -199,7 +204,7 @@
    */
   public void review(long nowNanos) {
     upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
-    coldStarts.report(effects, nowNanos);
+    coldUpstreams.report(effects, nowNanos);
     if (waiting.isEmpty()) {
       return;
     }
@@ -351,7 +356,7 @@
                 .orElse(0),
             entry.call.underserved()));
     allocations.allocate(entry.router, entry.call, upstream, false, nowNanos);
-    coldStarts.recordGrant(upstream, nowNanos);
+    coldUpstreams.recordGrant(upstream, nowNanos);
     effects.add(
         new Send(
             entry.router,
@@ -359,7 +364,7 @@
                 service,
                 entry.call.request(),
                 upstream.upstream.name(),
-                coldStarts.isCold(upstream, nowNanos),
+                coldUpstreams.isCold(upstream, nowNanos),
                 entry.waitedMillis(nowNanos),
                 entry.call.timeLeftMillis())));
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -36,7 +36,7 @@
   private final WorkspaceLedger ledger;
   private final WaitingRequests waiting;
   private final Collection<UpstreamLoad> upstreams;
-  private final ColdStarts coldStarts;
+  private final ColdUpstreams coldUpstreams;
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -54,12 +54,12 @@
       WorkspaceLedger ledger,
       WaitingRequests waiting,
       Collection<UpstreamLoad> upstreams,
-      ColdStarts coldStarts) {
+      ColdUpstreams coldUpstreams) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
-    this.coldStarts = coldStarts;
+    this.coldUpstreams = coldUpstreams;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
@@ -158,7 +158,7 @@
       if (!usable(upstream, nowNanos)) {
         continue;
       }
-      if (coldStarts.isCold(upstream, nowNanos)) {
+      if (coldUpstreams.isCold(upstream, nowNanos)) {
         cold++;
       } else {
         usable++;
@@ -166,7 +166,7 @@
       }
     }
     if (usable == 0) {
-      return cold == 0 ? NO_UPSTREAM_MILLIS : requests * coldStarts.grantMillis() / cold;
+      return cold == 0 ? NO_UPSTREAM_MILLIS : requests * coldUpstreams.grantMillis() / cold;
     }
     return (work + backlog) / (usable * rule.parallelism());
   }
@@ -212,13 +212,13 @@
    * {@code timely}; null if none may get it. Cold upstreams get what the others can't take now.
    */
   private UpstreamLoad selectCold(WaitingEntry entry, double share, boolean timely, long nowNanos) {
-    if (!coldStarts.limited()) {
+    if (!coldUpstreams.limited()) {
       return null;
     }
     UpstreamLoad best = null;
     double bestScore = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
-      if (!coldStarts.isCold(upstream, nowNanos)
+      if (!coldUpstreams.isCold(upstream, nowNanos)
           || !ready(upstream, share, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
@@ -226,7 +226,7 @@
       double backlog =
           Math.max(
               rule.backlogMillis(upstream, nowNanos),
-              upstream.pending() * coldStarts.requestMillis());
+              upstream.pending() * coldUpstreams.requestMillis());
       double counted = entry.countedMillis(backlog + firstByteMillis(upstream, entry, nowNanos));
       double score = rule.workMillis(upstream, entry.call) + penalty(upstream, entry);
       if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
@@ -248,7 +248,7 @@
     for (UpstreamLoad upstream : upstreams) {
       if (upstream == reserved
           || !usable(upstream, nowNanos)
-          || coldStarts.isCold(upstream, nowNanos)
+          || coldUpstreams.isCold(upstream, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
       }
@@ -276,7 +276,7 @@
         ? null
         : upstreams.stream()
             .filter(upstream -> usable(upstream, nowNanos))
-            .filter(upstream -> !coldStarts.isCold(upstream, nowNanos))
+            .filter(upstream -> !coldUpstreams.isCold(upstream, nowNanos))
             .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
             .orElse(null);
   }
@@ -309,23 +309,23 @@
   /** Returns the time to the first byte without backlog, which is longer at a cold upstream. */
   private double firstByteMillis(UpstreamLoad upstream, WaitingEntry entry, long nowNanos) {
     double millis = rule.firstByteMillis(upstream, entry.call);
-    return coldStarts.isCold(upstream, nowNanos)
-        ? Math.max(millis, coldStarts.requestMillis())
+    return coldUpstreams.isCold(upstream, nowNanos)
+        ? Math.max(millis, coldUpstreams.requestMillis())
         : millis;
   }
 
   private boolean ready(UpstreamLoad upstream, double share, long nowNanos) {
     return usable(upstream, nowNanos)
         && upstream.freeSlots() > 0
-        && (coldStarts.isCold(upstream, nowNanos)
-            ? coldStarts.permits(upstream, nowNanos)
+        && (coldUpstreams.isCold(upstream, nowNanos)
+            ? coldUpstreams.permits(upstream, nowNanos)
                 && rule.acceptsBacklog(upstream, share, nowNanos)
             : acceptsBacklog(upstream, share, nowNanos));
   }
 
   private boolean acceptsBacklog(UpstreamLoad upstream, double share, long nowNanos) {
     return rule.acceptsBacklog(
-        upstream, share * coldStarts.backlogShare(upstream, nowNanos), nowNanos);
+        upstream, share * coldUpstreams.backlogShare(upstream, nowNanos), nowNanos);
   }
 
   private static boolean usable(UpstreamLoad upstream, long nowNanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WarmUpState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WarmUpState.java
@@ -31,10 +31,10 @@
   /** Start of a warm-up that is assumed. */
   private long assumedNanos = NEVER_NANOS;
 
-  /** Records what an instance list says. */
-  void onListed(boolean cold, long nowNanos) {
+  /** Records what an instance list says that was activated at a time. */
+  void onListed(boolean cold, long activatedNanos) {
     if (cold || listedCold) {
-      listedNanos = nowNanos;
+      listedNanos = activatedNanos;
     }
     listedCold = cold;
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
@@ -26,7 +26,7 @@
   /** More than the quota would make two allocators exceed the bound together. */
   @Test
   public void grantsItsQuotaInWindow() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("p1c");
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdUpstreams("p1c");
     assertEquals(runFor(allocator, 1_350), QUOTA);
     assertEquals(runFor(allocator, 1_350), QUOTA, "the next window uses the capacity again");
   }
@@ -45,7 +45,7 @@
   public Object[][] withoutLimit() {
     return new Object[][] {
       {SlotAllocatorPolicy.DEFAULT, Optional.of(SlotAllocatorFixture.WARM_UP)},
-      {SlotAllocatorFixture.COLD_STARTS, Optional.empty()},
+      {SlotAllocatorFixture.COLD_LIMIT, Optional.empty()},
     };
   }
 
@@ -53,7 +53,7 @@
   @Test(dataProvider = "withoutLimit")
   public void changesNothingUnlessAskedFor(SlotAllocatorPolicy policy, Optional<WarmUp> warmUp) {
     SlotAllocatorFixture plain = new SlotAllocatorFixture("m1", "m2", "p1", "p2");
-    SlotAllocatorFixture cold = SlotAllocatorFixture.newWithColdStarts(policy, warmUp);
+    SlotAllocatorFixture cold = SlotAllocatorFixture.newWithColdUpstreams(policy, warmUp);
     cold.publishUpstreams("m1c", "m2c", "p1c", "p2c");
     for (SlotAllocatorFixture allocator : List.of(plain, cold)) {
       allocator.decision.onEvacuationEnded(Set.of("a1"), allocator.now);
@@ -74,8 +74,8 @@
   @Test
   public void newAllocatorWaitsForWindow() {
     SlotAllocatorFixture allocator =
-        SlotAllocatorFixture.newWithColdStarts(
-            SlotAllocatorFixture.COLD_STARTS, Optional.of(SlotAllocatorFixture.WARM_UP));
+        SlotAllocatorFixture.newWithColdUpstreams(
+            SlotAllocatorFixture.COLD_LIMIT, Optional.of(SlotAllocatorFixture.WARM_UP));
     allocator.publishUpstreams("m1c");
     RequestId request = allocator.requestModel("w", 5_000, "a", 10);
     allocator.advance(1_350);
@@ -87,7 +87,7 @@
   /** Requests that wait for nothing else must not crowd a cold upstream. */
   @Test
   public void usesColdUpstreamsOnlyWhenOthersAreBusy() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("m1", "m2c");
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdUpstreams("m1", "m2c");
     RequestId first = allocator.requestModel("w", 2_000, "a", 500);
     RequestId second = allocator.requestModel("w", 2_000, "b", 20);
     RequestId third = allocator.requestModel("w", 2_000, "c", 20);
@@ -111,7 +111,7 @@
   /** A restart under the same name may not be listed yet. */
   @Test
   public void upstreamIsColdAfterItsConnectionsFailed() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("p1");
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdUpstreams("p1");
     for (int failures = 0; failures < 3; failures++) {
       RequestId failed = allocator.requestPlain("w", 9_000);
       allocator.sendChange(PLAIN, failed, SlotStage.DISCONNECTED, 0);
@@ -129,7 +129,7 @@
   /** Upstreams may have become cold while nothing was sent to them. */
   @Test
   public void upstreamsAreColdAfterAnEvacuation() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("p1");
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdUpstreams("p1");
     allocator.decision.onEvacuationEnded(Set.of("b1"), allocator.now);
     assertFalse(grantOf(allocator, requestAndComplete(allocator)).cold(), "another data centre");
     allocator.decision.onEvacuationEnded(Set.of("a1"), allocator.now);
@@ -142,8 +142,10 @@
   /** The list is not renewed while the store is lost. */
   @Test
   public void listedColdStateEndsWithoutNews() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("p1c");
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdUpstreams("p1c");
     allocator.advance(6_000 - 1_351 - 1);
+    allocator.dispatch(
+        new SlotAllocatorEvent.RouterConnected(SlotAllocatorFixture.router("r2", "b1")));
     assertTrue(grantOf(allocator, requestAndComplete(allocator)).cold());
     allocator.advance(1);
     assertFalse(grantOf(allocator, requestAndComplete(allocator)).cold());
@@ -152,7 +154,7 @@
   /** All waiting load at once would delay everything behind it. */
   @Test
   public void backlogGrowsOverSecondAfterWarmUp() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("m1c");
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdUpstreams("m1c");
     allocator.publishUpstreams("m1");
     allocator.requestModel("w", 9_000, "a", 900);
     RequestId second = allocator.requestModel("w", 9_000, "b", 900);
@@ -165,7 +167,7 @@
   /** Routers that hold grants for the earlier process use them for the new one. */
   @Test
   public void countsGrantsForTheEarlierProcess() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("p1");
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdUpstreams("p1");
     assertTrue(runFor(allocator, 500) > QUOTA);
     allocator.publishRestarted("p1c");
     assertEquals(runFor(allocator, 1_000), 0);
@@ -174,7 +176,7 @@
   /** Several parts of a divided fleet, each with an allocator, must not add up. */
   @Test
   public void minorityOfTheRoutersUsesItsShareOnly() {
-    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdStarts("p1c");
+    SlotAllocatorFixture allocator = SlotAllocatorFixture.withColdUpstreams("p1c");
     for (int router = 2; router <= 3; router++) {
       allocator.dispatch(
           new SlotAllocatorEvent.RouterConnected(
@@ -194,7 +196,7 @@
   /** Returns an allocator that doesn't limit the pending prefill of its cold engine. */
   private static SlotAllocatorFixture withLongBacklog() {
     SlotAllocatorFixture allocator =
-        SlotAllocatorFixture.newWithColdStarts(
+        SlotAllocatorFixture.newWithColdUpstreams(
             new SlotAllocatorPolicy(10_000, 0.92, 1_500, 0, 1_000, 0, 1.5, 5),
             Optional.of(SlotAllocatorFixture.WARM_UP));
     allocator.publishUpstreams("m1c");
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -43,7 +43,7 @@
   static final WarmUp WARM_UP = new WarmUp(3_000, 10);
 
   /** Limits a cold upstream of that warm-up to 20 requests a second. */
-  static final SlotAllocatorPolicy COLD_STARTS =
+  static final SlotAllocatorPolicy COLD_LIMIT =
       new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 1.5, 5);
 
   private static final long MILLI = 1_000_000;
@@ -80,15 +80,15 @@
   }
 
   /** Returns an allocator with upstreams whose service warms up, after its first window. */
-  static SlotAllocatorFixture withColdStarts(String... upstreams) {
-    SlotAllocatorFixture allocator = newWithColdStarts(COLD_STARTS, Optional.of(WARM_UP));
+  static SlotAllocatorFixture withColdUpstreams(String... upstreams) {
+    SlotAllocatorFixture allocator = newWithColdUpstreams(COLD_LIMIT, Optional.of(WARM_UP));
     allocator.publishUpstreams(upstreams);
     allocator.advance(1_351);
     return allocator;
   }
 
   /** Returns a new allocator without upstreams. */
-  static SlotAllocatorFixture newWithColdStarts(
+  static SlotAllocatorFixture newWithColdUpstreams(
       SlotAllocatorPolicy policy, Optional<WarmUp> warmUp) {
     SlotAllocatorFixture allocator =
         new SlotAllocatorFixture(new SlotAllocatorDecision(router(ROUTER, "a1"), policy));
