--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -29,6 +29,13 @@
     double coldOverage,
     double coldSlack) {
 
+  /** Maximum sum of the overage and the slack, far above any useful one. */
+  private static final double MAXIMUM_COLD = 1_000;
+
+  /** The default values. docs/decisions/0011 documents the experiments behind them. */
+  public static final SlotAllocatorPolicy DEFAULT =
+      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0);
+
   /** Creates a policy that does not limit the requests to cold upstreams. */
   public SlotAllocatorPolicy(
       long backlogMillis,
@@ -48,13 +55,6 @@
         0);
   }
 
-  /** Maximum sum of the overage and the slack, far above any useful one. */
-  private static final double MAXIMUM_COLD = 1_000;
-
-  /** The default values. docs/decisions/0011 documents the experiments behind them. */
-  public static final SlotAllocatorPolicy DEFAULT =
-      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0);
-
   /** Checks that every value is in range. */
   public SlotAllocatorPolicy {
     if (backlogMillis < 0
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -178,9 +178,6 @@
 
     private void take(Step step) {
       switch (step.fault) {
-        case NONE -> {
-          // Time passes.
-        }
         case SUSPEND_OR_RESUME_FIRST -> nodes[0].suspended = !nodes[0].suspended;
         case SUSPEND_OR_RESUME_SECOND -> nodes[1].suspended = !nodes[1].suspended;
         case HOLD_OR_RELEASE_FIRST -> nodes[0].held = !nodes[0].held;
@@ -208,6 +205,9 @@
             toggleLink();
           }
         }
+        default -> {
+          // Time passes.
+        }
       }
       pass(step.millis);
     }
