--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -89,6 +89,15 @@
       UpstreamState previous)
       implements SlotAllocatorEffect {}
 
+  /**
+   * Report the grants to cold upstreams.
+   *
+   * @param service the service
+   * @param most grants of the last second to the cold upstream that got most
+   * @param bound requests that a cold upstream may get in any second, from all routers together
+   */
+  record ColdGrants(String service, int most, int bound) implements SlotAllocatorEffect {}
+
   /**
    * Log that an upstream became usable or unusable.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AvailabilityReport.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AvailabilityReport.java
@@ -11,19 +11,24 @@
 
   private final String service;
   private final Collection<UpstreamLoad> upstreams;
+  private final ColdUpstreams coldUpstreams;
   private final List<SlotAllocatorEffect> effects;
 
   AvailabilityReport(
-      String service, Collection<UpstreamLoad> upstreams, List<SlotAllocatorEffect> effects) {
+      String service,
+      Collection<UpstreamLoad> upstreams,
+      ColdUpstreams coldUpstreams,
+      List<SlotAllocatorEffect> effects) {
     this.service = service;
     this.upstreams = upstreams;
+    this.coldUpstreams = coldUpstreams;
     this.effects = effects;
   }
 
   /** Reports the upstreams whose state has changed since the last call. */
   void reportChanges(long nowNanos) {
     for (UpstreamLoad load : upstreams) {
-      UpstreamState state = load.availability().state(nowNanos);
+      UpstreamState state = state(load, nowNanos);
       if (state != load.reportedState) {
         effects.add(
             new UpstreamAvailabilityChanged(
@@ -39,6 +44,10 @@
 
   /** Returns the state of each upstream. */
   List<UpstreamState> states(long nowNanos) {
-    return upstreams.stream().map(load -> load.availability().state(nowNanos)).toList();
+    return upstreams.stream().map(load -> state(load, nowNanos)).toList();
+  }
+
+  private UpstreamState state(UpstreamLoad load, long nowNanos) {
+    return coldUpstreams.availability(load, nowNanos).state(nowNanos);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -56,6 +56,7 @@
   private final WaitingRequests waiting;
   private final SlotScheduler scheduler;
   private final AvailabilityReport availability;
+  private final ColdUpstreams coldUpstreams;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
   private final ServedLevels levels = new ServedLevels();
@@ -87,13 +88,15 @@
     this.costs = new AllocatorCostExchange(ledger);
     this.allocations = new SlotAllocations(rule, ledger);
     this.waiting = new WaitingRequests(ledger);
-    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values());
-    this.availability = new AvailabilityReport(service, upstreams.values(), effects);
+    this.coldUpstreams = new ColdUpstreams(service, policy, upstreams.values());
+    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldUpstreams);
+    this.availability = new AvailabilityReport(service, upstreams.values(), coldUpstreams, effects);
   }
 
-  /** Applies the workspace weights and the engine profile of a table version. */
-  public void activate(Table table) {
+  /** Applies the workspace weights, the engine profile and the warm-up of a table version. */
+  public void activate(Table table, long nowNanos) {
     ledger.activate(table);
+    coldUpstreams.activate(table.service(service).flatMap(ServiceEntry::warmUp), nowNanos);
     memoryTokens =
         table
             .service(service)
@@ -108,19 +111,32 @@
    *
    * @param listed the upstreams
    * @param evacuated names of the evacuated data centres
+   * @param listedNanos when the list was activated
+   * @param takenOver data centres whose slots another allocator may have granted until now
    */
-  public void updateUpstreams(Collection<Upstream> listed, Set<String> evacuated, long nowNanos) {
+  public void updateUpstreams(
+      Collection<Upstream> listed,
+      Set<String> evacuated,
+      long listedNanos,
+      Set<String> takenOver,
+      long nowNanos) {
     Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
     upstreams.clear();
     for (Upstream upstream : listed) {
-      UpstreamLoad load = previous.get(upstream.name());
-      if (load == null || restarted(load.upstream, upstream)) {
+      UpstreamLoad earlier = previous.get(upstream.name());
+      UpstreamLoad load = earlier;
+      if (earlier == null || !earlier.isSameProcess(upstream)) {
         load = new UpstreamLoad(upstream, nowNanos);
         load.memoryTokens = memoryTokens;
+        coldUpstreams.onProcessReplaced(load, earlier);
       }
       load.upstream = upstream;
       load.evacuated = evacuated.contains(upstream.dataCentre());
       upstreams.put(upstream.name(), load);
+      load.warmUp.onListed(upstream.cold(), listedNanos);
+      if (takenOver.contains(upstream.dataCentre())) {
+        coldUpstreams.onTakenOver(load, nowNanos);
+      }
     }
   }
 
@@ -153,6 +169,22 @@
     upstreams.values().forEach(upstream -> upstream.share = share);
   }
 
+  /**
+   * Sets what limits the use of cold upstreams beside their own rate.
+   *
+   * @param allocating whether routers of this data centre use this allocator
+   * @param share share of the usual rate that this allocator may use, up to 1
+   */
+  public void setColdUpstreams(boolean allocating, double share, long nowNanos) {
+    coldUpstreams.setAllocating(allocating, nowNanos);
+    coldUpstreams.setShare(share);
+  }
+
+  /** Treats the upstreams of data centres as cold whose evacuation has ended. */
+  public void onEvacuationEnded(Set<String> dataCentres, long nowNanos) {
+    coldUpstreams.onEvacuationEnded(dataCentres, nowNanos);
+  }
+
   /** Replaces the other data centres in which requests of the service can get slots. */
   public void setOtherDataCentres(Set<String> names) {
     otherDataCentres = Set.copyOf(names);
@@ -182,6 +214,7 @@
    */
   public void review(long nowNanos) {
     upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
+    coldUpstreams.report(effects, nowNanos);
     if (waiting.isEmpty()) {
       return;
     }
@@ -343,11 +376,17 @@
                 .orElse(0),
             entry.call.underserved()));
     allocations.allocate(entry.router, entry.call, upstream, false, nowNanos);
+    coldUpstreams.recordGrant(upstream, nowNanos);
     effects.add(
         new Send(
             entry.router,
             new SlotMessage.SlotGranted(
-                service, entry.call.request(), assignment.upstream().upstream.name())));
+                service,
+                entry.call.request(),
+                upstream.upstream.name(),
+                coldUpstreams.isCold(upstream, nowNanos),
+                entry.waitedMillis(nowNanos),
+                entry.call.timeLeftMillis())));
   }
 
   /** Marks an upstream as stalled, and recalls requests from it, if it makes no progress. */
@@ -377,10 +416,4 @@
             new SlotMessage.SlotRecalled(
                 service, allocation.call.request(), upstream.upstream.name())));
   }
-
-  private static boolean restarted(Upstream previous, Upstream current) {
-    return previous.incarnation() != current.incarnation()
-        || previous.port() != current.port()
-        || !previous.address().equals(current.address());
-  }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesMessageCodec.java
@@ -66,6 +66,7 @@
     output.writeString(upstream.dataCentre());
     output.writeInt(upstream.slots());
     output.writeBoolean(upstream.leaving());
+    output.writeBoolean(upstream.cold());
   }
 
   private static Upstream readUpstream(FieldInput input) {
@@ -77,6 +78,7 @@
         input.readInt(),
         input.readString(),
         input.readInt(),
+        input.readBoolean(),
         input.readBoolean());
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -324,6 +324,7 @@
       }
       case SlotAllocatorEffect.UpstreamAvailabilityChanged change ->
           RequestLog.logUpstreamAvailabilityChanged(change);
+      case SlotAllocatorEffect.ColdGrants grants -> slotMetrics.recordColdGrants(grants);
       case SlotAllocatorEffect.UpstreamUsabilityChanged change ->
           RequestLog.logUpstreamUsabilityChanged(change);
     }
