Keep requests away from upstreams that are leaving or pausing

Cause: an upstream announces in its responses that it is leaving, or asks for a pause with 503 and Retry-After, before the store says anything; routers went on sending to it.

Change: the head of a response is read for both before its other events. The router keeps them for the incarnation, declines grants, and reports them to the slot allocator, which grants slots of a leaving upstream to nobody and of a pausing one to other routers only. Where they, or evacuations, leave a service without a usable upstream, requests are rejected as not run, with the end of the first pause as Retry-After, spread by the request. Malformed values are counted and logged.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -161,6 +161,19 @@
     }
   }
 
+  /**
+   * Router to slot allocator: an upstream has said in a response that it wants no new requests.
+   *
+   * @param service service of the upstream
+   * @param upstream name of the upstream
+   * @param incarnation incarnation that said so; 0 if the upstream does not report one
+   * @param leaving whether it is leaving: nobody gets its slots any more
+   * @param pauseMillis time for which this router does not send to it, in milliseconds; 0 for none
+   */
+  record UpstreamUnavailable(
+      String service, String upstream, long incarnation, boolean leaving, long pauseMillis)
+      implements SlotMessage {}
+
   /**
    * Slot allocator to router: the upstream makes no progress, so the router should move the request
    * to another upstream if it may run more than once.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -103,6 +103,8 @@
       }
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
           slotReplies.onMessage(router, message, nowNanos);
+      case RouterEvent.UpstreamNoticed noticed ->
+          slotReplies.onNotice(noticed.upstream(), noticed.notice(), nowNanos);
       case RouterEvent.UpstreamResponseStarted started ->
           upstreams.onResponseStarted(started, nowNanos);
       case RouterEvent.UpstreamResponseData data -> upstreams.onResponseContent(data, nowNanos);
@@ -110,7 +112,10 @@
           upstreams.onResponseEnded(completed, nowNanos);
       case RouterEvent.UpstreamNotRun notRun -> upstreams.onAttemptNotRun(notRun, nowNanos);
       case RouterEvent.UpstreamFailed failed -> upstreams.onAttemptFailed(failed, nowNanos);
-      case RouterEvent.Tick tick -> state.expire(nowNanos);
+      case RouterEvent.Tick tick -> {
+        state.expire(nowNanos);
+        allocatorPlacement.reportNotices(nowNanos);
+      }
       case RouterEvent.StopAnnounced(long endNanos) -> {
         peers.onStopAnnounced(nowNanos);
         attempts.onStopAnnounced(endNanos, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -13,8 +13,10 @@
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -141,6 +143,15 @@
   record UpstreamResponseStarted(AttemptId attempt, ResponseHead head, boolean eventStream)
       implements RouterEvent {}
 
+  /**
+   * An upstream that the router itself called has said in the head of a response whether it wants
+   * further requests. This precedes the other events of the response.
+   *
+   * @param upstream entry of the upstream when the request was sent to it
+   * @param notice what it has said
+   */
+  record UpstreamNoticed(Upstream upstream, UpstreamNotice notice) implements RouterEvent {}
+
   /**
    * Part of the response body of an upstream that the router itself called was received.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -61,7 +61,7 @@
     Optional<Refusal> refusal =
         checkAccess(call.workspace(), call.service())
             .or(() -> checkTicket(call))
-            .or(() -> checkUpstreams(call))
+            .or(() -> checkUpstreams(call, nowNanos))
             .or(() -> checkQuarantine(call, nowNanos))
             .or(() -> checkLoad(call, nowNanos))
             .or(() -> checkStop(call, nowNanos));
@@ -144,22 +144,15 @@
     return restarted ? refusal(Reason.TICKET_HOME_GONE, 0) : Optional.empty();
   }
 
-  private Optional<Refusal> checkUpstreams(CallArrived call) {
+  private Optional<Refusal> checkUpstreams(CallArrived call, long nowNanos) {
     ServiceEntry entry = state.table.service(call.service()).orElseThrow();
-    return placement(entry).isWithoutUpstreams(entry.name())
-        ? refusal(Reason.NO_UPSTREAM, noUpstreamRetryMillis(call.request()))
+    return placement(entry).isWithoutUpstreams(entry.name(), nowNanos)
+        ? refusal(
+            Reason.NO_UPSTREAM,
+            state.upstreams.retryAfterMillis(entry.name(), call.request(), nowNanos))
         : Optional.empty();
   }
 
-  /**
-   * Returns when to retry a call that no upstream can serve, in milliseconds. Calls that were
-   * rejected at the same time get different times, so that they do not return at once.
-   */
-  static long noUpstreamRetryMillis(RequestId request) {
-    return MINIMUM_RETRY_AFTER_MILLIS
-        + Math.floorMod(request.hashCode(), MINIMUM_RETRY_AFTER_MILLIS);
-  }
-
   private Optional<Refusal> checkQuarantine(CallArrived call, long nowNanos) {
     if (state.quarantine.isQuarantined(call.fingerprint(), nowNanos)) {
       return refusal(Reason.QUARANTINED, state.quarantine.millisLeft(call.fingerprint(), nowNanos));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -1,10 +1,12 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -33,7 +35,8 @@
   /** Creates a placement without requests. */
   public AllocatorPlacement(RouterState state) {
     this.state = state;
-    this.selector = new DataCentreSelector(state.self, state.policy.regionMillis());
+    this.selector =
+        new DataCentreSelector(state.self, state.policy.regionMillis(), state.upstreams);
   }
 
   @Override
@@ -61,22 +64,22 @@
   }
 
   @Override
-  public boolean isWithoutUpstreams(String service) {
-    return selector.isWithoutUpstreams(service);
+  public boolean isWithoutUpstreams(String service, long nowNanos) {
+    return state.upstreams.isWithoutUpstreams(service, nowNanos);
   }
 
   /**
-   * Moves the waiting requests of data centres that serve their service no more, because of an
-   * evacuation, to others. They keep their age.
+   * Moves the waiting requests of data centres that serve their service no more, because of
+   * evacuations or of what upstreams have said, to others. They keep their age.
    *
    * @return the requests that have moved
    */
-  List<RoutedRequest> moveFromEvacuated(long nowNanos) {
+  List<RoutedRequest> moveUnserved(long nowNanos) {
     Collection<PeerIdentity> routers = state.allocatorCandidates();
     List<RoutedRequest> moved = new ArrayList<>();
     sessions.forEach(
         (key, session) -> {
-          if (!selector.serves(key.service(), key.dataCentre(), routers)) {
+          if (!selector.serves(key.service(), key.dataCentre(), routers, nowNanos)) {
             moved.addAll(session.withdrawWaiting());
           }
         });
@@ -102,7 +105,8 @@
     if (request.refusedBy.size() > MAX_FALLBACKS
         || request.refusedBy.contains(alternative)
         || !hasAllocator(alternative)
-        || !selector.serves(request.queue.service, alternative, state.allocatorCandidates())
+        || !selector.serves(
+            request.queue.service, alternative, state.allocatorCandidates(), nowNanos)
         || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
       return false;
     }
@@ -184,8 +188,31 @@
     sizes.retainRoutes(state.routes);
   }
 
+  /** Tells slot allocators which upstreams have said that they want no new requests. */
+  public void reportNotices(long nowNanos) {
+    Collection<PeerIdentity> routers = state.allocatorCandidates();
+    for (DirectUpstream direct : state.upstreams.noticed(nowNanos)) {
+      Upstream upstream = direct.upstream();
+      UpstreamNotices notices = direct.notices();
+      String dataCentre = AllocatorSelection.responsibleDataCentre(upstream.dataCentre(), routers);
+      AllocatorSelection.select(upstream.service(), dataCentre, routers)
+          .filter(allocator -> notices.markReported(allocator, nowNanos))
+          .ifPresent(
+              allocator ->
+                  state.outbox.send(
+                      allocator,
+                      new SlotMessage.UpstreamUnavailable(
+                          upstream.service(),
+                          upstream.name(),
+                          notices.incarnation(),
+                          notices.leaving(),
+                          notices.pauseMillis(nowNanos))));
+    }
+  }
+
   /** Clears a disconnected router as allocator. */
   void onRouterDisconnected(String router) {
+    state.upstreams.clearReported(router);
     sessions.values().forEach(session -> session.onAllocatorDisconnected(router));
   }
 
@@ -205,7 +232,8 @@
       orphan.dataCentre = AllocatorSelection.responsibleDataCentre(orphan.dataCentre, routers);
       session(orphan, nowNanos).adopt(orphan);
     }
-    moveFromEvacuated(nowNanos);
+    reportNotices(nowNanos);
+    moveUnserved(nowNanos);
   }
 
   /** Sends the pending changes to each allocator. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -157,7 +157,7 @@
   boolean retryElsewhere(RoutedRequest request, SlotStage stage, long nowNanos) {
     if (!repeatable(request)
         || request.deadlineNanos <= nowNanos
-        || request.placement.isWithoutUpstreams(request.queue.service)
+        || request.placement.isWithoutUpstreams(request.queue.service, nowNanos)
         || !request.placement.tryAcquireRetry(request, nowNanos)) {
       return false;
     }
@@ -238,7 +238,7 @@
     if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
     } else if (!repeatable(request)
-        || request.placement.isWithoutUpstreams(request.queue.service)) {
+        || request.placement.isWithoutUpstreams(request.queue.service, nowNanos)) {
       lifecycle.fail(request, reason, nowNanos);
     } else if (request.deadlineNanos <= nowNanos) {
       lifecycle.fail(request, Reason.DEADLINE, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AvailabilityReport.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AvailabilityReport.java
@@ -23,7 +23,7 @@
   /** Reports the upstreams whose state has changed since the last call. */
   void reportChanges(long nowNanos) {
     for (UpstreamLoad load : upstreams) {
-      UpstreamState state = load.availability().state(nowNanos);
+      UpstreamState state = load.reportableState(nowNanos);
       if (state != load.reportedState) {
         effects.add(
             new UpstreamAvailabilityChanged(
@@ -39,6 +39,6 @@
 
   /** Returns the state of each upstream. */
   List<UpstreamState> states(long nowNanos) {
-    return upstreams.stream().map(load -> load.availability().state(nowNanos)).toList();
+    return upstreams.stream().map(load -> load.reportableState(nowNanos)).toList();
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -45,12 +45,10 @@
 
   private final PeerIdentity self;
   private final long regionMillis;
+  private final KnownUpstreams known;
   private final Map<String, ReceivedLoad> loads = new HashMap<>();
   private final Map<String, List<Upstream>> upstreams = new HashMap<>();
 
-  /** Whether any data centre is evacuated. */
-  private boolean evacuations;
-
   /** The last queueing delay that a slot allocator reported, and when it was received. */
   private record ReceivedLoad(long delayMillis, long receivedNanos) {}
 
@@ -58,8 +56,10 @@
    * Creates a selector without load reports and upstreams.
    *
    * @param regionMillis expected round-trip time to another region, in milliseconds
+   * @param known the upstreams that the router may call
    */
-  DataCentreSelector(PeerIdentity self, long regionMillis) {
+  DataCentreSelector(PeerIdentity self, long regionMillis, KnownUpstreams known) {
+    this.known = known;
     this.self = self;
     this.regionMillis = regionMillis;
   }
@@ -72,7 +72,6 @@
 
   /** Replaces the upstreams that may be homes of prefixes; those that serve no more may not. */
   void setUpstreams(InstanceList list, long nowNanos) {
-    evacuations = !list.evacuated().isEmpty();
     upstreams.clear();
     for (Upstream upstream : list.upstreams()) {
       if (UpstreamAvailability.ofEntry(upstream, list.isEvacuated(upstream))
@@ -84,25 +83,20 @@
   }
 
   /**
-   * Returns whether a service has upstreams whose slots a data centre allocates. It counts only
-   * while some data centre is evacuated: only then may a data centre with routers have none.
+   * Returns whether a service has usable upstreams whose slots a data centre allocates. It counts
+   * only while evacuations or notices of upstreams restrict the service.
    *
    * @param routers routers that are connected and not leaving
    */
-  boolean serves(String service, String dataCentre, Collection<PeerIdentity> routers) {
-    return !evacuations
-        || upstreams.getOrDefault(service, List.of()).stream()
-            .map(Upstream::dataCentre)
-            .distinct()
+  boolean serves(
+      String service, String dataCentre, Collection<PeerIdentity> routers, long nowNanos) {
+    return !known.restricts(service, nowNanos)
+        || known
+            .usableDataCentres(service, nowNanos)
             .anyMatch(
                 name -> AllocatorSelection.responsibleDataCentre(name, routers).equals(dataCentre));
   }
 
-  /** Returns whether evacuations leave a service without any upstream. */
-  boolean isWithoutUpstreams(String service) {
-    return evacuations && !upstreams.containsKey(service);
-  }
-
   /**
    * Returns the data centre in which a request gets its slot; its own if no other serves it.
    *
@@ -117,7 +111,7 @@
     double bestMillis = Double.MAX_VALUE;
     for (Map.Entry<String, String> candidate : regions.entrySet()) {
       String dataCentre = candidate.getKey();
-      if (!serves(service, dataCentre, routers)) {
+      if (!serves(service, dataCentre, routers, nowNanos)) {
         continue;
       }
       double millis =
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectUpstream.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectUpstream.java
@@ -11,10 +11,17 @@
 final class DirectUpstream implements AttemptTarget {
 
   private final Map<RequestId, RoutedRequest> running = new LinkedHashMap<>();
+  private final UpstreamNotices notices;
   private Upstream upstream;
 
-  DirectUpstream(Upstream upstream) {
+  DirectUpstream(Upstream upstream, UpstreamNotices notices) {
     this.upstream = upstream;
+    this.notices = notices;
+  }
+
+  /** Returns what the upstream has said in its responses. */
+  UpstreamNotices notices() {
+    return notices;
   }
 
   /** Returns the latest entry of the instance list for this upstream. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
@@ -12,7 +12,7 @@
   void requeue(RoutedRequest request, String avoided, long nowNanos);
 
   /** Returns whether no upstream can serve a service, so that its requests must not wait. */
-  boolean isWithoutUpstreams(String service);
+  boolean isWithoutUpstreams(String service, long nowNanos);
 
   /** Removes a waiting request that needs no slot any more. */
   void remove(RoutedRequest request);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -72,8 +72,13 @@
 
   /** Ends a waiting request if no upstream can serve it. */
   void rejectWithoutUpstreams(RoutedRequest request, long nowNanos) {
-    if (request.placement.isWithoutUpstreams(request.queue.service)) {
-      fail(request, Reason.NO_UPSTREAM, 0, Admission.noUpstreamRetryMillis(request.id()), nowNanos);
+    if (request.placement.isWithoutUpstreams(request.queue.service, nowNanos)) {
+      fail(
+          request,
+          Reason.NO_UPSTREAM,
+          0,
+          state.upstreams.retryAfterMillis(request.queue.service, request.id(), nowNanos),
+          nowNanos);
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -44,6 +44,7 @@
   final RunningFingerprints fingerprints = new RunningFingerprints();
   final RouteTimes times = new RouteTimes();
   final StopSchedule stop = new StopSchedule(times);
+  final KnownUpstreams upstreams = new KnownUpstreams();
   final PrefixAffinity affinity = new PrefixAffinity();
   final Set<String> leavingRouters = new HashSet<>();
   Table table = Table.NONE;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -130,6 +130,9 @@
       case SlotMessage.SlotsWanted wanted -> onSlotsWanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
           changes.forEach(change -> onSlotChange(router, change, nowNanos));
+      case SlotMessage.UpstreamUnavailable unavailable ->
+          Optional.ofNullable(upstreams.get(unavailable.upstream()))
+              .ifPresent(load -> load.onUnavailable(router, unavailable, nowNanos));
       case SlotMessage.AllocatorCosts _ -> {
         // Depends on the process of the router, see onCosts.
       }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
@@ -33,7 +33,7 @@
   }
 
   @Override
-  public boolean isWithoutUpstreams(String service) {
+  public boolean isWithoutUpstreams(String service, long nowNanos) {
     return false;
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -10,11 +10,9 @@
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.Set;
 
 /** Handles messages of slot allocators: calls upstreams, refuses requests and moves them. */
 public final class SlotReplyHandler {
@@ -23,8 +21,6 @@
   private final RequestLifecycle lifecycle;
   private final AllocatorPlacement placement;
   private final AttemptRelay attempts;
-  private Map<String, DirectUpstream> upstreams = Map.of();
-  private Set<String> evacuated = Set.of();
 
   /** Creates a handler without upstreams. */
   public SlotReplyHandler(
@@ -40,20 +36,22 @@
 
   /** Replaces the upstreams by those of a version of the instance list. */
   public void onInstancesActivated(InstanceList list, long nowNanos) {
-    Map<String, DirectUpstream> listed = new HashMap<>();
-    for (Upstream upstream : list.upstreams()) {
-      DirectUpstream direct = upstreams.get(upstream.name());
-      if (direct == null || direct.upstream().incarnation() != upstream.incarnation()) {
-        direct = new DirectUpstream(upstream);
-      }
-      direct.update(upstream);
-      listed.put(upstream.name(), direct);
-    }
-    upstreams = listed;
-    evacuated = list.evacuated();
+    state.upstreams.update(list);
     placement.updateUpstreams(list, nowNanos);
+    moveUnserved(nowNanos);
+  }
+
+  /** Handles what an upstream has said of further requests. */
+  public void onNotice(Upstream sender, UpstreamNotice notice, long nowNanos) {
+    if (state.upstreams.onNotice(sender, notice, nowNanos)) {
+      moveUnserved(nowNanos);
+    }
+  }
+
+  private void moveUnserved(long nowNanos) {
+    placement.reportNotices(nowNanos);
     placement
-        .moveFromEvacuated(nowNanos)
+        .moveUnserved(nowNanos)
         .forEach(request -> lifecycle.rejectWithoutUpstreams(request, nowNanos));
   }
 
@@ -64,7 +62,10 @@
       case SlotRefused refused -> onRefused(router, refused, nowNanos);
       case SlotRecalled recalled -> onRecalled(router, recalled, nowNanos);
       case SlotMessage.AllocatorLoad load -> placement.onAllocatorLoad(load, nowNanos);
-      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.AllocatorCosts _ -> {
+      case SlotMessage.SlotsWanted _,
+          SlotMessage.SlotsChanged _,
+          SlotMessage.AllocatorCosts _,
+          SlotMessage.UpstreamUnavailable _ -> {
         // Sent by routers to allocators only.
       }
     }
@@ -72,10 +73,14 @@
 
   private void onGranted(String router, SlotGranted granted, long nowNanos) {
     RoutedRequest request = findWaiting(granted.request(), granted.service());
-    DirectUpstream upstream = upstreams.get(granted.upstream());
+    DirectUpstream upstream = state.upstreams.find(granted.upstream());
     if (request == null || !placement.isAllocator(request, router)) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
-    } else if (!availability(upstream).state(nowNanos).usable()) {
+    } else if (!state.upstreams.availability(upstream).state(nowNanos).usable()) {
+      if (upstream != null) {
+        upstream.notices().clearReported(router);
+        placement.reportNotices(nowNanos);
+      }
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
       lifecycle.rejectWithoutUpstreams(request, nowNanos);
@@ -87,13 +92,6 @@
     }
   }
 
-  private UpstreamAvailability availability(DirectUpstream direct) {
-    return direct == null
-        ? UpstreamAvailability.GONE
-        : UpstreamAvailability.ofEntry(
-            direct.upstream(), evacuated.contains(direct.upstream().dataCentre()));
-  }
-
   private void call(RoutedRequest request, DirectUpstream upstream, long nowNanos) {
     AttemptId attempt = lifecycle.start(request, upstream, false, nowNanos);
     state.outbox.add(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -193,7 +193,7 @@
     double bestScore = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
       if (upstream == reserved
-          || !usable(upstream, nowNanos)
+          || !usable(upstream, entry, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
       }
@@ -220,7 +220,7 @@
     return countWithCapacity(entry, nowNanos) > 0
         ? null
         : upstreams.stream()
-            .filter(upstream -> usable(upstream, nowNanos))
+            .filter(upstream -> usable(upstream, entry, nowNanos))
             .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
             .orElse(null);
   }
@@ -235,7 +235,8 @@
     return (int)
         upstreams.stream()
             .filter(
-                upstream -> usable(upstream, nowNanos) && rule.hasCapacity(upstream, entry.call))
+                upstream ->
+                    usable(upstream, entry, nowNanos) && rule.hasCapacity(upstream, entry.call))
             .count();
   }
 
@@ -243,7 +244,7 @@
   private double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
     double min = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
-      if (usable(upstream, nowNanos)) {
+      if (usable(upstream, entry, nowNanos)) {
         min = Math.min(min, rule.firstByteMillis(upstream, entry.call));
       }
     }
@@ -256,6 +257,10 @@
         && rule.acceptsBacklog(upstream, share, nowNanos);
   }
 
+  private static boolean usable(UpstreamLoad upstream, WaitingEntry entry, long nowNanos) {
+    return upstream.availability(entry.router).state(nowNanos).usable();
+  }
+
   private static boolean usable(UpstreamLoad upstream, long nowNanos) {
     return upstream.availability().state(nowNanos).usable();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamAvailability.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamAvailability.java
@@ -53,6 +53,19 @@
         coldRequestsPerSecond);
   }
 
+  /** Returns this with what the upstream has said in its responses. */
+  UpstreamAvailability withNotices(boolean announcedLeaving, long pausedUntil) {
+    return new UpstreamAvailability(
+        listed,
+        leaving || announcedLeaving,
+        evacuated,
+        stalled,
+        ejectedUntilNanos,
+        pausedUntil,
+        cold,
+        coldRequestsPerSecond);
+  }
+
   /** Returns this with whether the upstream is cold and the rate that it tolerates while it is. */
   UpstreamAvailability withCold(boolean isCold, double requestsPerSecond) {
     return new UpstreamAvailability(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -1,10 +1,13 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.UpstreamUnavailable;
 import dev.agatepier.core.process.UpstreamState;
 import dev.agatepier.core.process.internal.ServiceSlotsStatus.UpstreamStatus;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +36,12 @@
   /** Whether its data centre is evacuated. */
   boolean evacuated;
 
+  /** Whether it has said that it is leaving. */
+  private boolean announcedLeaving;
+
+  /** Time until which it pauses for a router, by the router's name. */
+  private final Map<String, Long> pausedUntilNanos = new HashMap<>();
+
   /** State that was last reported to operators. */
   UpstreamState reportedState = UpstreamState.READY;
 
@@ -55,7 +64,34 @@
   /** Returns what the slot allocator knows of whether the upstream may get requests. */
   UpstreamAvailability availability() {
     return UpstreamAvailability.ofEntry(upstream, evacuated)
-        .withProgress(stalled, health.ejectedUntilNanos());
+        .withProgress(stalled, health.ejectedUntilNanos())
+        .withNotices(announcedLeaving, UpstreamAvailability.NO_TIME);
+  }
+
+  /** Returns the same for requests of one router, for which the upstream may pause. */
+  UpstreamAvailability availability(String router) {
+    return availability()
+        .withNotices(
+            announcedLeaving, pausedUntilNanos.getOrDefault(router, UpstreamAvailability.NO_TIME));
+  }
+
+  /** Returns the same for operators: paused if the upstream pauses for any router. */
+  UpstreamState reportableState(long nowNanos) {
+    long latest =
+        pausedUntilNanos.values().stream()
+            .max(Comparator.naturalOrder())
+            .orElse(UpstreamAvailability.NO_TIME);
+    return availability().withNotices(announcedLeaving, latest).state(nowNanos);
+  }
+
+  /** Applies what the upstream has said to a router; an earlier incarnation is ignored. */
+  void onUnavailable(String router, UpstreamUnavailable message, long nowNanos) {
+    if (message.incarnation() < upstream.incarnation()) {
+      return;
+    }
+    announcedLeaving |= message.leaving();
+    pausedUntilNanos.values().removeIf(until -> until <= nowNanos);
+    pausedUntilNanos.put(router, nowNanos + (long) (message.pauseMillis() * NANOS_PER_MILLI));
   }
 
   int running() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -239,7 +239,10 @@
 
     private void receive(String sender, SlotMessage message) {
       switch (message) {
-        case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.AllocatorCosts _ ->
+        case SlotMessage.SlotsWanted _,
+            SlotMessage.SlotsChanged _,
+            SlotMessage.AllocatorCosts _,
+            SlotMessage.UpstreamUnavailable _ ->
             dispatch(new SlotAllocatorEvent.MessageReceived(sender, message));
         default -> dispatch(new RouterEvent.AllocatorMessageReceived(sender, message));
       }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -44,6 +44,7 @@
   private final Scheduler scheduler;
   private final Counter connectionsOpened;
   private final Counter malformedResponses;
+  private final Counter ignoredNotices;
   private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
   private final Map<AttemptId, UpstreamPool> poolsByAttempt = new HashMap<>();
@@ -88,6 +89,7 @@
     this.scheduler = scheduler;
     connectionsOpened = metrics.counter("upstreams.connections-opened");
     malformedResponses = metrics.counter("upstreams.unsound-answers");
+    ignoredNotices = metrics.counter("upstreams.notices-ignored");
     responses =
         new ResponseBudget(
             maximumBufferedBytes, metrics.counter("upstreams.answers-given-up")::inc);
@@ -206,6 +208,12 @@
       RequestLog.logMalformedResponse(upstream.name(), attempt, detail);
     }
 
+    @Override
+    public void onNoticeIgnored(Upstream upstream, AttemptId attempt, String detail) {
+      ignoredNotices.inc();
+      RequestLog.logNoticeIgnored(upstream.name(), attempt, detail);
+    }
+
     private void onEvent(RouterEvent event) {
       switch (event) {
         case RouterEvent.UpstreamResponseCompleted ended -> poolsByAttempt.remove(ended.attempt());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -10,6 +10,7 @@
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.UpstreamUnavailable;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
@@ -100,6 +101,24 @@
               output.writeLong(message.delayMillis());
             },
             input -> new AllocatorLoad(input.readString(), input.readString(), input.readLong())),
+        new MessageType<>(
+            67,
+            UpstreamUnavailable.class,
+            5,
+            (message, output) -> {
+              output.writeString(message.service());
+              output.writeString(message.upstream());
+              output.writeLong(message.incarnation());
+              output.writeBoolean(message.leaving());
+              output.writeLong(message.pauseMillis());
+            },
+            input ->
+                new UpstreamUnavailable(
+                    input.readString(),
+                    input.readString(),
+                    input.readLong(),
+                    input.readBoolean(),
+                    input.readLong())),
         new MessageType<>(
             66,
             AllocatorCosts.class,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
@@ -32,6 +32,9 @@
   /** Called before a connection is opened. */
   void onConnecting();
 
+  /** Called when a field about further requests to an upstream could not be understood. */
+  void onNoticeIgnored(Upstream upstream, AttemptId attempt, String detail);
+
   /**
    * Called when a malformed response is received.
    *
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -240,7 +240,14 @@
         !HttpUtil.isTransferEncodingChunked(response)
             && !HttpUtil.isContentLengthSet(response)
             && !hasNoBody(response);
-    switch (pool.classifyResponse(exchange.attempt(), response.status().code(), headers)) {
+    int status = response.status().code();
+    Classification classification = pool.classifyResponse(exchange.attempt(), status, headers);
+    boolean mayBeRepeated =
+        reused && classification instanceof Classification.NotRun(_, boolean named) && !named;
+    if (!mayBeRepeated) {
+      pool.onHead(exchange.attempt(), status, headers);
+    }
+    switch (classification) {
       case Classification.Matched matched -> {
         responseKind = ResponseKind.ATTEMPT;
         exchange.onResponseHead(matched);
@@ -249,8 +256,8 @@
           returned.add(exchange.request());
         }
       }
-      case Classification.NotRun(Reason reason, boolean identified) -> {
-        if (reused && !identified) {
+      case Classification.NotRun(Reason reason, boolean _) -> {
+        if (mayBeRepeated) {
           failMalformed("a rejection on a reused connection does not name its request");
           return;
         }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -1,11 +1,14 @@
 package dev.agatepier.wire.connection.internal;
 
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.request.UpstreamDialect;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
@@ -115,6 +118,17 @@
     return context.dialect().classifyResponse(attempt, status, headers);
   }
 
+  /** Reports what the head of a response to an attempt says of further requests. */
+  void onHead(RunAttempt attempt, int status, List<Header> headers) {
+    UpstreamDialect.Notice notice = context.dialect().notice(attempt, status, headers);
+    if (!notice.ignored().isEmpty()) {
+      context.onNoticeIgnored(upstream, attempt.attempt(), notice.ignored());
+    }
+    if (!notice.content().equals(UpstreamNotice.NONE)) {
+      context.events().accept(new RouterEvent.UpstreamNoticed(upstream, notice.content()));
+    }
+  }
+
   /** Returns the time in nanoseconds until which a connection may be reused after a response. */
   long idleUntil(List<Header> headers) {
     long idleNanos = IDLE_NANOS;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -153,6 +153,17 @@
                 .with("flaw", detail));
   }
 
+  /** Logs a field about further requests to an upstream that could not be understood. */
+  public static void logNoticeIgnored(String upstream, AttemptId attempt, String detail) {
+    LOGGER.warn(
+        () ->
+            LogEvent.UPSTREAM_NOTICE_IGNORED
+                .message()
+                .with("upstream", upstream)
+                .with("request", attempt.request().toString())
+                .with("flaw", detail));
+  }
+
   private static StringMapMessage slotEvent(
       LogEvent event, String service, RequestId request, FairPosition position) {
     return event
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -185,7 +185,10 @@
       case LinkMessage.CostReport _, LinkMessage.CostChanges _, LinkMessage.DataCentreCosts _ ->
           countIfRejected(
               costAggregator.offer(new CostAggregatorEvent.MessageReceived(peer, message)));
-      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.AllocatorCosts _ ->
+      case SlotMessage.SlotsWanted _,
+          SlotMessage.SlotsChanged _,
+          SlotMessage.AllocatorCosts _,
+          SlotMessage.UpstreamUnavailable _ ->
           countIfRejected(
               slotAllocator.offer(
                   new SlotAllocatorEvent.MessageReceived(peer.instance(), (SlotMessage) message)));
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.UpstreamNotice;
 import java.util.List;
 
 /**
@@ -47,9 +48,29 @@
     record Malformed(String detail) implements Classification {}
   }
 
+  /**
+   * What the head of a response says of further requests to its upstream.
+   *
+   * @param content what it says
+   * @param ignored description of a field that could not be understood, for logs; empty for none
+   */
+  record Notice(UpstreamNotice content, String ignored) {
+
+    /** A head that says nothing. */
+    public static final Notice NONE = new Notice(UpstreamNotice.NONE, "");
+  }
+
   /** Returns the header fields of an attempt, without those for message framing. */
   List<Header> headers(RunAttempt attempt);
 
   /** Classifies a response to the attempt by its status and header fields. */
   Classification classifyResponse(RunAttempt attempt, int status, List<Header> headers);
+
+  /**
+   * Returns what a response to the attempt says of further requests to its upstream; nothing if the
+   * response belongs to another request or is malformed.
+   */
+  default Notice notice(RunAttempt attempt, int status, List<Header> headers) {
+    return Notice.NONE;
+  }
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
@@ -4,12 +4,14 @@
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.wire.request.UpstreamDialect;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Upstreams echo the request number in the header {@code label} and send {@code not-run: 1} for an
- * attempt that they did not run.
+ * attempt that they did not run, and {@code leaving: 1} if they are leaving.
  */
 final class FakeUpstreamDialect implements UpstreamDialect {
 
@@ -40,6 +42,12 @@
             firstValue(headers, "content-type").equals("events"));
   }
 
+  @Override
+  public Notice notice(RunAttempt attempt, int status, List<Header> headers) {
+    boolean leaving = !firstValue(headers, "leaving").isEmpty();
+    return new Notice(new UpstreamNotice(leaving, OptionalLong.empty()), "");
+  }
+
   private static String firstValue(List<Header> headers, String name) {
     return headers.stream()
         .filter(header -> header.name().equals(name))
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -38,6 +38,7 @@
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.UpstreamUnavailable;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationRequest;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationTransfer;
@@ -217,7 +218,8 @@
         new SlotRecalled("plan-model", REQUEST, "engine-4"),
         new AllocatorLoad("plan-model", "siliguri-a", 35),
         new AllocatorCosts(
-            "plan-model", 41_000, List.of(new WorkspaceCost("kolkata-strings", 1_620))));
+            "plan-model", 41_000, List.of(new WorkspaceCost("kolkata-strings", 1_620))),
+        new UpstreamUnavailable("plan-model", "engine-4", 5, true, 1_500));
   }
 
   private static StartAttempt start(long grant, AttemptId attempt, Optional<Ticket> ticket) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
+import dev.agatepier.core.process.RouterEvent.UpstreamNoticed;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseStarted;
@@ -96,6 +97,34 @@
     }
   }
 
+  /** Guards against a notice that waits until a stream has content. */
+  @Test
+  public void noticeIsReportedWithTheHead() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(EVENTS.formatted(1 + "\r\nLeaving: 1"));
+      UpstreamNoticed noticed = nextEvent(UpstreamNoticed.class);
+      assertEquals(noticed.upstream().name(), "u1");
+      assertTrue(noticed.notice().leaving());
+    }
+  }
+
+  /** Guards against a repeated rejection of an earlier request that counts for a later one. */
+  @Test
+  public void rejectionThatMayBeRepeatedSaysNothingOfTheUpstream() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted(1) + "seats");
+      awaitCompletion();
+      run(2);
+      socket.readUntil("body");
+      socket.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
+      nextEvent(UpstreamFailed.class);
+    }
+  }
+
   @Test
   public void unreachableUpstreamIsNotRun() {
     upstream.close();
