Log the first malformed pause of an upstream only

Cause: each malformed Retry-After added a line, so that one upstream could add a line for each request.

Change: the first of each incarnation is logged, all are counted.

Result: UpstreamCallerTest passes; no test covers the number of lines.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -209,9 +209,12 @@
     }
 
     @Override
-    public void onNoticeIgnored(Upstream upstream, AttemptId attempt, String detail) {
+    public void onNoticeIgnored(
+        Upstream upstream, AttemptId attempt, String detail, boolean first) {
       ignoredNotices.inc();
-      RequestLog.logNoticeIgnored(upstream.name(), attempt, detail);
+      if (first) {
+        RequestLog.logNoticeIgnored(upstream.name(), attempt, detail);
+      }
     }
 
     private void onEvent(RouterEvent event) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
@@ -32,8 +32,13 @@
   /** Called before a connection is opened. */
   void onConnecting();
 
-  /** Called when a field about further requests to an upstream could not be understood. */
-  void onNoticeIgnored(Upstream upstream, AttemptId attempt, String detail);
+  /**
+   * Called when a field about further requests to an upstream could not be understood.
+   *
+   * @param detail description of the field, for logs
+   * @param first whether it is the first of this upstream; only this one is logged
+   */
+  void onNoticeIgnored(Upstream upstream, AttemptId attempt, String detail, boolean first);
 
   /**
    * Called when a malformed response is received.
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -49,6 +49,7 @@
   private final Set<UpstreamConnection> open = new HashSet<>();
   private final Map<AttemptId, UpstreamConnection> busy = new HashMap<>();
   private final Map<AttemptId, PendingConnect> pendingConnects = new HashMap<>();
+  private boolean noticeIgnored;
 
   /** An attempt that waits for its connection. */
   private record PendingConnect(AttemptExchange exchange, Disposable.Swap subscription) {}
@@ -122,7 +123,8 @@
   void onHead(RunAttempt attempt, int status, List<Header> headers) {
     UpstreamDialect.Notice notice = context.dialect().notice(attempt, status, headers);
     if (!notice.ignored().isEmpty()) {
-      context.onNoticeIgnored(upstream, attempt.attempt(), notice.ignored());
+      context.onNoticeIgnored(upstream, attempt.attempt(), notice.ignored(), !noticeIgnored);
+      noticeIgnored = true;
     }
     if (!notice.content().equals(UpstreamNotice.NONE)) {
       context.events().accept(new RouterEvent.UpstreamNoticed(upstream, notice.content()));
