Check the availability of upstreams without allocation

Cause: a slot allocator asks for each waiting request and upstream; with the compiler that the deployment uses (C1 only), each check allocated up to four records and took about 30 ns.

Change: the last result is kept while nothing that it depends on has changed.

Result, a loop of 5 million checks on a machine with other load: about 30 ns before, 6.6 ns after, 2.2 ns for the separate conditions of before this part. The tests of the slot allocator pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -53,26 +53,41 @@
   /** Allocations whose response has not started, in the order of their grants. */
   private final Map<RequestId, SlotAllocation> pending = new LinkedHashMap<>();
 
+  private UpstreamAvailability availability;
   private long outputTokens;
   private long progressNanos;
 
   UpstreamLoad(Upstream upstream, long nowNanos) {
     this.upstream = upstream;
+    this.availability = UpstreamAvailability.ofEntry(upstream, evacuated);
     this.progressNanos = nowNanos;
   }
 
-  /** Returns what the slot allocator knows of whether the upstream may get requests. */
+  /**
+   * Returns what the slot allocator knows of whether the upstream may get requests. It is asked for
+   * each waiting request and upstream, so the last result is kept while nothing has changed.
+   */
   UpstreamAvailability availability() {
-    return UpstreamAvailability.ofEntry(upstream, evacuated)
-        .withProgress(stalled, health.ejectedUntilNanos())
-        .withNotices(announcedLeaving, UpstreamAvailability.NO_TIME);
+    boolean leaving = upstream.leaving() || announcedLeaving;
+    long ejectedUntil = health.ejectedUntilNanos();
+    if (availability.leaving() != leaving
+        || availability.evacuated() != evacuated
+        || availability.stalled() != stalled
+        || availability.ejectedUntilNanos() != ejectedUntil) {
+      availability =
+          UpstreamAvailability.ofEntry(upstream, evacuated)
+              .withProgress(stalled, ejectedUntil)
+              .withNotices(announcedLeaving, UpstreamAvailability.NO_TIME);
+    }
+    return availability;
   }
 
   /** Returns the same for requests of one router, for which the upstream may pause. */
   UpstreamAvailability availability(String router) {
-    return availability()
-        .withNotices(
-            announcedLeaving, pausedUntilNanos.getOrDefault(router, UpstreamAvailability.NO_TIME));
+    Long pausedUntil = pausedUntilNanos.isEmpty() ? null : pausedUntilNanos.get(router);
+    return pausedUntil == null
+        ? availability()
+        : availability().withNotices(announcedLeaving, pausedUntil);
   }
 
   /** Returns the same for operators: paused if the upstream pauses for any router. */
