--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AvailabilityReport.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AvailabilityReport.java
@@ -48,6 +48,8 @@
   }
 
   private UpstreamState state(UpstreamLoad load, long nowNanos) {
-    return coldUpstreams.availability(load, nowNanos).state(nowNanos);
+    return load.reportableAvailability()
+        .withCold(coldUpstreams.isCold(load, nowNanos), coldUpstreams.requestsPerSecond())
+        .state(nowNanos);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ColdUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ColdUpstreams.java
@@ -93,11 +93,9 @@
     return limit != null && upstream.warmUp.isCold(limit, nowNanos);
   }
 
-  /** Returns what is known of whether an upstream may get requests, with its cold state. */
-  UpstreamAvailability availability(UpstreamLoad upstream, long nowNanos) {
-    return isCold(upstream, nowNanos)
-        ? upstream.availability().withCold(true, limit.requestsPerSecond())
-        : upstream.availability();
+  /** Returns the rate that a cold upstream tolerates, in requests a second; 0 without a limit. */
+  double requestsPerSecond() {
+    return limit == null ? 0 : limit.requestsPerSecond();
   }
 
   /** Returns whether a cold upstream may get another request now. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -247,7 +247,7 @@
     double bestScore = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
       if (upstream == reserved
-          || !usable(upstream, nowNanos)
+          || !usable(upstream, entry, nowNanos)
           || coldUpstreams.isCold(upstream, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
@@ -275,7 +275,7 @@
     return countWithCapacity(entry, nowNanos) > 0
         ? null
         : upstreams.stream()
-            .filter(upstream -> usable(upstream, nowNanos))
+            .filter(upstream -> usable(upstream, entry, nowNanos))
             .filter(upstream -> !coldUpstreams.isCold(upstream, nowNanos))
             .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
             .orElse(null);
@@ -291,7 +291,8 @@
     return (int)
         upstreams.stream()
             .filter(
-                upstream -> usable(upstream, nowNanos) && rule.hasCapacity(upstream, entry.call))
+                upstream ->
+                    usable(upstream, entry, nowNanos) && rule.hasCapacity(upstream, entry.call))
             .count();
   }
 
@@ -299,7 +300,7 @@
   private double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
     double min = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
-      if (usable(upstream, nowNanos)) {
+      if (usable(upstream, entry, nowNanos)) {
         min = Math.min(min, firstByteMillis(upstream, entry, nowNanos));
       }
     }
@@ -328,6 +329,10 @@
         upstream, share * coldUpstreams.backlogShare(upstream, nowNanos), nowNanos);
   }
 
+  private static boolean usable(UpstreamLoad upstream, WaitingEntry entry, long nowNanos) {
+    return upstream.availability(entry.router).state(nowNanos).usable();
+  }
+
   private static boolean usable(UpstreamLoad upstream, long nowNanos) {
     return upstream.availability().state(nowNanos).usable();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -1,10 +1,13 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.UpstreamUnavailable;
 import dev.agatepier.core.process.UpstreamState;
 import dev.agatepier.core.process.internal.ServiceSlotsStatus.UpstreamStatus;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +37,12 @@
   /** Whether its data centre is evacuated. */
   boolean evacuated;
 
+  /** Whether it has said that it is leaving. */
+  private boolean announcedLeaving;
+
+  /** Time until which it pauses for a router, by the router's name. */
+  private final Map<String, Long> pausedUntilNanos = new HashMap<>();
+
   /** State that was last reported to operators. */
   UpstreamState reportedState = UpstreamState.READY;
 
@@ -45,18 +54,60 @@
   /** Allocations whose response has not started, in the order of their grants. */
   private final Map<RequestId, SlotAllocation> pending = new LinkedHashMap<>();
 
+  private UpstreamAvailability availability;
   private long outputTokens;
   private long progressNanos;
 
   UpstreamLoad(Upstream upstream, long nowNanos) {
     this.upstream = upstream;
+    this.availability = UpstreamAvailability.ofEntry(upstream, evacuated);
     this.progressNanos = nowNanos;
   }
 
-  /** Returns what the slot allocator knows of whether the upstream may get requests. */
+  /**
+   * Returns what the slot allocator knows of whether the upstream may get requests. It is asked for
+   * each waiting request and upstream, so the last result is kept while nothing has changed.
+   */
   UpstreamAvailability availability() {
-    return UpstreamAvailability.ofEntry(upstream, evacuated)
-        .withProgress(stalled, health.ejectedUntilNanos());
+    boolean leaving = upstream.leaving() || announcedLeaving;
+    long ejectedUntil = health.ejectedUntilNanos();
+    if (availability.leaving() != leaving
+        || availability.evacuated() != evacuated
+        || availability.stalled() != stalled
+        || availability.ejectedUntilNanos() != ejectedUntil) {
+      availability =
+          UpstreamAvailability.ofEntry(upstream, evacuated)
+              .withProgress(stalled, ejectedUntil)
+              .withNotices(announcedLeaving, UpstreamAvailability.NO_TIME);
+    }
+    return availability;
+  }
+
+  /** Returns the same for requests of one router, for which the upstream may pause. */
+  UpstreamAvailability availability(String router) {
+    Long pausedUntil = pausedUntilNanos.isEmpty() ? null : pausedUntilNanos.get(router);
+    return pausedUntil == null
+        ? availability()
+        : availability().withNotices(announcedLeaving, pausedUntil);
+  }
+
+  /** Returns the same for operators: paused if the upstream pauses for any router. */
+  UpstreamAvailability reportableAvailability() {
+    long latest =
+        pausedUntilNanos.values().stream()
+            .max(Comparator.naturalOrder())
+            .orElse(UpstreamAvailability.NO_TIME);
+    return availability().withNotices(announcedLeaving, latest);
+  }
+
+  /** Applies what the upstream has said to a router; an earlier incarnation is ignored. */
+  void onUnavailable(String router, UpstreamUnavailable message, long nowNanos) {
+    if (message.incarnation() < upstream.incarnation()) {
+      return;
+    }
+    announcedLeaving |= message.leaving();
+    pausedUntilNanos.values().removeIf(until -> until <= nowNanos);
+    pausedUntilNanos.put(router, nowNanos + (long) (message.pauseMillis() * NANOS_PER_MILLI));
   }
 
   int running() {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -1,11 +1,14 @@
 package dev.agatepier.wire.connection.internal;
 
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.request.UpstreamDialect;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
@@ -46,6 +49,7 @@
   private final Set<UpstreamConnection> open = new HashSet<>();
   private final Map<AttemptId, UpstreamConnection> busy = new HashMap<>();
   private final Map<AttemptId, PendingConnect> pendingConnects = new HashMap<>();
+  private boolean noticeIgnored;
 
   /** An attempt that waits for its connection. */
   private record PendingConnect(AttemptExchange exchange, Disposable.Swap subscription) {}
@@ -115,6 +119,18 @@
     return context.dialect().classifyResponse(attempt, status, headers);
   }
 
+  /** Reports what the head of a response to an attempt says of further requests. */
+  void onHead(RunAttempt attempt, int status, List<Header> headers) {
+    UpstreamDialect.Notice notice = context.dialect().notice(attempt, status, headers);
+    if (!notice.ignored().isEmpty()) {
+      context.onNoticeIgnored(upstream, attempt.attempt(), notice.ignored(), !noticeIgnored);
+      noticeIgnored = true;
+    }
+    if (!notice.content().equals(UpstreamNotice.NONE)) {
+      context.events().accept(new RouterEvent.UpstreamNoticed(upstream, notice.content()));
+    }
+  }
+
   /** Returns the time in nanoseconds until which a connection may be reused after a response. */
   long idleUntil(List<Header> headers) {
     long idleNanos = IDLE_NANOS;
