Pass the load that upstreams state to the slot allocator

Cause: a slot allocator knows only its own grants. What other senders have at an upstream, and how slow its machine is at the moment, is stated in the header Instance-Load of its responses, which routers dropped.

Change: the dialect of the platform reads the header, the caller of upstreams hands it to the router's decision with the head, and the next SlotChange of the request carries it with the time for which the router has had it. A header that can't be read is counted and ignored.

Mutations that turn a test red: not clearing the load when it is taken (sendsStatedLoadAndItsAgeWithTheFirstChange); reporting the load with the first content instead of with the head (reportsTheLoadThatTheHeadStates).

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import java.util.List;
 import java.util.Optional;
 
@@ -92,8 +93,28 @@
    * @param stage the new state
    * @param amount tokens of the response for a model request; otherwise the time for which the slot
    *     was held, in milliseconds
+   * @param load load that the upstream has stated since the previous change; empty if it has not
    */
-  record SlotChange(RequestId request, String upstream, SlotStage stage, long amount) {}
+  record SlotChange(
+      RequestId request,
+      String upstream,
+      SlotStage stage,
+      long amount,
+      Optional<ReceivedLoad> load) {
+
+    /** Creates a change without a statement of load. */
+    public SlotChange(RequestId request, String upstream, SlotStage stage, long amount) {
+      this(request, upstream, stage, amount, Optional.empty());
+    }
+  }
+
+  /**
+   * Load that an upstream stated in a response.
+   *
+   * @param report the load
+   * @param ageMillis time for which the router has had it, in milliseconds
+   */
+  record ReceivedLoad(UpstreamLoadReport report, long ageMillis) {}
 
   /**
    * Router to slot allocator: state changes of the router's requests.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -105,6 +105,8 @@
           slotReplies.onMessage(router, message, nowNanos);
       case RouterEvent.UpstreamResponseStarted started ->
           upstreams.onResponseStarted(started, nowNanos);
+      case RouterEvent.UpstreamLoadReported reported ->
+          upstreams.onLoadReported(reported, nowNanos);
       case RouterEvent.UpstreamResponseData data -> upstreams.onResponseContent(data, nowNanos);
       case RouterEvent.UpstreamResponseCompleted completed ->
           upstreams.onResponseEnded(completed, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import java.util.Optional;
@@ -141,6 +142,15 @@
   record UpstreamResponseStarted(AttemptId attempt, ResponseHead head, boolean eventStream)
       implements RouterEvent {}
 
+  /**
+   * An upstream that the router itself called has stated its load in the head of a response.
+   *
+   * @param attempt the attempt that it responded to
+   * @param report the load
+   */
+  record UpstreamLoadReported(AttemptId attempt, UpstreamLoadReport report)
+      implements RouterEvent {}
+
   /**
    * Part of the response body of an upstream that the router itself called was received.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -97,15 +97,13 @@
   }
 
   @Override
-  public void recordResponseStarted(RoutedRequest request) {
-    sessions
-        .get(key(request))
-        .addChange(request.id(), request.lastTarget, SlotStage.RESPONSE_STARTED, 0);
+  public void recordResponseStarted(RoutedRequest request, long nowNanos) {
+    sessions.get(key(request)).addProgress(request, SlotStage.RESPONSE_STARTED, 0, nowNanos);
   }
 
   @Override
   public void recordReleased(RoutedRequest request, SlotStage stage, long nowNanos) {
-    sessions.get(key(request)).release(request, stage, (long) request.cost(nowNanos));
+    sessions.get(key(request)).release(request, stage, (long) request.cost(nowNanos), nowNanos);
   }
 
   @Override
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -93,9 +93,16 @@
     requests.remove(request.id());
   }
 
-  void release(RoutedRequest request, SlotStage stage, long amount) {
+  void release(RoutedRequest request, SlotStage stage, long amount, long nowNanos) {
     requests.remove(request.id());
-    addChange(request.id(), request.lastTarget, stage, amount);
+    addProgress(request, stage, amount, nowNanos);
+  }
+
+  /** Adds a change of a request on its upstream, with the load that the upstream stated. */
+  void addProgress(RoutedRequest request, SlotStage stage, long amount, long nowNanos) {
+    changes.add(
+        new SlotChange(
+            request.id(), request.lastTarget, stage, amount, request.takeStatedLoad(nowNanos)));
   }
 
   void addChange(RequestId request, String upstream, SlotStage stage, long amount) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -58,7 +58,7 @@
       return;
     }
     if (request.nextFrame == 0) {
-      request.placement.recordResponseStarted(request);
+      request.placement.recordResponseStarted(request, nowNanos);
     }
     request.nextFrame++;
     state.outbox.add(new ContinueResponse(request.id(), content));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
@@ -18,7 +18,7 @@
   void recordStarted(RoutedRequest request, long nowNanos);
 
   /** Records that the response to a request has started. */
-  void recordResponseStarted(RoutedRequest request);
+  void recordResponseStarted(RoutedRequest request, long nowNanos);
 
   /** Records that a request has released its slot. */
   void recordReleased(RoutedRequest request, SlotStage stage, long nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.process.RequestMetadata;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.request.AttemptId;
@@ -8,7 +9,9 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -101,6 +104,12 @@
   long firstByteNanos;
   Reason withdrawReason;
 
+  /** Load that the upstream stated and that its slot allocator has not been told yet. */
+  Optional<UpstreamLoadReport> statedLoad = Optional.empty();
+
+  /** When the stated load was received. */
+  long statedLoadNanos;
+
   RoutedRequest(
       CallArrived call,
       WaitingQueue queue,
@@ -181,10 +190,19 @@
     nextFrame = 0;
     uncreditedBytes = 0;
     sentNanos = nowNanos;
+    statedLoad = Optional.empty();
     newTarget.running().put(id(), this);
     return currentAttempt;
   }
 
+  /** Returns the load that the upstream stated, once. */
+  Optional<ReceivedLoad> takeStatedLoad(long nowNanos) {
+    long ageMillis = (nowNanos - statedLoadNanos) / RouterState.NANOS_PER_MILLI;
+    Optional<ReceivedLoad> taken = statedLoad.map(report -> new ReceivedLoad(report, ageMillis));
+    statedLoad = Optional.empty();
+    return taken;
+  }
+
   /** Removes the request from its target when nothing more is expected of the current attempt. */
   void clearTarget() {
     target.running().remove(id());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
@@ -57,7 +57,7 @@
   }
 
   @Override
-  public void recordResponseStarted(RoutedRequest request) {
+  public void recordResponseStarted(RoutedRequest request, long nowNanos) {
     // Nothing to do: the response was received from the sidecar.
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -2,11 +2,13 @@
 
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
+import dev.agatepier.core.process.RouterEvent.UpstreamLoadReported;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseStarted;
 import dev.agatepier.core.request.AttemptId;
+import java.util.Optional;
 
 /** Handles the responses of upstreams that the router calls directly, and relays them. */
 public final class UpstreamResponseHandler {
@@ -48,6 +50,15 @@
     }
   }
 
+  /** Stores the load that an upstream stated, for the next message to its slot allocator. */
+  public void onLoadReported(UpstreamLoadReported event, long nowNanos) {
+    RoutedRequest request = current(event.attempt());
+    if (request != null) {
+      request.statedLoad = Optional.of(event.report());
+      request.statedLoadNanos = nowNanos;
+    }
+  }
+
   /** Relays response content; skips events of a resumed stream that the caller already has. */
   public void onResponseContent(UpstreamResponseData event, long nowNanos) {
     RoutedRequest request = current(event.attempt());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -11,17 +11,23 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
+import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
 import dev.agatepier.core.connection.SlotMessage.SlotRefused;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.process.RouterEffect.CancelAttempt;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.version.InstanceList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -281,6 +287,24 @@
     assertEquals(router.sent("r2", SlotsWanted.class).getLast().waiting().size(), 1);
   }
 
+  /** Guards against a load that is sent twice, or taken for as new as the message with it. */
+  @Test
+  public void sendsStatedLoadAndItsAgeWithTheFirstChange() {
+    UpstreamLoadReport load = new UpstreamLoadReport(3, 1, 8, OptionalInt.of(170));
+    RequestId request = router.run(UNSAFE, "u1");
+    router.dispatch(new RouterEvent.UpstreamLoadReported(router.attempt(request), load));
+    router.advance(40);
+    router.startResponse(request, 200);
+    router.sendContent(request, "a");
+    router.endResponse(request);
+    assertEquals(
+        router.sent("r1", SlotsChanged.class).stream()
+            .flatMap(message -> message.changes().stream())
+            .map(SlotChange::load)
+            .toList(),
+        List.of(Optional.of(new ReceivedLoad(load, 40)), Optional.empty()));
+  }
+
   @Test
   public void sendsNewAllocatorTheCompleteState() {
     final RequestId waiting = router.call(UNSAFE);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -44,6 +44,7 @@
   private final Scheduler scheduler;
   private final Counter connectionsOpened;
   private final Counter malformedResponses;
+  private final Counter unreadableLoads;
   private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
   private final Map<AttemptId, UpstreamPool> poolsByAttempt = new HashMap<>();
@@ -88,6 +89,7 @@
     this.scheduler = scheduler;
     connectionsOpened = metrics.counter("upstreams.connections-opened");
     malformedResponses = metrics.counter("upstreams.unsound-answers");
+    unreadableLoads = metrics.counter("upstreams.unreadable-loads");
     responses =
         new ResponseBudget(
             maximumBufferedBytes, metrics.counter("upstreams.answers-given-up")::inc);
@@ -195,6 +197,11 @@
       return eventLoops;
     }
 
+    @Override
+    public void onUnreadableLoad() {
+      unreadableLoads.inc();
+    }
+
     @Override
     public void onConnecting() {
       connectionsOpened.inc();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorCosts;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
@@ -13,8 +14,11 @@
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Function;
 
 /** Encodes the messages between routers and the slot allocator of a service. */
 public final class SlotMessageCodec implements MessageTypeProvider {
@@ -152,19 +156,25 @@
   }
 
   private static Optional<PromptMetadata> readPrompt(FieldInput input) {
-    List<PromptMetadata> prompts =
-        input.readList(
-            source ->
-                new PromptMetadata(
-                    source.readString(),
-                    source.readInt(),
-                    source.readInt(),
-                    source.readList(part -> new PromptPart(part.readString(), part.readInt()))));
-    if (prompts.size() > 1) {
+    return readAtMostOne(
+        input,
+        "prompt",
+        source ->
+            new PromptMetadata(
+                source.readString(),
+                source.readInt(),
+                source.readInt(),
+                source.readList(part -> new PromptPart(part.readString(), part.readInt()))));
+  }
+
+  private static <T> Optional<T> readAtMostOne(
+      FieldInput input, String field, Function<FieldInput, T> element) {
+    List<T> values = input.readList(element);
+    if (values.size() > 1) {
       throw new IllegalArgumentException(
-          "field prompt holds " + prompts.size() + " elements, more than 1");
+          "field " + field + " holds " + values.size() + " elements, more than 1");
     }
-    return prompts.stream().findFirst();
+    return values.stream().findFirst();
   }
 
   private static void writeHeld(FieldOutput output, HeldSlot held) {
@@ -182,6 +192,26 @@
     output.writeString(change.upstream());
     output.writeInt(change.stage().ordinal());
     output.writeLong(change.amount());
+    output.writeList(change.load().stream().toList(), SlotMessageCodec::writeLoad);
+  }
+
+  /** Writes a load; a pace of 0 stands for none. */
+  private static void writeLoad(FieldOutput output, ReceivedLoad load) {
+    output.writeInt(load.report().running());
+    output.writeInt(load.report().waiting());
+    output.writeInt(load.report().slots());
+    output.writeInt(load.report().pacePercent().orElse(0));
+    output.writeLong(load.ageMillis());
+  }
+
+  private static ReceivedLoad readLoad(FieldInput input) {
+    int running = input.readInt();
+    int waiting = input.readInt();
+    int slots = input.readInt();
+    int pacePercent = input.readInt();
+    OptionalInt pace = pacePercent == 0 ? OptionalInt.empty() : OptionalInt.of(pacePercent);
+    return new ReceivedLoad(
+        new UpstreamLoadReport(running, waiting, slots, pace), Math.max(0, input.readLong()));
   }
 
   private static SlotChange readChange(FieldInput input) {
@@ -189,7 +219,8 @@
         RequestFields.readRequest(input),
         input.readString(),
         toStage(input.readInt()),
-        input.readLong());
+        input.readLong(),
+        readAtMostOne(input, "load", SlotMessageCodec::readLoad));
   }
 
   private static SlotStage toStage(int ordinal) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
@@ -29,6 +29,9 @@
   /** Returns the event loops for connections. */
   LoopResources eventLoops();
 
+  /** Called when a response states a load that cannot be read. */
+  void onUnreadableLoad();
+
   /** Called before a connection is opened. */
   void onConnecting();
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -243,6 +243,7 @@
     switch (pool.classifyResponse(exchange.attempt(), response.status().code(), headers)) {
       case Classification.Matched matched -> {
         responseKind = ResponseKind.ATTEMPT;
+        pool.reportLoad(exchange.id(), headers);
         exchange.onResponseHead(matched);
         idleUntilNanos = pool.idleUntil(headers);
         if (response.status().codeClass() != HttpStatusClass.SUCCESS) {
@@ -255,6 +256,7 @@
           return;
         }
         responseKind = ResponseKind.DISCARDED;
+        pool.reportLoad(exchange.id(), headers);
         idleUntilNanos = pool.idleUntil(headers);
         returned.add(exchange.request());
         reusable &= reason != Reason.UPSTREAM_OTHER;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -1,12 +1,15 @@
 package dev.agatepier.wire.connection.internal;
 
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
+import dev.agatepier.wire.request.UpstreamDialect.LoadStatement;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import java.util.ArrayDeque;
@@ -115,6 +118,18 @@
     return context.dialect().classifyResponse(attempt, status, headers);
   }
 
+  /** Reports the load that the header fields of a response to the attempt state, if any. */
+  void reportLoad(AttemptId attempt, List<Header> headers) {
+    switch (context.dialect().readLoad(headers)) {
+      case LoadStatement.Stated(UpstreamLoadReport report) ->
+          context.events().accept(new RouterEvent.UpstreamLoadReported(attempt, report));
+      case LoadStatement.Unreadable() -> context.onUnreadableLoad();
+      case LoadStatement.Absent() -> {
+        // Upstreams may omit it.
+      }
+    }
+  }
+
   /** Returns the time in nanoseconds until which a connection may be reused after a response. */
   long idleUntil(List<Header> headers) {
     long idleNanos = IDLE_NANOS;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import java.util.List;
 
 /**
@@ -47,9 +48,29 @@
     record Malformed(String detail) implements Classification {}
   }
 
+  /** Load that the head of a response states. */
+  sealed interface LoadStatement {
+
+    /** The head states no load. */
+    record Absent() implements LoadStatement {}
+
+    /**
+     * The head states a load.
+     *
+     * @param report the load
+     */
+    record Stated(UpstreamLoadReport report) implements LoadStatement {}
+
+    /** The head states a load that cannot be read. */
+    record Unreadable() implements LoadStatement {}
+  }
+
   /** Returns the header fields of an attempt, without those for message framing. */
   List<Header> headers(RunAttempt attempt);
 
   /** Classifies a response to the attempt by its status and header fields. */
   Classification classifyResponse(RunAttempt attempt, int status, List<Header> headers);
+
+  /** Reads the load that the header fields of a response state. */
+  LoadStatement readLoad(List<Header> headers);
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
@@ -4,8 +4,10 @@
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.wire.request.UpstreamDialect;
 import java.util.List;
+import java.util.OptionalInt;
 
 /**
  * Upstreams echo the request number in the header {@code label} and send {@code not-run: 1} for an
@@ -40,6 +42,18 @@
             firstValue(headers, "content-type").equals("events"));
   }
 
+  @Override
+  public LoadStatement readLoad(List<Header> headers) {
+    String load = firstValue(headers, "load");
+    if (load.isEmpty()) {
+      return new LoadStatement.Absent();
+    }
+    return load.equals("unreadable")
+        ? new LoadStatement.Unreadable()
+        : new LoadStatement.Stated(
+            new UpstreamLoadReport(Integer.parseInt(load), 0, 8, OptionalInt.empty()));
+  }
+
   private static String firstValue(List<Header> headers, String name) {
     return headers.stream()
         .filter(header -> header.name().equals(name))
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -31,6 +31,7 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorCosts;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
@@ -59,12 +60,14 @@
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.Upstream;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /** Message sequences of the golden files; together they cover every message type. */
 final class LinkSessions {
@@ -198,6 +201,7 @@
                     1_460,
                     80,
                     List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))));
+    ReceivedLoad load = new ReceivedLoad(new UpstreamLoadReport(12, 3, 64, OptionalInt.of(170)), 4);
     return List.of(
         new SlotsWanted("chair-desk", false, List.of(plain), List.of()),
         new SlotsWanted(
@@ -208,6 +212,7 @@
             Arrays.stream(SlotStage.values())
                 .map(stage -> new SlotChange(REQUEST, "engine-4", stage, 80))
                 .toList()),
+        new SlotsChanged("plan-model", List.of(started(Optional.of(load)))),
         new SlotRefused("plan-model", REQUEST, 1_000, "siliguri-a"),
         new SlotRecalled("plan-model", REQUEST, "engine-4"),
         new AllocatorLoad("plan-model", "siliguri-a", 35),
@@ -215,6 +220,10 @@
             "plan-model", 41_000, List.of(new WorkspaceCost("kolkata-strings", 1_620))));
   }
 
+  private static SlotChange started(Optional<ReceivedLoad> load) {
+    return new SlotChange(REQUEST, "engine-4", SlotStage.RESPONSE_STARTED, 80, load);
+  }
+
   private static StartAttempt start(long grant, AttemptId attempt, Optional<Ticket> ticket) {
     return new StartAttempt(
         grant,
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
@@ -41,6 +41,7 @@
   BlockingQueue<RouterEvent> events;
   LoopResources loops;
   Scheduler scheduler;
+  MetricRegistry metrics;
   UpstreamCaller caller;
   RawUpstream upstream;
 
@@ -49,6 +50,7 @@
     BlockingQueue<RouterEvent> newEvents = new LinkedBlockingQueue<>();
     events = newEvents;
     upstream = new RawUpstream();
+    metrics = new MetricRegistry();
     loops = LoopResources.create("upstream-caller-test", 1, true);
     scheduler = Schedulers.fromExecutorService(loops.onServer(true).next());
     caller =
@@ -59,7 +61,7 @@
             System::nanoTime,
             loops,
             scheduler,
-            new MetricRegistry(),
+            metrics,
             failure -> newEvents.add(new RouterEvent.DrainStarted()),
             BUFFERED_BYTES);
     caller.start().join();
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -7,6 +7,7 @@
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
+import dev.agatepier.core.process.RouterEvent.UpstreamLoadReported;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
@@ -51,6 +52,29 @@
     }
   }
 
+  /** Guards against a load that is lost because no content of the response has arrived yet. */
+  @Test
+  public void reportsTheLoadThatTheHeadStates() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(EVENTS.formatted("1\r\nLoad: 5"));
+      assertEquals(nextEvent(UpstreamLoadReported.class).report().running(), 5);
+    }
+  }
+
+  /** Guards against a response that fails because its load cannot be read. */
+  @Test
+  public void countsAndIgnoresAnUnreadableLoad() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted("1\r\nLoad: unreadable") + "seats");
+      awaitCompletion();
+      assertEquals(metrics.counter("upstreams.unreadable-loads").getCount(), 1);
+    }
+  }
+
   @Test
   public void reusesConnection() {
     run(1);
