Estimate the load of upstreams at the slot allocator

Cause: an allocator measured the prefill time of an engine only by its own first events, knew nothing of other senders, and shared one time among all plain upstreams of a service.

Change: UpstreamLoadEstimate holds, for each upstream, the load of other senders (stated load less the allocator's own at that time, with a weight that falls with age), the pace of its machine smoothed over the time of a request, the time of an output token, and the error of predicted starts, which is a histogram by service. Backlog, free slots and prefill times use it only for upstreams that state a pace, or if slots.evenLoad is true. The running requests of an engine are limited so that its average gap leaves room within the shortest gap of the routes. The choice of the upstream is an interface of its own, DelayReports a class of its own.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/PolicyReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/PolicyReader.java
@@ -53,6 +53,7 @@
           (int) object.integerInRange(field, value, 0, Integer.MAX_VALUE, number);
       case Long number -> object.integerInRange(field, value, 0, Long.MAX_VALUE, number);
       case Double number -> number(object, field, value, number);
+      case Boolean flag -> flag(object, field, value, flag);
       default -> text(object, field, value, fallback);
     };
   }
@@ -83,6 +84,14 @@
     return fallback;
   }
 
+  private static boolean flag(ObjectReader object, String field, JsonNode value, boolean fallback) {
+    if (value.isBoolean()) {
+      return value.booleanValue();
+    }
+    object.addMistake(field, "must be true or false, without quotes");
+    return fallback;
+  }
+
   private static Object text(ObjectReader object, String field, JsonNode value, Object fallback) {
     if (value.isTextual()) {
       return value.textValue();
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -72,6 +72,17 @@
       boolean underserved)
       implements SlotAllocatorEffect {}
 
+  /**
+   * Record how well the start of a response was predicted.
+   *
+   * @param service the called service
+   * @param expectedMillis time from the grant to the start that was expected at the grant, in
+   *     milliseconds
+   * @param observedMillis the time that it took
+   */
+  record StartPredicted(String service, long expectedMillis, long observedMillis)
+      implements SlotAllocatorEffect {}
+
   /**
    * Log that an upstream became usable or unusable.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -15,6 +15,8 @@
  * @param costWindowMillis period over which operators compare the service of workspaces, in
  *     milliseconds: older cost has little weight in the fair-queueing order; 0 if cost never loses
  *     weight
+ * @param evenLoad whether upstreams that do not state the pace of their machine are chosen by the
+ *     estimate of their load as well
  */
 public record SlotAllocatorPolicy(
     long backlogMillis,
@@ -22,11 +24,12 @@
     long stallMillis,
     long lateMillis,
     long retryAfterMillis,
-    long costWindowMillis) {
+    long costWindowMillis,
+    boolean evenLoad) {
 
   /** The default values. docs/decisions/0011 documents the experiments behind them. */
   public static final SlotAllocatorPolicy DEFAULT =
-      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0);
+      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, false);
 
   /** Checks that every value is in range. */
   public SlotAllocatorPolicy {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -53,7 +53,7 @@
 
   @Override
   public double firstByteMillis(UpstreamLoad upstream, WaitingCall call) {
-    return upstream.prefillTime.expectedMillis(uncachedTokens(upstream, call));
+    return upstream.prefillMillis(uncachedTokens(upstream, call));
   }
 
   @Override
@@ -62,9 +62,7 @@
     double firstByte = firstByteMillis(upstream, call);
     return firstByte
         + SHARED_PREFILL_WEIGHT
-            * (firstByte
-                - upstream.prefillTime.expectedMillis(
-                    uncachedTokens(upstream, call) - sharedTokens));
+            * (firstByte - upstream.prefillMillis(uncachedTokens(upstream, call) - sharedTokens));
   }
 
   @Override
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
@@ -18,6 +18,9 @@
   /** Initial average, in milliseconds. */
   private static final double INITIAL_MEAN_MILLIS = 50;
 
+  /** Upper bound of the share of failures, so that the expected number of attempts is finite. */
+  private static final double MAX_FAILURE_SHARE = 0.95;
+
   private double meanMillis = INITIAL_MEAN_MILLIS;
 
   @Override
@@ -32,7 +35,9 @@
 
   @Override
   public double backlogMillis(UpstreamLoad upstream, long nowNanos) {
-    return meanMillis * upstream.running() / upstream.upstream.slots();
+    return upstream.usesEstimate()
+        ? slotTimes(upstream, upstream.running() + upstream.otherRequests())
+        : meanMillis * upstream.running() / upstream.upstream.slots();
   }
 
   @Override
@@ -42,12 +47,35 @@
 
   @Override
   public double firstByteMillis(UpstreamLoad upstream, WaitingCall call) {
-    return meanMillis;
+    return upstream.usesEstimate() ? upstream.slotMillis(meanMillis) : meanMillis;
   }
 
   @Override
   public double workMillis(UpstreamLoad upstream, WaitingCall call) {
-    return backlogMillis(upstream, 0);
+    return upstream.usesEstimate() ? workMillis(upstream) : backlogMillis(upstream, 0);
+  }
+
+  /**
+   * Returns the time of the further attempts that are expected until one succeeds, by the estimate.
+   * Errors that are as frequent at every upstream then leave the load even.
+   */
+  @Override
+  public double failureMillis(UpstreamLoad upstream, double allFailMillis) {
+    if (!upstream.usesEstimate()) {
+      return SlotRule.super.failureMillis(upstream, allFailMillis);
+    }
+    double share = Math.min(upstream.health.failureShare(), MAX_FAILURE_SHARE);
+    return workMillis(upstream) * share / (1 - share);
+  }
+
+  /** Returns the share of the upstream's time that one more request takes with those it has. */
+  private double workMillis(UpstreamLoad upstream) {
+    return slotTimes(upstream, upstream.running() + upstream.otherRequests() + 1);
+  }
+
+  /** Returns the time of a number of requests that share the slots of an upstream. */
+  private double slotTimes(UpstreamLoad upstream, int requests) {
+    return upstream.slotMillis(meanMillis) * requests / upstream.upstream.slots();
   }
 
   @Override
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefillTimeModel.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefillTimeModel.java
@@ -52,6 +52,11 @@
     return constant + slope * count;
   }
 
+  /** Returns the expected time of one more token, in milliseconds. */
+  double millisPerToken() {
+    return slope();
+  }
+
   private double slope() {
     double spread = weight * tokensSquared - tokens * tokens;
     double slope =
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -11,6 +11,7 @@
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
+import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
@@ -25,19 +26,6 @@
 /** Allocates the slots of one service's upstreams to waiting requests. */
 public final class ServiceSlots {
 
-  /**
-   * Change of the delay that is reported before the maximum interval is over: a fixed part, in
-   * milliseconds, and a share of the last reported delay. Every router receives each report.
-   */
-  private static final long DELAY_CHANGE_MILLIS = 10;
-
-  private static final double DELAY_CHANGE_SHARE = 0.25;
-
-  /** Minimum and maximum time between two reports of the delay. */
-  private static final long MIN_INTERVAL_NANOS = 250_000_000L;
-
-  private static final long MAX_INTERVAL_NANOS = 1_000_000_000L;
-
   /**
    * Exponent of the decay of cost over one window. A workspace that is ahead by its whole cost
    * waits for a third of the window, so over the window it gets more than half of what others get.
@@ -57,12 +45,12 @@
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
   private final ServedLevels levels = new ServedLevels();
+  private final DelayReports reports = new DelayReports();
   private Set<String> otherDataCentres = Set.of();
   private OptionalLong memoryTokens = OptionalLong.empty();
+  private double maximumTokenMillis = Double.POSITIVE_INFINITY;
   private long lastSequence;
-  private long reportedDelayMillis;
   private long decayedNanos;
-  private long reportedNanos = Long.MIN_VALUE / 2;
 
   /**
    * Creates the state of a service, without upstreams.
@@ -77,27 +65,44 @@
       SlotAllocatorPolicy policy,
       WorkspaceLedger ledger,
       List<SlotAllocatorEffect> effects) {
+    this(entry, policy, ledger, effects, UpstreamChoice.LOWEST_SCORE);
+  }
+
+  /** Creates the state of a service with another choice of upstreams. */
+  ServiceSlots(
+      ServiceEntry entry,
+      SlotAllocatorPolicy policy,
+      WorkspaceLedger ledger,
+      List<SlotAllocatorEffect> effects,
+      UpstreamChoice choice) {
     this.service = entry.name();
     this.policy = policy;
     this.rule = SlotRule.of(entry.kind(), policy);
     this.ledger = ledger;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
-    this.allocations = new SlotAllocations(rule, ledger);
+    this.allocations = new SlotAllocations(service, rule, ledger, effects);
     this.waiting = new WaitingRequests(ledger);
-    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values());
+    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values(), choice);
   }
 
   /** Applies the workspace weights and the engine profile of a table version. */
   public void activate(Table table) {
     ledger.activate(table);
+    Optional<EngineProfile> engine = table.service(service).flatMap(ServiceEntry::engine);
     memoryTokens =
-        table
-            .service(service)
-            .flatMap(ServiceEntry::engine)
-            .map(engine -> OptionalLong.of(engine.memoryTokens()))
-            .orElse(OptionalLong.empty());
-    upstreams.values().forEach(upstream -> upstream.memoryTokens = memoryTokens);
+        engine.map(profile -> OptionalLong.of(profile.memoryTokens())).orElse(OptionalLong.empty());
+    maximumTokenMillis =
+        engine
+            .map(profile -> OutputGaps.maximumTokenMillis(table, service, profile))
+            .orElse(Double.POSITIVE_INFINITY);
+    upstreams.values().forEach(this::configure);
+  }
+
+  private void configure(UpstreamLoad upstream) {
+    upstream.memoryTokens = memoryTokens;
+    upstream.maximumTokenMillis = maximumTokenMillis;
+    upstream.evenLoad = policy.evenLoad();
   }
 
   /** Replaces the upstreams; one that restarted or moved starts with no recorded load. */
@@ -108,7 +113,7 @@
       UpstreamLoad load = previous.get(upstream.name());
       if (load == null || restarted(load.upstream, upstream)) {
         load = new UpstreamLoad(upstream, nowNanos);
-        load.memoryTokens = memoryTokens;
+        configure(load);
       }
       load.upstream = upstream;
       upstreams.put(upstream.name(), load);
@@ -117,6 +122,7 @@
 
   /** Handles a message of a router. */
   public void onMessage(String router, SlotMessage message, long nowNanos) {
+    refreshEstimates(nowNanos);
     switch (message) {
       case SlotMessage.SlotsWanted wanted -> onSlotsWanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
@@ -160,6 +166,7 @@
     if (waiting.isEmpty()) {
       return;
     }
+    refreshEstimates(nowNanos);
     SlotScheduler.Assignment assignment = scheduler.next(nowNanos);
     while (assignment != null) {
       grant(assignment, nowNanos);
@@ -172,6 +179,7 @@
    * number of waiting requests, so it is done periodically and not for each event.
    */
   public void review(long nowNanos) {
+    refreshEstimates(nowNanos);
     upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
     if (waiting.isEmpty()) {
       return;
@@ -205,16 +213,9 @@
    */
   public OptionalLong takeDueDelayMillis(long nowNanos) {
     long delayMillis = Math.round(scheduler.delayMillis(nowNanos));
-    boolean changed =
-        Math.abs(delayMillis - reportedDelayMillis)
-            > DELAY_CHANGE_MILLIS + DELAY_CHANGE_SHARE * reportedDelayMillis;
-    boolean expired = nowNanos - reportedNanos > MAX_INTERVAL_NANOS;
-    if (!expired && !(changed && nowNanos - reportedNanos > MIN_INTERVAL_NANOS)) {
-      return OptionalLong.empty();
-    }
-    reportedDelayMillis = delayMillis;
-    reportedNanos = nowNanos;
-    return OptionalLong.of(delayMillis);
+    return reports.takeDue(delayMillis, nowNanos)
+        ? OptionalLong.of(delayMillis)
+        : OptionalLong.empty();
   }
 
   /** Returns what to send to the allocators of other data centres now; empty if nothing is due. */
@@ -243,6 +244,10 @@
         upstreams.values().stream().map(load -> load.status(rule, nowNanos)).toList());
   }
 
+  private void refreshEstimates(long nowNanos) {
+    upstreams.values().forEach(upstream -> upstream.refresh(nowNanos));
+  }
+
   private void onSlotsWanted(String router, SlotMessage.SlotsWanted wanted, long nowNanos) {
     if (wanted.complete()) {
       removeRouter(router, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocation.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocation.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import java.util.OptionalLong;
 
 /** A slot of an upstream and the request that occupies it. */
 final class SlotAllocation {
@@ -22,8 +23,14 @@
   /** Expected time to prefill those tokens, in milliseconds. */
   final double prefillMillis;
 
+  /** Expected time from the grant to the start of the response, in milliseconds. */
+  final double expectedMillis;
+
   boolean responseStarted;
 
+  /** When the response started; empty if it has not, or had when the slot was reported. */
+  OptionalLong startedNanos = OptionalLong.empty();
+
   SlotAllocation(
       String router,
       WaitingCall call,
@@ -32,7 +39,8 @@
       double chargedCost,
       double chargedExponent,
       int uncachedTokens,
-      double prefillMillis) {
+      double prefillMillis,
+      double expectedMillis) {
     this.router = router;
     this.call = call;
     this.upstream = upstream;
@@ -41,6 +49,7 @@
     this.chargedExponent = chargedExponent;
     this.uncachedTokens = uncachedTokens;
     this.prefillMillis = prefillMillis;
+    this.expectedMillis = expectedMillis;
   }
 
   int outputTokens() {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -1,21 +1,31 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.request.RequestId;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /** The occupied slots of one service and the cost charged to workspaces for them. */
 final class SlotAllocations {
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final String service;
   private final SlotRule rule;
   private final WorkspaceLedger ledger;
+  private final List<SlotAllocatorEffect> effects;
   private final Map<RequestId, SlotAllocation> allocations = new HashMap<>();
 
-  SlotAllocations(SlotRule rule, WorkspaceLedger ledger) {
+  SlotAllocations(
+      String service, SlotRule rule, WorkspaceLedger ledger, List<SlotAllocatorEffect> effects) {
+    this.service = service;
+    this.effects = effects;
     this.rule = rule;
     this.ledger = ledger;
   }
@@ -36,6 +46,7 @@
       boolean responseStarted,
       long nowNanos) {
     double cost = rule.expectedCost(call);
+    double firstByteMillis = rule.firstByteMillis(upstream, call);
     SlotAllocation allocation =
         new SlotAllocation(
             router,
@@ -45,7 +56,8 @@
             cost,
             ledger.decayExponent(),
             ModelSlotRule.uncachedTokens(upstream, call),
-            rule.firstByteMillis(upstream, call));
+            firstByteMillis,
+            rule.backlogMillis(upstream, nowNanos) + firstByteMillis);
     upstream.add(allocation, responseStarted);
     allocations.put(call.request(), allocation);
     ledger.addInFlight(call.workspace(), 1);
@@ -61,13 +73,47 @@
         || !allocation.upstream.upstream.name().equals(change.upstream())) {
       return;
     }
+    change.load().ifPresent(load -> recordStated(allocation.upstream, load, nowNanos));
     if (change.stage() == SlotStage.RESPONSE_STARTED) {
+      recordPrediction(allocation, nowNanos);
       allocation.upstream.recordResponseStarted(allocation, nowNanos);
     } else {
       release(allocation, change.stage(), change.amount(), nowNanos);
     }
   }
 
+  private static void recordStated(UpstreamLoad upstream, ReceivedLoad load, long nowNanos) {
+    upstream.estimate.recordStated(load, nowNanos);
+    upstream.refresh(nowNanos);
+  }
+
+  /** Compares the start of a response with what was expected at the grant. */
+  private void recordPrediction(SlotAllocation allocation, long nowNanos) {
+    if (allocation.responseStarted) {
+      return;
+    }
+    allocation.startedNanos = OptionalLong.of(nowNanos);
+    double observedMillis = (nowNanos - allocation.grantedNanos) / NANOS_PER_MILLI;
+    UpstreamLoad upstream = allocation.upstream;
+    upstream.estimate.recordPrediction(allocation.expectedMillis, observedMillis);
+    if (upstream.usesEstimate()) {
+      effects.add(
+          new SlotAllocatorEffect.StartPredicted(
+              service, Math.round(allocation.expectedMillis), Math.round(observedMillis)));
+    }
+  }
+
+  /** Records the times of a completed request. */
+  private static void recordCompleted(SlotAllocation allocation, long amount, long nowNanos) {
+    UpstreamLoadEstimate estimate = allocation.upstream.estimate;
+    estimate.recordRequest((nowNanos - allocation.grantedNanos) / NANOS_PER_MILLI);
+    if (allocation.call.prompt().isPresent() && allocation.startedNanos.isPresent() && amount > 0) {
+      estimate.recordOutput(
+          (nowNanos - allocation.startedNanos.getAsLong()) / NANOS_PER_MILLI / amount,
+          allocation.upstream.running());
+    }
+  }
+
   /** Releases every slot that requests of a router occupy. */
   void releaseRouter(String router, long nowNanos) {
     List.copyOf(allocations.values()).stream()
@@ -83,6 +129,7 @@
       case COMPLETED -> {
         cost = rule.actualCost(allocation.call, amount);
         rule.observe(amount);
+        recordCompleted(allocation, amount, nowNanos);
         allocation.upstream.health.recordSuccess();
       }
       case REJECTED, FAILED -> allocation.upstream.health.recordFailure(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
@@ -32,6 +32,15 @@
    */
   double workMillis(UpstreamLoad upstream, WaitingCall call);
 
+  /**
+   * Returns the time that failures of an upstream are expected to cost, in milliseconds.
+   *
+   * @param allFailMillis the time for an upstream whose requests all fail
+   */
+  default double failureMillis(UpstreamLoad upstream, double allFailMillis) {
+    return allFailMillis * upstream.health.failureShare();
+  }
+
   /** Returns the expected cost of a request, in cost units. */
   double expectedCost(WaitingCall call);
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -36,6 +36,7 @@
   private final WorkspaceLedger ledger;
   private final WaitingRequests waiting;
   private final Collection<UpstreamLoad> upstreams;
+  private final UpstreamChoice choice;
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -52,11 +53,13 @@
       SlotRule rule,
       WorkspaceLedger ledger,
       WaitingRequests waiting,
-      Collection<UpstreamLoad> upstreams) {
+      Collection<UpstreamLoad> upstreams,
+      UpstreamChoice choice) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
+    this.choice = choice;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
@@ -189,8 +192,7 @@
    */
   private UpstreamLoad selectUpstream(
       WaitingEntry entry, double share, boolean timely, long nowNanos) {
-    UpstreamLoad best = null;
-    double bestScore = Double.MAX_VALUE;
+    List<UpstreamChoice.Candidate> candidates = new ArrayList<>();
     for (UpstreamLoad upstream : upstreams) {
       if (upstream == reserved
           || !usable(upstream, nowNanos)
@@ -204,12 +206,14 @@
               + rule.workMillis(upstream, entry.call)
               + penalty(upstream, entry);
       double counted = entry.countedMillis(backlog + firstByte);
-      if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
-        best = upstream;
-        bestScore = score;
+      if (!timely || entry.meetsObjective(counted, nowNanos)) {
+        candidates.add(new UpstreamChoice.Candidate(upstream, score));
       }
     }
-    return best != null && rule.acceptsBacklog(best, share, nowNanos) ? best : null;
+    UpstreamChoice.Candidate chosen = choice.choose(entry, candidates);
+    return chosen != null && rule.acceptsBacklog(chosen.upstream(), share, nowNanos)
+        ? chosen.upstream()
+        : null;
   }
 
   /**
@@ -225,9 +229,9 @@
             .orElse(null);
   }
 
-  private static double penalty(UpstreamLoad upstream, WaitingEntry entry) {
+  private double penalty(UpstreamLoad upstream, WaitingEntry entry) {
     boolean avoided = upstream.upstream.name().equals(entry.call.avoidedUpstream());
-    return FAILURE_MILLIS * (upstream.health.failureShare() + (avoided ? 1 : 0));
+    return rule.failureMillis(upstream, FAILURE_MILLIS) + (avoided ? FAILURE_MILLIS : 0);
   }
 
   /** Returns the number of usable upstreams that have a free slot and memory for a request. */
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamChoice.java
@@ -0,0 +1,31 @@
+package dev.agatepier.core.process.internal;
+
+import java.util.List;
+
+/** Chooses the upstream of a request among those that can serve it. */
+@FunctionalInterface
+interface UpstreamChoice {
+
+  /** Chooses the lowest score. docs/design/even-load.md compares alternatives. */
+  UpstreamChoice LOWEST_SCORE =
+      (entry, candidates) -> {
+        Candidate best = null;
+        for (Candidate candidate : candidates) {
+          if (best == null || candidate.score() < best.score()) {
+            best = candidate;
+          }
+        }
+        return best;
+      };
+
+  /**
+   * An upstream that has a slot and memory for a request.
+   *
+   * @param upstream the upstream
+   * @param score expected time and cost of the request there, in milliseconds
+   */
+  record Candidate(UpstreamLoad upstream, double score) {}
+
+  /** Returns one of the candidates; null if there is none. */
+  Candidate choose(WaitingEntry entry, List<Candidate> candidates);
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -17,7 +17,13 @@
   /** Minimum share of its prefill time that the oldest pending prefill is assumed to still need. */
   private static final double MIN_REMAINING_SHARE = 0.1;
 
-  final PrefillTimeModel prefillTime = new PrefillTimeModel();
+  /** Weight of the newest grant in the moving average of expected prefill times. */
+  private static final double NEWEST_WEIGHT = 0.1;
+
+  /** Initial average, in milliseconds. */
+  private static final double INITIAL_PREFILL_MILLIS = 50;
+
+  final UpstreamLoadEstimate estimate = new UpstreamLoadEstimate();
   final PrefixCacheModel cache = new PrefixCacheModel();
   final UpstreamHealth health = new UpstreamHealth();
 
@@ -32,6 +38,17 @@
   /** Whether requests have waited longer than the stall time without any progress. */
   boolean stalled;
 
+  /** Whether the estimate counts although the upstream does not state its pace. */
+  boolean evenLoad;
+
+  /**
+   * Longest average time for an output token that the gaps of the routes allow, in milliseconds;
+   * infinite if no route limits them.
+   */
+  double maximumTokenMillis = Double.POSITIVE_INFINITY;
+
+  private final PrefillTimeModel prefillTime = new PrefillTimeModel();
+
   private final Map<RequestId, SlotAllocation> allocations = new LinkedHashMap<>();
 
   /** Allocations whose response has not started, in the order of their grants. */
@@ -40,6 +57,16 @@
   private long outputTokens;
   private long progressNanos;
 
+  /** Figures of the estimate as of the last refresh; neutral while it does not count. */
+  private double paceFactor = 1;
+
+  private double momentaryPaceFactor = 1;
+  private int otherRequests;
+  private double otherBacklogMillis;
+  private int runningLimit = Integer.MAX_VALUE;
+
+  private double meanPrefillMillis = INITIAL_PREFILL_MILLIS;
+
   UpstreamLoad(Upstream upstream, long nowNanos) {
     this.upstream = upstream;
     this.progressNanos = nowNanos;
@@ -49,8 +76,49 @@
     return allocations.size();
   }
 
+  /** Returns whether the estimate counts. */
+  boolean usesEstimate() {
+    return evenLoad || estimate.statesPace();
+  }
+
+  /** Takes over the figures of the estimate as of now, if it counts. */
+  void refresh(long nowNanos) {
+    if (usesEstimate()) {
+      paceFactor = estimate.paceFactor(nowNanos);
+      momentaryPaceFactor = estimate.momentaryPaceFactor(nowNanos);
+      otherRequests = (int) Math.round(estimate.otherRequests(nowNanos));
+      otherBacklogMillis = estimate.otherWaiting(nowNanos) * meanPrefillMillis;
+      runningLimit = estimate.runningLimit(maximumTokenMillis);
+    }
+  }
+
   int freeSlots() {
-    return Math.max(1, (int) (share * upstream.slots())) - allocations.size();
+    int slots = Math.min(runningLimit, (int) (share * upstream.slots()));
+    return Math.max(1, slots) - allocations.size() - otherRequests;
+  }
+
+  /** Returns the requests that other senders are expected to have here. */
+  int otherRequests() {
+    return otherRequests;
+  }
+
+  /** Returns the expected time to prefill a number of tokens now, in milliseconds. */
+  double prefillMillis(double tokens) {
+    return paceFactor * prefillTime.expectedMillis(tokens);
+  }
+
+  /**
+   * Returns the expected time for which a request occupies a slot, in milliseconds.
+   *
+   * @param initialMillis the value before a request has completed
+   */
+  double slotMillis(double initialMillis) {
+    return momentaryPaceFactor * estimate.slotMillis(initialMillis);
+  }
+
+  /** Returns the expected time that one more token of a prompt takes now, in milliseconds. */
+  double millisPerPromptToken() {
+    return paceFactor * prefillTime.millisPerToken();
   }
 
   /** Returns the tokens in memory for running requests, including their expected output. */
@@ -73,7 +141,9 @@
         progressNanos = Math.max(progressNanos, allocation.grantedNanos);
       }
       pending.put(allocation.call.request(), allocation);
+      meanPrefillMillis += NEWEST_WEIGHT * (allocation.prefillMillis - meanPrefillMillis);
     }
+    estimate.recordOwn(allocations.size(), pending.size(), allocation.grantedNanos);
   }
 
   /** Records the start of a response, and its prefill time if it was the oldest pending one. */
@@ -86,8 +156,10 @@
     allocation.responseStarted = true;
     if (wasHead) {
       long sinceNanos = Math.max(progressNanos, allocation.grantedNanos);
-      prefillTime.observe(allocation.uncachedTokens, (nowNanos - sinceNanos) / NANOS_PER_MILLI);
+      prefillTime.observe(
+          allocation.uncachedTokens, (nowNanos - sinceNanos) / NANOS_PER_MILLI / paceFactor);
     }
+    estimate.recordOwn(allocations.size(), pending.size(), nowNanos);
     recordProgress(nowNanos);
   }
 
@@ -110,11 +182,12 @@
     outputTokens -= allocation.outputTokens();
     allocation.call.prompt().ifPresent(prompt -> cache.unpin(prompt, allocation.responseStarted));
     cache.evict(memoryTokens, outputTokens);
+    estimate.recordOwn(allocations.size(), pending.size(), nowNanos);
   }
 
   /** Returns the expected time to finish all pending prefills, in milliseconds. */
   double backlogMillis(long nowNanos) {
-    double millis = 0;
+    double millis = otherBacklogMillis;
     boolean head = true;
     for (SlotAllocation allocation : pending.values()) {
       double remaining = allocation.prefillMillis;
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
@@ -0,0 +1,170 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
+import dev.agatepier.core.request.UpstreamLoadReport;
+
+/**
+ * What a slot allocator knows of an upstream beyond its own grants: the load from other senders and
+ * the pace of its machine, as the upstream stated them, and times and errors that it measured. The
+ * weight of a statement falls with its age.
+ */
+final class UpstreamLoadEstimate {
+
+  /** Time that a request is assumed to take before one has completed, in milliseconds. */
+  private static final double INITIAL_REQUEST_MILLIS = 1_000;
+
+  /** Bounds of the measured time, so that the estimate neither jitters nor becomes rigid. */
+  private static final double MIN_REQUEST_MILLIS = 250;
+
+  private static final double MAX_REQUEST_MILLIS = 4_000;
+
+  /** Weight of the newest request in the moving averages of measured times. */
+  private static final double NEWEST_WEIGHT = 0.1;
+
+  /** Period of the average pace that an upstream is assumed to return to, in milliseconds. */
+  private static final double LASTING_PACE_MILLIS = 30_000;
+
+  private static final double PERCENT = 100;
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final OwnLoadHistory own = new OwnLoadHistory();
+  private double requestMillis = INITIAL_REQUEST_MILLIS;
+  private double slotMillis;
+  private long statedNanos = Long.MIN_VALUE / 2;
+  private double otherRequests;
+  private double otherWaiting;
+  private long paceNanos;
+  private int statedPaces;
+  private double pace = 1;
+  private double lastingPace = 1;
+  private double outputTokenMillis;
+  private double runningAtOutput;
+  private double errorMillis;
+  private double biasMillis;
+
+  /** Records the allocator's own load after it has changed. */
+  void recordOwn(int requests, int pending, long nowNanos) {
+    own.record(requests, pending, nowNanos);
+  }
+
+  /** Records a statement of the upstream; ignores one that is older than the last. */
+  void recordStated(ReceivedLoad load, long nowNanos) {
+    long nanos = nowNanos - (long) (load.ageMillis() * NANOS_PER_MILLI);
+    if (nanos < statedNanos) {
+      return;
+    }
+    UpstreamLoadReport report = load.report();
+    OwnLoadHistory.Entry ownThen = own.at(nanos);
+    statedNanos = nanos;
+    otherRequests = Math.max(0, report.running() + report.waiting() - ownThen.requests());
+    otherWaiting = Math.max(0, report.waiting() - ownThen.pending());
+    report.pacePercent().ifPresent(percent -> recordPace(percent / PERCENT, nanos));
+  }
+
+  /** Records how long a completed request occupied its slot, in milliseconds. */
+  void recordRequest(double millis) {
+    slotMillis += (slotMillis == 0 ? 1 : NEWEST_WEIGHT) * (millis - slotMillis);
+    requestMillis += NEWEST_WEIGHT * (millis - requestMillis);
+    requestMillis = Math.clamp(requestMillis, MIN_REQUEST_MILLIS, MAX_REQUEST_MILLIS);
+  }
+
+  /**
+   * Records the time for each output token of a completed response.
+   *
+   * @param running requests that ran on the upstream when it ended
+   */
+  void recordOutput(double tokenMillis, int running) {
+    double weight = outputTokenMillis == 0 ? 1 : NEWEST_WEIGHT;
+    outputTokenMillis += weight * (tokenMillis - outputTokenMillis);
+    runningAtOutput += weight * (running - runningAtOutput);
+  }
+
+  /** Records the expected and the observed time from a grant to the start of the response. */
+  void recordPrediction(double expectedMillis, double observedMillis) {
+    double difference = observedMillis - expectedMillis;
+    errorMillis += NEWEST_WEIGHT * (Math.abs(difference) - errorMillis);
+    biasMillis += NEWEST_WEIGHT * (difference - biasMillis);
+  }
+
+  /**
+   * Returns the moving average of the time for which a request occupies a slot, in milliseconds.
+   *
+   * @param initialMillis the value before a request has completed
+   */
+  double slotMillis(double initialMillis) {
+    return slotMillis == 0 ? initialMillis : slotMillis;
+  }
+
+  /** Returns whether the upstream has stated its pace. */
+  boolean statesPace() {
+    return statedPaces > 0;
+  }
+
+  /** Returns the time since the last statement, in milliseconds; very large if there is none. */
+  double ageMillis(long nowNanos) {
+    return (nowNanos - statedNanos) / NANOS_PER_MILLI;
+  }
+
+  /** Returns the expected number of requests that other senders have at the upstream. */
+  double otherRequests(long nowNanos) {
+    return otherRequests * freshness(nowNanos - statedNanos);
+  }
+
+  /** Returns the expected number of those that have not started. */
+  double otherWaiting(long nowNanos) {
+    return otherWaiting * freshness(nowNanos - statedNanos);
+  }
+
+  /**
+   * Returns the expected time of work relative to the usual one: the pace over about the time of a
+   * request, which with age approaches the average of a longer period.
+   */
+  double paceFactor(long nowNanos) {
+    return lastingPace + (pace - lastingPace) * freshness(nowNanos - paceNanos);
+  }
+
+  /** Returns the pace factor relative to the average over a longer period. */
+  double momentaryPaceFactor(long nowNanos) {
+    return paceFactor(nowNanos) / lastingPace;
+  }
+
+  /**
+   * Returns how many requests may run so that a response takes at most the given time for a token.
+   * The time grows less than in proportion to the requests, so this settles below the limit.
+   */
+  int runningLimit(double maximumTokenMillis) {
+    return outputTokenMillis <= maximumTokenMillis
+        ? Integer.MAX_VALUE
+        : Math.max(1, (int) (runningAtOutput * maximumTokenMillis / outputTokenMillis));
+  }
+
+  /** Returns the moving average of the absolute error of predictions, in milliseconds. */
+  double errorMillis() {
+    return errorMillis;
+  }
+
+  /** Returns by how much responses start later than predicted on average, in milliseconds. */
+  double biasMillis() {
+    return biasMillis;
+  }
+
+  /** Returns the moving average of the time for an output token, in milliseconds; 0 if unknown. */
+  double outputTokenMillis() {
+    return outputTokenMillis;
+  }
+
+  private void recordPace(double stated, long nanos) {
+    double millis = Math.max(0, (nanos - paceNanos) / NANOS_PER_MILLI);
+    statedPaces = Math.min(statedPaces + 1, Integer.MAX_VALUE - 1);
+    double firstWeight = 1.0 / statedPaces;
+    pace += Math.max(firstWeight, 1 - Math.exp(-millis / requestMillis)) * (stated - pace);
+    lastingPace +=
+        Math.max(firstWeight, 1 - Math.exp(-millis / LASTING_PACE_MILLIS)) * (stated - lastingPace);
+    paceNanos = nanos;
+  }
+
+  /** Returns the weight of a statement of the given age, from 0 to 1. */
+  private double freshness(long ageNanos) {
+    return Math.exp(-Math.max(0, ageNanos) / NANOS_PER_MILLI / requestMillis);
+  }
+}
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -81,7 +81,8 @@
         defaults.stallMillis(),
         defaults.lateMillis(),
         defaults.retryAfterMillis(),
-        millis);
+        millis,
+        defaults.evenLoad());
   }
 
   /** Returns an allocator that has just started and has neither a table nor upstreams. */
@@ -158,7 +159,9 @@
           }
         }
         case SlotAllocatorEffect.UpstreamUsabilityChanged change -> usabilityChanges.add(change);
-        case SlotAllocatorEffect.Placed _, SlotAllocatorEffect.Rejected _ -> {
+        case SlotAllocatorEffect.Placed _,
+            SlotAllocatorEffect.Rejected _,
+            SlotAllocatorEffect.StartPredicted _ -> {
           // Only logged.
         }
       }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -297,6 +297,8 @@
         slotMetrics.recordRejected(rejection);
         RequestLog.logSlotRejected(rejection);
       }
+      case SlotAllocatorEffect.StartPredicted prediction ->
+          slotMetrics.recordPrediction(prediction);
       case SlotAllocatorEffect.UpstreamUsabilityChanged change ->
           RequestLog.logUpstreamUsabilityChanged(change);
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
@@ -38,6 +38,14 @@
     recordDecision(rejection.service(), rejection.position()).rejected.inc();
   }
 
+  /** Records by how much a response started earlier or later than expected. */
+  void recordPrediction(SlotAllocatorEffect.StartPredicted prediction) {
+    String prefix = "service." + prediction.service() + ".start-";
+    long difference = prediction.observedMillis() - prediction.expectedMillis();
+    Histograms.get(registry, prefix + (difference < 0 ? "early" : "late") + "-millis")
+        .update(Math.abs(difference));
+  }
+
   private PairStatistics recordDecision(String service, FairPosition position) {
     Pair pair = new Pair(position.workspace(), service);
     PairStatistics statistics = pairs.computeIfAbsent(pair, this::newStatistics);
