Choose upstreams and data centres by the estimated load

AllocatorLoad carries the measured capacity; DataCentreSelector takes the time of a prompt token from it and adds the requests that the routers of its data centre have moved since the report, twice, as they are added there and missing here. Nothing is added to the own data centre. Without an estimate that counts, every decision stays the same.

Measured: AllocatorLoad has 1 byte more without a capacity, 28 more with one.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -156,9 +156,50 @@
    * @param dataCentre data centre whose slots the sender allocates
    * @param delayMillis expected time until a request that arrives now is granted a slot, in
    *     milliseconds
+   * @param capacity what the upstreams of the data centre can do, as measured; empty if no estimate
+   *     of their load counts
    */
-  record AllocatorLoad(String service, String dataCentre, long delayMillis)
-      implements SlotMessage {}
+  record AllocatorLoad(
+      String service, String dataCentre, long delayMillis, Optional<MeasuredCapacity> capacity)
+      implements SlotMessage {
+
+    /** Creates a report without a measured capacity. */
+    public AllocatorLoad(String service, String dataCentre, long delayMillis) {
+      this(service, dataCentre, delayMillis, Optional.empty());
+    }
+  }
+
+  /**
+   * Measured capacity of the upstreams of a service in one data centre.
+   *
+   * @param parallelRequests requests that they process beside each other without slowdown
+   * @param requestMillis expected time of a request, without that for its prompt tokens, in
+   *     milliseconds
+   * @param tokenMillis expected time for each prompt token to prefill, in milliseconds; 0 for plain
+   *     services
+   */
+  record MeasuredCapacity(double parallelRequests, double requestMillis, double tokenMillis) {
+
+    /** Rejects numbers that are negative or not finite. */
+    public MeasuredCapacity {
+      if (!(parallelRequests >= 0 && requestMillis >= 0 && tokenMillis >= 0)
+          || Double.isInfinite(parallelRequests + requestMillis + tokenMillis)) {
+        throw new IllegalArgumentException(
+            "parallelRequests "
+                + parallelRequests
+                + ", requestMillis "
+                + requestMillis
+                + " or tokenMillis "
+                + tokenMillis
+                + " is negative or not finite");
+      }
+    }
+
+    /** Returns by how much a request with some tokens to prefill lengthens the delay. */
+    public double addedMillis(int tokens) {
+      return (requestMillis + tokenMillis * tokens) / Math.max(1, parallelRequests);
+    }
+  }
 
   /**
    * Slot allocator to the allocators of other data centres: the costs of workspaces in its own data
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -223,7 +223,11 @@
     OptionalLong delayMillis = service.takeDueDelayMillis(nowNanos);
     if (delayMillis.isPresent()) {
       SlotMessage load =
-          new SlotMessage.AllocatorLoad(service.name(), self.dataCentre(), delayMillis.getAsLong());
+          new SlotMessage.AllocatorLoad(
+              service.name(),
+              self.dataCentre(),
+              delayMillis.getAsLong(),
+              service.measuredCapacity(nowNanos));
       routers.keySet().forEach(router -> effects.add(new SlotAllocatorEffect.Send(router, load)));
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -75,6 +75,7 @@
       return false;
     }
     request.dataCentre = alternative;
+    selector.recordSent(request, alternative, state.allocatorCandidates(), nowNanos);
     session(request, nowNanos).addWaiting(request);
     return true;
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.version.Upstream;
@@ -26,9 +27,18 @@
    */
   private static final long LOAD_VALIDITY_NANOS = 3_000_000_000L;
 
-  /** Expected prefill time of one prompt token, in milliseconds, including queueing. */
+  /**
+   * Expected prefill time of one prompt token where none was measured, in milliseconds, including
+   * queueing.
+   */
   private static final double PREFILL_MILLIS_PER_TOKEN = 0.03;
 
+  /**
+   * Weight of the work that a router has moved to another data centre since its report: it is added
+   * there and missing here, so both delays meet at half of the difference.
+   */
+  private static final double MOVED_WEIGHT = 2;
+
   /**
    * Weight of repeating the prefill of shared tokens: it delays all requests queued behind it,
    * takes engine memory from other requests and costs the operator. A request whose home is full
@@ -47,8 +57,17 @@
   private final Map<String, ReceivedLoad> loads = new HashMap<>();
   private final Map<String, List<Upstream>> upstreams = new HashMap<>();
 
-  /** The last queueing delay that a slot allocator reported, and when it was received. */
-  private record ReceivedLoad(long delayMillis, long receivedNanos) {}
+  /** The last report of a slot allocator and what was sent to it since. */
+  private static final class ReceivedLoad {
+    private final AllocatorLoad load;
+    private final long receivedNanos;
+    private double movedMillis;
+
+    private ReceivedLoad(AllocatorLoad load, long nowNanos) {
+      this.load = load;
+      this.receivedNanos = nowNanos;
+    }
+  }
 
   /**
    * Creates a selector without load reports and upstreams.
@@ -62,8 +81,7 @@
 
   /** Records a load report of a slot allocator. */
   void recordLoad(AllocatorLoad load, long nowNanos) {
-    loads.put(
-        key(load.service(), load.dataCentre()), new ReceivedLoad(load.delayMillis(), nowNanos));
+    loads.put(key(load.service(), load.dataCentre()), new ReceivedLoad(load, nowNanos));
   }
 
   /** Replaces the upstreams that may be homes of prefixes; those that are leaving may not. */
@@ -95,15 +113,35 @@
               + roundTripMillis(dataCentre, candidate.getValue())
               + (home.isEmpty() || home.get().equals(dataCentre)
                   ? 0
-                  : sharedPrefillMillis(request));
+                  : sharedPrefillMillis(request, dataCentre));
       if (millis < bestMillis) {
         best = dataCentre;
         bestMillis = millis;
       }
     }
+    recordSent(request, best, routers, nowNanos);
     return best;
   }
 
+  /**
+   * Adds a request that moves to another data centre, whose capacity is measured, to the delay
+   * there until the next report. The other routers of this data centre have the same reports, so
+   * they are assumed to move as much. Nothing is added to the own data centre: the same reports
+   * then never make both of two data centres move requests to the other.
+   */
+  void recordSent(
+      RoutedRequest request, String dataCentre, Collection<PeerIdentity> routers, long nowNanos) {
+    ReceivedLoad load = validLoad(request.queue.service, dataCentre, nowNanos);
+    if (load == null || load.load.capacity().isEmpty() || dataCentre.equals(self.dataCentre())) {
+      return;
+    }
+    long senders =
+        routers.stream().filter(router -> router.dataCentre().equals(self.dataCentre())).count();
+    int tokens = request.call.prompt().map(DataCentreSelector::ownTokens).orElse(0);
+    load.movedMillis +=
+        MOVED_WEIGHT * Math.max(1, senders) * load.load.capacity().get().addedMillis(tokens);
+  }
+
   /** Returns the expected round-trip time to a data centre, in milliseconds. */
   double roundTripMillis(String dataCentre, String region) {
     if (dataCentre.equals(self.dataCentre())) {
@@ -113,10 +151,14 @@
   }
 
   private double delayMillis(String service, String dataCentre, long nowNanos) {
+    ReceivedLoad load = validLoad(service, dataCentre, nowNanos);
+    return load == null ? 0 : load.load.delayMillis() + load.movedMillis;
+  }
+
+  /** Returns the last report of a slot allocator; null if there is none or it is too old. */
+  private ReceivedLoad validLoad(String service, String dataCentre, long nowNanos) {
     ReceivedLoad load = loads.get(key(service, dataCentre));
-    return load == null || nowNanos - load.receivedNanos() > LOAD_VALIDITY_NANOS
-        ? 0
-        : load.delayMillis();
+    return load == null || nowNanos - load.receivedNanos > LOAD_VALIDITY_NANOS ? null : load;
   }
 
   /** Returns the data centre that manages the home upstream of a prompt's shared prefix, if any. */
@@ -133,9 +175,21 @@
         .map(upstream -> AllocatorSelection.responsibleDataCentre(upstream.dataCentre(), routers));
   }
 
-  private static double sharedPrefillMillis(RoutedRequest request) {
+  /** Returns the cost of prefilling the shared parts of a prompt again in a data centre. */
+  private double sharedPrefillMillis(RoutedRequest request, String dataCentre) {
     int shared = request.call.prompt().map(DataCentreSelector::sharedTokens).orElse(0);
-    return SHARED_PREFILL_WEIGHT * PREFILL_MILLIS_PER_TOKEN * shared;
+    ReceivedLoad load = loads.get(key(request.queue.service, dataCentre));
+    double tokenMillis =
+        Optional.ofNullable(load)
+            .flatMap(received -> received.load.capacity())
+            .map(MeasuredCapacity::tokenMillis)
+            .orElse(PREFILL_MILLIS_PER_TOKEN);
+    return SHARED_PREFILL_WEIGHT * tokenMillis * shared;
+  }
+
+  /** Returns the tokens that no other request has in its prompt. */
+  private static int ownTokens(PromptMetadata prompt) {
+    return Math.max(0, prompt.promptTokens() - sharedTokens(prompt));
   }
 
   /** Returns the tokens of all parts but the last, which only this request has. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -1,8 +1,10 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.request.PromptMetadata;
+import java.util.List;
 
 /**
  * Slot rule of model engines. It bounds the pending prefill so that an engine's queue stays short,
@@ -17,6 +19,9 @@
    */
   private static final double SHARED_PREFILL_WEIGHT = 1.5;
 
+  /** Lower bound of the time of a prompt without tokens. */
+  private static final double MIN_MILLIS = 1;
+
   private final SlotAllocatorPolicy policy;
 
   ModelSlotRule(SlotAllocatorPolicy policy) {
@@ -37,7 +42,7 @@
 
   @Override
   public boolean acceptsBacklog(UpstreamLoad upstream, double share, long nowNanos) {
-    return upstream.backlogMillis(nowNanos) <= share * upstream.share * policy.backlogMillis();
+    return upstream.ownBacklogMillis(nowNanos) <= share * upstream.share * policy.backlogMillis();
   }
 
   @Override
@@ -51,6 +56,21 @@
     return 1;
   }
 
+  /**
+   * Returns the capacity with the harmonic means of the times: fast engines do more of the work.
+   */
+  @Override
+  public MeasuredCapacity capacity(List<UpstreamLoad> upstreams) {
+    double requests = 0;
+    double tokens = 0;
+    for (UpstreamLoad upstream : upstreams) {
+      requests += 1 / Math.max(MIN_MILLIS, upstream.prefillMillis(0));
+      tokens += 1 / upstream.millisPerPromptToken();
+    }
+    int count = upstreams.size();
+    return new MeasuredCapacity(count, count / requests, count / tokens);
+  }
+
   @Override
   public double firstByteMillis(UpstreamLoad upstream, WaitingCall call) {
     return upstream.prefillMillis(uncachedTokens(upstream, call));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
@@ -1,6 +1,8 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import java.util.List;
 
 /**
  * Slot rule of plain upstreams: one request a slot. Cost is counted in milliseconds of the slot.
@@ -21,6 +23,9 @@
   /** Upper bound of the share of failures, so that the expected number of attempts is finite. */
   private static final double MAX_FAILURE_SHARE = 0.95;
 
+  /** Lower bound of the time for which a request occupies a slot. */
+  private static final double MIN_MILLIS = 1;
+
   private double meanMillis = INITIAL_MEAN_MILLIS;
 
   @Override
@@ -45,6 +50,16 @@
     return PARALLELISM;
   }
 
+  @Override
+  public MeasuredCapacity capacity(List<UpstreamLoad> upstreams) {
+    double requests = 0;
+    for (UpstreamLoad upstream : upstreams) {
+      requests += 1 / Math.max(MIN_MILLIS, upstream.slotMillis(meanMillis));
+    }
+    int count = upstreams.size();
+    return new MeasuredCapacity(count * PARALLELISM, count / requests, 0);
+  }
+
   @Override
   public double firstByteMillis(UpstreamLoad upstream, WaitingCall call) {
     return upstream.usesEstimate() ? upstream.slotMillis(meanMillis) : meanMillis;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -218,6 +218,11 @@
         : OptionalLong.empty();
   }
 
+  /** Returns the measured capacity of the usable upstreams; empty if no estimate of load counts. */
+  public Optional<SlotMessage.MeasuredCapacity> measuredCapacity(long nowNanos) {
+    return scheduler.measuredCapacity(nowNanos);
+  }
+
   /** Returns what to send to the allocators of other data centres now; empty if nothing is due. */
   public Optional<SlotMessage.AllocatorCosts> takeDueCosts(long nowNanos) {
     Optional<List<WorkspaceCost>> due = costs.takeDue(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
@@ -1,8 +1,10 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.version.ServiceKind;
+import java.util.List;
 
 /** Capacity, time and cost estimates for requests of one kind of service. */
 interface SlotRule {
@@ -23,6 +25,9 @@
   /** Returns how many requests an upstream processes in parallel without slowdown. */
   int parallelism();
 
+  /** Returns what upstreams, at least one, can do. */
+  MeasuredCapacity capacity(List<UpstreamLoad> upstreams);
+
   /** Returns the expected milliseconds to the first response byte if there is no backlog. */
   double firstByteMillis(UpstreamLoad upstream, WaitingCall call);
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -1,9 +1,11 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
@@ -21,6 +23,12 @@
    */
   private static final double BACKLOG_WEIGHT = 0.3;
 
+  /**
+   * The same weight where the estimate of the load counts: least expected time. It leaves engines
+   * idle less often while others have a queue; docs/design/even-load.md has the figures.
+   */
+  private static final double ESTIMATED_BACKLOG_WEIGHT = 1;
+
   /** Score added for an upstream whose requests all fail, in milliseconds. */
   private static final double FAILURE_MILLIS = 1_000;
 
@@ -144,6 +152,15 @@
     return delayBehind(work, nowNanos);
   }
 
+  /** Returns the measured capacity of the usable upstreams; empty if no estimate of load counts. */
+  Optional<MeasuredCapacity> measuredCapacity(long nowNanos) {
+    List<UpstreamLoad> usable =
+        upstreams.stream().filter(upstream -> usable(upstream, nowNanos)).toList();
+    return usable.stream().anyMatch(UpstreamLoad::usesEstimate)
+        ? Optional.of(rule.capacity(usable))
+        : Optional.empty();
+  }
+
   /** Returns the wait behind work spread over all usable upstreams, including their backlog. */
   private double delayBehind(double work, long nowNanos) {
     double backlog = 0;
@@ -202,12 +219,12 @@
       double backlog = rule.backlogMillis(upstream, nowNanos);
       double firstByte = rule.firstByteMillis(upstream, entry.call);
       double score =
-          BACKLOG_WEIGHT * backlog
+          backlogWeight(upstream) * backlog
               + rule.workMillis(upstream, entry.call)
               + penalty(upstream, entry);
       double counted = entry.countedMillis(backlog + firstByte);
       if (!timely || entry.meetsObjective(counted, nowNanos)) {
-        candidates.add(new UpstreamChoice.Candidate(upstream, score));
+        candidates.add(new UpstreamChoice.Candidate(upstream, backlog, score));
       }
     }
     UpstreamChoice.Candidate chosen = choice.choose(entry, candidates);
@@ -229,6 +246,10 @@
             .orElse(null);
   }
 
+  private static double backlogWeight(UpstreamLoad upstream) {
+    return upstream.usesEstimate() ? ESTIMATED_BACKLOG_WEIGHT : BACKLOG_WEIGHT;
+  }
+
   private double penalty(UpstreamLoad upstream, WaitingEntry entry) {
     boolean avoided = upstream.upstream.name().equals(entry.call.avoidedUpstream());
     return rule.failureMillis(upstream, FAILURE_MILLIS) + (avoided ? FAILURE_MILLIS : 0);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamChoice.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamChoice.java
@@ -22,9 +22,10 @@
    * An upstream that has a slot and memory for a request.
    *
    * @param upstream the upstream
+   * @param backlogMillis expected time to finish the work that it has, in milliseconds
    * @param score expected time and cost of the request there, in milliseconds
    */
-  record Candidate(UpstreamLoad upstream, double score) {}
+  record Candidate(UpstreamLoad upstream, double backlogMillis, double score) {}
 
   /** Returns one of the candidates; null if there is none. */
   Candidate choose(WaitingEntry entry, List<Candidate> candidates);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -87,7 +87,7 @@
       paceFactor = estimate.paceFactor(nowNanos);
       momentaryPaceFactor = estimate.momentaryPaceFactor(nowNanos);
       otherRequests = (int) Math.round(estimate.otherRequests(nowNanos));
-      otherBacklogMillis = estimate.otherWaiting(nowNanos) * meanPrefillMillis;
+      otherBacklogMillis = estimate.otherBacklogMillis(meanPrefillMillis, nowNanos);
       runningLimit = estimate.runningLimit(maximumTokenMillis);
     }
   }
@@ -187,7 +187,12 @@
 
   /** Returns the expected time to finish all pending prefills, in milliseconds. */
   double backlogMillis(long nowNanos) {
-    double millis = otherBacklogMillis;
+    return ownBacklogMillis(nowNanos) + otherBacklogMillis;
+  }
+
+  /** Returns the expected time to finish the pending prefills of own requests, in milliseconds. */
+  double ownBacklogMillis(long nowNanos) {
+    double millis = 0;
     boolean head = true;
     for (SlotAllocation allocation : pending.values()) {
       double remaining = allocation.prefillMillis;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
@@ -21,6 +21,13 @@
   /** Weight of the newest request in the moving averages of measured times. */
   private static final double NEWEST_WEIGHT = 0.1;
 
+  /**
+   * Period over which the pace is smoothed, in milliseconds: half of the time for which other
+   * programs slow a machine. Over the time of a whole request the choice would avoid engines that
+   * have recovered; docs/design/even-load.md has the figures.
+   */
+  private static final double PACE_MILLIS = 300;
+
   /** Period of the average pace that an upstream is assumed to return to, in milliseconds. */
   private static final double LASTING_PACE_MILLIS = 30_000;
 
@@ -107,20 +114,25 @@
 
   /** Returns the expected number of requests that other senders have at the upstream. */
   double otherRequests(long nowNanos) {
-    return otherRequests * freshness(nowNanos - statedNanos);
+    return otherRequests * freshness(nowNanos - statedNanos, requestMillis);
   }
 
-  /** Returns the expected number of those that have not started. */
-  double otherWaiting(long nowNanos) {
-    return otherWaiting * freshness(nowNanos - statedNanos);
+  /**
+   * Returns the time that the requests of other senders which had not started still wait, in
+   * milliseconds. A queue is much shorter than a request, so it is regarded as drained with age.
+   *
+   * @param prefillMillis time that one of them is expected to take
+   */
+  double otherBacklogMillis(double prefillMillis, long nowNanos) {
+    return otherWaiting == 0 ? 0 : Math.max(0, otherWaiting * prefillMillis - ageMillis(nowNanos));
   }
 
   /**
-   * Returns the expected time of work relative to the usual one: the pace over about the time of a
-   * request, which with age approaches the average of a longer period.
+   * Returns the expected time of work relative to the usual one: the smoothed pace, which with age
+   * approaches the average of a longer period.
    */
   double paceFactor(long nowNanos) {
-    return lastingPace + (pace - lastingPace) * freshness(nowNanos - paceNanos);
+    return lastingPace + (pace - lastingPace) * freshness(nowNanos - paceNanos, PACE_MILLIS);
   }
 
   /** Returns the pace factor relative to the average over a longer period. */
@@ -157,14 +169,14 @@
     double millis = Math.max(0, (nanos - paceNanos) / NANOS_PER_MILLI);
     statedPaces = Math.min(statedPaces + 1, Integer.MAX_VALUE - 1);
     double firstWeight = 1.0 / statedPaces;
-    pace += Math.max(firstWeight, 1 - Math.exp(-millis / requestMillis)) * (stated - pace);
+    pace += Math.max(firstWeight, 1 - Math.exp(-millis / PACE_MILLIS)) * (stated - pace);
     lastingPace +=
         Math.max(firstWeight, 1 - Math.exp(-millis / LASTING_PACE_MILLIS)) * (stated - lastingPace);
     paceNanos = nanos;
   }
 
   /** Returns the weight of a statement of the given age, from 0 to 1. */
-  private double freshness(long ageNanos) {
-    return Math.exp(-Math.max(0, ageNanos) / NANOS_PER_MILLI / requestMillis);
+  private static double freshness(long ageNanos, double periodMillis) {
+    return Math.exp(-Math.max(0, ageNanos) / NANOS_PER_MILLI / periodMillis);
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorCosts;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
@@ -97,13 +98,20 @@
         new MessageType<>(
             65,
             AllocatorLoad.class,
-            3,
+            4,
             (message, output) -> {
               output.writeString(message.service());
               output.writeString(message.dataCentre());
               output.writeLong(message.delayMillis());
+              output.writeList(
+                  message.capacity().stream().toList(), SlotMessageCodec::writeCapacity);
             },
-            input -> new AllocatorLoad(input.readString(), input.readString(), input.readLong())),
+            input ->
+                new AllocatorLoad(
+                    input.readString(),
+                    input.readString(),
+                    input.readLong(),
+                    readAtMostOne(input, "capacity", SlotMessageCodec::readCapacity))),
         new MessageType<>(
             66,
             AllocatorCosts.class,
@@ -223,6 +231,16 @@
         readAtMostOne(input, "load", SlotMessageCodec::readLoad));
   }
 
+  private static void writeCapacity(FieldOutput output, MeasuredCapacity capacity) {
+    output.writeDouble(capacity.parallelRequests());
+    output.writeDouble(capacity.requestMillis());
+    output.writeDouble(capacity.tokenMillis());
+  }
+
+  private static MeasuredCapacity readCapacity(FieldInput input) {
+    return new MeasuredCapacity(input.readDouble(), input.readDouble(), input.readDouble());
+  }
+
   private static SlotStage toStage(int ordinal) {
     if (ordinal < 0 || ordinal >= STAGES.length) {
       throw new IllegalArgumentException("field stage has the unknown ordinal " + ordinal);
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -31,6 +31,7 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorCosts;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
@@ -216,6 +217,8 @@
         new SlotRefused("plan-model", REQUEST, 1_000, "siliguri-a"),
         new SlotRecalled("plan-model", REQUEST, "engine-4"),
         new AllocatorLoad("plan-model", "siliguri-a", 35),
+        new AllocatorLoad(
+            "plan-model", "siliguri-a", 35, Optional.of(new MeasuredCapacity(6, 21.5, 0.0175))),
         new AllocatorCosts(
             "plan-model", 41_000, List.of(new WorkspaceCost("kolkata-strings", 1_620))));
   }
