Serve gauges of the estimated load of each upstream

Cause: nobody could see from outside how an allocator judges an upstream, how old its knowledge is and how well it predicts.

Change: the status of an upstream contains its estimate, and routers serve it as gauges of the upstreams whose estimate counts. ServiceSlotsStatus moves to the package of the decision, as other modules read it. slots.evenLoad is checked as true or false. A test pins the decisions of the allocator before it had an estimate.

Mutation that turns the test red: usesEstimate always true (decisionsWithoutStatementsStayTheSame).

--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -1,6 +1,7 @@
 package dev.agatepier.cli.process;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.expectThrows;
 
 import dev.agatepier.core.process.RouterPolicy;
@@ -40,6 +41,7 @@
     RouterSettings settings = SettingsReader.readRouter(write(ROUTER));
     assertEquals(settings.policy().attempts(), 2);
     assertEquals(settings.policy().windowBytes(), RouterPolicy.DEFAULT.windowBytes());
+    assertFalse(settings.slots().evenLoad());
     assertEquals(settings.common().secret(), new Secret("shared-secret-of-the-fleet"));
     assertEquals(settings.common().secret().toString(), "secret");
   }
@@ -92,6 +94,11 @@
         "'spillMillis':1,'spillSeconds':2",
         "$.policy.spillSeconds: must not be set together with spillMillis"
       },
+      {
+        "'policy':",
+        "'slots':{'evenLoad':'true'},'policy':",
+        "$.slots.evenLoad: must be true or false"
+      },
       {"'policy':", "'polity':", "$.polity: is not a known field"},
       {
         "'policy':", "'stop':{'graceMillis':'1s'},'policy':", "$.stop.graceMillis: must be a number"
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -6,7 +6,6 @@
 import dev.agatepier.core.process.internal.FairOrder;
 import dev.agatepier.core.process.internal.RecentPeak;
 import dev.agatepier.core.process.internal.ServiceSlots;
-import dev.agatepier.core.process.internal.ServiceSlotsStatus;
 import dev.agatepier.core.process.internal.StartupMessageBuffer;
 import dev.agatepier.core.process.internal.WorkspaceLedger;
 import dev.agatepier.core.version.InstanceList;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.process.FairPosition;
+import dev.agatepier.core.process.ServiceSlotsStatus;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -1,12 +1,13 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.process.internal.ServiceSlotsStatus.UpstreamStatus;
+import dev.agatepier.core.process.ServiceSlotsStatus.UpstreamStatus;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /** Load of an upstream as its slot allocator estimates it from grants and observed progress. */
@@ -216,7 +217,8 @@
         rule.backlogMillis(this, nowNanos),
         runningTokens(),
         health.failureShare(),
-        !upstream.leaving() && !stalled && !health.isEjected(nowNanos));
+        !upstream.leaving() && !stalled && !health.isEjected(nowNanos),
+        usesEstimate() ? Optional.of(estimate.status(nowNanos)) : Optional.empty());
   }
 
   /** Returns the milliseconds without progress; 0 if no response is pending. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
@@ -1,7 +1,9 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
+import dev.agatepier.core.process.ServiceSlotsStatus.EstimateStatus;
 import dev.agatepier.core.request.UpstreamLoadReport;
+import java.util.OptionalLong;
 
 /**
  * What a slot allocator knows of an upstream beyond its own grants: the load from other senders and
@@ -107,8 +109,7 @@
     return statedPaces > 0;
   }
 
-  /** Returns the time since the last statement, in milliseconds; very large if there is none. */
-  double ageMillis(long nowNanos) {
+  private double ageMillis(long nowNanos) {
     return (nowNanos - statedNanos) / NANOS_PER_MILLI;
   }
 
@@ -150,19 +151,16 @@
         : Math.max(1, (int) (runningAtOutput * maximumTokenMillis / outputTokenMillis));
   }
 
-  /** Returns the moving average of the absolute error of predictions, in milliseconds. */
-  double errorMillis() {
-    return errorMillis;
-  }
-
-  /** Returns by how much responses start later than predicted on average, in milliseconds. */
-  double biasMillis() {
-    return biasMillis;
-  }
-
-  /** Returns the moving average of the time for an output token, in milliseconds; 0 if unknown. */
-  double outputTokenMillis() {
-    return outputTokenMillis;
+  /** Returns the status for operators. */
+  EstimateStatus status(long nowNanos) {
+    boolean stated = statedNanos != Long.MIN_VALUE / 2;
+    return new EstimateStatus(
+        otherRequests(nowNanos),
+        PERCENT * paceFactor(nowNanos),
+        stated ? OptionalLong.of((long) ageMillis(nowNanos)) : OptionalLong.empty(),
+        errorMillis,
+        biasMillis,
+        outputTokenMillis);
   }
 
   private void recordPace(double stated, long nanos) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadTest.java
@@ -77,6 +77,21 @@
     assertTrue(withoutPace.capacity().isEmpty());
   }
 
+  /**
+   * Guards against decisions that change where nothing asks for the estimate. The numbers of grants
+   * and rejections and the hash of the upstreams of all grants are those of the allocator before it
+   * had an estimate.
+   */
+  @Test
+  public void decisionsWithoutStatementsStayTheSame() {
+    UnevenUpstreams usual = engines(Statements.NONE);
+    usual.run(30_000, 9);
+    assertEquals(trace(usual), "3260 grants -1177835274, 0 rejected");
+    UnevenUpstreams overloaded = engines(Statements.NONE);
+    overloaded.run(30_000, 6);
+    assertEquals(trace(overloaded), "3736 grants 1056955239, 1089 rejected");
+  }
+
   /** Guards against random errors that turn the load away from one plain upstream after another. */
   @Test
   public void errorsOfPlainServicesLeaveTheLoadEven() {
@@ -108,6 +123,11 @@
     return new UnevenUpstreams(ServiceKind.MODEL, 64, WITHOUT_ESTIMATE, statements, upstreams);
   }
 
+  private static String trace(UnevenUpstreams upstreams) {
+    return "%d grants %d, %d rejected"
+        .formatted(upstreams.grants.size(), upstreams.grants.hashCode(), upstreams.rejected);
+  }
+
   private static SlotAllocatorPolicy withEvenLoad() {
     SlotAllocatorPolicy defaults = SlotAllocatorPolicy.DEFAULT;
     return new SlotAllocatorPolicy(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -26,6 +26,7 @@
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.Readiness;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -59,6 +60,7 @@
   private final Runnable stop;
   private final DecisionTask<RouterEvent, RouterEffect> requestTask;
   private final DecisionTask<CostAggregatorEvent, CostAggregatorEffect> costAggregator;
+  private final SlotAllocatorDecision allocatorDecision;
   private final DecisionTask<SlotAllocatorEvent, SlotAllocatorEffect> slotAllocator;
   private final RequestMetrics metrics;
   private final SlotMetrics slotMetrics;
@@ -119,9 +121,10 @@
             scheduler,
             System::nanoTime,
             RouterTasks::logTaskFailure);
+    allocatorDecision = new SlotAllocatorDecision(self, allocatorPolicy);
     slotAllocator =
         new DecisionTask<>(
-            new SlotAllocatorDecision(self, allocatorPolicy),
+            allocatorDecision,
             this::perform,
             MAILBOX_CAPACITY,
             scheduler,
@@ -247,7 +250,15 @@
 
   @Override
   public CompletableFuture<Map<String, Object>> gauges() {
-    return administration.gauges();
+    return administration
+        .gauges()
+        .thenCombine(
+            slotAllocator.ask(allocatorDecision::snapshot),
+            (gauges, services) -> {
+              Map<String, Object> all = new HashMap<>(gauges);
+              all.putAll(UpstreamGauges.of(services));
+              return all;
+            });
   }
 
   @Override
