--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
@@ -67,7 +67,7 @@
 
   @Override
   public double workMillis(UpstreamLoad upstream, WaitingCall call) {
-    return upstream.usesEstimate() ? workMillis(upstream) : backlogMillis(upstream, 0);
+    return upstream.usesEstimate() ? loadedMillis(upstream) : backlogMillis(upstream, 0);
   }
 
   /**
@@ -80,11 +80,11 @@
       return SlotRule.super.failureMillis(upstream, allFailMillis);
     }
     double share = Math.min(upstream.health.failureShare(), MAX_FAILURE_SHARE);
-    return workMillis(upstream) * share / (1 - share);
+    return loadedMillis(upstream) * share / (1 - share);
   }
 
   /** Returns the share of the upstream's time that one more request takes with those it has. */
-  private double workMillis(UpstreamLoad upstream) {
+  private double loadedMillis(UpstreamLoad upstream) {
     return slotTimes(upstream, upstream.running() + upstream.otherRequests() + 1);
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/UpstreamLoadEstimateTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/UpstreamLoadEstimateTest.java
@@ -63,7 +63,7 @@
    * Guards against an engine that other programs have slowed for half a second and that is chosen.
    */
   @Test
-  public void paceFollowsHalfASecond() {
+  public void paceFollowsHalfOneSecond() {
     repeat(100, 3_000);
     repeat(250, 500);
     assertTrue(estimate.paceFactor(now) > 2, "pace " + estimate.paceFactor(now));
