--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/PolicyReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/PolicyReader.java
@@ -55,7 +55,7 @@
           (int) object.integerInRange(field, value, 0, Integer.MAX_VALUE, number);
       case Long number -> object.integerInRange(field, value, 0, Long.MAX_VALUE, number);
       case Double number -> number(object, field, value, number);
-      case Boolean _ -> flag(object, field, value, fallback);
+      case Boolean flag -> flag(object, field, value, flag);
       default -> text(object, field, value, fallback);
     };
   }
@@ -86,7 +86,7 @@
     return fallback;
   }
 
-  private static Object flag(ObjectReader object, String field, JsonNode value, Object fallback) {
+  private static boolean flag(ObjectReader object, String field, JsonNode value, boolean fallback) {
     if (value.isBoolean()) {
       return value.booleanValue();
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import java.util.List;
 import java.util.Optional;
 
@@ -94,8 +95,28 @@
    * @param stage the new state
    * @param amount tokens of the response for a model request; otherwise the time for which the slot
    *     was held, in milliseconds
+   * @param load load that the upstream has stated since the previous change; empty if it has not
    */
-  record SlotChange(RequestId request, String upstream, SlotStage stage, long amount) {}
+  record SlotChange(
+      RequestId request,
+      String upstream,
+      SlotStage stage,
+      long amount,
+      Optional<ReceivedLoad> load) {
+
+    /** Creates a change without a statement of load. */
+    public SlotChange(RequestId request, String upstream, SlotStage stage, long amount) {
+      this(request, upstream, stage, amount, Optional.empty());
+    }
+  }
+
+  /**
+   * Load that an upstream stated in a response.
+   *
+   * @param report the load
+   * @param ageMillis time for which the router has had it, in milliseconds
+   */
+  record ReceivedLoad(UpstreamLoadReport report, long ageMillis) {}
 
   /**
    * Router to slot allocator: state changes of the router's requests.
@@ -154,9 +175,50 @@
    * @param dataCentre data centre whose slots the sender allocates
    * @param delayMillis expected time until a request that arrives now is granted a slot, in
    *     milliseconds
+   * @param capacity what the upstreams of the data centre can do, as measured; empty if no estimate
+   *     of their load counts
    */
-  record AllocatorLoad(String service, String dataCentre, long delayMillis)
-      implements SlotMessage {}
+  record AllocatorLoad(
+      String service, String dataCentre, long delayMillis, Optional<MeasuredCapacity> capacity)
+      implements SlotMessage {
+
+    /** Creates a report without a measured capacity. */
+    public AllocatorLoad(String service, String dataCentre, long delayMillis) {
+      this(service, dataCentre, delayMillis, Optional.empty());
+    }
+  }
+
+  /**
+   * Measured capacity of the upstreams of a service in one data centre.
+   *
+   * @param parallelRequests requests that they process beside each other without slowdown
+   * @param requestMillis expected time of a request, without that for its prompt tokens, in
+   *     milliseconds
+   * @param tokenMillis expected time for each prompt token to prefill, in milliseconds; 0 for plain
+   *     services
+   */
+  record MeasuredCapacity(double parallelRequests, double requestMillis, double tokenMillis) {
+
+    /** Rejects numbers that are negative or not finite. */
+    public MeasuredCapacity {
+      if (!(parallelRequests >= 0 && requestMillis >= 0 && tokenMillis >= 0)
+          || Double.isInfinite(parallelRequests + requestMillis + tokenMillis)) {
+        throw new IllegalArgumentException(
+            "parallelRequests "
+                + parallelRequests
+                + ", requestMillis "
+                + requestMillis
+                + " or tokenMillis "
+                + tokenMillis
+                + " is negative or not finite");
+      }
+    }
+
+    /** Returns by how much a request with some tokens to prefill lengthens the delay. */
+    public double addedMillis(int tokens) {
+      return (requestMillis + tokenMillis * tokens) / Math.max(1, parallelRequests);
+    }
+  }
 
   /**
    * Slot allocator to the allocators of other data centres: the costs of workspaces in its own data
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -6,7 +6,6 @@
 import dev.agatepier.core.process.internal.FairOrder;
 import dev.agatepier.core.process.internal.RecentPeak;
 import dev.agatepier.core.process.internal.ServiceSlots;
-import dev.agatepier.core.process.internal.ServiceSlotsStatus;
 import dev.agatepier.core.process.internal.StartupMessageBuffer;
 import dev.agatepier.core.process.internal.UpstreamAvailability;
 import dev.agatepier.core.process.internal.WorkspaceLedger;
@@ -249,7 +248,11 @@
     OptionalLong delayMillis = service.takeDueDelayMillis(nowNanos);
     if (delayMillis.isPresent()) {
       SlotMessage load =
-          new SlotMessage.AllocatorLoad(service.name(), self.dataCentre(), delayMillis.getAsLong());
+          new SlotMessage.AllocatorLoad(
+              service.name(),
+              self.dataCentre(),
+              delayMillis.getAsLong(),
+              service.measuredCapacity(nowNanos));
       routers.keySet().forEach(router -> effects.add(new SlotAllocatorEffect.Send(router, load)));
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -18,6 +18,8 @@
  * @param coldOverage factor of the rate that a cold upstream tolerates in the number of requests
  *     that it may get in a second; 0 if requests to cold upstreams are not limited
  * @param coldSlack requests that a cold upstream may get in a second in addition
+ * @param evenLoad whether upstreams that do not state the pace of their machine are chosen by the
+ *     estimate of their load as well
  */
 public record SlotAllocatorPolicy(
     long backlogMillis,
@@ -27,33 +29,15 @@
     long retryAfterMillis,
     long costWindowMillis,
     double coldOverage,
-    double coldSlack) {
+    double coldSlack,
+    boolean evenLoad) {
 
   /** Maximum sum of the overage and the slack, far above any useful one. */
   private static final double MAXIMUM_COLD = 1_000;
 
   /** The default values. docs/decisions/0011 documents the experiments behind them. */
   public static final SlotAllocatorPolicy DEFAULT =
-      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0);
-
-  /** Creates a policy that does not limit the requests to cold upstreams. */
-  public SlotAllocatorPolicy(
-      long backlogMillis,
-      double memoryShare,
-      long stallMillis,
-      long lateMillis,
-      long retryAfterMillis,
-      long costWindowMillis) {
-    this(
-        backlogMillis,
-        memoryShare,
-        stallMillis,
-        lateMillis,
-        retryAfterMillis,
-        costWindowMillis,
-        0,
-        0);
-  }
+      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 0, 0, false);
 
   /** Checks that every value is in range. */
   public SlotAllocatorPolicy {
@@ -89,4 +73,46 @@
               + MAXIMUM_COLD);
     }
   }
+
+  /** Returns this policy with another window for costs, in milliseconds. */
+  public SlotAllocatorPolicy withCostWindow(long millis) {
+    return new SlotAllocatorPolicy(
+        backlogMillis,
+        memoryShare,
+        stallMillis,
+        lateMillis,
+        retryAfterMillis,
+        millis,
+        coldOverage,
+        coldSlack,
+        evenLoad);
+  }
+
+  /** Returns this policy with a limit of the requests to cold upstreams. */
+  public SlotAllocatorPolicy withColdLimit(double overage, double slack) {
+    return new SlotAllocatorPolicy(
+        backlogMillis,
+        memoryShare,
+        stallMillis,
+        lateMillis,
+        retryAfterMillis,
+        costWindowMillis,
+        overage,
+        slack,
+        evenLoad);
+  }
+
+  /** Returns this policy with the estimate of load for all upstreams. */
+  public SlotAllocatorPolicy withEvenLoad() {
+    return new SlotAllocatorPolicy(
+        backlogMillis,
+        memoryShare,
+        stallMillis,
+        lateMillis,
+        retryAfterMillis,
+        costWindowMillis,
+        coldOverage,
+        coldSlack,
+        true);
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -1,9 +1,11 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
@@ -21,6 +23,12 @@
    */
   private static final double BACKLOG_WEIGHT = 0.3;
 
+  /**
+   * The same weight where the estimate of the load counts: least expected time. It leaves engines
+   * idle less often while others have a queue; docs/design/even-load.md has the figures.
+   */
+  private static final double ESTIMATED_BACKLOG_WEIGHT = 1;
+
   /** Score added for an upstream whose requests all fail, in milliseconds. */
   private static final double FAILURE_MILLIS = 1_000;
 
@@ -37,6 +45,7 @@
   private final WaitingRequests waiting;
   private final Collection<UpstreamLoad> upstreams;
   private final ColdUpstreams coldUpstreams;
+  private final UpstreamChoice choice;
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -54,12 +63,14 @@
       WorkspaceLedger ledger,
       WaitingRequests waiting,
       Collection<UpstreamLoad> upstreams,
-      ColdUpstreams coldUpstreams) {
+      ColdUpstreams coldUpstreams,
+      UpstreamChoice choice) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
     this.coldUpstreams = coldUpstreams;
+    this.choice = choice;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
@@ -146,6 +157,15 @@
     return delayBehind(work, ahead, nowNanos);
   }
 
+  /** Returns the measured capacity of the usable upstreams; empty if no estimate of load counts. */
+  Optional<MeasuredCapacity> measuredCapacity(long nowNanos) {
+    List<UpstreamLoad> usable =
+        upstreams.stream().filter(upstream -> usable(upstream, nowNanos)).toList();
+    return usable.stream().anyMatch(UpstreamLoad::usesEstimate)
+        ? Optional.of(rule.capacity(usable))
+        : Optional.empty();
+  }
+
   /**
    * Returns the wait behind work spread over all usable upstreams, including their backlog. Cold
    * ones count only if no other is left: then their rate is what limits the requests.
@@ -243,8 +263,7 @@
    */
   private UpstreamLoad selectUpstream(
       WaitingEntry entry, double share, boolean timely, long nowNanos) {
-    UpstreamLoad best = null;
-    double bestScore = Double.MAX_VALUE;
+    List<UpstreamChoice.Candidate> candidates = new ArrayList<>();
     for (UpstreamLoad upstream : upstreams) {
       if (upstream == reserved
           || !usable(upstream, entry, nowNanos)
@@ -255,16 +274,18 @@
       double backlog = rule.backlogMillis(upstream, nowNanos);
       double firstByte = rule.firstByteMillis(upstream, entry.call);
       double score =
-          BACKLOG_WEIGHT * backlog
+          backlogWeight(upstream) * backlog
               + rule.workMillis(upstream, entry.call)
               + penalty(upstream, entry);
       double counted = entry.countedMillis(backlog + firstByte);
-      if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
-        best = upstream;
-        bestScore = score;
+      if (!timely || entry.meetsObjective(counted, nowNanos)) {
+        candidates.add(new UpstreamChoice.Candidate(upstream, backlog, score));
       }
     }
-    return best != null && acceptsBacklog(best, share, nowNanos) ? best : null;
+    UpstreamChoice.Candidate chosen = choice.choose(entry, candidates);
+    return chosen != null && acceptsBacklog(chosen.upstream(), share, nowNanos)
+        ? chosen.upstream()
+        : null;
   }
 
   /**
@@ -281,9 +302,13 @@
             .orElse(null);
   }
 
-  private static double penalty(UpstreamLoad upstream, WaitingEntry entry) {
+  private static double backlogWeight(UpstreamLoad upstream) {
+    return upstream.usesEstimate() ? ESTIMATED_BACKLOG_WEIGHT : BACKLOG_WEIGHT;
+  }
+
+  private double penalty(UpstreamLoad upstream, WaitingEntry entry) {
     boolean avoided = upstream.upstream.name().equals(entry.call.avoidedUpstream());
-    return FAILURE_MILLIS * (upstream.health.failureShare() + (avoided ? 1 : 0));
+    return rule.failureMillis(upstream, FAILURE_MILLIS) + (avoided ? FAILURE_MILLIS : 0);
   }
 
   /** Returns the number of usable upstreams that have a free slot and memory for a request. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -47,7 +47,7 @@
   /** Is told what becomes of requests. */
   interface Observer {
 
-    /** Called when a router sends a request to an engine. */
+    /** Called when a request is sent to an engine. */
     default void onSent(RequestId request, String engine) {}
 
     /** Called when a response starts. */
@@ -206,10 +206,10 @@
           case RouterEffect.Send send when send.message() instanceof SlotMessage message ->
               send(send.instance(), message);
           case RouterEffect.RunAttempt run -> {
-            observer.onSent(run.attempt().request(), run.upstream().name());
+            RequestId request = run.attempt().request();
+            observer.onSent(request, run.upstream().name());
             startPrefill(
-                run.upstream().name(),
-                new Prefill(this, run.attempt(), prompts.get(run.attempt().request())));
+                run.upstream().name(), new Prefill(this, run.attempt(), prompts.get(request)));
           }
           case RouterEffect.FailRequest fail ->
               observer.onRejected(fail.request(), fail.retryAfterMillis());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -66,7 +66,7 @@
   private static final int QUOTA = 2;
 
   private static final SlotAllocatorPolicy POLICY =
-      new SlotAllocatorPolicy(10_000, 0.92, 60_000, 0, 1_000, 0, 0.1, 5);
+      new SlotAllocatorPolicy(10_000, 0.92, 60_000, 0, 1_000, 0, 0.1, 5, false);
 
   private enum Fault {
     NONE,
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -44,8 +44,7 @@
   static final WarmUp WARM_UP = new WarmUp(3_000, 10);
 
   /** Limits a cold upstream of that warm-up to 20 requests a second. */
-  static final SlotAllocatorPolicy COLD_LIMIT =
-      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 1.5, 5);
+  static final SlotAllocatorPolicy COLD_LIMIT = SlotAllocatorPolicy.DEFAULT.withColdLimit(1.5, 5);
 
   private static final long MILLI = 1_000_000;
 
@@ -77,7 +76,8 @@
   static SlotAllocatorFixture withShortCostWindow(String... upstreams) {
     SlotAllocatorFixture allocator =
         new SlotAllocatorFixture(
-            new SlotAllocatorDecision(router(ROUTER, "a1"), withCostWindow(4_000)));
+            new SlotAllocatorDecision(
+                router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT.withCostWindow(4_000)));
     allocator.dispatch(new SlotAllocatorEvent.TableActivated(table()));
     allocator.publishUpstreams(upstreams);
     return allocator;
@@ -100,18 +100,6 @@
     return allocator;
   }
 
-  /** Returns the default policy with costs that lose weight over a period. */
-  static SlotAllocatorPolicy withCostWindow(long millis) {
-    SlotAllocatorPolicy defaults = SlotAllocatorPolicy.DEFAULT;
-    return new SlotAllocatorPolicy(
-        defaults.backlogMillis(),
-        defaults.memoryShare(),
-        defaults.stallMillis(),
-        defaults.lateMillis(),
-        defaults.retryAfterMillis(),
-        millis);
-  }
-
   /** Returns an allocator that has just started and has neither a table nor upstreams. */
   static SlotAllocatorFixture withoutTable() {
     return new SlotAllocatorFixture(
@@ -207,7 +195,8 @@
             availabilityChanges.add(change);
         case SlotAllocatorEffect.Placed _,
             SlotAllocatorEffect.Rejected _,
-            SlotAllocatorEffect.ColdGrants _ -> {
+            SlotAllocatorEffect.ColdGrants _,
+            SlotAllocatorEffect.StartPredicted _ -> {
           // Only logged.
         }
       }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/WorkspaceSharesTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/WorkspaceSharesTest.java
@@ -238,7 +238,7 @@
   }
 
   private static Callers serve(Demand demand, IntUnaryOperator preferred, long seed) {
-    SlotAllocatorPolicy policy = SlotAllocatorFixture.withCostWindow(COST_WINDOW_MILLIS);
+    SlotAllocatorPolicy policy = SlotAllocatorPolicy.DEFAULT.withCostWindow(COST_WINDOW_MILLIS);
     VirtualTime time = new VirtualTime(seed);
     Callers callers = new Callers(time, preferred);
     List<String> names =
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -45,6 +45,7 @@
   private final Counter connectionsOpened;
   private final Counter malformedResponses;
   private final Counter ignoredNotices;
+  private final Counter unreadableLoads;
   private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
   private final Map<AttemptId, UpstreamPool> poolsByAttempt = new HashMap<>();
@@ -90,6 +91,7 @@
     connectionsOpened = metrics.counter("upstreams.connections-opened");
     malformedResponses = metrics.counter("upstreams.unsound-answers");
     ignoredNotices = metrics.counter("upstreams.notices-ignored");
+    unreadableLoads = metrics.counter("upstreams.unreadable-loads");
     responses =
         new ResponseBudget(
             maximumBufferedBytes, metrics.counter("upstreams.answers-given-up")::inc);
@@ -197,6 +199,11 @@
       return eventLoops;
     }
 
+    @Override
+    public void onUnreadableLoad() {
+      unreadableLoads.inc();
+    }
+
     @Override
     public void onConnecting() {
       connectionsOpened.inc();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -255,11 +255,11 @@
 
   @Override
   public CompletableFuture<Map<String, Object>> gauges() {
-    return administration.gauges().thenCombine(upstreamCounts(), RouterTasks::joinGauges);
+    return administration.gauges().thenCombine(upstreamGauges(), RouterTasks::joinGauges);
   }
 
-  /** Returns the number of upstreams whose slots this router allocates, by state. */
-  private CompletableFuture<Map<String, Object>> upstreamCounts() {
+  /** Returns what is known of the upstreams whose slots this router allocates. */
+  private CompletableFuture<Map<String, Object>> upstreamGauges() {
     return slotAllocator.ask(
         now -> {
           Map<UpstreamState, Long> counts = allocatorDecision.upstreamCounts(now);
@@ -267,6 +267,7 @@
           for (UpstreamState state : EnumSet.complementOf(EnumSet.of(UpstreamState.GONE))) {
             gauges.put("upstreams.state." + state.code(), counts.getOrDefault(state, 0L));
           }
+          gauges.putAll(UpstreamGauges.of(allocatorDecision.snapshot(now)));
           return gauges;
         });
   }
@@ -328,6 +329,8 @@
       case SlotAllocatorEffect.UpstreamAvailabilityChanged change ->
           RequestLog.logUpstreamAvailabilityChanged(change);
       case SlotAllocatorEffect.ColdGrants grants -> slotMetrics.recordColdGrants(grants);
+      case SlotAllocatorEffect.StartPredicted prediction ->
+          slotMetrics.recordPrediction(prediction);
       case SlotAllocatorEffect.UpstreamUsabilityChanged change ->
           RequestLog.logUpstreamUsabilityChanged(change);
     }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
@@ -4,9 +4,11 @@
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.wire.request.UpstreamDialect;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -48,6 +50,18 @@
     return new Notice(new UpstreamNotice(leaving, OptionalLong.empty()), "");
   }
 
+  @Override
+  public LoadStatement readLoad(List<Header> headers) {
+    String load = firstValue(headers, "load");
+    if (load.isEmpty()) {
+      return new LoadStatement.Absent();
+    }
+    return load.equals("unreadable")
+        ? new LoadStatement.Unreadable()
+        : new LoadStatement.Stated(
+            new UpstreamLoadReport(Integer.parseInt(load), 0, 8, OptionalInt.empty()));
+  }
+
   private static String firstValue(List<Header> headers, String name) {
     return headers.stream()
         .filter(header -> header.name().equals(name))
