--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -26,6 +26,8 @@
    * @param repeatable whether the request may run more than once
    * @param underserved whether requests of its size have got slots less often than others of the
    *     same kind, so that its own work does not count against its objective
+   * @param callerAgeMillis time since the caller first sent the request, before it came to this
+   *     router, in milliseconds; 0 unless it was probably rejected before
    * @param prompt metadata of the prompt of a model request; empty for other requests
    */
   record WaitingCall(
@@ -36,7 +38,31 @@
       long timeLeftMillis,
       boolean repeatable,
       boolean underserved,
-      Optional<PromptMetadata> prompt) {}
+      long callerAgeMillis,
+      Optional<PromptMetadata> prompt) {
+
+    /** Creates a request that its caller has not sent before. */
+    public WaitingCall(
+        RequestId request,
+        String workspace,
+        String avoidedUpstream,
+        long objectiveMillis,
+        long timeLeftMillis,
+        boolean repeatable,
+        boolean underserved,
+        Optional<PromptMetadata> prompt) {
+      this(
+          request,
+          workspace,
+          avoidedUpstream,
+          objectiveMillis,
+          timeLeftMillis,
+          repeatable,
+          underserved,
+          0,
+          prompt);
+    }
+  }
 
   /**
    * A request that holds a slot.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -12,6 +12,8 @@
  *     objective, in milliseconds
  * @param retryAfterMillis retry delay advised to a caller whose request was rejected, in
  *     milliseconds
+ * @param admission from when on the objective of a request counts: {@link #ARRIVAL} at the router,
+ *     or {@link #FIRST_ATTEMPT} of its caller
  * @param costWindowMillis period over which operators compare the service of workspaces, in
  *     milliseconds: older cost has little weight in the fair-queueing order; 0 if cost never loses
  *     weight
@@ -22,11 +24,22 @@
     long stallMillis,
     long lateMillis,
     long retryAfterMillis,
+    String admission,
     long costWindowMillis) {
 
+  /** The objective counts from the arrival at the router, also for a repeated request. */
+  public static final String ARRIVAL = "arrival";
+
+  /**
+   * The objective counts from the caller's first attempt. Requests that are late on their arrival
+   * get what the others leave, a margin for the error of predictions is kept, and rejected callers
+   * are advised to come back when the shortage is expected to be over.
+   */
+  public static final String FIRST_ATTEMPT = "first-attempt";
+
   /** The default values. docs/decisions/0011 documents the experiments behind them. */
   public static final SlotAllocatorPolicy DEFAULT =
-      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0);
+      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, ARRIVAL, 0);
 
   /** Checks that every value is in range. */
   public SlotAllocatorPolicy {
@@ -48,9 +61,23 @@
               + costWindowMillis
               + " at least 0");
     }
+    if (!admission.equals(ARRIVAL) && !admission.equals(FIRST_ATTEMPT)) {
+      throw new IllegalArgumentException(
+          "slot allocator policy: admission "
+              + admission
+              + " must be "
+              + ARRIVAL
+              + " or "
+              + FIRST_ATTEMPT);
+    }
     if (!(memoryShare > 0 && memoryShare <= 1)) {
       throw new IllegalArgumentException(
           "slot allocator policy: memoryShare " + memoryShare + " must be above 0 and at most 1");
     }
   }
+
+  /** Returns whether the objective of a request counts from the caller's first attempt. */
+  public boolean countsFromFirstAttempt() {
+    return admission.equals(FIRST_ATTEMPT);
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -26,6 +26,7 @@
   private final Map<SessionKey, AllocatorSession> sessions = new LinkedHashMap<>();
   private final Map<String, SlidingWindowRetryBudget> budgets = new HashMap<>();
   private final SizeFairness sizes = new SizeFairness();
+  private final CallerAges ages = new CallerAges();
 
   /** Service and data centre that a session covers. */
   private record SessionKey(String service, String dataCentre) {}
@@ -46,6 +47,10 @@
               .prompt()
               .filter(prompt -> sizes.recordArrived(request.plan.route(), prompt))
               .isPresent();
+      request.callerAgeMillis =
+          ages.recordArrived(
+              request.plan.route(),
+              (request.call.deadlineNanos() - nowNanos) / RouterState.NANOS_PER_MILLI);
     }
     requestSlot(request, nowNanos);
   }
@@ -115,6 +120,11 @@
     }
   }
 
+  /** Records that a request was rejected, so that its caller may send it again. */
+  void recordRejected(RoutedRequest request) {
+    ages.recordRejected(request.plan.route());
+  }
+
   @Override
   public boolean tryAcquireRetry(RoutedRequest request, long nowNanos) {
     double slack = state.policy.retrySlack() / state.recentPeakRouters(nowNanos);
@@ -150,6 +160,7 @@
   /** Forgets the routes that the active table no longer contains. */
   public void onTableActivated() {
     sizes.retainRoutes(state.routes);
+    ages.retainRoutes(state.routes);
   }
 
   /** Clears a disconnected router as allocator. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -145,6 +145,7 @@
         (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
         request.plan.repeatable(),
         request.underserved,
+        request.callerAgeMillis,
         request.call.prompt());
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RendezvousHash.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RendezvousHash.java
@@ -67,7 +67,8 @@
     return mix(hash(0, bytes, bytes.length));
   }
 
-  private static long mix(long value) {
+  /** Returns a value of which each bit depends on all bits of the argument. */
+  static long mix(long value) {
     long mixed = (value ^ (value >>> 33)) * 0xff51afd7ed558ccdL;
     mixed = (mixed ^ (mixed >>> 33)) * 0xc4ceb9fe1a85ec53L;
     return mixed ^ (mixed >>> 33);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -63,6 +63,9 @@
   /** Whether requests of its size have got slots less often than others of its route. */
   boolean underserved;
 
+  /** Time since the caller first sent the request, before it arrived here; 0 if it is new. */
+  long callerAgeMillis;
+
   /** Data centre in which the request waits for a slot or holds one. */
   String dataCentre = "";
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -54,6 +54,8 @@
   private final AllocatorCostExchange costs;
   private final WaitingRequests waiting;
   private final SlotScheduler scheduler;
+  private final PredictionError error;
+  private final RetryAdvice advice;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
   private final ServedLevels levels = new ServedLevels();
@@ -83,9 +85,12 @@
     this.ledger = ledger;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
-    this.allocations = new SlotAllocations(rule, ledger);
+    this.error =
+        policy.countsFromFirstAttempt() ? new QuantilePredictionError() : PredictionError.IGNORED;
+    this.advice = new RetryAdvice(policy.retryAfterMillis());
+    this.allocations = new SlotAllocations(rule, ledger, error);
     this.waiting = new WaitingRequests(ledger);
-    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values());
+    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values(), error);
   }
 
   /** Applies the workspace weights and the engine profile of a table version. */
@@ -254,7 +259,8 @@
       }
     }
     for (WaitingCall call : wanted.waiting()) {
-      WaitingEntry entry = new WaitingEntry(router, call, ++lastSequence, nowNanos);
+      WaitingEntry entry =
+          new WaitingEntry(router, call, ++lastSequence, policy.countsFromFirstAttempt(), nowNanos);
       scheduler.estimateWork(entry, nowNanos);
       if (scheduler.cannotMeetObjective(entry, nowNanos)) {
         if (scheduler.meetsObjectiveAlone(entry, nowNanos)) {
@@ -289,7 +295,13 @@
         new Send(
             entry.router,
             new SlotMessage.SlotRefused(
-                service, entry.call.request(), policy.retryAfterMillis(), alternative)));
+                service, entry.call.request(), retryAfterMillis(entry, nowNanos), alternative)));
+  }
+
+  private long retryAfterMillis(WaitingEntry entry, long nowNanos) {
+    return policy.countsFromFirstAttempt()
+        ? advice.recordRejected(entry.call.request(), entry.call.timeLeftMillis(), nowNanos)
+        : policy.retryAfterMillis();
   }
 
   private void onSlotChange(String router, SlotChange change, long nowNanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocation.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocation.java
@@ -22,6 +22,9 @@
   /** Expected time to prefill those tokens, in milliseconds. */
   final double prefillMillis;
 
+  /** Expected time from the grant to the first byte, in milliseconds. */
+  final double expectedMillis;
+
   boolean responseStarted;
 
   SlotAllocation(
@@ -32,7 +35,8 @@
       double chargedCost,
       double chargedExponent,
       int uncachedTokens,
-      double prefillMillis) {
+      double prefillMillis,
+      double expectedMillis) {
     this.router = router;
     this.call = call;
     this.upstream = upstream;
@@ -41,6 +45,7 @@
     this.chargedExponent = chargedExponent;
     this.uncachedTokens = uncachedTokens;
     this.prefillMillis = prefillMillis;
+    this.expectedMillis = expectedMillis;
   }
 
   int outputTokens() {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -11,13 +11,17 @@
 /** The occupied slots of one service and the cost charged to workspaces for them. */
 final class SlotAllocations {
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
   private final SlotRule rule;
   private final WorkspaceLedger ledger;
+  private final PredictionError error;
   private final Map<RequestId, SlotAllocation> allocations = new HashMap<>();
 
-  SlotAllocations(SlotRule rule, WorkspaceLedger ledger) {
+  SlotAllocations(SlotRule rule, WorkspaceLedger ledger, PredictionError error) {
     this.rule = rule;
     this.ledger = ledger;
+    this.error = error;
   }
 
   boolean isEmpty() {
@@ -36,6 +40,7 @@
       boolean responseStarted,
       long nowNanos) {
     double cost = rule.expectedCost(call);
+    double firstByteMillis = rule.firstByteMillis(upstream, call);
     SlotAllocation allocation =
         new SlotAllocation(
             router,
@@ -45,7 +50,8 @@
             cost,
             ledger.decayExponent(),
             ModelSlotRule.uncachedTokens(upstream, call),
-            rule.firstByteMillis(upstream, call));
+            firstByteMillis,
+            rule.backlogMillis(upstream, nowNanos) + firstByteMillis);
     upstream.add(allocation, responseStarted);
     allocations.put(call.request(), allocation);
     ledger.addInFlight(call.workspace(), 1);
@@ -62,6 +68,8 @@
       return;
     }
     if (change.stage() == SlotStage.RESPONSE_STARTED) {
+      error.observe(
+          allocation.expectedMillis, (nowNanos - allocation.grantedNanos) / NANOS_PER_MILLI);
       allocation.upstream.recordResponseStarted(allocation, nowNanos);
     } else {
       release(allocation, change.stage(), change.amount(), nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -100,6 +100,7 @@
     if (request != null
         && placement.isAllocator(request, router)
         && !placement.requeueElsewhere(request, refused.alternative(), nowNanos)) {
+      placement.recordRejected(request);
       lifecycle.fail(request, Reason.OVERLOADED, 0, refused.retryAfterMillis(), nowNanos);
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -8,7 +8,8 @@
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
  * within it the request with the earliest due time that can still meet its objective, and the
- * upstream with the lowest score. Requests that cannot meet their objective come last.
+ * upstream with the lowest score. Requests that cannot meet their objective come last, and among
+ * them those that were late on their arrival.
  */
 final class SlotScheduler {
 
@@ -37,6 +38,9 @@
   private final WaitingRequests waiting;
   private final Collection<UpstreamLoad> upstreams;
 
+  /** Error of the predictions; its margin is 0 if it observes nothing. */
+  private final PredictionError error;
+
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
 
@@ -52,11 +56,13 @@
       SlotRule rule,
       WorkspaceLedger ledger,
       WaitingRequests waiting,
-      Collection<UpstreamLoad> upstreams) {
+      Collection<UpstreamLoad> upstreams,
+      PredictionError error) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
+    this.error = error;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
@@ -77,7 +83,9 @@
       estimateWork(entry, nowNanos);
       long lateNanos =
           nowNanos
-              + (long) ((entry.countedMillis(entry.workMillis) - lateMillis) * NANOS_PER_MILLI)
+              + (long)
+                  ((entry.countedMillis(entry.workMillis) + marginMillis(entry) - lateMillis)
+                      * NANOS_PER_MILLI)
               - entry.dueNanos;
       if (lateNanos > 0) {
         overdue.add(entry);
@@ -98,7 +106,8 @@
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
     double ownMillis = entry.countedMillis(entry.workMillis);
     return !waiting.isEmpty()
-        && !entry.meetsObjective(waitAheadMillis(entry, nowNanos) + ownMillis, nowNanos);
+        && !entry.meetsObjective(
+            waitAheadMillis(entry, nowNanos) + ownMillis + marginMillis(entry), nowNanos);
   }
 
   /** Returns whether a request, whose work is estimated, would be in time if no other waited. */
@@ -123,7 +132,15 @@
     return delayBehind(work, nowNanos);
   }
 
-  /** Returns the expected wait behind the requests that precede one in fair order. */
+  /** Returns the margin that a prediction for a request needs, in milliseconds. */
+  private double marginMillis(WaitingEntry entry) {
+    return entry.late ? 0 : error.marginMillis();
+  }
+
+  /**
+   * Returns the expected wait behind the requests that precede one: in fair order, those that were
+   * late on their arrival behind all others.
+   */
   private double waitAheadMillis(WaitingEntry entry, long nowNanos) {
     if (waiting.isEmpty()) {
       return 0;
@@ -133,9 +150,11 @@
     for (WaitingEntry other : waiting.all()) {
       boolean sameWorkspace = other.workspace().equals(entry.workspace());
       boolean before =
-          sameWorkspace
-              ? other.dueNanos <= entry.dueNanos
-              : ledger.account(other.workspace()).virtualService() <= ownService;
+          other.late != entry.late
+              ? entry.late
+              : sameWorkspace
+                  ? other.dueNanos <= entry.dueNanos
+                  : ledger.account(other.workspace()).virtualService() <= ownService;
       work += before ? other.workMillis : 0;
     }
     return delayBehind(work, nowNanos);
@@ -163,8 +182,10 @@
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
         boolean meetsObjective =
-            entry.meetsObjective(
-                entry.countedMillis(minFirstByteMillis(entry, nowNanos)), nowNanos);
+            !entry.late
+                && entry.meetsObjective(
+                    entry.countedMillis(minFirstByteMillis(entry, nowNanos)) + marginMillis(entry),
+                    nowNanos);
         if (meetsObjective != timely) {
           continue;
         }
@@ -203,7 +224,7 @@
           BACKLOG_WEIGHT * backlog
               + rule.workMillis(upstream, entry.call)
               + penalty(upstream, entry);
-      double counted = entry.countedMillis(backlog + firstByte);
+      double counted = entry.countedMillis(backlog + firstByte) + marginMillis(entry);
       if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
         best = upstream;
         bestScore = score;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -18,18 +18,32 @@
   final long sequence;
   final long arrivedNanos;
 
-  /** Time by which the response should start. */
+  /**
+   * Time by which the response should start; for a request that was late on its arrival, the time
+   * until which it waits.
+   */
   final long dueNanos;
 
+  /** Whether the objective of the caller was over before the request arrived. */
+  final boolean late;
+
   /** Time until the first byte that it takes at the upstream, as last estimated. */
   double workMillis;
 
-  WaitingEntry(String router, WaitingCall call, long sequence, long nowNanos) {
+  /**
+   * Creates an entry.
+   *
+   * @param fromFirstAttempt whether the objective counts from the caller's first attempt
+   */
+  WaitingEntry(
+      String router, WaitingCall call, long sequence, boolean fromFirstAttempt, long nowNanos) {
     this.router = router;
     this.call = call;
     this.sequence = sequence;
     this.arrivedNanos = nowNanos;
-    this.dueNanos = nowNanos + call.objectiveMillis() * NANOS_PER_MILLI;
+    long ageMillis = fromFirstAttempt ? call.callerAgeMillis() : 0;
+    this.late = ageMillis > 0 && call.objectiveMillis() <= ageMillis;
+    this.dueNanos = nowNanos + (call.objectiveMillis() - (late ? 0 : ageMillis)) * NANOS_PER_MILLI;
   }
 
   String workspace() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -81,6 +81,7 @@
         defaults.stallMillis(),
         defaults.lateMillis(),
         defaults.retryAfterMillis(),
+        defaults.admission(),
         millis);
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -124,6 +124,7 @@
     output.writeLong(call.timeLeftMillis());
     output.writeBoolean(call.repeatable());
     output.writeBoolean(call.underserved());
+    output.writeLong(call.callerAgeMillis());
     output.writeList(call.prompt().stream().toList(), SlotMessageCodec::writePrompt);
   }
 
@@ -136,6 +137,7 @@
         input.readLong(),
         input.readBoolean(),
         input.readBoolean(),
+        input.readLong(),
         readPrompt(input));
   }
 
