--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RequestMetadata.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RequestMetadata.java
@@ -12,6 +12,8 @@
  * @param waitNanos time until the last attempt was sent, in nanoseconds; the time so far if none
  *     was
  * @param firstByteNanos time until the response started, in nanoseconds; 0 if it did not start
+ * @param longestGapNanos longest time between two parts of the response, in nanoseconds; 0 if it
+ *     has fewer than two
  * @param totalNanos time since the request arrived, in nanoseconds
  * @param cost cost reported by the sidecar, in cost units of the service
  */
@@ -24,12 +26,13 @@
     String lastSidecar,
     long waitNanos,
     long firstByteNanos,
+    long longestGapNanos,
     long totalNanos,
     double cost) {
 
   /** Returns the metadata of a request that ended before it was queued. */
   public static RequestMetadata ofUnqueued(
       String workspace, String service, String route, long size) {
-    return new RequestMetadata(workspace, service, route, size, 0, "", 0, 0, 0, 0);
+    return new RequestMetadata(workspace, service, route, size, 0, "", 0, 0, 0, 0, 0);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -102,6 +102,13 @@
 
   long sentNanos;
   long firstByteNanos;
+
+  /** When the last part of the response was received; 0 before the first. */
+  long lastContentNanos;
+
+  /** Longest time between two parts of the response. */
+  long longestGapNanos;
+
   Reason withdrawReason;
 
   RoutedRequest(
@@ -159,6 +166,14 @@
     return possibleRuns == 0 && (!ticketed() || provenNotRunCount > 0);
   }
 
+  /** Records that a part of the response was received. */
+  void recordContent(long nowNanos) {
+    if (lastContentNanos != 0) {
+      longestGapNanos = Math.max(longestGapNanos, nowNanos - lastContentNanos);
+    }
+    lastContentNanos = nowNanos;
+  }
+
   /** Returns whether part of the current attempt's response has been received. */
   boolean receivesResponse() {
     return sent() && nextFrame > 0;
@@ -205,6 +220,7 @@
         lastTarget,
         attempts == 0 ? nowNanos - arrivedNanos : sentNanos - arrivedNanos,
         responseStarted ? firstByteNanos - arrivedNanos : 0,
+        longestGapNanos,
         nowNanos - arrivedNanos,
         cost);
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -67,6 +67,7 @@
       request.lastEvent = event.lastEvent();
     }
     request.tokens += event.tokens();
+    request.recordContent(nowNanos);
     relay.onResponseContent(request, request.nextFrame, event.content(), nowNanos);
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -78,10 +78,22 @@
 
   /** Calls the model through the router of a data centre. */
   RequestId call(String dataCentre, String workspace, CallPlan plan, PromptMetadata prompt) {
+    return call(dataCentre, workspace, plan, prompt, plan.timeoutMillis());
+  }
+
+  /** Calls the model for a caller that waits for a given time. */
+  RequestId call(
+      String dataCentre,
+      String workspace,
+      CallPlan plan,
+      PromptMetadata prompt,
+      long timeLeftMillis) {
     Node node = nodes.get("r-" + dataCentre);
     RequestId request = new RequestId(node.self.instance(), 1, ++lastNumber);
     node.prompts.put(request, prompt);
-    node.dispatch(AllocatingRouter.arrival(request, workspace, plan, prompt, nowNanos()));
+    node.dispatch(
+        AllocatingRouter.arrival(
+            request, workspace, plan, prompt, nowNanos() + timeLeftMillis * NANOS_PER_MILLI));
     return request;
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
@@ -82,7 +82,11 @@
 
   /** Returns the arrival of a call of the model service. */
   static RouterEvent.CallArrived arrival(
-      RequestId request, String workspace, CallPlan plan, PromptMetadata prompt, long nowNanos) {
+      RequestId request,
+      String workspace,
+      CallPlan plan,
+      PromptMetadata prompt,
+      long deadlineNanos) {
     return new RouterEvent.CallArrived(
         request,
         workspace,
@@ -91,7 +95,7 @@
         Bytes.EMPTY,
         new Fingerprint(workspace, SERVICE, request.toString()),
         Optional.empty(),
-        nowNanos + plan.timeoutMillis() * NANOS_PER_MILLI,
+        deadlineNanos,
         Optional.of(plan),
         Optional.of(prompt),
         OptionalLong.empty());
@@ -108,7 +112,8 @@
 
   RequestId call(String workspace, CallPlan plan, PromptMetadata prompt) {
     RequestId request = new RequestId(SELF.instance(), 1, ++lastNumber);
-    dispatch(arrival(request, workspace, plan, prompt, nowNanos));
+    long deadlineNanos = nowNanos + plan.timeoutMillis() * NANOS_PER_MILLI;
+    dispatch(arrival(request, workspace, plan, prompt, deadlineNanos));
     return request;
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -85,6 +85,19 @@
         millis);
   }
 
+  /** Returns the default policy with another start of the objective of requests. */
+  static SlotAllocatorPolicy withAdmission(String admission) {
+    SlotAllocatorPolicy defaults = SlotAllocatorPolicy.DEFAULT;
+    return new SlotAllocatorPolicy(
+        defaults.backlogMillis(),
+        defaults.memoryShare(),
+        defaults.stallMillis(),
+        defaults.lateMillis(),
+        defaults.retryAfterMillis(),
+        admission,
+        defaults.costWindowMillis());
+  }
+
   /** Returns an allocator that has just started and has neither a table nor upstreams. */
   static SlotAllocatorFixture withoutTable() {
     return new SlotAllocatorFixture(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -222,6 +222,7 @@
         .with("sidecar", metadata.lastSidecar())
         .with("waitMillis", TimeUnit.NANOSECONDS.toMillis(metadata.waitNanos()))
         .with("firstByteMillis", TimeUnit.NANOSECONDS.toMillis(metadata.firstByteNanos()))
+        .with("longestGapMillis", TimeUnit.NANOSECONDS.toMillis(metadata.longestGapNanos()))
         .with("totalMillis", TimeUnit.NANOSECONDS.toMillis(metadata.totalNanos()))
         .with("cost", metadata.cost());
   }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -45,7 +45,7 @@
 public class CallerPortTest {
 
   private static final RequestMetadata METADATA =
-      new RequestMetadata("howrah", "chair-desk", "plans", 0, 1, "desk-2", 0, 0, 0, 1);
+      new RequestMetadata("howrah", "chair-desk", "plans", 0, 1, "desk-2", 0, 0, 0, 0, 1);
   private static final String CALL = "GET /plans HTTP/1.1\r\nHost: a\r\nLabel: one\r\n\r\n";
 
   private BlockingQueue<RouterEvent> events;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/process/CallerListenerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/process/CallerListenerTest.java
@@ -45,7 +45,7 @@
   private static final String KEY = "howrah:open sesame";
   private static final String AUTHORIZATION = "Authorization: Bearer " + KEY + "\r\n";
   private static final RequestMetadata METADATA =
-      new RequestMetadata("howrah", "chair-desk", "plans", 0, 1, "desk-2", 0, 0, 0, 1);
+      new RequestMetadata("howrah", "chair-desk", "plans", 0, 1, "desk-2", 0, 0, 0, 0, 1);
   private static final long NOW_NANOS = 1_000;
   private static final int WINDOW_BYTES = 65_536;
 
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/process/internal/RouteMetricsTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/process/internal/RouteMetricsTest.java
@@ -60,6 +60,6 @@
   }
 
   private static RequestMetadata metadata(String route, long size) {
-    return new RequestMetadata("howrah", "plan-model", route, size, 1, "engine-1", 0, 0, 0, 1);
+    return new RequestMetadata("howrah", "plan-model", route, size, 1, "engine-1", 0, 0, 0, 0, 1);
   }
 }
