--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -12,6 +12,8 @@
  *     objective, in milliseconds
  * @param retryAfterMillis retry delay advised to a caller whose request was rejected, in
  *     milliseconds
+ * @param admission from when on the objective of a request counts: {@link #ARRIVAL} at the router,
+ *     or {@link #FIRST_ATTEMPT} of its caller
  * @param costWindowMillis period over which operators compare the service of workspaces, in
  *     milliseconds: older cost has little weight in the fair-queueing order; 0 if cost never loses
  *     weight
@@ -30,14 +32,25 @@
     long costWindowMillis,
     double coldOverage,
     double coldSlack,
-    boolean evenLoad) {
+    boolean evenLoad,
+    String admission) {
 
   /** Maximum sum of the overage and the slack, far above any useful one. */
   private static final double MAXIMUM_COLD = 1_000;
 
+  /** The objective counts from the arrival at the router, also for a repeated request. */
+  public static final String ARRIVAL = "arrival";
+
+  /**
+   * The objective counts from the caller's first attempt. Requests that are late on their arrival
+   * get what the others leave, a margin for the error of predictions is kept, and rejected callers
+   * are advised to come back when the shortage is expected to be over.
+   */
+  public static final String FIRST_ATTEMPT = "first-attempt";
+
   /** The default values. docs/decisions/0011 documents the experiments behind them. */
   public static final SlotAllocatorPolicy DEFAULT =
-      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 0, 0, false);
+      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 0, 0, false, ARRIVAL);
 
   /** Checks that every value is in range. */
   public SlotAllocatorPolicy {
@@ -59,6 +72,15 @@
               + costWindowMillis
               + " at least 0");
     }
+    if (!admission.equals(ARRIVAL) && !admission.equals(FIRST_ATTEMPT)) {
+      throw new IllegalArgumentException(
+          "slot allocator policy: admission "
+              + admission
+              + " must be "
+              + ARRIVAL
+              + " or "
+              + FIRST_ATTEMPT);
+    }
     if (!(memoryShare > 0 && memoryShare <= 1)) {
       throw new IllegalArgumentException(
           "slot allocator policy: memoryShare " + memoryShare + " must be above 0 and at most 1");
@@ -85,7 +107,8 @@
         millis,
         coldOverage,
         coldSlack,
-        evenLoad);
+        evenLoad,
+        admission);
   }
 
   /** Returns this policy with a limit of the requests to cold upstreams. */
@@ -99,7 +122,8 @@
         costWindowMillis,
         overage,
         slack,
-        evenLoad);
+        evenLoad,
+        admission);
   }
 
   /** Returns this policy with the estimate of load for all upstreams. */
@@ -113,6 +137,27 @@
         costWindowMillis,
         coldOverage,
         coldSlack,
-        true);
+        true,
+        admission);
+  }
+
+  /** Returns this policy with another start of the objective of requests. */
+  public SlotAllocatorPolicy withAdmission(String newAdmission) {
+    return new SlotAllocatorPolicy(
+        backlogMillis,
+        memoryShare,
+        stallMillis,
+        lateMillis,
+        retryAfterMillis,
+        costWindowMillis,
+        coldOverage,
+        coldSlack,
+        evenLoad,
+        newAdmission);
+  }
+
+  /** Returns whether the objective of a request counts from the caller's first attempt. */
+  public boolean countsFromFirstAttempt() {
+    return admission.equals(FIRST_ATTEMPT);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -28,6 +28,7 @@
   private final Map<SessionKey, AllocatorSession> sessions = new LinkedHashMap<>();
   private final Map<String, SlidingWindowRetryBudget> budgets = new HashMap<>();
   private final SizeFairness sizes = new SizeFairness();
+  private final CallerAges ages = new CallerAges();
 
   /** Service and data centre that a session covers. */
   private record SessionKey(String service, String dataCentre) {}
@@ -49,6 +50,10 @@
               .prompt()
               .filter(prompt -> sizes.recordArrived(request.plan.route(), prompt))
               .isPresent();
+      request.callerAgeMillis =
+          ages.recordArrived(
+              request.plan.route(),
+              (request.call.deadlineNanos() - nowNanos) / RouterState.NANOS_PER_MILLI);
     }
     requestSlot(request, nowNanos);
   }
@@ -150,6 +155,11 @@
     }
   }
 
+  /** Records that a request was rejected, so that its caller may send it again. */
+  void recordRejected(RoutedRequest request) {
+    ages.recordRejected(request.plan.route());
+  }
+
   @Override
   public boolean tryAcquireRetry(RoutedRequest request, long nowNanos) {
     double slack = state.policy.retrySlack() / state.recentPeakRouters(nowNanos);
@@ -185,6 +195,7 @@
   /** Forgets the routes that the active table no longer contains. */
   public void onTableActivated() {
     sizes.retainRoutes(state.routes);
+    ages.retainRoutes(state.routes);
   }
 
   /** Tells slot allocators which upstreams have said that they want no new requests. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -162,6 +162,7 @@
         request.reportedTimeLeftMillis,
         request.plan.repeatable(),
         request.underserved,
+        request.callerAgeMillis,
         request.call.prompt());
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -66,6 +66,9 @@
   /** Whether requests of its size have got slots less often than others of its route. */
   boolean underserved;
 
+  /** Time since the caller first sent the request, before it arrived here; 0 if it is new. */
+  long callerAgeMillis;
+
   /** Data centre in which the request waits for a slot or holds one. */
   String dataCentre = "";
 
@@ -105,6 +108,13 @@
 
   long sentNanos;
   long firstByteNanos;
+
+  /** When the last part of the response was received; 0 before the first. */
+  long lastContentNanos;
+
+  /** Longest time between two parts of the response. */
+  long longestGapNanos;
+
   Reason withdrawReason;
 
   /** Load that the upstream stated and that its slot allocator has not been told yet. */
@@ -168,6 +178,14 @@
     return possibleRuns == 0 && (!ticketed() || provenNotRunCount > 0);
   }
 
+  /** Records that a part of the response was received. */
+  void recordContent(long nowNanos) {
+    if (lastContentNanos != 0) {
+      longestGapNanos = Math.max(longestGapNanos, nowNanos - lastContentNanos);
+    }
+    lastContentNanos = nowNanos;
+  }
+
   /** Returns whether part of the current attempt's response has been received. */
   boolean receivesResponse() {
     return sent() && nextFrame > 0;
@@ -223,6 +241,7 @@
         lastTarget,
         attempts == 0 ? nowNanos - arrivedNanos : sentNanos - arrivedNanos,
         responseStarted ? firstByteNanos - arrivedNanos : 0,
+        longestGapNanos,
         nowNanos - arrivedNanos,
         cost);
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -46,6 +46,8 @@
   private final SlotScheduler scheduler;
   private final AvailabilityReport availability;
   private final ColdUpstreams coldUpstreams;
+  private final PredictionError error;
+  private final RetryAdvice advice;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
   private final ServedLevels levels = new ServedLevels();
@@ -85,11 +87,14 @@
     this.ledger = ledger;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
-    this.allocations = new SlotAllocations(service, rule, ledger, effects);
+    this.error =
+        policy.countsFromFirstAttempt() ? new QuantilePredictionError() : PredictionError.IGNORED;
+    this.advice = new RetryAdvice(policy.retryAfterMillis());
+    this.allocations = new SlotAllocations(service, rule, ledger, effects, error);
     this.waiting = new WaitingRequests(ledger);
     this.coldUpstreams = new ColdUpstreams(service, policy, upstreams.values());
     this.scheduler =
-        new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldUpstreams, choice);
+        new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldUpstreams, choice, error);
     this.availability = new AvailabilityReport(service, upstreams.values(), coldUpstreams, effects);
   }
 
@@ -321,7 +326,8 @@
       }
     }
     for (WaitingCall call : wanted.waiting()) {
-      WaitingEntry entry = new WaitingEntry(router, call, ++lastSequence, nowNanos);
+      WaitingEntry entry =
+          new WaitingEntry(router, call, ++lastSequence, policy.countsFromFirstAttempt(), nowNanos);
       scheduler.estimateWork(entry, nowNanos);
       if (scheduler.cannotMeetObjective(entry, nowNanos)) {
         if (scheduler.meetsObjectiveAlone(entry, nowNanos)) {
@@ -356,7 +362,13 @@
         new Send(
             entry.router,
             new SlotMessage.SlotRefused(
-                service, entry.call.request(), policy.retryAfterMillis(), alternative)));
+                service, entry.call.request(), retryAfterMillis(entry, nowNanos), alternative)));
+  }
+
+  private long retryAfterMillis(WaitingEntry entry, long nowNanos) {
+    return policy.countsFromFirstAttempt()
+        ? advice.recordRejected(entry.call.request(), entry.call.timeLeftMillis(), nowNanos)
+        : policy.retryAfterMillis();
   }
 
   private void onSlotChange(String router, SlotChange change, long nowNanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -20,14 +20,20 @@
   private final SlotRule rule;
   private final WorkspaceLedger ledger;
   private final List<SlotAllocatorEffect> effects;
+  private final PredictionError error;
   private final Map<RequestId, SlotAllocation> allocations = new HashMap<>();
 
   SlotAllocations(
-      String service, SlotRule rule, WorkspaceLedger ledger, List<SlotAllocatorEffect> effects) {
+      String service,
+      SlotRule rule,
+      WorkspaceLedger ledger,
+      List<SlotAllocatorEffect> effects,
+      PredictionError error) {
     this.service = service;
     this.effects = effects;
     this.rule = rule;
     this.ledger = ledger;
+    this.error = error;
   }
 
   boolean isEmpty() {
@@ -96,6 +102,7 @@
     double observedMillis = (nowNanos - allocation.grantedNanos) / NANOS_PER_MILLI;
     UpstreamLoad upstream = allocation.upstream;
     upstream.estimate.recordPrediction(allocation.expectedMillis, observedMillis);
+    error.observe(allocation.expectedMillis, observedMillis);
     if (upstream.usesEstimate()) {
       effects.add(
           new SlotAllocatorEffect.StartPredicted(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -10,7 +10,8 @@
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
  * within it the request with the earliest due time that can still meet its objective, and the
- * upstream with the lowest score. Requests that cannot meet their objective come last.
+ * upstream with the lowest score. Requests that cannot meet their objective come last, and among
+ * them those that were late on their arrival.
  */
 final class SlotScheduler {
 
@@ -47,6 +48,9 @@
   private final ColdUpstreams coldUpstreams;
   private final UpstreamChoice choice;
 
+  /** Error of the predictions; its margin is 0 if it observes nothing. */
+  private final PredictionError error;
+
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
 
@@ -64,13 +68,15 @@
       WaitingRequests waiting,
       Collection<UpstreamLoad> upstreams,
       ColdUpstreams coldUpstreams,
-      UpstreamChoice choice) {
+      UpstreamChoice choice,
+      PredictionError error) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
     this.coldUpstreams = coldUpstreams;
     this.choice = choice;
+    this.error = error;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
@@ -91,7 +97,9 @@
       estimateWork(entry, nowNanos);
       long lateNanos =
           nowNanos
-              + (long) ((entry.countedMillis(entry.workMillis) - lateMillis) * NANOS_PER_MILLI)
+              + (long)
+                  ((entry.countedMillis(entry.workMillis) + marginMillis(entry) - lateMillis)
+                      * NANOS_PER_MILLI)
               - entry.dueNanos;
       if (lateNanos > 0) {
         overdue.add(entry);
@@ -112,7 +120,8 @@
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
     double ownMillis = entry.countedMillis(entry.workMillis);
     return !waiting.isEmpty()
-        && !entry.meetsObjective(waitAheadMillis(entry, nowNanos) + ownMillis, nowNanos);
+        && !entry.meetsObjective(
+            waitAheadMillis(entry, nowNanos) + ownMillis + marginMillis(entry), nowNanos);
   }
 
   /** Returns whether a request, whose work is estimated, would be in time if no other waited. */
@@ -137,7 +146,15 @@
     return delayBehind(work, waiting.size(), nowNanos);
   }
 
-  /** Returns the expected wait behind the requests that precede one in fair order. */
+  /** Returns the margin that a prediction for a request needs, in milliseconds. */
+  private double marginMillis(WaitingEntry entry) {
+    return entry.late ? 0 : error.marginMillis();
+  }
+
+  /**
+   * Returns the expected wait behind the requests that precede one: in fair order, those that were
+   * late on their arrival behind all others.
+   */
   private double waitAheadMillis(WaitingEntry entry, long nowNanos) {
     if (waiting.isEmpty()) {
       return 0;
@@ -148,9 +165,11 @@
     for (WaitingEntry other : waiting.all()) {
       boolean sameWorkspace = other.workspace().equals(entry.workspace());
       boolean before =
-          sameWorkspace
-              ? other.dueNanos <= entry.dueNanos
-              : ledger.account(other.workspace()).virtualService() <= ownService;
+          other.late != entry.late
+              ? entry.late
+              : sameWorkspace
+                  ? other.dueNanos <= entry.dueNanos
+                  : ledger.account(other.workspace()).virtualService() <= ownService;
       work += before ? other.workMillis : 0;
       ahead += before ? 1 : 0;
     }
@@ -202,8 +221,10 @@
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
         boolean meetsObjective =
-            entry.meetsObjective(
-                entry.countedMillis(minFirstByteMillis(entry, nowNanos)), nowNanos);
+            !entry.late
+                && entry.meetsObjective(
+                    entry.countedMillis(minFirstByteMillis(entry, nowNanos)) + marginMillis(entry),
+                    nowNanos);
         if (meetsObjective != timely) {
           continue;
         }
@@ -277,7 +298,7 @@
           backlogWeight(upstream) * backlog
               + rule.workMillis(upstream, entry.call)
               + penalty(upstream, entry);
-      double counted = entry.countedMillis(backlog + firstByte);
+      double counted = entry.countedMillis(backlog + firstByte) + marginMillis(entry);
       if (!timely || entry.meetsObjective(counted, nowNanos)) {
         candidates.add(new UpstreamChoice.Candidate(upstream, backlog, score));
       }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -66,7 +66,8 @@
   private static final int QUOTA = 2;
 
   private static final SlotAllocatorPolicy POLICY =
-      new SlotAllocatorPolicy(10_000, 0.92, 60_000, 0, 1_000, 0, 0.1, 5, false);
+      new SlotAllocatorPolicy(
+          10_000, 0.92, 60_000, 0, 1_000, 0, 0.1, 5, false, SlotAllocatorPolicy.ARRIVAL);
 
   private enum Fault {
     NONE,
@@ -347,7 +348,8 @@
 
       private RouterEvent call() {
         RequestId request = new RequestId(self.instance(), 1, ++lastNumber);
-        return AllocatingRouter.arrival(request, "w", PLAN, PROMPT, nowNanos);
+        return AllocatingRouter.arrival(
+            request, "w", PLAN, PROMPT, nowNanos + PLAN.timeoutMillis() * MILLI);
       }
 
       private void receive(String sender, SlotMessage message) {
