--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -121,6 +121,8 @@
    * @param stage the new state
    * @param amount tokens of the response for a model request; otherwise the time for which the slot
    *     was held, in milliseconds
+   * @param longestGapMillis longest time between two parts of a complete response, in milliseconds;
+   *     0 if it has fewer than two or comes from several attempts
    * @param load load that the upstream has stated since the previous change; empty if it has not
    */
   record SlotChange(
@@ -128,11 +130,12 @@
       String upstream,
       SlotStage stage,
       long amount,
+      long longestGapMillis,
       Optional<ReceivedLoad> load) {
 
     /** Creates a change without a statement of load. */
     public SlotChange(RequestId request, String upstream, SlotStage stage, long amount) {
-      this(request, upstream, stage, amount, Optional.empty());
+      this(request, upstream, stage, amount, 0, Optional.empty());
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -110,7 +110,12 @@
   void addProgress(RoutedRequest request, SlotStage stage, long amount, long nowNanos) {
     changes.add(
         new SlotChange(
-            request.id(), request.lastTarget, stage, amount, request.takeStatedLoad(nowNanos)));
+            request.id(),
+            request.lastTarget,
+            stage,
+            amount,
+            stage == SlotStage.COMPLETED ? request.longestGapMillis() : 0,
+            request.takeStatedLoad(nowNanos)));
   }
 
   void addChange(RequestId request, String upstream, SlotStage stage, long amount) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -19,6 +19,9 @@
    */
   private static final double SHARED_PREFILL_WEIGHT = 1.5;
 
+  /** Cost of a stream that exceeds its gap, relative to time until the first byte. */
+  private static final double STRETCHED_STREAM_MILLIS = 20;
+
   /** Lower bound of the time of a prompt without tokens. */
   private static final double MIN_MILLIS = 1;
 
@@ -45,6 +48,16 @@
     return upstream.ownBacklogMillis(nowNanos) <= share * upstream.share * policy.backlogMillis();
   }
 
+  @Override
+  public boolean permitsStart(UpstreamLoad upstream, WaitingCall call, long nowNanos) {
+    return upstream.permitsPrefill(firstByteMillis(upstream, call), nowNanos);
+  }
+
+  @Override
+  public double delayCostMillis(UpstreamLoad upstream, WaitingCall call) {
+    return STRETCHED_STREAM_MILLIS * upstream.streamsStretchedBy(firstByteMillis(upstream, call));
+  }
+
   @Override
   public double backlogMillis(UpstreamLoad upstream, long nowNanos) {
     return upstream.backlogMillis(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OutputGaps.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OutputGaps.java
@@ -21,8 +21,13 @@
    * Returns the longest average time for an output token, in milliseconds, by the shortest gap of
    * the routes of a service; infinite if none has a gap.
    */
-  static double maximumTokenMillis(Table table, String service, EngineProfile engine) {
-    long gapMillis = Long.MAX_VALUE;
+  static double maximumTokenMillis(double shortestGapMillis, EngineProfile engine) {
+    return MEAN_SHARE * shortestGapMillis / engine.tokensPerEvent();
+  }
+
+  /** Returns the shortest gap of the routes of a service, in milliseconds; infinite for none. */
+  static double shortestGapMillis(Table table, String service) {
+    double gapMillis = Double.POSITIVE_INFINITY;
     for (Route route : table.routes().routes()) {
       boolean leadsHere =
           route.services().stream().anyMatch(weighted -> weighted.service().equals(service));
@@ -30,8 +35,6 @@
         gapMillis = Math.min(gapMillis, route.plan().gapMillis());
       }
     }
-    return gapMillis == Long.MAX_VALUE
-        ? Double.POSITIVE_INFINITY
-        : MEAN_SHARE * gapMillis / engine.tokensPerEvent();
+    return gapMillis;
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -186,6 +186,13 @@
     lastContentNanos = nowNanos;
   }
 
+  /**
+   * Returns the longest gap of the response, in milliseconds; 0 if it comes from several attempts.
+   */
+  long longestGapMillis() {
+    return attempts == 1 ? longestGapNanos / RouterState.NANOS_PER_MILLI : 0;
+  }
+
   /** Returns whether part of the current attempt's response has been received. */
   boolean receivesResponse() {
     return sent() && nextFrame > 0;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -54,6 +54,7 @@
   private final DelayReports reports = new DelayReports();
   private Set<String> otherDataCentres = Set.of();
   private OptionalLong memoryTokens = OptionalLong.empty();
+  private double shortestGapMillis = Double.POSITIVE_INFINITY;
   private double maximumTokenMillis = Double.POSITIVE_INFINITY;
   private long lastSequence;
   private long decayedNanos;
@@ -105,9 +106,10 @@
     Optional<EngineProfile> engine = table.service(service).flatMap(ServiceEntry::engine);
     memoryTokens =
         engine.map(profile -> OptionalLong.of(profile.memoryTokens())).orElse(OptionalLong.empty());
+    shortestGapMillis = OutputGaps.shortestGapMillis(table, service);
     maximumTokenMillis =
         engine
-            .map(profile -> OutputGaps.maximumTokenMillis(table, service, profile))
+            .map(profile -> OutputGaps.maximumTokenMillis(shortestGapMillis, profile))
             .orElse(Double.POSITIVE_INFINITY);
     upstreams.values().forEach(this::configure);
   }
@@ -115,6 +117,7 @@
   private void configure(UpstreamLoad upstream) {
     upstream.memoryTokens = memoryTokens;
     upstream.maximumTokenMillis = maximumTokenMillis;
+    upstream.prefillRun.setAllowedGap(shortestGapMillis);
     upstream.evenLoad = policy.evenLoad();
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -84,6 +84,9 @@
       recordPrediction(allocation, nowNanos);
       allocation.upstream.recordResponseStarted(allocation, nowNanos);
     } else {
+      if (change.longestGapMillis() > 0) {
+        allocation.upstream.prefillRun.recordLongestGap(change.longestGapMillis());
+      }
       release(allocation, change.stage(), change.amount(), nowNanos);
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
@@ -19,6 +19,16 @@
    */
   boolean acceptsBacklog(UpstreamLoad upstream, double share, long nowNanos);
 
+  /** Returns whether a request may be sent now without delaying the responses that stream. */
+  default boolean permitsStart(UpstreamLoad upstream, WaitingCall call, long nowNanos) {
+    return true;
+  }
+
+  /** Returns the cost of the delays that a request causes for responses that stream. */
+  default double delayCostMillis(UpstreamLoad upstream, WaitingCall call) {
+    return 0;
+  }
+
   /** Returns the expected time to finish the work granted so far, in milliseconds. */
   double backlogMillis(UpstreamLoad upstream, long nowNanos);
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -297,6 +297,7 @@
       double score =
           backlogWeight(upstream) * backlog
               + rule.workMillis(upstream, entry.call)
+              + rule.delayCostMillis(upstream, entry.call)
               + penalty(upstream, entry);
       double counted = entry.countedMillis(backlog + firstByte) + marginMillis(entry);
       if (!timely || entry.meetsObjective(counted, nowNanos)) {
@@ -304,7 +305,9 @@
       }
     }
     UpstreamChoice.Candidate chosen = choice.choose(entry, candidates);
-    return chosen != null && acceptsBacklog(chosen.upstream(), share, nowNanos)
+    return chosen != null
+            && acceptsBacklog(chosen.upstream(), share, nowNanos)
+            && rule.permitsStart(chosen.upstream(), entry.call, nowNanos)
         ? chosen.upstream()
         : null;
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -32,6 +32,7 @@
   final PrefixCacheModel cache = new PrefixCacheModel();
   final UpstreamHealth health = new UpstreamHealth();
   final WarmUpState warmUp = new WarmUpState();
+  final PrefillRunLimit prefillRun = new PrefillRunLimit();
 
   Upstream upstream;
 
@@ -192,6 +193,27 @@
     return pending.size();
   }
 
+  /** Returns the number of requests whose response has started. */
+  int streaming() {
+    return allocations.size() - pending.size();
+  }
+
+  /**
+   * Returns whether a prompt may be sent without stretching the gaps of the responses that stream:
+   * after a break, or if the run of prefill stays short.
+   */
+  boolean permitsPrefill(double prefillMillis, long nowNanos) {
+    return !usesEstimate()
+        || pending.isEmpty()
+        || streaming() == 0
+        || prefillRun.permitsExtension(ownBacklogMillis(nowNanos) + prefillMillis, nowNanos);
+  }
+
+  /** Returns how many streams a prompt makes exceed their gap, by its time alone. */
+  int streamsStretchedBy(double prefillMillis) {
+    return usesEstimate() && prefillRun.isExceededBy(prefillMillis) ? streaming() : 0;
+  }
+
   /** Returns whether an entry belongs to the same process as the current one. */
   boolean isSameProcess(Upstream entry) {
     return entry.incarnation() == upstream.incarnation()
@@ -217,6 +239,7 @@
     if (!responseStarted) {
       if (pending.isEmpty()) {
         progressNanos = Math.max(progressNanos, allocation.grantedNanos);
+        prefillRun.recordRunStarted(allocation.grantedNanos);
       }
       pending.put(allocation.call.request(), allocation);
       meanPrefillMillis += NEWEST_WEIGHT * (allocation.prefillMillis - meanPrefillMillis);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadExperiment.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadExperiment.java
@@ -253,7 +253,8 @@
                         setup.ageMillis(), method.ordinal() > Method.NO_REPORTS_WAIT_1.ordinal()),
                 setup.ageMillis()));
     SlotChange change =
-        new SlotChange(call.waiting().request(), name(engine), SlotStage.RESPONSE_STARTED, 0, load);
+        new SlotChange(
+            call.waiting().request(), name(engine), SlotStage.RESPONSE_STARTED, 0, 0, load);
     after(newsMillis(), () -> call.allocator().change(change));
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/UnevenUpstreams.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/UnevenUpstreams.java
@@ -260,7 +260,7 @@
 
   private void change(
       SlotGranted grant, SlotStage stage, long amount, Optional<ReceivedLoad> load) {
-    SlotChange change = new SlotChange(grant.request(), grant.upstream(), stage, amount, load);
+    SlotChange change = new SlotChange(grant.request(), grant.upstream(), stage, amount, 0, load);
     message(new SlotsChanged(SERVICE, List.of(change)));
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -229,6 +229,7 @@
     output.writeString(change.upstream());
     output.writeInt(change.stage().ordinal());
     output.writeLong(change.amount());
+    output.writeLong(change.longestGapMillis());
     output.writeList(change.load().stream().toList(), SlotMessageCodec::writeLoad);
   }
 
@@ -257,6 +258,7 @@
         input.readString(),
         toStage(input.readInt()),
         input.readLong(),
+        input.readLong(),
         readAtMostOne(input, "load", SlotMessageCodec::readLoad));
   }
 
