--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -239,7 +239,7 @@
   }
 
   private static SlotChange started(Optional<ReceivedLoad> load) {
-    return new SlotChange(REQUEST, "engine-4", SlotStage.RESPONSE_STARTED, 80, load);
+    return new SlotChange(REQUEST, "engine-4", SlotStage.RESPONSE_STARTED, 80, 210, load);
   }
 
   private static StartAttempt start(long grant, AttemptId attempt, Optional<Ticket> ticket) {
