--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -46,7 +46,7 @@
   private final SlotScheduler scheduler;
   private final AvailabilityReport availability;
   private final ColdUpstreams coldUpstreams;
-  private final PredictionError error;
+  private final AdmissionRules rules;
   private final RetryAdvice advice;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
@@ -88,14 +88,18 @@
     this.ledger = ledger;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
-    this.error =
-        policy.countsFromFirstAttempt() ? new QuantilePredictionError() : PredictionError.IGNORED;
-    this.advice = new RetryAdvice(policy.retryAfterMillis());
-    this.allocations = new SlotAllocations(service, rule, ledger, effects, error);
     this.waiting = new WaitingRequests(ledger);
+    this.rules =
+        policy.countsFromFirstAttempt()
+            ? new AdmissionRules(
+                true, new FinishTimeOrder(ledger, waiting), new QuantilePredictionError(), true)
+            : new AdmissionRules(
+                false, new StartTimeOrder(ledger, waiting), PredictionError.IGNORED, false);
+    this.advice = new RetryAdvice(policy.retryAfterMillis());
+    this.allocations = new SlotAllocations(service, rule, ledger, effects, rules.error());
     this.coldUpstreams = new ColdUpstreams(service, policy, upstreams.values());
     this.scheduler =
-        new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldUpstreams, choice, error);
+        new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldUpstreams, choice, rules);
     this.availability = new AvailabilityReport(service, upstreams.values(), coldUpstreams, effects);
   }
 
@@ -330,7 +334,13 @@
     }
     for (WaitingCall call : wanted.waiting()) {
       WaitingEntry entry =
-          new WaitingEntry(router, call, ++lastSequence, policy.countsFromFirstAttempt(), nowNanos);
+          new WaitingEntry(
+              router,
+              call,
+              ++lastSequence,
+              rule.expectedCost(call),
+              rules.fromFirstAttempt(),
+              nowNanos);
       scheduler.estimateWork(entry, nowNanos);
       if (scheduler.cannotMeetObjective(entry, nowNanos)) {
         if (scheduler.meetsObjectiveAlone(entry, nowNanos)) {
@@ -369,7 +379,7 @@
   }
 
   private long retryAfterMillis(WaitingEntry entry, long nowNanos) {
-    return policy.countsFromFirstAttempt()
+    return rules.fromFirstAttempt()
         ? advice.recordRejected(entry.call.request(), entry.call.timeLeftMillis(), nowNanos)
         : policy.retryAfterMillis();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -48,8 +48,10 @@
   private final ColdUpstreams coldUpstreams;
   private final UpstreamChoice choice;
 
-  /** Error of the predictions; its margin is 0 if it observes nothing. */
-  private final PredictionError error;
+  private final AdmissionRules rules;
+
+  /** Time that all waiting requests take, spread over the usable upstreams, in milliseconds. */
+  private double queueMillis;
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -69,19 +71,20 @@
       Collection<UpstreamLoad> upstreams,
       ColdUpstreams coldUpstreams,
       UpstreamChoice choice,
-      PredictionError error) {
+      AdmissionRules rules) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
     this.coldUpstreams = coldUpstreams;
     this.choice = choice;
-    this.error = error;
+    this.rules = rules;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
   Assignment next(long nowNanos) {
     reserved = null;
+    queueMillis = rules.spreads() ? queueMillis(nowNanos) : 0;
     Assignment timely = nextAssignment(true, nowNanos);
     return timely == null ? nextAssignment(false, nowNanos) : timely;
   }
@@ -148,28 +151,18 @@
 
   /** Returns the margin that a prediction for a request needs, in milliseconds. */
   private double marginMillis(WaitingEntry entry) {
-    return entry.late ? 0 : error.marginMillis();
+    return entry.late ? 0 : rules.error().marginMillis();
   }
 
-  /**
-   * Returns the expected wait behind the requests that precede one: in fair order, those that were
-   * late on their arrival behind all others.
-   */
+  /** Returns the expected wait behind the requests that precede one. */
   private double waitAheadMillis(WaitingEntry entry, long nowNanos) {
     if (waiting.isEmpty()) {
       return 0;
     }
-    double ownService = ledger.account(entry.workspace()).virtualService();
     double work = 0;
     int ahead = 0;
     for (WaitingEntry other : waiting.all()) {
-      boolean sameWorkspace = other.workspace().equals(entry.workspace());
-      boolean before =
-          other.late != entry.late
-              ? entry.late
-              : sameWorkspace
-                  ? other.dueNanos <= entry.dueNanos
-                  : ledger.account(other.workspace()).virtualService() <= ownService;
+      boolean before = rules.order().precedes(other, entry);
       work += before ? other.workMillis : 0;
       ahead += before ? 1 : 0;
     }
@@ -217,9 +210,9 @@
     }
     Assignment cheapestCold = null;
     double cheapestMillis = Double.MAX_VALUE;
-    for (WorkspaceAccount account : ledger.waitingInOrder()) {
+    for (WorkspaceAccount account : rules.order().workspaces()) {
       int tried = 0;
-      for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
+      for (WaitingEntry entry : rules.order().entries(account.name())) {
         boolean meetsObjective =
             !entry.late
                 && entry.meetsObjective(
@@ -304,14 +297,36 @@
         candidates.add(new UpstreamChoice.Candidate(upstream, backlog, score));
       }
     }
-    UpstreamChoice.Candidate chosen = choice.choose(entry, candidates);
-    return chosen != null
-            && acceptsBacklog(chosen.upstream(), share, nowNanos)
-            && rule.permitsStart(chosen.upstream(), entry.call, nowNanos)
-        ? chosen.upstream()
+    UpstreamChoice.Candidate best = choice.choose(entry, candidates);
+    if (best == null || accepts(best, entry, share, nowNanos)) {
+      return best == null ? null : best.upstream();
+    }
+    if (!rules.spreads()) {
+      return null;
+    }
+    candidates.removeIf(candidate -> !accepts(candidate, entry, share, nowNanos));
+    UpstreamChoice.Candidate accepting = choice.choose(entry, candidates);
+    return accepting != null && accepting.score() - best.score() <= queueMillis
+        ? accepting.upstream()
         : null;
   }
 
+  private boolean accepts(
+      UpstreamChoice.Candidate candidate, WaitingEntry entry, double share, long nowNanos) {
+    return acceptsBacklog(candidate.upstream(), share, nowNanos)
+        && rule.permitsStart(candidate.upstream(), entry.call, nowNanos);
+  }
+
+  /** Returns the time that all waiting requests take, spread over the usable upstreams. */
+  private double queueMillis(long nowNanos) {
+    double work = 0;
+    for (WaitingEntry entry : waiting.all()) {
+      work += entry.workMillis;
+    }
+    long usable = upstreams.stream().filter(upstream -> usable(upstream, nowNanos)).count();
+    return work / Math.max(1, usable * rule.parallelism());
+  }
+
   /**
    * Returns the upstream that will have enough memory for a request first if no other is sent to
    * it; null if an upstream has enough now.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -27,19 +27,29 @@
   /** Whether the objective of the caller was over before the request arrived. */
   final boolean late;
 
+  /** Expected cost, in cost units of the service. */
+  final double cost;
+
   /** Time until the first byte that it takes at the upstream, as last estimated. */
   double workMillis;
 
   /**
    * Creates an entry.
    *
+   * @param cost expected cost, in cost units of the service
    * @param fromFirstAttempt whether the objective counts from the caller's first attempt
    */
   WaitingEntry(
-      String router, WaitingCall call, long sequence, boolean fromFirstAttempt, long nowNanos) {
+      String router,
+      WaitingCall call,
+      long sequence,
+      double cost,
+      boolean fromFirstAttempt,
+      long nowNanos) {
     this.router = router;
     this.call = call;
     this.sequence = sequence;
+    this.cost = cost;
     this.arrivedNanos = nowNanos;
     long ageMillis = fromFirstAttempt ? call.callerAgeMillis() : 0;
     this.late = ageMillis > 0 && call.objectiveMillis() <= ageMillis;
