--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ObjectReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ObjectReader.java
@@ -9,8 +9,10 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * Reads the fields of a JSON object. An invalid field adds a mistake and yields a default value.
@@ -81,6 +83,13 @@
     return text;
   }
 
+  /** Reads every field of this object as a name. */
+  Map<String, String> names() {
+    Map<String, String> names = new TreeMap<>();
+    node.fieldNames().forEachRemaining(field -> names.put(field, name(field)));
+    return names;
+  }
+
   /** Reads an IP address and a port, from the field listen or from the fields address and port. */
   Endpoint endpoint() {
     if (!has("listen")) {
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsParser.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsParser.java
@@ -12,6 +12,7 @@
 import dev.agatepier.core.process.SidecarPolicy;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.process.VersionPolicy;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.wire.process.CommonSettings;
 import dev.agatepier.wire.process.Endpoint;
 import dev.agatepier.wire.process.LimitSettings;
@@ -27,6 +28,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 
@@ -102,7 +104,9 @@
         endpoint("callers"),
         policy("policy", RouterPolicy.class, RouterPolicy.DEFAULT),
         policy("slots", SlotAllocatorPolicy.class, SlotAllocatorPolicy.DEFAULT),
-        root.optionalObject("readiness").map(SettingsParser::endpoint));
+        root.optionalObject("readiness").map(SettingsParser::endpoint),
+        new DataCentreRegions(
+            root.optionalObject("regions").map(ObjectReader::names).orElse(Map.of())));
   }
 
   /** Parses the settings of a sidecar. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.List;
 import java.util.Optional;
 
@@ -27,6 +28,9 @@
    * @param underserved whether requests of its size have got slots less often than others of the
    *     same kind, so that its own work does not count against its objective
    * @param prompt metadata of the prompt of a model request; empty for other requests
+   * @param route name of the route; empty if unknown
+   * @param allowedRegions regions in which the request may be processed, by the route and by the
+   *     workspace
    */
   record WaitingCall(
       RequestId request,
@@ -36,7 +40,33 @@
       long timeLeftMillis,
       boolean repeatable,
       boolean underserved,
-      Optional<PromptMetadata> prompt) {}
+      Optional<PromptMetadata> prompt,
+      String route,
+      AllowedRegions allowedRegions) {
+
+    /** Creates a request that every region may process. */
+    public WaitingCall(
+        RequestId request,
+        String workspace,
+        String avoidedUpstream,
+        long objectiveMillis,
+        long timeLeftMillis,
+        boolean repeatable,
+        boolean underserved,
+        Optional<PromptMetadata> prompt) {
+      this(
+          request,
+          workspace,
+          avoidedUpstream,
+          objectiveMillis,
+          timeLeftMillis,
+          repeatable,
+          underserved,
+          prompt,
+          "",
+          AllowedRegions.ALL);
+    }
+  }
 
   /**
    * A request that holds a slot.
@@ -55,10 +85,23 @@
    *     drops any other
    * @param waiting requests that start to wait
    * @param held requests that hold a slot; empty unless the message is complete
+   * @param tableVersion version of the table from which the router took the allowed regions; 0 if
+   *     unknown
    */
   record SlotsWanted(
-      String service, boolean complete, List<WaitingCall> waiting, List<HeldSlot> held)
+      String service,
+      boolean complete,
+      List<WaitingCall> waiting,
+      List<HeldSlot> held,
+      long tableVersion)
       implements SlotMessage {
+
+    /** Creates a message with allowed regions of an unknown table version. */
+    public SlotsWanted(
+        String service, boolean complete, List<WaitingCall> waiting, List<HeldSlot> held) {
+      this(service, complete, waiting, held, 0);
+    }
+
     /** Copies the lists. */
     public SlotsWanted {
       waiting = List.copyOf(waiting);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.process.internal.TicketIssuer;
 import dev.agatepier.core.process.internal.UpstreamResponseHandler;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.DataCentreRegions;
 import java.util.List;
 import java.util.Optional;
 
@@ -25,6 +26,7 @@
 
   private final RouterState state;
   private final DemandPublisher demand;
+  private final RequestLifecycle lifecycle;
   private final Admission admission;
   private final AttemptRelay attempts;
   private final PeerMessageDispatcher peers;
@@ -35,15 +37,26 @@
   private boolean drainedReported;
 
   /**
-   * Creates the decision of a router without peers, table or instance list.
+   * Creates the decision of a router that knows the regions of no data centre.
    *
    * @param self identity of the router
    * @param policy settings
    */
   public RouterDecision(PeerIdentity self, RouterPolicy policy) {
-    state = new RouterState(self, policy);
+    this(self, policy, DataCentreRegions.NONE);
+  }
+
+  /**
+   * Creates the decision of a router without peers, table or instance list.
+   *
+   * @param self identity of the router
+   * @param policy settings
+   * @param dataCentres the regions of the data centres
+   */
+  public RouterDecision(PeerIdentity self, RouterPolicy policy, DataCentreRegions dataCentres) {
+    state = new RouterState(self, policy, dataCentres);
     demand = new DemandPublisher(state);
-    RequestLifecycle lifecycle = new RequestLifecycle(state, demand);
+    lifecycle = new RequestLifecycle(state, demand);
     allocatorPlacement = new AllocatorPlacement(state);
     admission = new Admission(state, lifecycle, demand, allocatorPlacement);
     attempts = new AttemptRelay(state, lifecycle);
@@ -57,6 +70,7 @@
   public List<RouterEffect> decide(RouterEvent event, long nowNanos) {
     attempts.runDueTimers(nowNanos);
     handle(event, nowNanos);
+    allocatorPlacement.rejectUnplaceable(lifecycle, nowNanos);
     demand.publish(nowNanos);
     allocatorPlacement.flush(nowNanos);
     if (state.drained() && !drainedReported) {
@@ -95,11 +109,11 @@
           peers.onMessage(received.peer(), received.message(), nowNanos);
       case RouterEvent.TableActivated activated -> {
         state.onTableActivated(activated.table());
-        allocatorPlacement.onTableActivated();
+        allocatorPlacement.onTableActivated(nowNanos);
       }
       case RouterEvent.InstancesActivated activated -> {
         peers.onInstancesActivated(activated.instances());
-        slotReplies.onInstancesActivated(activated.instances());
+        slotReplies.onInstancesActivated(activated.instances(), nowNanos);
       }
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
           slotReplies.onMessage(router, message, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -126,6 +126,19 @@
    */
   record QuarantineChanged(Fingerprint fingerprint, String upstream) implements RouterEffect {}
 
+  /**
+   * Report that a table version with other lists of allowed regions was activated.
+   *
+   * @param tableVersion the version
+   * @param restrictedRoutes number of routes with a list
+   * @param restrictedWorkspaces number of workspaces with a list
+   * @param waitingChanged number of waiting requests whose regions changed, so that they were moved
+   *     or rejected
+   */
+  record AllowedRegionsChanged(
+      long tableVersion, int restrictedRoutes, int restrictedWorkspaces, int waitingChanged)
+      implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import java.util.Optional;
@@ -36,6 +37,7 @@
    * @param prompt what the caller declares about the prompt of a model request
    * @param resumeAfter number of the last event that the caller received of an interrupted stream;
    *     empty if it resumes none
+   * @param allowedRegions regions in which the matched route allows the call to be processed
    */
   record CallArrived(
       RequestId request,
@@ -48,9 +50,38 @@
       long deadlineNanos,
       Optional<CallPlan> plan,
       Optional<PromptMetadata> prompt,
-      OptionalLong resumeAfter)
+      OptionalLong resumeAfter,
+      AllowedRegions allowedRegions)
       implements RouterEvent {
 
+    /** Creates the event of a call that every region may process. */
+    public CallArrived(
+        RequestId request,
+        String workspace,
+        String service,
+        CallHead head,
+        Bytes body,
+        Fingerprint fingerprint,
+        Optional<Ticket> ticket,
+        long deadlineNanos,
+        Optional<CallPlan> plan,
+        Optional<PromptMetadata> prompt,
+        OptionalLong resumeAfter) {
+      this(
+          request,
+          workspace,
+          service,
+          head,
+          body,
+          fingerprint,
+          ticket,
+          deadlineNanos,
+          plan,
+          prompt,
+          resumeAfter,
+          AllowedRegions.ALL);
+    }
+
     /** Creates the event of a call that names its service directly, without a call plan. */
     public CallArrived(
         RequestId request,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.process.internal.AllocatorRegions;
 import dev.agatepier.core.process.internal.AllocatorSelection;
 import dev.agatepier.core.process.internal.FairOrder;
 import dev.agatepier.core.process.internal.RecentPeak;
@@ -9,6 +10,7 @@
 import dev.agatepier.core.process.internal.ServiceSlotsStatus;
 import dev.agatepier.core.process.internal.StartupMessageBuffer;
 import dev.agatepier.core.process.internal.WorkspaceLedger;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.SlotAllocationMode;
@@ -50,6 +52,7 @@
 
   private final PeerIdentity self;
   private final SlotAllocatorPolicy policy;
+  private final AllocatorRegions regions;
   private final RecentPeak peakRouters = new RecentPeak(PEAK_NANOS);
   private final List<SlotAllocatorEffect> effects = new ArrayList<>();
   private final Map<String, ServiceSlots> services = new TreeMap<>();
@@ -61,12 +64,25 @@
   private InstanceList instances = InstanceList.NONE;
 
   /**
-   * Creates the decision of an allocator without routers, table or instance list.
+   * Creates the decision of an allocator that knows the regions of no data centre.
    *
    * @param self identity of the router that it is part of
    * @param policy settings
    */
   public SlotAllocatorDecision(PeerIdentity self, SlotAllocatorPolicy policy) {
+    this(self, policy, DataCentreRegions.NONE);
+  }
+
+  /**
+   * Creates the decision of an allocator without routers, table or instance list.
+   *
+   * @param self identity of the router that it is part of
+   * @param policy settings
+   * @param dataCentres the regions of the data centres
+   */
+  public SlotAllocatorDecision(
+      PeerIdentity self, SlotAllocatorPolicy policy, DataCentreRegions dataCentres) {
+    this.regions = new AllocatorRegions(dataCentres);
     this.self = self;
     this.policy = policy;
     routers.put(self.instance(), self);
@@ -91,6 +107,7 @@
           onRouterDisconnected(router, nowNanos);
       case SlotAllocatorEvent.TableActivated(Table newer) -> {
         table = newer;
+        regions.activate(newer);
         updateServices();
         updateUpstreams(nowNanos);
         processStartupMessages(nowNanos);
@@ -254,7 +271,7 @@
     boolean decays = policy.costWindowMillis() > 0;
     double catchUpCost = decays ? Double.POSITIVE_INFINITY : CATCH_UP_COST;
     return new ServiceSlots(
-        entry, policy, new WorkspaceLedger(FairOrder.byName(ORDER), catchUpCost), effects);
+        entry, policy, new WorkspaceLedger(FairOrder.byName(ORDER), catchUpCost), regions, effects);
   }
 
   private List<PeerIdentity> candidates() {
@@ -275,7 +292,7 @@
 
   private void updateUpstreams(long nowNanos) {
     Map<String, List<Upstream>> byService = new TreeMap<>();
-    Map<String, Set<String>> elsewhere = new TreeMap<>();
+    Map<String, Map<String, Set<String>>> elsewhere = new TreeMap<>();
     Map<String, Boolean> own = new HashMap<>();
     Map<String, String> responsible = new HashMap<>();
     List<PeerIdentity> candidates = candidates();
@@ -284,17 +301,19 @@
         byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
       } else if (!upstream.leaving()) {
         elsewhere
-            .computeIfAbsent(upstream.service(), name -> new HashSet<>())
-            .add(
+            .computeIfAbsent(upstream.service(), name -> new HashMap<>())
+            .computeIfAbsent(
                 responsible.computeIfAbsent(
                     upstream.dataCentre(),
-                    name -> AllocatorSelection.responsibleDataCentre(name, candidates)));
+                    name -> AllocatorSelection.responsibleDataCentre(name, candidates)),
+                name -> new HashSet<>())
+            .add(upstream.dataCentre());
       }
     }
     services.forEach(
         (name, service) -> {
           service.updateUpstreams(byService.getOrDefault(name, List.of()), nowNanos);
-          service.setOtherDataCentres(elsewhere.getOrDefault(name, Set.of()));
+          service.setOtherDataCentres(elsewhere.getOrDefault(name, Map.of()));
           service.setShare(share);
         });
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -79,6 +79,7 @@
             deadline(call, nowNanos),
             call.plan().orElseGet(() -> plan(entry, call)),
             entry.keeping() == SlotAllocationMode.ROUTER ? routerPlacement : sidecarPlacement);
+    state.regions.initialize(request);
     lifecycle.admit(request, nowNanos);
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.process.internal.RoutedRequest.Phase;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
@@ -27,13 +28,17 @@
   private final Map<String, SlidingWindowRetryBudget> budgets = new HashMap<>();
   private final SizeFairness sizes = new SizeFairness();
 
+  /** Requests for which no data centre is permitted that has upstreams of their service. */
+  private List<RoutedRequest> unplaceable = new ArrayList<>();
+
   /** Service and data centre that a session covers. */
   private record SessionKey(String service, String dataCentre) {}
 
   /** Creates a placement without requests. */
   public AllocatorPlacement(RouterState state) {
     this.state = state;
-    this.selector = new DataCentreSelector(state.self, state.policy.regionMillis());
+    this.selector =
+        new DataCentreSelector(state.self, state.policy.regionMillis(), state.regions.dataCentres);
   }
 
   @Override
@@ -71,6 +76,7 @@
     if (request.refusedBy.size() > MAX_FALLBACKS
         || request.refusedBy.contains(alternative)
         || !hasAllocator(alternative)
+        || !selector.serves(alternative, request, state.allocatorCandidates())
         || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
       return false;
     }
@@ -86,7 +92,35 @@
 
   @Override
   public void remove(RoutedRequest request) {
-    sessions.get(key(request)).withdraw(request);
+    if (!isUnplaced(request)) {
+      sessions.get(key(request)).withdraw(request);
+    }
+  }
+
+  /** Selects the data centre again for a waiting request, which keeps its age. */
+  void move(RoutedRequest request, long nowNanos) {
+    remove(request);
+    requeue(request, "", nowNanos);
+  }
+
+  /** Returns whether a request waits for a slot of an allocator. */
+  boolean isWaiting(RoutedRequest request) {
+    return request.phase == Phase.WAITING && request.placement == this;
+  }
+
+  /** Returns whether no data centre was found for a request. */
+  boolean isUnplaced(RoutedRequest request) {
+    return request.dataCentre.isEmpty();
+  }
+
+  /** Returns and clears the requests for which no data centre was found since the last call. */
+  List<RoutedRequest> takeUnplaceable() {
+    if (unplaceable.isEmpty()) {
+      return List.of();
+    }
+    List<RoutedRequest> taken = unplaceable;
+    unplaceable = new ArrayList<>();
+    return taken;
   }
 
   @Override
@@ -143,13 +177,31 @@
   }
 
   /** Replaces the upstreams by those of the instance list. */
-  void updateUpstreams(Collection<Upstream> upstreams) {
+  void updateUpstreams(Collection<Upstream> upstreams, long nowNanos) {
     selector.setUpstreams(upstreams);
+    moveFromUnpermitted(nowNanos);
+  }
+
+  /** Moves the waiting requests whose data centre allocates no permitted upstream any more. */
+  private void moveFromUnpermitted(long nowNanos) {
+    Collection<PeerIdentity> routers = state.allocatorCandidates();
+    List<RoutedRequest> moved =
+        state.requests.values().stream()
+            .filter(request -> !request.allowedRegions.all() && isWaiting(request))
+            .filter(request -> !selector.serves(request.dataCentre, request, routers))
+            .toList();
+    moved.forEach(request -> move(request, nowNanos));
   }
 
-  /** Forgets the routes that the active table no longer contains. */
-  public void onTableActivated() {
+  /** Forgets the routes that the active table no longer contains, and applies its regions. */
+  public void onTableActivated(long nowNanos) {
     sizes.retainRoutes(state.routes);
+    state.regions.activate(state, this, nowNanos);
+  }
+
+  /** Ends the requests for which no data centre was found. */
+  public void rejectUnplaceable(RequestLifecycle lifecycle, long nowNanos) {
+    state.regions.rejectUnplaceable(this, lifecycle, nowNanos);
   }
 
   /** Clears a disconnected router as allocator. */
@@ -173,6 +225,7 @@
       orphan.dataCentre = AllocatorSelection.responsibleDataCentre(orphan.dataCentre, routers);
       session(orphan, nowNanos).adopt(orphan);
     }
+    moveFromUnpermitted(nowNanos);
   }
 
   /** Sends the pending changes to each allocator. */
@@ -182,7 +235,11 @@
 
   private void requestSlot(RoutedRequest request, long nowNanos) {
     request.dataCentre = selector.choose(request, state.allocatorCandidates(), nowNanos);
-    session(request, nowNanos).addWaiting(request);
+    if (isUnplaced(request)) {
+      unplaceable.add(request);
+    } else {
+      session(request, nowNanos).addWaiting(request);
+    }
   }
 
   private AllocatorSession session(RoutedRequest request, long nowNanos) {
@@ -199,7 +256,7 @@
             .orElse("");
     long roundTripMillis = (long) selector.roundTripMillis(request.dataCentre, region);
     AllocatorSession session =
-        new AllocatorSession(request.queue.service, roundTripMillis, state.outbox);
+        new AllocatorSession(request.queue.service, roundTripMillis, state.outbox, state.regions);
     sessions.put(key(request), session);
     session.setAllocator(
         AllocatorSelection.select(request.queue.service, request.dataCentre, routers), nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -19,6 +19,7 @@
   private final String service;
   private final long roundTripMillis;
   private final RouterOutbox outbox;
+  private final RouterRegions regions;
   private final Map<RequestId, RoutedRequest> requests = new LinkedHashMap<>();
   private final Map<RequestId, RoutedRequest> unsent = new LinkedHashMap<>();
   private final List<SlotChange> changes = new ArrayList<>();
@@ -30,7 +31,9 @@
    *
    * @param roundTripMillis round-trip time to the allocator's data centre, in milliseconds
    */
-  AllocatorSession(String service, long roundTripMillis, RouterOutbox outbox) {
+  AllocatorSession(
+      String service, long roundTripMillis, RouterOutbox outbox, RouterRegions regions) {
+    this.regions = regions;
     this.service = service;
     this.roundTripMillis = roundTripMillis;
     this.outbox = outbox;
@@ -117,7 +120,9 @@
     if (allocator.isPresent() && !unsent.isEmpty()) {
       List<WaitingCall> waiting =
           unsent.values().stream().map(request -> waitingCall(request, nowNanos)).toList();
-      outbox.send(allocator.get(), new SlotsWanted(service, false, waiting, List.of()));
+      outbox.send(
+          allocator.get(),
+          new SlotsWanted(service, false, waiting, List.of(), regions.tableVersion()));
     }
     unsent.clear();
   }
@@ -133,7 +138,7 @@
         waiting.add(call);
       }
     }
-    return new SlotsWanted(service, true, waiting, held);
+    return new SlotsWanted(service, true, waiting, held, regions.tableVersion());
   }
 
   private WaitingCall waitingCall(RoutedRequest request, long nowNanos) {
@@ -145,7 +150,9 @@
         (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
         request.plan.repeatable(),
         request.underserved,
-        request.call.prompt());
+        request.call.prompt(),
+        request.plan.route(),
+        request.allowedRegions);
   }
 
   /** Returns the time left until the objective; a resumed stream has at least its allowed gap. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -4,6 +4,8 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -11,7 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Selects the data centre from whose slot allocator a request gets its slot: the one with the
@@ -44,6 +48,7 @@
 
   private final PeerIdentity self;
   private final long regionMillis;
+  private final DataCentreRegions dataCentres;
   private final Map<String, ReceivedLoad> loads = new HashMap<>();
   private final Map<String, List<Upstream>> upstreams = new HashMap<>();
 
@@ -54,9 +59,11 @@
    * Creates a selector without load reports and upstreams.
    *
    * @param regionMillis expected round-trip time to another region, in milliseconds
+   * @param dataCentres the regions of the data centres
    */
-  DataCentreSelector(PeerIdentity self, long regionMillis) {
+  DataCentreSelector(PeerIdentity self, long regionMillis, DataCentreRegions dataCentres) {
     this.self = self;
+    this.dataCentres = dataCentres;
     this.regionMillis = regionMillis;
   }
 
@@ -78,15 +85,21 @@
 
   /**
    * Returns the data centre in which a request gets its slot; its own if there are no routers.
+   * Empty if the request may not be processed in every region and no data centre with an upstream
+   * of its service is permitted.
    *
    * @param routers routers that are connected and not leaving
    */
   String choose(RoutedRequest request, Collection<PeerIdentity> routers, long nowNanos) {
     String service = request.queue.service;
-    Optional<String> home = homeDataCentre(service, request.call.prompt(), routers);
+    AllowedRegions allowed = request.allowedRegions;
+    Optional<String> home = homeDataCentre(service, request.call.prompt(), allowed, routers);
     Map<String, String> regions = new TreeMap<>();
     routers.forEach(router -> regions.put(router.dataCentre(), router.region()));
-    String best = self.dataCentre();
+    if (!allowed.all()) {
+      regions.keySet().retainAll(permittedDataCentres(service, allowed, routers));
+    }
+    String best = allowed.all() ? self.dataCentre() : "";
     double bestMillis = Double.MAX_VALUE;
     for (Map.Entry<String, String> candidate : regions.entrySet()) {
       String dataCentre = candidate.getKey();
@@ -104,6 +117,37 @@
     return best;
   }
 
+  /**
+   * Returns whether the slot allocator of a data centre allocates an upstream on which a request
+   * may run; true for every data centre if all regions are permitted.
+   *
+   * @param routers routers that are connected and not leaving
+   */
+  boolean serves(String dataCentre, RoutedRequest request, Collection<PeerIdentity> routers) {
+    AllowedRegions allowed = request.allowedRegions;
+    return allowed.all()
+        || permittedDataCentres(request.queue.service, allowed, routers).contains(dataCentre);
+  }
+
+  /** Returns the data centres whose allocators serve a permitted upstream of a service. */
+  private Set<String> permittedDataCentres(
+      String service, AllowedRegions allowed, Collection<PeerIdentity> routers) {
+    return permittedUpstreams(service, allowed).stream()
+        .map(Upstream::dataCentre)
+        .distinct()
+        .map(dataCentre -> AllocatorSelection.responsibleDataCentre(dataCentre, routers))
+        .collect(Collectors.toSet());
+  }
+
+  private List<Upstream> permittedUpstreams(String service, AllowedRegions allowed) {
+    List<Upstream> listed = upstreams.getOrDefault(service, List.of());
+    return allowed.all()
+        ? listed
+        : listed.stream()
+            .filter(upstream -> dataCentres.permits(allowed, upstream.dataCentre()))
+            .toList();
+  }
+
   /** Returns the expected round-trip time to a data centre, in milliseconds. */
   double roundTripMillis(String dataCentre, String region) {
     if (dataCentre.equals(self.dataCentre())) {
@@ -121,13 +165,16 @@
 
   /** Returns the data centre that manages the home upstream of a prompt's shared prefix, if any. */
   private Optional<String> homeDataCentre(
-      String service, Optional<PromptMetadata> prompt, Collection<PeerIdentity> routers) {
+      String service,
+      Optional<PromptMetadata> prompt,
+      AllowedRegions allowed,
+      Collection<PeerIdentity> routers) {
     if (prompt.isEmpty() || sharedTokens(prompt.get()) < MINIMUM_SHARED_TOKENS) {
       return Optional.empty();
     }
     List<PromptPart> parts = prompt.get().parts();
     String prefix = parts.get(parts.size() - 2).identity();
-    List<Upstream> candidates = upstreams.getOrDefault(service, List.of());
+    List<Upstream> candidates = permittedUpstreams(service, allowed);
     return RendezvousHash.sorted(prefix, candidates, upstream -> 0, Upstream::name).stream()
         .findFirst()
         .map(upstream -> AllocatorSelection.responsibleDataCentre(upstream.dataCentre(), routers));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.HashSet;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -69,6 +70,15 @@
   /** Data centres whose slot allocators have refused the request a slot. */
   final Set<String> refusedBy = new HashSet<>();
 
+  /** Regions that the route allows by the newest table that has it. */
+  AllowedRegions routeRegions = AllowedRegions.ALL;
+
+  /** Regions that the workspace allows by the newest table that has it. */
+  AllowedRegions workspaceRegions = AllowedRegions.ALL;
+
+  /** Regions in which the request may be processed: those that route and workspace allow. */
+  AllowedRegions allowedRegions = AllowedRegions.ALL;
+
   AttemptId currentAttempt;
   AttemptTarget target;
   String lastTarget = "";
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
@@ -0,0 +1,104 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.process.RouterEffect;
+import dev.agatepier.core.process.internal.RoutedRequest.Phase;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.DataCentreRegions;
+import java.util.List;
+
+/**
+ * The regions in which the requests of a router may be processed: by the newest table, those that
+ * both its route and its workspace allow.
+ */
+final class RouterRegions {
+
+  /** Retry-after time where a permitted data centre has no upstream of the service now. */
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  final DataCentreRegions dataCentres;
+  private RegionLists lists = RegionLists.NONE;
+
+  RouterRegions(DataCentreRegions dataCentres) {
+    this.dataCentres = dataCentres;
+  }
+
+  /** Returns the version of the table that the lists come from. */
+  long tableVersion() {
+    return lists.version();
+  }
+
+  /**
+   * Sets the regions of a new request. Its route was matched by a table that may be older or newer
+   * than the active one, so that both bind until the next one is activated.
+   */
+  void initialize(RoutedRequest request) {
+    request.routeRegions = request.call.allowedRegions();
+    if (lists.restricted()) {
+      AllowedRegions matched = request.routeRegions;
+      request.routeRegions = matched.and(lists.ofRoute(request.plan.route(), matched));
+      request.workspaceRegions =
+          lists.ofWorkspace(request.call.workspace(), request.workspaceRegions);
+    }
+    request.allowedRegions = request.routeRegions.and(request.workspaceRegions);
+  }
+
+  /**
+   * Applies the lists of the active table to all requests, and moves those that wait and may now be
+   * processed in other regions.
+   */
+  void activate(RouterState state, AllocatorPlacement placement, long nowNanos) {
+    RegionLists newer = new RegionLists(state.table);
+    boolean changed = !newer.sameAs(lists);
+    boolean bound = newer.restricted() || lists.restricted();
+    lists = newer;
+    int waitingChanged = 0;
+    for (RoutedRequest request : List.copyOf(state.requests.values())) {
+      boolean skipped = !bound && request.allowedRegions.all();
+      if (!skipped && update(request) && placement.isWaiting(request)) {
+        placement.move(request, nowNanos);
+        waitingChanged++;
+      }
+    }
+    if (changed) {
+      state.outbox.add(
+          new RouterEffect.AllowedRegionsChanged(
+              newer.version(),
+              newer.restrictedRoutes(),
+              newer.restrictedWorkspaces(),
+              waitingChanged));
+    }
+  }
+
+  /** Applies the active lists to a request; returns whether its regions have changed. */
+  private boolean update(RoutedRequest request) {
+    request.routeRegions = lists.ofRoute(request.plan.route(), request.routeRegions);
+    request.workspaceRegions =
+        lists.ofWorkspace(request.call.workspace(), request.workspaceRegions);
+    AllowedRegions allowed = request.routeRegions.and(request.workspaceRegions);
+    boolean changed = !allowed.equals(request.allowedRegions);
+    request.allowedRegions = allowed;
+    return changed;
+  }
+
+  /** Returns whether a request may be processed in a data centre. */
+  boolean permits(RoutedRequest request, String dataCentre) {
+    return dataCentres.permits(request.allowedRegions, dataCentre);
+  }
+
+  /** Ends the waiting requests for which no upstream of the service is permitted. */
+  void rejectUnplaceable(AllocatorPlacement placement, RequestLifecycle lifecycle, long nowNanos) {
+    List<RoutedRequest> unplaceable = placement.takeUnplaceable();
+    while (!unplaceable.isEmpty()) {
+      for (RoutedRequest request : unplaceable) {
+        if (request.phase == Phase.WAITING && placement.isUnplaced(request)) {
+          boolean mayRunLater =
+              request.provenNotRun() && dataCentres.permitsAny(request.allowedRegions);
+          long retryAfterMillis = mayRunLater ? RETRY_AFTER_MILLIS : 0;
+          lifecycle.fail(request, Reason.NO_PERMITTED_UPSTREAM, 0, retryAfterMillis, nowNanos);
+        }
+      }
+      unplaceable = placement.takeUnplaceable();
+    }
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.process.RouterSnapshot;
 import dev.agatepier.core.process.RouterSnapshot.QueueStatus;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.Limits;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
@@ -43,6 +44,7 @@
   final DirectCrashes directCrashes;
   final RunningFingerprints fingerprints = new RunningFingerprints();
   final RouteTimes times = new RouteTimes();
+  final RouterRegions regions;
   final StopSchedule stop = new StopSchedule(times);
   final PrefixAffinity affinity = new PrefixAffinity();
   final Set<String> leavingRouters = new HashSet<>();
@@ -55,10 +57,16 @@
   long lastSequence;
   private final RecentPeak peakRouters = new RecentPeak(ROUTER_COUNT_NANOS);
 
-  /** Creates a state without a table, peers or requests. */
+  /** Creates a state without a table, peers or requests, in which no region is known. */
   public RouterState(PeerIdentity self, RouterPolicy policy) {
+    this(self, policy, DataCentreRegions.NONE);
+  }
+
+  /** Creates a state without a table, peers or requests. */
+  public RouterState(PeerIdentity self, RouterPolicy policy, DataCentreRegions dataCentres) {
     this.self = self;
     this.policy = policy;
+    regions = new RouterRegions(dataCentres);
     sidecars = new ConnectedSidecars(self, policy.sidecarsPerService());
     queues = new WorkspaceQueues(policy.spillMillis() * NANOS_PER_MILLI);
     quarantine = new Quarantine(policy, 0);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -54,10 +54,11 @@
   private final AllocatorCostExchange costs;
   private final WaitingRequests waiting;
   private final SlotScheduler scheduler;
+  private final AllocatorRegions regions;
   private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
   private final SlotAllocations allocations;
   private final ServedLevels levels = new ServedLevels();
-  private Set<String> otherDataCentres = Set.of();
+  private final OtherDataCentres otherDataCentres;
   private OptionalLong memoryTokens = OptionalLong.empty();
   private long lastSequence;
   private long reportedDelayMillis;
@@ -76,7 +77,10 @@
       ServiceEntry entry,
       SlotAllocatorPolicy policy,
       WorkspaceLedger ledger,
+      AllocatorRegions regions,
       List<SlotAllocatorEffect> effects) {
+    this.regions = regions;
+    this.otherDataCentres = new OtherDataCentres(regions);
     this.service = entry.name();
     this.policy = policy;
     this.rule = SlotRule.of(entry.kind(), policy);
@@ -85,12 +89,13 @@
     this.costs = new AllocatorCostExchange(ledger);
     this.allocations = new SlotAllocations(rule, ledger);
     this.waiting = new WaitingRequests(ledger);
-    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values());
+    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values(), regions);
   }
 
-  /** Applies the workspace weights and the engine profile of a table version. */
+  /** Applies the workspace weights, the engine profile and the regions of a table version. */
   public void activate(Table table) {
     ledger.activate(table);
+    waiting.all().forEach(regions::update);
     memoryTokens =
         table
             .service(service)
@@ -144,9 +149,13 @@
     upstreams.values().forEach(upstream -> upstream.share = share);
   }
 
-  /** Replaces the other data centres in which requests of the service can get slots. */
-  public void setOtherDataCentres(Set<String> names) {
-    otherDataCentres = Set.copyOf(names);
+  /**
+   * Replaces the other data centres in which requests of the service can get slots.
+   *
+   * @param names data centres whose upstreams are served, by the data centre of the allocator
+   */
+  public void setOtherDataCentres(Map<String, Set<String>> names) {
+    otherDataCentres.replace(names);
   }
 
   /** Drops the waiting requests and slots of a router. */
@@ -176,6 +185,7 @@
     if (waiting.isEmpty()) {
       return;
     }
+    refuseUnpermitted(nowNanos);
     for (WaitingEntry entry : scheduler.overdue(policy.lateMillis(), nowNanos)) {
       waiting.remove(entry.call.request());
       levels.recordRejected();
@@ -254,9 +264,17 @@
       }
     }
     for (WaitingCall call : wanted.waiting()) {
-      WaitingEntry entry = new WaitingEntry(router, call, ++lastSequence, nowNanos);
+      if (allocations.holds(router, call.request())) {
+        // The grant and this report crossed; the router uses the grant or declines it.
+        continue;
+      }
+      WaitingEntry entry =
+          new WaitingEntry(router, call, wanted.tableVersion(), ++lastSequence, nowNanos);
+      regions.update(entry);
       scheduler.estimateWork(entry, nowNanos);
-      if (scheduler.cannotMeetObjective(entry, nowNanos)) {
+      if (scheduler.isUnpermitted(entry)) {
+        refuse(entry, nowNanos);
+      } else if (scheduler.cannotMeetObjective(entry, nowNanos)) {
         if (scheduler.meetsObjectiveAlone(entry, nowNanos)) {
           levels.recordRejected();
         }
@@ -267,12 +285,23 @@
     }
   }
 
+  /** Refuses the requests for which no upstream here is permitted any more. */
+  private void refuseUnpermitted(long nowNanos) {
+    for (WaitingEntry entry : scheduler.unpermitted()) {
+      waiting.remove(entry.call.request());
+      refuse(entry, nowNanos);
+    }
+  }
+
   private void refuse(WaitingEntry entry, long nowNanos) {
     FairPosition position = ledger.position(entry.workspace());
     String alternative =
         levels
             .alternative(
-                entry.call.request(), position.virtualService(), otherDataCentres, nowNanos)
+                entry.call.request(),
+                position.virtualService(),
+                otherDataCentres.permitted(entry.allowedRegions),
+                nowNanos)
             .orElse("");
     effects.add(
         new SlotAllocatorEffect.Rejected(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -28,6 +28,12 @@
     return allocations.size();
   }
 
+  /** Returns whether a request of a router holds a slot. */
+  boolean holds(String router, RequestId request) {
+    SlotAllocation allocation = allocations.get(request);
+    return allocation != null && allocation.router.equals(router);
+  }
+
   /** Allocates a slot to a request and charges its workspace the expected cost. */
   void allocate(
       String router,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -37,7 +37,7 @@
   }
 
   /** Replaces the upstreams by those of a version of the instance list. */
-  public void onInstancesActivated(InstanceList list) {
+  public void onInstancesActivated(InstanceList list, long nowNanos) {
     Map<String, DirectUpstream> listed = new HashMap<>();
     for (Upstream upstream : list.upstreams()) {
       DirectUpstream direct = upstreams.get(upstream.name());
@@ -48,7 +48,7 @@
       listed.put(upstream.name(), direct);
     }
     upstreams = listed;
-    placement.updateUpstreams(list.upstreams());
+    placement.updateUpstreams(list.upstreams(), nowNanos);
   }
 
   /** Handles an allocator's message; declines grants and ignores refusals of a previous one. */
@@ -69,7 +69,9 @@
     DirectUpstream upstream = upstreams.get(granted.upstream());
     if (request == null || !placement.isAllocator(request, router)) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
-    } else if (upstream == null || upstream.upstream().leaving()) {
+    } else if (upstream == null
+        || upstream.upstream().leaving()
+        || !state.regions.permits(request, upstream.upstream().dataCentre())) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
     } else if (state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -36,6 +37,7 @@
   private final WorkspaceLedger ledger;
   private final WaitingRequests waiting;
   private final Collection<UpstreamLoad> upstreams;
+  private final AllocatorRegions regions;
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -52,7 +54,9 @@
       SlotRule rule,
       WorkspaceLedger ledger,
       WaitingRequests waiting,
-      Collection<UpstreamLoad> upstreams) {
+      Collection<UpstreamLoad> upstreams,
+      AllocatorRegions regions) {
+    this.regions = regions;
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
@@ -120,7 +124,7 @@
     for (WaitingEntry entry : waiting.all()) {
       work += entry.workMillis;
     }
-    return delayBehind(work, nowNanos);
+    return delayBehind(work, AllowedRegions.ALL, nowNanos);
   }
 
   /** Returns the expected wait behind the requests that precede one in fair order. */
@@ -128,6 +132,8 @@
     if (waiting.isEmpty()) {
       return 0;
     }
+    boolean everywhere =
+        countUsable(entry.allowedRegions, nowNanos) == countUsable(AllowedRegions.ALL, nowNanos);
     double ownService = ledger.account(entry.workspace()).virtualService();
     double work = 0;
     for (WaitingEntry other : waiting.all()) {
@@ -136,17 +142,39 @@
           sameWorkspace
               ? other.dueNanos <= entry.dueNanos
               : ledger.account(other.workspace()).virtualService() <= ownService;
-      work += before ? other.workMillis : 0;
+      if (before) {
+        work +=
+            everywhere ? other.workMillis : other.workMillis * sharedPart(entry, other, nowNanos);
+      }
     }
-    return delayBehind(work, nowNanos);
+    return delayBehind(work, entry.allowedRegions, nowNanos);
   }
 
-  /** Returns the wait behind work spread over all usable upstreams, including their backlog. */
-  private double delayBehind(double work, long nowNanos) {
+  /**
+   * Returns the part of the work of other requests that is done on the upstreams of one, if it is
+   * divided evenly among those that the others may use.
+   */
+  private double sharedPart(WaitingEntry entry, WaitingEntry other, long nowNanos) {
+    double usable = countUsable(other.allowedRegions, nowNanos);
+    AllowedRegions common = entry.allowedRegions.and(other.allowedRegions);
+    return usable == 0 ? 0 : countUsable(common, nowNanos) / usable;
+  }
+
+  /** Returns the number of usable upstreams in the permitted regions. */
+  private int countUsable(AllowedRegions allowed, long nowNanos) {
+    int usable = 0;
+    for (UpstreamLoad upstream : upstreams) {
+      usable += usable(upstream, allowed, nowNanos) ? 1 : 0;
+    }
+    return usable;
+  }
+
+  /** Returns the wait behind work spread over the usable upstreams, including their backlog. */
+  private double delayBehind(double work, AllowedRegions allowed, long nowNanos) {
     double backlog = 0;
     int usable = 0;
     for (UpstreamLoad upstream : upstreams) {
-      if (usable(upstream, nowNanos)) {
+      if (usable(upstream, allowed, nowNanos)) {
         usable++;
         backlog += rule.backlogMillis(upstream, nowNanos);
       }
@@ -162,6 +190,9 @@
     for (WorkspaceAccount account : ledger.waitingInOrder()) {
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
+        if (!permittedReady(entry, share, nowNanos)) {
+          continue;
+        }
         boolean meetsObjective =
             entry.meetsObjective(
                 entry.countedMillis(minFirstByteMillis(entry, nowNanos)), nowNanos);
@@ -193,7 +224,7 @@
     double bestScore = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
       if (upstream == reserved
-          || !usable(upstream, nowNanos)
+          || !usable(upstream, entry.allowedRegions, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
       }
@@ -220,7 +251,7 @@
     return countWithCapacity(entry, nowNanos) > 0
         ? null
         : upstreams.stream()
-            .filter(upstream -> usable(upstream, nowNanos))
+            .filter(upstream -> usable(upstream, entry.allowedRegions, nowNanos))
             .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
             .orElse(null);
   }
@@ -235,7 +266,9 @@
     return (int)
         upstreams.stream()
             .filter(
-                upstream -> usable(upstream, nowNanos) && rule.hasCapacity(upstream, entry.call))
+                upstream ->
+                    usable(upstream, entry.allowedRegions, nowNanos)
+                        && rule.hasCapacity(upstream, entry.call))
             .count();
   }
 
@@ -243,7 +276,7 @@
   private double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
     double min = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams) {
-      if (usable(upstream, nowNanos)) {
+      if (usable(upstream, entry.allowedRegions, nowNanos)) {
         min = Math.min(min, rule.firstByteMillis(upstream, entry.call));
       }
     }
@@ -256,6 +289,40 @@
         && rule.acceptsBacklog(upstream, share, nowNanos);
   }
 
+  /**
+   * Returns whether a permitted upstream is ready for a request; always true if all regions are
+   * permitted. Requests that wait for a region without capacity thus don't keep later ones of their
+   * workspace from other regions.
+   */
+  private boolean permittedReady(WaitingEntry entry, double share, long nowNanos) {
+    if (entry.allowedRegions.all()) {
+      return true;
+    }
+    for (UpstreamLoad upstream : upstreams) {
+      if (regions.permits(entry, upstream) && ready(upstream, share, nowNanos)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the waiting requests that may run on no upstream here. */
+  List<WaitingEntry> unpermitted() {
+    return waiting.all().stream().filter(this::isUnpermitted).toList();
+  }
+
+  /** Returns whether a request may run on none of the upstreams here that are not leaving. */
+  boolean isUnpermitted(WaitingEntry entry) {
+    return !entry.allowedRegions.all()
+        && upstreams.stream()
+            .noneMatch(
+                upstream -> !upstream.upstream.leaving() && regions.permits(entry, upstream));
+  }
+
+  private boolean usable(UpstreamLoad upstream, AllowedRegions allowed, long nowNanos) {
+    return usable(upstream, nowNanos) && regions.permits(allowed, upstream.upstream.dataCentre());
+  }
+
   private static boolean usable(UpstreamLoad upstream, long nowNanos) {
     return !upstream.upstream.leaving()
         && !upstream.stalled
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.Comparator;
 
 /** A request that waits for a slot at a slot allocator. */
@@ -21,10 +22,18 @@
   /** Time by which the response should start. */
   final long dueNanos;
 
+  /** Version of the table from which the router took the allowed regions. */
+  final long tableVersion;
+
+  /** Regions in which the request may be processed, by the newest table that is known here. */
+  AllowedRegions allowedRegions;
+
   /** Time until the first byte that it takes at the upstream, as last estimated. */
   double workMillis;
 
-  WaitingEntry(String router, WaitingCall call, long sequence, long nowNanos) {
+  WaitingEntry(String router, WaitingCall call, long tableVersion, long sequence, long nowNanos) {
+    this.tableVersion = tableVersion;
+    this.allowedRegions = call.allowedRegions();
     this.router = router;
     this.call = call;
     this.sequence = sequence;
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/Route.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/Route.java
@@ -12,15 +12,28 @@
  * @param services services among which the calls are divided; at least one
  * @param plan retry, timeout and latency settings of the calls
  * @param open whether calls are allowed without a key
+ * @param allowedRegions regions in which the calls may be processed
  */
 public record Route(
-    String host, String prefix, List<WeightedService> services, CallPlan plan, boolean open) {
+    String host,
+    String prefix,
+    List<WeightedService> services,
+    CallPlan plan,
+    boolean open,
+    AllowedRegions allowedRegions) {
+
+  /** Creates a route whose calls may be processed in every region. */
+  public Route(
+      String host, String prefix, List<WeightedService> services, CallPlan plan, boolean open) {
+    this(host, prefix, services, plan, open, AllowedRegions.ALL);
+  }
 
   /** Rejects null parts and a total weight of 0; copies the services. */
   public Route {
     Objects.requireNonNull(host, "host");
     Objects.requireNonNull(prefix, "prefix");
     Objects.requireNonNull(plan, "plan");
+    Objects.requireNonNull(allowedRegions, "allowedRegions");
     services = List.copyOf(services);
     if (services.isEmpty() || weight(services) <= 0) {
       throw new IllegalArgumentException(
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/Workspace.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/Workspace.java
@@ -13,13 +13,25 @@
  *     replaced
  * @param limits limits at each router
  * @param services names of the services that it may call
+ * @param allowedRegions regions in which its requests may be processed
  */
 public record Workspace(
-    String name, double weight, List<String> keyDigests, Limits limits, Set<String> services) {
+    String name,
+    double weight,
+    List<String> keyDigests,
+    Limits limits,
+    Set<String> services,
+    AllowedRegions allowedRegions) {
 
   /** Name of the workspace of calls without a key, on routes that allow such calls. */
   public static final String OPEN = "(open)";
 
+  /** Creates a workspace whose requests may be processed in every region. */
+  public Workspace(
+      String name, double weight, List<String> keyDigests, Limits limits, Set<String> services) {
+    this(name, weight, keyDigests, limits, services, AllowedRegions.ALL);
+  }
+
   /** Creates a workspace with one key. */
   public Workspace(
       String name, double weight, String keyDigest, Limits limits, Set<String> services) {
@@ -30,6 +42,7 @@
   public Workspace {
     Objects.requireNonNull(name, "name");
     Objects.requireNonNull(limits, "limits");
+    Objects.requireNonNull(allowedRegions, "allowedRegions");
     keyDigests = List.copyOf(keyDigests);
     services = Set.copyOf(services);
     if (!(weight > 0)) {
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -137,6 +137,7 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.AllowedRegionsChanged _,
           RouterEffect.Drained _ -> {
         // The callers only wait for the end of the response, and the router calls no upstream
         // itself, as each one has a sidecar.
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -205,6 +205,7 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.AllowedRegionsChanged _,
           RouterEffect.Drained _ -> {
         // Other components perform these effects.
       }
@@ -332,7 +333,8 @@
           call.deadlineNanos(),
           Optional.of(call.plan()),
           call.prompt(),
-          call.resumeAfter());
+          call.resumeAfter(),
+          call.allowedRegions());
     }
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -13,6 +13,8 @@
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.version.AllowedRegions;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 
@@ -27,19 +29,21 @@
         new MessageType<>(
             60,
             SlotsWanted.class,
-            4,
+            5,
             (message, output) -> {
               output.writeString(message.service());
               output.writeBoolean(message.complete());
               output.writeList(message.waiting(), SlotMessageCodec::writeCall);
               output.writeList(message.held(), SlotMessageCodec::writeHeld);
+              output.writeLong(message.tableVersion());
             },
             input ->
                 new SlotsWanted(
                     input.readString(),
                     input.readBoolean(),
                     input.readList(SlotMessageCodec::readCall),
-                    input.readList(SlotMessageCodec::readHeld))),
+                    input.readList(SlotMessageCodec::readHeld),
+                    input.readLong())),
         new MessageType<>(
             61,
             SlotsChanged.class,
@@ -125,6 +129,8 @@
     output.writeBoolean(call.repeatable());
     output.writeBoolean(call.underserved());
     output.writeList(call.prompt().stream().toList(), SlotMessageCodec::writePrompt);
+    output.writeString(call.route());
+    writeRegions(output, call.allowedRegions());
   }
 
   private static WaitingCall readCall(FieldInput input) {
@@ -136,7 +142,22 @@
         input.readLong(),
         input.readBoolean(),
         input.readBoolean(),
-        readPrompt(input));
+        readPrompt(input),
+        input.readString(),
+        readRegions(input));
+  }
+
+  private static void writeRegions(FieldOutput output, AllowedRegions regions) {
+    output.writeBoolean(regions.all());
+    if (!regions.all()) {
+      output.writeList(regions.names().stream().sorted().toList(), FieldOutput::writeString);
+    }
+  }
+
+  private static AllowedRegions readRegions(FieldInput input) {
+    return input.readBoolean()
+        ? AllowedRegions.ALL
+        : AllowedRegions.only(new HashSet<>(input.readList(FieldInput::readString)));
   }
 
   private static void writePrompt(FieldOutput output, PromptMetadata prompt) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -24,6 +24,7 @@
   UPSTREAM_JUDGED("upstream-judged"),
   TABLE_STALE("table-stale"),
   TABLE_CONFIRMED("table-confirmed"),
+  ALLOWED_REGIONS_CHANGED("allowed-regions-changed"),
   UPSTREAMS_IN_FORCE("upstreams-in-force"),
   UPSTREAM_REMOVAL_DEFERRED("upstream-removal-deferred"),
   UPSTREAM_REMOVED("upstream-removed"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -86,6 +86,7 @@
             self,
             settings.policy(),
             settings.slots(),
+            settings.dataCentres(),
             links,
             this::performForCaller,
             this::performAtUpstream,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -184,6 +184,18 @@
                 .with("sinceMillis", change.sinceMillis()));
   }
 
+  /** Logs that another table version has other lists of allowed regions. */
+  static void logAllowedRegionsChanged(RouterEffect.AllowedRegionsChanged change) {
+    LOGGER.info(
+        () ->
+            LogEvent.ALLOWED_REGIONS_CHANGED
+                .message()
+                .with("version", change.tableVersion())
+                .with("restrictedRoutes", change.restrictedRoutes())
+                .with("restrictedWorkspaces", change.restrictedWorkspaces())
+                .with("waitingChanged", change.waitingChanged()));
+  }
+
   /** Logs a request or prompt part that is quarantined or no longer is. */
   static void logQuarantineChanged(RouterEffect.QuarantineChanged change) {
     LOGGER.warn(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -21,6 +21,7 @@
 import dev.agatepier.core.process.SlotAllocatorEvent;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationRoute;
@@ -75,6 +76,7 @@
    * @param self identity of the router
    * @param policy policy of the router decision
    * @param allocatorPolicy policy of the slot allocator
+   * @param dataCentres the regions of the data centres
    * @param links registry of the links to send through
    * @param callers performs effects that concern callers
    * @param upstreams performs effects that concern upstreams that the router calls directly
@@ -86,6 +88,7 @@
       PeerIdentity self,
       RouterPolicy policy,
       SlotAllocatorPolicy allocatorPolicy,
+      DataCentreRegions dataCentres,
       LinkRegistry links,
       Consumer<RouterEffect> callers,
       Consumer<RouterEffect> upstreams,
@@ -100,7 +103,7 @@
     this.metrics = new RequestMetrics(metrics);
     slotMetrics = new SlotMetrics(metrics);
     rejectedEvents = metrics.counter(MAILBOX_FULL);
-    RouterDecision decision = new RouterDecision(self, policy);
+    RouterDecision decision = new RouterDecision(self, policy, dataCentres);
     requestTask =
         new DecisionTask<>(
             decision,
@@ -121,7 +124,7 @@
             RouterTasks::logTaskFailure);
     slotAllocator =
         new DecisionTask<>(
-            new SlotAllocatorDecision(self, allocatorPolicy),
+            new SlotAllocatorDecision(self, allocatorPolicy, dataCentres),
             this::perform,
             MAILBOX_CAPACITY,
             scheduler,
@@ -261,6 +264,7 @@
       case RouterEffect.RunAttempt _, RouterEffect.ReadAttempt _, RouterEffect.CancelAttempt _ ->
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
+      case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
       case RouterEffect.Drained _ -> drained.complete(null);
       case RouterEffect.EndResponse end -> {
         metrics.recordEnded(Outcome.COMPLETED, Optional.empty(), end.metadata());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/AcceptedCall.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/AcceptedCall.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.PromptMetadata;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -19,6 +20,7 @@
  * @param resumeAfter number of the last event that the caller received of an interrupted stream
  *     that it resumes
  * @param deadlineNanos deadline of the call, in nanoseconds of the process's monotonic clock
+ * @param allowedRegions regions in which the matched route allows the call to be processed
  */
 public record AcceptedCall(
     String label,
@@ -28,7 +30,30 @@
     CallPlan plan,
     Optional<PromptMetadata> prompt,
     OptionalLong resumeAfter,
-    long deadlineNanos) {
+    long deadlineNanos,
+    AllowedRegions allowedRegions) {
+
+  /** Creates a call that every region may process. */
+  public AcceptedCall(
+      String label,
+      String workspace,
+      String service,
+      CallHead head,
+      CallPlan plan,
+      Optional<PromptMetadata> prompt,
+      OptionalLong resumeAfter,
+      long deadlineNanos) {
+    this(
+        label,
+        workspace,
+        service,
+        head,
+        plan,
+        prompt,
+        resumeAfter,
+        deadlineNanos,
+        AllowedRegions.ALL);
+  }
 
   /** Checks that no component is null. */
   public AcceptedCall {
@@ -39,5 +64,6 @@
     Objects.requireNonNull(plan, "plan");
     Objects.requireNonNull(prompt, "prompt");
     Objects.requireNonNull(resumeAfter, "resumeAfter");
+    Objects.requireNonNull(allowedRegions, "allowedRegions");
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/ReasonText.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/ReasonText.java
@@ -28,6 +28,8 @@
       case DRAINING -> "the instance is stopping";
       case NOT_READY -> "the router has no table yet";
       case NO_UPSTREAM -> "no upstream of the service can be reached";
+      case NO_PERMITTED_UPSTREAM ->
+          "no upstream of the service is in a region that route and workspace allow";
       case STALE_TABLE -> "the table has not been confirmed for too long";
       case UPSTREAM_UNREACHABLE -> "the upstream cannot be reached";
       case UPSTREAM_BUSY -> "the upstream takes no more requests";
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -59,12 +59,14 @@
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.Upstream;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Message sequences of the golden files; together they cover every message type. */
 final class LinkSessions {
@@ -197,11 +199,13 @@
                     "m",
                     1_460,
                     80,
-                    List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))));
+                    List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))),
+            "layout",
+            AllowedRegions.only(Set.of("bengal", "assam")));
     return List.of(
         new SlotsWanted("chair-desk", false, List.of(plain), List.of()),
         new SlotsWanted(
-            "plan-model", true, List.of(model), List.of(new HeldSlot(model, "engine-4", true))),
+            "plan-model", true, List.of(model), List.of(new HeldSlot(model, "engine-4", true)), 12),
         new SlotGranted("plan-model", REQUEST, "engine-4"),
         new SlotsChanged(
             "plan-model",
