Test the regions of requests at the router and at the slot allocator

One failure each on the existing fixtures: retry, resumption, alternative, fallback allocator, table change while waiting and between grant and dispatch, removed route, empty intersection, region without upstream, unknown region, a router with an older table, reports that cross a grant.

--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
@@ -0,0 +1,254 @@
+package dev.agatepier.core.process;
+
+import static dev.agatepier.core.process.DirectRouterFixture.RESUMABLE;
+import static dev.agatepier.core.process.DirectRouterFixture.SAFE;
+import static dev.agatepier.core.process.DirectRouterFixture.SERVICE;
+import static dev.agatepier.core.process.DirectRouterFixture.identity;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.core.connection.SlotMessage.SlotGranted;
+import dev.agatepier.core.connection.SlotMessage.SlotRefused;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A router in region a, with upstreams ua in its data centre and ub in region b, where r2 is. */
+public class AllowedRegionsRouterTest {
+
+  private static final AllowedRegions A = AllowedRegions.only(List.of("a"));
+  private static final AllowedRegions B = AllowedRegions.only(List.of("b"));
+  private static final String REJECTED = "not-run no-permitted-upstream";
+
+  private DirectRouterFixture router;
+
+  @BeforeMethod
+  public void setUp() {
+    router = new DirectRouterFixture();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "b1")));
+    router.publish(Map.of("ua", "a1", "ub", "b1"));
+  }
+
+  /** The request must be reported where its upstreams are, not in the nearest data centre. */
+  @Test
+  public void requestWaitsInPermittedDataCentre() {
+    RequestId request = router.callIn(B, SAFE);
+    assertEquals(waitingAt("r2").request(), request);
+    assertEquals(waitingAt("r2").allowedRegions(), B);
+    assertTrue(router.sent("r1", SlotsWanted.class).stream().allMatch(m -> m.waiting().isEmpty()));
+  }
+
+  /** An allocator that works by other lists must not lead to a call in another region. */
+  @Test
+  public void grantInOtherRegionIsDeclined() {
+    RequestId request = router.callIn(B, SAFE);
+    router.grantFrom("r2", request, "ua");
+    assertTrue(router.runs(request).isEmpty());
+    assertEquals(router.stages(request), List.of(SlotStage.DECLINED));
+    assertEquals(waitingAt("r2").request(), request);
+  }
+
+  @Test
+  public void retryStaysInPermittedRegion() {
+    RequestId request = router.callIn(B, SAFE);
+    router.grantFrom("r2", request, "ub");
+    router.failAttempt(request, Reason.UPSTREAM_FAILED);
+    assertEquals(router.sent("r2", SlotsWanted.class).getLast().waiting().size(), 1);
+    router.grantFrom("r2", request, "ua");
+    assertEquals(router.runs(request).size(), 1);
+  }
+
+  /** A stream that broke off must not be resumed in another region. */
+  @Test
+  public void resumptionStaysInPermittedRegion() {
+    RequestId request = router.callIn(B, RESUMABLE);
+    router.grantFrom("r2", request, "ub");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grantFrom("r2", request, "ua");
+    assertEquals(router.runs(request).size(), 1);
+    router.grantFrom("r2", request, "ub");
+    assertEquals(router.runs(request).size(), 2);
+  }
+
+  /** An allocator with an older table may name a data centre that is not permitted any more. */
+  @Test
+  public void alternativeInOtherRegionIsNotTaken() {
+    RequestId request = router.callIn(B, SAFE);
+    router.dispatch(
+        new RouterEvent.AllocatorMessageReceived(
+            "r2", new SlotRefused(SERVICE, request, 700, "a1")));
+    assertEquals(router.responseTo(request), "not-run overloaded");
+  }
+
+  /** Upstreams of a data centre without routers are served by an allocator in another region. */
+  @Test
+  public void fallbackAllocatorServesPermittedUpstreamsOnly() {
+    router.dispatch(new RouterEvent.PeerDisconnected(identity("r2", "b1")));
+    RequestId request = router.callIn(B, SAFE);
+    assertEquals(waitingAt("r1").request(), request);
+    router.grant(request, "ua");
+    assertTrue(router.runs(request).isEmpty());
+    router.grant(request, "ub");
+    assertEquals(router.runs(request).getFirst().upstream().name(), "ub");
+  }
+
+  /** The allocator of a fallback data centre ends, and another one takes the upstreams over. */
+  @Test
+  public void waitingRequestFollowsItsUpstreamsToAnotherAllocator() {
+    router.dispatch(new RouterEvent.PeerDisconnected(identity("r2", "b1")));
+    RequestId request = router.callIn(B, SAFE);
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "b1")));
+    assertEquals(waitingAt("r2").request(), request);
+    assertEquals(router.stages(request), List.of(SlotStage.WITHDRAWN));
+  }
+
+  @Test
+  public void waitingRequestMovesWhenItsListBecomesShorter() {
+    RequestId request = router.call(SAFE);
+    assertEquals(waitingAt("r1").request(), request);
+    router.now += 40_000_000;
+    router.activateLists(B, AllowedRegions.ALL);
+    assertEquals(router.stages(request), List.of(SlotStage.WITHDRAWN));
+    assertEquals(waitingAt("r2").request(), request);
+    assertTrue(waitingAt("r2").objectiveMillis() <= 460, "the request keeps its age");
+  }
+
+  /** The workspace's list binds like the route's. */
+  @Test
+  public void waitingRequestMovesWhenTheListOfItsWorkspaceBecomesShorter() {
+    RequestId request = router.call(SAFE);
+    router.activateLists(AllowedRegions.ALL, B);
+    assertEquals(waitingAt("r2").request(), request);
+  }
+
+  /** A grant that was sent before the table changed must not be used. */
+  @Test
+  public void grantOfEarlierTableIsDeclined() {
+    RequestId request = router.call(SAFE);
+    router.activateLists(B, AllowedRegions.ALL);
+    router.grant(request, "ua");
+    assertTrue(router.runs(request).isEmpty());
+    assertEquals(router.stages(request).getLast(), SlotStage.DECLINED);
+  }
+
+  /** A longer list applies to requests that wait, too. */
+  @Test
+  public void waitingRequestIsReportedAgainWhenItsListBecomesLonger() {
+    router.activateLists(B, AllowedRegions.ALL);
+    RequestId request = router.callIn(B, SAFE);
+    router.activateLists(AllowedRegions.ALL, AllowedRegions.ALL);
+    assertEquals(waitingAt("r1").request(), request);
+    assertEquals(waitingAt("r1").allowedRegions(), AllowedRegions.ALL);
+  }
+
+  /** Without its route a table says nothing about the regions of a request. */
+  @Test
+  public void requestOfRemovedRouteKeepsItsList() {
+    router.activateLists(B, AllowedRegions.ALL);
+    RequestId request = router.callIn(B, SAFE);
+    router.activateWithoutRoutes();
+    router.grantFrom("r2", request, "ua");
+    assertTrue(router.runs(request).isEmpty());
+  }
+
+  @Test
+  public void emptyIntersectionIsRejectedAtOnce() {
+    router.activateLists(A, B);
+    RequestId request = router.callIn(A, SAFE);
+    assertEquals(router.responseTo(request), REJECTED);
+    assertEquals(retryAfterMillis(request), 0);
+  }
+
+  @Test
+  public void requestIsRejectedWhenListsBecomeDisjointWhileItWaits() {
+    RequestId request = router.call(SAFE);
+    router.activateLists(A, B);
+    assertEquals(router.responseTo(request), REJECTED);
+  }
+
+  @Test
+  public void regionWithoutUpstreamIsRejectedAtOnce() {
+    router.publish(Map.of("ua", "a1"));
+    RequestId request = router.callIn(B, SAFE);
+    assertEquals(router.responseTo(request), REJECTED);
+    assertEquals(retryAfterMillis(request), 1_000);
+  }
+
+  @Test
+  public void requestIsRejectedWhenTheLastPermittedUpstreamGoes() {
+    RequestId request = router.callIn(B, SAFE);
+    router.publish(Map.of("ua", "a1"));
+    assertEquals(router.responseTo(request), REJECTED);
+  }
+
+  /** A request that may have run must not be called not run. */
+  @Test
+  public void failedAttemptWithoutPermittedUpstreamIsNotCalledNotRun() {
+    RequestId request = router.callIn(B, SAFE);
+    router.grantFrom("r2", request, "ub");
+    router.publish(Map.of("ua", "a1"));
+    router.failAttempt(request, Reason.UPSTREAM_FAILED);
+    assertEquals(router.responseTo(request), "unknown no-permitted-upstream");
+  }
+
+  /** A data centre that the settings do not list may be anywhere. */
+  @Test
+  public void dataCentreOfUnknownRegionIsNotPermitted() {
+    router.publish(Map.of("uc", "c1"));
+    assertEquals(router.responseTo(router.callIn(A, SAFE)), REJECTED);
+    RequestId anywhere = router.call(SAFE);
+    router.grant(anywhere, "uc");
+    assertEquals(router.runs(anywhere).size(), 1);
+  }
+
+  @Test
+  public void reportsChangedLists() {
+    router.call(SAFE);
+    router.activateLists(B, AllowedRegions.ALL);
+    router.activateLists(B, AllowedRegions.ALL);
+    List<RouterEffect> changes =
+        router.effects.stream()
+            .filter(RouterEffect.AllowedRegionsChanged.class::isInstance)
+            .toList();
+    assertEquals(changes, List.of(new RouterEffect.AllowedRegionsChanged(2, 1, 0, 1)));
+  }
+
+  /** A grant for a request that ended is unknown here and must be declined as before. */
+  @Test
+  public void grantForRejectedRequestIsDeclined() {
+    RequestId request = router.call(SAFE);
+    router.activateLists(A, B);
+    List<RouterEffect> effects =
+        router.dispatch(
+            new RouterEvent.AllocatorMessageReceived(
+                "r1", new SlotGranted(SERVICE, request, "ua")));
+    assertTrue(effects.stream().noneMatch(RouterEffect.RunAttempt.class::isInstance));
+    assertEquals(router.stages(request).getLast(), SlotStage.DECLINED);
+  }
+
+  private WaitingCall waitingAt(String allocator) {
+    return router.sent(allocator, SlotsWanted.class).stream()
+        .flatMap(message -> message.waiting().stream())
+        .reduce((first, last) -> last)
+        .orElseThrow();
+  }
+
+  private long retryAfterMillis(RequestId request) {
+    return router.effects.stream()
+        .filter(RouterEffect.FailRequest.class::isInstance)
+        .map(RouterEffect.FailRequest.class::cast)
+        .filter(fail -> fail.request().equals(request))
+        .findFirst()
+        .orElseThrow()
+        .retryAfterMillis();
+  }
+}
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -23,8 +23,13 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.CallerBounds;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.Route;
+import dev.agatepier.core.version.RouteIndex;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.ServiceKind;
 import dev.agatepier.core.version.SlotAllocationMode;
@@ -53,31 +58,76 @@
 
   private static final long MILLI = 1_000_000;
 
-  final RouterDecision decision = new RouterDecision(identity("r1", "a1"), RouterPolicy.DEFAULT);
+  static final DataCentreRegions REGIONS =
+      new DataCentreRegions(Map.of("a1", "a", "a2", "a", "b1", "b"));
+
+  final RouterDecision decision =
+      new RouterDecision(identity("r1", "a1"), RouterPolicy.DEFAULT, REGIONS);
   final List<RouterEffect> effects = new ArrayList<>();
   long now = 3_000 * MILLI;
   private long calls;
   private long incarnation = 1;
+  private long tableVersion = 1;
 
   DirectRouterFixture() {
-    ServiceEntry entry =
-        new ServiceEntry(
-            SERVICE,
-            ServiceKind.PLAIN,
-            List.of(),
-            60_000,
-            0.2,
-            SlotAllocationMode.ROUTER,
-            Optional.empty());
-    Limits limits = new Limits(1_000, 1_000, 0);
-    Workspace row = new Workspace("w", 1, "00", limits, Set.of(SERVICE));
+    Workspace row = workspace(AllowedRegions.ALL);
     dispatch(
-        new RouterEvent.TableActivated(new Table(1, Map.of("w", row), Map.of(SERVICE, entry))));
+        new RouterEvent.TableActivated(new Table(1, Map.of("w", row), Map.of(SERVICE, service()))));
     dispatch(
         new RouterEvent.InstancesActivated(
             new InstanceList(1, List.of(), List.of(upstream("u1"), upstream("u2")))));
   }
 
+  private static ServiceEntry service() {
+    return new ServiceEntry(
+        SERVICE,
+        ServiceKind.PLAIN,
+        List.of(),
+        60_000,
+        0.2,
+        SlotAllocationMode.ROUTER,
+        Optional.empty());
+  }
+
+  private static Workspace workspace(AllowedRegions allowed) {
+    Limits limits = new Limits(1_000, 1_000, 0);
+    return new Workspace("w", 1, List.of("00"), limits, Set.of(SERVICE), allowed);
+  }
+
+  /** Activates a table with lists of allowed regions for the plans' route and for workspace w. */
+  void activateLists(AllowedRegions route, AllowedRegions workspace) {
+    Route listed =
+        new Route("a", "/", List.of(new Route.WeightedService(SERVICE, 1)), SAFE, false, route);
+    activate(workspace, List.of(listed));
+  }
+
+  /** Activates a table without routes. */
+  void activateWithoutRoutes() {
+    activate(AllowedRegions.ALL, List.of());
+  }
+
+  private void activate(AllowedRegions workspace, List<Route> routes) {
+    dispatch(
+        new RouterEvent.TableActivated(
+            new Table(
+                ++tableVersion,
+                Map.of("w", workspace(workspace)),
+                Map.of(SERVICE, service()),
+                new RouteIndex(routes),
+                CallerBounds.DEFAULT)));
+  }
+
+  /** Replaces the instance list by upstreams with 4 slots each, by name and data centre. */
+  void publish(Map<String, String> dataCentres) {
+    List<Upstream> upstreams = new ArrayList<>();
+    dataCentres.forEach(
+        (name, dataCentre) ->
+            upstreams.add(
+                new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, dataCentre, 4, false)));
+    dispatch(
+        new RouterEvent.InstancesActivated(new InstanceList(++incarnation, List.of(), upstreams)));
+  }
+
   static PeerIdentity identity(String name, String dataCentre) {
     return new PeerIdentity(name, 1, Role.ROUTER, dataCentre, dataCentre, "");
   }
@@ -138,7 +188,17 @@
     return call(plan, resumeAfter, List.of());
   }
 
+  /** Makes a call on a route that allows some regions. */
+  RequestId callIn(AllowedRegions allowed, CallPlan plan) {
+    return call(plan, OptionalLong.empty(), List.of(), allowed);
+  }
+
   private RequestId call(CallPlan plan, OptionalLong resumeAfter, List<PromptPart> parts) {
+    return call(plan, resumeAfter, parts, AllowedRegions.ALL);
+  }
+
+  private RequestId call(
+      CallPlan plan, OptionalLong resumeAfter, List<PromptPart> parts, AllowedRegions allowed) {
     RequestId request = new RequestId("r1", 1, ++calls);
     dispatch(
         new RouterEvent.CallArrived(
@@ -154,14 +214,19 @@
             parts.isEmpty()
                 ? Optional.empty()
                 : Optional.of(new PromptMetadata("m", 10 * parts.size(), 5, parts)),
-            resumeAfter));
+            resumeAfter,
+            allowed));
     return request;
   }
 
   List<RouterEffect> grant(RequestId request, String upstream) {
+    return grantFrom("r1", request, upstream);
+  }
+
+  List<RouterEffect> grantFrom(String allocator, RequestId request, String upstream) {
     return dispatch(
         new RouterEvent.AllocatorMessageReceived(
-            "r1", new SlotGranted(SERVICE, request, upstream)));
+            allocator, new SlotGranted(SERVICE, request, upstream)));
   }
 
   /** Makes a call and grants it a slot. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -11,21 +11,29 @@
 import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.Route;
+import dev.agatepier.core.version.RouteIndex;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.ServiceKind;
 import dev.agatepier.core.version.SlotAllocationMode;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.Workspace;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
@@ -39,6 +47,8 @@
   static final String ROUTER = "r1";
   static final long MEMORY_TOKENS = 100_000;
 
+  static final DataCentreRegions REGIONS = new DataCentreRegions(Map.of("a1", "a", "b1", "b"));
+
   private static final long MILLI = 1_000_000;
 
   final SlotAllocatorDecision decision;
@@ -53,7 +63,7 @@
   private long lastList;
 
   SlotAllocatorFixture(String... upstreams) {
-    this(new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT));
+    this(new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT, REGIONS));
     dispatch(new SlotAllocatorEvent.TableActivated(table()));
     publishUpstreams(upstreams);
   }
@@ -66,7 +76,7 @@
   static SlotAllocatorFixture withShortCostWindow(String... upstreams) {
     SlotAllocatorFixture allocator =
         new SlotAllocatorFixture(
-            new SlotAllocatorDecision(router(ROUTER, "a1"), withCostWindow(4_000)));
+            new SlotAllocatorDecision(router(ROUTER, "a1"), withCostWindow(4_000), REGIONS));
     allocator.dispatch(new SlotAllocatorEvent.TableActivated(table()));
     allocator.publishUpstreams(upstreams);
     return allocator;
@@ -87,7 +97,7 @@
   /** Returns an allocator that has just started and has neither a table nor upstreams. */
   static SlotAllocatorFixture withoutTable() {
     return new SlotAllocatorFixture(
-        new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT));
+        new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT, REGIONS));
   }
 
   static PeerIdentity router(String name, String dataCentre) {
@@ -171,6 +181,50 @@
     return requestSlot(PLAIN, workspace, objectiveMillis, false, Optional.empty());
   }
 
+  /** Requests a slot in some regions, which the router has from table version 1. */
+  RequestId requestPlainIn(AllowedRegions allowed, String workspace, long objectiveMillis) {
+    RequestId request = new RequestId(ROUTER, 1, ++lastNumber);
+    report(request, allowed, workspace, objectiveMillis);
+    return request;
+  }
+
+  /** Reports a waiting request of route {@code r}. */
+  void report(RequestId request, AllowedRegions allowed, String workspace, long objectiveMillis) {
+    WaitingCall call =
+        new WaitingCall(
+            request,
+            workspace,
+            "",
+            objectiveMillis,
+            15_000,
+            true,
+            false,
+            Optional.empty(),
+            "r",
+            allowed);
+    dispatch(message(new SlotsWanted(PLAIN, false, List.of(call), List.of(), 1)));
+  }
+
+  /** Activates a version with lists of allowed regions for route {@code r} and a workspace. */
+  void activateLists(
+      long version, AllowedRegions route, String workspace, AllowedRegions workspaceRegions) {
+    Table plain = table();
+    CallPlan plan = new CallPlan("r", true, false, false, 1, 10_000, 500, 0, 0);
+    Route listed =
+        new Route("a", "/", List.of(new Route.WeightedService(PLAIN, 1)), plan, true, route);
+    Workspace row =
+        new Workspace(
+            workspace, 1, List.of(), new Limits(9, 9, 0), Set.of(PLAIN), workspaceRegions);
+    dispatch(
+        new SlotAllocatorEvent.TableActivated(
+            new Table(
+                version,
+                Map.of(workspace, row),
+                plain.services(),
+                new RouteIndex(List.of(listed)),
+                plain.bounds())));
+  }
+
   /**
    * Requests a slot for a prompt with the named shared part and a part that no other request has.
    */
