Show what regions change for a fleet, and cancel attempts that are not sent yet

An attempt whose connection is still being opened when the table changes is cancelled if its upstream is not permitted any more; one that is sent goes on.

--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -92,6 +92,8 @@
         "'spillMillis':1,'spillSeconds':2",
         "$.policy.spillSeconds: must not be set together with spillMillis"
       },
+      {"'policy':", "'regions':{'a1':'A B'},'policy':", "$.regions.a1: must be a name of 1 to 63"},
+      {"'policy':", "'regions':['a1'],'policy':", "$.regions: must be an object"},
       {"'policy':", "'polity':", "$.polity: is not a known field"},
       {
         "'policy':", "'stop':{'graceMillis':'1s'},'policy':", "$.stop.graceMillis: must be a number"
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -118,6 +118,14 @@
    */
   record CancelAttempt(AttemptId attempt) implements RouterEffect {}
 
+  /**
+   * Cancel an attempt only if its request has not been sent because the connection is still being
+   * opened; this results in {@link RouterEvent.UpstreamNotRun}. Any other attempt goes on.
+   *
+   * @param attempt the attempt
+   */
+  record CancelUnsentAttempt(AttemptId attempt) implements RouterEffect {}
+
   /**
    * Report that a fingerprint is quarantined or no longer is.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -96,7 +96,9 @@
     } else if (arrived && !request.placement.tryAcquireRetry(request, nowNanos)) {
       lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
     } else {
-      lifecycle.requeue(request, SlotStage.REJECTED, nowNanos);
+      // An attempt that was withdrawn before it was sent says nothing about the upstream.
+      SlotStage stage = reason == Reason.WITHDRAWN ? SlotStage.DECLINED : SlotStage.REJECTED;
+      lifecycle.requeue(request, stage, nowNanos);
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
@@ -55,9 +55,13 @@
     int waitingChanged = 0;
     for (RoutedRequest request : List.copyOf(state.requests.values())) {
       boolean skipped = !bound && request.allowedRegions.all();
-      if (!skipped && update(request) && placement.isWaiting(request)) {
-        placement.move(request, nowNanos);
-        waitingChanged++;
+      if (!skipped && update(request)) {
+        if (placement.isWaiting(request)) {
+          placement.move(request, nowNanos);
+          waitingChanged++;
+        } else if (runsOutside(request)) {
+          state.outbox.add(new RouterEffect.CancelUnsentAttempt(request.currentAttempt));
+        }
       }
     }
     if (changed) {
@@ -70,6 +74,13 @@
     }
   }
 
+  /** Returns whether a request was given to an upstream that is not permitted any more. */
+  private boolean runsOutside(RoutedRequest request) {
+    return request.phase == Phase.RUNNING
+        && request.target instanceof DirectUpstream direct
+        && !permits(request, direct.upstream().dataCentre());
+  }
+
   /** Applies the active lists to a request; returns whether its regions have changed. */
   private boolean update(RoutedRequest request) {
     request.routeRegions = lists.ofRoute(request.plan.route(), request.routeRegions);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
@@ -44,6 +45,9 @@
   /** Is told what becomes of requests. */
   interface Observer {
 
+    /** Called when a request is sent to an upstream. */
+    default void onSent(RequestId request, Upstream upstream) {}
+
     /** Called when a response starts. */
     void onStarted(RequestId request);
 
@@ -66,12 +70,34 @@
       SlotAllocatorPolicy policy,
       double tokensPerMilli,
       Observer observer) {
+    this(
+        time,
+        dataCentres,
+        AllocatingRouter.table(workspaces),
+        DataCentreRegions.NONE,
+        policy,
+        tokensPerMilli,
+        observer);
+  }
+
+  /**
+   * Creates a fleet of one router for each data centre, with a table of its own.
+   *
+   * @param tokensPerMilli prompt tokens that an engine prefills in a millisecond
+   */
+  AllocatingFleet(
+      VirtualTime time,
+      Collection<String> dataCentres,
+      Table table,
+      DataCentreRegions regions,
+      SlotAllocatorPolicy policy,
+      double tokensPerMilli,
+      Observer observer) {
     this.time = time;
     this.observer = observer;
     this.tokensPerMilli = tokensPerMilli;
-    Table table = AllocatingRouter.table(workspaces);
     InstanceList instances = new InstanceList(1, List.of(), upstreams(dataCentres));
-    dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy)));
+    dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy, regions)));
     nodes.values().forEach(node -> node.start(table, instances));
     tick();
   }
@@ -145,10 +171,10 @@
     private final SlotAllocatorDecision allocator;
     private final Map<RequestId, PromptMetadata> prompts = new HashMap<>();
 
-    private Node(String dataCentre, SlotAllocatorPolicy policy) {
+    private Node(String dataCentre, SlotAllocatorPolicy policy, DataCentreRegions regions) {
       self = new PeerIdentity("r-" + dataCentre, 1, Role.ROUTER, dataCentre, dataCentre, "");
-      router = new RouterDecision(self, RouterPolicy.DEFAULT);
-      allocator = new SlotAllocatorDecision(self, policy);
+      router = new RouterDecision(self, RouterPolicy.DEFAULT, regions);
+      allocator = new SlotAllocatorDecision(self, policy, regions);
     }
 
     private void start(Table table, InstanceList instances) {
@@ -174,10 +200,12 @@
         switch (effect) {
           case RouterEffect.Send send when send.message() instanceof SlotMessage message ->
               send(send.instance(), message);
-          case RouterEffect.RunAttempt run ->
-              startPrefill(
-                  run.upstream().name(),
-                  new Prefill(this, run.attempt(), prompts.get(run.attempt().request())));
+          case RouterEffect.RunAttempt run -> {
+            observer.onSent(run.attempt().request(), run.upstream());
+            startPrefill(
+                run.upstream().name(),
+                new Prefill(this, run.attempt(), prompts.get(run.attempt().request())));
+          }
           case RouterEffect.FailRequest fail ->
               observer.onRejected(fail.request(), fail.retryAfterMillis());
           default -> {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Limits;
@@ -59,10 +60,19 @@
 
   /** Returns a table with the model service and workspaces that may call it. */
   static Table table(Collection<String> workspaces) {
+    Map<String, AllowedRegions> regions = new HashMap<>();
+    workspaces.forEach(name -> regions.put(name, AllowedRegions.ALL));
+    return table(regions);
+  }
+
+  /** Returns a table with the model service and workspaces with their allowed regions. */
+  static Table table(Map<String, AllowedRegions> workspaces) {
     Map<String, Workspace> rows = new HashMap<>();
     Limits limits = new Limits(10_000, 10_000, 0);
     workspaces.forEach(
-        name -> rows.put(name, new Workspace(name, 1, "00", limits, Set.of(SERVICE))));
+        (name, regions) ->
+            rows.put(
+                name, new Workspace(name, 1, List.of("00"), limits, Set.of(SERVICE), regions)));
     ServiceEntry service =
         new ServiceEntry(
             SERVICE,
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
@@ -140,6 +140,19 @@
     assertEquals(router.stages(request).getLast(), SlotStage.DECLINED);
   }
 
+  /** The connection to the upstream may still be opening when the table changes. */
+  @Test
+  public void attemptThatIsNotSentYetIsCancelledAndMoves() {
+    RequestId request = router.run(SAFE, "ua");
+    router.activateLists(B, AllowedRegions.ALL);
+    RouterEffect cancelled = new RouterEffect.CancelUnsentAttempt(router.attempt(request));
+    assertTrue(router.effects.contains(cancelled));
+    router.dispatch(
+        new RouterEvent.UpstreamNotRun(router.attempt(request), Reason.WITHDRAWN, false));
+    assertEquals(router.stages(request), List.of(SlotStage.DECLINED));
+    assertEquals(waitingAt("r2").request(), request);
+  }
+
   /** A longer list applies to requests that wait, too. */
   @Test
   public void waitingRequestIsReportedAgainWhenItsListBecomesLonger() {
@@ -157,6 +170,7 @@
     RequestId request = router.callIn(B, SAFE);
     router.activateWithoutRoutes();
     router.grantFrom("r2", request, "ua");
+    router.grant(request, "ua");
     assertTrue(router.runs(request).isEmpty());
   }
 
@@ -198,6 +212,7 @@
     router.publish(Map.of("ua", "a1"));
     router.failAttempt(request, Reason.UPSTREAM_FAILED);
     assertEquals(router.responseTo(request), "unknown no-permitted-upstream");
+    assertEquals(retryAfterMillis(request), 0);
   }
 
   /** A data centre that the settings do not list may be anywhere. */
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -138,6 +138,7 @@
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
           RouterEffect.AllowedRegionsChanged _,
+          RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
         // The callers only wait for the end of the response, and the router calls no upstream
         // itself, as each one has a sidecar.
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -206,6 +206,7 @@
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
           RouterEffect.AllowedRegionsChanged _,
+          RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
         // Other components perform these effects.
       }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -126,6 +126,12 @@
           pool.cancel(attempt);
         }
       }
+      case RouterEffect.CancelUnsentAttempt(AttemptId attempt) -> {
+        UpstreamPool pool = poolsByAttempt.get(attempt);
+        if (pool != null) {
+          pool.cancelUnsent(attempt);
+        }
+      }
       default -> {
         // Other components perform the other effects.
       }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -70,16 +70,23 @@
 
   /** Cancels an attempt; does nothing if it has ended. */
   public void cancel(AttemptId attempt) {
-    PendingConnect pending = pendingConnects.remove(attempt);
     UpstreamConnection connection = busy.remove(attempt);
-    if (pending != null) {
-      pending.subscription().dispose();
-      pending.exchange().notRun(Reason.WITHDRAWN, false);
-    } else if (connection != null) {
+    if (!cancelUnsent(attempt) && connection != null) {
       connection.cancel();
     }
   }
 
+  /** Cancels an attempt whose connection is still being opened; returns whether it was. */
+  public boolean cancelUnsent(AttemptId attempt) {
+    PendingConnect pending = pendingConnects.remove(attempt);
+    if (pending == null) {
+      return false;
+    }
+    pending.subscription().dispose();
+    pending.exchange().notRun(Reason.WITHDRAWN, false);
+    return true;
+  }
+
   /** Adds flow-control credit in bytes to the attempt; does nothing if it is not running. */
   public void addCredit(AttemptId attempt, long bytes) {
     UpstreamConnection connection = busy.get(attempt);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -261,7 +261,10 @@
   private void perform(RouterEffect effect) {
     switch (effect) {
       case RouterEffect.Send(String instance, LinkMessage message) -> send(instance, message);
-      case RouterEffect.RunAttempt _, RouterEffect.ReadAttempt _, RouterEffect.CancelAttempt _ ->
+      case RouterEffect.RunAttempt _,
+          RouterEffect.ReadAttempt _,
+          RouterEffect.CancelAttempt _,
+          RouterEffect.CancelUnsentAttempt _ ->
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
       case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -126,6 +126,31 @@
     }
   }
 
+  /** A request that may have reached the upstream must not be called not run. */
+  @Test
+  public void cancelOfUnsentAttemptLeavesSentOneAlone() {
+    AttemptId attempt = run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      scheduler.schedule(() -> caller.perform(new RouterEffect.CancelUnsentAttempt(attempt)));
+      socket.write(PLAIN.formatted(1) + "seats");
+      awaitCompletion();
+    }
+  }
+
+  @Test
+  public void cancelsAttemptWhoseConnectionIsBeingOpened() {
+    RouterEffect.RunAttempt attempt = attempt(1, Bytes.ofText("body"));
+    scheduler.schedule(
+        () -> {
+          caller.perform(attempt);
+          caller.perform(new RouterEffect.CancelUnsentAttempt(attempt.attempt()));
+        });
+    UpstreamNotRun notRun = nextEvent(UpstreamNotRun.class);
+    assertEquals(notRun.reason(), Reason.WITHDRAWN);
+    assertFalse(notRun.rejectedByUpstream());
+  }
+
   @Test
   public void readsNoFurtherThanFlowControlWindow() throws Exception {
     AttemptId attempt = run(1);
