--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsFleetTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsFleetTest.java
@@ -103,7 +103,7 @@
   @Test(dataProvider = "seeds")
   public void boundWorkspaceGetsItsShareOfTheFleetFromItsRegion(long seed) {
     Callers callers = serve(seed, Map.of("bound", A, "free1", ALL, "free2", ALL), REGIONS, 100);
-    assertTrue(callers.share("bound") > 0.6, callers.got.toString());
+    assertTrue(callers.share("bound") > 0.9, callers.got.toString());
   }
 
   /** Bound workspaces must not get more of the fleet than others that ask for as much. */
@@ -128,7 +128,7 @@
     double one = callers.share("bound1");
     double other = callers.share("bound2");
     assertTrue(Math.min(one, other) > Math.max(one, other) / 2, callers.got.toString());
-    assertTrue(one + other > 0.6, callers.got.toString());
+    assertTrue(one + other > 0.95, callers.got.toString());
   }
 
   @Test(dataProvider = "seeds")
