--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -180,6 +180,11 @@
     return call(plan, OptionalLong.empty(), parts);
   }
 
+  /** Makes a call on a route that allows some regions. */
+  RequestId callIn(AllowedRegions allowed, CallPlan plan) {
+    return call(plan, OptionalLong.empty(), List.of(), allowed);
+  }
+
   RequestId call(CallPlan plan) {
     return call(plan, OptionalLong.empty());
   }
@@ -188,11 +193,6 @@
     return call(plan, resumeAfter, List.of());
   }
 
-  /** Makes a call on a route that allows some regions. */
-  RequestId callIn(AllowedRegions allowed, CallPlan plan) {
-    return call(plan, OptionalLong.empty(), List.of(), allowed);
-  }
-
   private RequestId call(CallPlan plan, OptionalLong resumeAfter, List<PromptPart> parts) {
     return call(plan, resumeAfter, parts, AllowedRegions.ALL);
   }
