Forget a request at its former allocator when a grant is declined

Cause: a declined grant makes the request wait again, maybe in another data centre, but the session of the former allocator kept it. A new allocator there got it with the complete state: it was counted twice, and its body was kept after its end. Change: a request leaves its session before it selects a data centre again. Result: AllowedRegionsRouterTest.formerAllocatorIsNotToldAgainOfRequestThatMoved was red before the change.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -57,6 +57,9 @@
 
   @Override
   public void requeue(RoutedRequest request, String avoided, long nowNanos) {
+    if (!isUnplaced(request)) {
+      sessions.get(key(request)).remove(request);
+    }
     request.refusedBy.clear();
     requestSlot(request, nowNanos);
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -91,9 +91,10 @@
     }
   }
 
-  /** Removes a request that the allocator has refused, without sending a change. */
+  /** Removes a request that does not wait at the allocator any more, without sending a change. */
   void remove(RoutedRequest request) {
     requests.remove(request.id());
+    unsent.remove(request.id());
   }
 
   void release(RoutedRequest request, SlotStage stage, long amount) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
@@ -7,6 +7,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotRefused;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
@@ -206,6 +207,26 @@
     assertEquals(retryAfterMillis(request), 0);
   }
 
+  /** A request that waits elsewhere after a declined grant must not be counted here as well. */
+  @Test
+  public void formerAllocatorIsNotToldAgainOfRequestThatMoved() {
+    RequestId request = router.call(SAFE);
+    router.dispatch(
+        new RouterEvent.AllocatorMessageReceived("r1", new AllocatorLoad(SERVICE, "a1", 5_000)));
+    router.grant(request, "unknown");
+    assertEquals(waitingAt("r2").request(), request);
+    final int former = router.sent("r1", SlotsWanted.class).size();
+    for (int index = 3; index < 20; index++) {
+      router.dispatch(new RouterEvent.PeerConnected(identity("r" + index, "a1")));
+      router.dispatch(new RouterEvent.PeerDisconnected(identity("r" + index, "a1")));
+    }
+    List<SlotsWanted> later = router.sent("r1", SlotsWanted.class);
+    assertTrue(later.size() > former);
+    assertTrue(
+        later.subList(former, later.size()).stream()
+            .allMatch(message -> message.waiting().isEmpty()));
+  }
+
   /** A data centre that the settings do not list may be anywhere. */
   @Test
   public void dataCentreOfUnknownRegionIsNotPermitted() {
