Reject a request after several grants in regions that are not permitted

Cause: where the settings of routers differ in a region, allocator and router exchanged a grant and a decline at the pace of the link until the deadline, for each waiting request. Change: the fourth such grant since the last change of the request's lists rejects it as no-permitted-upstream. Result: AllowedRegionsRouterTest.requestIsRejectedAfterSeveralGrantsInOtherRegions is red without the limit, as it expects the rejection.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -79,6 +79,9 @@
   /** Regions in which the request may be processed: those that route and workspace allow. */
   AllowedRegions allowedRegions = AllowedRegions.ALL;
 
+  /** Grants that were declined because of these regions. */
+  int unpermittedGrants;
+
   AttemptId currentAttempt;
   AttemptTarget target;
   String lastTarget = "";
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
@@ -16,6 +16,12 @@
   /** Retry-after time where a permitted data centre has no upstream of the service now. */
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
+  /**
+   * Maximum number of grants of a request that are declined because of its regions. A change of the
+   * table can cross one grant; an allocator that has other settings of the regions repeats them.
+   */
+  private static final int MAXIMUM_UNPERMITTED_GRANTS = 3;
+
   final DataCentreRegions dataCentres;
   private RegionLists lists = RegionLists.NONE;
 
@@ -87,9 +93,12 @@
     request.workspaceRegions =
         lists.ofWorkspace(request.call.workspace(), request.workspaceRegions);
     AllowedRegions allowed = request.routeRegions.and(request.workspaceRegions);
-    boolean changed = !allowed.equals(request.allowedRegions);
+    if (allowed.equals(request.allowedRegions)) {
+      return false;
+    }
     request.allowedRegions = allowed;
-    return changed;
+    request.unpermittedGrants = 0;
+    return true;
   }
 
   /** Returns whether a request may be processed in a data centre. */
@@ -103,13 +112,26 @@
     while (!unplaceable.isEmpty()) {
       for (RoutedRequest request : unplaceable) {
         if (request.phase == Phase.WAITING && placement.isUnplaced(request)) {
-          boolean mayRunLater =
-              request.provenNotRun() && dataCentres.permitsAny(request.allowedRegions);
-          long retryAfterMillis = mayRunLater ? RETRY_AFTER_MILLIS : 0;
-          lifecycle.fail(request, Reason.NO_PERMITTED_UPSTREAM, 0, retryAfterMillis, nowNanos);
+          reject(request, lifecycle, nowNanos);
         }
       }
       unplaceable = placement.takeUnplaceable();
     }
   }
+
+  /**
+   * Returns whether a request that was granted an upstream that is not permitted may wait for
+   * another grant.
+   */
+  boolean acceptsUnpermittedGrant(RoutedRequest request) {
+    request.unpermittedGrants++;
+    return request.unpermittedGrants <= MAXIMUM_UNPERMITTED_GRANTS;
+  }
+
+  /** Ends a waiting request for which no upstream of the service is permitted. */
+  void reject(RoutedRequest request, RequestLifecycle lifecycle, long nowNanos) {
+    boolean mayRunLater = request.provenNotRun() && dataCentres.permitsAny(request.allowedRegions);
+    long retryAfterMillis = mayRunLater ? RETRY_AFTER_MILLIS : 0;
+    lifecycle.fail(request, Reason.NO_PERMITTED_UPSTREAM, 0, retryAfterMillis, nowNanos);
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -69,11 +69,16 @@
     DirectUpstream upstream = upstreams.get(granted.upstream());
     if (request == null || !placement.isAllocator(request, router)) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
-    } else if (upstream == null
-        || upstream.upstream().leaving()
-        || !state.regions.permits(request, upstream.upstream().dataCentre())) {
+    } else if (upstream == null || upstream.upstream().leaving()) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
+    } else if (!state.regions.permits(request, upstream.upstream().dataCentre())) {
+      placement.decline(router, granted.service(), granted.request(), granted.upstream());
+      if (state.regions.acceptsUnpermittedGrant(request)) {
+        placement.requeue(request, granted.upstream(), nowNanos);
+      } else {
+        state.regions.reject(request, lifecycle, nowNanos);
+      }
     } else if (state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
@@ -49,6 +49,17 @@
     assertEquals(waitingAt("r2").request(), request);
   }
 
+  /** An allocator with other settings of the regions must not exchange messages without end. */
+  @Test
+  public void requestIsRejectedAfterSeveralGrantsInOtherRegions() {
+    RequestId request = router.callIn(B, SAFE);
+    for (int grant = 0; grant < 4; grant++) {
+      assertEquals(router.responseTo(request), "");
+      router.grantFrom("r2", request, "ua");
+    }
+    assertEquals(router.responseTo(request), REJECTED);
+  }
+
   @Test
   public void retryStaysInPermittedRegion() {
     RequestId request = router.callIn(B, SAFE);
