Don't count a resumption that was cancelled before it was sent

Cause: an attempt whose connection was still being opened when the table changed counted as a run of a stream whose response had started. The stream ended although a permitted upstream was left, or took from the retry budget. Change: such an attempt never counts, and the request waits again. Result: AllowedRegionsRouterTest.unsentResumptionMovesToPermittedRegion was red before the change.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -83,12 +83,16 @@
    */
   void onAttemptNotRun(RoutedRequest request, Reason reason, boolean arrived, long nowNanos) {
     boolean terminal = request.responseStarted || isFinal(reason);
-    if (!request.responseStarted && !mayHaveRunUnderTicket(reason)) {
+    boolean unsent = reason == Reason.WITHDRAWN && !arrived;
+    if (unsent || !request.responseStarted && !mayHaveRunUnderTicket(reason)) {
       request.possibleRuns--;
       request.provenNotRunCount++;
     }
     if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
+    } else if (unsent) {
+      // An attempt that was withdrawn before it was sent says nothing about the upstream.
+      lifecycle.requeue(request, SlotStage.DECLINED, nowNanos);
     } else if (request.responseStarted && request.plan.resumable()) {
       failOrRetry(request, reason, nowNanos);
     } else if (terminal || request.provenNotRunCount >= MAXIMUM_REJECTED_ATTEMPTS) {
@@ -96,9 +100,7 @@
     } else if (arrived && !request.placement.tryAcquireRetry(request, nowNanos)) {
       lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
     } else {
-      // An attempt that was withdrawn before it was sent says nothing about the upstream.
-      SlotStage stage = reason == Reason.WITHDRAWN ? SlotStage.DECLINED : SlotStage.REJECTED;
-      lifecycle.requeue(request, stage, nowNanos);
+      lifecycle.requeue(request, SlotStage.REJECTED, nowNanos);
     }
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
@@ -84,6 +84,21 @@
     assertEquals(router.runs(request).size(), 2);
   }
 
+  /** A resumption that was not sent must not use up an attempt of the stream. */
+  @Test
+  public void unsentResumptionMovesToPermittedRegion() {
+    RequestId request = router.run(RESUMABLE, "ua");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "ua");
+    router.activateLists(B, AllowedRegions.ALL);
+    router.dispatch(
+        new RouterEvent.UpstreamNotRun(router.attempt(request), Reason.WITHDRAWN, false));
+    router.grantFrom("r2", request, "ub");
+    assertEquals(router.runs(request).getLast().upstream().name(), "ub");
+  }
+
   /** An allocator with an older table may name a data centre that is not permitted any more. */
   @Test
   public void alternativeInOtherRegionIsNotTaken() {
