Let bound requests wait for the first instance list

Cause: a router with a table but without an instance list rejected requests with allowed regions as no-permitted-upstream, while others waited. Change: until the first list, a bound request waits at an allocator like any other; each grant is checked. Result: AllowedRegionsRouterTest.requestWaitsForTheFirstInstanceList was red before the change.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -51,6 +51,7 @@
   private final DataCentreRegions dataCentres;
   private final Map<String, ReceivedLoad> loads = new HashMap<>();
   private final Map<String, List<Upstream>> upstreams = new HashMap<>();
+  private boolean upstreamsKnown;
 
   /** The last queueing delay that a slot allocator reported, and when it was received. */
   private record ReceivedLoad(long delayMillis, long receivedNanos) {}
@@ -75,6 +76,7 @@
 
   /** Replaces the upstreams that may be homes of prefixes; those that are leaving may not. */
   void setUpstreams(Collection<Upstream> updated) {
+    upstreamsKnown = true;
     upstreams.clear();
     for (Upstream upstream : updated) {
       if (!upstream.leaving()) {
@@ -86,7 +88,8 @@
   /**
    * Returns the data centre in which a request gets its slot; its own if there are no routers.
    * Empty if the request may not be processed in every region and no data centre with an upstream
-   * of its service is permitted.
+   * of its service is permitted. Before the first instance list it waits in any data centre, as
+   * every grant is checked.
    *
    * @param routers routers that are connected and not leaving
    */
@@ -96,10 +99,11 @@
     Optional<String> home = homeDataCentre(service, request.call.prompt(), allowed, routers);
     Map<String, String> regions = new TreeMap<>();
     routers.forEach(router -> regions.put(router.dataCentre(), router.region()));
-    if (!allowed.all()) {
+    boolean bound = upstreamsKnown && !allowed.all();
+    if (bound) {
       regions.keySet().retainAll(permittedDataCentres(service, allowed, routers));
     }
-    String best = allowed.all() ? self.dataCentre() : "";
+    String best = bound ? "" : self.dataCentre();
     double bestMillis = Double.MAX_VALUE;
     for (Map.Entry<String, String> candidate : regions.entrySet()) {
       String dataCentre = candidate.getKey();
@@ -119,13 +123,14 @@
 
   /**
    * Returns whether the slot allocator of a data centre allocates an upstream on which a request
-   * may run; true for every data centre if all regions are permitted.
+   * may run; true for every data centre if all regions are permitted or no upstream is known yet.
    *
    * @param routers routers that are connected and not leaving
    */
   boolean serves(String dataCentre, RoutedRequest request, Collection<PeerIdentity> routers) {
     AllowedRegions allowed = request.allowedRegions;
     return allowed.all()
+        || !upstreamsKnown
         || permittedDataCentres(request.queue.service, allowed, routers).contains(dataCentre);
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
@@ -215,6 +215,17 @@
     assertEquals(retryAfterMillis(request), 1_000);
   }
 
+  /** A router that has just started does not know yet which upstreams there are. */
+  @Test
+  public void requestWaitsForTheFirstInstanceList() {
+    router = DirectRouterFixture.withoutInstances();
+    RequestId request = router.callIn(A, SAFE);
+    assertEquals(router.responseTo(request), "");
+    router.publish(Map.of("ua", "a1"));
+    router.grant(request, "ua");
+    assertEquals(router.runs(request).size(), 1);
+  }
+
   @Test
   public void requestIsRejectedWhenTheLastPermittedUpstreamGoes() {
     RequestId request = router.callIn(B, SAFE);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -70,12 +70,21 @@
   private long tableVersion = 1;
 
   DirectRouterFixture() {
+    this(List.of(upstream("u1"), upstream("u2")));
+  }
+
+  private DirectRouterFixture(List<Upstream> upstreams) {
     Workspace row = workspace(AllowedRegions.ALL);
     dispatch(
         new RouterEvent.TableActivated(new Table(1, Map.of("w", row), Map.of(SERVICE, service()))));
-    dispatch(
-        new RouterEvent.InstancesActivated(
-            new InstanceList(1, List.of(), List.of(upstream("u1"), upstream("u2")))));
+    if (!upstreams.isEmpty()) {
+      dispatch(new RouterEvent.InstancesActivated(new InstanceList(1, List.of(), upstreams)));
+    }
+  }
+
+  /** Returns a router that has a table and no instance list yet. */
+  static DirectRouterFixture withoutInstances() {
+    return new DirectRouterFixture(List.of());
   }
 
   private static ServiceEntry service() {
