Scan the upstreams once for each list of regions, not for each request

Cause: every report of a waiting request without a list counted the usable upstreams twice. With lists, an allocator of two regions scanned the upstreams for every waiting request, at each report and at each grant. A refusal made the list of routers twice. Change: a request without a list is not counted; the results for a list are kept during one decision; the routers are listed once. Result: decisions unchanged (AllowedRegions*Test, SlotAllocator*Test and WorkspaceSharesTest green). The time was not measured.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -76,10 +76,11 @@
     request.refusedBy.add(request.dataCentre);
     long dueNanos =
         request.arrivedNanos + request.plan.objectiveMillis() * RouterState.NANOS_PER_MILLI;
+    Collection<PeerIdentity> routers = state.allocatorCandidates();
     if (request.refusedBy.size() > MAX_FALLBACKS
         || request.refusedBy.contains(alternative)
-        || !hasAllocator(alternative)
-        || !selector.serves(alternative, request, state.allocatorCandidates())
+        || routers.stream().noneMatch(router -> router.dataCentre().equals(alternative))
+        || !selector.serves(alternative, request, routers)
         || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
       return false;
     }
@@ -88,11 +89,6 @@
     return true;
   }
 
-  private boolean hasAllocator(String dataCentre) {
-    return state.allocatorCandidates().stream()
-        .anyMatch(router -> router.dataCentre().equals(dataCentre));
-  }
-
   @Override
   public void remove(RoutedRequest request) {
     if (!isUnplaced(request)) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
@@ -133,7 +135,10 @@
       return 0;
     }
     boolean everywhere =
-        countUsable(entry.allowedRegions, nowNanos) == countUsable(AllowedRegions.ALL, nowNanos);
+        entry.allowedRegions.all()
+            || countUsable(entry.allowedRegions, nowNanos)
+                == countUsable(AllowedRegions.ALL, nowNanos);
+    Map<AllowedRegions, Double> sharedParts = everywhere ? Map.of() : new HashMap<>();
     double ownService = ledger.account(entry.workspace()).virtualService();
     double work = 0;
     for (WaitingEntry other : waiting.all()) {
@@ -144,7 +149,11 @@
               : ledger.account(other.workspace()).virtualService() <= ownService;
       if (before) {
         work +=
-            everywhere ? other.workMillis : other.workMillis * sharedPart(entry, other, nowNanos);
+            everywhere
+                ? other.workMillis
+                : other.workMillis
+                    * sharedParts.computeIfAbsent(
+                        other.allowedRegions, allowed -> sharedPart(entry, allowed, nowNanos));
       }
     }
     return delayBehind(work, entry.allowedRegions, nowNanos);
@@ -154,9 +163,9 @@
    * Returns the part of the work of other requests that is done on the upstreams of one, if it is
    * divided evenly among those that the others may use.
    */
-  private double sharedPart(WaitingEntry entry, WaitingEntry other, long nowNanos) {
-    double usable = countUsable(other.allowedRegions, nowNanos);
-    AllowedRegions common = entry.allowedRegions.and(other.allowedRegions);
+  private double sharedPart(WaitingEntry entry, AllowedRegions ofOthers, long nowNanos) {
+    double usable = countUsable(ofOthers, nowNanos);
+    AllowedRegions common = entry.allowedRegions.and(ofOthers);
     return usable == 0 ? 0 : countUsable(common, nowNanos) / usable;
   }
 
@@ -187,10 +196,14 @@
     if (upstreams.stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
       return null;
     }
+    Map<AllowedRegions, Boolean> readyRegions = new HashMap<>();
     for (WorkspaceAccount account : ledger.waitingInOrder()) {
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
-        if (!permittedReady(entry, share, nowNanos)) {
+        if (!entry.allowedRegions.all()
+            && !readyRegions.computeIfAbsent(
+                entry.allowedRegions, allowed -> anyReady(allowed, share, nowNanos))) {
+          // Must not keep later ones of its workspace from regions that have capacity.
           continue;
         }
         boolean meetsObjective =
@@ -289,17 +302,11 @@
         && rule.acceptsBacklog(upstream, share, nowNanos);
   }
 
-  /**
-   * Returns whether a permitted upstream is ready for a request; always true if all regions are
-   * permitted. Requests that wait for a region without capacity thus don't keep later ones of their
-   * workspace from other regions.
-   */
-  private boolean permittedReady(WaitingEntry entry, double share, long nowNanos) {
-    if (entry.allowedRegions.all()) {
-      return true;
-    }
+  /** Returns whether any upstream in the permitted regions is ready. */
+  private boolean anyReady(AllowedRegions allowed, double share, long nowNanos) {
     for (UpstreamLoad upstream : upstreams) {
-      if (regions.permits(entry, upstream) && ready(upstream, share, nowNanos)) {
+      if (regions.permits(allowed, upstream.upstream.dataCentre())
+          && ready(upstream, share, nowNanos)) {
         return true;
       }
     }
