--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -37,7 +37,8 @@
    * @param prompt what the caller declares about the prompt of a model request
    * @param resumeAfter number of the last event that the caller received of an interrupted stream;
    *     empty if it resumes none
-   * @param allowedRegions regions in which the matched route allows the call to be processed
+   * @param allowedRegions regions in which the matched route and the workspace allow the call to be
+   *     processed, by the table of the front end
    */
   record CallArrived(
       RequestId request,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -70,7 +70,10 @@
   /** Data centres whose slot allocators have refused the request a slot. */
   final Set<String> refusedBy = new HashSet<>();
 
-  /** Regions that the route allows by the newest table that has it. */
+  /**
+   * Regions that the route allows by the newest table that has it; until the next table, also
+   * limited to those that the front end found.
+   */
   AllowedRegions routeRegions = AllowedRegions.ALL;
 
   /** Regions that the workspace allows by the newest table that has it. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
@@ -35,8 +35,8 @@
   }
 
   /**
-   * Sets the regions of a new request. Its route was matched by a table that may be older or newer
-   * than the active one, so that both bind until the next one is activated.
+   * Sets the regions of a new request. Its route and workspace were found in a table that may be
+   * older or newer than the active one, so that both bind until the next one is activated.
    */
   void initialize(RoutedRequest request) {
     request.routeRegions = request.call.allowedRegions();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/AcceptedCall.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/AcceptedCall.java
@@ -20,7 +20,8 @@
  * @param resumeAfter number of the last event that the caller received of an interrupted stream
  *     that it resumes
  * @param deadlineNanos deadline of the call, in nanoseconds of the process's monotonic clock
- * @param allowedRegions regions in which the matched route allows the call to be processed
+ * @param allowedRegions regions in which the matched route and the workspace allow the call to be
+ *     processed
  */
 public record AcceptedCall(
     String label,
