--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.List;
 import java.util.Optional;
 
@@ -30,6 +31,9 @@
    * @param callerAgeMillis time since the caller first sent the request, before it came to this
    *     router, in milliseconds; 0 unless it was probably rejected before
    * @param prompt metadata of the prompt of a model request; empty for other requests
+   * @param route name of the route; empty if unknown
+   * @param allowedRegions regions in which the request may be processed, by the route and by the
+   *     workspace
    */
   record WaitingCall(
       RequestId request,
@@ -40,9 +44,11 @@
       boolean repeatable,
       boolean underserved,
       long callerAgeMillis,
-      Optional<PromptMetadata> prompt) {
+      Optional<PromptMetadata> prompt,
+      String route,
+      AllowedRegions allowedRegions) {
 
-    /** Creates a request that its caller has not sent before. */
+    /** Creates a new request that every region may process. */
     public WaitingCall(
         RequestId request,
         String workspace,
@@ -61,7 +67,9 @@
           repeatable,
           underserved,
           0,
-          prompt);
+          prompt,
+          "",
+          AllowedRegions.ALL);
     }
   }
 
@@ -82,10 +90,23 @@
    *     drops any other
    * @param waiting requests that start to wait
    * @param held requests that hold a slot; empty unless the message is complete
+   * @param tableVersion version of the table from which the router took the allowed regions; 0 if
+   *     unknown
    */
   record SlotsWanted(
-      String service, boolean complete, List<WaitingCall> waiting, List<HeldSlot> held)
+      String service,
+      boolean complete,
+      List<WaitingCall> waiting,
+      List<HeldSlot> held,
+      long tableVersion)
       implements SlotMessage {
+
+    /** Creates a message with allowed regions of an unknown table version. */
+    public SlotsWanted(
+        String service, boolean complete, List<WaitingCall> waiting, List<HeldSlot> held) {
+      this(service, complete, waiting, held, 0);
+    }
+
     /** Copies the lists. */
     public SlotsWanted {
       waiting = List.copyOf(waiting);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -166,6 +166,14 @@
    */
   record CancelAttempt(AttemptId attempt) implements RouterEffect {}
 
+  /**
+   * Cancel an attempt only if its request has not been sent because the connection is still being
+   * opened; this results in {@link RouterEvent.UpstreamNotRun}. Any other attempt goes on.
+   *
+   * @param attempt the attempt
+   */
+  record CancelUnsentAttempt(AttemptId attempt) implements RouterEffect {}
+
   /**
    * Report that a fingerprint is quarantined or no longer is.
    *
@@ -174,6 +182,19 @@
    */
   record QuarantineChanged(Fingerprint fingerprint, String upstream) implements RouterEffect {}
 
+  /**
+   * Report that a table version with other lists of allowed regions was activated.
+   *
+   * @param tableVersion the version
+   * @param restrictedRoutes number of routes with a list
+   * @param restrictedWorkspaces number of workspaces with a list
+   * @param waitingChanged number of waiting requests whose regions changed, so that they were moved
+   *     or rejected
+   */
+  record AllowedRegionsChanged(
+      long tableVersion, int restrictedRoutes, int restrictedWorkspaces, int waitingChanged)
+      implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -61,7 +61,6 @@
     Optional<Refusal> refusal =
         checkAccess(call.workspace(), call.service())
             .or(() -> checkTicket(call))
-            .or(() -> checkUpstreams(call, nowNanos))
             .or(() -> checkQuarantine(call, nowNanos))
             .or(() -> checkLoad(call, nowNanos))
             .or(() -> checkStop(call, nowNanos));
@@ -80,6 +79,7 @@
             deadline(call, nowNanos),
             call.plan().orElseGet(() -> plan(entry, call)),
             placement(entry));
+    state.regions.initialize(request);
     lifecycle.admit(request, nowNanos);
   }
 
@@ -144,15 +144,6 @@
     return restarted ? refusal(Reason.TICKET_HOME_GONE, 0) : Optional.empty();
   }
 
-  private Optional<Refusal> checkUpstreams(CallArrived call, long nowNanos) {
-    ServiceEntry entry = state.table.service(call.service()).orElseThrow();
-    return placement(entry).isWithoutUpstreams(entry.name(), nowNanos)
-        ? refusal(
-            Reason.NO_UPSTREAM,
-            state.upstreams.retryAfterMillis(entry.name(), call.request(), nowNanos))
-        : Optional.empty();
-  }
-
   private Optional<Refusal> checkQuarantine(CallArrived call, long nowNanos) {
     if (state.quarantine.isQuarantined(call.fingerprint(), nowNanos)) {
       return refusal(Reason.QUARANTINED, state.quarantine.millisLeft(call.fingerprint(), nowNanos));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -4,7 +4,9 @@
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.process.internal.RoutedRequest.Phase;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
@@ -29,6 +31,7 @@
   private final Map<String, SlidingWindowRetryBudget> budgets = new HashMap<>();
   private final SizeFairness sizes = new SizeFairness();
   private final CallerAges ages = new CallerAges();
+  private final UnplacedRequests unplaced;
 
   /** Service and data centre that a session covers. */
   private record SessionKey(String service, String dataCentre) {}
@@ -36,13 +39,16 @@
   /** Creates a placement without requests. */
   public AllocatorPlacement(RouterState state) {
     this.state = state;
+    this.unplaced = new UnplacedRequests(state);
     this.selector =
-        new DataCentreSelector(state.self, state.policy.regionMillis(), state.upstreams);
+        new DataCentreSelector(
+            state.self, state.policy.regionMillis(), state.upstreams, state.regions.dataCentres);
   }
 
   @Override
   public void add(RoutedRequest request, long nowNanos) {
-    if (request.attempts == 0) {
+    requestSlot(request, nowNanos);
+    if (request.attempts == 0 && !isUnplaced(request)) {
       budget(request).recordRequest(nowNanos);
       request.underserved =
           request
@@ -55,17 +61,15 @@
               request.plan.route(),
               (request.call.deadlineNanos() - nowNanos) / RouterState.NANOS_PER_MILLI);
     }
-    requestSlot(request, nowNanos);
   }
 
   @Override
   public void requeue(RoutedRequest request, String avoided, long nowNanos) {
+    if (!isUnplaced(request)) {
+      sessions.get(key(request)).remove(request);
+    }
     request.refusedBy.clear();
-    AllocatorSession previous = sessions.get(key(request));
     requestSlot(request, nowNanos);
-    if (session(request, nowNanos) != previous) {
-      previous.remove(request);
-    }
   }
 
   @Override
@@ -73,26 +77,31 @@
     return state.upstreams.isWithoutUpstreams(service, nowNanos);
   }
 
-  /**
-   * Moves the waiting requests of data centres that serve their service no more, because of
-   * evacuations or of what upstreams have said, to others. They keep their age.
-   *
-   * @return the requests that have moved
-   */
-  List<RoutedRequest> moveUnserved(long nowNanos) {
+  @Override
+  public boolean isServed(RoutedRequest request, long nowNanos) {
+    return !selector.serving(request, state.allocatorCandidates(), nowNanos).none();
+  }
+
+  /** Moves the waiting requests whose data centre serves them no more. */
+  void moveUnserved(long nowNanos) {
     Collection<PeerIdentity> routers = state.allocatorCandidates();
-    List<RoutedRequest> moved = new ArrayList<>();
+    List<RoutedRequest> unserved = new ArrayList<>();
     sessions.forEach(
         (key, session) -> {
-          if (!selector.serves(key.service(), key.dataCentre(), routers, nowNanos)) {
-            moved.addAll(session.withdrawWaiting());
-          }
+          Map<AllowedRegions, ServingDataCentres> serving = new HashMap<>();
+          session
+              .waiting()
+              .filter(
+                  request ->
+                      !serving
+                          .computeIfAbsent(
+                              request.allowedRegions,
+                              allowed ->
+                                  selector.serving(key.service(), allowed, routers, nowNanos))
+                          .contains(key.dataCentre()))
+              .forEach(unserved::add);
         });
-    for (RoutedRequest request : moved) {
-      request.refusedBy.clear();
-      requestSlot(request, nowNanos);
-    }
-    return moved;
+    unserved.forEach(request -> move(request, nowNanos));
   }
 
   /**
@@ -107,28 +116,41 @@
     request.refusedBy.add(request.dataCentre);
     long dueNanos =
         request.arrivedNanos + request.plan.objectiveMillis() * RouterState.NANOS_PER_MILLI;
+    Collection<PeerIdentity> routers = state.allocatorCandidates();
     if (request.refusedBy.size() > MAX_FALLBACKS
         || request.refusedBy.contains(alternative)
-        || !hasAllocator(alternative)
-        || !selector.serves(
-            request.queue.service, alternative, state.allocatorCandidates(), nowNanos)
+        || routers.stream().noneMatch(router -> router.dataCentre().equals(alternative))
+        || !selector.serving(request, routers, nowNanos).contains(alternative)
         || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
       return false;
     }
     request.dataCentre = alternative;
-    selector.recordSent(request, alternative, state.allocatorCandidates(), nowNanos);
+    selector.recordSent(request, alternative, routers, nowNanos);
     session(request, nowNanos).addWaiting(request);
     return true;
   }
 
-  private boolean hasAllocator(String dataCentre) {
-    return state.allocatorCandidates().stream()
-        .anyMatch(router -> router.dataCentre().equals(dataCentre));
-  }
-
   @Override
   public void remove(RoutedRequest request) {
-    sessions.get(key(request)).withdraw(request);
+    if (!isUnplaced(request)) {
+      sessions.get(key(request)).withdraw(request);
+    }
+  }
+
+  /** Selects the data centre again for a waiting request, which keeps its age. */
+  void move(RoutedRequest request, long nowNanos) {
+    remove(request);
+    requeue(request, "", nowNanos);
+  }
+
+  /** Returns whether a request waits for a slot of an allocator. */
+  boolean isWaiting(RoutedRequest request) {
+    return request.phase == Phase.WAITING && request.placement == this;
+  }
+
+  /** Returns whether no data centre was found for a request. */
+  boolean isUnplaced(RoutedRequest request) {
+    return request.dataCentre.isEmpty();
   }
 
   @Override
@@ -190,12 +212,14 @@
   /** Replaces the upstreams by those of the instance list. */
   void updateUpstreams(InstanceList list, long nowNanos) {
     selector.setUpstreams(list, nowNanos);
+    moveUnserved(nowNanos);
   }
 
-  /** Forgets the routes that the active table no longer contains. */
-  public void onTableActivated() {
+  /** Forgets the routes that the active table no longer contains, and applies its regions. */
+  public void onTableActivated(long nowNanos) {
     sizes.retainRoutes(state.routes);
     ages.retainRoutes(state.routes);
+    state.regions.activate(state, this, nowNanos);
   }
 
   /** Tells slot allocators which upstreams have said that they want no new requests. */
@@ -220,6 +244,11 @@
     }
   }
 
+  /** Ends the requests that no data centre serves. */
+  public void rejectUnplaced(RequestLifecycle lifecycle, long nowNanos) {
+    unplaced.rejectAll(lifecycle, nowNanos);
+  }
+
   /** Clears a disconnected router as allocator. */
   void onRouterDisconnected(String router) {
     state.upstreams.clearReported(router);
@@ -253,7 +282,11 @@
 
   private void requestSlot(RoutedRequest request, long nowNanos) {
     request.dataCentre = selector.choose(request, state.allocatorCandidates(), nowNanos);
-    session(request, nowNanos).addWaiting(request);
+    if (isUnplaced(request)) {
+      unplaced.add(request);
+    } else {
+      session(request, nowNanos).addWaiting(request);
+    }
   }
 
   private AllocatorSession session(RoutedRequest request, long nowNanos) {
@@ -270,7 +303,7 @@
             .orElse("");
     long roundTripMillis = (long) selector.roundTripMillis(request.dataCentre, region);
     AllocatorSession session =
-        new AllocatorSession(request.queue.service, roundTripMillis, state.outbox);
+        new AllocatorSession(request.queue.service, roundTripMillis, state.outbox, state.regions);
     sessions.put(key(request), session);
     session.setAllocator(
         AllocatorSelection.select(request.queue.service, request.dataCentre, routers), nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** State that a router shares with the slot allocator of one service, and changes not yet sent. */
 final class AllocatorSession {
@@ -19,6 +20,7 @@
   private final String service;
   private final long roundTripMillis;
   private final RouterOutbox outbox;
+  private final RouterRegions regions;
   private final Map<RequestId, RoutedRequest> requests = new LinkedHashMap<>();
   private final Map<RequestId, RoutedRequest> unsent = new LinkedHashMap<>();
   private final List<SlotChange> changes = new ArrayList<>();
@@ -30,7 +32,9 @@
    *
    * @param roundTripMillis round-trip time to the allocator's data centre, in milliseconds
    */
-  AllocatorSession(String service, long roundTripMillis, RouterOutbox outbox) {
+  AllocatorSession(
+      String service, long roundTripMillis, RouterOutbox outbox, RouterRegions regions) {
+    this.regions = regions;
     this.service = service;
     this.roundTripMillis = roundTripMillis;
     this.outbox = outbox;
@@ -88,17 +92,15 @@
     }
   }
 
-  /** Withdraws and returns all requests that wait for a slot. */
-  List<RoutedRequest> withdrawWaiting() {
-    List<RoutedRequest> waiting =
-        requests.values().stream().filter(request -> !request.sent()).toList();
-    waiting.forEach(this::withdraw);
-    return waiting;
+  /** Returns the requests that wait for a slot. */
+  Stream<RoutedRequest> waiting() {
+    return requests.values().stream().filter(request -> !request.sent());
   }
 
-  /** Removes a request that the allocator has refused, without sending a change. */
+  /** Removes a request that does not wait at the allocator any more, without sending a change. */
   void remove(RoutedRequest request) {
     requests.remove(request.id());
+    unsent.remove(request.id());
   }
 
   void release(RoutedRequest request, SlotStage stage, long amount, long nowNanos) {
@@ -132,7 +134,9 @@
     if (allocator.isPresent() && !unsent.isEmpty()) {
       List<WaitingCall> waiting =
           unsent.values().stream().map(request -> waitingCall(request, nowNanos)).toList();
-      outbox.send(allocator.get(), new SlotsWanted(service, false, waiting, List.of()));
+      outbox.send(
+          allocator.get(),
+          new SlotsWanted(service, false, waiting, List.of(), regions.tableVersion()));
     }
     unsent.clear();
   }
@@ -148,7 +152,7 @@
         waiting.add(call);
       }
     }
-    return new SlotsWanted(service, true, waiting, held);
+    return new SlotsWanted(service, true, waiting, held, regions.tableVersion());
   }
 
   private WaitingCall waitingCall(RoutedRequest request, long nowNanos) {
@@ -163,7 +167,9 @@
         request.plan.repeatable(),
         request.underserved,
         request.callerAgeMillis,
-        request.call.prompt());
+        request.call.prompt(),
+        request.plan.route(),
+        request.allowedRegions);
   }
 
   /** Returns the time left until the objective; a resumed stream has at least its allowed gap. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -83,12 +83,16 @@
    */
   void onAttemptNotRun(RoutedRequest request, Reason reason, boolean arrived, long nowNanos) {
     boolean terminal = request.responseStarted || isFinal(reason);
-    if (!request.responseStarted && !mayHaveRunUnderTicket(reason)) {
+    boolean unsent = reason == Reason.WITHDRAWN && !arrived;
+    if (unsent || !request.responseStarted && !mayHaveRunUnderTicket(reason)) {
       request.possibleRuns--;
       request.provenNotRunCount++;
     }
     if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
+    } else if (unsent) {
+      // An attempt that was withdrawn before it was sent says nothing about the upstream.
+      lifecycle.requeue(request, SlotStage.DECLINED, nowNanos);
     } else if (request.responseStarted && request.plan.resumable()) {
       failOrRetry(request, reason, nowNanos);
     } else if (terminal || request.provenNotRunCount >= MAXIMUM_REJECTED_ATTEMPTS) {
@@ -157,7 +161,7 @@
   boolean retryElsewhere(RoutedRequest request, SlotStage stage, long nowNanos) {
     if (!repeatable(request)
         || request.deadlineNanos <= nowNanos
-        || request.placement.isWithoutUpstreams(request.queue.service, nowNanos)
+        || !request.placement.isServed(request, nowNanos)
         || !request.placement.tryAcquireRetry(request, nowNanos)) {
       return false;
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KnownUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KnownUpstreams.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** The upstreams that a router may call, with what they have said in their responses. */
@@ -21,6 +23,8 @@
   private static final long RETRY_SPREAD_MILLIS = 1_000;
 
   private Map<String, DirectUpstream> upstreams = Map.of();
+  private Map<String, List<DirectUpstream>> byService = Map.of();
+  private boolean listed;
   private Set<String> evacuated = Set.of();
 
   /** Upstreams with a notice, which may be over; there are few, so that each request can ask. */
@@ -28,7 +32,7 @@
 
   /** Replaces the upstreams by those of a version of the instance list. */
   void update(InstanceList list) {
-    Map<String, DirectUpstream> listed = new HashMap<>();
+    Map<String, DirectUpstream> newer = new HashMap<>();
     for (Upstream entry : list.upstreams()) {
       DirectUpstream known = upstreams.get(entry.name());
       DirectUpstream direct = known;
@@ -40,13 +44,22 @@
         direct = new DirectUpstream(entry, known.notices());
       }
       direct.update(entry);
-      listed.put(entry.name(), direct);
+      newer.put(entry.name(), direct);
     }
-    upstreams = listed;
+    upstreams = newer;
+    byService =
+        newer.values().stream()
+            .collect(Collectors.groupingBy(direct -> direct.upstream().service()));
+    listed = true;
     evacuated = list.evacuated();
     updateNoticed();
   }
 
+  /** Returns whether an instance list is known. */
+  boolean listed() {
+    return listed;
+  }
+
   /** Returns an upstream by name; null if it is not listed. */
   DirectUpstream find(String name) {
     return upstreams.get(name);
@@ -116,10 +129,14 @@
   /**
    * Returns when to repeat a request that no upstream can serve, in milliseconds: when the first
    * pause ends, if any does, and each request at another time.
+   *
+   * @param permitted the data centres in which the request may be processed
    */
-  long retryAfterMillis(String service, RequestId request, long nowNanos) {
+  long retryAfterMillis(
+      String service, Predicate<String> permitted, RequestId request, long nowNanos) {
     long firstMillis =
         ofService(service)
+            .filter(direct -> permitted.test(direct.upstream().dataCentre()))
             .filter(direct -> availability(direct).state(nowNanos) == UpstreamState.PAUSED)
             .mapToLong(direct -> direct.notices().pauseMillis(nowNanos))
             .min()
@@ -132,7 +149,6 @@
   }
 
   private Stream<DirectUpstream> ofService(String service) {
-    return upstreams.values().stream()
-        .filter(direct -> direct.upstream().service().equals(service));
+    return byService.getOrDefault(service, List.of()).stream();
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
@@ -11,7 +11,10 @@
   /** Adds a request that waits again after an attempt; the attempt's target is to be avoided. */
   void requeue(RoutedRequest request, String avoided, long nowNanos);
 
-  /** Returns whether no upstream can serve a service, so that its requests must not wait. */
+  /** Returns whether any upstream can serve a request, so that it may wait. */
+  boolean isServed(RoutedRequest request, long nowNanos);
+
+  /** Returns whether no upstream can serve any request of a service. */
   boolean isWithoutUpstreams(String service, long nowNanos);
 
   /** Removes a waiting request that needs no slot any more. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -10,6 +10,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -78,6 +79,21 @@
   /** Data centres whose slot allocators have refused the request a slot. */
   final Set<String> refusedBy = new HashSet<>();
 
+  /**
+   * Regions that the route allows by the newest table that has it; until the next table, also
+   * limited to those that the front end found.
+   */
+  AllowedRegions routeRegions = AllowedRegions.ALL;
+
+  /** Regions that the workspace allows by the newest table that has it. */
+  AllowedRegions workspaceRegions = AllowedRegions.ALL;
+
+  /** Regions in which the request may be processed: those that route and workspace allow. */
+  AllowedRegions allowedRegions = AllowedRegions.ALL;
+
+  /** Grants that were declined because of these regions. */
+  int unpermittedGrants;
+
   AttemptId currentAttempt;
   AttemptTarget target;
   String lastTarget = "";
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -12,13 +12,8 @@
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
-import dev.agatepier.core.process.UpstreamState;
-import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
-import dev.agatepier.core.version.Upstream;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -43,18 +38,14 @@
   private final WorkspaceLedger ledger;
   private final AllocatorCostExchange costs;
   private final WaitingRequests waiting;
+  private final AllocatorRegions regions;
+  private final ServiceUpstreams upstreams;
+  private final UsableUpstreams usable;
+  private final WaitEstimates waits;
   private final SlotScheduler scheduler;
-  private final AvailabilityReport availability;
-  private final ColdUpstreams coldUpstreams;
-  private final PredictionError error;
-  private final RetryAdvice advice;
-  private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
+  private final SlotRejections rejections;
   private final SlotAllocations allocations;
-  private final ServedLevels levels = new ServedLevels();
   private final DelayReports reports = new DelayReports();
-  private Set<String> otherDataCentres = Set.of();
-  private OptionalLong memoryTokens = OptionalLong.empty();
-  private double maximumTokenMillis = Double.POSITIVE_INFINITY;
   private long lastSequence;
   private long decayedNanos;
 
@@ -64,14 +55,16 @@
    * @param entry the service
    * @param policy settings of the slot allocator
    * @param ledger accounts of the workspaces; determines the order in which they are served
+   * @param regions the regions in which requests may be processed
    * @param effects list that effects are added to
    */
   public ServiceSlots(
       ServiceEntry entry,
       SlotAllocatorPolicy policy,
       WorkspaceLedger ledger,
+      AllocatorRegions regions,
       List<SlotAllocatorEffect> effects) {
-    this(entry, policy, ledger, effects, UpstreamChoice.LOWEST_SCORE);
+    this(entry, policy, ledger, regions, effects, UpstreamChoice.LOWEST_SCORE);
   }
 
   /** Creates the state of a service with another choice of upstreams. */
@@ -79,89 +72,49 @@
       ServiceEntry entry,
       SlotAllocatorPolicy policy,
       WorkspaceLedger ledger,
+      AllocatorRegions regions,
       List<SlotAllocatorEffect> effects,
       UpstreamChoice choice) {
     this.service = entry.name();
     this.policy = policy;
     this.rule = SlotRule.of(entry.kind(), policy);
     this.ledger = ledger;
+    this.regions = regions;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
-    this.error =
+    PredictionError error =
         policy.countsFromFirstAttempt() ? new QuantilePredictionError() : PredictionError.IGNORED;
-    this.advice = new RetryAdvice(policy.retryAfterMillis());
     this.allocations = new SlotAllocations(service, rule, ledger, effects, error);
     this.waiting = new WaitingRequests(ledger);
-    this.coldUpstreams = new ColdUpstreams(service, policy, upstreams.values());
+    this.upstreams = new ServiceUpstreams(service, policy, effects);
+    this.usable = new UsableUpstreams(rule, upstreams, regions);
+    this.waits = new WaitEstimates(rule, ledger, waiting, usable, upstreams.cold(), error);
     this.scheduler =
-        new SlotScheduler(rule, ledger, waiting, upstreams.values(), coldUpstreams, choice, error);
-    this.availability = new AvailabilityReport(service, upstreams.values(), coldUpstreams, effects);
+        new SlotScheduler(rule, ledger, waiting, usable, upstreams.cold(), waits, choice);
+    this.rejections = new SlotRejections(service, policy, ledger, waits, usable, regions, effects);
   }
 
-  /** Applies the workspace weights, the engine profile and the warm-up of a table version. */
+  /** Applies the workspace weights, the regions and the upstreams' settings of a table version. */
   public void activate(Table table, long nowNanos) {
     ledger.activate(table);
-    coldUpstreams.activate(table.service(service).flatMap(ServiceEntry::warmUp), nowNanos);
-    Optional<EngineProfile> engine = table.service(service).flatMap(ServiceEntry::engine);
-    memoryTokens =
-        engine.map(profile -> OptionalLong.of(profile.memoryTokens())).orElse(OptionalLong.empty());
-    maximumTokenMillis =
-        engine
-            .map(profile -> OutputGaps.maximumTokenMillis(table, service, profile))
-            .orElse(Double.POSITIVE_INFINITY);
-    upstreams.values().forEach(this::configure);
+    waiting.all().forEach(regions::update);
+    upstreams.activate(table, nowNanos);
   }
 
-  private void configure(UpstreamLoad upstream) {
-    upstream.memoryTokens = memoryTokens;
-    upstream.maximumTokenMillis = maximumTokenMillis;
-    upstream.evenLoad = policy.evenLoad();
-  }
-
-  /**
-   * Replaces the upstreams; one that restarted or moved starts with no recorded load.
-   *
-   * @param listed the upstreams
-   * @param evacuated names of the evacuated data centres
-   * @param listedNanos when the list was activated
-   * @param takenOver data centres whose slots another allocator may have granted until now
-   */
-  public void updateUpstreams(
-      Collection<Upstream> listed,
-      Set<String> evacuated,
-      long listedNanos,
-      Set<String> takenOver,
-      long nowNanos) {
-    Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
-    upstreams.clear();
-    for (Upstream upstream : listed) {
-      UpstreamLoad earlier = previous.get(upstream.name());
-      UpstreamLoad load = earlier;
-      if (earlier == null || !earlier.isSameProcess(upstream)) {
-        load = new UpstreamLoad(upstream, nowNanos);
-        configure(load);
-        coldUpstreams.onProcessReplaced(load, earlier);
-      }
-      load.upstream = upstream;
-      load.evacuated = evacuated.contains(upstream.dataCentre());
-      upstreams.put(upstream.name(), load);
-      load.warmUp.onListed(upstream.cold(), listedNanos);
-      if (takenOver.contains(upstream.dataCentre())) {
-        coldUpstreams.onTakenOver(load, nowNanos);
-      }
-    }
+  /** Returns the upstreams of the service. */
+  public ServiceUpstreams upstreams() {
+    return upstreams;
   }
 
   /** Handles a message of a router. */
   public void onMessage(String router, SlotMessage message, long nowNanos) {
-    refreshEstimates(nowNanos);
+    upstreams.refreshEstimates(nowNanos);
     switch (message) {
       case SlotMessage.SlotsWanted wanted -> onSlotsWanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
           changes.forEach(change -> onSlotChange(router, change, nowNanos));
       case SlotMessage.UpstreamUnavailable unavailable ->
-          Optional.ofNullable(upstreams.get(unavailable.upstream()))
-              .ifPresent(load -> load.onUnavailable(router, unavailable, nowNanos));
+          upstreams.onUnavailable(router, unavailable, nowNanos);
       case SlotMessage.AllocatorCosts _ -> {
         // Depends on the process of the router, see onCosts.
       }
@@ -177,33 +130,16 @@
   /** Handles the costs and the level that the slot allocator of another data centre reports. */
   public void onCosts(PeerIdentity router, SlotMessage.AllocatorCosts received, long nowNanos) {
     costs.onCosts(router, received.costs());
-    levels.recordLevel(router.dataCentre(), received.servedBelow(), nowNanos);
-  }
-
-  /** Sets the share of each upstream's slots that this allocator may grant, up to 1. */
-  public void setShare(double share) {
-    upstreams.values().forEach(upstream -> upstream.share = share);
+    rejections.levels().recordLevel(router.dataCentre(), received.servedBelow(), nowNanos);
   }
 
   /**
-   * Sets what limits the use of cold upstreams beside their own rate.
+   * Replaces the other data centres in which requests of the service can get slots.
    *
-   * @param allocating whether routers of this data centre use this allocator
-   * @param share share of the usual rate that this allocator may use, up to 1
+   * @param names data centres whose upstreams are served, by the data centre of the allocator
    */
-  public void setColdUpstreams(boolean allocating, double share, long nowNanos) {
-    coldUpstreams.setAllocating(allocating, nowNanos);
-    coldUpstreams.setShare(share);
-  }
-
-  /** Treats the upstreams of data centres as cold whose evacuation has ended. */
-  public void onEvacuationEnded(Set<String> dataCentres, long nowNanos) {
-    coldUpstreams.onEvacuationEnded(dataCentres, nowNanos);
-  }
-
-  /** Replaces the other data centres in which requests of the service can get slots. */
-  public void setOtherDataCentres(Set<String> names) {
-    otherDataCentres = Set.copyOf(names);
+  public void setOtherDataCentres(Map<String, Set<String>> names) {
+    rejections.setOtherDataCentres(names);
   }
 
   /** Drops the waiting requests and slots of a router. */
@@ -217,7 +153,7 @@
     if (waiting.isEmpty()) {
       return;
     }
-    refreshEstimates(nowNanos);
+    upstreams.refreshEstimates(nowNanos);
     SlotScheduler.Assignment assignment = scheduler.next(nowNanos);
     while (assignment != null) {
       grant(assignment, nowNanos);
@@ -230,16 +166,16 @@
    * number of waiting requests, so it is done periodically and not for each event.
    */
   public void review(long nowNanos) {
-    refreshEstimates(nowNanos);
-    upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
-    coldUpstreams.report(effects, nowNanos);
+    upstreams.refreshEstimates(nowNanos);
+    upstreams.review(nowNanos);
     if (waiting.isEmpty()) {
       return;
     }
-    for (WaitingEntry entry : scheduler.overdue(policy.lateMillis(), nowNanos)) {
+    refuseUnpermitted(nowNanos);
+    for (WaitingEntry entry : waits.overdue(policy.lateMillis(), nowNanos)) {
       waiting.remove(entry.call.request());
-      levels.recordRejected();
-      refuse(entry, nowNanos);
+      rejections.levels().recordRejected();
+      rejections.reject(entry, nowNanos);
     }
   }
 
@@ -264,7 +200,7 @@
    * report to the routers is due.
    */
   public OptionalLong takeDueDelayMillis(long nowNanos) {
-    long delayMillis = Math.round(scheduler.delayMillis(nowNanos));
+    long delayMillis = Math.round(waits.delayMillis(nowNanos));
     return reports.takeDue(delayMillis, nowNanos)
         ? OptionalLong.of(delayMillis)
         : OptionalLong.empty();
@@ -272,7 +208,7 @@
 
   /** Returns the measured capacity of the usable upstreams; empty if no estimate of load counts. */
   public Optional<SlotMessage.MeasuredCapacity> measuredCapacity(long nowNanos) {
-    return scheduler.measuredCapacity(nowNanos);
+    return usable.measuredCapacity(nowNanos);
   }
 
   /** Returns what to send to the allocators of other data centres now; empty if nothing is due. */
@@ -281,22 +217,12 @@
     if (due.isEmpty()) {
       return Optional.empty();
     }
-    double level = levels.takeLevel();
+    double level = rejections.levels().takeLevel();
     return due.get().isEmpty() && level == SlotMessage.AllocatorCosts.ALL_SERVED
         ? Optional.empty()
         : Optional.of(new SlotMessage.AllocatorCosts(service, level, due.get()));
   }
 
-  /** Reports the upstreams whose state has changed since the last call. */
-  public void reportAvailability(long nowNanos) {
-    availability.reportChanges(nowNanos);
-  }
-
-  /** Returns the state of each upstream. */
-  public List<UpstreamState> upstreamStates(long nowNanos) {
-    return availability.states(nowNanos);
-  }
-
   /** Returns whether no request waits and no slot is occupied. */
   public boolean isIdle() {
     return waiting.isEmpty() && allocations.isEmpty();
@@ -305,14 +231,7 @@
   /** Returns the status for the administration interface. */
   public ServiceSlotsStatus status(long nowNanos) {
     return new ServiceSlotsStatus(
-        service,
-        waiting.size(),
-        allocations.size(),
-        upstreams.values().stream().map(load -> load.status(rule, nowNanos)).toList());
-  }
-
-  private void refreshEstimates(long nowNanos) {
-    upstreams.values().forEach(upstream -> upstream.refresh(nowNanos));
+        service, waiting.size(), allocations.size(), upstreams.status(rule, nowNanos));
   }
 
   private void onSlotsWanted(String router, SlotMessage.SlotsWanted wanted, long nowNanos) {
@@ -320,55 +239,45 @@
       removeRouter(router, nowNanos);
     }
     for (HeldSlot slot : wanted.held()) {
-      UpstreamLoad upstream = upstreams.get(slot.upstream());
+      UpstreamLoad upstream = upstreams.find(slot.upstream());
       if (upstream != null) {
         allocations.allocate(router, slot.call(), upstream, slot.responseStarted(), nowNanos);
       }
     }
     for (WaitingCall call : wanted.waiting()) {
+      if (allocations.holds(router, call.request())) {
+        // The grant and this report crossed; the router uses the grant or declines it.
+        continue;
+      }
       WaitingEntry entry =
-          new WaitingEntry(router, call, ++lastSequence, policy.countsFromFirstAttempt(), nowNanos);
-      scheduler.estimateWork(entry, nowNanos);
-      if (scheduler.cannotMeetObjective(entry, nowNanos)) {
-        if (scheduler.meetsObjectiveAlone(entry, nowNanos)) {
-          levels.recordRejected();
+          new WaitingEntry(
+              router,
+              call,
+              wanted.tableVersion(),
+              ++lastSequence,
+              policy.countsFromFirstAttempt(),
+              nowNanos);
+      regions.update(entry);
+      waits.estimateWork(entry, nowNanos);
+      if (usable.isUnpermitted(entry)) {
+        rejections.reject(entry, nowNanos);
+      } else if (waits.cannotMeetObjective(entry, nowNanos)) {
+        if (waits.meetsObjectiveAlone(entry, nowNanos)) {
+          rejections.levels().recordRejected();
         }
-        refuse(entry, nowNanos);
+        rejections.reject(entry, nowNanos);
       } else {
         waiting.add(entry);
       }
     }
   }
 
-  private void refuse(WaitingEntry entry, long nowNanos) {
-    FairPosition position = ledger.position(entry.workspace());
-    String alternative =
-        levels
-            .alternative(
-                entry.call.request(), position.virtualService(), otherDataCentres, nowNanos)
-            .orElse("");
-    effects.add(
-        new SlotAllocatorEffect.Rejected(
-            service,
-            entry.call.request(),
-            position,
-            entry.waitedMillis(nowNanos),
-            entry.slackMillis(nowNanos),
-            Math.round(scheduler.expectedMillis(entry, nowNanos)),
-            Math.round(entry.workMillis),
-            scheduler.countWithCapacity(entry, nowNanos),
-            entry.call.underserved()));
-    effects.add(
-        new Send(
-            entry.router,
-            new SlotMessage.SlotRefused(
-                service, entry.call.request(), retryAfterMillis(entry, nowNanos), alternative)));
-  }
-
-  private long retryAfterMillis(WaitingEntry entry, long nowNanos) {
-    return policy.countsFromFirstAttempt()
-        ? advice.recordRejected(entry.call.request(), entry.call.timeLeftMillis(), nowNanos)
-        : policy.retryAfterMillis();
+  /** Refuses the requests for which no upstream here is permitted any more. */
+  private void refuseUnpermitted(long nowNanos) {
+    for (WaitingEntry entry : waiting.all().stream().filter(usable::isUnpermitted).toList()) {
+      waiting.remove(entry.call.request());
+      rejections.reject(entry, nowNanos);
+    }
   }
 
   private void onSlotChange(String router, SlotChange change, long nowNanos) {
@@ -383,7 +292,7 @@
     WaitingEntry entry = assignment.entry();
     UpstreamLoad upstream = assignment.upstream();
     FairPosition position = ledger.position(entry.workspace());
-    levels.recordGranted(position.virtualService());
+    rejections.levels().recordGranted(position.virtualService());
     waiting.remove(entry.call.request());
     effects.add(
         new SlotAllocatorEffect.Placed(
@@ -397,13 +306,13 @@
             Math.round(rule.firstByteMillis(upstream, entry.call)),
             ModelSlotRule.uncachedTokens(upstream, entry.call),
             entry.call.prompt().map(upstream.cache::uncachedSharedTokens).orElse(0),
-            upstreams.values().stream()
+            upstreams.all().stream()
                 .mapToInt(other -> ModelSlotRule.uncachedTokens(other, entry.call))
                 .min()
                 .orElse(0),
             entry.call.underserved()));
     allocations.allocate(entry.router, entry.call, upstream, false, nowNanos);
-    coldUpstreams.recordGrant(upstream, nowNanos);
+    upstreams.cold().recordGrant(upstream, nowNanos);
     effects.add(
         new Send(
             entry.router,
@@ -411,36 +320,8 @@
                 service,
                 entry.call.request(),
                 upstream.upstream.name(),
-                coldUpstreams.isCold(upstream, nowNanos),
+                upstreams.cold().isCold(upstream, nowNanos),
                 entry.waitedMillis(nowNanos),
                 entry.call.timeLeftMillis())));
   }
-
-  /** Marks an upstream as stalled, and recalls requests from it, if it makes no progress. */
-  private void updateStalled(UpstreamLoad upstream, long nowNanos) {
-    boolean stalled = upstream.millisOverdue(nowNanos) > policy.stallMillis();
-    if (stalled == upstream.stalled) {
-      return;
-    }
-    upstream.stalled = stalled;
-    effects.add(
-        new SlotAllocatorEffect.UpstreamUsabilityChanged(
-            upstream.upstream.name(),
-            !stalled,
-            "stalled",
-            (long) upstream.millisSinceProgress(nowNanos)));
-    if (stalled) {
-      upstream.allocations().stream()
-          .filter(allocation -> !allocation.responseStarted && allocation.call.repeatable())
-          .forEach(allocation -> recall(allocation, upstream));
-    }
-  }
-
-  private void recall(SlotAllocation allocation, UpstreamLoad upstream) {
-    effects.add(
-        new Send(
-            allocation.router,
-            new SlotMessage.SlotRecalled(
-                service, allocation.call.request(), upstream.upstream.name())));
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
@@ -32,6 +32,11 @@
     demand.onQueueChanged(request.queue);
   }
 
+  @Override
+  public boolean isServed(RoutedRequest request, long nowNanos) {
+    return true;
+  }
+
   @Override
   public boolean isWithoutUpstreams(String service, long nowNanos) {
     return false;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -1,11 +1,11 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
 
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
@@ -36,20 +36,16 @@
   /** Share of the usual backlog allowed for requests that cannot meet their objective. */
   private static final double LATE_BACKLOG_SHARE = 0.25;
 
-  /** Delay assumed for a service without a usable upstream, in milliseconds. */
-  private static final double NO_UPSTREAM_MILLIS = 5_000;
-
-  private static final double NANOS_PER_MILLI = 1e6;
-
   private final SlotRule rule;
   private final WorkspaceLedger ledger;
   private final WaitingRequests waiting;
-  private final Collection<UpstreamLoad> upstreams;
+  private final UsableUpstreams upstreams;
   private final ColdUpstreams coldUpstreams;
+  private final WaitEstimates waits;
   private final UpstreamChoice choice;
 
-  /** Error of the predictions; its margin is 0 if it observes nothing. */
-  private final PredictionError error;
+  /** Whether any upstream in some regions is ready, as far as one selection has asked. */
+  private final Map<AllowedRegions, Boolean> readyRegions = new HashMap<>();
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -66,17 +62,17 @@
       SlotRule rule,
       WorkspaceLedger ledger,
       WaitingRequests waiting,
-      Collection<UpstreamLoad> upstreams,
+      UsableUpstreams upstreams,
       ColdUpstreams coldUpstreams,
-      UpstreamChoice choice,
-      PredictionError error) {
+      WaitEstimates waits,
+      UpstreamChoice choice) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
     this.coldUpstreams = coldUpstreams;
+    this.waits = waits;
     this.choice = choice;
-    this.error = error;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
@@ -86,144 +82,28 @@
     return timely == null ? nextAssignment(false, nowNanos) : timely;
   }
 
-  /**
-   * Returns the requests that will miss their objective by more than the tolerance.
-   *
-   * @param lateMillis tolerated lateness, in milliseconds
-   */
-  List<WaitingEntry> overdue(long lateMillis, long nowNanos) {
-    List<WaitingEntry> overdue = new ArrayList<>();
-    for (WaitingEntry entry : waiting.all()) {
-      estimateWork(entry, nowNanos);
-      long lateNanos =
-          nowNanos
-              + (long)
-                  ((entry.countedMillis(entry.workMillis) + marginMillis(entry) - lateMillis)
-                      * NANOS_PER_MILLI)
-              - entry.dueNanos;
-      if (lateNanos > 0) {
-        overdue.add(entry);
-      }
-    }
-    return overdue;
-  }
-
-  /** Updates the work of a request to what it takes at the upstream that is best for it now. */
-  void estimateWork(WaitingEntry entry, long nowNanos) {
-    entry.workMillis = minFirstByteMillis(entry, nowNanos);
-  }
-
-  /**
-   * Returns whether a new request, whose work is estimated, cannot meet its objective behind those
-   * already waiting.
-   */
-  boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
-    double ownMillis = entry.countedMillis(entry.workMillis);
-    return !waiting.isEmpty()
-        && !entry.meetsObjective(
-            waitAheadMillis(entry, nowNanos) + ownMillis + marginMillis(entry), nowNanos);
-  }
-
-  /** Returns whether a request, whose work is estimated, would be in time if no other waited. */
-  boolean meetsObjectiveAlone(WaitingEntry entry, long nowNanos) {
-    return entry.meetsObjective(entry.countedMillis(entry.workMillis), nowNanos);
-  }
-
-  /**
-   * Returns the expected time until the response to a request, whose work is estimated, starts, in
-   * milliseconds.
-   */
-  double expectedMillis(WaitingEntry entry, long nowNanos) {
-    return waitAheadMillis(entry, nowNanos) + entry.workMillis;
-  }
-
-  /** Returns the expected time until a request that arrives now gets a slot, in milliseconds. */
-  double delayMillis(long nowNanos) {
-    double work = 0;
-    for (WaitingEntry entry : waiting.all()) {
-      work += entry.workMillis;
-    }
-    return delayBehind(work, waiting.size(), nowNanos);
-  }
-
-  /** Returns the margin that a prediction for a request needs, in milliseconds. */
-  private double marginMillis(WaitingEntry entry) {
-    return entry.late ? 0 : error.marginMillis();
-  }
-
-  /**
-   * Returns the expected wait behind the requests that precede one: in fair order, those that were
-   * late on their arrival behind all others.
-   */
-  private double waitAheadMillis(WaitingEntry entry, long nowNanos) {
-    if (waiting.isEmpty()) {
-      return 0;
-    }
-    double ownService = ledger.account(entry.workspace()).virtualService();
-    double work = 0;
-    int ahead = 0;
-    for (WaitingEntry other : waiting.all()) {
-      boolean sameWorkspace = other.workspace().equals(entry.workspace());
-      boolean before =
-          other.late != entry.late
-              ? entry.late
-              : sameWorkspace
-                  ? other.dueNanos <= entry.dueNanos
-                  : ledger.account(other.workspace()).virtualService() <= ownService;
-      work += before ? other.workMillis : 0;
-      ahead += before ? 1 : 0;
-    }
-    return delayBehind(work, ahead, nowNanos);
-  }
-
-  /** Returns the measured capacity of the usable upstreams; empty if no estimate of load counts. */
-  Optional<MeasuredCapacity> measuredCapacity(long nowNanos) {
-    List<UpstreamLoad> usable =
-        upstreams.stream().filter(upstream -> usable(upstream, nowNanos)).toList();
-    return usable.stream().anyMatch(UpstreamLoad::usesEstimate)
-        ? Optional.of(rule.capacity(usable))
-        : Optional.empty();
-  }
-
-  /**
-   * Returns the wait behind work spread over all usable upstreams, including their backlog. Cold
-   * ones count only if no other is left: then their rate is what limits the requests.
-   */
-  private double delayBehind(double work, int requests, long nowNanos) {
-    double backlog = 0;
-    int usable = 0;
-    int cold = 0;
-    for (UpstreamLoad upstream : upstreams) {
-      if (!usable(upstream, nowNanos)) {
-        continue;
-      }
-      if (coldUpstreams.isCold(upstream, nowNanos)) {
-        cold++;
-      } else {
-        usable++;
-        backlog += rule.backlogMillis(upstream, nowNanos);
-      }
-    }
-    if (usable == 0) {
-      return cold == 0 ? NO_UPSTREAM_MILLIS : requests * coldUpstreams.grantMillis() / cold;
-    }
-    return (work + backlog) / (usable * rule.parallelism());
-  }
-
   private Assignment nextAssignment(boolean timely, long nowNanos) {
     double share = timely ? 1 : LATE_BACKLOG_SHARE;
-    if (upstreams.stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
+    if (upstreams.all().stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
       return null;
     }
     Assignment cheapestCold = null;
     double cheapestMillis = Double.MAX_VALUE;
+    readyRegions.clear();
     for (WorkspaceAccount account : ledger.waitingInOrder()) {
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
+        if (!entry.allowedRegions.all()
+            && !readyRegions.computeIfAbsent(
+                entry.allowedRegions, allowed -> anyReady(allowed, share, nowNanos))) {
+          // Must not keep later ones of its workspace from regions that have capacity.
+          continue;
+        }
         boolean meetsObjective =
             !entry.late
                 && entry.meetsObjective(
-                    entry.countedMillis(minFirstByteMillis(entry, nowNanos)) + marginMillis(entry),
+                    entry.countedMillis(upstreams.minFirstByteMillis(entry, nowNanos))
+                        + waits.marginMillis(entry),
                     nowNanos);
         if (meetsObjective != timely) {
           continue;
@@ -258,8 +138,9 @@
     }
     UpstreamLoad best = null;
     double bestScore = Double.MAX_VALUE;
-    for (UpstreamLoad upstream : upstreams) {
+    for (UpstreamLoad upstream : upstreams.all()) {
       if (!coldUpstreams.isCold(upstream, nowNanos)
+          || !upstreams.isUsable(upstream, entry, nowNanos)
           || !ready(upstream, share, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
@@ -268,7 +149,8 @@
           Math.max(
               rule.backlogMillis(upstream, nowNanos),
               upstream.pending() * coldUpstreams.requestMillis());
-      double counted = entry.countedMillis(backlog + firstByteMillis(upstream, entry, nowNanos));
+      double counted =
+          entry.countedMillis(backlog + upstreams.firstByteMillis(upstream, entry, nowNanos));
       double score = rule.workMillis(upstream, entry.call) + penalty(upstream, entry);
       if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
         best = upstream;
@@ -285,9 +167,9 @@
   private UpstreamLoad selectUpstream(
       WaitingEntry entry, double share, boolean timely, long nowNanos) {
     List<UpstreamChoice.Candidate> candidates = new ArrayList<>();
-    for (UpstreamLoad upstream : upstreams) {
+    for (UpstreamLoad upstream : upstreams.all()) {
       if (upstream == reserved
-          || !usable(upstream, entry, nowNanos)
+          || !upstreams.isUsable(upstream, entry, nowNanos)
           || coldUpstreams.isCold(upstream, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
@@ -298,7 +180,7 @@
           backlogWeight(upstream) * backlog
               + rule.workMillis(upstream, entry.call)
               + penalty(upstream, entry);
-      double counted = entry.countedMillis(backlog + firstByte) + marginMillis(entry);
+      double counted = entry.countedMillis(backlog + firstByte) + waits.marginMillis(entry);
       if (!timely || entry.meetsObjective(counted, nowNanos)) {
         candidates.add(new UpstreamChoice.Candidate(upstream, backlog, score));
       }
@@ -314,10 +196,10 @@
    * it; null if an upstream has enough now.
    */
   private UpstreamLoad selectForMemory(WaitingEntry entry, long nowNanos) {
-    return countWithCapacity(entry, nowNanos) > 0
+    return upstreams.countWithCapacity(entry, nowNanos) > 0
         ? null
-        : upstreams.stream()
-            .filter(upstream -> usable(upstream, entry, nowNanos))
+        : upstreams.all().stream()
+            .filter(upstream -> upstreams.isUsable(upstream, entry, nowNanos))
             .filter(upstream -> !coldUpstreams.isCold(upstream, nowNanos))
             .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
             .orElse(null);
@@ -332,37 +214,8 @@
     return rule.failureMillis(upstream, FAILURE_MILLIS) + (avoided ? FAILURE_MILLIS : 0);
   }
 
-  /** Returns the number of usable upstreams that have a free slot and memory for a request. */
-  int countWithCapacity(WaitingEntry entry, long nowNanos) {
-    return (int)
-        upstreams.stream()
-            .filter(
-                upstream ->
-                    usable(upstream, entry, nowNanos) && rule.hasCapacity(upstream, entry.call))
-            .count();
-  }
-
-  /** Returns the time to the first byte at the best upstream without backlog, in milliseconds. */
-  private double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
-    double min = Double.MAX_VALUE;
-    for (UpstreamLoad upstream : upstreams) {
-      if (usable(upstream, entry, nowNanos)) {
-        min = Math.min(min, firstByteMillis(upstream, entry, nowNanos));
-      }
-    }
-    return min == Double.MAX_VALUE ? 0 : min;
-  }
-
-  /** Returns the time to the first byte without backlog, which is longer at a cold upstream. */
-  private double firstByteMillis(UpstreamLoad upstream, WaitingEntry entry, long nowNanos) {
-    double millis = rule.firstByteMillis(upstream, entry.call);
-    return coldUpstreams.isCold(upstream, nowNanos)
-        ? Math.max(millis, coldUpstreams.requestMillis())
-        : millis;
-  }
-
   private boolean ready(UpstreamLoad upstream, double share, long nowNanos) {
-    return usable(upstream, nowNanos)
+    return UsableUpstreams.isUsable(upstream, nowNanos)
         && upstream.freeSlots() > 0
         && (coldUpstreams.isCold(upstream, nowNanos)
             ? coldUpstreams.permits(upstream, nowNanos)
@@ -375,11 +228,13 @@
         upstream, share * coldUpstreams.backlogShare(upstream, nowNanos), nowNanos);
   }
 
-  private static boolean usable(UpstreamLoad upstream, WaitingEntry entry, long nowNanos) {
-    return upstream.availability(entry.router).state(nowNanos).usable();
-  }
-
-  private static boolean usable(UpstreamLoad upstream, long nowNanos) {
-    return upstream.availability().state(nowNanos).usable();
+  /** Returns whether any upstream in the permitted regions is ready. */
+  private boolean anyReady(AllowedRegions allowed, double share, long nowNanos) {
+    for (UpstreamLoad upstream : upstreams.all()) {
+      if (upstreams.isPermitted(upstream, allowed) && ready(upstream, share, nowNanos)) {
+        return true;
+      }
+    }
+    return false;
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.Comparator;
 
 /** A request that waits for a slot at a slot allocator. */
@@ -27,16 +28,30 @@
   /** Whether the objective of the caller was over before the request arrived. */
   final boolean late;
 
+  /** Version of the table from which the router took the allowed regions. */
+  final long tableVersion;
+
+  /** Regions in which the request may be processed, by the newest table that is known here. */
+  AllowedRegions allowedRegions;
+
   /** Time until the first byte that it takes at the upstream, as last estimated. */
   double workMillis;
 
   /**
    * Creates an entry.
    *
+   * @param tableVersion version of the table from which the router took the allowed regions
    * @param fromFirstAttempt whether the objective counts from the caller's first attempt
    */
   WaitingEntry(
-      String router, WaitingCall call, long sequence, boolean fromFirstAttempt, long nowNanos) {
+      String router,
+      WaitingCall call,
+      long tableVersion,
+      long sequence,
+      boolean fromFirstAttempt,
+      long nowNanos) {
+    this.tableVersion = tableVersion;
+    this.allowedRegions = call.allowedRegions();
     this.router = router;
     this.call = call;
     this.sequence = sequence;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
@@ -47,8 +48,8 @@
   /** Is told what becomes of requests. */
   interface Observer {
 
-    /** Called when a request is sent to an engine. */
-    default void onSent(RequestId request, String engine) {}
+    /** Called when a request is sent to an upstream. */
+    default void onSent(RequestId request, Upstream upstream) {}
 
     /** Called when a response starts. */
     void onStarted(RequestId request);
@@ -60,6 +61,24 @@
   /** An attempt whose prompt waits for its prefill or is in it. */
   private record Prefill(Node node, AttemptId attempt, PromptMetadata prompt) {}
 
+  /** Creates such a fleet with workspaces that every region may serve. */
+  AllocatingFleet(
+      VirtualTime time,
+      Collection<String> dataCentres,
+      Collection<String> workspaces,
+      SlotAllocatorPolicy policy,
+      double tokensPerMilli,
+      Observer observer) {
+    this(
+        time,
+        dataCentres,
+        AllocatingRouter.table(workspaces),
+        DataCentreRegions.NONE,
+        policy,
+        tokensPerMilli,
+        observer);
+  }
+
   /**
    * Creates a fleet of one router for each data centre.
    *
@@ -68,16 +87,16 @@
   AllocatingFleet(
       VirtualTime time,
       Collection<String> dataCentres,
-      Collection<String> workspaces,
+      Table table,
+      DataCentreRegions regions,
       SlotAllocatorPolicy policy,
       double tokensPerMilli,
       Observer observer) {
     this.time = time;
     this.observer = observer;
     this.tokensPerMilli = tokensPerMilli;
-    Table table = AllocatingRouter.table(workspaces);
     instances = new InstanceList(1, List.of(), upstreams(dataCentres));
-    dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy)));
+    dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy, regions)));
     nodes.values().forEach(node -> node.start(table));
     tick();
   }
@@ -184,10 +203,10 @@
     private final SlotAllocatorDecision allocator;
     private final Map<RequestId, PromptMetadata> prompts = new HashMap<>();
 
-    private Node(String dataCentre, SlotAllocatorPolicy policy) {
+    private Node(String dataCentre, SlotAllocatorPolicy policy, DataCentreRegions regions) {
       self = new PeerIdentity("r-" + dataCentre, 1, Role.ROUTER, dataCentre, dataCentre, "");
-      router = new RouterDecision(self, RouterPolicy.DEFAULT);
-      allocator = new SlotAllocatorDecision(self, policy);
+      router = new RouterDecision(self, RouterPolicy.DEFAULT, regions);
+      allocator = new SlotAllocatorDecision(self, policy, regions);
     }
 
     private void start(Table table) {
@@ -219,7 +238,7 @@
               send(send.instance(), message);
           case RouterEffect.RunAttempt run -> {
             RequestId request = run.attempt().request();
-            observer.onSent(request, run.upstream().name());
+            observer.onSent(request, run.upstream());
             startPrefill(
                 run.upstream().name(), new Prefill(this, run.attempt(), prompts.get(request)));
           }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/EvacuationTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/EvacuationTest.java
@@ -9,6 +9,7 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
+import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
 import dev.agatepier.core.connection.SlotMessage.SlotRefused;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
@@ -20,10 +21,13 @@
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.Upstream;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -35,6 +39,8 @@
   private static final CallPlan PLAN =
       new CallPlan("r", false, true, true, 2, 15_000, 1_000, 300, 1);
 
+  private static final AllowedRegions REGION_B = AllowedRegions.only(List.of("b"));
+
   /** Longest time from the activation by the first router to that by the last. */
   private static final int SPREAD_MILLIS = 300;
 
@@ -126,14 +132,41 @@
     RequestId arriving = router.call(UNSAFE);
     assertEquals(router.responseTo(waiting), "not-run no-upstream");
     assertEquals(router.responseTo(arriving), "not-run no-upstream");
-    Set<Long> retryAfterMillis = new HashSet<>();
-    for (RouterEffect effect : router.effects) {
-      if (effect instanceof FailRequest fail) {
-        retryAfterMillis.add(fail.retryAfterMillis());
-      }
-    }
-    assertEquals(retryAfterMillis.size(), 2, "they must not all return at once");
-    assertFalse(retryAfterMillis.contains(0L));
+    assertEquals(retryAfterMillis().distinct().count(), 2, "they must not all return at once");
+    assertTrue(retryAfterMillis().noneMatch(millis -> millis == 0));
+  }
+
+  /** Guards against waiting in vain where other regions would serve the request. */
+  @Test
+  public void requestBoundToAnEvacuatedRegionIsRejectedAtOnce() {
+    RequestId waiting = router.callIn(REGION_B, UNSAFE);
+    router.evacuate(Set.of("b1"));
+    RequestId arriving = router.callIn(REGION_B, UNSAFE);
+    assertEquals(router.responseTo(waiting), "not-run no-permitted-upstream");
+    assertEquals(router.responseTo(arriving), "not-run no-permitted-upstream");
+    assertTrue(retryAfterMillis().allMatch(millis -> millis >= 1_000));
+    assertEquals(retryAfterMillis().distinct().count(), 2, "they must not all return at once");
+    assertEquals(router.stages(waiting), List.of(SlotStage.WITHDRAWN));
+  }
+
+  /** Guards against naming regions as the cause where no region has a usable upstream. */
+  @Test
+  public void boundRequestWithoutAnyUpstreamIsRejectedLikeOthers() {
+    RequestId waiting = router.callIn(REGION_B, UNSAFE);
+    router.evacuate(Set.of("a1", "b1"));
+    assertEquals(router.responseTo(waiting), "not-run no-upstream");
+  }
+
+  /** Guards against a stream that is cut off although its upstream is the only permitted one. */
+  @Test
+  public void recalledRequestStaysWhereNoOtherUpstreamIsPermitted() {
+    RequestId request = router.callIn(REGION_B, SAFE);
+    router.grantFrom("r2", request, "u3");
+    router.evacuate(Set.of("b1"));
+    router.dispatch(
+        new RouterEvent.AllocatorMessageReceived("r2", new SlotRecalled(SERVICE, request, "u3")));
+    assertEquals(router.responseTo(request), "");
+    assertEquals(router.stages(request), List.of());
   }
 
   /** Guards against a retry that waits in vain and hides how its attempt failed. */
@@ -238,6 +271,13 @@
     assertFalse(otherHome.equals(home));
   }
 
+  /** Returns the retry-after times of the rejected requests. */
+  private LongStream retryAfterMillis() {
+    return router.effects.stream()
+        .filter(FailRequest.class::isInstance)
+        .mapToLong(effect -> ((FailRequest) effect).retryAfterMillis());
+  }
+
   /** Returns the data centres to which requests of all routers with one prefix are sent. */
   private static Set<String> sendSharedPrefix(
       AllocatingFleet fleet, Calls calls, VirtualTime time) {
@@ -259,14 +299,14 @@
     time.after(millis, () -> callEvery(millis, time, fleet));
   }
 
-  /** Notes where requests are sent; an engine's name begins with its data centre. */
+  /** Notes where requests are sent. */
   private static final class Calls implements AllocatingFleet.Observer {
     private final Set<String> sentTo = new HashSet<>();
     private int rejected;
 
     @Override
-    public void onSent(RequestId request, String engine) {
-      sentTo.add(engine.substring(0, engine.indexOf('-')));
+    public void onSent(RequestId request, Upstream upstream) {
+      sentTo.add(upstream.dataCentre());
     }
 
     @Override
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadExperiment.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadExperiment.java
@@ -12,6 +12,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.ServiceKind;
@@ -336,14 +337,21 @@
               Optional.of(new EngineProfile(PacedEngine.MEMORY_TOKENS, 6)));
       WorkspaceLedger ledger =
           new WorkspaceLedger(FairOrder.byName("virtual-service"), Double.POSITIVE_INFINITY);
-      slots = new ServiceSlots(entry, SlotAllocatorPolicy.DEFAULT, ledger, effects, this::choose);
+      slots =
+          new ServiceSlots(
+              entry,
+              SlotAllocatorPolicy.DEFAULT,
+              ledger,
+              new AllocatorRegions(DataCentreRegions.NONE),
+              effects,
+              this::choose);
       slots.activate(new Table(1, Map.of(), Map.of(SERVICE, entry)), 0);
       List<Upstream> upstreams = new ArrayList<>();
       for (int index = 0; index < engines.size(); index++) {
         upstreams.add(
             new Upstream(name(index), 1, SERVICE, "127.0.0.1", 80, "a", PacedEngine.SLOTS, false));
       }
-      slots.updateUpstreams(upstreams, Set.of(), 0, Set.of(), 0);
+      slots.upstreams().update(upstreams, Set.of(), 0, Set.of(), 0);
     }
 
     private UpstreamChoice.Candidate choose(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -28,6 +28,7 @@
   EVACUATION_ENDED("evacuation-ended"),
   TABLE_STALE("table-stale"),
   TABLE_CONFIRMED("table-confirmed"),
+  ALLOWED_REGIONS_CHANGED("allowed-regions-changed"),
   UPSTREAMS_IN_FORCE("upstreams-in-force"),
   UPSTREAM_REMOVAL_DEFERRED("upstream-removal-deferred"),
   UPSTREAM_REMOVED("upstream-removed"),
