Report a request again after a declined grant to a cold upstream

Cause: with the merge of allowed regions, an allocator ignores the report of a request that holds a grant, as the two crossed; a router declines a grant to a cold upstream that replies to an earlier report, and counted on the later one. A request that was reported again after a change of its regions while such a grant was on its way then waited until its deadline.

Change: the router withdraws the request and reports it again with the declined grant. Other declined grants did so already.

The new test is red without the second report.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -69,10 +69,12 @@
   private void onGranted(String router, SlotGranted granted, long nowNanos) {
     RoutedRequest request = findWaiting(granted.request(), granted.service());
     DirectUpstream upstream = state.upstreams.find(granted.upstream());
-    if (request == null
-        || !placement.isAllocator(request, router)
-        || repliesToEarlierReport(request, granted)) {
+    if (request == null || !placement.isAllocator(request, router)) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
+    } else if (repliesToEarlierReport(request, granted)) {
+      // The allocator ignores a report that crosses its grant, so that it is sent again.
+      placement.decline(router, granted.service(), granted.request(), granted.upstream());
+      placement.move(request, nowNanos);
     } else if (!state.upstreams.availability(upstream).state(nowNanos).usable()
         || granted.cold() && nowNanos - sendByNanos(request, granted) > 0) {
       if (upstream != null) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsRouterTest.java
@@ -130,6 +130,21 @@
     assertEquals(router.runs(request).getFirst().upstream().name(), "ub");
   }
 
+  /** An allocator ignores the report that crosses its grant, so it would wait without end. */
+  @Test
+  public void requestIsReportedAgainWhenLateColdGrantOfEarlierTableIsDeclined() {
+    RequestId request = router.call(SAFE);
+    WaitingCall earlier = waitingAt("r1");
+    router.now += 40_000_000;
+    router.activateLists(A, AllowedRegions.ALL);
+    final int reports = router.sent("r1", SlotsWanted.class).size();
+    router.grantCold(earlier, "ua", 0);
+    assertTrue(router.runs(request).isEmpty());
+    assertEquals(router.sent("r1", SlotsWanted.class).size(), reports + 1);
+    router.grantCold(waitingAt("r1"), "ua", 0);
+    assertEquals(router.runs(request).size(), 1);
+  }
+
   /** The connection to the upstream may still be opening when the table changes. */
   @Test
   public void attemptThatIsNotSentYetIsCancelledAndMoves() {
