--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -99,6 +99,8 @@
         "'slots':{'evenLoad':'true'},'policy':",
         "$.slots.evenLoad: must be true or false"
       },
+      {"'policy':", "'regions':{'a1':'A B'},'policy':", "$.regions.a1: must be a name of 1 to 63"},
+      {"'policy':", "'regions':['a1'],'policy':", "$.regions: must be an object"},
       {"'policy':", "'polity':", "$.polity: is not a known field"},
       {
         "'policy':", "'stop':{'graceMillis':'1s'},'policy':", "$.stop.graceMillis: must be a number"
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.process.internal.AllocatorRegions;
 import dev.agatepier.core.process.internal.AllocatorSelection;
 import dev.agatepier.core.process.internal.FairOrder;
 import dev.agatepier.core.process.internal.RecentPeak;
@@ -9,6 +10,7 @@
 import dev.agatepier.core.process.internal.StartupMessageBuffer;
 import dev.agatepier.core.process.internal.UpstreamAvailability;
 import dev.agatepier.core.process.internal.WorkspaceLedger;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.SlotAllocationMode;
@@ -58,6 +60,7 @@
 
   private final PeerIdentity self;
   private final SlotAllocatorPolicy policy;
+  private final AllocatorRegions regions;
   private final RecentPeak peakRouters = new RecentPeak(PEAK_NANOS);
   private final RecentPeak coldPeakRouters = new RecentPeak(COLD_PEAK_NANOS);
   private final List<SlotAllocatorEffect> effects = new ArrayList<>();
@@ -73,12 +76,25 @@
   private long listedNanos;
 
   /**
-   * Creates the decision of an allocator without routers, table or instance list.
+   * Creates the decision of an allocator that knows the regions of no data centre.
    *
    * @param self identity of the router that it is part of
    * @param policy settings
    */
   public SlotAllocatorDecision(PeerIdentity self, SlotAllocatorPolicy policy) {
+    this(self, policy, DataCentreRegions.NONE);
+  }
+
+  /**
+   * Creates the decision of an allocator without routers, table or instance list.
+   *
+   * @param self identity of the router that it is part of
+   * @param policy settings
+   * @param dataCentres the regions of the data centres
+   */
+  public SlotAllocatorDecision(
+      PeerIdentity self, SlotAllocatorPolicy policy, DataCentreRegions dataCentres) {
+    this.regions = new AllocatorRegions(dataCentres);
     this.self = self;
     this.policy = policy;
     routers.put(self.instance(), self);
@@ -103,6 +119,7 @@
           onRouterDisconnected(router, nowNanos);
       case SlotAllocatorEvent.TableActivated(Table newer) -> {
         table = newer;
+        regions.activate(newer);
         updateServices(nowNanos);
         updateUpstreams(nowNanos);
         processStartupMessages(nowNanos);
@@ -129,7 +146,7 @@
           .filter(this::isAllocatorFor)
           .forEach(
               service -> {
-                service.reportAvailability(nowNanos);
+                service.upstreams().reportAvailability(nowNanos);
                 sendLoad(service, nowNanos);
                 sendCosts(service, nowNanos);
               });
@@ -153,7 +170,7 @@
   public Map<UpstreamState, Long> upstreamCounts(long nowNanos) {
     return services.values().stream()
         .filter(this::isAllocatorFor)
-        .flatMap(service -> service.upstreamStates(nowNanos).stream())
+        .flatMap(service -> service.upstreams().states(nowNanos).stream())
         .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
   }
 
@@ -265,7 +282,7 @@
     double newShare = share(peakRouters, nowNanos);
     if (newShare != share) {
       share = newShare;
-      services.values().forEach(service -> service.setShare(newShare));
+      services.values().forEach(service -> service.upstreams().setShare(newShare));
     }
     double newColdShare = share(coldPeakRouters, nowNanos);
     if (newColdShare != coldShare) {
@@ -280,14 +297,16 @@
   }
 
   private void updateColdUpstreams(ServiceSlots service, long nowNanos) {
-    service.setColdUpstreams(isAllocatorFor(service), coldShare, nowNanos);
+    service.upstreams().setColdLimit(isAllocatorFor(service), coldShare, nowNanos);
   }
 
   /**
    * Treats the upstreams of data centres as cold whose evacuation has ended with the active list.
    */
   private void onEvacuationEnded(Set<String> dataCentres, long nowNanos) {
-    services.values().forEach(service -> service.onEvacuationEnded(dataCentres, nowNanos));
+    services
+        .values()
+        .forEach(service -> service.upstreams().onEvacuationEnded(dataCentres, nowNanos));
   }
 
   private void updateServices(long nowNanos) {
@@ -303,7 +322,7 @@
     boolean decays = policy.costWindowMillis() > 0;
     double catchUpCost = decays ? Double.POSITIVE_INFINITY : CATCH_UP_COST;
     return new ServiceSlots(
-        entry, policy, new WorkspaceLedger(FairOrder.byName(ORDER), catchUpCost), effects);
+        entry, policy, new WorkspaceLedger(FairOrder.byName(ORDER), catchUpCost), regions, effects);
   }
 
   private List<PeerIdentity> candidates() {
@@ -324,7 +343,7 @@
 
   private void updateUpstreams(long nowNanos) {
     Map<String, List<Upstream>> byService = new TreeMap<>();
-    Map<String, Set<String>> elsewhere = new TreeMap<>();
+    Map<String, Map<String, Set<String>>> elsewhere = new TreeMap<>();
     Map<String, Boolean> own = new HashMap<>();
     Map<String, String> responsible = new HashMap<>();
     List<PeerIdentity> candidates = candidates();
@@ -335,11 +354,13 @@
           .state(nowNanos)
           .serving()) {
         elsewhere
-            .computeIfAbsent(upstream.service(), name -> new HashSet<>())
-            .add(
+            .computeIfAbsent(upstream.service(), name -> new HashMap<>())
+            .computeIfAbsent(
                 responsible.computeIfAbsent(
                     upstream.dataCentre(),
-                    name -> AllocatorSelection.responsibleDataCentre(name, candidates)));
+                    name -> AllocatorSelection.responsibleDataCentre(name, candidates)),
+                name -> new HashSet<>())
+            .add(upstream.dataCentre());
       }
     }
     own.values().removeIf(isOwn -> !isOwn);
@@ -349,15 +370,17 @@
     ownDataCentres.addAll(own.keySet());
     services.forEach(
         (name, service) -> {
-          service.updateUpstreams(
-              byService.getOrDefault(name, List.of()),
-              instances.evacuated(),
-              listedNanos,
-              takenOver,
-              nowNanos);
+          service
+              .upstreams()
+              .update(
+                  byService.getOrDefault(name, List.of()),
+                  instances.evacuated(),
+                  listedNanos,
+                  takenOver,
+                  nowNanos);
           updateColdUpstreams(service, nowNanos);
-          service.setOtherDataCentres(elsewhere.getOrDefault(name, Set.of()));
-          service.setShare(share);
+          service.setOtherDataCentres(elsewhere.getOrDefault(name, Map.of()));
+          service.upstreams().setShare(share);
         });
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -5,6 +5,8 @@
 import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
@@ -14,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Selects the data centre from whose slot allocator a request gets its slot: the one with the
@@ -56,6 +59,7 @@
   private final PeerIdentity self;
   private final long regionMillis;
   private final KnownUpstreams known;
+  private final DataCentreRegions dataCentres;
   private final Map<String, ReceivedLoad> loads = new HashMap<>();
   private final Map<String, List<Upstream>> upstreams = new HashMap<>();
 
@@ -76,10 +80,13 @@
    *
    * @param regionMillis expected round-trip time to another region, in milliseconds
    * @param known the upstreams that the router may call
+   * @param dataCentres the regions of the data centres
    */
-  DataCentreSelector(PeerIdentity self, long regionMillis, KnownUpstreams known) {
+  DataCentreSelector(
+      PeerIdentity self, long regionMillis, KnownUpstreams known, DataCentreRegions dataCentres) {
     this.known = known;
     this.self = self;
+    this.dataCentres = dataCentres;
     this.regionMillis = regionMillis;
   }
 
@@ -101,35 +108,52 @@
   }
 
   /**
-   * Returns whether a service has usable upstreams whose slots a data centre allocates. It counts
-   * only while evacuations or notices of upstreams restrict the service.
+   * Returns the data centres whose slot allocators allocate an upstream of a service that is in a
+   * permitted region and that neither an evacuation nor what it has said keeps away; all of them
+   * while neither regions nor evacuations nor notices restrict the service. Before the first
+   * instance list, requests wait in any data centre, as every grant is checked.
    *
    * @param routers routers that are connected and not leaving
    */
-  boolean serves(
-      String service, String dataCentre, Collection<PeerIdentity> routers, long nowNanos) {
-    return !known.restricts(service, nowNanos)
-        || known
+  ServingDataCentres serving(
+      String service, AllowedRegions allowed, Collection<PeerIdentity> routers, long nowNanos) {
+    boolean bound = !allowed.all() && known.listed();
+    if (!bound && !known.restricts(service, nowNanos)) {
+      return ServingDataCentres.ALL;
+    }
+    return new ServingDataCentres(
+        false,
+        known
             .usableDataCentres(service, nowNanos)
-            .anyMatch(
-                name -> AllocatorSelection.responsibleDataCentre(name, routers).equals(dataCentre));
+            .filter(name -> dataCentres.permits(allowed, name))
+            .map(name -> AllocatorSelection.responsibleDataCentre(name, routers))
+            .collect(Collectors.toSet()));
+  }
+
+  /** Returns the same for a request. */
+  ServingDataCentres serving(
+      RoutedRequest request, Collection<PeerIdentity> routers, long nowNanos) {
+    return serving(request.queue.service, request.allowedRegions, routers, nowNanos);
   }
 
   /**
-   * Returns the data centre in which a request gets its slot; its own if no other serves it.
+   * Returns the data centre in which a request gets its slot; its own if nothing restricts them and
+   * there are no routers, and empty if none serves it.
    *
    * @param routers routers that are connected and not leaving
    */
   String choose(RoutedRequest request, Collection<PeerIdentity> routers, long nowNanos) {
     String service = request.queue.service;
-    Optional<String> home = homeDataCentre(service, request.call.prompt(), routers);
+    AllowedRegions allowed = request.allowedRegions;
+    Optional<String> home = homeDataCentre(service, request.call.prompt(), allowed, routers);
     Map<String, String> regions = new TreeMap<>();
     routers.forEach(router -> regions.put(router.dataCentre(), router.region()));
-    String best = self.dataCentre();
+    ServingDataCentres serving = serving(request, routers, nowNanos);
+    String best = serving.all() ? self.dataCentre() : "";
     double bestMillis = Double.MAX_VALUE;
     for (Map.Entry<String, String> candidate : regions.entrySet()) {
       String dataCentre = candidate.getKey();
-      if (!serves(service, dataCentre, routers, nowNanos)) {
+      if (!serving.contains(dataCentre)) {
         continue;
       }
       double millis =
@@ -166,6 +190,15 @@
         MOVED_WEIGHT * Math.max(1, senders) * load.load.capacity().get().addedMillis(tokens);
   }
 
+  private List<Upstream> permittedUpstreams(String service, AllowedRegions allowed) {
+    List<Upstream> listed = upstreams.getOrDefault(service, List.of());
+    return allowed.all()
+        ? listed
+        : listed.stream()
+            .filter(upstream -> dataCentres.permits(allowed, upstream.dataCentre()))
+            .toList();
+  }
+
   /** Returns the expected round-trip time to a data centre, in milliseconds. */
   double roundTripMillis(String dataCentre, String region) {
     if (dataCentre.equals(self.dataCentre())) {
@@ -187,13 +220,16 @@
 
   /** Returns the data centre that manages the home upstream of a prompt's shared prefix, if any. */
   private Optional<String> homeDataCentre(
-      String service, Optional<PromptMetadata> prompt, Collection<PeerIdentity> routers) {
+      String service,
+      Optional<PromptMetadata> prompt,
+      AllowedRegions allowed,
+      Collection<PeerIdentity> routers) {
     if (prompt.isEmpty() || sharedTokens(prompt.get()) < MINIMUM_SHARED_TOKENS) {
       return Optional.empty();
     }
     List<PromptPart> parts = prompt.get().parts();
     String prefix = parts.get(parts.size() - 2).identity();
-    List<Upstream> candidates = upstreams.getOrDefault(service, List.of());
+    List<Upstream> candidates = permittedUpstreams(service, allowed);
     return RendezvousHash.sorted(prefix, candidates, upstream -> 0, Upstream::name).stream()
         .findFirst()
         .map(upstream -> AllocatorSelection.responsibleDataCentre(upstream.dataCentre(), routers));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RequestLifecycle.java
@@ -67,19 +67,6 @@
     request.queue.usage.waiting++;
     request.placement.requeue(request, avoided, nowNanos);
     updateTimer(request, nowNanos);
-    rejectWithoutUpstreams(request, nowNanos);
-  }
-
-  /** Ends a waiting request if no upstream can serve it. */
-  void rejectWithoutUpstreams(RoutedRequest request, long nowNanos) {
-    if (request.placement.isWithoutUpstreams(request.queue.service, nowNanos)) {
-      fail(
-          request,
-          Reason.NO_UPSTREAM,
-          0,
-          state.upstreams.retryAfterMillis(request.queue.service, request.id(), nowNanos),
-          nowNanos);
-    }
   }
 
   /** Sets the timer of a request to its deadline, or to what a stop of the router leaves. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -38,24 +38,18 @@
   /** Replaces the upstreams by those of a version of the instance list. */
   public void onInstancesActivated(InstanceList list, long nowNanos) {
     state.upstreams.update(list);
+    placement.reportNotices(nowNanos);
     placement.updateUpstreams(list, nowNanos);
-    moveUnserved(nowNanos);
   }
 
   /** Handles what an upstream has said of further requests. */
   public void onNotice(Upstream sender, UpstreamNotice notice, long nowNanos) {
     if (state.upstreams.onNotice(sender, notice, nowNanos)) {
-      moveUnserved(nowNanos);
+      placement.reportNotices(nowNanos);
+      placement.moveUnserved(nowNanos);
     }
   }
 
-  private void moveUnserved(long nowNanos) {
-    placement.reportNotices(nowNanos);
-    placement
-        .moveUnserved(nowNanos)
-        .forEach(request -> lifecycle.rejectWithoutUpstreams(request, nowNanos));
-  }
-
   /** Handles an allocator's message; declines grants and ignores refusals of a previous one. */
   public void onMessage(String router, SlotMessage message, long nowNanos) {
     switch (message) {
@@ -75,10 +69,12 @@
   private void onGranted(String router, SlotGranted granted, long nowNanos) {
     RoutedRequest request = findWaiting(granted.request(), granted.service());
     DirectUpstream upstream = state.upstreams.find(granted.upstream());
-    if (request == null
-        || !placement.isAllocator(request, router)
-        || repliesToEarlierReport(request, granted)) {
+    if (request == null || !placement.isAllocator(request, router)) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
+    } else if (repliesToEarlierReport(request, granted)) {
+      // The allocator ignores a report that crosses its grant, so that it is sent again.
+      placement.decline(router, granted.service(), granted.request(), granted.upstream());
+      placement.move(request, nowNanos);
     } else if (!state.upstreams.availability(upstream).state(nowNanos).usable()
         || granted.cold() && nowNanos - sendByNanos(request, granted) > 0) {
       if (upstream != null) {
@@ -87,7 +83,13 @@
       }
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
-      lifecycle.rejectWithoutUpstreams(request, nowNanos);
+    } else if (!state.regions.permits(request, upstream.upstream().dataCentre())) {
+      placement.decline(router, granted.service(), granted.request(), granted.upstream());
+      if (state.regions.acceptsUnpermittedGrant(request)) {
+        placement.requeue(request, granted.upstream(), nowNanos);
+      } else {
+        state.regions.reject(request, state.upstreams, lifecycle, nowNanos);
+      }
     } else if (state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/EvenDataCentresTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/EvenDataCentresTest.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.Upstream;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -89,8 +90,8 @@
     }
 
     @Override
-    public void onSent(RequestId request, String engine) {
-      if (!engine.startsWith(request.router().substring(2))) {
+    public void onSent(RequestId request, Upstream upstream) {
+      if (!upstream.dataCentre().equals(request.router().substring(2))) {
         moved++;
         windows.get(request.router()).add(time.nowMillis() / WINDOW_MILLIS);
       }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/UnevenUpstreams.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/UnevenUpstreams.java
@@ -14,6 +14,7 @@
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.ServiceKind;
@@ -149,16 +150,19 @@
             entry,
             policy,
             new WorkspaceLedger(FairOrder.byName("virtual-service"), Double.POSITIVE_INFINITY),
+            new AllocatorRegions(DataCentreRegions.NONE),
             effects);
     slots.activate(new Table(1, Map.of(), Map.of(SERVICE, entry)), nowMillis * MILLI);
-    slots.updateUpstreams(
-        behaviours.keySet().stream()
-            .map(name -> new Upstream(name, 1, SERVICE, "127.0.0.1", 80, "a", slotsEach, false))
-            .toList(),
-        Set.of(),
-        nowMillis * MILLI,
-        Set.of(),
-        nowMillis * MILLI);
+    slots
+        .upstreams()
+        .update(
+            behaviours.keySet().stream()
+                .map(name -> new Upstream(name, 1, SERVICE, "127.0.0.1", 80, "a", slotsEach, false))
+                .toList(),
+            Set.of(),
+            nowMillis * MILLI,
+            Set.of(),
+            nowMillis * MILLI);
   }
 
   /** Lets requests arrive for a time, on average one in each {@code intervalMillis}. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -17,6 +17,8 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.AllowedRegions;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -33,19 +35,21 @@
         new MessageType<>(
             60,
             SlotsWanted.class,
-            4,
+            5,
             (message, output) -> {
               output.writeString(message.service());
               output.writeBoolean(message.complete());
               output.writeList(message.waiting(), SlotMessageCodec::writeCall);
               output.writeList(message.held(), SlotMessageCodec::writeHeld);
+              output.writeLong(message.tableVersion());
             },
             input ->
                 new SlotsWanted(
                     input.readString(),
                     input.readBoolean(),
                     input.readList(SlotMessageCodec::readCall),
-                    input.readList(SlotMessageCodec::readHeld))),
+                    input.readList(SlotMessageCodec::readHeld),
+                    input.readLong())),
         new MessageType<>(
             61,
             SlotsChanged.class,
@@ -165,6 +169,8 @@
     output.writeBoolean(call.underserved());
     output.writeLong(call.callerAgeMillis());
     output.writeList(call.prompt().stream().toList(), SlotMessageCodec::writePrompt);
+    output.writeString(call.route());
+    writeRegions(output, call.allowedRegions());
   }
 
   private static WaitingCall readCall(FieldInput input) {
@@ -177,7 +183,22 @@
         input.readBoolean(),
         input.readBoolean(),
         input.readLong(),
-        readPrompt(input));
+        readPrompt(input),
+        input.readString(),
+        readRegions(input));
+  }
+
+  private static void writeRegions(FieldOutput output, AllowedRegions regions) {
+    output.writeBoolean(regions.all());
+    if (!regions.all()) {
+      output.writeList(regions.names().stream().sorted().toList(), FieldOutput::writeString);
+    }
+  }
+
+  private static AllowedRegions readRegions(FieldInput input) {
+    return input.readBoolean()
+        ? AllowedRegions.ALL
+        : AllowedRegions.only(new HashSet<>(input.readList(FieldInput::readString)));
   }
 
   private static void writePrompt(FieldOutput output, PromptMetadata prompt) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -22,6 +22,7 @@
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.process.UpstreamState;
 import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationRoute;
@@ -79,6 +80,7 @@
    * @param self identity of the router
    * @param policy policy of the router decision
    * @param allocatorPolicy policy of the slot allocator
+   * @param dataCentres the regions of the data centres
    * @param links registry of the links to send through
    * @param callers performs effects that concern callers
    * @param upstreams performs effects that concern upstreams that the router calls directly
@@ -90,6 +92,7 @@
       PeerIdentity self,
       RouterPolicy policy,
       SlotAllocatorPolicy allocatorPolicy,
+      DataCentreRegions dataCentres,
       LinkRegistry links,
       Consumer<RouterEffect> callers,
       Consumer<RouterEffect> upstreams,
@@ -104,7 +107,7 @@
     this.metrics = new RequestMetrics(metrics);
     slotMetrics = new SlotMetrics(metrics);
     rejectedEvents = metrics.counter(MAILBOX_FULL);
-    RouterDecision decision = new RouterDecision(self, policy);
+    RouterDecision decision = new RouterDecision(self, policy, dataCentres);
     requestTask =
         new DecisionTask<>(
             decision,
@@ -123,7 +126,7 @@
             scheduler,
             System::nanoTime,
             RouterTasks::logTaskFailure);
-    allocatorDecision = new SlotAllocatorDecision(self, allocatorPolicy);
+    allocatorDecision = new SlotAllocatorDecision(self, allocatorPolicy, dataCentres);
     slotAllocator =
         new DecisionTask<>(
             allocatorDecision,
@@ -287,9 +290,13 @@
   private void perform(RouterEffect effect) {
     switch (effect) {
       case RouterEffect.Send(String instance, LinkMessage message) -> send(instance, message);
-      case RouterEffect.RunAttempt _, RouterEffect.ReadAttempt _, RouterEffect.CancelAttempt _ ->
+      case RouterEffect.RunAttempt _,
+          RouterEffect.ReadAttempt _,
+          RouterEffect.CancelAttempt _,
+          RouterEffect.CancelUnsentAttempt _ ->
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
+      case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
       case RouterEffect.Drained _ -> drained.complete(null);
       case RouterEffect.EndResponse end -> {
         metrics.recordEnded(Outcome.COMPLETED, Optional.empty(), end.metadata());
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -63,6 +63,7 @@
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
 import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
@@ -210,17 +211,20 @@
             15_000,
             true,
             true,
+            4_200,
             Optional.of(
                 new PromptMetadata(
                     "m",
                     1_460,
                     80,
-                    List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))));
+                    List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))),
+            "layout",
+            AllowedRegions.only(Set.of("bengal", "assam")));
     ReceivedLoad load = new ReceivedLoad(new UpstreamLoadReport(12, 3, 64, OptionalInt.of(170)), 4);
     return List.of(
         new SlotsWanted("chair-desk", false, List.of(plain), List.of()),
         new SlotsWanted(
-            "plan-model", true, List.of(model), List.of(new HeldSlot(model, "engine-4", true))),
+            "plan-model", true, List.of(model), List.of(new HeldSlot(model, "engine-4", true)), 12),
         new SlotGranted("plan-model", REQUEST, "engine-4", true, 35, 900),
         new SlotsChanged(
             "plan-model",
