--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -94,6 +94,11 @@
         "'spillMillis':1,'spillSeconds':2",
         "$.policy.spillSeconds: must not be set together with spillMillis"
       },
+      {
+        "'policy':",
+        "'slots':{'admission':'soon'},'policy':",
+        "$.slots: slot allocator policy: admission soon must be arrival, first-attempt or"
+      },
       {
         "'policy':",
         "'slots':{'evenLoad':'true'},'policy':",
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -1,5 +1,7 @@
 package dev.agatepier.core.process;
 
+import java.util.Set;
+
 /**
  * Settings of a slot allocator.
  *
@@ -12,8 +14,6 @@
  *     objective, in milliseconds
  * @param retryAfterMillis retry delay advised to a caller whose request was rejected, in
  *     milliseconds
- * @param admission from when on the objective of a request counts: {@link #ARRIVAL} at the router,
- *     or {@link #FIRST_ATTEMPT} of its caller
  * @param costWindowMillis period over which operators compare the service of workspaces, in
  *     milliseconds: older cost has little weight in the fair-queueing order; 0 if cost never loses
  *     weight
@@ -22,6 +22,8 @@
  * @param coldSlack requests that a cold upstream may get in a second in addition
  * @param evenLoad whether upstreams that do not state the pace of their machine are chosen by the
  *     estimate of their load as well
+ * @param admission from when on the objective of a request counts: {@link #ARRIVAL}, {@link
+ *     #FIRST_ATTEMPT} or {@link #VARYING_CAPACITY}
  */
 public record SlotAllocatorPolicy(
     long backlogMillis,
@@ -48,6 +50,14 @@
    */
   public static final String FIRST_ATTEMPT = "first-attempt";
 
+  /**
+   * As {@link #FIRST_ATTEMPT} for services whose capacity varies, since upstreams state their pace
+   * or are cold at times; as {@link #ARRIVAL} for others.
+   */
+  public static final String VARYING_CAPACITY = "varying-capacity";
+
+  private static final Set<String> ADMISSIONS = Set.of(ARRIVAL, FIRST_ATTEMPT, VARYING_CAPACITY);
+
   /** The default values. docs/decisions/0011 documents the experiments behind them. */
   public static final SlotAllocatorPolicy DEFAULT =
       new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 0, 0, false, ARRIVAL);
@@ -72,14 +82,16 @@
               + costWindowMillis
               + " at least 0");
     }
-    if (!admission.equals(ARRIVAL) && !admission.equals(FIRST_ATTEMPT)) {
+    if (!ADMISSIONS.contains(admission)) {
       throw new IllegalArgumentException(
           "slot allocator policy: admission "
               + admission
               + " must be "
               + ARRIVAL
+              + ", "
+              + FIRST_ATTEMPT
               + " or "
-              + FIRST_ATTEMPT);
+              + VARYING_CAPACITY);
     }
     if (!(memoryShare > 0 && memoryShare <= 1)) {
       throw new IllegalArgumentException(
@@ -156,8 +168,12 @@
         newAdmission);
   }
 
-  /** Returns whether the objective of a request counts from the caller's first attempt. */
-  public boolean countsFromFirstAttempt() {
-    return admission.equals(FIRST_ATTEMPT);
+  /**
+   * Returns whether the objectives of a service's requests count from the caller's first attempt.
+   *
+   * @param capacityVaries whether the capacity of the service varies
+   */
+  public boolean countsFromFirstAttempt(boolean capacityVaries) {
+    return admission.equals(FIRST_ATTEMPT) || capacityVaries && admission.equals(VARYING_CAPACITY);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -82,8 +82,7 @@
     this.regions = regions;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
-    PredictionError error =
-        policy.countsFromFirstAttempt() ? new QuantilePredictionError() : PredictionError.IGNORED;
+    PredictionError error = new PredictionError();
     this.allocations = new SlotAllocations(service, rule, ledger, effects, error);
     this.waiting = new WaitingRequests(ledger);
     this.upstreams = new ServiceUpstreams(service, policy, effects);
@@ -255,7 +254,7 @@
               call,
               wanted.tableVersion(),
               ++lastSequence,
-              policy.countsFromFirstAttempt(),
+              policy.countsFromFirstAttempt(upstreams.capacityVaries()),
               nowNanos);
       regions.update(entry);
       waits.estimateWork(entry, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceUpstreams.java
@@ -50,6 +50,11 @@
     return upstreams.get(name);
   }
 
+  /** Returns whether upstreams state their pace or are cold at times. */
+  boolean capacityVaries() {
+    return cold.limited() || upstreams.values().stream().anyMatch(UpstreamLoad::usesEstimate);
+  }
+
   /** Returns the limit of the requests to cold upstreams. */
   ColdUpstreams cold() {
     return cold;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRejections.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRejections.java
@@ -83,7 +83,7 @@
   }
 
   private long retryAfterMillis(WaitingEntry entry, long nowNanos) {
-    return policy.countsFromFirstAttempt()
+    return entry.fromFirstAttempt
         ? advice.recordRejected(entry.call.request(), entry.call.timeLeftMillis(), nowNanos)
         : policy.retryAfterMillis();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
@@ -23,7 +23,6 @@
   private final UsableUpstreams upstreams;
   private final ColdUpstreams coldUpstreams;
 
-  /** Error of the predictions; its margin is 0 if it observes nothing. */
   private final PredictionError error;
 
   WaitEstimates(
@@ -103,7 +102,7 @@
 
   /** Returns the margin that a prediction for a request needs, in milliseconds. */
   double marginMillis(WaitingEntry entry) {
-    return entry.late ? 0 : error.marginMillis();
+    return entry.fromFirstAttempt && !entry.late ? error.marginMillis() : 0;
   }
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -25,6 +25,9 @@
    */
   final long dueNanos;
 
+  /** Whether the objective counts from the caller's first attempt. */
+  final boolean fromFirstAttempt;
+
   /** Whether the objective of the caller was over before the request arrived. */
   final boolean late;
 
@@ -56,6 +59,7 @@
     this.call = call;
     this.sequence = sequence;
     this.arrivedNanos = nowNanos;
+    this.fromFirstAttempt = fromFirstAttempt;
     long ageMillis = fromFirstAttempt ? call.callerAgeMillis() : 0;
     this.late = ageMillis > 0 && call.objectiveMillis() <= ageMillis;
     this.dueNanos = nowNanos + (call.objectiveMillis() - (late ? 0 : ageMillis)) * NANOS_PER_MILLI;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
@@ -119,4 +119,15 @@
         after.inTime + after.late >= 0.95 * (before.inTime + before.late),
         "engines must not idle: " + figures);
   }
+
+  /**
+   * The setting must change nothing for services whose upstreams neither warm up nor state a pace.
+   */
+  @Test
+  public void usualServicesCountFromTheArrivalUnlessCapacityVaries() {
+    Callers arrival = new Callers(SlotAllocatorPolicy.ARRIVAL);
+    Callers varying = new Callers(SlotAllocatorPolicy.VARYING_CAPACITY);
+    assertEquals(
+        varying.inTime + " " + varying.late, arrival.inTime + " " + arrival.late, "in time, late");
+  }
 }
