--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.request.CallPlan;
