Read no further while pipelined requests wait

Cause: Netty's ByteToMessageDecoder asks for another read, also without auto-read, when the bytes read led to no message.

Change: the decoder doesn't ask for reads while its gate is closed.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictRequestDecoder.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictRequestDecoder.java
@@ -119,6 +119,19 @@
     }
   }
 
+  /**
+   * While the gate is closed, nothing more is read than the channel reads by itself: the decoder of
+   * Netty asks for another read, also without auto-read, after bytes that led to no message.
+   */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+    if (gate == Gate.CLOSED) {
+      ctx.fireChannelReadComplete();
+    } else {
+      super.channelReadComplete(ctx);
+    }
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf input, List<Object> output)
       throws Exception {
