Give large requests behind a load balancer the share of their workspace

Cause: above half of the budget, a large request was rejected if its address held more than a quarter. Behind a load balancer the address is that of all callers, so that a crowd of one workspace had the large requests of all others rejected.

Change: the address has no share of its own among large requests while several workspaces hold bytes there. A crowd at an address of its own has the same shares as before.

MemoryBudgetTest.largeGroupBehindLoadBalancerLeavesRoomToOtherWorkspaces is red without the change.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MemoryBudget.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MemoryBudget.java
@@ -12,9 +12,10 @@
  * The bytes that a process holds for callers and upstreams at any time. Up to half of the budget
  * everything is admitted. Above, a large request is rejected if its peer address or its workspace
  * would hold more than a quarter, and a small one if both would hold more than three quarters; the
- * last quarter is kept for small requests. When bytes that cannot be rejected exceed the budget,
- * the holders that hold most for longest without progress are evicted. All methods but the gauges
- * run on one event loop.
+ * last quarter is kept for small requests. An address at which several workspaces hold bytes is
+ * that of a load balancer; large requests there have the share of their workspace only. When bytes
+ * that cannot be rejected exceed the budget, the holders that hold most for longest without
+ * progress are evicted. All methods but the gauges run on one event loop.
  */
 public final class MemoryBudget {
 
@@ -45,7 +46,7 @@
   private final long maximumBytes;
   private final LongSupplier clock;
   private final Map<Holder, Long> heldBytes = new HashMap<>();
-  private final Map<String, Long> bytesByAddress = new HashMap<>();
+  private final Map<String, Map<String, Long>> bytesByAddress = new HashMap<>();
   private final Map<String, Long> bytesByWorkspace = new HashMap<>();
   private long responseBytes;
   private volatile long totalBytes;
@@ -110,19 +111,36 @@
     if (total <= maximumBytes / 2) {
       return true;
     }
-    long ofAddress = bytesByAddress.getOrDefault(holder.address(), 0L) + additionalBytes;
+    Map<String, Long> atAddress = bytesByAddress.getOrDefault(holder.address(), Map.of());
+    long ofAddress = sum(atAddress) + additionalBytes;
     long ofWorkspace = bytesByWorkspace.getOrDefault(holder.workspace(), 0L) + additionalBytes;
     boolean small = heldBytes.getOrDefault(holder, 0L) + additionalBytes <= SMALL_BYTES;
     return small
         ? total <= maximumBytes && Math.min(ofAddress, ofWorkspace) <= maximumBytes / 4 * 3
-        : total <= maximumBytes / 4 * 3 && Math.max(ofAddress, ofWorkspace) <= maximumBytes / 4;
+        : total <= maximumBytes / 4 * 3
+            && ofWorkspace <= maximumBytes / 4
+            && (ofAddress <= maximumBytes / 4 || hasOthers(atAddress, holder.workspace()));
+  }
+
+  private static long sum(Map<String, Long> bytes) {
+    long sum = 0;
+    for (long held : bytes.values()) {
+      sum += held;
+    }
+    return sum;
+  }
+
+  /** Returns whether a workspace other than the given and the unknown one holds bytes. */
+  private static boolean hasOthers(Map<String, Long> atAddress, String workspace) {
+    return atAddress.keySet().stream()
+        .anyMatch(other -> !other.isEmpty() && !other.equals(workspace));
   }
 
   /** Sets the bytes of a holder; evicts holders while there are too many. */
   public void set(Holder holder, long bytes) {
     Long before = bytes == 0 ? heldBytes.remove(holder) : heldBytes.put(holder, bytes);
     long added = bytes - (before == null ? 0 : before);
-    add(bytesByAddress, holder.address(), added);
+    addAtAddress(holder, added);
     add(bytesByWorkspace, holder.workspace(), added);
     totalBytes += added;
     if (added > 0) {
@@ -191,6 +209,15 @@
     return heldBytes.get(holder) * (1 + idleMillis(holder, now));
   }
 
+  private void addAtAddress(Holder holder, long added) {
+    Map<String, Long> atAddress =
+        bytesByAddress.computeIfAbsent(holder.address(), address -> new HashMap<>());
+    add(atAddress, holder.workspace(), added);
+    if (atAddress.isEmpty()) {
+      bytesByAddress.remove(holder.address());
+    }
+  }
+
   private static void add(Map<String, Long> bytes, String name, long added) {
     if (added != 0) {
       bytes.merge(name, added, (held, more) -> held + more == 0 ? null : held + more);
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/MemoryBudgetTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/MemoryBudgetTest.java
@@ -62,6 +62,13 @@
     assertTrue(admit("ordinary of one address", "crowd", "other", ORDINARY_BYTES));
   }
 
+  /** Guards against a load balancer, whose address is that of all callers, as one caller. */
+  @Test
+  public void largeGroupBehindLoadBalancerLeavesRoomToOtherWorkspaces() {
+    for (int number = 0; admit("c" + number, "balancer", "crowd", LARGE_BYTES); number++) {}
+    assertTrue(admit("large", "balancer", "other", LARGE_BYTES));
+  }
+
   /** Guards against the eviction of those that hold little or have just moved. */
   @Test
   public void evictsWhoHoldsMostForLongestWithoutProgress() {
