Reserve what the buffer of a chunked body takes

Cause: the buffer doubles, while the reservation followed the content: the memory of a chunked body was up to twice its reservation. A chunked body of 1 kB reserved 64 KiB.

Change: the reservation is the capacity of the buffer, which doesn't grow beyond max_body_bytes.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -28,7 +28,7 @@
   private final int tokensPerEvent;
   private final Consumer<RouterEvent> events;
   private final EventStreamSplitter splitter = new EventStreamSplitter();
-  private BodyBuffer buffered = new BodyBuffer(0);
+  private BodyBuffer buffered = new BodyBuffer(0, MAXIMUM_BUFFERED_BYTES);
   private Optional<Classification.Matched> response = Optional.empty();
   private boolean headEmitted;
   private boolean ended;
@@ -86,7 +86,8 @@
    */
   void onResponseHead(Classification.Matched matched, long declaredBytes) {
     response = Optional.of(matched);
-    buffered = new BodyBuffer(Math.min(MAXIMUM_BUFFERED_BYTES, declaredBytes));
+    buffered =
+        new BodyBuffer(Math.min(MAXIMUM_BUFFERED_BYTES, declaredBytes), MAXIMUM_BUFFERED_BYTES);
   }
 
   /** Forwards complete events, or buffers the content of any other response. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/BodyBuffer.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/BodyBuffer.java
@@ -14,6 +14,7 @@
   private static final int FIRST_CAPACITY = 131_072;
 
   private final long declaredBytes;
+  private final int maximumBytes;
   private byte[] content = Bytes.EMPTY.array();
   private int size;
 
@@ -21,9 +22,11 @@
    * Creates an empty body.
    *
    * @param declaredBytes length that the head states; 0 if it states none
+   * @param maximumBytes length that a legal body does not exceed
    */
-  BodyBuffer(long declaredBytes) {
+  BodyBuffer(long declaredBytes, int maximumBytes) {
     this.declaredBytes = declaredBytes;
+    this.maximumBytes = maximumBytes;
   }
 
   long declaredBytes() {
@@ -52,7 +55,7 @@
   private int capacityFor(int needed) {
     int wanted = Math.max(needed, 2 * content.length);
     return declaredBytes < needed
-        ? wanted
+        ? Math.max(needed, Math.min(maximumBytes, wanted))
         : (int) Math.min(declaredBytes, Math.max(wanted, FIRST_CAPACITY));
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InFlightCall.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InFlightCall.java
@@ -62,7 +62,8 @@
       Optional<AcceptedCall> acceptedCall,
       Optional<Reason> rejection,
       HttpRequest httpRequest,
-      long headBytes) {
+      long headBytes,
+      int maximumBodyBytes) {
     this.request = request;
     this.label = label;
     this.acceptedCall = acceptedCall;
@@ -70,7 +71,7 @@
     this.headOnly = "HEAD".equals(httpRequest.method().name());
     this.keepAlive = HttpUtil.isKeepAlive(httpRequest);
     this.chunksAllowed = httpRequest.protocolVersion().equals(HttpVersion.HTTP_1_1);
-    this.body = new BodyBuffer(HttpUtil.getContentLength(httpRequest, 0L));
+    this.body = new BodyBuffer(HttpUtil.getContentLength(httpRequest, 0L), maximumBodyBytes);
     this.headBytes = headBytes;
     this.reservedBytes = this.body.declaredBytes();
   }
@@ -97,7 +98,8 @@
         acceptedCall,
         rejection,
         httpRequest,
-        headBytes);
+        headBytes,
+        context.dialect().bounds().bodyBytes());
   }
 
   /** Adds written response bytes; returns how many are to be reported as consumed, or 0. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/RequestLimits.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/RequestLimits.java
@@ -11,9 +11,6 @@
 /** Checks the request that a connection receives against the limits and the memory budget. */
 final class RequestLimits {
 
-  /** Bytes by which the reservation of a chunked body grows at least. */
-  private static final long CHUNKED_RESERVATION_BYTES = 65_536;
-
   /** Bytes of framing for each byte of content in the smallest chunks, rounded up. */
   private static final long CHUNK_OVERHEAD_FACTOR = 8;
 
@@ -71,11 +68,10 @@
     if (framing > CHUNK_OVERHEAD_FACTOR * call.contentBytes + limits.chunkOverheadBytes()) {
       return exceeded(CallerLimit.CHUNK_OVERHEAD, Reason.BAD_REQUEST);
     }
-    long missing = call.body.size() - call.reservedBytes;
-    if (missing <= 0) {
+    long added = call.body.capacity() - call.reservedBytes;
+    if (added <= 0) {
       return Optional.empty();
     }
-    long added = Math.max(missing, Math.max(CHUNKED_RESERVATION_BYTES, call.reservedBytes));
     call.reservedBytes += added;
     return reserve(call, added)
         ? Optional.empty()
