Allow for the steps in which a socket reports what it takes

Cause: the rate of a response was measured by what was passed to the socket, which goes on when less than 8 KiB of up to 48 KiB wait there, and when a third of the socket's buffer is free. A caller above the minimum rate could take longer for such a step than the period of 10 s. Beside, a rejection that waited in the socket's queue alone counted as written; its connection had no time-out left.

Change: what leaves the queue counts, and what a peer may have read of the socket's buffer is allowed for, except on connections that are about to be closed.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
@@ -170,7 +170,9 @@
 
   /** Ends a body or a response whose rate stays below the minimum. */
   public void checkProgress(long nowNanos) {
-    if (progress.readsTooSlowly(output, nowNanos)) {
+    long unreportedBytes =
+        discarding || output.unwrittenBytes() == 0 ? 0 : output.unreportedBytes();
+    if (progress.readsTooSlowly(output, unreportedBytes, nowNanos)) {
       context.incidents().record(CallerLimit.SLOW_RESPONSE, memory.address());
       channel.close();
     } else if (progress.sendsTooSlowly(current, nowNanos)) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerProgress.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerProgress.java
@@ -20,15 +20,19 @@
 
   /** Returns whether the caller sends the body too slowly. */
   boolean sendsTooSlowly(InFlightCall call, long nowNanos) {
-    return call != null && !call.received && bodyRate.isTooSlow(nowNanos, call.contentBytes);
+    return call != null && !call.received && bodyRate.isTooSlow(nowNanos, call.contentBytes, 0);
   }
 
-  /** Returns whether the caller reads the responses that wait for it too slowly. */
-  boolean readsTooSlowly(SlicedWriteHandler output, long nowNanos) {
-    if (output.waitingBytes() == 0) {
-      responseRate.start(nowNanos, output.passedBytes());
+  /**
+   * Returns whether the caller reads the responses that wait for it too slowly.
+   *
+   * @param unreportedBytes bytes that it may have read beside those that the socket took
+   */
+  boolean readsTooSlowly(SlicedWriteHandler output, long unreportedBytes, long nowNanos) {
+    if (output.unwrittenBytes() == 0) {
+      responseRate.start(nowNanos, output.writtenBytes());
       return false;
     }
-    return responseRate.isTooSlow(nowNanos, output.passedBytes());
+    return responseRate.isTooSlow(nowNanos, output.writtenBytes(), unreportedBytes);
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/MinimumRate.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/MinimumRate.java
@@ -32,8 +32,12 @@
     bytesBefore = bytes;
   }
 
-  /** Returns whether the period is over with too few bytes; starts the next one if it is over. */
-  boolean isTooSlow(long nowNanos, long bytes) {
+  /**
+   * Returns whether the period is over with too few bytes; starts the next one after enough bytes.
+   *
+   * @param unreportedBytes bytes that may have been transferred beside those known
+   */
+  boolean isTooSlow(long nowNanos, long bytes, long unreportedBytes) {
     long elapsedNanos = nowNanos - sinceNanos;
     boolean suspended = nowNanos - checkedNanos > SUSPENDED_NANOS;
     checkedNanos = nowNanos;
@@ -43,9 +47,11 @@
     if (suspended || elapsedNanos < graceNanos) {
       return false;
     }
+    long transferred = bytes - bytesBefore;
     long required = bytesPerSecond * TimeUnit.NANOSECONDS.toMillis(elapsedNanos) / 1_000;
-    boolean tooSlow = bytes - bytesBefore < required;
-    start(nowNanos, bytes);
-    return tooSlow;
+    if (transferred >= required) {
+      start(nowNanos, bytes);
+    }
+    return transferred + unreportedBytes < required;
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlicedWriteHandler.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlicedWriteHandler.java
@@ -1,8 +1,11 @@
 package dev.agatepier.wire.connection.internal;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.util.ReferenceCountUtil;
@@ -30,10 +33,14 @@
   /** Bytes that each buffer takes beside its content. */
   private static final int BUFFER_BYTES = 128;
 
+  /** Divisor of a socket's buffer that gives the part that is free when the socket takes more. */
+  private static final int SOCKET_STEP_DIVISOR = 3;
+
   private final Deque<Pending> pending = new ArrayDeque<>();
   private final Runnable onChanged;
   private long pendingBytes;
   private long passedBytes;
+  private Channel channel;
 
   private record Pending(Object message, ChannelPromise promise) {}
 
@@ -54,6 +61,36 @@
     return passedBytes;
   }
 
+  /** Returns the bytes that wait here and in the queue of the socket. */
+  long unwrittenBytes() {
+    return pendingBytes + queuedBytes();
+  }
+
+  /** Returns the bytes that the socket took since the start. */
+  long writtenBytes() {
+    return passedBytes - queuedBytes();
+  }
+
+  private long queuedBytes() {
+    ChannelOutboundBuffer queue = channel.unsafe().outboundBuffer();
+    return queue == null ? 0 : queue.totalPendingWriteBytes();
+  }
+
+  /**
+   * Returns how many bytes the peer may have read while the socket took none: the system reports
+   * that the socket takes more only when a third of its buffer is free, and a slice leaves the
+   * queue as a whole.
+   */
+  long unreportedBytes() {
+    Integer socketBytes = channel.config().getOption(ChannelOption.SO_SNDBUF);
+    return SLICE_BYTES + (socketBytes == null ? 0 : socketBytes / SOCKET_STEP_DIVISOR);
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    channel = ctx.channel();
+  }
+
   @Override
   public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
     int bytes = message instanceof ByteBuf buffer ? buffer.readableBytes() : 0;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/MinimumRateTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/MinimumRateTest.java
@@ -44,11 +44,21 @@
     assertFalse(tooSlowWithin(19, 0));
   }
 
+  /** Guards against the end of a steady transfer that the socket reports in large steps. */
+  @Test
+  public void allowsForBytesThatAreNotReportedYet() {
+    for (int second = 1; second <= 300; second++) {
+      nowNanos += TimeUnit.SECONDS.toNanos(1);
+      bytes += second % 60 == 0 ? 90_000 : 0;
+      assertFalse(rate.isTooSlow(nowNanos, bytes, 90_000), "after " + second + " s");
+    }
+  }
+
   private boolean tooSlowWithin(int steps, long bytesPerStep) {
     for (int step = 0; step < steps; step++) {
       nowNanos += STEP_NANOS;
       bytes += bytesPerStep;
-      if (rate.isTooSlow(nowNanos, bytes)) {
+      if (rate.isTooSlow(nowNanos, bytes, 0)) {
         return true;
       }
     }
