Start the time of a head when it may be decoded

Cause: bytes that came after a request while its response was still being written started the header timeout, although they are kept until the response is written. A caller that took longer than the header timeout to read a response had its next request rejected.

Change: the time starts when the bytes are decoded.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerConnection.java
@@ -92,7 +92,7 @@
   void onBytesReceived(int bytes) {
     memory.onProgress();
     input.onReceived(bytes);
-    if (current == null) {
+    if (current == null && !input.isHeld()) {
       timeouts.onHeadBytes();
     }
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerInput.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CallerInput.java
@@ -60,6 +60,11 @@
     }
   }
 
+  /** Returns whether received bytes are kept undecoded. */
+  boolean isHeld() {
+    return decoder.isClosed();
+  }
+
   /** Keeps further bytes undecoded, as the request is complete. */
   void hold() {
     decoder.setGate(Gate.CLOSED);
