Look at each connection once to select the one to displace

At the maximum of connections, each accepted one compares all open ones. The comparator looked up the share of two addresses for each comparison; now there is one look-up for each connection. The same connection is selected.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/OpenConnections.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/OpenConnections.java
@@ -1,11 +1,9 @@
 package dev.agatepier.wire.connection.internal;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -56,23 +54,40 @@
       return true;
     }
     incidents.record(limit, address);
-    Optional<C> victim =
-        open.stream()
-            .filter(Entry::displaceable)
-            .min(
-                Comparator.<C>comparingInt(
-                        connection -> exceedsShare(connection.memory().address()) ? 0 : 1)
-                    .thenComparingLong(connection -> connection.memory().progressNanos()));
+    C victim = selectVictim();
     boolean displaces =
-        victim.isPresent()
-            && (exceedsShare(victim.get().memory().address()) || !exceedsShare(address));
+        victim != null && (exceedsShare(victim.memory().address()) || !exceedsShare(address));
     if (displaces) {
-      victim.get().close();
-      remove(victim.get());
+      victim.close();
+      remove(victim);
     }
     return displaces;
   }
 
+  /**
+   * Returns the connection to displace, or null; looks at each one only once, as there are many.
+   */
+  private C selectVictim() {
+    C victim = null;
+    boolean victimExceeds = false;
+    for (C connection : open) {
+      if (!connection.displaceable()) {
+        continue;
+      }
+      boolean exceeds = exceedsShare(connection.memory().address());
+      boolean precedes =
+          victim == null
+              || (exceeds == victimExceeds
+                  ? connection.memory().progressNanos() - victim.memory().progressNanos() < 0
+                  : exceeds);
+      if (precedes) {
+        victim = connection;
+        victimExceeds = exceeds;
+      }
+    }
+    return victim;
+  }
+
   private boolean exceedsShare(String address) {
     return byAddress.getOrDefault(address, 0) > maximum / ADDRESS_DIVISOR;
   }
