Measure the time of a probe from its first byte

Cause: the time of an incomplete head was measured from the response before. A probe in two segments on a connection that was idle for more than 5 s was cut off if the check ran between them.

Change: the first byte of a head starts its time.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/ProbeConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/ProbeConnection.java
@@ -44,7 +44,10 @@
   private Channel channel;
   private ConnectionMemory memory;
   private long headBytes;
-  private long respondedNanos;
+
+  /** When the head began or, without one, when the last response was written or the start. */
+  private long sinceNanos;
+
   private boolean closing;
 
   /**
@@ -74,7 +77,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
-    respondedNanos = clock.nanoTime();
+    sinceNanos = clock.nanoTime();
     memory = new ConnectionMemory(budget, clock, channel, () -> true, this::close);
   }
 
@@ -109,7 +112,7 @@
   private void respond(HttpResponseStatus status, boolean keepAlive) {
     headBytes = 0;
     decoder.forgetHead();
-    respondedNanos = clock.nanoTime();
+    sinceNanos = clock.nanoTime();
     memory.onProgress();
     String response =
         "HTTP/1.1 %d %s\r\ncontent-length: 0\r\n%s\r\n"
@@ -151,7 +154,7 @@
   /** Closes the connection if its caller takes too long. */
   public void checkProgress(long nowNanos) {
     boolean waiting = headBytes > 0 || closing || decoder.isClosed();
-    if (nowNanos - respondedNanos > (waiting ? REQUEST_NANOS : IDLE_NANOS)) {
+    if (nowNanos - sinceNanos > (waiting ? REQUEST_NANOS : IDLE_NANOS)) {
       channel.close();
     }
   }
@@ -175,6 +178,9 @@
   private final class InputCounter extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+      if (headBytes == 0) {
+        sinceNanos = clock.nanoTime();
+      }
       headBytes += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
       ctx.fireChannelRead(message);
       boolean inHead = headBytes > 0 && !closing;
