--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/ProcessResources.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/ProcessResources.java
@@ -27,9 +27,11 @@
         Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory(), descriptorLimit());
   }
 
-  /** Returns these resources with at most a number of descriptors. */
+  /** Returns these resources with at most a number of descriptors; 0 or less bounds nothing. */
   public ProcessResources withDescriptors(int maximum) {
-    return new ProcessResources(heapBytes, directBytes, Math.min(descriptors, maximum));
+    return maximum <= 0
+        ? this
+        : new ProcessResources(heapBytes, directBytes, Math.min(descriptors, maximum));
   }
 
   /** Reads the hard limit, to which the Java runtime raises its own. */
