--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -311,6 +311,8 @@
         fail(Reason.ANSWER_INCOMPLETE);
         return;
       }
+      // The content counts as passed on from here.
+      setBufferedBytes(0);
       exchange.onResponseEnded();
     }
     takeExchange();
