--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -1,6 +1,7 @@
 package dev.agatepier.cli.process;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.expectThrows;
 
 import dev.agatepier.core.process.RouterPolicy;
@@ -41,6 +42,7 @@
     RouterSettings settings = SettingsReader.readRouter(write(ROUTER));
     assertEquals(settings.policy().attempts(), 2);
     assertEquals(settings.policy().windowBytes(), RouterPolicy.DEFAULT.windowBytes());
+    assertFalse(settings.slots().evenLoad());
     assertEquals(settings.common().secret(), new Secret("shared-secret-of-the-fleet"));
     assertEquals(settings.common().secret().toString(), "secret");
   }
@@ -105,10 +107,26 @@
         "'spillMillis':1,'spillSeconds':2",
         "$.policy.spillSeconds: must not be set together with spillMillis"
       },
+      {
+        "'policy':",
+        "'slots':{'evenLoad':'true'},'policy':",
+        "$.slots.evenLoad: must be true or false"
+      },
+      {"'policy':", "'regions':{'a1':'A B'},'policy':", "$.regions.a1: must be a name of 1 to 63"},
+      {"'policy':", "'regions':['a1'],'policy':", "$.regions: must be an object"},
       {"'policy':", "'polity':", "$.polity: is not a known field"},
       {
         "'policy':", "'stop':{'graceMillis':'1s'},'policy':", "$.stop.graceMillis: must be a number"
       },
+      {
+        "'policy':",
+        "'versions':{'evacuations':'yes'},'policy':",
+        "$.versions.evacuations: must be true or false"
+      },
+      {
+        "'policy':", "'slots':{'coldOverage':-1},'policy':", "$.slots: slot allocator policy: coldO"
+      },
+      {"'policy':", "'slots':{'coldSlack':'5'},'policy':", "$.slots.coldSlack: must be a number"},
       {"'policy':", "'stop':{'timeoutMillis':0},'policy':", "$.stop: graceMillis must be from 0"},
       {"'keyFile':'key'", "'keyFile':'none'", "$.administration.keyFile: the file cannot be read"},
       {
--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -2,6 +2,8 @@
 
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.List;
 import java.util.Optional;
 
@@ -26,7 +28,12 @@
    * @param repeatable whether the request may run more than once
    * @param underserved whether requests of its size have got slots less often than others of the
    *     same kind, so that its own work does not count against its objective
+   * @param callerAgeMillis time since the caller first sent the request, before it came to this
+   *     router, in milliseconds; 0 unless it was probably rejected before
    * @param prompt metadata of the prompt of a model request; empty for other requests
+   * @param route name of the route; empty if unknown
+   * @param allowedRegions regions in which the request may be processed, by the route and by the
+   *     workspace
    */
   record WaitingCall(
       RequestId request,
@@ -36,7 +43,35 @@
       long timeLeftMillis,
       boolean repeatable,
       boolean underserved,
-      Optional<PromptMetadata> prompt) {}
+      long callerAgeMillis,
+      Optional<PromptMetadata> prompt,
+      String route,
+      AllowedRegions allowedRegions) {
+
+    /** Creates a new request that every region may process. */
+    public WaitingCall(
+        RequestId request,
+        String workspace,
+        String avoidedUpstream,
+        long objectiveMillis,
+        long timeLeftMillis,
+        boolean repeatable,
+        boolean underserved,
+        Optional<PromptMetadata> prompt) {
+      this(
+          request,
+          workspace,
+          avoidedUpstream,
+          objectiveMillis,
+          timeLeftMillis,
+          repeatable,
+          underserved,
+          0,
+          prompt,
+          "",
+          AllowedRegions.ALL);
+    }
+  }
 
   /**
    * A request that holds a slot.
@@ -55,10 +90,23 @@
    *     drops any other
    * @param waiting requests that start to wait
    * @param held requests that hold a slot; empty unless the message is complete
+   * @param tableVersion version of the table from which the router took the allowed regions; 0 if
+   *     unknown
    */
   record SlotsWanted(
-      String service, boolean complete, List<WaitingCall> waiting, List<HeldSlot> held)
+      String service,
+      boolean complete,
+      List<WaitingCall> waiting,
+      List<HeldSlot> held,
+      long tableVersion)
       implements SlotMessage {
+
+    /** Creates a message with allowed regions of an unknown table version. */
+    public SlotsWanted(
+        String service, boolean complete, List<WaitingCall> waiting, List<HeldSlot> held) {
+      this(service, complete, waiting, held, 0);
+    }
+
     /** Copies the lists. */
     public SlotsWanted {
       waiting = List.copyOf(waiting);
@@ -81,7 +129,9 @@
     /** The request was cancelled by the caller or by its deadline. */
     CANCELLED,
     /** The request ended because of an upstream failure. */
-    FAILED
+    FAILED,
+    /** The request ended because the connection to the upstream failed. */
+    DISCONNECTED
   }
 
   /**
@@ -92,8 +142,28 @@
    * @param stage the new state
    * @param amount tokens of the response for a model request; otherwise the time for which the slot
    *     was held, in milliseconds
+   * @param load load that the upstream has stated since the previous change; empty if it has not
+   */
+  record SlotChange(
+      RequestId request,
+      String upstream,
+      SlotStage stage,
+      long amount,
+      Optional<ReceivedLoad> load) {
+
+    /** Creates a change without a statement of load. */
+    public SlotChange(RequestId request, String upstream, SlotStage stage, long amount) {
+      this(request, upstream, stage, amount, Optional.empty());
+    }
+  }
+
+  /**
+   * Load that an upstream stated in a response.
+   *
+   * @param report the load
+   * @param ageMillis time for which the router has had it, in milliseconds
    */
-  record SlotChange(RequestId request, String upstream, SlotStage stage, long amount) {}
+  record ReceivedLoad(UpstreamLoadReport report, long ageMillis) {}
 
   /**
    * Router to slot allocator: state changes of the router's requests.
@@ -114,8 +184,25 @@
    * @param service service called
    * @param request identity of the request
    * @param upstream upstream of the granted slot
+   * @param cold whether the grant is void once it is late, as the upstream is cold
+   * @param waitedMillis time for which the request waited at the allocator, in milliseconds
+   * @param timeLeftMillis {@link WaitingCall#timeLeftMillis} of the report that is replied to,
+   *     which identifies that report
    */
-  record SlotGranted(String service, RequestId request, String upstream) implements SlotMessage {}
+  record SlotGranted(
+      String service,
+      RequestId request,
+      String upstream,
+      boolean cold,
+      long waitedMillis,
+      long timeLeftMillis)
+      implements SlotMessage {
+
+    /** Creates a grant for an upstream that is not cold. */
+    public SlotGranted(String service, RequestId request, String upstream) {
+      this(service, request, upstream, false, 0, 0);
+    }
+  }
 
   /**
    * Slot allocator to router: rejects a request because no slot will be free in time.
@@ -135,9 +222,50 @@
    * @param dataCentre data centre whose slots the sender allocates
    * @param delayMillis expected time until a request that arrives now is granted a slot, in
    *     milliseconds
+   * @param capacity what the upstreams of the data centre can do, as measured; empty if no estimate
+   *     of their load counts
    */
-  record AllocatorLoad(String service, String dataCentre, long delayMillis)
-      implements SlotMessage {}
+  record AllocatorLoad(
+      String service, String dataCentre, long delayMillis, Optional<MeasuredCapacity> capacity)
+      implements SlotMessage {
+
+    /** Creates a report without a measured capacity. */
+    public AllocatorLoad(String service, String dataCentre, long delayMillis) {
+      this(service, dataCentre, delayMillis, Optional.empty());
+    }
+  }
+
+  /**
+   * Measured capacity of the upstreams of a service in one data centre.
+   *
+   * @param parallelRequests requests that they process beside each other without slowdown
+   * @param requestMillis expected time of a request, without that for its prompt tokens, in
+   *     milliseconds
+   * @param tokenMillis expected time for each prompt token to prefill, in milliseconds; 0 for plain
+   *     services
+   */
+  record MeasuredCapacity(double parallelRequests, double requestMillis, double tokenMillis) {
+
+    /** Rejects numbers that are negative or not finite. */
+    public MeasuredCapacity {
+      if (!(parallelRequests >= 0 && requestMillis >= 0 && tokenMillis >= 0)
+          || Double.isInfinite(parallelRequests + requestMillis + tokenMillis)) {
+        throw new IllegalArgumentException(
+            "parallelRequests "
+                + parallelRequests
+                + ", requestMillis "
+                + requestMillis
+                + " or tokenMillis "
+                + tokenMillis
+                + " is negative or not finite");
+      }
+    }
+
+    /** Returns by how much a request with some tokens to prefill lengthens the delay. */
+    public double addedMillis(int tokens) {
+      return (requestMillis + tokenMillis * tokens) / Math.max(1, parallelRequests);
+    }
+  }
 
   /**
    * Slot allocator to the allocators of other data centres: the costs of workspaces in its own data
@@ -161,6 +289,19 @@
     }
   }
 
+  /**
+   * Router to slot allocator: an upstream has said in a response that it wants no new requests.
+   *
+   * @param service service of the upstream
+   * @param upstream name of the upstream
+   * @param incarnation incarnation that said so; 0 if the upstream does not report one
+   * @param leaving whether it is leaving: nobody gets its slots any more
+   * @param pauseMillis time for which this router does not send to it, in milliseconds; 0 for none
+   */
+  record UpstreamUnavailable(
+      String service, String upstream, long incarnation, boolean leaving, long pauseMillis)
+      implements SlotMessage {}
+
   /**
    * Slot allocator to router: the upstream makes no progress, so the router should move the request
    * to another upstream if it may run more than once.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -88,6 +88,8 @@
    * @param timeLeftMillis time until the deadline, in milliseconds
    * @param resumeAfter number of the event after which to resume an interrupted stream
    * @param windowBytes response bytes that may be read before {@link ReadAttempt} grants more
+   * @param sendByNanos time after which the request must not be sent any more, as a reading of the
+   *     process's monotonic clock; empty for none
    */
   record RunAttempt(
       AttemptId attempt,
@@ -98,8 +100,54 @@
       CallPlan plan,
       long timeLeftMillis,
       OptionalLong resumeAfter,
-      long windowBytes)
-      implements RouterEffect {}
+      long windowBytes,
+      OptionalLong sendByNanos)
+      implements RouterEffect {
+
+    /** Creates an attempt that may be sent at any time. */
+    public RunAttempt(
+        AttemptId attempt,
+        Upstream upstream,
+        String workspace,
+        CallHead head,
+        Bytes body,
+        CallPlan plan,
+        long timeLeftMillis,
+        OptionalLong resumeAfter,
+        long windowBytes) {
+      this(
+          attempt,
+          upstream,
+          workspace,
+          head,
+          body,
+          plan,
+          timeLeftMillis,
+          resumeAfter,
+          windowBytes,
+          OptionalLong.empty());
+    }
+
+    /** Returns the attempt with a time after which it must not be sent. */
+    public RunAttempt sendBy(long nanos) {
+      return new RunAttempt(
+          attempt,
+          upstream,
+          workspace,
+          head,
+          body,
+          plan,
+          timeLeftMillis,
+          resumeAfter,
+          windowBytes,
+          OptionalLong.of(nanos));
+    }
+
+    /** Returns whether it is too late to send the request. */
+    public boolean isTooLate(long nowNanos) {
+      return sendByNanos.isPresent() && nowNanos - sendByNanos.getAsLong() > 0;
+    }
+  }
 
   /**
    * Read more of the response of an upstream that the router called.
@@ -118,6 +166,14 @@
    */
   record CancelAttempt(AttemptId attempt) implements RouterEffect {}
 
+  /**
+   * Cancel an attempt only if its request has not been sent because the connection is still being
+   * opened; this results in {@link RouterEvent.UpstreamNotRun}. Any other attempt goes on.
+   *
+   * @param attempt the attempt
+   */
+  record CancelUnsentAttempt(AttemptId attempt) implements RouterEffect {}
+
   /**
    * Report that a fingerprint is quarantined or no longer is.
    *
@@ -126,6 +182,19 @@
    */
   record QuarantineChanged(Fingerprint fingerprint, String upstream) implements RouterEffect {}
 
+  /**
+   * Report that a table version with other lists of allowed regions was activated.
+   *
+   * @param tableVersion the version
+   * @param restrictedRoutes number of routes with a list
+   * @param restrictedWorkspaces number of workspaces with a list
+   * @param waitingChanged number of waiting requests whose regions changed, so that they were moved
+   *     or rejected
+   */
+  record AllowedRegionsChanged(
+      long tableVersion, int restrictedRoutes, int restrictedWorkspaces, int waitingChanged)
+      implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -13,8 +13,12 @@
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.request.UpstreamNotice;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -36,6 +40,8 @@
    * @param prompt what the caller declares about the prompt of a model request
    * @param resumeAfter number of the last event that the caller received of an interrupted stream;
    *     empty if it resumes none
+   * @param allowedRegions regions in which the matched route and the workspace allow the call to be
+   *     processed, by the table of the front end
    */
   record CallArrived(
       RequestId request,
@@ -48,9 +54,38 @@
       long deadlineNanos,
       Optional<CallPlan> plan,
       Optional<PromptMetadata> prompt,
-      OptionalLong resumeAfter)
+      OptionalLong resumeAfter,
+      AllowedRegions allowedRegions)
       implements RouterEvent {
 
+    /** Creates the event of a call that every region may process. */
+    public CallArrived(
+        RequestId request,
+        String workspace,
+        String service,
+        CallHead head,
+        Bytes body,
+        Fingerprint fingerprint,
+        Optional<Ticket> ticket,
+        long deadlineNanos,
+        Optional<CallPlan> plan,
+        Optional<PromptMetadata> prompt,
+        OptionalLong resumeAfter) {
+      this(
+          request,
+          workspace,
+          service,
+          head,
+          body,
+          fingerprint,
+          ticket,
+          deadlineNanos,
+          plan,
+          prompt,
+          resumeAfter,
+          AllowedRegions.ALL);
+    }
+
     /** Creates the event of a call that names its service directly, without a call plan. */
     public CallArrived(
         RequestId request,
@@ -141,6 +176,24 @@
   record UpstreamResponseStarted(AttemptId attempt, ResponseHead head, boolean eventStream)
       implements RouterEvent {}
 
+  /**
+   * An upstream that the router itself called has said in the head of a response whether it wants
+   * further requests. This precedes the other events of the response.
+   *
+   * @param upstream entry of the upstream when the request was sent to it
+   * @param notice what it has said
+   */
+  record UpstreamNoticed(Upstream upstream, UpstreamNotice notice) implements RouterEvent {}
+
+  /**
+   * An upstream that the router itself called has stated its load in the head of a response.
+   *
+   * @param attempt the attempt that it responded to
+   * @param report the load
+   */
+  record UpstreamLoadReported(AttemptId attempt, UpstreamLoadReport report)
+      implements RouterEvent {}
+
   /**
    * Part of the response body of an upstream that the router itself called was received.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -2,13 +2,15 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.process.internal.AllocatorRegions;
 import dev.agatepier.core.process.internal.AllocatorSelection;
 import dev.agatepier.core.process.internal.FairOrder;
 import dev.agatepier.core.process.internal.RecentPeak;
 import dev.agatepier.core.process.internal.ServiceSlots;
-import dev.agatepier.core.process.internal.ServiceSlotsStatus;
 import dev.agatepier.core.process.internal.StartupMessageBuffer;
+import dev.agatepier.core.process.internal.UpstreamAvailability;
 import dev.agatepier.core.process.internal.WorkspaceLedger;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.SlotAllocationMode;
@@ -23,6 +25,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * Allocates the slots of upstreams that have no sidecar, for the routers of a data centre. Requests
@@ -48,25 +52,49 @@
   /** Time for which disconnected routers are regarded as allocators that this one cannot see. */
   private static final long PEAK_NANOS = 10_000_000_000L;
 
+  /**
+   * The same for cold upstreams. They end if several parts of a divided fleet use them in full, so
+   * it is longer than a division usually lasts.
+   */
+  private static final long COLD_PEAK_NANOS = 600_000_000_000L;
+
   private final PeerIdentity self;
   private final SlotAllocatorPolicy policy;
+  private final AllocatorRegions regions;
   private final RecentPeak peakRouters = new RecentPeak(PEAK_NANOS);
+  private final RecentPeak coldPeakRouters = new RecentPeak(COLD_PEAK_NANOS);
   private final List<SlotAllocatorEffect> effects = new ArrayList<>();
   private final Map<String, ServiceSlots> services = new TreeMap<>();
   private final Map<String, PeerIdentity> routers = new TreeMap<>();
   private final Set<String> leavingRouters = new HashSet<>();
   private final StartupMessageBuffer startupMessages = new StartupMessageBuffer();
+  private final Set<String> ownDataCentres = new HashSet<>();
   private double share = 1;
+  private double coldShare = 1;
   private Table table = Table.NONE;
   private InstanceList instances = InstanceList.NONE;
+  private long listedNanos;
 
   /**
-   * Creates the decision of an allocator without routers, table or instance list.
+   * Creates the decision of an allocator that knows the regions of no data centre.
    *
    * @param self identity of the router that it is part of
    * @param policy settings
    */
   public SlotAllocatorDecision(PeerIdentity self, SlotAllocatorPolicy policy) {
+    this(self, policy, DataCentreRegions.NONE);
+  }
+
+  /**
+   * Creates the decision of an allocator without routers, table or instance list.
+   *
+   * @param self identity of the router that it is part of
+   * @param policy settings
+   * @param dataCentres the regions of the data centres
+   */
+  public SlotAllocatorDecision(
+      PeerIdentity self, SlotAllocatorPolicy policy, DataCentreRegions dataCentres) {
+    this.regions = new AllocatorRegions(dataCentres);
     this.self = self;
     this.policy = policy;
     routers.put(self.instance(), self);
@@ -91,13 +119,18 @@
           onRouterDisconnected(router, nowNanos);
       case SlotAllocatorEvent.TableActivated(Table newer) -> {
         table = newer;
-        updateServices();
+        regions.activate(newer);
+        updateServices(nowNanos);
         updateUpstreams(nowNanos);
         processStartupMessages(nowNanos);
       }
       case SlotAllocatorEvent.InstancesActivated(InstanceList newer) -> {
+        Set<String> returned = new HashSet<>(instances.evacuated());
+        returned.removeAll(newer.evacuated());
         instances = newer;
+        listedNanos = nowNanos;
         updateUpstreams(nowNanos);
+        onEvacuationEnded(returned, nowNanos);
         processStartupMessages(nowNanos);
       }
       case SlotAllocatorEvent.Tick() -> {
@@ -113,6 +146,7 @@
           .filter(this::isAllocatorFor)
           .forEach(
               service -> {
+                service.upstreams().reportAvailability(nowNanos);
                 sendLoad(service, nowNanos);
                 sendCosts(service, nowNanos);
               });
@@ -132,6 +166,14 @@
     return services.values().stream().map(service -> service.status(nowNanos)).toList();
   }
 
+  /** Returns the number of upstreams in each state whose slots this router allocates. */
+  public Map<UpstreamState, Long> upstreamCounts(long nowNanos) {
+    return services.values().stream()
+        .filter(this::isAllocatorFor)
+        .flatMap(service -> service.upstreams().states(nowNanos).stream())
+        .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
+  }
+
   /** Grants the slots that an event may have made available; a message concerns one service. */
   private void grantSlots(SlotAllocatorEvent event, long nowNanos) {
     if (event instanceof SlotAllocatorEvent.MessageReceived received) {
@@ -223,7 +265,11 @@
     OptionalLong delayMillis = service.takeDueDelayMillis(nowNanos);
     if (delayMillis.isPresent()) {
       SlotMessage load =
-          new SlotMessage.AllocatorLoad(service.name(), self.dataCentre(), delayMillis.getAsLong());
+          new SlotMessage.AllocatorLoad(
+              service.name(),
+              self.dataCentre(),
+              delayMillis.getAsLong(),
+              service.measuredCapacity(nowNanos));
       routers.keySet().forEach(router -> effects.add(new SlotAllocatorEffect.Send(router, load)));
     }
   }
@@ -233,19 +279,41 @@
    * the majority has selected allocators for the same upstreams.
    */
   private void updateShare(long nowNanos) {
-    double connected = routers.size() / (double) peakRouters.update(routers.size(), nowNanos);
-    double newShare = connected < MAJORITY ? connected : 1;
+    double newShare = share(peakRouters, nowNanos);
     if (newShare != share) {
       share = newShare;
-      services.values().forEach(service -> service.setShare(newShare));
+      services.values().forEach(service -> service.upstreams().setShare(newShare));
+    }
+    double newColdShare = share(coldPeakRouters, nowNanos);
+    if (newColdShare != coldShare) {
+      coldShare = newColdShare;
+      services.values().forEach(service -> updateColdUpstreams(service, nowNanos));
     }
   }
 
-  private void updateServices() {
+  private double share(RecentPeak peak, long nowNanos) {
+    double connected = routers.size() / (double) peak.update(routers.size(), nowNanos);
+    return connected < MAJORITY ? connected : 1;
+  }
+
+  private void updateColdUpstreams(ServiceSlots service, long nowNanos) {
+    service.upstreams().setColdLimit(isAllocatorFor(service), coldShare, nowNanos);
+  }
+
+  /**
+   * Treats the upstreams of data centres as cold whose evacuation has ended with the active list.
+   */
+  private void onEvacuationEnded(Set<String> dataCentres, long nowNanos) {
+    services
+        .values()
+        .forEach(service -> service.upstreams().onEvacuationEnded(dataCentres, nowNanos));
+  }
+
+  private void updateServices(long nowNanos) {
     services.keySet().retainAll(table.services().keySet());
     for (ServiceEntry entry : table.services().values()) {
       if (entry.keeping() == SlotAllocationMode.ROUTER) {
-        services.computeIfAbsent(entry.name(), name -> newService(entry)).activate(table);
+        services.computeIfAbsent(entry.name(), name -> newService(entry)).activate(table, nowNanos);
       }
     }
   }
@@ -254,7 +322,7 @@
     boolean decays = policy.costWindowMillis() > 0;
     double catchUpCost = decays ? Double.POSITIVE_INFINITY : CATCH_UP_COST;
     return new ServiceSlots(
-        entry, policy, new WorkspaceLedger(FairOrder.byName(ORDER), catchUpCost), effects);
+        entry, policy, new WorkspaceLedger(FairOrder.byName(ORDER), catchUpCost), regions, effects);
   }
 
   private List<PeerIdentity> candidates() {
@@ -275,27 +343,44 @@
 
   private void updateUpstreams(long nowNanos) {
     Map<String, List<Upstream>> byService = new TreeMap<>();
-    Map<String, Set<String>> elsewhere = new TreeMap<>();
+    Map<String, Map<String, Set<String>>> elsewhere = new TreeMap<>();
     Map<String, Boolean> own = new HashMap<>();
     Map<String, String> responsible = new HashMap<>();
     List<PeerIdentity> candidates = candidates();
     for (Upstream upstream : instances.upstreams()) {
       if (own.computeIfAbsent(upstream.dataCentre(), this::isResponsibleFor)) {
         byService.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
-      } else if (!upstream.leaving()) {
+      } else if (UpstreamAvailability.ofEntry(upstream, instances.isEvacuated(upstream))
+          .state(nowNanos)
+          .serving()) {
         elsewhere
-            .computeIfAbsent(upstream.service(), name -> new HashSet<>())
-            .add(
+            .computeIfAbsent(upstream.service(), name -> new HashMap<>())
+            .computeIfAbsent(
                 responsible.computeIfAbsent(
                     upstream.dataCentre(),
-                    name -> AllocatorSelection.responsibleDataCentre(name, candidates)));
+                    name -> AllocatorSelection.responsibleDataCentre(name, candidates)),
+                name -> new HashSet<>())
+            .add(upstream.dataCentre());
       }
     }
+    own.values().removeIf(isOwn -> !isOwn);
+    Set<String> takenOver = new HashSet<>(own.keySet());
+    takenOver.removeAll(ownDataCentres);
+    ownDataCentres.clear();
+    ownDataCentres.addAll(own.keySet());
     services.forEach(
         (name, service) -> {
-          service.updateUpstreams(byService.getOrDefault(name, List.of()), nowNanos);
-          service.setOtherDataCentres(elsewhere.getOrDefault(name, Set.of()));
-          service.setShare(share);
+          service
+              .upstreams()
+              .update(
+                  byService.getOrDefault(name, List.of()),
+                  instances.evacuated(),
+                  listedNanos,
+                  takenOver,
+                  nowNanos);
+          updateColdUpstreams(service, nowNanos);
+          service.setOtherDataCentres(elsewhere.getOrDefault(name, Map.of()));
+          service.upstreams().setShare(share);
         });
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -72,6 +72,43 @@
       boolean underserved)
       implements SlotAllocatorEffect {}
 
+  /**
+   * Log that the state of an upstream has changed.
+   *
+   * @param service service that it serves
+   * @param upstream name of the upstream
+   * @param dataCentre data centre of the upstream
+   * @param state the new state
+   * @param previous the state before
+   */
+  record UpstreamAvailabilityChanged(
+      String service,
+      String upstream,
+      String dataCentre,
+      UpstreamState state,
+      UpstreamState previous)
+      implements SlotAllocatorEffect {}
+
+  /**
+   * Report the grants to cold upstreams.
+   *
+   * @param service the service
+   * @param most grants of the last second to the cold upstream that got most
+   * @param bound requests that a cold upstream may get in any second, from all routers together
+   */
+  record ColdGrants(String service, int most, int bound) implements SlotAllocatorEffect {}
+
+  /**
+   * Record how well the start of a response was predicted.
+   *
+   * @param service the called service
+   * @param expectedMillis time from the grant to the start that was expected at the grant, in
+   *     milliseconds
+   * @param observedMillis the time that it took
+   */
+  record StartPredicted(String service, long expectedMillis, long observedMillis)
+      implements SlotAllocatorEffect {}
+
   /**
    * Log that an upstream became usable or unusable.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -78,10 +78,15 @@
             nowNanos,
             deadline(call, nowNanos),
             call.plan().orElseGet(() -> plan(entry, call)),
-            entry.keeping() == SlotAllocationMode.ROUTER ? routerPlacement : sidecarPlacement);
+            placement(entry));
+    state.regions.initialize(request);
     lifecycle.admit(request, nowNanos);
   }
 
+  private Placement placement(ServiceEntry entry) {
+    return entry.keeping() == SlotAllocationMode.ROUTER ? routerPlacement : sidecarPlacement;
+  }
+
   /** Returns why a workspace cannot use a service now; empty if it can. */
   Optional<Refusal> checkAccess(String workspace, String service) {
     if (state.table.version() == 0) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -1,9 +1,13 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.process.internal.RoutedRequest.Phase;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -26,6 +30,8 @@
   private final Map<SessionKey, AllocatorSession> sessions = new LinkedHashMap<>();
   private final Map<String, SlidingWindowRetryBudget> budgets = new HashMap<>();
   private final SizeFairness sizes = new SizeFairness();
+  private final CallerAges ages = new CallerAges();
+  private final UnplacedRequests unplaced;
 
   /** Service and data centre that a session covers. */
   private record SessionKey(String service, String dataCentre) {}
@@ -33,12 +39,16 @@
   /** Creates a placement without requests. */
   public AllocatorPlacement(RouterState state) {
     this.state = state;
-    this.selector = new DataCentreSelector(state.self, state.policy.regionMillis());
+    this.unplaced = new UnplacedRequests(state);
+    this.selector =
+        new DataCentreSelector(
+            state.self, state.policy.regionMillis(), state.upstreams, state.regions.dataCentres);
   }
 
   @Override
   public void add(RoutedRequest request, long nowNanos) {
-    if (request.attempts == 0) {
+    requestSlot(request, nowNanos);
+    if (request.attempts == 0 && !isUnplaced(request)) {
       budget(request).recordRequest(nowNanos);
       request.underserved =
           request
@@ -46,16 +56,54 @@
               .prompt()
               .filter(prompt -> sizes.recordArrived(request.plan.route(), prompt))
               .isPresent();
+      request.callerAgeMillis =
+          ages.recordArrived(
+              request.plan.route(),
+              (request.call.deadlineNanos() - nowNanos) / RouterState.NANOS_PER_MILLI);
     }
-    requestSlot(request, nowNanos);
   }
 
   @Override
   public void requeue(RoutedRequest request, String avoided, long nowNanos) {
+    if (!isUnplaced(request)) {
+      sessions.get(key(request)).remove(request);
+    }
     request.refusedBy.clear();
     requestSlot(request, nowNanos);
   }
 
+  @Override
+  public boolean isWithoutUpstreams(String service, long nowNanos) {
+    return state.upstreams.isWithoutUpstreams(service, nowNanos);
+  }
+
+  @Override
+  public boolean isServed(RoutedRequest request, long nowNanos) {
+    return !selector.serving(request, state.allocatorCandidates(), nowNanos).none();
+  }
+
+  /** Moves the waiting requests whose data centre serves them no more. */
+  void moveUnserved(long nowNanos) {
+    Collection<PeerIdentity> routers = state.allocatorCandidates();
+    List<RoutedRequest> unserved = new ArrayList<>();
+    sessions.forEach(
+        (key, session) -> {
+          Map<AllowedRegions, ServingDataCentres> serving = new HashMap<>();
+          session
+              .waiting()
+              .filter(
+                  request ->
+                      !serving
+                          .computeIfAbsent(
+                              request.allowedRegions,
+                              allowed ->
+                                  selector.serving(key.service(), allowed, routers, nowNanos))
+                          .contains(key.dataCentre()))
+              .forEach(unserved::add);
+        });
+    unserved.forEach(request -> move(request, nowNanos));
+  }
+
   /**
    * Requests a slot in another data centre for a request that an allocator refused, if the
    * allocator named one and the round trip leaves time to meet the objective.
@@ -68,25 +116,41 @@
     request.refusedBy.add(request.dataCentre);
     long dueNanos =
         request.arrivedNanos + request.plan.objectiveMillis() * RouterState.NANOS_PER_MILLI;
+    Collection<PeerIdentity> routers = state.allocatorCandidates();
     if (request.refusedBy.size() > MAX_FALLBACKS
         || request.refusedBy.contains(alternative)
-        || !hasAllocator(alternative)
+        || routers.stream().noneMatch(router -> router.dataCentre().equals(alternative))
+        || !selector.serving(request, routers, nowNanos).contains(alternative)
         || dueNanos - nowNanos < state.policy.regionMillis() * RouterState.NANOS_PER_MILLI) {
       return false;
     }
     request.dataCentre = alternative;
+    selector.recordSent(request, alternative, routers, nowNanos);
     session(request, nowNanos).addWaiting(request);
     return true;
   }
 
-  private boolean hasAllocator(String dataCentre) {
-    return state.allocatorCandidates().stream()
-        .anyMatch(router -> router.dataCentre().equals(dataCentre));
-  }
-
   @Override
   public void remove(RoutedRequest request) {
-    sessions.get(key(request)).withdraw(request);
+    if (!isUnplaced(request)) {
+      sessions.get(key(request)).withdraw(request);
+    }
+  }
+
+  /** Selects the data centre again for a waiting request, which keeps its age. */
+  void move(RoutedRequest request, long nowNanos) {
+    remove(request);
+    requeue(request, "", nowNanos);
+  }
+
+  /** Returns whether a request waits for a slot of an allocator. */
+  boolean isWaiting(RoutedRequest request) {
+    return request.phase == Phase.WAITING && request.placement == this;
+  }
+
+  /** Returns whether no data centre was found for a request. */
+  boolean isUnplaced(RoutedRequest request) {
+    return request.dataCentre.isEmpty();
   }
 
   @Override
@@ -97,15 +161,13 @@
   }
 
   @Override
-  public void recordResponseStarted(RoutedRequest request) {
-    sessions
-        .get(key(request))
-        .addChange(request.id(), request.lastTarget, SlotStage.RESPONSE_STARTED, 0);
+  public void recordResponseStarted(RoutedRequest request, long nowNanos) {
+    sessions.get(key(request)).addProgress(request, SlotStage.RESPONSE_STARTED, 0, nowNanos);
   }
 
   @Override
   public void recordReleased(RoutedRequest request, SlotStage stage, long nowNanos) {
-    sessions.get(key(request)).release(request, stage, (long) request.cost(nowNanos));
+    sessions.get(key(request)).release(request, stage, (long) request.cost(nowNanos), nowNanos);
   }
 
   @Override
@@ -115,6 +177,11 @@
     }
   }
 
+  /** Records that a request was rejected, so that its caller may send it again. */
+  void recordRejected(RoutedRequest request) {
+    ages.recordRejected(request.plan.route());
+  }
+
   @Override
   public boolean tryAcquireRetry(RoutedRequest request, long nowNanos) {
     double slack = state.policy.retrySlack() / state.recentPeakRouters(nowNanos);
@@ -143,17 +210,48 @@
   }
 
   /** Replaces the upstreams by those of the instance list. */
-  void updateUpstreams(Collection<Upstream> upstreams) {
-    selector.setUpstreams(upstreams);
+  void updateUpstreams(InstanceList list, long nowNanos) {
+    selector.setUpstreams(list, nowNanos);
+    moveUnserved(nowNanos);
   }
 
-  /** Forgets the routes that the active table no longer contains. */
-  public void onTableActivated() {
+  /** Forgets the routes that the active table no longer contains, and applies its regions. */
+  public void onTableActivated(long nowNanos) {
     sizes.retainRoutes(state.routes);
+    ages.retainRoutes(state.routes);
+    state.regions.activate(state, this, nowNanos);
+  }
+
+  /** Tells slot allocators which upstreams have said that they want no new requests. */
+  public void reportNotices(long nowNanos) {
+    Collection<PeerIdentity> routers = state.allocatorCandidates();
+    for (DirectUpstream direct : state.upstreams.noticed(nowNanos)) {
+      Upstream upstream = direct.upstream();
+      UpstreamNotices notices = direct.notices();
+      String dataCentre = AllocatorSelection.responsibleDataCentre(upstream.dataCentre(), routers);
+      AllocatorSelection.select(upstream.service(), dataCentre, routers)
+          .filter(allocator -> notices.markReported(allocator, nowNanos))
+          .ifPresent(
+              allocator ->
+                  state.outbox.send(
+                      allocator,
+                      new SlotMessage.UpstreamUnavailable(
+                          upstream.service(),
+                          upstream.name(),
+                          notices.incarnation(),
+                          notices.leaving(),
+                          notices.pauseMillis(nowNanos))));
+    }
+  }
+
+  /** Ends the requests that no data centre serves. */
+  public void rejectUnplaced(RequestLifecycle lifecycle, long nowNanos) {
+    unplaced.rejectAll(lifecycle, nowNanos);
   }
 
   /** Clears a disconnected router as allocator. */
   void onRouterDisconnected(String router) {
+    state.upstreams.clearReported(router);
     sessions.values().forEach(session -> session.onAllocatorDisconnected(router));
   }
 
@@ -173,6 +271,8 @@
       orphan.dataCentre = AllocatorSelection.responsibleDataCentre(orphan.dataCentre, routers);
       session(orphan, nowNanos).adopt(orphan);
     }
+    reportNotices(nowNanos);
+    moveUnserved(nowNanos);
   }
 
   /** Sends the pending changes to each allocator. */
@@ -182,7 +282,11 @@
 
   private void requestSlot(RoutedRequest request, long nowNanos) {
     request.dataCentre = selector.choose(request, state.allocatorCandidates(), nowNanos);
-    session(request, nowNanos).addWaiting(request);
+    if (isUnplaced(request)) {
+      unplaced.add(request);
+    } else {
+      session(request, nowNanos).addWaiting(request);
+    }
   }
 
   private AllocatorSession session(RoutedRequest request, long nowNanos) {
@@ -199,7 +303,7 @@
             .orElse("");
     long roundTripMillis = (long) selector.roundTripMillis(request.dataCentre, region);
     AllocatorSession session =
-        new AllocatorSession(request.queue.service, roundTripMillis, state.outbox);
+        new AllocatorSession(request.queue.service, roundTripMillis, state.outbox, state.regions);
     sessions.put(key(request), session);
     session.setAllocator(
         AllocatorSelection.select(request.queue.service, request.dataCentre, routers), nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -58,7 +58,7 @@
       return;
     }
     if (request.nextFrame == 0) {
-      request.placement.recordResponseStarted(request);
+      request.placement.recordResponseStarted(request, nowNanos);
     }
     request.nextFrame++;
     state.outbox.add(new ContinueResponse(request.id(), content));
@@ -83,12 +83,16 @@
    */
   void onAttemptNotRun(RoutedRequest request, Reason reason, boolean arrived, long nowNanos) {
     boolean terminal = request.responseStarted || isFinal(reason);
-    if (!request.responseStarted && !mayHaveRunUnderTicket(reason)) {
+    boolean unsent = reason == Reason.WITHDRAWN && !arrived;
+    if (unsent || !request.responseStarted && !mayHaveRunUnderTicket(reason)) {
       request.possibleRuns--;
       request.provenNotRunCount++;
     }
     if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
+    } else if (unsent) {
+      // An attempt that was withdrawn before it was sent says nothing about the upstream.
+      lifecycle.requeue(request, SlotStage.DECLINED, nowNanos);
     } else if (request.responseStarted && request.plan.resumable()) {
       failOrRetry(request, reason, nowNanos);
     } else if (terminal || request.provenNotRunCount >= MAXIMUM_REJECTED_ATTEMPTS) {
@@ -96,7 +100,7 @@
     } else if (arrived && !request.placement.tryAcquireRetry(request, nowNanos)) {
       lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
     } else {
-      lifecycle.requeue(request, SlotStage.REJECTED, nowNanos);
+      lifecycle.requeue(request, notRunStage(reason), nowNanos);
     }
   }
 
@@ -157,6 +161,7 @@
   boolean retryElsewhere(RoutedRequest request, SlotStage stage, long nowNanos) {
     if (!repeatable(request)
         || request.deadlineNanos <= nowNanos
+        || !request.placement.isServed(request, nowNanos)
         || !request.placement.tryAcquireRetry(request, nowNanos)) {
       return false;
     }
@@ -236,7 +241,8 @@
   private void failOrRetry(RoutedRequest request, Reason reason, long nowNanos) {
     if (request.phase == Phase.WITHDRAWN) {
       lifecycle.fail(request, request.withdrawReason, nowNanos);
-    } else if (!repeatable(request)) {
+    } else if (!repeatable(request)
+        || request.placement.isWithoutUpstreams(request.queue.service, nowNanos)) {
       lifecycle.fail(request, reason, nowNanos);
     } else if (request.deadlineNanos <= nowNanos) {
       lifecycle.fail(request, Reason.DEADLINE, nowNanos);
@@ -246,10 +252,18 @@
     } else if (!request.placement.tryAcquireRetry(request, nowNanos)) {
       lifecycle.fail(request, Reason.RETRY_BUDGET, nowNanos);
     } else {
-      lifecycle.requeue(request, SlotStage.FAILED, nowNanos);
+      lifecycle.requeue(request, RequestLifecycle.stage(reason), nowNanos);
     }
   }
 
+  private static SlotStage notRunStage(Reason reason) {
+    return switch (reason) {
+      case WITHDRAWN -> SlotStage.DECLINED;
+      case UPSTREAM_UNREACHABLE -> SlotStage.DISCONNECTED;
+      default -> SlotStage.REJECTED;
+    };
+  }
+
   /**
    * Returns whether a request may run again; once its response has started, only a resumable one.
    */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -2,8 +2,12 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.DataCentreRegions;
+import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -12,6 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * Selects the data centre from whose slot allocator a request gets its slot: the one with the
@@ -26,9 +31,18 @@
    */
   private static final long LOAD_VALIDITY_NANOS = 3_000_000_000L;
 
-  /** Expected prefill time of one prompt token, in milliseconds, including queueing. */
+  /**
+   * Expected prefill time of one prompt token where none was measured, in milliseconds, including
+   * queueing.
+   */
   private static final double PREFILL_MILLIS_PER_TOKEN = 0.03;
 
+  /**
+   * Weight of the work that a router has moved to another data centre since its report: it is added
+   * there and missing here, so both delays meet at half of the difference.
+   */
+  private static final double MOVED_WEIGHT = 2;
+
   /**
    * Weight of repeating the prefill of shared tokens: it delays all requests queued behind it,
    * takes engine memory from other requests and costs the operator. A request whose home is full
@@ -44,66 +58,147 @@
 
   private final PeerIdentity self;
   private final long regionMillis;
+  private final KnownUpstreams known;
+  private final DataCentreRegions dataCentres;
   private final Map<String, ReceivedLoad> loads = new HashMap<>();
   private final Map<String, List<Upstream>> upstreams = new HashMap<>();
 
-  /** The last queueing delay that a slot allocator reported, and when it was received. */
-  private record ReceivedLoad(long delayMillis, long receivedNanos) {}
+  /** The last report of a slot allocator and what was sent to it since. */
+  private static final class ReceivedLoad {
+    private final AllocatorLoad load;
+    private final long receivedNanos;
+    private double movedMillis;
+
+    private ReceivedLoad(AllocatorLoad load, long nowNanos) {
+      this.load = load;
+      this.receivedNanos = nowNanos;
+    }
+  }
 
   /**
    * Creates a selector without load reports and upstreams.
    *
    * @param regionMillis expected round-trip time to another region, in milliseconds
+   * @param known the upstreams that the router may call
+   * @param dataCentres the regions of the data centres
    */
-  DataCentreSelector(PeerIdentity self, long regionMillis) {
+  DataCentreSelector(
+      PeerIdentity self, long regionMillis, KnownUpstreams known, DataCentreRegions dataCentres) {
+    this.known = known;
     this.self = self;
+    this.dataCentres = dataCentres;
     this.regionMillis = regionMillis;
   }
 
   /** Records a load report of a slot allocator. */
   void recordLoad(AllocatorLoad load, long nowNanos) {
-    loads.put(
-        key(load.service(), load.dataCentre()), new ReceivedLoad(load.delayMillis(), nowNanos));
+    loads.put(key(load.service(), load.dataCentre()), new ReceivedLoad(load, nowNanos));
   }
 
-  /** Replaces the upstreams that may be homes of prefixes; those that are leaving may not. */
-  void setUpstreams(Collection<Upstream> updated) {
+  /** Replaces the upstreams that may be homes of prefixes; those that serve no more may not. */
+  void setUpstreams(InstanceList list, long nowNanos) {
     upstreams.clear();
-    for (Upstream upstream : updated) {
-      if (!upstream.leaving()) {
+    for (Upstream upstream : list.upstreams()) {
+      if (UpstreamAvailability.ofEntry(upstream, list.isEvacuated(upstream))
+          .state(nowNanos)
+          .serving()) {
         upstreams.computeIfAbsent(upstream.service(), name -> new ArrayList<>()).add(upstream);
       }
     }
   }
 
   /**
-   * Returns the data centre in which a request gets its slot; its own if there are no routers.
+   * Returns the data centres whose slot allocators allocate an upstream of a service that is in a
+   * permitted region and that neither an evacuation nor what it has said keeps away; all of them
+   * while neither regions nor evacuations nor notices restrict the service. Before the first
+   * instance list, requests wait in any data centre, as every grant is checked.
+   *
+   * @param routers routers that are connected and not leaving
+   */
+  ServingDataCentres serving(
+      String service, AllowedRegions allowed, Collection<PeerIdentity> routers, long nowNanos) {
+    boolean bound = !allowed.all() && known.listed();
+    if (!bound && !known.restricts(service, nowNanos)) {
+      return ServingDataCentres.ALL;
+    }
+    return new ServingDataCentres(
+        false,
+        known
+            .usableDataCentres(service, nowNanos)
+            .filter(name -> dataCentres.permits(allowed, name))
+            .map(name -> AllocatorSelection.responsibleDataCentre(name, routers))
+            .collect(Collectors.toSet()));
+  }
+
+  /** Returns the same for a request. */
+  ServingDataCentres serving(
+      RoutedRequest request, Collection<PeerIdentity> routers, long nowNanos) {
+    return serving(request.queue.service, request.allowedRegions, routers, nowNanos);
+  }
+
+  /**
+   * Returns the data centre in which a request gets its slot; its own if nothing restricts them and
+   * there are no routers, and empty if none serves it.
    *
    * @param routers routers that are connected and not leaving
    */
   String choose(RoutedRequest request, Collection<PeerIdentity> routers, long nowNanos) {
     String service = request.queue.service;
-    Optional<String> home = homeDataCentre(service, request.call.prompt(), routers);
+    AllowedRegions allowed = request.allowedRegions;
+    Optional<String> home = homeDataCentre(service, request.call.prompt(), allowed, routers);
     Map<String, String> regions = new TreeMap<>();
     routers.forEach(router -> regions.put(router.dataCentre(), router.region()));
-    String best = self.dataCentre();
+    ServingDataCentres serving = serving(request, routers, nowNanos);
+    String best = serving.all() ? self.dataCentre() : "";
     double bestMillis = Double.MAX_VALUE;
     for (Map.Entry<String, String> candidate : regions.entrySet()) {
       String dataCentre = candidate.getKey();
+      if (!serving.contains(dataCentre)) {
+        continue;
+      }
       double millis =
           delayMillis(service, dataCentre, nowNanos)
               + roundTripMillis(dataCentre, candidate.getValue())
               + (home.isEmpty() || home.get().equals(dataCentre)
                   ? 0
-                  : sharedPrefillMillis(request));
+                  : sharedPrefillMillis(request, dataCentre));
       if (millis < bestMillis) {
         best = dataCentre;
         bestMillis = millis;
       }
     }
+    recordSent(request, best, routers, nowNanos);
     return best;
   }
 
+  /**
+   * Adds a request that moves to another data centre, whose capacity is measured, to the delay
+   * there until the next report. The other routers of this data centre have the same reports, so
+   * they are assumed to move as much. Nothing is added to the own data centre: the same reports
+   * then never make both of two data centres move requests to the other.
+   */
+  void recordSent(
+      RoutedRequest request, String dataCentre, Collection<PeerIdentity> routers, long nowNanos) {
+    ReceivedLoad load = validLoad(request.queue.service, dataCentre, nowNanos);
+    if (load == null || load.load.capacity().isEmpty() || dataCentre.equals(self.dataCentre())) {
+      return;
+    }
+    long senders =
+        routers.stream().filter(router -> router.dataCentre().equals(self.dataCentre())).count();
+    int tokens = request.call.prompt().map(DataCentreSelector::ownTokens).orElse(0);
+    load.movedMillis +=
+        MOVED_WEIGHT * Math.max(1, senders) * load.load.capacity().get().addedMillis(tokens);
+  }
+
+  private List<Upstream> permittedUpstreams(String service, AllowedRegions allowed) {
+    List<Upstream> listed = upstreams.getOrDefault(service, List.of());
+    return allowed.all()
+        ? listed
+        : listed.stream()
+            .filter(upstream -> dataCentres.permits(allowed, upstream.dataCentre()))
+            .toList();
+  }
+
   /** Returns the expected round-trip time to a data centre, in milliseconds. */
   double roundTripMillis(String dataCentre, String region) {
     if (dataCentre.equals(self.dataCentre())) {
@@ -113,29 +208,48 @@
   }
 
   private double delayMillis(String service, String dataCentre, long nowNanos) {
+    ReceivedLoad load = validLoad(service, dataCentre, nowNanos);
+    return load == null ? 0 : load.load.delayMillis() + load.movedMillis;
+  }
+
+  /** Returns the last report of a slot allocator; null if there is none or it is too old. */
+  private ReceivedLoad validLoad(String service, String dataCentre, long nowNanos) {
     ReceivedLoad load = loads.get(key(service, dataCentre));
-    return load == null || nowNanos - load.receivedNanos() > LOAD_VALIDITY_NANOS
-        ? 0
-        : load.delayMillis();
+    return load == null || nowNanos - load.receivedNanos > LOAD_VALIDITY_NANOS ? null : load;
   }
 
   /** Returns the data centre that manages the home upstream of a prompt's shared prefix, if any. */
   private Optional<String> homeDataCentre(
-      String service, Optional<PromptMetadata> prompt, Collection<PeerIdentity> routers) {
+      String service,
+      Optional<PromptMetadata> prompt,
+      AllowedRegions allowed,
+      Collection<PeerIdentity> routers) {
     if (prompt.isEmpty() || sharedTokens(prompt.get()) < MINIMUM_SHARED_TOKENS) {
       return Optional.empty();
     }
     List<PromptPart> parts = prompt.get().parts();
     String prefix = parts.get(parts.size() - 2).identity();
-    List<Upstream> candidates = upstreams.getOrDefault(service, List.of());
+    List<Upstream> candidates = permittedUpstreams(service, allowed);
     return RendezvousHash.sorted(prefix, candidates, upstream -> 0, Upstream::name).stream()
         .findFirst()
         .map(upstream -> AllocatorSelection.responsibleDataCentre(upstream.dataCentre(), routers));
   }
 
-  private static double sharedPrefillMillis(RoutedRequest request) {
+  /** Returns the cost of prefilling the shared parts of a prompt again in a data centre. */
+  private double sharedPrefillMillis(RoutedRequest request, String dataCentre) {
     int shared = request.call.prompt().map(DataCentreSelector::sharedTokens).orElse(0);
-    return SHARED_PREFILL_WEIGHT * PREFILL_MILLIS_PER_TOKEN * shared;
+    ReceivedLoad load = loads.get(key(request.queue.service, dataCentre));
+    double tokenMillis =
+        Optional.ofNullable(load)
+            .flatMap(received -> received.load.capacity())
+            .map(MeasuredCapacity::tokenMillis)
+            .orElse(PREFILL_MILLIS_PER_TOKEN);
+    return SHARED_PREFILL_WEIGHT * tokenMillis * shared;
+  }
+
+  /** Returns the tokens that no other request has in its prompt. */
+  private static int ownTokens(PromptMetadata prompt) {
+    return Math.max(0, prompt.promptTokens() - sharedTokens(prompt));
   }
 
   /** Returns the tokens of all parts but the last, which only this request has. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Placement.java
@@ -11,6 +11,12 @@
   /** Adds a request that waits again after an attempt; the attempt's target is to be avoided. */
   void requeue(RoutedRequest request, String avoided, long nowNanos);
 
+  /** Returns whether any upstream can serve a request, so that it may wait. */
+  boolean isServed(RoutedRequest request, long nowNanos);
+
+  /** Returns whether no upstream can serve any request of a service. */
+  boolean isWithoutUpstreams(String service, long nowNanos);
+
   /** Removes a waiting request that needs no slot any more. */
   void remove(RoutedRequest request);
 
@@ -18,7 +24,7 @@
   void recordStarted(RoutedRequest request, long nowNanos);
 
   /** Records that the response to a request has started. */
-  void recordResponseStarted(RoutedRequest request);
+  void recordResponseStarted(RoutedRequest request, long nowNanos);
 
   /** Records that a request has released its slot. */
   void recordReleased(RoutedRequest request, SlotStage stage, long nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.process.RequestMetadata;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.request.AttemptId;
@@ -8,7 +9,10 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -63,12 +67,33 @@
   /** Whether requests of its size have got slots less often than others of its route. */
   boolean underserved;
 
+  /** Time since the caller first sent the request, before it arrived here; 0 if it is new. */
+  long callerAgeMillis;
+
   /** Data centre in which the request waits for a slot or holds one. */
   String dataCentre = "";
 
+  /** Time left that the last report to a slot allocator stated, in milliseconds. */
+  long reportedTimeLeftMillis;
+
   /** Data centres whose slot allocators have refused the request a slot. */
   final Set<String> refusedBy = new HashSet<>();
 
+  /**
+   * Regions that the route allows by the newest table that has it; until the next table, also
+   * limited to those that the front end found.
+   */
+  AllowedRegions routeRegions = AllowedRegions.ALL;
+
+  /** Regions that the workspace allows by the newest table that has it. */
+  AllowedRegions workspaceRegions = AllowedRegions.ALL;
+
+  /** Regions in which the request may be processed: those that route and workspace allow. */
+  AllowedRegions allowedRegions = AllowedRegions.ALL;
+
+  /** Grants that were declined because of these regions. */
+  int unpermittedGrants;
+
   AttemptId currentAttempt;
   AttemptTarget target;
   String lastTarget = "";
@@ -99,8 +124,21 @@
 
   long sentNanos;
   long firstByteNanos;
+
+  /** When the last part of the response was received; 0 before the first. */
+  long lastContentNanos;
+
+  /** Longest time between two parts of the response. */
+  long longestGapNanos;
+
   Reason withdrawReason;
 
+  /** Load that the upstream stated and that its slot allocator has not been told yet. */
+  Optional<UpstreamLoadReport> statedLoad = Optional.empty();
+
+  /** When the stated load was received. */
+  long statedLoadNanos;
+
   RoutedRequest(
       CallArrived call,
       WaitingQueue queue,
@@ -156,6 +194,14 @@
     return possibleRuns == 0 && (!ticketed() || provenNotRunCount > 0);
   }
 
+  /** Records that a part of the response was received. */
+  void recordContent(long nowNanos) {
+    if (lastContentNanos != 0) {
+      longestGapNanos = Math.max(longestGapNanos, nowNanos - lastContentNanos);
+    }
+    lastContentNanos = nowNanos;
+  }
+
   /** Returns whether part of the current attempt's response has been received. */
   boolean receivesResponse() {
     return sent() && nextFrame > 0;
@@ -181,10 +227,19 @@
     nextFrame = 0;
     uncreditedBytes = 0;
     sentNanos = nowNanos;
+    statedLoad = Optional.empty();
     newTarget.running().put(id(), this);
     return currentAttempt;
   }
 
+  /** Returns the load that the upstream stated, once. */
+  Optional<ReceivedLoad> takeStatedLoad(long nowNanos) {
+    long ageMillis = (nowNanos - statedLoadNanos) / RouterState.NANOS_PER_MILLI;
+    Optional<ReceivedLoad> taken = statedLoad.map(report -> new ReceivedLoad(report, ageMillis));
+    statedLoad = Optional.empty();
+    return taken;
+  }
+
   /** Removes the request from its target when nothing more is expected of the current attempt. */
   void clearTarget() {
     target.running().remove(id());
@@ -202,6 +257,7 @@
         lastTarget,
         attempts == 0 ? nowNanos - arrivedNanos : sentNanos - arrivedNanos,
         responseStarted ? firstByteNanos - arrivedNanos : 0,
+        longestGapNanos,
         nowNanos - arrivedNanos,
         cost);
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -8,14 +8,12 @@
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.process.FairPosition;
+import dev.agatepier.core.process.ServiceSlotsStatus;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
-import dev.agatepier.core.version.Upstream;
-import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,19 +23,6 @@
 /** Allocates the slots of one service's upstreams to waiting requests. */
 public final class ServiceSlots {
 
-  /**
-   * Change of the delay that is reported before the maximum interval is over: a fixed part, in
-   * milliseconds, and a share of the last reported delay. Every router receives each report.
-   */
-  private static final long DELAY_CHANGE_MILLIS = 10;
-
-  private static final double DELAY_CHANGE_SHARE = 0.25;
-
-  /** Minimum and maximum time between two reports of the delay. */
-  private static final long MIN_INTERVAL_NANOS = 250_000_000L;
-
-  private static final long MAX_INTERVAL_NANOS = 1_000_000_000L;
-
   /**
    * Exponent of the decay of cost over one window. A workspace that is ahead by its whole cost
    * waits for a third of the window, so over the window it gets more than half of what others get.
@@ -53,16 +38,16 @@
   private final WorkspaceLedger ledger;
   private final AllocatorCostExchange costs;
   private final WaitingRequests waiting;
+  private final AllocatorRegions regions;
+  private final ServiceUpstreams upstreams;
+  private final UsableUpstreams usable;
+  private final WaitEstimates waits;
   private final SlotScheduler scheduler;
-  private final Map<String, UpstreamLoad> upstreams = new HashMap<>();
+  private final SlotRejections rejections;
   private final SlotAllocations allocations;
-  private final ServedLevels levels = new ServedLevels();
-  private Set<String> otherDataCentres = Set.of();
-  private OptionalLong memoryTokens = OptionalLong.empty();
+  private final DelayReports reports = new DelayReports();
   private long lastSequence;
-  private long reportedDelayMillis;
   private long decayedNanos;
-  private long reportedNanos = Long.MIN_VALUE / 2;
 
   /**
    * Creates the state of a service, without upstreams.
@@ -70,57 +55,66 @@
    * @param entry the service
    * @param policy settings of the slot allocator
    * @param ledger accounts of the workspaces; determines the order in which they are served
+   * @param regions the regions in which requests may be processed
    * @param effects list that effects are added to
    */
   public ServiceSlots(
       ServiceEntry entry,
       SlotAllocatorPolicy policy,
       WorkspaceLedger ledger,
+      AllocatorRegions regions,
       List<SlotAllocatorEffect> effects) {
+    this(entry, policy, ledger, regions, effects, UpstreamChoice.LOWEST_SCORE);
+  }
+
+  /** Creates the state of a service with another choice of upstreams. */
+  ServiceSlots(
+      ServiceEntry entry,
+      SlotAllocatorPolicy policy,
+      WorkspaceLedger ledger,
+      AllocatorRegions regions,
+      List<SlotAllocatorEffect> effects,
+      UpstreamChoice choice) {
     this.service = entry.name();
     this.policy = policy;
     this.rule = SlotRule.of(entry.kind(), policy);
     this.ledger = ledger;
+    this.regions = regions;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
-    this.allocations = new SlotAllocations(rule, ledger);
+    PredictionError error =
+        policy.countsFromFirstAttempt() ? new QuantilePredictionError() : PredictionError.IGNORED;
+    this.allocations = new SlotAllocations(service, rule, ledger, effects, error);
     this.waiting = new WaitingRequests(ledger);
-    this.scheduler = new SlotScheduler(rule, ledger, waiting, upstreams.values());
+    this.upstreams = new ServiceUpstreams(service, policy, effects);
+    this.usable = new UsableUpstreams(rule, upstreams, regions);
+    this.waits = new WaitEstimates(rule, ledger, waiting, usable, upstreams.cold(), error);
+    this.scheduler =
+        new SlotScheduler(rule, ledger, waiting, usable, upstreams.cold(), waits, choice);
+    this.rejections = new SlotRejections(service, policy, ledger, waits, usable, regions, effects);
   }
 
-  /** Applies the workspace weights and the engine profile of a table version. */
-  public void activate(Table table) {
+  /** Applies the workspace weights, the regions and the upstreams' settings of a table version. */
+  public void activate(Table table, long nowNanos) {
     ledger.activate(table);
-    memoryTokens =
-        table
-            .service(service)
-            .flatMap(ServiceEntry::engine)
-            .map(engine -> OptionalLong.of(engine.memoryTokens()))
-            .orElse(OptionalLong.empty());
-    upstreams.values().forEach(upstream -> upstream.memoryTokens = memoryTokens);
+    waiting.all().forEach(regions::update);
+    upstreams.activate(table, nowNanos);
   }
 
-  /** Replaces the upstreams; one that restarted or moved starts with no recorded load. */
-  public void updateUpstreams(Collection<Upstream> listed, long nowNanos) {
-    Map<String, UpstreamLoad> previous = new HashMap<>(upstreams);
-    upstreams.clear();
-    for (Upstream upstream : listed) {
-      UpstreamLoad load = previous.get(upstream.name());
-      if (load == null || restarted(load.upstream, upstream)) {
-        load = new UpstreamLoad(upstream, nowNanos);
-        load.memoryTokens = memoryTokens;
-      }
-      load.upstream = upstream;
-      upstreams.put(upstream.name(), load);
-    }
+  /** Returns the upstreams of the service. */
+  public ServiceUpstreams upstreams() {
+    return upstreams;
   }
 
   /** Handles a message of a router. */
   public void onMessage(String router, SlotMessage message, long nowNanos) {
+    upstreams.refreshEstimates(nowNanos);
     switch (message) {
       case SlotMessage.SlotsWanted wanted -> onSlotsWanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
           changes.forEach(change -> onSlotChange(router, change, nowNanos));
+      case SlotMessage.UpstreamUnavailable unavailable ->
+          upstreams.onUnavailable(router, unavailable, nowNanos);
       case SlotMessage.AllocatorCosts _ -> {
         // Depends on the process of the router, see onCosts.
       }
@@ -136,17 +130,16 @@
   /** Handles the costs and the level that the slot allocator of another data centre reports. */
   public void onCosts(PeerIdentity router, SlotMessage.AllocatorCosts received, long nowNanos) {
     costs.onCosts(router, received.costs());
-    levels.recordLevel(router.dataCentre(), received.servedBelow(), nowNanos);
-  }
-
-  /** Sets the share of each upstream's slots that this allocator may grant, up to 1. */
-  public void setShare(double share) {
-    upstreams.values().forEach(upstream -> upstream.share = share);
+    rejections.levels().recordLevel(router.dataCentre(), received.servedBelow(), nowNanos);
   }
 
-  /** Replaces the other data centres in which requests of the service can get slots. */
-  public void setOtherDataCentres(Set<String> names) {
-    otherDataCentres = Set.copyOf(names);
+  /**
+   * Replaces the other data centres in which requests of the service can get slots.
+   *
+   * @param names data centres whose upstreams are served, by the data centre of the allocator
+   */
+  public void setOtherDataCentres(Map<String, Set<String>> names) {
+    rejections.setOtherDataCentres(names);
   }
 
   /** Drops the waiting requests and slots of a router. */
@@ -160,6 +153,7 @@
     if (waiting.isEmpty()) {
       return;
     }
+    upstreams.refreshEstimates(nowNanos);
     SlotScheduler.Assignment assignment = scheduler.next(nowNanos);
     while (assignment != null) {
       grant(assignment, nowNanos);
@@ -172,14 +166,16 @@
    * number of waiting requests, so it is done periodically and not for each event.
    */
   public void review(long nowNanos) {
-    upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
+    upstreams.refreshEstimates(nowNanos);
+    upstreams.review(nowNanos);
     if (waiting.isEmpty()) {
       return;
     }
-    for (WaitingEntry entry : scheduler.overdue(policy.lateMillis(), nowNanos)) {
+    refuseUnpermitted(nowNanos);
+    for (WaitingEntry entry : waits.overdue(policy.lateMillis(), nowNanos)) {
       waiting.remove(entry.call.request());
-      levels.recordRejected();
-      refuse(entry, nowNanos);
+      rejections.levels().recordRejected();
+      rejections.reject(entry, nowNanos);
     }
   }
 
@@ -204,17 +200,15 @@
    * report to the routers is due.
    */
   public OptionalLong takeDueDelayMillis(long nowNanos) {
-    long delayMillis = Math.round(scheduler.delayMillis(nowNanos));
-    boolean changed =
-        Math.abs(delayMillis - reportedDelayMillis)
-            > DELAY_CHANGE_MILLIS + DELAY_CHANGE_SHARE * reportedDelayMillis;
-    boolean expired = nowNanos - reportedNanos > MAX_INTERVAL_NANOS;
-    if (!expired && !(changed && nowNanos - reportedNanos > MIN_INTERVAL_NANOS)) {
-      return OptionalLong.empty();
-    }
-    reportedDelayMillis = delayMillis;
-    reportedNanos = nowNanos;
-    return OptionalLong.of(delayMillis);
+    long delayMillis = Math.round(waits.delayMillis(nowNanos));
+    return reports.takeDue(delayMillis, nowNanos)
+        ? OptionalLong.of(delayMillis)
+        : OptionalLong.empty();
+  }
+
+  /** Returns the measured capacity of the usable upstreams; empty if no estimate of load counts. */
+  public Optional<SlotMessage.MeasuredCapacity> measuredCapacity(long nowNanos) {
+    return usable.measuredCapacity(nowNanos);
   }
 
   /** Returns what to send to the allocators of other data centres now; empty if nothing is due. */
@@ -223,7 +217,7 @@
     if (due.isEmpty()) {
       return Optional.empty();
     }
-    double level = levels.takeLevel();
+    double level = rejections.levels().takeLevel();
     return due.get().isEmpty() && level == SlotMessage.AllocatorCosts.ALL_SERVED
         ? Optional.empty()
         : Optional.of(new SlotMessage.AllocatorCosts(service, level, due.get()));
@@ -237,10 +231,7 @@
   /** Returns the status for the administration interface. */
   public ServiceSlotsStatus status(long nowNanos) {
     return new ServiceSlotsStatus(
-        service,
-        waiting.size(),
-        allocations.size(),
-        upstreams.values().stream().map(load -> load.status(rule, nowNanos)).toList());
+        service, waiting.size(), allocations.size(), upstreams.status(rule, nowNanos));
   }
 
   private void onSlotsWanted(String router, SlotMessage.SlotsWanted wanted, long nowNanos) {
@@ -248,48 +239,45 @@
       removeRouter(router, nowNanos);
     }
     for (HeldSlot slot : wanted.held()) {
-      UpstreamLoad upstream = upstreams.get(slot.upstream());
+      UpstreamLoad upstream = upstreams.find(slot.upstream());
       if (upstream != null) {
         allocations.allocate(router, slot.call(), upstream, slot.responseStarted(), nowNanos);
       }
     }
     for (WaitingCall call : wanted.waiting()) {
-      WaitingEntry entry = new WaitingEntry(router, call, ++lastSequence, nowNanos);
-      scheduler.estimateWork(entry, nowNanos);
-      if (scheduler.cannotMeetObjective(entry, nowNanos)) {
-        if (scheduler.meetsObjectiveAlone(entry, nowNanos)) {
-          levels.recordRejected();
+      if (allocations.holds(router, call.request())) {
+        // The grant and this report crossed; the router uses the grant or declines it.
+        continue;
+      }
+      WaitingEntry entry =
+          new WaitingEntry(
+              router,
+              call,
+              wanted.tableVersion(),
+              ++lastSequence,
+              policy.countsFromFirstAttempt(),
+              nowNanos);
+      regions.update(entry);
+      waits.estimateWork(entry, nowNanos);
+      if (usable.isUnpermitted(entry)) {
+        rejections.reject(entry, nowNanos);
+      } else if (waits.cannotMeetObjective(entry, nowNanos)) {
+        if (waits.meetsObjectiveAlone(entry, nowNanos)) {
+          rejections.levels().recordRejected();
         }
-        refuse(entry, nowNanos);
+        rejections.reject(entry, nowNanos);
       } else {
         waiting.add(entry);
       }
     }
   }
 
-  private void refuse(WaitingEntry entry, long nowNanos) {
-    FairPosition position = ledger.position(entry.workspace());
-    String alternative =
-        levels
-            .alternative(
-                entry.call.request(), position.virtualService(), otherDataCentres, nowNanos)
-            .orElse("");
-    effects.add(
-        new SlotAllocatorEffect.Rejected(
-            service,
-            entry.call.request(),
-            position,
-            entry.waitedMillis(nowNanos),
-            entry.slackMillis(nowNanos),
-            Math.round(scheduler.expectedMillis(entry, nowNanos)),
-            Math.round(entry.workMillis),
-            scheduler.countWithCapacity(entry, nowNanos),
-            entry.call.underserved()));
-    effects.add(
-        new Send(
-            entry.router,
-            new SlotMessage.SlotRefused(
-                service, entry.call.request(), policy.retryAfterMillis(), alternative)));
+  /** Refuses the requests for which no upstream here is permitted any more. */
+  private void refuseUnpermitted(long nowNanos) {
+    for (WaitingEntry entry : waiting.all().stream().filter(usable::isUnpermitted).toList()) {
+      waiting.remove(entry.call.request());
+      rejections.reject(entry, nowNanos);
+    }
   }
 
   private void onSlotChange(String router, SlotChange change, long nowNanos) {
@@ -304,7 +292,7 @@
     WaitingEntry entry = assignment.entry();
     UpstreamLoad upstream = assignment.upstream();
     FairPosition position = ledger.position(entry.workspace());
-    levels.recordGranted(position.virtualService());
+    rejections.levels().recordGranted(position.virtualService());
     waiting.remove(entry.call.request());
     effects.add(
         new SlotAllocatorEffect.Placed(
@@ -318,50 +306,22 @@
             Math.round(rule.firstByteMillis(upstream, entry.call)),
             ModelSlotRule.uncachedTokens(upstream, entry.call),
             entry.call.prompt().map(upstream.cache::uncachedSharedTokens).orElse(0),
-            upstreams.values().stream()
+            upstreams.all().stream()
                 .mapToInt(other -> ModelSlotRule.uncachedTokens(other, entry.call))
                 .min()
                 .orElse(0),
             entry.call.underserved()));
     allocations.allocate(entry.router, entry.call, upstream, false, nowNanos);
+    upstreams.cold().recordGrant(upstream, nowNanos);
     effects.add(
         new Send(
             entry.router,
             new SlotMessage.SlotGranted(
-                service, entry.call.request(), assignment.upstream().upstream.name())));
-  }
-
-  /** Marks an upstream as stalled, and recalls requests from it, if it makes no progress. */
-  private void updateStalled(UpstreamLoad upstream, long nowNanos) {
-    boolean stalled = upstream.millisOverdue(nowNanos) > policy.stallMillis();
-    if (stalled == upstream.stalled) {
-      return;
-    }
-    upstream.stalled = stalled;
-    effects.add(
-        new SlotAllocatorEffect.UpstreamUsabilityChanged(
-            upstream.upstream.name(),
-            !stalled,
-            "stalled",
-            (long) upstream.millisSinceProgress(nowNanos)));
-    if (stalled) {
-      upstream.allocations().stream()
-          .filter(allocation -> !allocation.responseStarted && allocation.call.repeatable())
-          .forEach(allocation -> recall(allocation, upstream));
-    }
-  }
-
-  private void recall(SlotAllocation allocation, UpstreamLoad upstream) {
-    effects.add(
-        new Send(
-            allocation.router,
-            new SlotMessage.SlotRecalled(
-                service, allocation.call.request(), upstream.upstream.name())));
-  }
-
-  private static boolean restarted(Upstream previous, Upstream current) {
-    return previous.incarnation() != current.incarnation()
-        || previous.port() != current.port()
-        || !previous.address().equals(current.address());
+                service,
+                entry.call.request(),
+                upstream.upstream.name(),
+                upstreams.cold().isCold(upstream, nowNanos),
+                entry.waitedMillis(nowNanos),
+                entry.call.timeLeftMillis())));
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SidecarPlacement.java
@@ -32,6 +32,16 @@
     demand.onQueueChanged(request.queue);
   }
 
+  @Override
+  public boolean isServed(RoutedRequest request, long nowNanos) {
+    return true;
+  }
+
+  @Override
+  public boolean isWithoutUpstreams(String service, long nowNanos) {
+    return false;
+  }
+
   @Override
   public void requeue(RoutedRequest request, String avoided, long nowNanos) {
     startDrainRate(request.queue, nowNanos);
@@ -57,7 +67,7 @@
   }
 
   @Override
-  public void recordResponseStarted(RoutedRequest request) {
+  public void recordResponseStarted(RoutedRequest request, long nowNanos) {
     // Nothing to do: the response was received from the sidecar.
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -10,10 +10,10 @@
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.OptionalLong;
 
 /** Handles messages of slot allocators: calls upstreams, refuses requests and moves them. */
 public final class SlotReplyHandler {
@@ -22,7 +22,6 @@
   private final RequestLifecycle lifecycle;
   private final AllocatorPlacement placement;
   private final AttemptRelay attempts;
-  private Map<String, DirectUpstream> upstreams = Map.of();
 
   /** Creates a handler without upstreams. */
   public SlotReplyHandler(
@@ -37,18 +36,18 @@
   }
 
   /** Replaces the upstreams by those of a version of the instance list. */
-  public void onInstancesActivated(InstanceList list) {
-    Map<String, DirectUpstream> listed = new HashMap<>();
-    for (Upstream upstream : list.upstreams()) {
-      DirectUpstream direct = upstreams.get(upstream.name());
-      if (direct == null || direct.upstream().incarnation() != upstream.incarnation()) {
-        direct = new DirectUpstream(upstream);
-      }
-      direct.update(upstream);
-      listed.put(upstream.name(), direct);
+  public void onInstancesActivated(InstanceList list, long nowNanos) {
+    state.upstreams.update(list);
+    placement.reportNotices(nowNanos);
+    placement.updateUpstreams(list, nowNanos);
+  }
+
+  /** Handles what an upstream has said of further requests. */
+  public void onNotice(Upstream sender, UpstreamNotice notice, long nowNanos) {
+    if (state.upstreams.onNotice(sender, notice, nowNanos)) {
+      placement.reportNotices(nowNanos);
+      placement.moveUnserved(nowNanos);
     }
-    upstreams = listed;
-    placement.updateUpstreams(list.upstreams());
   }
 
   /** Handles an allocator's message; declines grants and ignores refusals of a previous one. */
@@ -58,7 +57,10 @@
       case SlotRefused refused -> onRefused(router, refused, nowNanos);
       case SlotRecalled recalled -> onRecalled(router, recalled, nowNanos);
       case SlotMessage.AllocatorLoad load -> placement.onAllocatorLoad(load, nowNanos);
-      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.AllocatorCosts _ -> {
+      case SlotMessage.SlotsWanted _,
+          SlotMessage.SlotsChanged _,
+          SlotMessage.AllocatorCosts _,
+          SlotMessage.UpstreamUnavailable _ -> {
         // Sent by routers to allocators only.
       }
     }
@@ -66,21 +68,57 @@
 
   private void onGranted(String router, SlotGranted granted, long nowNanos) {
     RoutedRequest request = findWaiting(granted.request(), granted.service());
-    DirectUpstream upstream = upstreams.get(granted.upstream());
+    DirectUpstream upstream = state.upstreams.find(granted.upstream());
     if (request == null || !placement.isAllocator(request, router)) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
-    } else if (upstream == null || upstream.upstream().leaving()) {
+    } else if (repliesToEarlierReport(request, granted)) {
+      // The allocator ignores a report that crosses its grant, so that it is sent again.
+      placement.decline(router, granted.service(), granted.request(), granted.upstream());
+      placement.move(request, nowNanos);
+    } else if (!state.upstreams.availability(upstream).state(nowNanos).usable()
+        || granted.cold() && nowNanos - sendByNanos(request, granted) > 0) {
+      if (upstream != null) {
+        upstream.notices().clearReported(router);
+        placement.reportNotices(nowNanos);
+      }
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
+    } else if (!state.regions.permits(request, upstream.upstream().dataCentre())) {
+      placement.decline(router, granted.service(), granted.request(), granted.upstream());
+      if (state.regions.acceptsUnpermittedGrant(request)) {
+        placement.requeue(request, granted.upstream(), nowNanos);
+      } else {
+        state.regions.reject(request, state.upstreams, lifecycle, nowNanos);
+      }
     } else if (state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
     } else {
-      call(request, upstream, nowNanos);
+      OptionalLong sendBy =
+          granted.cold() ? OptionalLong.of(sendByNanos(request, granted)) : OptionalLong.empty();
+      call(request, upstream, sendBy, nowNanos);
     }
   }
 
-  private void call(RoutedRequest request, DirectUpstream upstream, long nowNanos) {
+  /** Returns whether a grant for a cold upstream is a repeated one: each is counted only once. */
+  private static boolean repliesToEarlierReport(RoutedRequest request, SlotGranted granted) {
+    return granted.cold() && granted.timeLeftMillis() != request.reportedTimeLeftMillis;
+  }
+
+  /**
+   * Returns until when a request may be sent to a cold upstream. The time since the router reported
+   * the request, less its wait at the allocator, is at least the time since the grant.
+   */
+  private static long sendByNanos(RoutedRequest request, SlotGranted granted) {
+    long reportedNanos =
+        request.deadlineNanos - (granted.timeLeftMillis() + 1) * RouterState.NANOS_PER_MILLI;
+    return reportedNanos
+        + granted.waitedMillis() * RouterState.NANOS_PER_MILLI
+        + ColdGrantWindow.MAX_AGE_NANOS;
+  }
+
+  private void call(
+      RoutedRequest request, DirectUpstream upstream, OptionalLong sendByNanos, long nowNanos) {
     AttemptId attempt = lifecycle.start(request, upstream, false, nowNanos);
     state.outbox.add(
         new RouterEffect.RunAttempt(
@@ -92,7 +130,8 @@
             request.plan,
             (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
             request.resumeAfter(),
-            state.policy.windowBytes()));
+            state.policy.windowBytes(),
+            sendByNanos));
   }
 
   private void onRefused(String router, SlotRefused refused, long nowNanos) {
@@ -100,6 +139,7 @@
     if (request != null
         && placement.isAllocator(request, router)
         && !placement.requeueElsewhere(request, refused.alternative(), nowNanos)) {
+      placement.recordRejected(request);
       lifecycle.fail(request, Reason.OVERLOADED, 0, refused.retryAfterMillis(), nowNanos);
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -1,14 +1,17 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
  * within it the request with the earliest due time that can still meet its objective, and the
- * upstream with the lowest score. Requests that cannot meet their objective come last.
+ * upstream with the lowest score. Requests that cannot meet their objective come last, and among
+ * them those that were late on their arrival.
  */
 final class SlotScheduler {
 
@@ -21,21 +24,28 @@
    */
   private static final double BACKLOG_WEIGHT = 0.3;
 
+  /**
+   * The same weight where the estimate of the load counts: least expected time. It leaves engines
+   * idle less often while others have a queue; docs/design/even-load.md has the figures.
+   */
+  private static final double ESTIMATED_BACKLOG_WEIGHT = 1;
+
   /** Score added for an upstream whose requests all fail, in milliseconds. */
   private static final double FAILURE_MILLIS = 1_000;
 
   /** Share of the usual backlog allowed for requests that cannot meet their objective. */
   private static final double LATE_BACKLOG_SHARE = 0.25;
 
-  /** Delay assumed for a service without a usable upstream, in milliseconds. */
-  private static final double NO_UPSTREAM_MILLIS = 5_000;
-
-  private static final double NANOS_PER_MILLI = 1e6;
-
   private final SlotRule rule;
   private final WorkspaceLedger ledger;
   private final WaitingRequests waiting;
-  private final Collection<UpstreamLoad> upstreams;
+  private final UsableUpstreams upstreams;
+  private final ColdUpstreams coldUpstreams;
+  private final WaitEstimates waits;
+  private final UpstreamChoice choice;
+
+  /** Whether any upstream in some regions is ready, as far as one selection has asked. */
+  private final Map<AllowedRegions, Boolean> readyRegions = new HashMap<>();
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -52,11 +62,17 @@
       SlotRule rule,
       WorkspaceLedger ledger,
       WaitingRequests waiting,
-      Collection<UpstreamLoad> upstreams) {
+      UsableUpstreams upstreams,
+      ColdUpstreams coldUpstreams,
+      WaitEstimates waits,
+      UpstreamChoice choice) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
+    this.coldUpstreams = coldUpstreams;
+    this.waits = waits;
+    this.choice = choice;
   }
 
   /** Returns the next assignment, or null if no waiting request can be served now. */
@@ -66,105 +82,29 @@
     return timely == null ? nextAssignment(false, nowNanos) : timely;
   }
 
-  /**
-   * Returns the requests that will miss their objective by more than the tolerance.
-   *
-   * @param lateMillis tolerated lateness, in milliseconds
-   */
-  List<WaitingEntry> overdue(long lateMillis, long nowNanos) {
-    List<WaitingEntry> overdue = new ArrayList<>();
-    for (WaitingEntry entry : waiting.all()) {
-      estimateWork(entry, nowNanos);
-      long lateNanos =
-          nowNanos
-              + (long) ((entry.countedMillis(entry.workMillis) - lateMillis) * NANOS_PER_MILLI)
-              - entry.dueNanos;
-      if (lateNanos > 0) {
-        overdue.add(entry);
-      }
-    }
-    return overdue;
-  }
-
-  /** Updates the work of a request to what it takes at the upstream that is best for it now. */
-  void estimateWork(WaitingEntry entry, long nowNanos) {
-    entry.workMillis = minFirstByteMillis(entry, nowNanos);
-  }
-
-  /**
-   * Returns whether a new request, whose work is estimated, cannot meet its objective behind those
-   * already waiting.
-   */
-  boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
-    double ownMillis = entry.countedMillis(entry.workMillis);
-    return !waiting.isEmpty()
-        && !entry.meetsObjective(waitAheadMillis(entry, nowNanos) + ownMillis, nowNanos);
-  }
-
-  /** Returns whether a request, whose work is estimated, would be in time if no other waited. */
-  boolean meetsObjectiveAlone(WaitingEntry entry, long nowNanos) {
-    return entry.meetsObjective(entry.countedMillis(entry.workMillis), nowNanos);
-  }
-
-  /**
-   * Returns the expected time until the response to a request, whose work is estimated, starts, in
-   * milliseconds.
-   */
-  double expectedMillis(WaitingEntry entry, long nowNanos) {
-    return waitAheadMillis(entry, nowNanos) + entry.workMillis;
-  }
-
-  /** Returns the expected time until a request that arrives now gets a slot, in milliseconds. */
-  double delayMillis(long nowNanos) {
-    double work = 0;
-    for (WaitingEntry entry : waiting.all()) {
-      work += entry.workMillis;
-    }
-    return delayBehind(work, nowNanos);
-  }
-
-  /** Returns the expected wait behind the requests that precede one in fair order. */
-  private double waitAheadMillis(WaitingEntry entry, long nowNanos) {
-    if (waiting.isEmpty()) {
-      return 0;
-    }
-    double ownService = ledger.account(entry.workspace()).virtualService();
-    double work = 0;
-    for (WaitingEntry other : waiting.all()) {
-      boolean sameWorkspace = other.workspace().equals(entry.workspace());
-      boolean before =
-          sameWorkspace
-              ? other.dueNanos <= entry.dueNanos
-              : ledger.account(other.workspace()).virtualService() <= ownService;
-      work += before ? other.workMillis : 0;
-    }
-    return delayBehind(work, nowNanos);
-  }
-
-  /** Returns the wait behind work spread over all usable upstreams, including their backlog. */
-  private double delayBehind(double work, long nowNanos) {
-    double backlog = 0;
-    int usable = 0;
-    for (UpstreamLoad upstream : upstreams) {
-      if (usable(upstream, nowNanos)) {
-        usable++;
-        backlog += rule.backlogMillis(upstream, nowNanos);
-      }
-    }
-    return usable == 0 ? NO_UPSTREAM_MILLIS : (work + backlog) / (usable * rule.parallelism());
-  }
-
   private Assignment nextAssignment(boolean timely, long nowNanos) {
     double share = timely ? 1 : LATE_BACKLOG_SHARE;
-    if (upstreams.stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
+    if (upstreams.all().stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
       return null;
     }
+    Assignment cheapestCold = null;
+    double cheapestMillis = Double.MAX_VALUE;
+    readyRegions.clear();
     for (WorkspaceAccount account : ledger.waitingInOrder()) {
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
+        if (!entry.allowedRegions.all()
+            && !readyRegions.computeIfAbsent(
+                entry.allowedRegions, allowed -> anyReady(allowed, share, nowNanos))) {
+          // Must not keep later ones of its workspace from regions that have capacity.
+          continue;
+        }
         boolean meetsObjective =
-            entry.meetsObjective(
-                entry.countedMillis(minFirstByteMillis(entry, nowNanos)), nowNanos);
+            !entry.late
+                && entry.meetsObjective(
+                    entry.countedMillis(upstreams.minFirstByteMillis(entry, nowNanos))
+                        + waits.marginMillis(entry),
+                    nowNanos);
         if (meetsObjective != timely) {
           continue;
         }
@@ -175,41 +115,80 @@
         if (upstream != null) {
           return new Assignment(entry, upstream);
         }
+        UpstreamLoad cold = selectCold(entry, share, timely, nowNanos);
+        if (cold != null && rule.workMillis(cold, entry.call) < cheapestMillis) {
+          cheapestMillis = rule.workMillis(cold, entry.call);
+          cheapestCold = new Assignment(entry, cold);
+        }
         if (reserved == null && entry.call.underserved()) {
           reserved = selectForMemory(entry, nowNanos);
         }
       }
     }
-    return null;
+    return cheapestCold;
   }
 
   /**
-   * Returns the upstream with the lowest score, which also meets the objective if {@code timely};
-   * null if there is none or if it accepts no more backlog now.
+   * Returns the cold upstream with the least work for a request, which also meets the objective if
+   * {@code timely}; null if none may get it. Cold upstreams get what the others can't take now.
    */
-  private UpstreamLoad selectUpstream(
-      WaitingEntry entry, double share, boolean timely, long nowNanos) {
+  private UpstreamLoad selectCold(WaitingEntry entry, double share, boolean timely, long nowNanos) {
+    if (!coldUpstreams.limited()) {
+      return null;
+    }
     UpstreamLoad best = null;
     double bestScore = Double.MAX_VALUE;
-    for (UpstreamLoad upstream : upstreams) {
+    for (UpstreamLoad upstream : upstreams.all()) {
+      if (!coldUpstreams.isCold(upstream, nowNanos)
+          || !upstreams.isUsable(upstream, entry, nowNanos)
+          || !ready(upstream, share, nowNanos)
+          || !rule.hasCapacity(upstream, entry.call)) {
+        continue;
+      }
+      double backlog =
+          Math.max(
+              rule.backlogMillis(upstream, nowNanos),
+              upstream.pending() * coldUpstreams.requestMillis());
+      double counted =
+          entry.countedMillis(backlog + upstreams.firstByteMillis(upstream, entry, nowNanos));
+      double score = rule.workMillis(upstream, entry.call) + penalty(upstream, entry);
+      if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
+        best = upstream;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Returns the upstream that is not cold with the lowest score, which also meets the objective if
+   * {@code timely}; null if there is none or if it accepts no more backlog now.
+   */
+  private UpstreamLoad selectUpstream(
+      WaitingEntry entry, double share, boolean timely, long nowNanos) {
+    List<UpstreamChoice.Candidate> candidates = new ArrayList<>();
+    for (UpstreamLoad upstream : upstreams.all()) {
       if (upstream == reserved
-          || !usable(upstream, nowNanos)
+          || !upstreams.isUsable(upstream, entry, nowNanos)
+          || coldUpstreams.isCold(upstream, nowNanos)
           || !rule.hasCapacity(upstream, entry.call)) {
         continue;
       }
       double backlog = rule.backlogMillis(upstream, nowNanos);
       double firstByte = rule.firstByteMillis(upstream, entry.call);
       double score =
-          BACKLOG_WEIGHT * backlog
+          backlogWeight(upstream) * backlog
               + rule.workMillis(upstream, entry.call)
               + penalty(upstream, entry);
-      double counted = entry.countedMillis(backlog + firstByte);
-      if (score < bestScore && (!timely || entry.meetsObjective(counted, nowNanos))) {
-        best = upstream;
-        bestScore = score;
+      double counted = entry.countedMillis(backlog + firstByte) + waits.marginMillis(entry);
+      if (!timely || entry.meetsObjective(counted, nowNanos)) {
+        candidates.add(new UpstreamChoice.Candidate(upstream, backlog, score));
       }
     }
-    return best != null && rule.acceptsBacklog(best, share, nowNanos) ? best : null;
+    UpstreamChoice.Candidate chosen = choice.choose(entry, candidates);
+    return chosen != null && acceptsBacklog(chosen.upstream(), share, nowNanos)
+        ? chosen.upstream()
+        : null;
   }
 
   /**
@@ -217,48 +196,45 @@
    * it; null if an upstream has enough now.
    */
   private UpstreamLoad selectForMemory(WaitingEntry entry, long nowNanos) {
-    return countWithCapacity(entry, nowNanos) > 0
+    return upstreams.countWithCapacity(entry, nowNanos) > 0
         ? null
-        : upstreams.stream()
-            .filter(upstream -> usable(upstream, nowNanos))
+        : upstreams.all().stream()
+            .filter(upstream -> upstreams.isUsable(upstream, entry, nowNanos))
+            .filter(upstream -> !coldUpstreams.isCold(upstream, nowNanos))
             .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
             .orElse(null);
   }
 
-  private static double penalty(UpstreamLoad upstream, WaitingEntry entry) {
-    boolean avoided = upstream.upstream.name().equals(entry.call.avoidedUpstream());
-    return FAILURE_MILLIS * (upstream.health.failureShare() + (avoided ? 1 : 0));
+  private static double backlogWeight(UpstreamLoad upstream) {
+    return upstream.usesEstimate() ? ESTIMATED_BACKLOG_WEIGHT : BACKLOG_WEIGHT;
   }
 
-  /** Returns the number of usable upstreams that have a free slot and memory for a request. */
-  int countWithCapacity(WaitingEntry entry, long nowNanos) {
-    return (int)
-        upstreams.stream()
-            .filter(
-                upstream -> usable(upstream, nowNanos) && rule.hasCapacity(upstream, entry.call))
-            .count();
-  }
-
-  /** Returns the time to the first byte at the best upstream without backlog, in milliseconds. */
-  private double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
-    double min = Double.MAX_VALUE;
-    for (UpstreamLoad upstream : upstreams) {
-      if (usable(upstream, nowNanos)) {
-        min = Math.min(min, rule.firstByteMillis(upstream, entry.call));
-      }
-    }
-    return min == Double.MAX_VALUE ? 0 : min;
+  private double penalty(UpstreamLoad upstream, WaitingEntry entry) {
+    boolean avoided = upstream.upstream.name().equals(entry.call.avoidedUpstream());
+    return rule.failureMillis(upstream, FAILURE_MILLIS) + (avoided ? FAILURE_MILLIS : 0);
   }
 
   private boolean ready(UpstreamLoad upstream, double share, long nowNanos) {
-    return usable(upstream, nowNanos)
+    return UsableUpstreams.isUsable(upstream, nowNanos)
         && upstream.freeSlots() > 0
-        && rule.acceptsBacklog(upstream, share, nowNanos);
+        && (coldUpstreams.isCold(upstream, nowNanos)
+            ? coldUpstreams.permits(upstream, nowNanos)
+                && rule.acceptsBacklog(upstream, share, nowNanos)
+            : acceptsBacklog(upstream, share, nowNanos));
   }
 
-  private static boolean usable(UpstreamLoad upstream, long nowNanos) {
-    return !upstream.upstream.leaving()
-        && !upstream.stalled
-        && !upstream.health.isEjected(nowNanos);
+  private boolean acceptsBacklog(UpstreamLoad upstream, double share, long nowNanos) {
+    return rule.acceptsBacklog(
+        upstream, share * coldUpstreams.backlogShare(upstream, nowNanos), nowNanos);
+  }
+
+  /** Returns whether any upstream in the permitted regions is ready. */
+  private boolean anyReady(AllowedRegions allowed, double share, long nowNanos) {
+    for (UpstreamLoad upstream : upstreams.all()) {
+      if (upstreams.isPermitted(upstream, allowed) && ready(upstream, share, nowNanos)) {
+        return true;
+      }
+    }
+    return false;
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.version.AllowedRegions;
 import java.util.Comparator;
 
 /** A request that waits for a slot at a slot allocator. */
@@ -18,18 +19,46 @@
   final long sequence;
   final long arrivedNanos;
 
-  /** Time by which the response should start. */
+  /**
+   * Time by which the response should start; for a request that was late on its arrival, the time
+   * until which it waits.
+   */
   final long dueNanos;
 
+  /** Whether the objective of the caller was over before the request arrived. */
+  final boolean late;
+
+  /** Version of the table from which the router took the allowed regions. */
+  final long tableVersion;
+
+  /** Regions in which the request may be processed, by the newest table that is known here. */
+  AllowedRegions allowedRegions;
+
   /** Time until the first byte that it takes at the upstream, as last estimated. */
   double workMillis;
 
-  WaitingEntry(String router, WaitingCall call, long sequence, long nowNanos) {
+  /**
+   * Creates an entry.
+   *
+   * @param tableVersion version of the table from which the router took the allowed regions
+   * @param fromFirstAttempt whether the objective counts from the caller's first attempt
+   */
+  WaitingEntry(
+      String router,
+      WaitingCall call,
+      long tableVersion,
+      long sequence,
+      boolean fromFirstAttempt,
+      long nowNanos) {
+    this.tableVersion = tableVersion;
+    this.allowedRegions = call.allowedRegions();
     this.router = router;
     this.call = call;
     this.sequence = sequence;
     this.arrivedNanos = nowNanos;
-    this.dueNanos = nowNanos + call.objectiveMillis() * NANOS_PER_MILLI;
+    long ageMillis = fromFirstAttempt ? call.callerAgeMillis() : 0;
+    this.late = ageMillis > 0 && call.objectiveMillis() <= ageMillis;
+    this.dueNanos = nowNanos + (call.objectiveMillis() - (late ? 0 : ageMillis)) * NANOS_PER_MILLI;
   }
 
   String workspace() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
@@ -19,6 +20,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -39,11 +41,16 @@
   private final double tokensPerMilli;
   private final Map<String, Node> nodes = new TreeMap<>();
   private final Map<String, Deque<Prefill>> prefills = new HashMap<>();
+  private final InstanceList instances;
   private long lastNumber;
+  private long evacuatedRevision;
 
   /** Is told what becomes of requests. */
   interface Observer {
 
+    /** Called when a request is sent to an upstream. */
+    default void onSent(RequestId request, Upstream upstream) {}
+
     /** Called when a response starts. */
     void onStarted(RequestId request);
 
@@ -54,6 +61,24 @@
   /** An attempt whose prompt waits for its prefill or is in it. */
   private record Prefill(Node node, AttemptId attempt, PromptMetadata prompt) {}
 
+  /** Creates such a fleet with workspaces that every region may serve. */
+  AllocatingFleet(
+      VirtualTime time,
+      Collection<String> dataCentres,
+      Collection<String> workspaces,
+      SlotAllocatorPolicy policy,
+      double tokensPerMilli,
+      Observer observer) {
+    this(
+        time,
+        dataCentres,
+        AllocatingRouter.table(workspaces),
+        DataCentreRegions.NONE,
+        policy,
+        tokensPerMilli,
+        observer);
+  }
+
   /**
    * Creates a fleet of one router for each data centre.
    *
@@ -62,29 +87,62 @@
   AllocatingFleet(
       VirtualTime time,
       Collection<String> dataCentres,
-      Collection<String> workspaces,
+      Table table,
+      DataCentreRegions regions,
       SlotAllocatorPolicy policy,
       double tokensPerMilli,
       Observer observer) {
     this.time = time;
     this.observer = observer;
     this.tokensPerMilli = tokensPerMilli;
-    Table table = AllocatingRouter.table(workspaces);
-    InstanceList instances = new InstanceList(1, List.of(), upstreams(dataCentres));
-    dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy)));
-    nodes.values().forEach(node -> node.start(table, instances));
+    instances = new InstanceList(1, List.of(), upstreams(dataCentres));
+    dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy, regions)));
+    nodes.values().forEach(node -> node.start(table));
     tick();
   }
 
   /** Calls the model through the router of a data centre. */
   RequestId call(String dataCentre, String workspace, CallPlan plan, PromptMetadata prompt) {
+    return call(dataCentre, workspace, plan, prompt, plan.timeoutMillis());
+  }
+
+  /** Calls the model for a caller that waits for a given time. */
+  RequestId call(
+      String dataCentre,
+      String workspace,
+      CallPlan plan,
+      PromptMetadata prompt,
+      long timeLeftMillis) {
     Node node = nodes.get("r-" + dataCentre);
     RequestId request = new RequestId(node.self.instance(), 1, ++lastNumber);
     node.prompts.put(request, prompt);
-    node.dispatch(AllocatingRouter.arrival(request, workspace, plan, prompt, nowNanos()));
+    node.dispatch(
+        AllocatingRouter.arrival(
+            request, workspace, plan, prompt, nowNanos() + timeLeftMillis * NANOS_PER_MILLI));
     return request;
   }
 
+  /**
+   * Lets each router activate a list with evacuated data centres, one after the other.
+   *
+   * @param spreadMillis time between two routers
+   */
+  void evacuate(Set<String> dataCentres, long spreadMillis) {
+    evacuatedRevision++;
+    InstanceList list =
+        new InstanceList(
+            instances.version(),
+            instances.instances(),
+            instances.upstreams(),
+            dataCentres,
+            evacuatedRevision);
+    long delayMillis = 0;
+    for (Node node : nodes.values()) {
+      time.after(delayMillis, () -> node.activate(list));
+      delayMillis += spreadMillis;
+    }
+  }
+
   private static List<Upstream> upstreams(Collection<String> dataCentres) {
     List<Upstream> upstreams = new ArrayList<>();
     for (String dataCentre : dataCentres) {
@@ -145,13 +203,13 @@
     private final SlotAllocatorDecision allocator;
     private final Map<RequestId, PromptMetadata> prompts = new HashMap<>();
 
-    private Node(String dataCentre, SlotAllocatorPolicy policy) {
+    private Node(String dataCentre, SlotAllocatorPolicy policy, DataCentreRegions regions) {
       self = new PeerIdentity("r-" + dataCentre, 1, Role.ROUTER, dataCentre, dataCentre, "");
-      router = new RouterDecision(self, RouterPolicy.DEFAULT);
-      allocator = new SlotAllocatorDecision(self, policy);
+      router = new RouterDecision(self, RouterPolicy.DEFAULT, regions);
+      allocator = new SlotAllocatorDecision(self, policy, regions);
     }
 
-    private void start(Table table, InstanceList instances) {
+    private void start(Table table) {
       for (Node peer : nodes.values()) {
         if (peer != this) {
           dispatch(new RouterEvent.PeerConnected(peer.self));
@@ -159,9 +217,13 @@
         }
       }
       dispatch(new SlotAllocatorEvent.TableActivated(table));
-      dispatch(new SlotAllocatorEvent.InstancesActivated(instances));
       dispatch(new RouterEvent.TableActivated(table));
-      dispatch(new RouterEvent.InstancesActivated(instances));
+      activate(instances);
+    }
+
+    private void activate(InstanceList list) {
+      dispatch(new SlotAllocatorEvent.InstancesActivated(list));
+      dispatch(new RouterEvent.InstancesActivated(list));
     }
 
     private void tick() {
@@ -174,10 +236,12 @@
         switch (effect) {
           case RouterEffect.Send send when send.message() instanceof SlotMessage message ->
               send(send.instance(), message);
-          case RouterEffect.RunAttempt run ->
-              startPrefill(
-                  run.upstream().name(),
-                  new Prefill(this, run.attempt(), prompts.get(run.attempt().request())));
+          case RouterEffect.RunAttempt run -> {
+            RequestId request = run.attempt().request();
+            observer.onSent(request, run.upstream());
+            startPrefill(
+                run.upstream().name(), new Prefill(this, run.attempt(), prompts.get(request)));
+          }
           case RouterEffect.FailRequest fail ->
               observer.onRejected(fail.request(), fail.retryAfterMillis());
           default -> {
@@ -206,7 +270,10 @@
 
     private void receive(String sender, SlotMessage message) {
       switch (message) {
-        case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.AllocatorCosts _ ->
+        case SlotMessage.SlotsWanted _,
+            SlotMessage.SlotsChanged _,
+            SlotMessage.AllocatorCosts _,
+            SlotMessage.UpstreamUnavailable _ ->
             dispatch(new SlotAllocatorEvent.MessageReceived(sender, message));
         default -> dispatch(new RouterEvent.AllocatorMessageReceived(sender, message));
       }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Limits;
@@ -17,6 +18,7 @@
 import dev.agatepier.core.version.SlotAllocationMode;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.WarmUp;
 import dev.agatepier.core.version.Workspace;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -59,10 +61,28 @@
 
   /** Returns a table with the model service and workspaces that may call it. */
   static Table table(Collection<String> workspaces) {
+    return table(workspaces, Optional.empty());
+  }
+
+  /** Returns such a table whose service has a warm-up. */
+  static Table table(Collection<String> workspaces, Optional<WarmUp> warmUp) {
+    Map<String, AllowedRegions> regions = new HashMap<>();
+    workspaces.forEach(name -> regions.put(name, AllowedRegions.ALL));
+    return table(regions, warmUp);
+  }
+
+  /** Returns a table with the model service and workspaces with their allowed regions. */
+  static Table table(Map<String, AllowedRegions> workspaces) {
+    return table(workspaces, Optional.empty());
+  }
+
+  private static Table table(Map<String, AllowedRegions> workspaces, Optional<WarmUp> warmUp) {
     Map<String, Workspace> rows = new HashMap<>();
     Limits limits = new Limits(10_000, 10_000, 0);
     workspaces.forEach(
-        name -> rows.put(name, new Workspace(name, 1, "00", limits, Set.of(SERVICE))));
+        (name, regions) ->
+            rows.put(
+                name, new Workspace(name, 1, List.of("00"), limits, Set.of(SERVICE), regions)));
     ServiceEntry service =
         new ServiceEntry(
             SERVICE,
@@ -71,7 +91,8 @@
             60_000,
             0.2,
             SlotAllocationMode.ROUTER,
-            Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
+            Optional.of(new EngineProfile(MEMORY_TOKENS, 5)),
+            warmUp);
     return new Table(1, rows, Map.of(SERVICE, service));
   }
 
@@ -82,7 +103,11 @@
 
   /** Returns the arrival of a call of the model service. */
   static RouterEvent.CallArrived arrival(
-      RequestId request, String workspace, CallPlan plan, PromptMetadata prompt, long nowNanos) {
+      RequestId request,
+      String workspace,
+      CallPlan plan,
+      PromptMetadata prompt,
+      long deadlineNanos) {
     return new RouterEvent.CallArrived(
         request,
         workspace,
@@ -91,7 +116,7 @@
         Bytes.EMPTY,
         new Fingerprint(workspace, SERVICE, request.toString()),
         Optional.empty(),
-        nowNanos + plan.timeoutMillis() * NANOS_PER_MILLI,
+        deadlineNanos,
         Optional.of(plan),
         Optional.of(prompt),
         OptionalLong.empty());
@@ -108,7 +133,8 @@
 
   RequestId call(String workspace, CallPlan plan, PromptMetadata prompt) {
     RequestId request = new RequestId(SELF.instance(), 1, ++lastNumber);
-    dispatch(arrival(request, workspace, plan, prompt, nowNanos));
+    long deadlineNanos = nowNanos + plan.timeoutMillis() * NANOS_PER_MILLI;
+    dispatch(arrival(request, workspace, plan, prompt, deadlineNanos));
     return request;
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -11,21 +11,30 @@
 import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.EngineProfile;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Limits;
+import dev.agatepier.core.version.Route;
+import dev.agatepier.core.version.RouteIndex;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.ServiceKind;
 import dev.agatepier.core.version.SlotAllocationMode;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.core.version.WarmUp;
+import dev.agatepier.core.version.Workspace;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
@@ -39,11 +48,20 @@
   static final String ROUTER = "r1";
   static final long MEMORY_TOKENS = 100_000;
 
+  static final WarmUp WARM_UP = new WarmUp(3_000, 10);
+
+  /** Limits a cold upstream of that warm-up to 20 requests a second. */
+  static final SlotAllocatorPolicy COLD_LIMIT = SlotAllocatorPolicy.DEFAULT.withColdLimit(1.5, 5);
+
+  static final DataCentreRegions REGIONS = new DataCentreRegions(Map.of("a1", "a", "b1", "b"));
+
   private static final long MILLI = 1_000_000;
 
   final SlotAllocatorDecision decision;
   final List<SlotMessage> sent = new ArrayList<>();
   final List<SlotAllocatorEffect.UpstreamUsabilityChanged> usabilityChanges = new ArrayList<>();
+  final List<SlotAllocatorEffect.UpstreamAvailabilityChanged> availabilityChanges =
+      new ArrayList<>();
   long now = 7_000 * MILLI;
 
   /** Reports of the delay that routers have received. */
@@ -51,9 +69,10 @@
 
   private long lastNumber;
   private long lastList;
+  private long lastEvacuated;
 
   SlotAllocatorFixture(String... upstreams) {
-    this(new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT));
+    this(new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT, REGIONS));
     dispatch(new SlotAllocatorEvent.TableActivated(table()));
     publishUpstreams(upstreams);
   }
@@ -66,28 +85,34 @@
   static SlotAllocatorFixture withShortCostWindow(String... upstreams) {
     SlotAllocatorFixture allocator =
         new SlotAllocatorFixture(
-            new SlotAllocatorDecision(router(ROUTER, "a1"), withCostWindow(4_000)));
+            new SlotAllocatorDecision(
+                router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT.withCostWindow(4_000), REGIONS));
     allocator.dispatch(new SlotAllocatorEvent.TableActivated(table()));
     allocator.publishUpstreams(upstreams);
     return allocator;
   }
 
-  /** Returns the default policy with costs that lose weight over a period. */
-  static SlotAllocatorPolicy withCostWindow(long millis) {
-    SlotAllocatorPolicy defaults = SlotAllocatorPolicy.DEFAULT;
-    return new SlotAllocatorPolicy(
-        defaults.backlogMillis(),
-        defaults.memoryShare(),
-        defaults.stallMillis(),
-        defaults.lateMillis(),
-        defaults.retryAfterMillis(),
-        millis);
+  /** Returns an allocator with upstreams whose service warms up, after its first window. */
+  static SlotAllocatorFixture withColdUpstreams(String... upstreams) {
+    SlotAllocatorFixture allocator = newWithColdUpstreams(COLD_LIMIT, Optional.of(WARM_UP));
+    allocator.publishUpstreams(upstreams);
+    allocator.advance(1_351);
+    return allocator;
+  }
+
+  /** Returns a new allocator without upstreams. */
+  static SlotAllocatorFixture newWithColdUpstreams(
+      SlotAllocatorPolicy policy, Optional<WarmUp> warmUp) {
+    SlotAllocatorFixture allocator =
+        new SlotAllocatorFixture(new SlotAllocatorDecision(router(ROUTER, "a1"), policy, REGIONS));
+    allocator.dispatch(new SlotAllocatorEvent.TableActivated(table(warmUp)));
+    return allocator;
   }
 
   /** Returns an allocator that has just started and has neither a table nor upstreams. */
   static SlotAllocatorFixture withoutTable() {
     return new SlotAllocatorFixture(
-        new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT));
+        new SlotAllocatorDecision(router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT, REGIONS));
   }
 
   static PeerIdentity router(String name, String dataCentre) {
@@ -95,10 +120,14 @@
   }
 
   static Table table() {
-    return new Table(1, Map.of(), Map.of(MODEL, modelService(), PLAIN, plainService()));
+    return table(Optional.empty());
+  }
+
+  private static Table table(Optional<WarmUp> warmUp) {
+    return new Table(1, Map.of(), Map.of(MODEL, modelService(warmUp), PLAIN, plainService(warmUp)));
   }
 
-  private static ServiceEntry modelService() {
+  private static ServiceEntry modelService(Optional<WarmUp> warmUp) {
     return new ServiceEntry(
         MODEL,
         ServiceKind.MODEL,
@@ -106,10 +135,11 @@
         60_000,
         0.2,
         SlotAllocationMode.ROUTER,
-        Optional.of(new EngineProfile(MEMORY_TOKENS, 5)));
+        Optional.of(new EngineProfile(MEMORY_TOKENS, 5)),
+        warmUp);
   }
 
-  private static ServiceEntry plainService() {
+  private static ServiceEntry plainService(Optional<WarmUp> warmUp) {
     return new ServiceEntry(
         PLAIN,
         ServiceKind.PLAIN,
@@ -117,12 +147,14 @@
         60_000,
         0.2,
         SlotAllocationMode.ROUTER,
-        Optional.empty());
+        Optional.empty(),
+        warmUp);
   }
 
   /**
    * Publishes upstreams by name: prefix m for engines and p for plain upstreams, suffix x for
-   * leaving ones, and prefix b- for another data centre.
+   * leaving ones, suffix c for cold ones, suffix rc for cold ones that have restarted, and prefix
+   * b- for another data centre.
    */
   void publishUpstreams(String... names) {
     List<Upstream> upstreams = Arrays.stream(names).map(SlotAllocatorFixture::upstream).toList();
@@ -131,19 +163,29 @@
             new InstanceList(++lastList, List.of(), upstreams)));
   }
 
+  /** Publishes upstreams by name while data centres are evacuated. */
+  void publishEvacuated(Set<String> evacuated, String... names) {
+    List<Upstream> upstreams = Arrays.stream(names).map(SlotAllocatorFixture::upstream).toList();
+    dispatch(
+        new SlotAllocatorEvent.InstancesActivated(
+            new InstanceList(lastList, List.of(), upstreams, evacuated, ++lastEvacuated)));
+  }
+
   static Upstream upstream(String name) {
     boolean model = name.startsWith("m");
     String dataCentre = name.startsWith("b-") ? "b1" : "a1";
     boolean leaving = name.endsWith("x");
+    boolean cold = name.endsWith("c");
     return new Upstream(
-        leaving ? name.substring(0, name.length() - 1) : name,
-        1,
+        name.replaceAll("(x|rc|c)$", ""),
+        name.endsWith("rc") ? 2 : 1,
         model ? MODEL : PLAIN,
         "127.0.0.1",
         8_000,
         dataCentre,
         model ? 8 : 2,
-        leaving);
+        leaving,
+        cold);
   }
 
   List<SlotMessage> dispatch(SlotAllocatorEvent event) {
@@ -158,7 +200,12 @@
           }
         }
         case SlotAllocatorEffect.UpstreamUsabilityChanged change -> usabilityChanges.add(change);
-        case SlotAllocatorEffect.Placed _, SlotAllocatorEffect.Rejected _ -> {
+        case SlotAllocatorEffect.UpstreamAvailabilityChanged change ->
+            availabilityChanges.add(change);
+        case SlotAllocatorEffect.Placed _,
+            SlotAllocatorEffect.Rejected _,
+            SlotAllocatorEffect.ColdGrants _,
+            SlotAllocatorEffect.StartPredicted _ -> {
           // Only logged.
         }
       }
@@ -171,6 +218,42 @@
     return requestSlot(PLAIN, workspace, objectiveMillis, false, Optional.empty());
   }
 
+  /** Requests a slot in some regions, which the router has from table version 1. */
+  RequestId requestPlainIn(AllowedRegions allowed, String workspace, long objectiveMillis) {
+    RequestId request = new RequestId(ROUTER, 1, ++lastNumber);
+    report(request, allowed, workspace, objectiveMillis);
+    return request;
+  }
+
+  /** Reports a waiting request of route {@code r}. */
+  void report(RequestId request, AllowedRegions allowed, String workspace, long objectiveMillis) {
+    Optional<PromptMetadata> none = Optional.empty();
+    WaitingCall call =
+        new WaitingCall(
+            request, workspace, "", objectiveMillis, 15_000, true, false, 0, none, "r", allowed);
+    dispatch(message(new SlotsWanted(PLAIN, false, List.of(call), List.of(), 1)));
+  }
+
+  /** Activates a version with lists of allowed regions for route {@code r} and a workspace. */
+  void activateLists(
+      long version, AllowedRegions route, String workspace, AllowedRegions workspaceRegions) {
+    Table plain = table();
+    CallPlan plan = new CallPlan("r", true, false, false, 1, 10_000, 500, 0, 0);
+    Route listed =
+        new Route("a", "/", List.of(new Route.WeightedService(PLAIN, 1)), plan, true, route);
+    Workspace row =
+        new Workspace(
+            workspace, 1, List.of(), new Limits(9, 9, 0), Set.of(PLAIN), workspaceRegions);
+    dispatch(
+        new SlotAllocatorEvent.TableActivated(
+            new Table(
+                version,
+                Map.of(workspace, row),
+                plain.services(),
+                new RouteIndex(List.of(listed)),
+                plain.bounds())));
+  }
+
   /**
    * Requests a slot for a prompt with the named shared part and a part that no other request has.
    */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/WorkspaceSharesTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/WorkspaceSharesTest.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.DataCentreRegions;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -238,13 +239,20 @@
   }
 
   private static Callers serve(Demand demand, IntUnaryOperator preferred, long seed) {
-    SlotAllocatorPolicy policy = SlotAllocatorFixture.withCostWindow(COST_WINDOW_MILLIS);
+    SlotAllocatorPolicy policy = SlotAllocatorPolicy.DEFAULT.withCostWindow(COST_WINDOW_MILLIS);
     VirtualTime time = new VirtualTime(seed);
     Callers callers = new Callers(time, preferred);
     List<String> names =
         IntStream.range(0, WORKSPACES).mapToObj(WorkspaceSharesTest::name).toList();
     callers.fleet =
-        new AllocatingFleet(time, DATA_CENTRES, names, policy, PREFILL_TOKENS_PER_MILLI, callers);
+        new AllocatingFleet(
+            time,
+            DATA_CENTRES,
+            AllocatingRouter.table(names),
+            DataCentreRegions.NONE,
+            policy,
+            PREFILL_TOKENS_PER_MILLI,
+            callers);
     double mean =
         KINDS.stream()
             .mapToDouble(kind -> kind.share * (kind.promptTokens + 2 * kind.outputTokens))
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -231,6 +231,8 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.AllowedRegionsChanged _,
+          RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
         // Other components perform these effects.
       }
@@ -373,7 +375,8 @@
           call.deadlineNanos(),
           Optional.of(call.plan()),
           call.prompt(),
-          call.resumeAfter());
+          call.resumeAfter(),
+          call.allowedRegions());
     }
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -44,6 +44,8 @@
   private final Scheduler scheduler;
   private final Counter connectionsOpened;
   private final Counter malformedResponses;
+  private final Counter ignoredNotices;
+  private final Counter unreadableLoads;
   private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
   private final Map<AttemptId, UpstreamPool> poolsByAttempt = new HashMap<>();
@@ -90,6 +92,8 @@
     this.scheduler = scheduler;
     connectionsOpened = metrics.counter("upstreams.connections-opened");
     malformedResponses = metrics.counter("upstreams.unsound-answers");
+    ignoredNotices = metrics.counter("upstreams.notices-ignored");
+    unreadableLoads = metrics.counter("upstreams.unreadable-loads");
     responses =
         new ResponseBudget(
             maximumBufferedBytes, memory, metrics.counter("upstreams.answers-given-up")::inc);
@@ -128,6 +132,12 @@
           pool.cancel(attempt);
         }
       }
+      case RouterEffect.CancelUnsentAttempt(AttemptId attempt) -> {
+        UpstreamPool pool = poolsByAttempt.get(attempt);
+        if (pool != null) {
+          pool.cancelUnsent(attempt);
+        }
+      }
       default -> {
         // Other components perform the other effects.
       }
@@ -198,6 +208,11 @@
       return eventLoops;
     }
 
+    @Override
+    public void onUnreadableLoad() {
+      unreadableLoads.inc();
+    }
+
     @Override
     public void onConnecting() {
       connectionsOpened.inc();
@@ -209,6 +224,15 @@
       RequestLog.logMalformedResponse(upstream.name(), attempt, detail);
     }
 
+    @Override
+    public void onNoticeIgnored(
+        Upstream upstream, AttemptId attempt, String detail, boolean first) {
+      ignoredNotices.inc();
+      if (first) {
+        RequestLog.logNoticeIgnored(upstream.name(), attempt, detail);
+      }
+    }
+
     private void onEvent(RouterEvent event) {
       switch (event) {
         case RouterEvent.UpstreamResponseCompleted ended -> poolsByAttempt.remove(ended.attempt());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -3,6 +3,8 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorCosts;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
@@ -10,11 +12,17 @@
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.UpstreamUnavailable;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.AllowedRegions;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Function;
 
 /** Encodes the messages between routers and the slot allocator of a service. */
 public final class SlotMessageCodec implements MessageTypeProvider {
@@ -27,19 +35,21 @@
         new MessageType<>(
             60,
             SlotsWanted.class,
-            4,
+            5,
             (message, output) -> {
               output.writeString(message.service());
               output.writeBoolean(message.complete());
               output.writeList(message.waiting(), SlotMessageCodec::writeCall);
               output.writeList(message.held(), SlotMessageCodec::writeHeld);
+              output.writeLong(message.tableVersion());
             },
             input ->
                 new SlotsWanted(
                     input.readString(),
                     input.readBoolean(),
                     input.readList(SlotMessageCodec::readCall),
-                    input.readList(SlotMessageCodec::readHeld))),
+                    input.readList(SlotMessageCodec::readHeld),
+                    input.readLong())),
         new MessageType<>(
             61,
             SlotsChanged.class,
@@ -53,15 +63,23 @@
         new MessageType<>(
             62,
             SlotGranted.class,
-            3,
+            6,
             (message, output) -> {
               output.writeString(message.service());
               RequestFields.writeRequest(message.request(), output);
               output.writeString(message.upstream());
+              output.writeBoolean(message.cold());
+              output.writeLong(message.waitedMillis());
+              output.writeLong(message.timeLeftMillis());
             },
             input ->
                 new SlotGranted(
-                    input.readString(), RequestFields.readRequest(input), input.readString())),
+                    input.readString(),
+                    RequestFields.readRequest(input),
+                    input.readString(),
+                    input.readBoolean(),
+                    input.readLong(),
+                    input.readLong())),
         new MessageType<>(
             63,
             SlotRefused.class,
@@ -93,13 +111,38 @@
         new MessageType<>(
             65,
             AllocatorLoad.class,
-            3,
+            4,
             (message, output) -> {
               output.writeString(message.service());
               output.writeString(message.dataCentre());
               output.writeLong(message.delayMillis());
+              output.writeList(
+                  message.capacity().stream().toList(), SlotMessageCodec::writeCapacity);
             },
-            input -> new AllocatorLoad(input.readString(), input.readString(), input.readLong())),
+            input ->
+                new AllocatorLoad(
+                    input.readString(),
+                    input.readString(),
+                    input.readLong(),
+                    readAtMostOne(input, "capacity", SlotMessageCodec::readCapacity))),
+        new MessageType<>(
+            67,
+            UpstreamUnavailable.class,
+            5,
+            (message, output) -> {
+              output.writeString(message.service());
+              output.writeString(message.upstream());
+              output.writeLong(message.incarnation());
+              output.writeBoolean(message.leaving());
+              output.writeLong(message.pauseMillis());
+            },
+            input ->
+                new UpstreamUnavailable(
+                    input.readString(),
+                    input.readString(),
+                    input.readLong(),
+                    input.readBoolean(),
+                    input.readLong())),
         new MessageType<>(
             66,
             AllocatorCosts.class,
@@ -124,7 +167,10 @@
     output.writeLong(call.timeLeftMillis());
     output.writeBoolean(call.repeatable());
     output.writeBoolean(call.underserved());
+    output.writeLong(call.callerAgeMillis());
     output.writeList(call.prompt().stream().toList(), SlotMessageCodec::writePrompt);
+    output.writeString(call.route());
+    writeRegions(output, call.allowedRegions());
   }
 
   private static WaitingCall readCall(FieldInput input) {
@@ -136,7 +182,23 @@
         input.readLong(),
         input.readBoolean(),
         input.readBoolean(),
-        readPrompt(input));
+        input.readLong(),
+        readPrompt(input),
+        input.readString(),
+        readRegions(input));
+  }
+
+  private static void writeRegions(FieldOutput output, AllowedRegions regions) {
+    output.writeBoolean(regions.all());
+    if (!regions.all()) {
+      output.writeList(regions.names().stream().sorted().toList(), FieldOutput::writeString);
+    }
+  }
+
+  private static AllowedRegions readRegions(FieldInput input) {
+    return input.readBoolean()
+        ? AllowedRegions.ALL
+        : AllowedRegions.only(new HashSet<>(input.readList(FieldInput::readString)));
   }
 
   private static void writePrompt(FieldOutput output, PromptMetadata prompt) {
@@ -152,19 +214,25 @@
   }
 
   private static Optional<PromptMetadata> readPrompt(FieldInput input) {
-    List<PromptMetadata> prompts =
-        input.readList(
-            source ->
-                new PromptMetadata(
-                    source.readString(),
-                    source.readInt(),
-                    source.readInt(),
-                    source.readList(part -> new PromptPart(part.readString(), part.readInt()))));
-    if (prompts.size() > 1) {
+    return readAtMostOne(
+        input,
+        "prompt",
+        source ->
+            new PromptMetadata(
+                source.readString(),
+                source.readInt(),
+                source.readInt(),
+                source.readList(part -> new PromptPart(part.readString(), part.readInt()))));
+  }
+
+  private static <T> Optional<T> readAtMostOne(
+      FieldInput input, String field, Function<FieldInput, T> element) {
+    List<T> values = input.readList(element);
+    if (values.size() > 1) {
       throw new IllegalArgumentException(
-          "field prompt holds " + prompts.size() + " elements, more than 1");
+          "field " + field + " holds " + values.size() + " elements, more than 1");
     }
-    return prompts.stream().findFirst();
+    return values.stream().findFirst();
   }
 
   private static void writeHeld(FieldOutput output, HeldSlot held) {
@@ -182,6 +250,26 @@
     output.writeString(change.upstream());
     output.writeInt(change.stage().ordinal());
     output.writeLong(change.amount());
+    output.writeList(change.load().stream().toList(), SlotMessageCodec::writeLoad);
+  }
+
+  /** Writes a load; a pace of 0 stands for none. */
+  private static void writeLoad(FieldOutput output, ReceivedLoad load) {
+    output.writeInt(load.report().running());
+    output.writeInt(load.report().waiting());
+    output.writeInt(load.report().slots());
+    output.writeInt(load.report().pacePercent().orElse(0));
+    output.writeLong(load.ageMillis());
+  }
+
+  private static ReceivedLoad readLoad(FieldInput input) {
+    int running = input.readInt();
+    int waiting = input.readInt();
+    int slots = input.readInt();
+    int pacePercent = input.readInt();
+    OptionalInt pace = pacePercent == 0 ? OptionalInt.empty() : OptionalInt.of(pacePercent);
+    return new ReceivedLoad(
+        new UpstreamLoadReport(running, waiting, slots, pace), Math.max(0, input.readLong()));
   }
 
   private static SlotChange readChange(FieldInput input) {
@@ -189,7 +277,18 @@
         RequestFields.readRequest(input),
         input.readString(),
         toStage(input.readInt()),
-        input.readLong());
+        input.readLong(),
+        readAtMostOne(input, "load", SlotMessageCodec::readLoad));
+  }
+
+  private static void writeCapacity(FieldOutput output, MeasuredCapacity capacity) {
+    output.writeDouble(capacity.parallelRequests());
+    output.writeDouble(capacity.requestMillis());
+    output.writeDouble(capacity.tokenMillis());
+  }
+
+  private static MeasuredCapacity readCapacity(FieldInput input) {
+    return new MeasuredCapacity(input.readDouble(), input.readDouble(), input.readDouble());
   }
 
   private static SlotStage toStage(int ordinal) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -1,12 +1,17 @@
 package dev.agatepier.wire.connection.internal;
 
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.request.UpstreamDialect;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
+import dev.agatepier.wire.request.UpstreamDialect.LoadStatement;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import java.util.ArrayDeque;
@@ -49,6 +54,7 @@
   private final Set<UpstreamConnection> open = new HashSet<>();
   private final Map<AttemptId, UpstreamConnection> busy = new HashMap<>();
   private final Map<AttemptId, PendingConnect> pendingConnects = new HashMap<>();
+  private boolean noticeIgnored;
 
   /** An attempt that waits for its connection. */
   private record PendingConnect(AttemptExchange exchange, Disposable.Swap subscription) {}
@@ -73,16 +79,23 @@
 
   /** Cancels an attempt; does nothing if it has ended. */
   public void cancel(AttemptId attempt) {
-    PendingConnect pending = pendingConnects.remove(attempt);
     UpstreamConnection connection = busy.remove(attempt);
-    if (pending != null) {
-      pending.subscription().dispose();
-      pending.exchange().notRun(Reason.WITHDRAWN, false);
-    } else if (connection != null) {
+    if (!cancelUnsent(attempt) && connection != null) {
       connection.cancel();
     }
   }
 
+  /** Cancels an attempt whose connection is still being opened; returns whether it was. */
+  public boolean cancelUnsent(AttemptId attempt) {
+    PendingConnect pending = pendingConnects.remove(attempt);
+    if (pending == null) {
+      return false;
+    }
+    pending.subscription().dispose();
+    pending.exchange().notRun(Reason.WITHDRAWN, false);
+    return true;
+  }
+
   /** Adds flow-control credit in bytes to the attempt; does nothing if it is not running. */
   public void addCredit(AttemptId attempt, long bytes) {
     UpstreamConnection connection = busy.get(attempt);
@@ -124,6 +137,30 @@
     return context.dialect().classifyResponse(attempt, status, headers);
   }
 
+  /** Reports what the head of a response to an attempt says of further requests. */
+  void onHead(RunAttempt attempt, int status, List<Header> headers) {
+    UpstreamDialect.Notice notice = context.dialect().notice(attempt, status, headers);
+    if (!notice.ignored().isEmpty()) {
+      context.onNoticeIgnored(upstream, attempt.attempt(), notice.ignored(), !noticeIgnored);
+      noticeIgnored = true;
+    }
+    if (!notice.content().equals(UpstreamNotice.NONE)) {
+      context.events().accept(new RouterEvent.UpstreamNoticed(upstream, notice.content()));
+    }
+  }
+
+  /** Reports the load that the header fields of a response to the attempt state, if any. */
+  void reportLoad(AttemptId attempt, List<Header> headers) {
+    switch (context.dialect().readLoad(headers)) {
+      case LoadStatement.Stated(UpstreamLoadReport report) ->
+          context.events().accept(new RouterEvent.UpstreamLoadReported(attempt, report));
+      case LoadStatement.Unreadable() -> context.onUnreadableLoad();
+      case LoadStatement.Absent() -> {
+        // Upstreams may omit it.
+      }
+    }
+  }
+
   /** Returns the time in nanoseconds until which a connection may be reused after a response. */
   long idleUntil(List<Header> headers) {
     long idleNanos = IDLE_NANOS;
@@ -166,7 +203,13 @@
     return null;
   }
 
+  /** Sends a request, unless its process was suspended or connected for too long since. */
   private void send(AttemptExchange exchange, UpstreamConnection connection) {
+    if (exchange.attempt().isTooLate(context.clock().nanoTime())) {
+      connection.close();
+      exchange.notRun(Reason.WITHDRAWN, false);
+      return;
+    }
     busy.put(exchange.id(), connection);
     connection.send(exchange, context.dialect().headers(exchange.attempt()));
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -91,6 +91,7 @@
             self,
             settings.policy(),
             settings.slots(),
+            settings.dataCentres(),
             links,
             this::performForCaller,
             this::performAtUpstream,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -153,6 +153,17 @@
                 .with("flaw", detail));
   }
 
+  /** Logs a field about further requests to an upstream that could not be understood. */
+  public static void logNoticeIgnored(String upstream, AttemptId attempt, String detail) {
+    LOGGER.warn(
+        () ->
+            LogEvent.UPSTREAM_NOTICE_IGNORED
+                .message()
+                .with("upstream", upstream)
+                .with("request", attempt.request().toString())
+                .with("flaw", detail));
+  }
+
   private static StringMapMessage slotEvent(
       LogEvent event, String service, RequestId request, FairPosition position) {
     return event
@@ -184,6 +195,32 @@
                 .with("sinceMillis", change.sinceMillis()));
   }
 
+  /** Logs a change of the state of an upstream. */
+  static void logUpstreamAvailabilityChanged(
+      SlotAllocatorEffect.UpstreamAvailabilityChanged change) {
+    LOGGER.info(
+        () ->
+            LogEvent.UPSTREAM_AVAILABILITY_CHANGED
+                .message()
+                .with("service", change.service())
+                .with("upstream", change.upstream())
+                .with("dataCentre", change.dataCentre())
+                .with("state", change.state().code())
+                .with("previous", change.previous().code()));
+  }
+
+  /** Logs that another table version has other lists of allowed regions. */
+  static void logAllowedRegionsChanged(RouterEffect.AllowedRegionsChanged change) {
+    LOGGER.info(
+        () ->
+            LogEvent.ALLOWED_REGIONS_CHANGED
+                .message()
+                .with("version", change.tableVersion())
+                .with("restrictedRoutes", change.restrictedRoutes())
+                .with("restrictedWorkspaces", change.restrictedWorkspaces())
+                .with("waitingChanged", change.waitingChanged()));
+  }
+
   /** Logs a request or prompt part that is quarantined or no longer is. */
   static void logQuarantineChanged(RouterEffect.QuarantineChanged change) {
     LOGGER.warn(
@@ -222,6 +259,7 @@
         .with("sidecar", metadata.lastSidecar())
         .with("waitMillis", TimeUnit.NANOSECONDS.toMillis(metadata.waitNanos()))
         .with("firstByteMillis", TimeUnit.NANOSECONDS.toMillis(metadata.firstByteNanos()))
+        .with("longestGapMillis", TimeUnit.NANOSECONDS.toMillis(metadata.longestGapNanos()))
         .with("totalMillis", TimeUnit.NANOSECONDS.toMillis(metadata.totalNanos()))
         .with("cost", metadata.cost());
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -20,15 +20,19 @@
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEvent;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
+import dev.agatepier.core.process.UpstreamState;
 import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.Readiness;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
@@ -59,6 +63,7 @@
   private final Runnable stop;
   private final DecisionTask<RouterEvent, RouterEffect> requestTask;
   private final DecisionTask<CostAggregatorEvent, CostAggregatorEffect> costAggregator;
+  private final SlotAllocatorDecision allocatorDecision;
   private final DecisionTask<SlotAllocatorEvent, SlotAllocatorEffect> slotAllocator;
   private final RequestMetrics metrics;
   private final SlotMetrics slotMetrics;
@@ -75,6 +80,7 @@
    * @param self identity of the router
    * @param policy policy of the router decision
    * @param allocatorPolicy policy of the slot allocator
+   * @param dataCentres the regions of the data centres
    * @param links registry of the links to send through
    * @param callers performs effects that concern callers
    * @param upstreams performs effects that concern upstreams that the router calls directly
@@ -86,6 +92,7 @@
       PeerIdentity self,
       RouterPolicy policy,
       SlotAllocatorPolicy allocatorPolicy,
+      DataCentreRegions dataCentres,
       LinkRegistry links,
       Consumer<RouterEffect> callers,
       Consumer<RouterEffect> upstreams,
@@ -100,7 +107,7 @@
     this.metrics = new RequestMetrics(metrics);
     slotMetrics = new SlotMetrics(metrics);
     rejectedEvents = metrics.counter(MAILBOX_FULL);
-    RouterDecision decision = new RouterDecision(self, policy);
+    RouterDecision decision = new RouterDecision(self, policy, dataCentres);
     requestTask =
         new DecisionTask<>(
             decision,
@@ -119,9 +126,10 @@
             scheduler,
             System::nanoTime,
             RouterTasks::logTaskFailure);
+    allocatorDecision = new SlotAllocatorDecision(self, allocatorPolicy, dataCentres);
     slotAllocator =
         new DecisionTask<>(
-            new SlotAllocatorDecision(self, allocatorPolicy),
+            allocatorDecision,
             this::perform,
             MAILBOX_CAPACITY,
             scheduler,
@@ -180,7 +188,10 @@
       case LinkMessage.CostReport _, LinkMessage.CostChanges _, LinkMessage.DataCentreCosts _ ->
           countIfRejected(
               costAggregator.offer(new CostAggregatorEvent.MessageReceived(peer, message)));
-      case SlotMessage.SlotsWanted _, SlotMessage.SlotsChanged _, SlotMessage.AllocatorCosts _ ->
+      case SlotMessage.SlotsWanted _,
+          SlotMessage.SlotsChanged _,
+          SlotMessage.AllocatorCosts _,
+          SlotMessage.UpstreamUnavailable _ ->
           countIfRejected(
               slotAllocator.offer(
                   new SlotAllocatorEvent.MessageReceived(peer.instance(), (SlotMessage) message)));
@@ -247,7 +258,28 @@
 
   @Override
   public CompletableFuture<Map<String, Object>> gauges() {
-    return administration.gauges();
+    return administration.gauges().thenCombine(upstreamGauges(), RouterTasks::joinGauges);
+  }
+
+  /** Returns what is known of the upstreams whose slots this router allocates. */
+  private CompletableFuture<Map<String, Object>> upstreamGauges() {
+    return slotAllocator.ask(
+        now -> {
+          Map<UpstreamState, Long> counts = allocatorDecision.upstreamCounts(now);
+          Map<String, Object> gauges = new TreeMap<>();
+          for (UpstreamState state : EnumSet.complementOf(EnumSet.of(UpstreamState.GONE))) {
+            gauges.put("upstreams.state." + state.code(), counts.getOrDefault(state, 0L));
+          }
+          gauges.putAll(UpstreamGauges.of(allocatorDecision.snapshot(now)));
+          return gauges;
+        });
+  }
+
+  private static Map<String, Object> joinGauges(
+      Map<String, Object> first, Map<String, Object> second) {
+    Map<String, Object> joined = new TreeMap<>(first);
+    joined.putAll(second);
+    return joined;
   }
 
   @Override
@@ -258,9 +290,13 @@
   private void perform(RouterEffect effect) {
     switch (effect) {
       case RouterEffect.Send(String instance, LinkMessage message) -> send(instance, message);
-      case RouterEffect.RunAttempt _, RouterEffect.ReadAttempt _, RouterEffect.CancelAttempt _ ->
+      case RouterEffect.RunAttempt _,
+          RouterEffect.ReadAttempt _,
+          RouterEffect.CancelAttempt _,
+          RouterEffect.CancelUnsentAttempt _ ->
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
+      case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
       case RouterEffect.Drained _ -> drained.complete(null);
       case RouterEffect.EndResponse end -> {
         metrics.recordEnded(Outcome.COMPLETED, Optional.empty(), end.metadata());
@@ -297,6 +333,11 @@
         slotMetrics.recordRejected(rejection);
         RequestLog.logSlotRejected(rejection);
       }
+      case SlotAllocatorEffect.UpstreamAvailabilityChanged change ->
+          RequestLog.logUpstreamAvailabilityChanged(change);
+      case SlotAllocatorEffect.ColdGrants grants -> slotMetrics.recordColdGrants(grants);
+      case SlotAllocatorEffect.StartPredicted prediction ->
+          slotMetrics.recordPrediction(prediction);
       case SlotAllocatorEffect.UpstreamUsabilityChanged change ->
           RequestLog.logUpstreamUsabilityChanged(change);
     }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
@@ -4,6 +4,8 @@
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.request.UpstreamNotice;
 import java.util.List;
 
 /**
@@ -47,9 +49,49 @@
     record Malformed(String detail) implements Classification {}
   }
 
+  /**
+   * What the head of a response says of further requests to its upstream.
+   *
+   * @param content what it says
+   * @param ignored description of a field that could not be understood, for logs; empty for none
+   */
+  record Notice(UpstreamNotice content, String ignored) {
+
+    /** A head that says nothing. */
+    public static final Notice NONE = new Notice(UpstreamNotice.NONE, "");
+  }
+
+  /** Load that the head of a response states. */
+  sealed interface LoadStatement {
+
+    /** The head states no load. */
+    record Absent() implements LoadStatement {}
+
+    /**
+     * The head states a load.
+     *
+     * @param report the load
+     */
+    record Stated(UpstreamLoadReport report) implements LoadStatement {}
+
+    /** The head states a load that cannot be read. */
+    record Unreadable() implements LoadStatement {}
+  }
+
   /** Returns the header fields of an attempt, without those for message framing. */
   List<Header> headers(RunAttempt attempt);
 
   /** Classifies a response to the attempt by its status and header fields. */
   Classification classifyResponse(RunAttempt attempt, int status, List<Header> headers);
+
+  /**
+   * Returns what a response to the attempt says of further requests to its upstream; nothing if the
+   * response belongs to another request or is malformed.
+   */
+  default Notice notice(RunAttempt attempt, int status, List<Header> headers) {
+    return Notice.NONE;
+  }
+
+  /** Reads the load that the header fields of a response state. */
+  LoadStatement readLoad(List<Header> headers);
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -31,6 +31,8 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorCosts;
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.HeldSlot;
+import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
+import dev.agatepier.core.connection.SlotMessage.ReceivedLoad;
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotRecalled;
@@ -38,6 +40,7 @@
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.UpstreamUnavailable;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationRequest;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationTransfer;
@@ -59,12 +62,17 @@
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.core.request.UpstreamLoadReport;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.Instance;
+import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
 
 /** Message sequences of the golden files; together they cover every message type. */
 final class LinkSessions {
@@ -100,7 +108,7 @@
         new Hello(1, SIDECAR, new Bytes("0123456789abcdef".getBytes())),
         new HelloProof(Bytes.ofText("proof of the router")),
         new HelloProof(Bytes.ofText("proof of the sidecar")),
-        new Heartbeat(12, 3, false, 86_400_000),
+        new Heartbeat(12, 3, 2, false, 86_400_000),
         new FreeSlots(4),
         new DemandUpdate(List.of(new WorkspaceDemand("kolkata-strings", 2, 150, 37.5))),
         new Grant(1, "kolkata-strings"),
@@ -143,28 +151,39 @@
         new PageTransfer("ab12", Bytes.ofText("workspace,weight\n")),
         new PageTransfer("cd34", Bytes.EMPTY),
         new ConfirmationRequest(5),
-        new ConfirmationTransfer(5, 12, 1_040));
+        new ConfirmationTransfer(5, 12, 2, 1_040));
   }
 
   private static List<LinkMessage> instances() {
     return List.of(
-        new InstancesRequest(2),
+        new InstancesRequest(2, 1),
         new InstancesTransfer(
-            3,
-            List.of(
-                new Instance(
-                    "engine-3",
-                    Role.SIDECAR,
-                    "127.0.2.3",
-                    7003,
-                    9003,
-                    "siliguri-a",
-                    "hills",
-                    "plan-model",
-                    true)),
-            List.of(
-                new Upstream(
-                    "engine-4", 5, "plan-model", "127.0.2.4", 8004, "siliguri-a", 64, false))),
+            new InstanceList(
+                3,
+                List.of(
+                    new Instance(
+                        "engine-3",
+                        Role.SIDECAR,
+                        "127.0.2.3",
+                        7003,
+                        9003,
+                        "siliguri-a",
+                        "hills",
+                        "plan-model",
+                        true)),
+                List.of(
+                    new Upstream(
+                        "engine-4",
+                        5,
+                        "plan-model",
+                        "127.0.2.4",
+                        8004,
+                        "siliguri-a",
+                        64,
+                        false,
+                        true)),
+                Set.of("siliguri-a", "kolkata-a"),
+                2)),
         new KnownRouters(
             List.of(
                 new Instance(
@@ -192,27 +211,39 @@
             15_000,
             true,
             true,
+            4_200,
             Optional.of(
                 new PromptMetadata(
                     "m",
                     1_460,
                     80,
-                    List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))));
+                    List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))),
+            "layout",
+            AllowedRegions.only(Set.of("bengal", "assam")));
+    ReceivedLoad load = new ReceivedLoad(new UpstreamLoadReport(12, 3, 64, OptionalInt.of(170)), 4);
     return List.of(
         new SlotsWanted("chair-desk", false, List.of(plain), List.of()),
         new SlotsWanted(
-            "plan-model", true, List.of(model), List.of(new HeldSlot(model, "engine-4", true))),
-        new SlotGranted("plan-model", REQUEST, "engine-4"),
+            "plan-model", true, List.of(model), List.of(new HeldSlot(model, "engine-4", true)), 12),
+        new SlotGranted("plan-model", REQUEST, "engine-4", true, 35, 900),
         new SlotsChanged(
             "plan-model",
             Arrays.stream(SlotStage.values())
                 .map(stage -> new SlotChange(REQUEST, "engine-4", stage, 80))
                 .toList()),
+        new SlotsChanged("plan-model", List.of(started(Optional.of(load)))),
         new SlotRefused("plan-model", REQUEST, 1_000, "siliguri-a"),
         new SlotRecalled("plan-model", REQUEST, "engine-4"),
         new AllocatorLoad("plan-model", "siliguri-a", 35),
+        new AllocatorLoad(
+            "plan-model", "siliguri-a", 35, Optional.of(new MeasuredCapacity(6, 21.5, 0.0175))),
         new AllocatorCosts(
-            "plan-model", 41_000, List.of(new WorkspaceCost("kolkata-strings", 1_620))));
+            "plan-model", 41_000, List.of(new WorkspaceCost("kolkata-strings", 1_620))),
+        new UpstreamUnavailable("plan-model", "engine-4", 5, true, 1_500));
+  }
+
+  private static SlotChange started(Optional<ReceivedLoad> load) {
+    return new SlotChange(REQUEST, "engine-4", SlotStage.RESPONSE_STARTED, 80, load);
   }
 
   private static StartAttempt start(long grant, AttemptId attempt, Optional<Ticket> ticket) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -5,9 +5,12 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.process.RouterEffect;
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
+import dev.agatepier.core.process.RouterEvent.UpstreamLoadReported;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
+import dev.agatepier.core.process.RouterEvent.UpstreamNoticed;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseStarted;
@@ -36,6 +39,19 @@
     }
   }
 
+  /** A process that was suspended after the decision would send all its requests at once. */
+  @Test
+  public void doesNotSendRequestThatIsTooLate() {
+    RunAttempt late = attempt(1, Bytes.ofText("body")).sendBy(System.nanoTime() - 1);
+    perform(late);
+    assertEquals(
+        nextEvent(UpstreamNotRun.class),
+        new UpstreamNotRun(late.attempt(), Reason.WITHDRAWN, false));
+    try (RawSocket socket = upstream.accept()) {
+      assertEquals(socket.readAll(), "");
+    }
+  }
+
   @Test
   public void streamsEventsAsReceived() {
     run(1);
@@ -51,6 +67,29 @@
     }
   }
 
+  /** Guards against a load that is lost because no content of the response has arrived yet. */
+  @Test
+  public void reportsTheLoadThatTheHeadStates() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(EVENTS.formatted("1\r\nLoad: 5"));
+      assertEquals(nextEvent(UpstreamLoadReported.class).report().running(), 5);
+    }
+  }
+
+  /** Guards against a response that fails because its load cannot be read. */
+  @Test
+  public void countsAndIgnoresAnUnreadableLoad() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted("1\r\nLoad: unreadable") + "seats");
+      awaitCompletion();
+      assertEquals(metrics.counter("upstreams.unreadable-loads").getCount(), 1);
+    }
+  }
+
   @Test
   public void reusesConnection() {
     run(1);
@@ -96,6 +135,34 @@
     }
   }
 
+  /** Guards against a notice that waits until a stream has content. */
+  @Test
+  public void noticeIsReportedWithTheHead() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(EVENTS.formatted(1 + "\r\nLeaving: 1"));
+      UpstreamNoticed noticed = nextEvent(UpstreamNoticed.class);
+      assertEquals(noticed.upstream().name(), "u1");
+      assertTrue(noticed.notice().leaving());
+    }
+  }
+
+  /** Guards against a repeated rejection of an earlier request that counts for a later one. */
+  @Test
+  public void rejectionThatMayBeRepeatedSaysNothingOfTheUpstream() {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted(1) + "seats");
+      awaitCompletion();
+      run(2);
+      socket.readUntil("body");
+      socket.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
+      nextEvent(UpstreamFailed.class);
+    }
+  }
+
   @Test
   public void unreachableUpstreamIsNotRun() {
     upstream.close();
@@ -126,6 +193,31 @@
     }
   }
 
+  /** A request that may have reached the upstream must not be called not run. */
+  @Test
+  public void cancelOfUnsentAttemptLeavesSentOneAlone() {
+    AttemptId attempt = run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      scheduler.schedule(() -> caller.perform(new RouterEffect.CancelUnsentAttempt(attempt)));
+      socket.write(PLAIN.formatted(1) + "seats");
+      awaitCompletion();
+    }
+  }
+
+  @Test
+  public void cancelsAttemptWhoseConnectionIsBeingOpened() {
+    RouterEffect.RunAttempt attempt = attempt(1, Bytes.ofText("body"));
+    scheduler.schedule(
+        () -> {
+          caller.perform(attempt);
+          caller.perform(new RouterEffect.CancelUnsentAttempt(attempt.attempt()));
+        });
+    UpstreamNotRun notRun = nextEvent(UpstreamNotRun.class);
+    assertEquals(notRun.reason(), Reason.WITHDRAWN);
+    assertFalse(notRun.rejectedByUpstream());
+  }
+
   @Test
   public void readsNoFurtherThanFlowControlWindow() throws Exception {
     AttemptId attempt = run(1);
