--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -72,6 +72,7 @@
    * @param metrics metric registry of the process
    * @param failureHandler receives unexpected exceptions of connections
    * @param maximumBufferedBytes maximum bytes of incomplete responses that are buffered
+   * @param memory memory budget of the process
    */
   public UpstreamCaller(
       UpstreamDialect dialect,
@@ -82,7 +83,8 @@
       Scheduler scheduler,
       MetricRegistry metrics,
       Consumer<Throwable> failureHandler,
-      long maximumBufferedBytes) {
+      long maximumBufferedBytes,
+      MemoryBudget memory) {
     this.dialect = dialect;
     this.activeTable = activeTable;
     this.clock = clock;
@@ -94,7 +96,7 @@
     unreadableLoads = metrics.counter("upstreams.unreadable-loads");
     responses =
         new ResponseBudget(
-            maximumBufferedBytes, metrics.counter("upstreams.answers-given-up")::inc);
+            maximumBufferedBytes, memory, metrics.counter("upstreams.answers-given-up")::inc);
     metrics.register("upstreams.buffered-bytes", (Gauge<Long>) responses::totalBytes);
     context = new Context(eventSink, failureHandler);
   }
@@ -163,6 +165,7 @@
   private void closeExpired() {
     long now = clock.nanoTime();
     pools.values().removeIf(pool -> pool.closeExpired(now));
+    responses.relieve();
   }
 
   /** Services of this client that its pools use. */
@@ -246,6 +249,9 @@
         }
       }
       eventSink.accept(event);
+      if (event instanceof RouterEvent.UpstreamResponseData data) {
+        responses.passOn(data.content().size(), scheduler::schedule);
+      }
     }
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -141,6 +141,13 @@
     }
   }
 
+  @Override
+  public void resumeReading() {
+    if (exchange != null && !broken) {
+      channel.config().setAutoRead(exchange.canRead());
+    }
+  }
+
   void close() {
     broken = true;
     channel.close();
@@ -251,7 +258,7 @@
       case Classification.Matched matched -> {
         responseKind = ResponseKind.ATTEMPT;
         pool.reportLoad(exchange.id(), headers);
-        exchange.onResponseHead(matched);
+        exchange.onResponseHead(matched, HttpUtil.getContentLength(response, 0L));
         idleUntilNanos = pool.idleUntil(headers);
         if (response.status().codeClass() != HttpStatusClass.SUCCESS) {
           returned.add(exchange.request());
@@ -288,7 +295,7 @@
       if (broken) {
         return;
       }
-      channel.config().setAutoRead(exchange.canRead());
+      channel.config().setAutoRead(exchange.canRead() && !pool.pausesReading(this));
     } else {
       discardedBytes += content.content().readableBytes();
       if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
@@ -313,6 +320,8 @@
         fail(Reason.ANSWER_INCOMPLETE);
         return;
       }
+      // The content counts as passed on from here.
+      setBufferedBytes(0);
       exchange.onResponseEnded();
     }
     takeExchange();
