--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/SettingsReader.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/SettingsReader.java
@@ -1,7 +1,6 @@
 package dev.agatepier.cli.process;
 
 import dev.agatepier.cli.process.internal.SettingsParser;
-import dev.agatepier.wire.process.ProcessorSettings;
 import dev.agatepier.wire.process.RouterSettings;
 import dev.agatepier.wire.process.SidecarSettings;
 import java.nio.file.Path;
@@ -17,17 +16,17 @@
    * @throws SettingsException if the file is unreadable or has mistakes
    */
   public static RouterSettings readRouter(Path file) {
-    return readRouter(file, ProcessorSettings.DEFAULT);
+    return readRouter(file, SettingsDefaults.NONE);
   }
 
   /**
    * Reads the settings of a router.
    *
-   * @param processor processor time of the instance if the file doesn't state it
+   * @param defaults values that the file doesn't state
    * @throws SettingsException if the file is unreadable or has mistakes
    */
-  public static RouterSettings readRouter(Path file, ProcessorSettings processor) {
-    return SettingsParser.read(file, processor, SettingsParser::parseRouter);
+  public static RouterSettings readRouter(Path file, SettingsDefaults defaults) {
+    return SettingsParser.read(file, defaults, SettingsParser::parseRouter);
   }
 
   /**
@@ -36,16 +35,16 @@
    * @throws SettingsException if the file is unreadable or has mistakes
    */
   public static SidecarSettings readSidecar(Path file) {
-    return readSidecar(file, ProcessorSettings.DEFAULT);
+    return readSidecar(file, SettingsDefaults.NONE);
   }
 
   /**
    * Reads the settings of a sidecar.
    *
-   * @param processor processor time of the instance if the file doesn't state it
+   * @param defaults values that the file doesn't state
    * @throws SettingsException if the file is unreadable or has mistakes
    */
-  public static SidecarSettings readSidecar(Path file, ProcessorSettings processor) {
-    return SettingsParser.read(file, processor, SettingsParser::parseSidecar);
+  public static SidecarSettings readSidecar(Path file, SettingsDefaults defaults) {
+    return SettingsParser.read(file, defaults, SettingsParser::parseSidecar);
   }
 }
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
@@ -2,11 +2,16 @@
 
 import dev.agatepier.cli.process.Program;
 import dev.agatepier.cli.process.Reporter;
+import dev.agatepier.cli.process.SettingsDefaults;
 import dev.agatepier.cli.process.SettingsException;
 import dev.agatepier.wire.process.ProcessorSettings;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiFunction;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 
@@ -18,14 +23,15 @@
 public final class ProgramCommand<S> {
 
   private static final String CORE_SHARE = "core_share";
+  private static final String DEFAULTS = "defaults";
 
   private final String name;
-  private final BiFunction<Path, ProcessorSettings, S> settingsReader;
+  private final BiFunction<Path, SettingsDefaults, S> settingsReader;
   private final Program<S> program;
 
   /** Creates the command; the reader throws {@link SettingsException} if a file is invalid. */
   public ProgramCommand(
-      String name, BiFunction<Path, ProcessorSettings, S> settingsReader, Program<S> program) {
+      String name, BiFunction<Path, SettingsDefaults, S> settingsReader, Program<S> program) {
     this.name = name;
     this.settingsReader = settingsReader;
     this.program = program;
@@ -53,28 +59,50 @@
         .type(Double.class)
         .setDefault(ProcessorSettings.DEFAULT.share())
         .help("share of each core that the process may use; 0 if unknown");
+    parser
+        .addArgument("--default")
+        .dest(DEFAULTS)
+        .metavar("FIELD=JSON")
+        .action(Arguments.append())
+        .setDefault(List.of())
+        .help("value of a field that the settings don't state, such as slots.evenLoad=true");
   }
 
   /** Reads the settings and runs the program; empty if the settings are invalid. */
   public Optional<Integer> run(Namespace arguments, Reporter reporter) {
     Path file = Path.of(arguments.getString("settings"));
-    ProcessorSettings processor;
+    SettingsDefaults defaults;
     try {
-      processor = new ProcessorSettings(arguments.getInt("cores"), arguments.getDouble(CORE_SHARE));
+      defaults =
+          new SettingsDefaults(
+              new ProcessorSettings(arguments.getInt("cores"), arguments.getDouble(CORE_SHARE)),
+              fields(arguments.getList(DEFAULTS)));
     } catch (IllegalArgumentException invalid) {
       reporter.printError(invalid.getMessage());
       return Optional.empty();
     }
     S settings;
     try {
-      settings = settingsReader.apply(file, processor);
+      settings = settingsReader.apply(file, defaults);
     } catch (SettingsException failure) {
       failure.mistakes().forEach(mistake -> reporter.printError(mistake.toString()));
       return Optional.empty();
     }
     HangupSignal.handle(
-        new SettingsChangeDetector<>(() -> settingsReader.apply(file, processor), settings)
+        new SettingsChangeDetector<>(() -> settingsReader.apply(file, defaults), settings)
             ::checkForChanges);
     return Optional.of(program.run(settings));
   }
+
+  private static Map<String, String> fields(List<String> defaults) {
+    Map<String, String> fields = new HashMap<>();
+    for (String text : defaults) {
+      int separator = text.indexOf('=');
+      if (separator < 1) {
+        throw new IllegalArgumentException("--default must be FIELD=JSON, but is " + text);
+      }
+      fields.put(text.substring(0, separator), text.substring(separator + 1));
+    }
+    return fields;
+  }
 }
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsParser.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/SettingsParser.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import dev.agatepier.cli.process.SettingsDefaults;
 import dev.agatepier.cli.process.SettingsException;
 import dev.agatepier.cli.process.SettingsMistake;
 import dev.agatepier.core.process.RouterPolicy;
@@ -38,7 +39,7 @@
   private static final int DEFAULT_HEARTBEAT_MILLIS = 500;
   private static final int LONGEST_HEARTBEAT_MILLIS = 60_000;
 
-  private static final JsonMapper MAPPER =
+  static final JsonMapper MAPPER =
       JsonMapper.builder()
           .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
@@ -57,14 +58,16 @@
   /**
    * Reads a file as the settings of a program; throws {@link SettingsException} with all mistakes.
    *
-   * @param processor processor time of the instance if the file doesn't state it
+   * @param defaults values that the file doesn't state
    */
   public static <S> S read(
-      Path file, ProcessorSettings processor, Function<SettingsParser, S> program) {
+      Path file, SettingsDefaults defaults, Function<SettingsParser, S> program) {
     List<SettingsMistake> mistakes = new ArrayList<>();
-    ObjectReader root = new ObjectReader(parse(file), "$", mistakes);
+    ObjectReader root =
+        new ObjectReader(DefaultFields.add(defaults.fields(), parse(file)), "$", mistakes);
     Path folder = file.toAbsolutePath().getParent();
-    S settings = program.apply(new SettingsParser(root, new SecretFiles(folder), processor));
+    S settings =
+        program.apply(new SettingsParser(root, new SecretFiles(folder), defaults.processor()));
     root.checkUnknownFields();
     if (!mistakes.isEmpty()) {
       throw new SettingsException(mistakes);
@@ -92,7 +95,7 @@
     }
   }
 
-  private static SettingsException settingsException(String reason) {
+  static SettingsException settingsException(String reason) {
     return new SettingsException(List.of(new SettingsMistake("$", reason)));
   }
 
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/SettingsReaderTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.expectThrows;
 
 import dev.agatepier.core.process.RouterPolicy;
+import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.wire.process.LimitSettings;
 import dev.agatepier.wire.process.ProcessorSettings;
 import dev.agatepier.wire.process.RouterSettings;
@@ -12,6 +13,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -62,14 +64,33 @@
 
   @Test
   public void processorTimeOfTheFilePrecedesTheDefault() throws IOException {
-    ProcessorSettings machine = new ProcessorSettings(2, 0.75);
-    assertEquals(SettingsReader.readRouter(write(ROUTER), machine).common().processor(), machine);
+    SettingsDefaults machine = new SettingsDefaults(new ProcessorSettings(2, 0.75), Map.of());
+    assertEquals(
+        SettingsReader.readRouter(write(ROUTER), machine).common().processor(),
+        machine.processor());
     Path file = write(ROUTER.replace("{'instance'", "{'processor':{'cores':4},'instance'"));
     assertEquals(
         SettingsReader.readRouter(file, machine).common().processor(),
         new ProcessorSettings(4, 0.75));
   }
 
+  /** Guards against defaults that replace what a file states, or that are not checked. */
+  @Test
+  public void fieldsOfTheFilePrecedeTheDefaults() throws IOException {
+    SettingsDefaults defaults =
+        new SettingsDefaults(
+            ProcessorSettings.DEFAULT,
+            Map.of(
+                "slots.coldOverage", "1.5", "regions", "{\"a1\":\"a\"}", "slots.coldSlack", "-1"));
+    Path file = write(ROUTER.replace("'policy':", "'slots':{'coldSlack':5},'policy':"));
+    RouterSettings settings = SettingsReader.readRouter(file, defaults);
+    assertEquals(settings.slots().coldOverage(), 1.5);
+    assertEquals(settings.slots().coldSlack(), 5.0);
+    assertEquals(settings.dataCentres(), new DataCentreRegions(Map.of("a1", "a")));
+    Path without = write(ROUTER);
+    expectThrows(SettingsException.class, () -> SettingsReader.readRouter(without, defaults));
+  }
+
   /** Guards against a limit that is misspelt or out of range and silently does nothing. */
   @Test
   public void readsLimitsOnWhatCallersMakeTheProcessHold() throws IOException {
