--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
@@ -64,7 +64,6 @@
         .dest(DEFAULTS)
         .metavar("FIELD=JSON")
         .action(Arguments.append())
-        .setDefault(List.of())
         .help("value of a field that the settings don't state, such as slots.evenLoad=true");
   }
 
@@ -76,7 +75,7 @@
       defaults =
           new SettingsDefaults(
               new ProcessorSettings(arguments.getInt("cores"), arguments.getDouble(CORE_SHARE)),
-              fields(arguments.getList(DEFAULTS)));
+              fields(Optional.ofNullable(arguments.<String>getList(DEFAULTS)).orElse(List.of())));
     } catch (IllegalArgumentException invalid) {
       reporter.printError(invalid.getMessage());
       return Optional.empty();
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/AgatepierCommandTest.java
@@ -66,6 +66,12 @@
       {"router --settings F/key", 2, "$: is not valid JSON"},
       {"router --settings F/key --cores 2 --core-share 0.75", 2, "$: is not valid JSON"},
       {"router --settings F/key --cores 0", 2, "processor settings: cores 0 must be from 1"},
+      {
+        "router --settings F/key --default slots.evenLoad=true --default slots.coldSlack=5",
+        2,
+        "$: is not valid JSON"
+      },
+      {"router --settings F/key --default regions", 2, "--default must be FIELD=JSON"},
       {"sail", 2, "invalid choice: 'sail'"},
     };
   }
