--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -13,6 +13,7 @@
   REQUEST_CUT("request-cut"),
   OVERLOAD_BEGUN("overload-begun"),
   OVERLOAD_ENDED("overload-ended"),
+  CALLER_LIMITS("caller-limits"),
   CALLER_LIMIT_REACHED("caller-limit-reached"),
   CALLER_LIMIT_PASSED("caller-limit-passed"),
   REQUEST_ADMITTED("request-admitted"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -17,12 +17,16 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
 /** Service of a router process, which routes requests from callers to upstreams. */
 public final class RouterService implements FleetService {
 
+  private static final Logger LOGGER = LogManager.getLogger(RouterService.class);
+
   /** Gauge of the time since the table was last confirmed to be the latest, in milliseconds. */
   private static final String CONFIRMED_AGE = "table.confirmed-age-millis";
 
@@ -82,6 +86,7 @@
     MemoryBudget memory =
         new MemoryBudget(common.limits().memoryBudget(resources), System::nanoTime);
     memory.register(metrics);
+    logLimits(common.limits(), resources);
     TableLease lease =
         new TableLease(
             common.versions().leaseMillis(), System::nanoTime, System::currentTimeMillis);
@@ -147,6 +152,17 @@
     services = environment.services(context);
   }
 
+  private static void logLimits(LimitSettings limits, ProcessResources resources) {
+    LOGGER.info(
+        LogEvent.CALLER_LIMITS
+            .message()
+            .with("connections", limits.callerConnections(resources))
+            .with("memoryBytes", limits.memoryBudget(resources))
+            .with("descriptors", resources.descriptors())
+            .with("heapBytes", resources.heapBytes())
+            .with("directBytes", resources.directBytes()));
+  }
+
   @Override
   public CompletableFuture<Void> start() {
     return member
