Promise rejected callers capacity in the order of their rejections

Cause: retry times followed from how long a shortage had lasted, so that callers that kept to them found the capacity taken, and callers that repeated at once were served more often.

Change: the slot allocator measures the rate of its grants, promises rejected callers capacity one after the other while that is within their objective, and admits new requests up to what is left. Early ones are told the same time again; those that kept to their time precede other requests that are late. Only with the admission by the first attempt.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -59,6 +59,8 @@
    * @param ownMillis the part of it that is the request's own work at the best upstream
    * @param upstreamsWithCapacity number of usable upstreams with a free slot and enough memory
    * @param underserved whether requests of its size have got slots less often than others
+   * @param callerReturn whether its caller was rejected here before, and has kept to its retry time
+   * @param retryAfterMillis time after which its caller is advised to come back, in milliseconds
    */
   record Rejected(
       String service,
@@ -69,7 +71,9 @@
       long expectedMillis,
       long ownMillis,
       int upstreamsWithCapacity,
-      boolean underserved)
+      boolean underserved,
+      CallerReturn callerReturn,
+      long retryAfterMillis)
       implements SlotAllocatorEffect {}
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -7,11 +7,13 @@
 import dev.agatepier.core.connection.SlotMessage.SlotChange;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.CallerReturn;
 import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.ServiceSlotsStatus;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
+import dev.agatepier.core.process.internal.RejectedCallers.Rejection;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import java.util.List;
@@ -45,6 +47,8 @@
   private final SlotScheduler scheduler;
   private final SlotRejections rejections;
   private final SlotAllocations allocations;
+  private final GrantRate grantRate = new GrantRate();
+  private final RetryPromises promises;
   private final DelayReports reports = new DelayReports();
   private long lastSequence;
   private long decayedNanos;
@@ -87,10 +91,13 @@
     this.waiting = new WaitingRequests(ledger);
     this.upstreams = new ServiceUpstreams(service, policy, effects);
     this.usable = new UsableUpstreams(rule, upstreams, regions);
-    this.waits = new WaitEstimates(rule, ledger, waiting, usable, upstreams.cold(), error);
+    this.promises = new RetryPromises(policy.retryAfterMillis(), grantRate);
+    this.waits =
+        new WaitEstimates(rule, ledger, waiting, usable, upstreams.cold(), error, promises);
     this.scheduler =
         new SlotScheduler(rule, ledger, waiting, usable, upstreams.cold(), waits, choice);
-    this.rejections = new SlotRejections(service, policy, ledger, waits, usable, regions, effects);
+    this.rejections =
+        new SlotRejections(service, policy, ledger, waits, usable, regions, promises, effects);
   }
 
   /** Applies the workspace weights, the regions and the upstreams' settings of a table version. */
@@ -248,18 +255,14 @@
         // The grant and this report crossed; the router uses the grant or declines it.
         continue;
       }
-      WaitingEntry entry =
-          new WaitingEntry(
-              router,
-              call,
-              wanted.tableVersion(),
-              ++lastSequence,
-              policy.countsFromFirstAttempt(upstreams.capacityVaries()),
-              nowNanos);
+      WaitingEntry entry = newEntry(router, call, wanted.tableVersion(), nowNanos);
       regions.update(entry);
       waits.estimateWork(entry, nowNanos);
       if (usable.isUnpermitted(entry)) {
         rejections.reject(entry, nowNanos);
+      } else if (entry.callerReturn == CallerReturn.EARLY
+          && (!waiting.isEmpty() || promises.outstanding(nowNanos))) {
+        rejections.rejectEarly(entry, nowNanos);
       } else if (waits.cannotMeetObjective(entry, nowNanos)) {
         if (waits.meetsObjectiveAlone(entry, nowNanos)) {
           rejections.levels().recordRejected();
@@ -271,6 +274,25 @@
     }
   }
 
+  private WaitingEntry newEntry(String router, WaitingCall call, long tableVersion, long nowNanos) {
+    boolean fromFirstAttempt = policy.countsFromFirstAttempt(upstreams.capacityVaries());
+    Optional<Rejection> rejection =
+        fromFirstAttempt ? promises.findRejection(call, nowNanos) : Optional.empty();
+    long ageMillis =
+        rejection
+            .map(earlier -> (long) ((nowNanos - earlier.firstNanos()) / NANOS_PER_MILLI))
+            .orElse(fromFirstAttempt ? call.callerAgeMillis() : 0);
+    WaitingEntry entry =
+        new WaitingEntry(
+            router, call, tableVersion, ++lastSequence, fromFirstAttempt, ageMillis, nowNanos);
+    rejection.ifPresent(
+        earlier -> {
+          entry.callerReturn = RetryPromises.judge(earlier, nowNanos);
+          entry.returnNanos = earlier.returnNanos();
+        });
+    return entry;
+  }
+
   /** Refuses the requests for which no upstream here is permitted any more. */
   private void refuseUnpermitted(long nowNanos) {
     for (WaitingEntry entry : waiting.all().stream().filter(usable::isUnpermitted).toList()) {
@@ -290,6 +312,9 @@
   private void grant(SlotScheduler.Assignment assignment, long nowNanos) {
     WaitingEntry entry = assignment.entry();
     UpstreamLoad upstream = assignment.upstream();
+    if (entry.fromFirstAttempt) {
+      grantRate.recordGranted(rule.firstByteMillis(upstream, entry.call), nowNanos);
+    }
     FairPosition position = ledger.position(entry.workspace());
     rejections.levels().recordGranted(position.virtualService());
     waiting.remove(entry.call.request());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRejections.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRejections.java
@@ -1,7 +1,6 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage;
-import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
@@ -15,6 +14,8 @@
  */
 final class SlotRejections {
 
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final String service;
   private final SlotAllocatorPolicy policy;
   private final WorkspaceLedger ledger;
@@ -22,7 +23,7 @@
   private final UsableUpstreams usable;
   private final List<SlotAllocatorEffect> effects;
   private final OtherDataCentres otherDataCentres;
-  private final RetryAdvice advice;
+  private final RetryPromises promises;
   private final ServedLevels levels = new ServedLevels();
 
   SlotRejections(
@@ -32,6 +33,7 @@
       WaitEstimates waits,
       UsableUpstreams usable,
       AllocatorRegions regions,
+      RetryPromises promises,
       List<SlotAllocatorEffect> effects) {
     this.service = service;
     this.policy = policy;
@@ -40,7 +42,7 @@
     this.usable = usable;
     this.effects = effects;
     this.otherDataCentres = new OtherDataCentres(regions);
-    this.advice = new RetryAdvice(policy.retryAfterMillis());
+    this.promises = promises;
   }
 
   /** Returns the levels up to which data centres serve workspaces. */
@@ -55,36 +57,60 @@
 
   /** Rejects a request that does not wait. */
   void reject(WaitingEntry entry, long nowNanos) {
-    FairPosition position = ledger.position(entry.workspace());
     String alternative =
         levels
             .alternative(
                 entry.call.request(),
-                position.virtualService(),
+                ledger.position(entry.workspace()).virtualService(),
                 otherDataCentres.permitted(entry.allowedRegions),
                 nowNanos)
             .orElse("");
+    respond(entry, retryAfterMillis(entry, alternative, nowNanos), alternative, nowNanos);
+  }
+
+  /**
+   * Rejects a request whose caller has come back before its retry time, which stays: it is not
+   * promised anything further.
+   */
+  void rejectEarly(WaitingEntry entry, long nowNanos) {
+    respond(entry, (entry.returnNanos - nowNanos) / NANOS_PER_MILLI, "", nowNanos);
+  }
+
+  private void respond(
+      WaitingEntry entry, long retryAfterMillis, String alternative, long nowNanos) {
     effects.add(
         new SlotAllocatorEffect.Rejected(
             service,
             entry.call.request(),
-            position,
+            ledger.position(entry.workspace()),
             entry.waitedMillis(nowNanos),
             entry.slackMillis(nowNanos),
             Math.round(waits.expectedMillis(entry, nowNanos)),
             Math.round(entry.workMillis),
             usable.countWithCapacity(entry, nowNanos),
-            entry.call.underserved()));
+            entry.call.underserved(),
+            entry.callerReturn,
+            retryAfterMillis));
     effects.add(
         new Send(
             entry.router,
             new SlotMessage.SlotRefused(
-                service, entry.call.request(), retryAfterMillis(entry, nowNanos), alternative)));
+                service, entry.call.request(), retryAfterMillis, alternative)));
   }
 
-  private long retryAfterMillis(WaitingEntry entry, long nowNanos) {
-    return entry.fromFirstAttempt
-        ? advice.recordRejected(entry.call.request(), entry.call.timeLeftMillis(), nowNanos)
-        : policy.retryAfterMillis();
+  private long retryAfterMillis(WaitingEntry entry, String alternative, long nowNanos) {
+    if (!entry.fromFirstAttempt) {
+      return policy.retryAfterMillis();
+    }
+    if (!alternative.isEmpty()) {
+      return promises.advise(entry, nowNanos);
+    }
+    double inTimeMillis =
+        entry.late
+            ? 0
+            : entry.slackMillis(nowNanos)
+                - entry.countedMillis(entry.workMillis)
+                - waits.marginMillis(entry);
+    return promises.reject(entry, inTimeMillis, nowNanos);
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -10,8 +10,9 @@
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
  * within it the request with the earliest due time that can still meet its objective, and the
- * upstream with the lowest score. Requests that cannot meet their objective come last, and among
- * them those that were late on their arrival.
+ * upstream with the lowest score. Requests that cannot meet their objective come last; among them
+ * those whose callers have kept to their retry time come first, and those that were late on their
+ * arrival last.
  */
 final class SlotScheduler {
 
@@ -78,11 +79,16 @@
   /** Returns the next assignment, or null if no waiting request can be served now. */
   Assignment next(long nowNanos) {
     reserved = null;
-    Assignment timely = nextAssignment(true, nowNanos);
-    return timely == null ? nextAssignment(false, nowNanos) : timely;
+    Assignment timely = nextAssignment(true, false, nowNanos);
+    if (timely != null) {
+      return timely;
+    }
+    boolean anyKept = waiting.all().stream().anyMatch(WaitingEntry::keptRetryTime);
+    Assignment kept = anyKept ? nextAssignment(false, true, nowNanos) : null;
+    return kept == null ? nextAssignment(false, false, nowNanos) : kept;
   }
 
-  private Assignment nextAssignment(boolean timely, long nowNanos) {
+  private Assignment nextAssignment(boolean timely, boolean keptOnly, long nowNanos) {
     double share = timely ? 1 : LATE_BACKLOG_SHARE;
     if (upstreams.all().stream().noneMatch(upstream -> ready(upstream, share, nowNanos))) {
       return null;
@@ -105,7 +111,7 @@
                     entry.countedMillis(upstreams.minFirstByteMillis(entry, nowNanos))
                         + waits.marginMillis(entry),
                     nowNanos);
-        if (meetsObjective != timely) {
+        if (meetsObjective != timely || keptOnly && !entry.keptRetryTime()) {
           continue;
         }
         if (++tried > MAX_TRIED) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
@@ -24,6 +24,7 @@
   private final ColdUpstreams coldUpstreams;
 
   private final PredictionError error;
+  private final RetryPromises promises;
 
   WaitEstimates(
       SlotRule rule,
@@ -31,13 +32,15 @@
       WaitingRequests waiting,
       UsableUpstreams upstreams,
       ColdUpstreams coldUpstreams,
-      PredictionError error) {
+      PredictionError error,
+      RetryPromises promises) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
     this.coldUpstreams = coldUpstreams;
     this.error = error;
+    this.promises = promises;
   }
 
   /**
@@ -69,13 +72,20 @@
 
   /**
    * Returns whether a new request, whose work is estimated, cannot meet its objective behind those
-   * already waiting.
+   * already waiting and the work that others were promised. One that was promised capacity itself
+   * has to be in time on its own only.
    */
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
+    boolean promised = entry.keptRetryTime() && !entry.late;
+    if (waiting.isEmpty() || promised && meetsObjectiveAlone(entry, nowNanos)) {
+      return false;
+    }
     double ownMillis = entry.countedMillis(entry.workMillis);
-    return !waiting.isEmpty()
-        && !entry.meetsObjective(
-            waitAheadMillis(entry, nowNanos) + ownMillis + marginMillis(entry), nowNanos);
+    double reservedMillis =
+        entry.fromFirstAttempt ? promises.reservedMillis(entry.dueNanos, nowNanos) : 0;
+    return !entry.meetsObjective(
+        waitAheadMillis(entry, nowNanos) + reservedMillis + ownMillis + marginMillis(entry),
+        nowNanos);
   }
 
   /** Returns whether a request, whose work is estimated, would be in time if no other waited. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.CallerReturn;
 import dev.agatepier.core.version.AllowedRegions;
 import java.util.Comparator;
 
@@ -31,6 +32,15 @@
   /** Whether the objective of the caller was over before the request arrived. */
   final boolean late;
 
+  /** Time of the caller's first attempt, as far as known. */
+  final long firstNanos;
+
+  /** Whether its caller was rejected here before, and has kept to its retry time. */
+  CallerReturn callerReturn = CallerReturn.NONE;
+
+  /** Time at which its caller was advised to come back; only if it was rejected here before. */
+  long returnNanos;
+
   /** Version of the table from which the router took the allowed regions. */
   final long tableVersion;
 
@@ -45,6 +55,8 @@
    *
    * @param tableVersion version of the table from which the router took the allowed regions
    * @param fromFirstAttempt whether the objective counts from the caller's first attempt
+   * @param ageMillis time since the caller's first attempt, as far as known; 0 unless the objective
+   *     counts from then
    */
   WaitingEntry(
       String router,
@@ -52,6 +64,7 @@
       long tableVersion,
       long sequence,
       boolean fromFirstAttempt,
+      long ageMillis,
       long nowNanos) {
     this.tableVersion = tableVersion;
     this.allowedRegions = call.allowedRegions();
@@ -60,7 +73,7 @@
     this.sequence = sequence;
     this.arrivedNanos = nowNanos;
     this.fromFirstAttempt = fromFirstAttempt;
-    long ageMillis = fromFirstAttempt ? call.callerAgeMillis() : 0;
+    this.firstNanos = nowNanos - ageMillis * NANOS_PER_MILLI;
     this.late = ageMillis > 0 && call.objectiveMillis() <= ageMillis;
     this.dueNanos = nowNanos + (call.objectiveMillis() - (late ? 0 : ageMillis)) * NANOS_PER_MILLI;
   }
@@ -69,6 +82,11 @@
     return call.workspace();
   }
 
+  /** Returns whether its caller was rejected here before and has kept to its retry time. */
+  boolean keptRetryTime() {
+    return callerReturn == CallerReturn.KEPT;
+  }
+
   /** Returns how long the request has waited at this allocator, in milliseconds. */
   long waitedMillis(long nowNanos) {
     return (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -111,7 +111,9 @@
                 .with("expectedMillis", rejection.expectedMillis())
                 .with("ownMillis", rejection.ownMillis())
                 .with("upstreamsWithCapacity", rejection.upstreamsWithCapacity())
-                .with("underserved", rejection.underserved()));
+                .with("underserved", rejection.underserved())
+                .with("callerReturn", rejection.callerReturn().code())
+                .with("retryAfterMillis", rejection.retryAfterMillis()));
   }
 
   /** Logs an attempt that is passed to an upstream. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.DefaultSettableGauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import dev.agatepier.core.process.CallerReturn;
 import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.wire.process.internal.WorkspaceMetrics.Pair;
@@ -39,6 +40,15 @@
 
   void recordRejected(SlotAllocatorEffect.Rejected rejection) {
     recordDecision(rejection.service(), rejection.position()).rejected.inc();
+    if (rejection.callerReturn() != CallerReturn.NONE) {
+      registry
+          .counter(
+              "slots."
+                  + rejection.service()
+                  + ".rejected-returns-"
+                  + rejection.callerReturn().code())
+          .inc();
+    }
   }
 
   void recordColdGrants(SlotAllocatorEffect.ColdGrants grants) {
