Recognise only requests with a prompt as repeated ones

Cause: plain requests of a workspace are alike, so that one rejection made each further request within 100 ms an early return with the same retry time. Callers beyond a third of their time were all told the same time.

Change: promises and the recognition of returns are for requests with a prompt; the others are advised in order. The longest retry times are spread over their last quarter. The logged expected time of a rejection includes what is promised to others.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RejectedCallers.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RejectedCallers.java
@@ -10,12 +10,13 @@
 /**
  * The rejections of a slot allocator whose callers may come back. A repeated request has another
  * identity and comes from any router; it is recognised by its workspace, route and prompt, and
- * because its caller waits until the same time as before.
+ * because its caller waits until the same time as before. Requests without a prompt are not
+ * recognised: many of a workspace are alike and arrive within the tolerance of that time.
  */
 final class RejectedCallers {
 
-  /** Upper bound of the remembered rejections; more than those of 5 s at 1,000 a second. */
-  private static final int MAXIMUM = 8_192;
+  /** Upper bound of the remembered rejections: those of 7 s at about 600 a second. */
+  private static final int MAXIMUM = 4_096;
 
   /** Time after which a caller that has not come back is forgotten: an upper bound of its way. */
   private static final long GRACE_NANOS = 2_000_000_000L;
@@ -47,8 +48,16 @@
    */
   record Rejection(long firstNanos, long deadlineNanos, long returnNanos) {}
 
+  /** Returns whether a request can be recognised when it is repeated. */
+  static boolean recognisable(WaitingCall call) {
+    return call.prompt().filter(prompt -> !prompt.parts().isEmpty()).isPresent();
+  }
+
   /** Records a rejection; an earlier one of the same caller is replaced. */
   void record(WaitingEntry entry, long returnNanos, long nowNanos) {
+    if (!recognisable(entry.call)) {
+      return;
+    }
     Key key = Key.of(entry.call);
     rejections.remove(key);
     rejections.put(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RetryPromises.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RetryPromises.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.process.CallerReturn;
 import dev.agatepier.core.process.internal.RejectedCallers.Rejection;
+import dev.agatepier.core.request.RequestId;
 import java.util.Optional;
 
 /**
@@ -38,6 +39,12 @@
   /** Callers wait for at most this share of the time that they have left. */
   private static final double HONOURED_SHARE = 1.0 / 3;
 
+  /**
+   * Least share of the longest retry time for callers that get no earlier one: those that were
+   * rejected together must not come back together.
+   */
+  private static final double MINIMUM_SPREAD = 0.75;
+
   /** Time by which a caller that keeps to its retry time may be early: clocks and rounding. */
   private static final long EARLY_NANOS = 10_000_000L;
 
@@ -102,7 +109,8 @@
     double returnMillis =
         Math.max(MINIMUM_RETURN_MILLIS, (promisedUntilNanos - nowNanos) / NANOS_PER_MILLI);
     double endMillis = returnMillis + neededMillis(entry, nowNanos);
-    if (endMillis <= Math.min(inTimeMillis - SPARE_MILLIS, longestMillis)) {
+    if (RejectedCallers.recognisable(entry.call)
+        && endMillis <= Math.min(inTimeMillis - SPARE_MILLIS, longestMillis)) {
       promisedUntilNanos = nowNanos + (long) (endMillis * NANOS_PER_MILLI);
     } else {
       returnMillis = afterShortageMillis(entry, nowNanos);
@@ -134,12 +142,19 @@
         Math.max(expectedMillis, (advisedUntilNanos - nowNanos) / NANOS_PER_MILLI);
     double endMillis = returnMillis + neededMillis(entry, nowNanos);
     if (endMillis > longestMillis(entry)) {
-      return longestMillis(entry);
+      return longestMillis(entry)
+          * (MINIMUM_SPREAD + (1 - MINIMUM_SPREAD) * spread(entry.call.request()));
     }
     advisedUntilNanos = nowNanos + (long) (endMillis * NANOS_PER_MILLI);
     return returnMillis;
   }
 
+  /** Returns a number from 0 to 1 that differs from request to request. */
+  private static double spread(RequestId request) {
+    return (RendezvousHash.mix(request.number() ^ request.incarnation()) >>> 1)
+        / (double) Long.MAX_VALUE;
+  }
+
   private double neededMillis(WaitingEntry entry, long nowNanos) {
     return Math.max(MINIMUM_WORK_MILLIS, entry.workMillis) / rate.workPerMilli(nowNanos);
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
@@ -76,15 +76,15 @@
    * has to be in time on its own only.
    */
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
-    boolean promised = entry.keptRetryTime() && !entry.late;
-    if (waiting.isEmpty() || promised && meetsObjectiveAlone(entry, nowNanos)) {
+    if (waiting.isEmpty() || holdsPromise(entry) && meetsObjectiveAlone(entry, nowNanos)) {
       return false;
     }
     double ownMillis = entry.countedMillis(entry.workMillis);
-    double reservedMillis =
-        entry.fromFirstAttempt ? promises.reservedMillis(entry.dueNanos, nowNanos) : 0;
     return !entry.meetsObjective(
-        waitAheadMillis(entry, nowNanos) + reservedMillis + ownMillis + marginMillis(entry),
+        waitAheadMillis(entry, nowNanos)
+            + reservedMillis(entry, nowNanos)
+            + ownMillis
+            + marginMillis(entry),
         nowNanos);
   }
 
@@ -98,7 +98,18 @@
    * milliseconds.
    */
   double expectedMillis(WaitingEntry entry, long nowNanos) {
-    return waitAheadMillis(entry, nowNanos) + entry.workMillis;
+    return waitAheadMillis(entry, nowNanos) + reservedMillis(entry, nowNanos) + entry.workMillis;
+  }
+
+  private static boolean holdsPromise(WaitingEntry entry) {
+    return entry.keptRetryTime() && !entry.late;
+  }
+
+  /** Returns by how much promises to other callers lengthen the wait of a request. */
+  private double reservedMillis(WaitingEntry entry, long nowNanos) {
+    return entry.fromFirstAttempt && !holdsPromise(entry)
+        ? promises.reservedMillis(entry.dueNanos, nowNanos)
+        : 0;
   }
 
   /** Returns the expected time until a request that arrives now gets a slot, in milliseconds. */
