--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
@@ -24,6 +24,7 @@
   private final ColdUpstreams coldUpstreams;
 
   private final PredictionError error;
+  private final RetryPromises promises;
 
   WaitEstimates(
       SlotRule rule,
@@ -31,13 +32,15 @@
       WaitingRequests waiting,
       UsableUpstreams upstreams,
       ColdUpstreams coldUpstreams,
-      PredictionError error) {
+      PredictionError error,
+      RetryPromises promises) {
     this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
     this.coldUpstreams = coldUpstreams;
     this.error = error;
+    this.promises = promises;
   }
 
   /**
@@ -69,13 +72,20 @@
 
   /**
    * Returns whether a new request, whose work is estimated, cannot meet its objective behind those
-   * already waiting.
+   * already waiting and the work that others were promised. One that was promised capacity itself
+   * has to be in time on its own only.
    */
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
+    if (waiting.isEmpty() || holdsPromise(entry) && meetsObjectiveAlone(entry, nowNanos)) {
+      return false;
+    }
     double ownMillis = entry.countedMillis(entry.workMillis);
-    return !waiting.isEmpty()
-        && !entry.meetsObjective(
-            waitAheadMillis(entry, nowNanos) + ownMillis + marginMillis(entry), nowNanos);
+    return !entry.meetsObjective(
+        waitAheadMillis(entry, nowNanos)
+            + reservedMillis(entry, nowNanos)
+            + ownMillis
+            + marginMillis(entry),
+        nowNanos);
   }
 
   /** Returns whether a request, whose work is estimated, would be in time if no other waited. */
@@ -88,7 +98,18 @@
    * milliseconds.
    */
   double expectedMillis(WaitingEntry entry, long nowNanos) {
-    return waitAheadMillis(entry, nowNanos) + entry.workMillis;
+    return waitAheadMillis(entry, nowNanos) + reservedMillis(entry, nowNanos) + entry.workMillis;
+  }
+
+  private static boolean holdsPromise(WaitingEntry entry) {
+    return entry.keptRetryTime() && !entry.late;
+  }
+
+  /** Returns by how much promises to other callers lengthen the wait of a request. */
+  private double reservedMillis(WaitingEntry entry, long nowNanos) {
+    return entry.fromFirstAttempt && !holdsPromise(entry)
+        ? promises.reservedMillis(entry.dueNanos, nowNanos)
+        : 0;
   }
 
   /** Returns the expected time until a request that arrives now gets a slot, in milliseconds. */
