--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -41,6 +41,7 @@
   TABLE_IN_FORCE("table-in-force"),
   TABLE_REFUSED("table-refused"),
   PLATFORM_READ_FAILED("platform-read-failed"),
+  CHANGES_UNREADABLE("changes-unreadable"),
   PLATFORM_READ_AGAIN("platform-read-again"),
   LINK_UP("link-up"),
   LINK_CLOSED("link-closed"),
