Handle SIGHUP and SIGTERM from the first instruction of the program

Cause: the handler of SIGHUP was installed after the settings had been read and their classes loaded, so that the signal ended a process in its first 0.6 s. SIGTERM ended a process without a stop until its service had started. A process that is to stop before its start reports the stop and exits with code 0; one that is to stop during its start waits no longer for it than the stop may take. Queued log events are written before the process ends: the last ones were lost.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/AgatepierCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/AgatepierCommand.java
@@ -9,18 +9,11 @@
 import dev.agatepier.wire.process.RouterSettings;
 import dev.agatepier.wire.process.SidecarService;
 import dev.agatepier.wire.process.SidecarSettings;
-import java.util.Set;
 import java.util.function.Function;
 
 /** Main class of the {@code agatepier} command. */
 public final class AgatepierCommand {
 
-  /**
-   * Commands that run a process of the fleet; these log to standard output, others to standard
-   * error.
-   */
-  private static final Set<String> PROGRAMS = Set.of("router", "sidecar");
-
   private AgatepierCommand() {}
 
   /** Runs the command and exits the process with the command's exit code. */
@@ -36,7 +29,8 @@
    */
   public static void main(
       String[] arguments, Function<RouterSettings, RouterEnvironment> environmentFactory) {
-    if (arguments.length > 0 && PROGRAMS.contains(arguments[0])) {
+    ProcessSignals.remember(arguments);
+    if (ProcessSignals.namesProgram(arguments)) {
       System.setProperty("agatepier.log.target", "SYSTEM_OUT");
     }
     Reporter reporter = new ConsoleReporter(System.out, System.err);
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ProgramCommand.java
@@ -1,5 +1,6 @@
 package dev.agatepier.cli.process.internal;
 
+import dev.agatepier.cli.process.ProcessSignals;
 import dev.agatepier.cli.process.Program;
 import dev.agatepier.cli.process.Reporter;
 import dev.agatepier.cli.process.SettingsDefaults;
@@ -87,7 +88,7 @@
       failure.mistakes().forEach(mistake -> reporter.printError(mistake.toString()));
       return Optional.empty();
     }
-    HangupSignal.handle(
+    ProcessSignals.onHangup(
         new SettingsChangeDetector<>(() -> settingsReader.apply(file, defaults), settings)
             ::checkForChanges);
     return Optional.of(program.run(settings));
--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
@@ -1,6 +1,7 @@
 package dev.agatepier.cli.process.internal;
 
 import dev.agatepier.cli.process.ExitCode;
+import dev.agatepier.cli.process.ProcessSignals;
 import dev.agatepier.cli.process.Program;
 import dev.agatepier.wire.process.CommonSettings;
 import dev.agatepier.wire.process.FleetService;
@@ -55,14 +56,21 @@
     System.setProperty("agatepier.instance", common.apply(settings).instance());
     Logger logger = LogManager.getLogger(ServiceProgram.class);
     CompletableFuture<Void> stopRequested = new CompletableFuture<>();
+    ProcessSignals.onTermination(() -> stopRequested.complete(null));
+    if (stopRequested.isDone()) {
+      logger.info(LogEvent.STOP_BEGUN.message());
+      logger.info(LogEvent.STOP_DONE.message().with("cut", 0));
+      return afterLastLine(ExitCode.OK);
+    }
+    long timeoutMillis = common.apply(settings).stop().timeoutMillis();
     CompletableFuture<Integer> exitCode = new CompletableFuture<>();
     FleetService service =
         factory.create(settings, newIncarnation(), () -> stopRequested.complete(null));
     try {
-      service.start().join();
+      awaitStart(service.start(), stopRequested, timeoutMillis);
     } catch (CompletionException failure) {
       logger.error(LogEvent.START_FAILED.message(), failure.getCause());
-      return ExitCode.UNREACHABLE.code();
+      return afterLastLine(ExitCode.UNREACHABLE);
     }
     Thread hook =
         new Thread(
@@ -73,17 +81,30 @@
             "stop");
     Runtime.getRuntime().addShutdownHook(hook);
     stopRequested.join();
-    int code = stop(service, common.apply(settings).stop().timeoutMillis(), logger);
+    int code = afterLastLine(stop(service, timeoutMillis, logger));
     exitCode.complete(code);
     return code;
   }
 
-  private static int stop(FleetService service, long timeoutMillis, Logger logger) {
+  /** Writes the queued log events, which would be lost with the process; returns the exit code. */
+  private static int afterLastLine(ExitCode code) {
+    LogManager.shutdown();
+    return code.code();
+  }
+
+  /** Waits for the start; once the process is to stop, for no longer than the stop may take. */
+  private static void awaitStart(
+      CompletableFuture<Void> start, CompletableFuture<Void> stopRequested, long timeoutMillis) {
+    CompletableFuture.anyOf(start, stopRequested).join();
+    start.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS).join();
+  }
+
+  private static ExitCode stop(FleetService service, long timeoutMillis, Logger logger) {
     logger.info(LogEvent.STOP_BEGUN.message());
     try {
       service.stop().get(timeoutMillis, TimeUnit.MILLISECONDS);
       logger.info(LogEvent.STOP_DONE.message().with("cut", 0));
-      return ExitCode.OK.code();
+      return ExitCode.OK;
     } catch (TimeoutException timeout) {
       List<String> aborted = service.inFlight();
       aborted.forEach(name -> logger.error(LogEvent.REQUEST_CUT.message().with("request", name)));
@@ -92,10 +113,10 @@
               .message()
               .with("timeoutMillis", timeoutMillis)
               .with("cut", aborted.size()));
-      return ExitCode.TIMEOUT.code();
+      return ExitCode.TIMEOUT;
     } catch (ExecutionException | InterruptedException failure) {
       logger.error(LogEvent.STOP_FAILED.message(), failure);
-      return ExitCode.FINDINGS.code();
+      return ExitCode.FINDINGS;
     }
   }
 
--- a/agatepier-cli/src/test/java/dev/agatepier/cli/process/internal/SettingsChangeDetectorTest.java
+++ b/agatepier-cli/src/test/java/dev/agatepier/cli/process/internal/SettingsChangeDetectorTest.java
@@ -46,7 +46,7 @@
   public void hangupSignalRunsTheHandlerAndKeepsTheProcessAlive()
       throws InterruptedException, IOException {
     CountDownLatch signalled = new CountDownLatch(1);
-    HangupSignal.handle(signalled::countDown);
+    SignalHandlers.handle("HUP", signalled::countDown);
     String self = Long.toString(ProcessHandle.current().pid());
     assertEquals(new ProcessBuilder("kill", "-HUP", self).start().waitFor(), 0);
     assertTrue(signalled.await(5, TimeUnit.SECONDS));
