Give shared prompt prefixes homes by their load

Cause: each prefix had one home among all upstreams, whatever its load and the upstreams' speed, so that a prefix of a quarter of the requests had to leave it, and a data centre that was idle for a moment prefilled prefixes it did not keep.

Change: routers and slot allocators count the work of each prefix and give it one home for each half of an upstream's time, by weighted rendezvous hashing. With homes by load, prefilling elsewhere has a higher weight. The setting slots.prefixHomes asks for it; the default decides as before. Metrics count the shared tokens of prompts and those that are prefilled again.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -43,7 +43,7 @@
    * @param policy settings
    */
   public RouterDecision(PeerIdentity self, RouterPolicy policy) {
-    this(self, policy, DataCentreRegions.NONE);
+    this(self, policy, SlotAllocatorPolicy.DEFAULT, DataCentreRegions.NONE);
   }
 
   /**
@@ -51,10 +51,15 @@
    *
    * @param self identity of the router
    * @param policy settings
+   * @param slots settings of the slot allocators, the same in all routers
    * @param dataCentres the regions of the data centres
    */
-  public RouterDecision(PeerIdentity self, RouterPolicy policy, DataCentreRegions dataCentres) {
-    state = new RouterState(self, policy, dataCentres);
+  public RouterDecision(
+      PeerIdentity self,
+      RouterPolicy policy,
+      SlotAllocatorPolicy slots,
+      DataCentreRegions dataCentres) {
+    state = new RouterState(self, policy, slots, dataCentres);
     demand = new DemandPublisher(state);
     lifecycle = new RequestLifecycle(state, demand);
     allocatorPlacement = new AllocatorPlacement(state);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorEffect.java
@@ -29,6 +29,9 @@
    * @param unreadTokens pending prefill: prompt tokens that the upstream is not expected to have in
    *     its prefix cache
    * @param sharedUnreadTokens those of the pending prefill tokens that other requests share
+   * @param sharedTokens prompt tokens that other requests share
+   * @param repeatedSharedTokens those of the pending prefill tokens in parts that other requests of
+   *     this allocator have used during the last seconds
    * @param leastUnreadTokens minimum of the pending prefill tokens over all upstreams
    * @param underserved whether requests of its size have got slots less often than others
    */
@@ -43,10 +46,23 @@
       long ownMillis,
       int unreadTokens,
       int sharedUnreadTokens,
+      int sharedTokens,
+      int repeatedSharedTokens,
       int leastUnreadTokens,
       boolean underserved)
       implements SlotAllocatorEffect {}
 
+  /**
+   * Log that the load of a shared prompt prefix needs another number of upstreams as its homes.
+   *
+   * @param service the called service
+   * @param prefix identity of the prefix
+   * @param homes number of homes in this allocator's data centre
+   * @param previous the number before
+   */
+  record PrefixHomesChanged(String service, String prefix, int homes, int previous)
+      implements SlotAllocatorEffect {}
+
   /**
    * Log that a request was rejected without a slot.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -24,6 +24,8 @@
  *     estimate of their load as well
  * @param admission from when on the objective of a request counts: {@link #ARRIVAL}, {@link
  *     #FIRST_ATTEMPT} or {@link #VARYING_CAPACITY}
+ * @param prefixHomes how many upstreams are homes of a prompt prefix: {@link #ONE_HOME} or {@link
+ *     #HOMES_BY_LOAD}
  */
 public record SlotAllocatorPolicy(
     long backlogMillis,
@@ -35,7 +37,8 @@
     double coldOverage,
     double coldSlack,
     boolean evenLoad,
-    String admission) {
+    String admission,
+    String prefixHomes) {
 
   /** Maximum sum of the overage and the slack, far above any useful one. */
   private static final double MAXIMUM_COLD = 1_000;
@@ -56,11 +59,22 @@
    */
   public static final String VARYING_CAPACITY = "varying-capacity";
 
+  /** Each prompt prefix has one home in the fleet, and none within a data centre. */
+  public static final String ONE_HOME = "one";
+
+  /**
+   * Each prompt prefix has as many homes as its load needs, where the objective counts from the
+   * caller's first attempt and capacity is measured; elsewhere as {@link #ONE_HOME}.
+   */
+  public static final String HOMES_BY_LOAD = "by-load";
+
+  private static final Set<String> PREFIX_HOMES = Set.of(ONE_HOME, HOMES_BY_LOAD);
+
   private static final Set<String> ADMISSIONS = Set.of(ARRIVAL, FIRST_ATTEMPT, VARYING_CAPACITY);
 
   /** The default values. docs/decisions/0011 documents the experiments behind them. */
   public static final SlotAllocatorPolicy DEFAULT =
-      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 0, 0, false, ARRIVAL);
+      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 0, 0, false, ARRIVAL, ONE_HOME);
 
   /** Checks that every value is in range. */
   public SlotAllocatorPolicy {
@@ -93,6 +107,15 @@
               + " or "
               + VARYING_CAPACITY);
     }
+    if (!PREFIX_HOMES.contains(prefixHomes)) {
+      throw new IllegalArgumentException(
+          "slot allocator policy: prefixHomes "
+              + prefixHomes
+              + " must be "
+              + ONE_HOME
+              + " or "
+              + HOMES_BY_LOAD);
+    }
     if (!(memoryShare > 0 && memoryShare <= 1)) {
       throw new IllegalArgumentException(
           "slot allocator policy: memoryShare " + memoryShare + " must be above 0 and at most 1");
@@ -120,7 +143,8 @@
         coldOverage,
         coldSlack,
         evenLoad,
-        admission);
+        admission,
+        prefixHomes);
   }
 
   /** Returns this policy with a limit of the requests to cold upstreams. */
@@ -135,7 +159,8 @@
         overage,
         slack,
         evenLoad,
-        admission);
+        admission,
+        prefixHomes);
   }
 
   /** Returns this policy with the estimate of load for all upstreams. */
@@ -150,7 +175,8 @@
         coldOverage,
         coldSlack,
         true,
-        admission);
+        admission,
+        prefixHomes);
   }
 
   /** Returns this policy with another start of the objective of requests. */
@@ -165,7 +191,24 @@
         coldOverage,
         coldSlack,
         evenLoad,
-        newAdmission);
+        newAdmission,
+        prefixHomes);
+  }
+
+  /** Returns this policy with another number of homes of prompt prefixes. */
+  public SlotAllocatorPolicy withPrefixHomes(String newPrefixHomes) {
+    return new SlotAllocatorPolicy(
+        backlogMillis,
+        memoryShare,
+        stallMillis,
+        lateMillis,
+        retryAfterMillis,
+        costWindowMillis,
+        coldOverage,
+        coldSlack,
+        evenLoad,
+        admission,
+        newPrefixHomes);
   }
 
   /**
@@ -176,4 +219,18 @@
   public boolean countsFromFirstAttempt(boolean capacityVaries) {
     return admission.equals(FIRST_ATTEMPT) || capacityVaries && admission.equals(VARYING_CAPACITY);
   }
+
+  /** Returns whether prompt prefixes may have homes by load at any service. */
+  public boolean mayHaveHomesByLoad() {
+    return prefixHomes.equals(HOMES_BY_LOAD) && !admission.equals(ARRIVAL);
+  }
+
+  /**
+   * Returns whether the prompt prefixes of a service have homes by load.
+   *
+   * @param capacityVaries whether the capacity of the service varies
+   */
+  public boolean hasHomesByLoad(boolean capacityVaries) {
+    return prefixHomes.equals(HOMES_BY_LOAD) && countsFromFirstAttempt(capacityVaries);
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -42,7 +42,13 @@
     this.unplaced = new UnplacedRequests(state);
     this.selector =
         new DataCentreSelector(
-            state.self, state.policy.regionMillis(), state.upstreams, state.regions.dataCentres);
+            state.self,
+            state.policy.regionMillis(),
+            state.upstreams,
+            state.regions.dataCentres,
+            state.slots.mayHaveHomesByLoad()
+                ? new PrefixHomesByLoad(state.upstreams)
+                : PrefixHomes.ONE);
   }
 
   @Override
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -4,7 +4,6 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.request.PromptMetadata;
-import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
@@ -15,14 +14,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 
 /**
  * Selects the data centre from whose slot allocator a request gets its slot: the one with the
  * smallest expected delay. The delay includes the round trip and the prefill of prompt parts that
- * the request shares with others: each long shared prefix has one home among all upstreams, where
- * it is expected to be cached.
+ * the request shares with others: each long shared prefix has homes among all upstreams, where it
+ * is expected to be cached.
  */
 final class DataCentreSelector {
 
@@ -43,16 +43,6 @@
    */
   private static final double MOVED_WEIGHT = 2;
 
-  /**
-   * Weight of repeating the prefill of shared tokens: it delays all requests queued behind it,
-   * takes engine memory from other requests and costs the operator. A request whose home is full
-   * therefore gains little from another data centre, unless that one is idle.
-   */
-  private static final double SHARED_PREFILL_WEIGHT = 4;
-
-  /** Number of shared tokens below which a prefix has no home in the fleet. */
-  private static final int MINIMUM_SHARED_TOKENS = 1_000;
-
   /** Expected round-trip time to another data centre of the same region, in milliseconds. */
   private static final double SAME_REGION_MILLIS = 5;
 
@@ -60,6 +50,7 @@
   private final long regionMillis;
   private final KnownUpstreams known;
   private final DataCentreRegions dataCentres;
+  private final PrefixHomes homes;
   private final Map<String, ReceivedLoad> loads = new HashMap<>();
   private final Map<String, List<Upstream>> upstreams = new HashMap<>();
 
@@ -81,9 +72,15 @@
    * @param regionMillis expected round-trip time to another region, in milliseconds
    * @param known the upstreams that the router may call
    * @param dataCentres the regions of the data centres
+   * @param homes determines the homes of shared prompt prefixes
    */
   DataCentreSelector(
-      PeerIdentity self, long regionMillis, KnownUpstreams known, DataCentreRegions dataCentres) {
+      PeerIdentity self,
+      long regionMillis,
+      KnownUpstreams known,
+      DataCentreRegions dataCentres,
+      PrefixHomes homes) {
+    this.homes = homes;
     this.known = known;
     this.self = self;
     this.dataCentres = dataCentres;
@@ -93,6 +90,10 @@
   /** Records a load report of a slot allocator. */
   void recordLoad(AllocatorLoad load, long nowNanos) {
     loads.put(key(load.service(), load.dataCentre()), new ReceivedLoad(load, nowNanos));
+    load.capacity()
+        .ifPresent(
+            capacity ->
+                homes.recordCapacity(load.service(), load.dataCentre(), capacity, nowNanos));
   }
 
   /** Replaces the upstreams that may be homes of prefixes; those that serve no more may not. */
@@ -144,26 +145,25 @@
    */
   String choose(RoutedRequest request, Collection<PeerIdentity> routers, long nowNanos) {
     String service = request.queue.service;
-    AllowedRegions allowed = request.allowedRegions;
-    Optional<String> home = homeDataCentre(service, request.call.prompt(), allowed, routers);
     Map<String, String> regions = new TreeMap<>();
     routers.forEach(router -> regions.put(router.dataCentre(), router.region()));
     ServingDataCentres serving = serving(request, routers, nowNanos);
+    Map<String, Double> delays = new TreeMap<>();
+    regions.forEach(
+        (dataCentre, region) -> {
+          if (serving.contains(dataCentre)) {
+            delays.put(
+                dataCentre,
+                delayMillis(service, dataCentre, nowNanos) + roundTripMillis(dataCentre, region));
+          }
+        });
+    Map<String, Double> prefills = sharedPrefillMillis(request, delays.keySet(), routers, nowNanos);
     String best = serving.all() ? self.dataCentre() : "";
     double bestMillis = Double.MAX_VALUE;
-    for (Map.Entry<String, String> candidate : regions.entrySet()) {
-      String dataCentre = candidate.getKey();
-      if (!serving.contains(dataCentre)) {
-        continue;
-      }
-      double millis =
-          delayMillis(service, dataCentre, nowNanos)
-              + roundTripMillis(dataCentre, candidate.getValue())
-              + (home.isEmpty() || home.get().equals(dataCentre)
-                  ? 0
-                  : sharedPrefillMillis(request, dataCentre));
+    for (Map.Entry<String, Double> candidate : delays.entrySet()) {
+      double millis = candidate.getValue() + prefills.getOrDefault(candidate.getKey(), 0.0);
       if (millis < bestMillis) {
-        best = dataCentre;
+        best = candidate.getKey();
         bestMillis = millis;
       }
     }
@@ -218,47 +218,60 @@
     return load == null || nowNanos - load.receivedNanos > LOAD_VALIDITY_NANOS ? null : load;
   }
 
-  /** Returns the data centre that manages the home upstream of a prompt's shared prefix, if any. */
-  private Optional<String> homeDataCentre(
-      String service,
-      Optional<PromptMetadata> prompt,
-      AllowedRegions allowed,
-      Collection<PeerIdentity> routers) {
-    if (prompt.isEmpty() || sharedTokens(prompt.get()) < MINIMUM_SHARED_TOKENS) {
-      return Optional.empty();
+  /**
+   * Returns the cost of prefilling the shared prefix of a request, by data centre; nothing where it
+   * has homes, or everywhere if the prefix is short or has no homes.
+   *
+   * @param candidates data centres that serve the request
+   */
+  private Map<String, Double> sharedPrefillMillis(
+      RoutedRequest request,
+      Set<String> candidates,
+      Collection<PeerIdentity> routers,
+      long nowNanos) {
+    String service = request.queue.service;
+    Optional<SharedPrefix> prefix = SharedPrefix.of(request.call.prompt());
+    if (prefix.isEmpty()) {
+      return Map.of();
+    }
+    PrefixHomes.Homes found =
+        homes.homes(
+            service,
+            prefix.get(),
+            permittedUpstreams(service, request.allowedRegions),
+            Math.max(1, routers.size()),
+            nowNanos);
+    Set<String> homeDataCentres =
+        found.upstreams().stream()
+            .map(
+                upstream ->
+                    AllocatorSelection.responsibleDataCentre(upstream.dataCentre(), routers))
+            .collect(Collectors.toSet());
+    if (homeDataCentres.isEmpty()) {
+      return Map.of();
+    }
+    Map<String, Double> millis = new TreeMap<>();
+    for (String dataCentre : candidates) {
+      if (!homeDataCentres.contains(dataCentre)) {
+        millis.put(
+            dataCentre,
+            found.awayWeight() * tokenMillis(service, dataCentre) * prefix.get().tokens());
+      }
     }
-    List<PromptPart> parts = prompt.get().parts();
-    String prefix = parts.get(parts.size() - 2).identity();
-    List<Upstream> candidates = permittedUpstreams(service, allowed);
-    return RendezvousHash.sorted(prefix, candidates, upstream -> 0, Upstream::name).stream()
-        .findFirst()
-        .map(upstream -> AllocatorSelection.responsibleDataCentre(upstream.dataCentre(), routers));
+    return millis;
   }
 
-  /** Returns the cost of prefilling the shared parts of a prompt again in a data centre. */
-  private double sharedPrefillMillis(RoutedRequest request, String dataCentre) {
-    int shared = request.call.prompt().map(DataCentreSelector::sharedTokens).orElse(0);
-    ReceivedLoad load = loads.get(key(request.queue.service, dataCentre));
-    double tokenMillis =
-        Optional.ofNullable(load)
-            .flatMap(received -> received.load.capacity())
-            .map(MeasuredCapacity::tokenMillis)
-            .orElse(PREFILL_MILLIS_PER_TOKEN);
-    return SHARED_PREFILL_WEIGHT * tokenMillis * shared;
+  /** Returns the expected time of a prompt token in a data centre, in milliseconds. */
+  private double tokenMillis(String service, String dataCentre) {
+    return Optional.ofNullable(loads.get(key(service, dataCentre)))
+        .flatMap(received -> received.load.capacity())
+        .map(MeasuredCapacity::tokenMillis)
+        .orElse(PREFILL_MILLIS_PER_TOKEN);
   }
 
   /** Returns the tokens that no other request has in its prompt. */
   private static int ownTokens(PromptMetadata prompt) {
-    return Math.max(0, prompt.promptTokens() - sharedTokens(prompt));
-  }
-
-  /** Returns the tokens of all parts but the last, which only this request has. */
-  private static int sharedTokens(PromptMetadata prompt) {
-    int shared = 0;
-    for (int index = 0; index < prompt.parts().size() - 1; index++) {
-      shared += prompt.parts().get(index).tokens();
-    }
-    return shared;
+    return Math.max(0, prompt.promptTokens() - SharedPrefix.sharedTokens(prompt));
   }
 
   private static String key(String service, String dataCentre) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefixCacheModel.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefixCacheModel.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.request.PromptPart;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 
@@ -49,6 +50,16 @@
     return Math.max(0, uncachedTokens(prompt) - lastTokens);
   }
 
+  /** Returns the shared parts of a prompt that the engine would have to prefill. */
+  List<PromptPart> uncachedSharedParts(PromptMetadata prompt) {
+    List<PromptPart> shared = prompt.sharedParts();
+    int cached = 0;
+    while (cached < shared.size() && parts.containsKey(shared.get(cached).identity())) {
+      cached++;
+    }
+    return shared.subList(cached, shared.size());
+  }
+
   /** Returns the tokens of the parts that running requests use. */
   long pinnedTokens() {
     return pinnedTokens;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RendezvousHash.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RendezvousHash.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 import java.util.function.ToIntFunction;
 
 /**
@@ -17,6 +18,9 @@
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
 
+  /** Bits of a score beyond the precision of a floating-point number. */
+  private static final int UNUSED_BITS = 11;
+
   private RendezvousHash() {}
 
   /**
@@ -46,6 +50,36 @@
     return sorted(key, names).stream().findFirst();
   }
 
+  /**
+   * Sorts items by the rank of their names for a key, each ahead of the others in proportion to its
+   * weight. A weight that changes moves a small share of the keys only, and equal weights give the
+   * order of {@link #sorted(String, Collection)}.
+   *
+   * @param weight returns the weight of an item, which must be positive
+   */
+  static <T> List<T> sortedByWeight(
+      String key, Collection<T> items, Function<T, String> name, ToDoubleFunction<T> weight) {
+    record Weighted<T>(T item, double distance) {}
+
+    return items.stream()
+        .map(
+            item ->
+                new Weighted<>(
+                    item,
+                    -Math.log(unitInterval(score(key, name.apply(item))))
+                        / weight.applyAsDouble(item)))
+        .sorted(
+            Comparator.<Weighted<T>>comparingDouble(Weighted::distance)
+                .thenComparing(weighted -> name.apply(weighted.item())))
+        .map(Weighted::item)
+        .toList();
+  }
+
+  /** Maps scores to numbers between 0 and 1, in the same order. */
+  private static double unitInterval(long score) {
+    return (((score ^ Long.MIN_VALUE) >>> UNUSED_BITS) + 0.5) * 0x1p-53;
+  }
+
   private record Ranked<T>(T item, int group, long score) {}
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterState.java
@@ -5,6 +5,7 @@
 import dev.agatepier.core.process.RouterPolicy;
 import dev.agatepier.core.process.RouterSnapshot;
 import dev.agatepier.core.process.RouterSnapshot.QueueStatus;
+import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.Limits;
@@ -34,6 +35,10 @@
 
   final PeerIdentity self;
   final RouterPolicy policy;
+
+  /** Settings of the slot allocators, the same in all routers. */
+  final SlotAllocatorPolicy slots;
+
   final RouterOutbox outbox = new RouterOutbox();
   final ConnectedSidecars sidecars;
   final Map<String, PeerIdentity> routers = new TreeMap<>();
@@ -60,13 +65,18 @@
 
   /** Creates a state without a table, peers or requests, in which no region is known. */
   public RouterState(PeerIdentity self, RouterPolicy policy) {
-    this(self, policy, DataCentreRegions.NONE);
+    this(self, policy, SlotAllocatorPolicy.DEFAULT, DataCentreRegions.NONE);
   }
 
   /** Creates a state without a table, peers or requests. */
-  public RouterState(PeerIdentity self, RouterPolicy policy, DataCentreRegions dataCentres) {
+  public RouterState(
+      PeerIdentity self,
+      RouterPolicy policy,
+      SlotAllocatorPolicy slots,
+      DataCentreRegions dataCentres) {
     this.self = self;
     this.policy = policy;
+    this.slots = slots;
     regions = new RouterRegions(dataCentres);
     sidecars = new ConnectedSidecars(self, policy.sidecarsPerService());
     queues = new WorkspaceQueues(policy.spillMillis() * NANOS_PER_MILLI);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 
 /** Allocates the slots of one service's upstreams to waiting requests. */
 public final class ServiceSlots {
@@ -42,9 +43,11 @@
   private final ServiceUpstreams upstreams;
   private final UsableUpstreams usable;
   private final WaitEstimates waits;
+  private final UpstreamChoice choice;
   private final SlotScheduler scheduler;
   private final SlotRejections rejections;
   private final SlotAllocations allocations;
+  private final SharedPartUses partUses = new SharedPartUses();
   private final DelayReports reports = new DelayReports();
   private long lastSequence;
   private long decayedNanos;
@@ -64,7 +67,15 @@
       WorkspaceLedger ledger,
       AllocatorRegions regions,
       List<SlotAllocatorEffect> effects) {
-    this(entry, policy, ledger, regions, effects, UpstreamChoice.LOWEST_SCORE);
+    this(
+        entry,
+        policy,
+        ledger,
+        regions,
+        effects,
+        policy.mayHaveHomesByLoad()
+            ? upstreams -> new HomeChoice(upstreams, homesListener(entry.name(), effects))
+            : upstreams -> UpstreamChoice.LOWEST_SCORE);
   }
 
   /** Creates the state of a service with another choice of upstreams. */
@@ -74,7 +85,7 @@
       WorkspaceLedger ledger,
       AllocatorRegions regions,
       List<SlotAllocatorEffect> effects,
-      UpstreamChoice choice) {
+      Function<UsableUpstreams, UpstreamChoice> choices) {
     this.service = entry.name();
     this.policy = policy;
     this.rule = SlotRule.of(entry.kind(), policy);
@@ -87,6 +98,7 @@
     this.waiting = new WaitingRequests(ledger);
     this.upstreams = new ServiceUpstreams(service, policy, effects);
     this.usable = new UsableUpstreams(rule, upstreams, regions);
+    this.choice = choices.apply(usable);
     this.waits = new WaitEstimates(rule, ledger, waiting, usable, upstreams.cold(), error);
     this.scheduler =
         new SlotScheduler(rule, ledger, waiting, usable, upstreams.cold(), waits, choice);
@@ -205,9 +217,12 @@
         : OptionalLong.empty();
   }
 
-  /** Returns the measured capacity of the usable upstreams; empty if no estimate of load counts. */
+  /**
+   * Returns the measured capacity of the usable upstreams; empty if no estimate of load counts and
+   * no homes of prefixes depend on it.
+   */
   public Optional<SlotMessage.MeasuredCapacity> measuredCapacity(long nowNanos) {
-    return usable.measuredCapacity(nowNanos);
+    return usable.measuredCapacity(policy.hasHomesByLoad(upstreams.capacityVaries()), nowNanos);
   }
 
   /** Returns what to send to the allocators of other data centres now; empty if nothing is due. */
@@ -305,11 +320,18 @@
             Math.round(rule.firstByteMillis(upstream, entry.call)),
             ModelSlotRule.uncachedTokens(upstream, entry.call),
             entry.call.prompt().map(upstream.cache::uncachedSharedTokens).orElse(0),
+            entry.call.prompt().map(SharedPrefix::sharedTokens).orElse(0),
+            entry
+                .call
+                .prompt()
+                .map(prompt -> partUses.recordUse(prompt, upstream.cache, nowNanos))
+                .orElse(0),
             upstreams.all().stream()
                 .mapToInt(other -> ModelSlotRule.uncachedTokens(other, entry.call))
                 .min()
                 .orElse(0),
             entry.call.underserved()));
+    choice.recordGranted(entry, upstream, nowNanos);
     allocations.allocate(entry.router, entry.call, upstream, false, nowNanos);
     upstreams.cold().recordGrant(upstream, nowNanos);
     effects.add(
@@ -323,4 +345,10 @@
                 entry.waitedMillis(nowNanos),
                 entry.call.timeLeftMillis())));
   }
+
+  private static HomeCounts.Listener homesListener(
+      String service, List<SlotAllocatorEffect> effects) {
+    return (prefix, homes, previous) ->
+        effects.add(new SlotAllocatorEffect.PrefixHomesChanged(service, prefix, homes, previous));
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -186,7 +186,7 @@
         candidates.add(new UpstreamChoice.Candidate(upstream, backlog, score));
       }
     }
-    UpstreamChoice.Candidate chosen = choice.choose(entry, candidates);
+    UpstreamChoice.Candidate chosen = choice.choose(entry, candidates, nowNanos);
     return chosen != null
             && acceptsBacklog(chosen.upstream(), share, nowNanos)
             && rule.permitsStart(chosen.upstream(), entry.call, nowNanos)
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamChoice.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamChoice.java
@@ -3,12 +3,11 @@
 import java.util.List;
 
 /** Chooses the upstream of a request among those that can serve it. */
-@FunctionalInterface
 interface UpstreamChoice {
 
   /** Chooses the lowest score. docs/design/even-load.md compares alternatives. */
   UpstreamChoice LOWEST_SCORE =
-      (entry, candidates) -> {
+      (entry, candidates, nowNanos) -> {
         Candidate best = null;
         for (Candidate candidate : candidates) {
           if (best == null || candidate.score() < best.score()) {
@@ -28,5 +27,8 @@
   record Candidate(UpstreamLoad upstream, double backlogMillis, double score) {}
 
   /** Returns one of the candidates; null if there is none. */
-  Candidate choose(WaitingEntry entry, List<Candidate> candidates);
+  Candidate choose(WaitingEntry entry, List<Candidate> candidates, long nowNanos);
+
+  /** Records that a request got a slot of an upstream. */
+  default void recordGranted(WaitingEntry entry, UpstreamLoad upstream, long nowNanos) {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UsableUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UsableUpstreams.java
@@ -95,11 +95,15 @@
         : millis;
   }
 
-  /** Returns the measured capacity of the usable upstreams; empty if no estimate of load counts. */
-  Optional<MeasuredCapacity> measuredCapacity(long nowNanos) {
+  /**
+   * Returns the measured capacity of the usable upstreams, if there are any.
+   *
+   * @param always whether it is returned although no estimate of load counts
+   */
+  Optional<MeasuredCapacity> measuredCapacity(boolean always, long nowNanos) {
     List<UpstreamLoad> usable =
         upstreams.stream().filter(upstream -> isUsable(upstream, nowNanos)).toList();
-    return usable.stream().anyMatch(UpstreamLoad::usesEstimate)
+    return always && !usable.isEmpty() || usable.stream().anyMatch(UpstreamLoad::usesEstimate)
         ? Optional.of(rule.capacity(usable))
         : Optional.empty();
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Table;
@@ -20,6 +21,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -38,7 +40,7 @@
 
   private final VirtualTime time;
   private final Observer observer;
-  private final double tokensPerMilli;
+  private final Engines engines;
   private final Map<String, Node> nodes = new TreeMap<>();
   private final Map<String, Deque<Prefill>> prefills = new HashMap<>();
   private final InstanceList instances;
@@ -58,6 +60,18 @@
     void onRejected(RequestId request, long retryAfterMillis);
   }
 
+  /** What engines take for the prefill of a prompt, and what they state. */
+  interface Engines {
+
+    /** Returns the time for a prompt whose prefill starts now, in milliseconds. */
+    double prefillMillis(String engine, PromptMetadata prompt, long nowMillis);
+
+    /** Returns the load that an engine states when a response starts; empty if it states none. */
+    default Optional<UpstreamLoadReport> load(String engine, long nowMillis) {
+      return Optional.empty();
+    }
+  }
+
   /** An attempt whose prompt waits for its prefill or is in it. */
   private record Prefill(Node node, AttemptId attempt, PromptMetadata prompt) {}
 
@@ -80,7 +94,7 @@
   }
 
   /**
-   * Creates a fleet of one router for each data centre.
+   * Creates a fleet whose engines prefill the whole of each prompt.
    *
    * @param tokensPerMilli prompt tokens that an engine prefills in a millisecond
    */
@@ -92,9 +106,28 @@
       SlotAllocatorPolicy policy,
       double tokensPerMilli,
       Observer observer) {
+    this(
+        time,
+        dataCentres,
+        table,
+        regions,
+        policy,
+        (engine, prompt, nowMillis) -> prompt.promptTokens() / tokensPerMilli,
+        observer);
+  }
+
+  /** Creates a fleet of one router for each data centre. */
+  AllocatingFleet(
+      VirtualTime time,
+      Collection<String> dataCentres,
+      Table table,
+      DataCentreRegions regions,
+      SlotAllocatorPolicy policy,
+      Engines engines,
+      Observer observer) {
     this.time = time;
     this.observer = observer;
-    this.tokensPerMilli = tokensPerMilli;
+    this.engines = engines;
     instances = new InstanceList(1, List.of(), upstreams(dataCentres));
     dataCentres.forEach(name -> nodes.put("r-" + name, new Node(name, policy, regions)));
     nodes.values().forEach(node -> node.start(table));
@@ -166,19 +199,24 @@
     Deque<Prefill> queue = prefills.computeIfAbsent(engine, name -> new ArrayDeque<>());
     queue.add(prefill);
     if (queue.size() == 1) {
-      scheduleHead(queue);
+      scheduleHead(engine, queue);
     }
   }
 
-  private void scheduleHead(Deque<Prefill> queue) {
-    long millis = Math.max(1, Math.round(queue.peek().prompt.promptTokens() / tokensPerMilli));
+  private void scheduleHead(String engine, Deque<Prefill> queue) {
+    double prefillMillis = engines.prefillMillis(engine, queue.peek().prompt, time.nowMillis());
+    long millis = Math.max(1, Math.round(prefillMillis));
     time.after(
         millis,
         () -> {
           Prefill head = queue.remove();
           if (!queue.isEmpty()) {
-            scheduleHead(queue);
+            scheduleHead(engine, queue);
           }
+          engines
+              .load(engine, time.nowMillis())
+              .map(load -> new RouterEvent.UpstreamLoadReported(head.attempt, load))
+              .ifPresent(head.node::dispatch);
           decode(head);
         });
   }
@@ -205,7 +243,7 @@
 
     private Node(String dataCentre, SlotAllocatorPolicy policy, DataCentreRegions regions) {
       self = new PeerIdentity("r-" + dataCentre, 1, Role.ROUTER, dataCentre, dataCentre, "");
-      router = new RouterDecision(self, RouterPolicy.DEFAULT, regions);
+      router = new RouterDecision(self, RouterPolicy.DEFAULT, policy, regions);
       allocator = new SlotAllocatorDecision(self, policy, regions);
     }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -67,7 +67,17 @@
 
   private static final SlotAllocatorPolicy POLICY =
       new SlotAllocatorPolicy(
-          10_000, 0.92, 60_000, 0, 1_000, 0, 0.1, 5, false, SlotAllocatorPolicy.ARRIVAL);
+          10_000,
+          0.92,
+          60_000,
+          0,
+          1_000,
+          0,
+          0.1,
+          5,
+          false,
+          SlotAllocatorPolicy.ARRIVAL,
+          SlotAllocatorPolicy.ONE_HOME);
 
   private enum Fault {
     NONE,
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
@@ -188,7 +188,17 @@
     SlotAllocatorFixture allocator =
         SlotAllocatorFixture.newWithColdUpstreams(
             new SlotAllocatorPolicy(
-                10_000, 0.92, 1_500, 0, 1_000, 0, 1.5, 5, false, SlotAllocatorPolicy.ARRIVAL),
+                10_000,
+                0.92,
+                1_500,
+                0,
+                1_000,
+                0,
+                1.5,
+                5,
+                false,
+                SlotAllocatorPolicy.ARRIVAL,
+                SlotAllocatorPolicy.ONE_HOME),
             Optional.of(SlotAllocatorFixture.WARM_UP));
     allocator.publishUpstreams("m1c");
     allocator.advance(1_351);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -62,7 +62,8 @@
       new DataCentreRegions(Map.of("a1", "a", "a2", "a", "b1", "b"));
 
   final RouterDecision decision =
-      new RouterDecision(identity("r1", "a1"), RouterPolicy.DEFAULT, REGIONS);
+      new RouterDecision(
+          identity("r1", "a1"), RouterPolicy.DEFAULT, SlotAllocatorPolicy.DEFAULT, REGIONS);
   final List<RouterEffect> effects = new ArrayList<>();
   long now = 3_000 * MILLI;
   private long calls;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -203,6 +203,7 @@
         case SlotAllocatorEffect.UpstreamAvailabilityChanged change ->
             availabilityChanges.add(change);
         case SlotAllocatorEffect.Placed _,
+            SlotAllocatorEffect.PrefixHomesChanged _,
             SlotAllocatorEffect.Rejected _,
             SlotAllocatorEffect.ColdGrants _,
             SlotAllocatorEffect.StartPredicted _ -> {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadExperiment.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadExperiment.java
@@ -345,7 +345,7 @@
               ledger,
               new AllocatorRegions(DataCentreRegions.NONE),
               effects,
-              this::choose);
+              upstreams -> this::choose);
       slots.activate(new Table(1, Map.of(), Map.of(SERVICE, entry)), 0);
       List<Upstream> upstreams = new ArrayList<>();
       for (int index = 0; index < engines.size(); index++) {
@@ -356,12 +356,12 @@
     }
 
     private UpstreamChoice.Candidate choose(
-        WaitingEntry entry, List<UpstreamChoice.Candidate> candidates) {
+        WaitingEntry entry, List<UpstreamChoice.Candidate> candidates, long nowNanos) {
       if (candidates.isEmpty()) {
         return null;
       }
       return switch (method) {
-        case NO_REPORTS, WAIT_1 -> UpstreamChoice.LOWEST_SCORE.choose(entry, candidates);
+        case NO_REPORTS, WAIT_1 -> UpstreamChoice.LOWEST_SCORE.choose(entry, candidates, nowNanos);
         case WAIT_03 -> least(candidates, -0.7);
         case WAIT_06 -> least(candidates, -0.4);
         case NO_REPORTS_WAIT_1 -> least(candidates, 0.7);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/PrefixCacheModelTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/PrefixCacheModelTest.java
@@ -23,6 +23,18 @@
         "a part is a hit only if all parts before it are cached");
   }
 
+  /** Guards against parts that count as prefilled again after nobody has used them for long. */
+  @Test
+  public void countsRecentlyUsedTokensAsRepeated() {
+    long second = 1_000_000_000;
+    SharedPartUses uses = new SharedPartUses();
+    assertEquals(uses.recordUse(prompt("a", "own 1"), cache, second), 0, "first use");
+    assertEquals(uses.recordUse(prompt("a", "own 2"), cache, 11 * second), 100);
+    assertEquals(uses.recordUse(prompt("a", "own 3"), cache, 22 * second), 0, "after 11 s");
+    cachePrompt("a", "own 3");
+    assertEquals(uses.recordUse(prompt("a", "own 4"), cache, 23 * second), 0, "cached");
+  }
+
   @Test
   public void promptThatWasNotPrefilledIsNotCached() {
     PromptMetadata prompt = prompt("d", "e");
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -25,6 +25,7 @@
   QUARANTINE_CHANGED("quarantine-changed"),
   UPSTREAM_JUDGED("upstream-judged"),
   UPSTREAM_AVAILABILITY_CHANGED("upstream-availability-changed"),
+  PREFIX_HOMES_CHANGED("prefix-homes-changed"),
   UPSTREAM_NOTICE_IGNORED("upstream-notice-ignored"),
   EVACUATION_STARTED("evacuation-started"),
   EVACUATION_ENDED("evacuation-ended"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -97,6 +97,18 @@
                 .with("underserved", grant.underserved()));
   }
 
+  /** Logs that the load of a shared prompt prefix needs another number of homes. */
+  public static void logPrefixHomesChanged(SlotAllocatorEffect.PrefixHomesChanged change) {
+    LOGGER.info(
+        () ->
+            LogEvent.PREFIX_HOMES_CHANGED
+                .message()
+                .with("service", change.service())
+                .with("prefix", change.prefix())
+                .with("homes", change.homes())
+                .with("previous", change.previous()));
+  }
+
   /** Logs a request for a slot that the slot allocator has rejected. */
   public static void logSlotRejected(SlotAllocatorEffect.Rejected rejection) {
     LOGGER.info(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -107,7 +107,7 @@
     this.metrics = new RequestMetrics(metrics);
     slotMetrics = new SlotMetrics(metrics);
     rejectedEvents = metrics.counter(MAILBOX_FULL);
-    RouterDecision decision = new RouterDecision(self, policy, dataCentres);
+    RouterDecision decision = new RouterDecision(self, policy, allocatorPolicy, dataCentres);
     requestTask =
         new DecisionTask<>(
             decision,
@@ -329,6 +329,8 @@
         slotMetrics.recordGranted(grant);
         RequestLog.logSlotGranted(grant);
       }
+      case SlotAllocatorEffect.PrefixHomesChanged change ->
+          RequestLog.logPrefixHomesChanged(change);
       case SlotAllocatorEffect.Rejected rejection -> {
         slotMetrics.recordRejected(rejection);
         RequestLog.logSlotRejected(rejection);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
@@ -20,6 +20,9 @@
   private static final String REJECTED = "rejected-slots";
   private static final String COLD_GRANTS = "cold-grants";
   private static final String COLD_BOUND = "cold-bound";
+  private static final String SHARED_TOKENS = "shared-tokens";
+  private static final String SHARED_PREFILLED = "shared-tokens-prefilled";
+  private static final String SHARED_REPEATED = "shared-tokens-prefilled-again";
   private static final String VIRTUAL_SERVICE = "virtual-service";
 
   private final MetricRegistry registry;
@@ -35,6 +38,11 @@
 
   void recordGranted(SlotAllocatorEffect.Placed grant) {
     recordDecision(grant.service(), grant.position()).granted.inc(Math.round(grant.cost()));
+    if (grant.sharedTokens() > 0) {
+      counter(grant.service(), SHARED_TOKENS).inc(grant.sharedTokens());
+      counter(grant.service(), SHARED_PREFILLED).inc(grant.sharedUnreadTokens());
+      counter(grant.service(), SHARED_REPEATED).inc(grant.repeatedSharedTokens());
+    }
   }
 
   void recordRejected(SlotAllocatorEffect.Rejected rejection) {
@@ -46,6 +54,10 @@
     gauge(grants.service(), COLD_BOUND).setValue(grants.bound());
   }
 
+  private Counter counter(String service, String statistic) {
+    return registry.counter("service." + service + "." + statistic);
+  }
+
   private DefaultSettableGauge<Integer> gauge(String service, String statistic) {
     return registry.gauge(
         "slots." + service + "." + statistic, () -> new DefaultSettableGauge<>(0));
