Reserve engine memory for the lengths that responses showed

A caller's Length-Hint was used as it came, up to the maximum of Token-Usage. Estimates are right at the median only, so running requests together outgrow what was reserved for them. The slot allocator corrects the expectation by the lengths that the workspace's responses showed, reserves two standard deviations of the sum of the running ones, and raises it with what was generated. It does so only where objectives count from the first attempt (slots.admission).

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -26,9 +26,11 @@
   private static final double MIN_MILLIS = 1;
 
   private final SlotAllocatorPolicy policy;
+  private final ResponseLengths lengths;
 
-  ModelSlotRule(SlotAllocatorPolicy policy) {
+  ModelSlotRule(SlotAllocatorPolicy policy, ResponseLengths lengths) {
     this.policy = policy;
+    this.lengths = lengths;
   }
 
   @Override
@@ -37,9 +39,11 @@
       return upstream.freeSlots() > 0;
     }
     double capacityTokens = policy.memoryShare() * upstream.memoryTokens.getAsLong();
-    int outputTokens = call.prompt().map(PromptMetadata::outputTokens).orElse(0);
+    ExpectedOutput output = lengths.expected(call.workspace(), call.prompt());
     return upstream.freeSlots() > 0
-        && upstream.runningTokens() + uncachedTokens(upstream, call) + outputTokens
+        && upstream.cache.pinnedTokens()
+                + uncachedTokens(upstream, call)
+                + upstream.reservedOutputTokens(output)
             <= capacityTokens;
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -45,6 +45,7 @@
   private final SlotScheduler scheduler;
   private final SlotRejections rejections;
   private final SlotAllocations allocations;
+  private final ResponseLengths lengths = new ResponseLengths();
   private final DelayReports reports = new DelayReports();
   private long lastSequence;
   private long decayedNanos;
@@ -77,13 +78,13 @@
       UpstreamChoice choice) {
     this.service = entry.name();
     this.policy = policy;
-    this.rule = SlotRule.of(entry.kind(), policy);
+    this.rule = SlotRule.of(entry.kind(), policy, lengths);
     this.ledger = ledger;
     this.regions = regions;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
     PredictionError error = new PredictionError();
-    this.allocations = new SlotAllocations(service, rule, ledger, effects, error);
+    this.allocations = new SlotAllocations(service, rule, ledger, effects, error, lengths);
     this.waiting = new WaitingRequests(ledger);
     this.upstreams = new ServiceUpstreams(service, policy, effects);
     this.usable = new UsableUpstreams(rule, upstreams, regions);
@@ -98,6 +99,7 @@
     ledger.activate(table);
     waiting.all().forEach(regions::update);
     upstreams.activate(table, nowNanos);
+    lengths.activate(table);
   }
 
   /** Returns the upstreams of the service. */
@@ -107,7 +109,7 @@
 
   /** Handles a message of a router. */
   public void onMessage(String router, SlotMessage message, long nowNanos) {
-    upstreams.refreshEstimates(nowNanos);
+    refreshEstimates(nowNanos);
     switch (message) {
       case SlotMessage.SlotsWanted wanted -> onSlotsWanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
@@ -152,7 +154,7 @@
     if (waiting.isEmpty()) {
       return;
     }
-    upstreams.refreshEstimates(nowNanos);
+    refreshEstimates(nowNanos);
     SlotScheduler.Assignment assignment = scheduler.next(nowNanos);
     while (assignment != null) {
       grant(assignment, nowNanos);
@@ -165,8 +167,11 @@
    * number of waiting requests, so it is done periodically and not for each event.
    */
   public void review(long nowNanos) {
-    upstreams.refreshEstimates(nowNanos);
+    refreshEstimates(nowNanos);
     upstreams.review(nowNanos);
+    if (lengths.applied()) {
+      upstreams.updateGenerated(nowNanos);
+    }
     if (waiting.isEmpty()) {
       return;
     }
@@ -233,6 +238,16 @@
         service, waiting.size(), allocations.size(), upstreams.status(rule, nowNanos));
   }
 
+  /** Takes over the estimates as of now, and whether objectives count from the first attempt. */
+  private void refreshEstimates(long nowNanos) {
+    upstreams.refreshEstimates(nowNanos);
+    lengths.setApplied(countsFromFirstAttempt());
+  }
+
+  private boolean countsFromFirstAttempt() {
+    return policy.countsFromFirstAttempt(upstreams.capacityVaries());
+  }
+
   private void onSlotsWanted(String router, SlotMessage.SlotsWanted wanted, long nowNanos) {
     if (wanted.complete()) {
       removeRouter(router, nowNanos);
@@ -254,7 +269,7 @@
               call,
               wanted.tableVersion(),
               ++lastSequence,
-              policy.countsFromFirstAttempt(upstreams.capacityVaries()),
+              countsFromFirstAttempt(),
               nowNanos);
       regions.update(entry);
       waits.estimateWork(entry, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceUpstreams.java
@@ -164,6 +164,11 @@
     upstreams.values().forEach(upstream -> upstream.refresh(nowNanos));
   }
 
+  /** Raises the expected output of the responses that have generated more. */
+  void updateGenerated(long nowNanos) {
+    upstreams.values().forEach(upstream -> upstream.updateGenerated(nowNanos));
+  }
+
   /** Updates the stalled upstreams, and reports the grants to cold ones. */
   void review(long nowNanos) {
     upstreams.values().forEach(upstream -> updateStalled(upstream, nowNanos));
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocation.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocation.java
@@ -26,6 +26,9 @@
   /** Expected time from the grant to the start of the response, in milliseconds. */
   final double expectedMillis;
 
+  /** Output tokens that the response is expected to have. */
+  ExpectedOutput output;
+
   boolean responseStarted;
 
   /** When the response started; empty if it has not, or had when the slot was reported. */
@@ -43,6 +46,7 @@
       double expectedMillis) {
     this.router = router;
     this.call = call;
+    this.output = ExpectedOutput.stated(call.prompt());
     this.upstream = upstream;
     this.grantedNanos = grantedNanos;
     this.chargedCost = chargedCost;
@@ -51,8 +55,4 @@
     this.prefillMillis = prefillMillis;
     this.expectedMillis = expectedMillis;
   }
-
-  int outputTokens() {
-    return call.prompt().map(prompt -> prompt.outputTokens()).orElse(0);
-  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -21,6 +21,7 @@
   private final WorkspaceLedger ledger;
   private final List<SlotAllocatorEffect> effects;
   private final PredictionError error;
+  private final ResponseLengths lengths;
   private final Map<RequestId, SlotAllocation> allocations = new HashMap<>();
 
   SlotAllocations(
@@ -28,7 +29,9 @@
       SlotRule rule,
       WorkspaceLedger ledger,
       List<SlotAllocatorEffect> effects,
-      PredictionError error) {
+      PredictionError error,
+      ResponseLengths lengths) {
+    this.lengths = lengths;
     this.service = service;
     this.effects = effects;
     this.rule = rule;
@@ -70,6 +73,7 @@
             ModelSlotRule.uncachedTokens(upstream, call),
             firstByteMillis,
             rule.backlogMillis(upstream, nowNanos) + firstByteMillis);
+    allocation.output = lengths.expected(call.workspace(), call.prompt());
     upstream.add(allocation, responseStarted);
     allocations.put(call.request(), allocation);
     ledger.addInFlight(call.workspace(), 1);
@@ -145,6 +149,7 @@
       case COMPLETED -> {
         cost = rule.actualCost(allocation.call, amount);
         rule.observe(amount);
+        allocation.call.prompt().ifPresent(prompt -> lengths.observe(workspace, prompt, amount));
         recordCompleted(allocation, amount, nowNanos);
         allocation.upstream.health.recordSuccess();
         allocation.upstream.warmUp.onResponse(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
@@ -69,8 +69,12 @@
   /** Records the amount (tokens or milliseconds) of a completed request. */
   void observe(long amount);
 
-  /** Returns the rule for a kind of service. */
-  static SlotRule of(ServiceKind kind, SlotAllocatorPolicy policy) {
-    return kind == ServiceKind.MODEL ? new ModelSlotRule(policy) : new PlainSlotRule();
+  /**
+   * Returns the rule for a kind of service.
+   *
+   * @param lengths expected lengths of responses
+   */
+  static SlotRule of(ServiceKind kind, SlotAllocatorPolicy policy, ResponseLengths lengths) {
+    return kind == ServiceKind.MODEL ? new ModelSlotRule(policy, lengths) : new PlainSlotRule();
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -25,6 +25,12 @@
   /** Weight of the newest grant in the moving average of expected prefill times. */
   private static final double NEWEST_WEIGHT = 0.1;
 
+  /**
+   * Standard deviations of the expected output of all running requests together for which memory is
+   * reserved: one sum in forty exceeds two.
+   */
+  private static final double OUTPUT_DEVIATIONS = 2;
+
   /** Initial average, in milliseconds. */
   private static final double INITIAL_PREFILL_MILLIS = 50;
 
@@ -74,7 +80,8 @@
   private final Map<RequestId, SlotAllocation> pending = new LinkedHashMap<>();
 
   private UpstreamAvailability availability;
-  private long outputTokens;
+  private double outputTokens;
+  private double outputVariance;
   private long progressNanos;
 
   /** Figures of the estimate as of the last refresh; neutral while it does not count. */
@@ -223,7 +230,17 @@
 
   /** Returns the tokens in memory for running requests, including their expected output. */
   long runningTokens() {
-    return cache.pinnedTokens() + outputTokens;
+    return cache.pinnedTokens() + reservedOutputTokens(ExpectedOutput.stated(Optional.empty()));
+  }
+
+  /**
+   * Returns the memory for the output of running requests and of one more, in tokens: what is
+   * expected, and the error that their expectations have together.
+   */
+  long reservedOutputTokens(ExpectedOutput further) {
+    double variance = Math.max(0, outputVariance + further.variance());
+    return (long)
+        Math.ceil(outputTokens + further.tokens() + OUTPUT_DEVIATIONS * Math.sqrt(variance));
   }
 
   List<SlotAllocation> allocations() {
@@ -232,9 +249,9 @@
 
   void add(SlotAllocation allocation, boolean responseStarted) {
     allocations.put(allocation.call.request(), allocation);
-    outputTokens += allocation.outputTokens();
+    addOutput(allocation.output, 1);
     allocation.call.prompt().ifPresent(cache::pin);
-    cache.evict(memoryTokens, outputTokens);
+    cache.evict(memoryTokens, Math.round(outputTokens));
     allocation.responseStarted = responseStarted;
     if (!responseStarted) {
       if (pending.isEmpty()) {
@@ -281,12 +298,42 @@
     if (wasHead) {
       progressNanos = Math.max(progressNanos, nowNanos);
     }
-    outputTokens -= allocation.outputTokens();
+    addOutput(allocation.output, -1);
+    if (allocations.isEmpty()) {
+      // Sums of fractions are not exact.
+      outputTokens = 0;
+      outputVariance = 0;
+    }
     allocation.call.prompt().ifPresent(prompt -> cache.unpin(prompt, allocation.responseStarted));
-    cache.evict(memoryTokens, outputTokens);
+    cache.evict(memoryTokens, Math.round(outputTokens));
     estimate.recordOwn(allocations.size(), pending.size(), nowNanos);
   }
 
+  /**
+   * Raises the expected output of the responses that have generated more, by the measured time for
+   * a token.
+   */
+  void updateGenerated(long nowNanos) {
+    double tokenMillis = estimate.outputTokenMillis();
+    if (tokenMillis == 0) {
+      return;
+    }
+    for (SlotAllocation allocation : allocations.values()) {
+      if (allocation.startedNanos.isPresent() && allocation.call.prompt().isPresent()) {
+        double millis = (nowNanos - allocation.startedNanos.getAsLong()) / NANOS_PER_MILLI;
+        int maximum = allocation.call.prompt().get().maximumOutputTokens();
+        addOutput(allocation.output, -1);
+        allocation.output = allocation.output.within(millis / tokenMillis, maximum);
+        addOutput(allocation.output, 1);
+      }
+    }
+  }
+
+  private void addOutput(ExpectedOutput output, int count) {
+    outputTokens += count * output.tokens();
+    outputVariance += count * output.variance();
+  }
+
   /** Returns the expected time to finish all pending prefills, in milliseconds. */
   double backlogMillis(long nowNanos) {
     return ownBacklogMillis(nowNanos) + otherBacklogMillis;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
@@ -151,6 +151,11 @@
         : Math.max(1, (int) (runningAtOutput * maximumTokenMillis / outputTokenMillis));
   }
 
+  /** Returns the average time for each output token, in milliseconds; 0 before a response ended. */
+  double outputTokenMillis() {
+    return outputTokenMillis;
+  }
+
   /** Returns the status for operators. */
   EstimateStatus status(long nowNanos) {
     boolean stated = statedNanos != Long.MIN_VALUE / 2;
--- a/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.OptionalInt;
 
 /**
  * Description of a model request's prompt, given by the caller before the request runs.
@@ -9,11 +10,19 @@
  * @param model name of the model
  * @param promptTokens length of the complete prompt, in tokens
  * @param outputTokens expected length of the response, in tokens
+ * @param maximumOutputTokens length that the response does not exceed, in tokens; 0 if unknown
+ * @param lengthHint the caller's own estimate of the length of the response, in tokens; empty if it
+ *     gave none
  * @param parts parts of the prompt in order; only the last part is specific to the request or its
  *     session
  */
 public record PromptMetadata(
-    String model, int promptTokens, int outputTokens, List<PromptPart> parts) {
+    String model,
+    int promptTokens,
+    int outputTokens,
+    int maximumOutputTokens,
+    OptionalInt lengthHint,
+    List<PromptPart> parts) {
 
   /** Cost of an output token relative to a prompt token; the platform uses the same weight. */
   private static final double OUTPUT_TOKEN_COST = 2;
@@ -21,13 +30,30 @@
   /** Time that an engine takes for an output token, relative to a prompt token. */
   private static final long OUTPUT_TOKEN_SIZE = 10;
 
+  /** Creates a description without a maximum and without an estimate of the caller. */
+  public PromptMetadata(String model, int promptTokens, int outputTokens, List<PromptPart> parts) {
+    this(model, promptTokens, outputTokens, 0, OptionalInt.empty(), parts);
+  }
+
   /** Rejects a null model and negative numbers; copies the parts. */
   public PromptMetadata {
     Objects.requireNonNull(model, "model");
+    Objects.requireNonNull(lengthHint, "lengthHint");
     parts = List.copyOf(parts);
-    if (promptTokens < 0 || outputTokens < 0) {
+    if (promptTokens < 0
+        || outputTokens < 0
+        || maximumOutputTokens < 0
+        || lengthHint.orElse(0) < 0) {
       throw new IllegalArgumentException(
-          "promptTokens " + promptTokens + " or outputTokens " + outputTokens + " is negative");
+          "promptTokens "
+              + promptTokens
+              + ", outputTokens "
+              + outputTokens
+              + ", maximumOutputTokens "
+              + maximumOutputTokens
+              + " or lengthHint "
+              + lengthHint
+              + " is negative");
     }
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -34,6 +34,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.Stream;
 
@@ -275,6 +276,14 @@
     return requestSlot(MODEL, workspace, objectiveMillis, true, Optional.of(prompt));
   }
 
+  /** Requests a slot for a prompt of its own with the caller's estimate of the length. */
+  RequestId requestHinted(String workspace, int tokens, int hint) {
+    PromptPart own = new PromptPart("own-" + (lastNumber + 1), tokens);
+    PromptMetadata prompt =
+        new PromptMetadata("m", tokens, hint, 0, OptionalInt.of(hint), List.of(own));
+    return requestSlot(MODEL, workspace, 60_000, false, Optional.of(prompt));
+  }
+
   private RequestId requestSlot(
       String service,
       String workspace,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -29,6 +29,9 @@
 
   private static final SlotStage[] STAGES = SlotStage.values();
 
+  /** Stands for a prompt whose caller gave no estimate of the length of the response. */
+  private static final int NO_HINT = -1;
+
   @Override
   public List<MessageType<?>> messageTypes() {
     return List.of(
@@ -205,6 +208,8 @@
     output.writeString(prompt.model());
     output.writeInt(prompt.promptTokens());
     output.writeInt(prompt.outputTokens());
+    output.writeInt(prompt.maximumOutputTokens());
+    output.writeInt(prompt.lengthHint().orElse(NO_HINT));
     output.writeList(
         prompt.parts(),
         (target, part) -> {
@@ -222,9 +227,16 @@
                 source.readString(),
                 source.readInt(),
                 source.readInt(),
+                source.readInt(),
+                readHint(source),
                 source.readList(part -> new PromptPart(part.readString(), part.readInt()))));
   }
 
+  private static OptionalInt readHint(FieldInput input) {
+    int hint = input.readInt();
+    return hint == NO_HINT ? OptionalInt.empty() : OptionalInt.of(hint);
+  }
+
   private static <T> Optional<T> readAtMostOne(
       FieldInput input, String field, Function<FieldInput, T> element) {
     List<T> values = input.readList(element);
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -217,6 +217,8 @@
                     "m",
                     1_460,
                     80,
+                    256,
+                    OptionalInt.of(64),
                     List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))),
             "layout",
             AllowedRegions.only(Set.of("bengal", "assam")));
