Measure free slots, engine memory and preceding work by one record

Slot rules, the scheduler and the estimates of waits each had their own sum of what is free.

Where objectives count from the first attempt, a cached part of a prompt that no running request uses needs memory: it is pinned when the request starts. It was counted as free before, so that an engine of 100,000 tokens with 20,000 in use got a prompt of 90,000.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/ServiceSlotsStatus.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/ServiceSlotsStatus.java
@@ -11,9 +11,10 @@
  * @param waiting number of waiting requests
  * @param held number of requests that occupy a slot
  * @param upstreams upstreams of the service
+ * @param room what is free at the usable upstreams that are not cold
  */
 public record ServiceSlotsStatus(
-    String service, int waiting, int held, List<UpstreamStatus> upstreams) {
+    String service, int waiting, int held, List<UpstreamStatus> upstreams, Room room) {
 
   /** Makes an unmodifiable copy of the upstreams. */
   public ServiceSlotsStatus {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ModelSlotRule.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.Room;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.request.PromptMetadata;
 import java.util.List;
@@ -25,6 +26,9 @@
   /** Lower bound of the time of a prompt without tokens. */
   private static final double MIN_MILLIS = 1;
 
+  /** An engine prefills one prompt at a time. */
+  private static final int PARALLELISM = 1;
+
   private final SlotAllocatorPolicy policy;
   private final ResponseLengths lengths;
 
@@ -33,18 +37,30 @@
     this.lengths = lengths;
   }
 
+  /** Returns the room; an idle engine takes any request. */
   @Override
-  public boolean hasCapacity(UpstreamLoad upstream, WaitingCall call) {
-    if (upstream.memoryTokens.isEmpty() || upstream.running() == 0) {
-      return upstream.freeSlots() > 0;
-    }
-    double capacityTokens = policy.memoryShare() * upstream.memoryTokens.getAsLong();
+  public Room room(UpstreamLoad upstream, long nowNanos) {
+    boolean unlimited = upstream.memoryTokens.isEmpty() || upstream.running() == 0;
+    double freeTokens =
+        unlimited
+            ? Double.POSITIVE_INFINITY
+            : policy.memoryShare() * upstream.memoryTokens.getAsLong() - upstream.runningTokens();
+    return new Room(
+        upstream.freeSlots(), freeTokens, upstream.backlogMillis(nowNanos), PARALLELISM);
+  }
+
+  /**
+   * Returns the tokens that a request adds. Parts that no running request uses would be evicted
+   * otherwise, so they count although they are cached, unless the stated lengths apply.
+   */
+  @Override
+  public double neededTokens(UpstreamLoad upstream, WaitingCall call) {
     ExpectedOutput output = lengths.expected(call.workspace(), call.prompt());
-    return upstream.freeSlots() > 0
-        && upstream.cache.pinnedTokens()
-                + uncachedTokens(upstream, call)
-                + upstream.reservedOutputTokens(output)
-            <= capacityTokens;
+    int promptTokens =
+        lengths.applied()
+            ? call.prompt().map(upstream.cache::unpinnedTokens).orElse(0)
+            : uncachedTokens(upstream, call);
+    return promptTokens + upstream.addedOutputTokens(output);
   }
 
   @Override
@@ -67,12 +83,6 @@
     return upstream.backlogMillis(nowNanos);
   }
 
-  /** Returns 1: an engine prefills one prompt at a time. */
-  @Override
-  public int parallelism() {
-    return 1;
-  }
-
   /**
    * Returns the capacity with the harmonic means of the times: fast engines do more of the work.
    */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PlainSlotRule.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.Room;
 import java.util.List;
 
 /**
@@ -29,8 +30,17 @@
   private double meanMillis = INITIAL_MEAN_MILLIS;
 
   @Override
-  public boolean hasCapacity(UpstreamLoad upstream, WaitingCall call) {
-    return upstream.freeSlots() > 0;
+  public Room room(UpstreamLoad upstream, long nowNanos) {
+    return new Room(
+        upstream.freeSlots(),
+        Double.POSITIVE_INFINITY,
+        backlogMillis(upstream, nowNanos),
+        PARALLELISM);
+  }
+
+  @Override
+  public double neededTokens(UpstreamLoad upstream, WaitingCall call) {
+    return 0;
   }
 
   @Override
@@ -45,11 +55,6 @@
         : meanMillis * upstream.running() / upstream.upstream.slots();
   }
 
-  @Override
-  public int parallelism() {
-    return PARALLELISM;
-  }
-
   @Override
   public MeasuredCapacity capacity(List<UpstreamLoad> upstreams) {
     double requests = 0;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefixCacheModel.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefixCacheModel.java
@@ -49,6 +49,18 @@
     return Math.max(0, uncachedTokens(prompt) - lastTokens);
   }
 
+  /** Returns the tokens of a prompt but for the parts that running requests use. */
+  int unpinnedTokens(PromptMetadata prompt) {
+    int pinned = 0;
+    for (PromptPart part : prompt.parts()) {
+      CachedPart cached = parts.get(part.identity());
+      if (cached != null && cached.pins > 0) {
+        pinned += cached.tokens;
+      }
+    }
+    return Math.max(0, prompt.promptTokens() - pinned);
+  }
+
   /** Returns the tokens of the parts that running requests use. */
   long pinnedTokens() {
     return pinnedTokens;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -12,6 +12,7 @@
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import java.util.List;
@@ -88,7 +89,7 @@
     this.waiting = new WaitingRequests(ledger);
     this.upstreams = new ServiceUpstreams(service, policy, effects);
     this.usable = new UsableUpstreams(rule, upstreams, regions);
-    this.waits = new WaitEstimates(rule, ledger, waiting, usable, upstreams.cold(), error);
+    this.waits = new WaitEstimates(ledger, waiting, usable, upstreams.cold(), error);
     this.scheduler =
         new SlotScheduler(rule, ledger, waiting, usable, upstreams.cold(), waits, choice);
     this.rejections = new SlotRejections(service, policy, ledger, waits, usable, regions, effects);
@@ -235,7 +236,11 @@
   /** Returns the status for the administration interface. */
   public ServiceSlotsStatus status(long nowNanos) {
     return new ServiceSlotsStatus(
-        service, waiting.size(), allocations.size(), upstreams.status(rule, nowNanos));
+        service,
+        waiting.size(),
+        allocations.size(),
+        upstreams.status(rule, nowNanos),
+        usable.room(AllowedRegions.ALL, nowNanos));
   }
 
   /** Takes over the estimates as of now, and whether objectives count from the first attempt. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRule.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.Room;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.version.ServiceKind;
 import java.util.List;
@@ -9,8 +10,16 @@
 /** Capacity, time and cost estimates for requests of one kind of service. */
 interface SlotRule {
 
+  /** Returns what is free at an upstream. */
+  Room room(UpstreamLoad upstream, long nowNanos);
+
+  /** Returns the memory of an engine that a request needs, in tokens. */
+  double neededTokens(UpstreamLoad upstream, WaitingCall call);
+
   /** Returns whether the upstream has a free slot and enough memory for a request. */
-  boolean hasCapacity(UpstreamLoad upstream, WaitingCall call);
+  default boolean hasCapacity(UpstreamLoad upstream, WaitingCall call, long nowNanos) {
+    return room(upstream, nowNanos).holds(neededTokens(upstream, call));
+  }
 
   /**
    * Returns whether the backlog of the upstream is small enough for another request.
@@ -32,9 +41,6 @@
   /** Returns the expected time to finish the work granted so far, in milliseconds. */
   double backlogMillis(UpstreamLoad upstream, long nowNanos);
 
-  /** Returns how many requests an upstream processes in parallel without slowdown. */
-  int parallelism();
-
   /** Returns what upstreams, at least one, can do. */
   MeasuredCapacity capacity(List<UpstreamLoad> upstreams);
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.Room;
 import dev.agatepier.core.version.AllowedRegions;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -142,7 +143,7 @@
       if (!coldUpstreams.isCold(upstream, nowNanos)
           || !upstreams.isUsable(upstream, entry, nowNanos)
           || !ready(upstream, share, nowNanos)
-          || !rule.hasCapacity(upstream, entry.call)) {
+          || !rule.hasCapacity(upstream, entry.call, nowNanos)) {
         continue;
       }
       double backlog =
@@ -170,11 +171,14 @@
     for (UpstreamLoad upstream : upstreams.all()) {
       if (upstream == reserved
           || !upstreams.isUsable(upstream, entry, nowNanos)
-          || coldUpstreams.isCold(upstream, nowNanos)
-          || !rule.hasCapacity(upstream, entry.call)) {
+          || coldUpstreams.isCold(upstream, nowNanos)) {
         continue;
       }
-      double backlog = rule.backlogMillis(upstream, nowNanos);
+      Room room = rule.room(upstream, nowNanos);
+      if (!room.holds(rule.neededTokens(upstream, entry.call))) {
+        continue;
+      }
+      double backlog = room.workMillis();
       double firstByte = rule.firstByteMillis(upstream, entry.call);
       double score =
           backlogWeight(upstream) * backlog
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -230,17 +230,21 @@
 
   /** Returns the tokens in memory for running requests, including their expected output. */
   long runningTokens() {
-    return cache.pinnedTokens() + reservedOutputTokens(ExpectedOutput.stated(Optional.empty()));
+    return cache.pinnedTokens() + reservedOutputTokens(0, 0);
+  }
+
+  /** Returns by how much one more response increases the memory for output, in tokens. */
+  long addedOutputTokens(ExpectedOutput output) {
+    return reservedOutputTokens(output.tokens(), output.variance()) - reservedOutputTokens(0, 0);
   }
 
   /**
-   * Returns the memory for the output of running requests and of one more, in tokens: what is
-   * expected, and the error that their expectations have together.
+   * Returns the memory for the output of running requests and further tokens: what is expected, and
+   * the error that the expectations have together.
    */
-  long reservedOutputTokens(ExpectedOutput further) {
-    double variance = Math.max(0, outputVariance + further.variance());
-    return (long)
-        Math.ceil(outputTokens + further.tokens() + OUTPUT_DEVIATIONS * Math.sqrt(variance));
+  private long reservedOutputTokens(double furtherTokens, double furtherVariance) {
+    double variance = Math.max(0, outputVariance + furtherVariance);
+    return (long) Math.ceil(outputTokens + furtherTokens + OUTPUT_DEVIATIONS * Math.sqrt(variance));
   }
 
   List<SlotAllocation> allocations() {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UsableUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UsableUpstreams.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
+import dev.agatepier.core.process.Room;
 import dev.agatepier.core.version.AllowedRegions;
 import java.util.Collection;
 import java.util.List;
@@ -72,10 +73,25 @@
         upstreams.stream()
             .filter(
                 upstream ->
-                    isUsable(upstream, entry, nowNanos) && rule.hasCapacity(upstream, entry.call))
+                    isUsable(upstream, entry, nowNanos)
+                        && rule.hasCapacity(upstream, entry.call, nowNanos))
             .count();
   }
 
+  /**
+   * Returns the room of the usable upstreams in the permitted regions, without those that are cold:
+   * their rate is what limits requests to them.
+   */
+  Room room(AllowedRegions allowed, long nowNanos) {
+    Room room = Room.NONE;
+    for (UpstreamLoad upstream : upstreams) {
+      if (isUsable(upstream, allowed, nowNanos) && !coldUpstreams.isCold(upstream, nowNanos)) {
+        room = room.plus(rule.room(upstream, nowNanos));
+      }
+    }
+    return room;
+  }
+
   /** Returns the time to the first byte at the best upstream without backlog, in milliseconds. */
   double minFirstByteMillis(WaitingEntry entry, long nowNanos) {
     double min = Double.MAX_VALUE;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.Room;
 import dev.agatepier.core.version.AllowedRegions;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,7 +18,6 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  private final SlotRule rule;
   private final WorkspaceLedger ledger;
   private final WaitingRequests waiting;
   private final UsableUpstreams upstreams;
@@ -26,13 +26,11 @@
   private final PredictionError error;
 
   WaitEstimates(
-      SlotRule rule,
       WorkspaceLedger ledger,
       WaitingRequests waiting,
       UsableUpstreams upstreams,
       ColdUpstreams coldUpstreams,
       PredictionError error) {
-    this.rule = rule;
     this.ledger = ledger;
     this.waiting = waiting;
     this.upstreams = upstreams;
@@ -158,23 +156,11 @@
    * limits the requests.
    */
   private double delayBehind(double work, double requests, AllowedRegions allowed, long nowNanos) {
-    double backlog = 0;
-    int usable = 0;
-    int cold = 0;
-    for (UpstreamLoad upstream : upstreams.all()) {
-      if (!upstreams.isUsable(upstream, allowed, nowNanos)) {
-        continue;
-      }
-      if (coldUpstreams.isCold(upstream, nowNanos)) {
-        cold++;
-      } else {
-        usable++;
-        backlog += rule.backlogMillis(upstream, nowNanos);
-      }
-    }
-    if (usable == 0) {
-      return cold == 0 ? NO_UPSTREAM_MILLIS : requests * coldUpstreams.grantMillis() / cold;
+    Room room = upstreams.room(allowed, nowNanos);
+    if (room.parallelism() > 0) {
+      return room.behind(work).waitMillis();
     }
-    return (work + backlog) / (usable * rule.parallelism());
+    int cold = upstreams.count(allowed, nowNanos);
+    return cold == 0 ? NO_UPSTREAM_MILLIS : requests * coldUpstreams.grantMillis() / cold;
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.process.Room;
 import dev.agatepier.core.version.AllowedRegions;
 import java.util.Comparator;
 
@@ -90,6 +91,6 @@
 
   /** Returns whether a response that starts after the given time meets the objective. */
   boolean meetsObjective(double expectedMillis, long nowNanos) {
-    return nowNanos + (long) (expectedMillis * NANOS_PER_MILLI) <= dueNanos;
+    return Room.isWithin(expectedMillis, dueNanos - nowNanos);
   }
 }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/EngineMemoryTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/EngineMemoryTest.java
@@ -50,6 +50,22 @@
     assertEquals(runningAtOnce(allocator(SlotAllocatorPolicy.VARYING_CAPACITY)), 8);
   }
 
+  /**
+   * A cached part that no running request uses is pinned again by the next one, so that its memory
+   * must not be regarded as free.
+   */
+  @Test
+  public void cachedPartsThatNoRequestUsesNeedMemory() {
+    SlotAllocatorFixture allocator = allocator(SlotAllocatorPolicy.FIRST_ATTEMPT);
+    run(allocator, allocator.requestModel("w", 60_000, "shared", 45_000), 100);
+    RequestId other = allocator.requestHinted("w", 20_000, 100);
+    allocator.sendChange(MODEL, other, SlotStage.RESPONSE_STARTED, 0);
+    assertEquals(
+        allocator.isGranted(allocator.requestModel("w", 60_000, "shared", 45_000)),
+        false,
+        "90,000 and 20,000 tokens exceed the memory");
+  }
+
   /** A response that outlives its expectation must not leave its memory to further requests. */
   @Test
   public void reserveGrowsWithWhatWasGenerated() {
