--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -14,6 +14,7 @@
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.process.internal.RejectedCallers.Rejection;
+import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import java.util.List;
@@ -49,6 +50,7 @@
   private final GrantRate grantRate = new GrantRate();
   private final RetryPromises promises;
   private final SharedPartUses partUses = new SharedPartUses();
+  private final ResponseLengths lengths = new ResponseLengths();
   private final DelayReports reports = new DelayReports();
   private long lastSequence;
   private OptionalLong decayedNanos = OptionalLong.empty();
@@ -89,20 +91,19 @@
       Function<UsableUpstreams, UpstreamChoice> choices) {
     this.service = entry.name();
     this.policy = policy;
-    this.rule = SlotRule.of(entry.kind(), policy);
+    this.rule = SlotRule.of(entry.kind(), policy, lengths);
     this.ledger = ledger;
     this.regions = regions;
     this.effects = effects;
     this.costs = new AllocatorCostExchange(ledger);
     PredictionError error = new PredictionError();
-    this.allocations = new SlotAllocations(service, rule, ledger, effects, error);
+    this.allocations = new SlotAllocations(service, rule, ledger, effects, error, lengths);
     this.waiting = new WaitingRequests(ledger);
     this.upstreams = new ServiceUpstreams(service, policy, effects);
     this.usable = new UsableUpstreams(rule, upstreams, regions);
     this.promises = new RetryPromises(policy.retryAfterMillis(), grantRate);
     this.choice = choices.apply(usable);
-    this.waits =
-        new WaitEstimates(rule, ledger, waiting, usable, upstreams.cold(), error, promises);
+    this.waits = new WaitEstimates(ledger, waiting, usable, upstreams.cold(), error, promises);
     this.scheduler =
         new SlotScheduler(rule, ledger, waiting, usable, upstreams.cold(), waits, choice);
     this.rejections =
@@ -114,6 +115,7 @@
     ledger.activate(table);
     waiting.all().forEach(regions::update);
     upstreams.activate(table, nowNanos);
+    lengths.activate(table);
   }
 
   /** Returns the upstreams of the service. */
@@ -123,7 +125,7 @@
 
   /** Handles a message of a router. */
   public void onMessage(String router, SlotMessage message, long nowNanos) {
-    upstreams.refreshEstimates(nowNanos);
+    refreshEstimates(nowNanos);
     switch (message) {
       case SlotMessage.SlotsWanted wanted -> onSlotsWanted(router, wanted, nowNanos);
       case SlotMessage.SlotsChanged(String name, List<SlotChange> changes) ->
@@ -168,7 +170,7 @@
     if (waiting.isEmpty()) {
       return;
     }
-    upstreams.refreshEstimates(nowNanos);
+    refreshEstimates(nowNanos);
     SlotScheduler.Assignment assignment = scheduler.next(nowNanos);
     while (assignment != null) {
       grant(assignment, nowNanos);
@@ -181,8 +183,11 @@
    * number of waiting requests, so it is done periodically and not for each event.
    */
   public void review(long nowNanos) {
-    upstreams.refreshEstimates(nowNanos);
+    refreshEstimates(nowNanos);
     upstreams.review(nowNanos);
+    if (lengths.applied()) {
+      upstreams.updateGenerated(nowNanos);
+    }
     if (waiting.isEmpty()) {
       return;
     }
@@ -254,7 +259,21 @@
   /** Returns the status for the administration interface. */
   public ServiceSlotsStatus status(long nowNanos) {
     return new ServiceSlotsStatus(
-        service, waiting.size(), allocations.size(), upstreams.status(rule, nowNanos));
+        service,
+        waiting.size(),
+        allocations.size(),
+        upstreams.status(rule, nowNanos),
+        usable.room(AllowedRegions.ALL, nowNanos));
+  }
+
+  /** Takes over the estimates as of now, and whether objectives count from the first attempt. */
+  private void refreshEstimates(long nowNanos) {
+    upstreams.refreshEstimates(nowNanos);
+    lengths.setApplied(countsFromFirstAttempt());
+  }
+
+  private boolean countsFromFirstAttempt() {
+    return policy.countsFromFirstAttempt(upstreams.capacityVaries());
   }
 
   private void onSlotsWanted(String router, SlotMessage.SlotsWanted wanted, long nowNanos) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/HomeChoiceTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/HomeChoiceTest.java
@@ -50,7 +50,7 @@
     choice =
         new HomeChoice(
             new UsableUpstreams(
-                SlotRule.of(ServiceKind.MODEL, SlotAllocatorPolicy.DEFAULT),
+                SlotRule.of(ServiceKind.MODEL, SlotAllocatorPolicy.DEFAULT, new ResponseLengths()),
                 upstreams,
                 new AllocatorRegions(DataCentreRegions.NONE)),
             (prefix, homes, previous) -> counts.add(homes));
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -80,13 +80,13 @@
             "",
             common.processor().capacity());
     scheduler = environment.scheduler();
-    LinkRegistry links = new LinkRegistry();
     MetricRegistry metrics = new MetricRegistry();
     ProcessResources resources = environment.resources();
     MemoryBudget memory =
         new MemoryBudget(common.limits().memoryBudget(resources), System::nanoTime);
     memory.register(metrics);
     logLimits(common.limits(), resources);
+    LinkRegistry links = new LinkRegistry();
     TableLease lease =
         new TableLease(
             common.versions().leaseMillis(), System::nanoTime, System::currentTimeMillis);
