Promise capacity to rejected callers only where a setting asks for it

Cause: a promise holds at the allocator that made it; in a fleet of several data centres callers come back to any of them, and what was kept for them is lost for others.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorPolicy.java
@@ -26,6 +26,8 @@
  *     #FIRST_ATTEMPT} or {@link #VARYING_CAPACITY}
  * @param prefixHomes how many upstreams are homes of a prompt prefix: {@link #ONE_HOME} or {@link
  *     #HOMES_BY_LOAD}
+ * @param retryPromises whether capacity is promised to rejected callers for the time at which they
+ *     are to come back, where objectives count from the first attempt
  */
 public record SlotAllocatorPolicy(
     long backlogMillis,
@@ -38,7 +40,8 @@
     double coldSlack,
     boolean evenLoad,
     String admission,
-    String prefixHomes) {
+    String prefixHomes,
+    boolean retryPromises) {
 
   /** Maximum sum of the overage and the slack, far above any useful one. */
   private static final double MAXIMUM_COLD = 1_000;
@@ -74,7 +77,7 @@
 
   /** The default values. docs/decisions/0011 documents the experiments behind them. */
   public static final SlotAllocatorPolicy DEFAULT =
-      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 0, 0, false, ARRIVAL, ONE_HOME);
+      new SlotAllocatorPolicy(80, 0.92, 1_500, 0, 1_000, 0, 0, 0, false, ARRIVAL, ONE_HOME, false);
 
   /** Checks that every value is in range. */
   public SlotAllocatorPolicy {
@@ -144,7 +147,8 @@
         coldSlack,
         evenLoad,
         admission,
-        prefixHomes);
+        prefixHomes,
+        retryPromises);
   }
 
   /** Returns this policy with a limit of the requests to cold upstreams. */
@@ -160,7 +164,8 @@
         slack,
         evenLoad,
         admission,
-        prefixHomes);
+        prefixHomes,
+        retryPromises);
   }
 
   /** Returns this policy with the estimate of load for all upstreams. */
@@ -176,7 +181,8 @@
         coldSlack,
         true,
         admission,
-        prefixHomes);
+        prefixHomes,
+        retryPromises);
   }
 
   /** Returns this policy with another start of the objective of requests. */
@@ -192,7 +198,8 @@
         coldSlack,
         evenLoad,
         newAdmission,
-        prefixHomes);
+        prefixHomes,
+        retryPromises);
   }
 
   /** Returns this policy with another number of homes of prompt prefixes. */
@@ -208,7 +215,25 @@
         coldSlack,
         evenLoad,
         admission,
-        newPrefixHomes);
+        newPrefixHomes,
+        retryPromises);
+  }
+
+  /** Returns this policy with capacity promised to rejected callers. */
+  public SlotAllocatorPolicy withRetryPromises() {
+    return new SlotAllocatorPolicy(
+        backlogMillis,
+        memoryShare,
+        stallMillis,
+        lateMillis,
+        retryAfterMillis,
+        costWindowMillis,
+        coldOverage,
+        coldSlack,
+        evenLoad,
+        admission,
+        prefixHomes,
+        true);
   }
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRejections.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRejections.java
@@ -102,7 +102,7 @@
     if (!entry.fromFirstAttempt) {
       return policy.retryAfterMillis();
     }
-    if (!alternative.isEmpty()) {
+    if (!alternative.isEmpty() || !policy.retryPromises()) {
       return promises.advise(entry, nowNanos);
     }
     double inTimeMillis =
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -77,7 +77,8 @@
           5,
           false,
           SlotAllocatorPolicy.ARRIVAL,
-          SlotAllocatorPolicy.ONE_HOME);
+          SlotAllocatorPolicy.ONE_HOME,
+          false);
 
   private enum Fault {
     NONE,
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
@@ -198,7 +198,8 @@
                 5,
                 false,
                 SlotAllocatorPolicy.ARRIVAL,
-                SlotAllocatorPolicy.ONE_HOME),
+                SlotAllocatorPolicy.ONE_HOME,
+                false),
             Optional.of(SlotAllocatorFixture.WARM_UP));
     allocator.publishUpstreams("m1c");
     allocator.advance(1_351);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
@@ -88,7 +88,7 @@
               time,
               DATA_CENTRES,
               names,
-              SlotAllocatorPolicy.DEFAULT.withAdmission(admission),
+              SlotAllocatorPolicy.DEFAULT.withAdmission(admission).withRetryPromises(),
               PREFILL_TOKENS_PER_MILLI,
               this);
       time.after(0, this::ask);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RetryOrderTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RetryOrderTest.java
@@ -36,7 +36,9 @@
   public void setUp() {
     allocator =
         SlotAllocatorFixture.newWithColdUpstreams(
-            SlotAllocatorPolicy.DEFAULT.withAdmission(SlotAllocatorPolicy.FIRST_ATTEMPT),
+            SlotAllocatorPolicy.DEFAULT
+                .withAdmission(SlotAllocatorPolicy.FIRST_ATTEMPT)
+                .withRetryPromises(),
             Optional.empty());
     allocator.publishUpstreams("p1");
     running = request("w", "r", 5_000, TIME_LEFT_MILLIS, 0);
