Test the admission from the first attempt with and without promises

Cause: with retry promises behind a setting, no test showed what the admission does without them, as deployed. Change: newRequestsAreServedInTimeBeforeRepeatedOnes runs for both.

--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -21,6 +22,14 @@
  */
 public class RepeatingCallersTest {
 
+  private static final SlotAllocatorPolicy FROM_ARRIVAL =
+      SlotAllocatorPolicy.DEFAULT.withAdmission(SlotAllocatorPolicy.ARRIVAL);
+
+  private static final SlotAllocatorPolicy FROM_FIRST_ATTEMPT =
+      SlotAllocatorPolicy.DEFAULT.withAdmission(SlotAllocatorPolicy.FIRST_ATTEMPT);
+
+  private static final SlotAllocatorPolicy WITH_PROMISES = FROM_FIRST_ATTEMPT.withRetryPromises();
+
   private static final List<String> DATA_CENTRES = List.of("a1", "b1");
   private static final int WORKSPACES = 6;
   private static final int DURATION_MILLIS = 30_000;
@@ -76,21 +85,15 @@
     private int inTime;
     private int late;
 
-    private Callers(String admission) {
-      this(admission, 0);
+    private Callers(SlotAllocatorPolicy policy) {
+      this(policy, 0);
     }
 
-    private Callers(String admission, double eagerShare) {
+    private Callers(SlotAllocatorPolicy policy, double eagerShare) {
       this.eagerShare = eagerShare;
       List<String> names = IntStream.range(0, WORKSPACES).mapToObj(index -> "w" + index).toList();
       fleet =
-          new AllocatingFleet(
-              time,
-              DATA_CENTRES,
-              names,
-              SlotAllocatorPolicy.DEFAULT.withAdmission(admission).withRetryPromises(),
-              PREFILL_TOKENS_PER_MILLI,
-              this);
+          new AllocatingFleet(time, DATA_CENTRES, names, policy, PREFILL_TOKENS_PER_MILLI, this);
       time.after(0, this::ask);
       time.runUntil(DURATION_MILLIS);
     }
@@ -153,10 +156,16 @@
     }
   }
 
-  @Test
-  public void newRequestsAreServedInTimeBeforeRepeatedOnes() {
-    Callers before = new Callers(SlotAllocatorPolicy.ARRIVAL);
-    Callers after = new Callers(SlotAllocatorPolicy.FIRST_ATTEMPT);
+  @DataProvider
+  public Object[][] policiesFromTheFirstAttempt() {
+    return new Object[][] {{FROM_FIRST_ATTEMPT}, {WITH_PROMISES}};
+  }
+
+  /** Guards against repeated requests, which are late anyway, that make new ones late. */
+  @Test(dataProvider = "policiesFromTheFirstAttempt")
+  public void newRequestsAreServedInTimeBeforeRepeatedOnes(SlotAllocatorPolicy policy) {
+    Callers before = new Callers(FROM_ARRIVAL);
+    Callers after = new Callers(policy);
     String figures =
         String.format(
             "in time %d, late %d; from the first attempt in time %d, late %d",
@@ -174,8 +183,12 @@
    */
   @Test
   public void usualServicesCountFromTheArrivalUnlessCapacityVaries() {
-    Callers arrival = new Callers(SlotAllocatorPolicy.ARRIVAL);
-    Callers varying = new Callers(SlotAllocatorPolicy.VARYING_CAPACITY);
+    Callers arrival = new Callers(FROM_ARRIVAL);
+    Callers varying =
+        new Callers(
+            SlotAllocatorPolicy.DEFAULT
+                .withAdmission(SlotAllocatorPolicy.VARYING_CAPACITY)
+                .withRetryPromises());
     assertEquals(
         varying.inTime + " " + varying.late, arrival.inTime + " " + arrival.late, "in time, late");
     assertEquals(varying.decisions, arrival.decisions);
@@ -189,8 +202,8 @@
   /** A caller that was told when to come back must find the capacity that it was promised. */
   @Test
   public void secondTriesAreServedMoreOftenThanFirstOnes() {
-    Callers before = new Callers(SlotAllocatorPolicy.ARRIVAL);
-    Callers after = new Callers(SlotAllocatorPolicy.FIRST_ATTEMPT);
+    Callers before = new Callers(FROM_ARRIVAL);
+    Callers after = new Callers(WITH_PROMISES);
     String figures =
         String.format(
             "first tries %.3f, second %.3f; with promises first %.3f, second %.3f",
@@ -205,8 +218,8 @@
   /** Repeating at once, four times, must not displace those that wait for their retry time. */
   @Test
   public void callersThatRepeatAtOnceGainNothing() {
-    Callers before = new Callers(SlotAllocatorPolicy.ARRIVAL, 0.5);
-    Callers after = new Callers(SlotAllocatorPolicy.FIRST_ATTEMPT, 0.5);
+    Callers before = new Callers(FROM_ARRIVAL, 0.5);
+    Callers after = new Callers(WITH_PROMISES, 0.5);
     String figures =
         String.format(
             "patient callers %.3f, eager %.3f; with promises patient %.3f, eager %.3f",
