Use one piece of code for maps, averages and prompt figures that were written again

Cause: three maps bounded by use were written in core, beside LeastRecentlyUsedMap of wire and one older copy; an average over time stood in two classes; shared and own tokens of a prompt were computed in two; the settings of the slot allocator had six copy methods of twelve arguments that only tests call; one method asked the policy directly beside the method that does; a grant computed the time to the first byte three times. Change: LeastRecentlyUsedMap moves to core and serves all five; TimedAverage; PromptMetadata.sharedTokens and ownTokens; the copy methods become a builder in the test sources; a method without callers is removed. No decision changes; assertions, bounds and seeds of tests are as they were.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -185,7 +185,7 @@
     }
     long senders =
         routers.stream().filter(router -> router.dataCentre().equals(self.dataCentre())).count();
-    int tokens = request.call.prompt().map(DataCentreSelector::ownTokens).orElse(0);
+    int tokens = request.call.prompt().map(PromptMetadata::ownTokens).orElse(0);
     load.movedMillis +=
         MOVED_WEIGHT * Math.max(1, senders) * load.load.capacity().get().addedMillis(tokens);
   }
@@ -269,11 +269,6 @@
         .orElse(PREFILL_MILLIS_PER_TOKEN);
   }
 
-  /** Returns the tokens that no other request has in its prompt. */
-  private static int ownTokens(PromptMetadata prompt) {
-    return Math.max(0, prompt.promptTokens() - SharedPrefix.sharedTokens(prompt));
-  }
-
   private static String key(String service, String dataCentre) {
     return service + '\n' + dataCentre;
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HomeChoice.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HomeChoice.java
@@ -1,8 +1,8 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.LeastRecentlyUsedMap;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -30,15 +30,7 @@
   private final UsableUpstreams upstreams;
   private final HomeCounts counts;
   private final SmoothedSpeeds speeds = new SmoothedSpeeds();
-  private final Map<String, Ranking> rankings =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Ranking> eldest) {
-          return size() > CAPACITY;
-        }
-      };
+  private final Map<String, Ranking> rankings = new LeastRecentlyUsedMap<>(CAPACITY);
 
   /** The upstreams by their rank for a prefix. */
   private record Ranking(List<UpstreamLoad> upstreams, long rankedNanos) {}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HomeCounts.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HomeCounts.java
@@ -1,6 +1,6 @@
 package dev.agatepier.core.process.internal;
 
-import java.util.LinkedHashMap;
+import dev.agatepier.core.process.LeastRecentlyUsedMap;
 import java.util.Map;
 
 /**
@@ -34,15 +34,7 @@
 
   private final Listener listener;
 
-  private final Map<String, Load> loads =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Load> eldest) {
-          return size() > CAPACITY;
-        }
-      };
+  private final Map<String, Load> loads = new LeastRecentlyUsedMap<>(CAPACITY);
 
   /** Decayed work of a prefix, and its number of homes. */
   private static final class Load {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefixAffinity.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/PrefixAffinity.java
@@ -1,7 +1,7 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.LeastRecentlyUsedMap;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** LRU map from prompt prefixes to the sidecar that last served each of them. */
@@ -13,15 +13,7 @@
   /** Maximum number of prefixes; the least recently used are evicted. */
   private static final int CAPACITY = 8_192;
 
-  private final Map<Long, String> sidecars =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, String> eldest) {
-          return size() > CAPACITY;
-        }
-      };
+  private final Map<Long, String> sidecars = new LeastRecentlyUsedMap<>(CAPACITY);
 
   /** Records which sidecar served a call; calls without a body are ignored. */
   void recordServed(CallArrived call, String sidecar) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -14,6 +14,7 @@
 import dev.agatepier.core.process.SlotAllocatorEffect.Send;
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.process.internal.RejectedCallers.Rejection;
+import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
@@ -311,7 +312,7 @@
   }
 
   private WaitingEntry newEntry(String router, WaitingCall call, long tableVersion, long nowNanos) {
-    boolean fromFirstAttempt = policy.countsFromFirstAttempt(upstreams.capacityVaries());
+    boolean fromFirstAttempt = countsFromFirstAttempt();
     Optional<Rejection> rejection =
         fromFirstAttempt ? promises.findRejection(call, nowNanos) : Optional.empty();
     long ageMillis =
@@ -348,8 +349,9 @@
   private void grant(SlotScheduler.Assignment assignment, long nowNanos) {
     WaitingEntry entry = assignment.entry();
     UpstreamLoad upstream = assignment.upstream();
+    double firstByteMillis = rule.firstByteMillis(upstream, entry.call);
     if (entry.fromFirstAttempt) {
-      grantRate.recordGranted(rule.firstByteMillis(upstream, entry.call), nowNanos);
+      grantRate.recordGranted(firstByteMillis, nowNanos);
     }
     FairPosition position = ledger.position(entry.workspace());
     rejections.levels().recordGranted(position.virtualService());
@@ -363,10 +365,10 @@
             upstream.upstream.name(),
             entry.waitedMillis(nowNanos),
             Math.round(rule.backlogMillis(upstream, nowNanos)),
-            Math.round(rule.firstByteMillis(upstream, entry.call)),
+            Math.round(firstByteMillis),
             ModelSlotRule.uncachedTokens(upstream, entry.call),
             entry.call.prompt().map(upstream.cache::uncachedSharedTokens).orElse(0),
-            entry.call.prompt().map(SharedPrefix::sharedTokens).orElse(0),
+            entry.call.prompt().map(PromptMetadata::sharedTokens).orElse(0),
             entry
                 .call
                 .prompt()
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SharedPartUses.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SharedPartUses.java
@@ -1,8 +1,8 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.LeastRecentlyUsedMap;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.PromptPart;
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** When the requests of one service last used each shared prompt part, for the metrics. */
@@ -14,15 +14,7 @@
   /** Maximum number of parts. */
   private static final int CAPACITY = 8_192;
 
-  private final Map<String, Long> usedNanos =
-      new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > CAPACITY;
-        }
-      };
+  private final Map<String, Long> usedNanos = new LeastRecentlyUsedMap<>(CAPACITY);
 
   /**
    * Records that a request gets a slot of an engine.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SharedPrefix.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SharedPrefix.java
@@ -1,8 +1,6 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.request.PromptMetadata;
-import dev.agatepier.core.request.PromptPart;
-import java.util.List;
 import java.util.Optional;
 
 /**
@@ -20,25 +18,12 @@
   /** Returns the shared prefix of a prompt; empty if it is short. */
   static Optional<SharedPrefix> of(Optional<PromptMetadata> prompt) {
     return prompt
-        .filter(found -> sharedTokens(found) >= MINIMUM_TOKENS)
+        .filter(found -> found.sharedTokens() >= MINIMUM_TOKENS)
         .map(
             found ->
                 new SharedPrefix(
                     found.sharedParts().getLast().identity(),
-                    sharedTokens(found),
-                    Math.max(0, found.promptTokens() - sharedTokens(found))));
-  }
-
-  /** Returns the tokens of all parts but the last, which only one request has. */
-  static int sharedTokens(PromptMetadata prompt) {
-    return tokens(prompt.sharedParts());
-  }
-
-  static int tokens(List<PromptPart> parts) {
-    int tokens = 0;
-    for (PromptPart part : parts) {
-      tokens += part.tokens();
-    }
-    return tokens;
+                    found.sharedTokens(),
+                    found.ownTokens()));
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SmoothedSpeeds.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SmoothedSpeeds.java
@@ -20,27 +20,20 @@
    */
   private static final double TOLERANCE = 0.2;
 
-  private static final double NANOS_PER_MILLI = 1e6;
-
   private final Map<String, Speed> speeds = new HashMap<>();
 
   private static final class Speed {
+    private final TimedAverage average = new TimedAverage(PERIOD_MILLIS, 0);
     private double inUse;
-    private double average;
-    private int measurements;
-    private long measuredNanos;
   }
 
   /** Records the speed of something as measured now. */
   void record(String name, double measured, long nowNanos) {
     Speed speed = speeds.computeIfAbsent(name, key -> new Speed());
-    double millis = Math.max(0, (nowNanos - speed.measuredNanos) / NANOS_PER_MILLI);
-    speed.measurements = Math.min(speed.measurements + 1, Integer.MAX_VALUE - 1);
-    speed.measuredNanos = nowNanos;
-    double weight = Math.max(1.0 / speed.measurements, 1 - Math.exp(-millis / PERIOD_MILLIS));
-    speed.average += Math.min(1, weight) * (measured - speed.average);
-    if (Math.abs(speed.average - speed.inUse) > TOLERANCE * speed.inUse) {
-      speed.inUse = speed.average;
+    speed.average.record(measured, nowNanos);
+    double average = speed.average.value();
+    if (Math.abs(average - speed.inUse) > TOLERANCE * speed.inUse) {
+      speed.inUse = average;
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoadEstimate.java
@@ -37,15 +37,13 @@
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final OwnLoadHistory own = new OwnLoadHistory();
+  private final TimedAverage pace = new TimedAverage(PACE_MILLIS, 1);
+  private final TimedAverage lastingPace = new TimedAverage(LASTING_PACE_MILLIS, 1);
   private double requestMillis = INITIAL_REQUEST_MILLIS;
   private double slotMillis;
   private long statedNanos = Long.MIN_VALUE / 2;
   private double otherRequests;
   private double otherWaiting;
-  private long paceNanos;
-  private int statedPaces;
-  private double pace = 1;
-  private double lastingPace = 1;
   private double outputTokenMillis;
   private double runningAtOutput;
   private double errorMillis;
@@ -106,7 +104,7 @@
 
   /** Returns whether the upstream has stated its pace. */
   boolean statesPace() {
-    return statedPaces > 0;
+    return pace.isMeasured();
   }
 
   private double ageMillis(long nowNanos) {
@@ -133,12 +131,14 @@
    * approaches the average of a longer period.
    */
   double paceFactor(long nowNanos) {
-    return lastingPace + (pace - lastingPace) * freshness(nowNanos - paceNanos, PACE_MILLIS);
+    double lasting = lastingPace.value();
+    return lasting
+        + (pace.value() - lasting) * freshness(nowNanos - pace.measuredNanos(), PACE_MILLIS);
   }
 
   /** Returns the pace factor relative to the average over a longer period. */
   double momentaryPaceFactor(long nowNanos) {
-    return paceFactor(nowNanos) / lastingPace;
+    return paceFactor(nowNanos) / lastingPace.value();
   }
 
   /**
@@ -169,13 +169,8 @@
   }
 
   private void recordPace(double stated, long nanos) {
-    double millis = Math.max(0, (nanos - paceNanos) / NANOS_PER_MILLI);
-    statedPaces = Math.min(statedPaces + 1, Integer.MAX_VALUE - 1);
-    double firstWeight = 1.0 / statedPaces;
-    pace += Math.max(firstWeight, 1 - Math.exp(-millis / PACE_MILLIS)) * (stated - pace);
-    lastingPace +=
-        Math.max(firstWeight, 1 - Math.exp(-millis / LASTING_PACE_MILLIS)) * (stated - lastingPace);
-    paceNanos = nanos;
+    pace.record(stated, nanos);
+    lastingPace.record(stated, nanos);
   }
 
   /** Returns the weight of a statement of the given age, from 0 to 1. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/PromptMetadata.java
@@ -76,4 +76,14 @@
   public List<PromptPart> sharedParts() {
     return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
   }
+
+  /** Returns the length of the parts that other requests may have too, in tokens. */
+  public int sharedTokens() {
+    return PromptPart.sumTokens(sharedParts());
+  }
+
+  /** Returns the tokens that no other request has. */
+  public int ownTokens() {
+    return Math.max(0, promptTokens - sharedTokens());
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/request/PromptPart.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/PromptPart.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.request;
 
+import java.util.List;
 import java.util.Objects;
 
 /**
@@ -19,4 +20,13 @@
       throw new IllegalArgumentException("tokens " + tokens + " is negative");
     }
   }
+
+  /** Returns the length of some parts together, in tokens. */
+  public static int sumTokens(List<PromptPart> parts) {
+    int sum = 0;
+    for (PromptPart part : parts) {
+      sum += part.tokens;
+    }
+    return sum;
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/AllowedRegions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/AllowedRegions.java
@@ -33,11 +33,6 @@
     return all || names.contains(region);
   }
 
-  /** Returns whether no region is permitted. */
-  public boolean permitsNothing() {
-    return !all && names.isEmpty();
-  }
-
   /** Returns the regions that are permitted by both. */
   public AllowedRegions and(AllowedRegions other) {
     if (all) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsFleetTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllowedRegionsFleetTest.java
@@ -142,7 +142,7 @@
             DATA_CENTRES,
             AllocatingRouter.table(workspaces),
             regions,
-            SlotAllocatorPolicy.DEFAULT.withCostWindow(4_000),
+            new SlotAllocatorPolicyBuilder().costWindowMillis(4_000).build(),
             PREFILL_TOKENS_PER_MILLI,
             callers);
     for (int number = 0; number < rate * SECONDS; number++) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamExplorerTest.java
@@ -66,19 +66,11 @@
   private static final int QUOTA = 2;
 
   private static final SlotAllocatorPolicy POLICY =
-      new SlotAllocatorPolicy(
-          10_000,
-          0.92,
-          60_000,
-          0,
-          1_000,
-          0,
-          0.1,
-          5,
-          false,
-          SlotAllocatorPolicy.ARRIVAL,
-          SlotAllocatorPolicy.ONE_HOME,
-          false);
+      new SlotAllocatorPolicyBuilder()
+          .backlogMillis(10_000)
+          .stallMillis(60_000)
+          .coldLimit(0.1, 5)
+          .build();
 
   private enum Fault {
     NONE,
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ColdUpstreamsTest.java
@@ -187,19 +187,7 @@
   private static SlotAllocatorFixture withLongBacklog() {
     SlotAllocatorFixture allocator =
         SlotAllocatorFixture.newWithColdUpstreams(
-            new SlotAllocatorPolicy(
-                10_000,
-                0.92,
-                1_500,
-                0,
-                1_000,
-                0,
-                1.5,
-                5,
-                false,
-                SlotAllocatorPolicy.ARRIVAL,
-                SlotAllocatorPolicy.ONE_HOME,
-                false),
+            new SlotAllocatorPolicyBuilder().backlogMillis(10_000).coldLimit(1.5, 5).build(),
             Optional.of(SlotAllocatorFixture.WARM_UP));
     allocator.publishUpstreams("m1c");
     allocator.advance(1_351);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/EngineMemoryTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/EngineMemoryTest.java
@@ -16,7 +16,7 @@
   private static SlotAllocatorFixture allocator(String admission) {
     SlotAllocatorFixture allocator =
         SlotAllocatorFixture.newWithColdUpstreams(
-            SlotAllocatorPolicy.DEFAULT.withAdmission(admission), Optional.empty());
+            new SlotAllocatorPolicyBuilder().admission(admission).build(), Optional.empty());
     allocator.publishUpstreams("m1");
     return allocator;
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/EvenDataCentresTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/EvenDataCentresTest.java
@@ -32,7 +32,7 @@
   /** Guards against two data centres that send requests to each other at the same moment. */
   @Test
   public void dataCentresDoNotSendToEachOtherAtOnce() {
-    Callers callers = run(SlotAllocatorPolicy.DEFAULT.withEvenLoad(), true);
+    Callers callers = run(new SlotAllocatorPolicyBuilder().evenLoad().build(), true);
     assertTrue(callers.moved() > 200, callers.text());
     assertTrue(callers.mutualWindows() <= 2, callers.text());
   }
@@ -40,7 +40,7 @@
   /** Guards against requests that fail in a data centre at its peak while another has room. */
   @Test
   public void peakOfOneDataCentreIsServedByTheOther() {
-    Callers callers = run(SlotAllocatorPolicy.DEFAULT.withEvenLoad(), false);
+    Callers callers = run(new SlotAllocatorPolicyBuilder().evenLoad().build(), false);
     assertTrue(callers.lateOrRejected() < 0.005, callers.text());
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/PrefixHomesExperiment.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/PrefixHomesExperiment.java
@@ -171,9 +171,10 @@
 
   /** Returns the policy of the platform with a number of homes. */
   static SlotAllocatorPolicy policy(String homes) {
-    return SlotAllocatorPolicy.DEFAULT
-        .withAdmission(SlotAllocatorPolicy.VARYING_CAPACITY)
-        .withPrefixHomes(homes);
+    return new SlotAllocatorPolicyBuilder()
+        .admission(SlotAllocatorPolicy.VARYING_CAPACITY)
+        .prefixHomes(homes)
+        .build();
   }
 
   private Figures run() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/PrefixHomesFleetTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/PrefixHomesFleetTest.java
@@ -36,10 +36,11 @@
   /** Guards against an effect where the admission does not ask for it. */
   @Test
   public void otherAdmissionsDecideAsBefore() {
-    SlotAllocatorPolicy arrival = SlotAllocatorPolicy.DEFAULT;
     assertEquals(
-        decisions(arrival.withPrefixHomes(SlotAllocatorPolicy.HOMES_BY_LOAD), true),
-        decisions(arrival, true));
+        decisions(
+            new SlotAllocatorPolicyBuilder().prefixHomes(SlotAllocatorPolicy.HOMES_BY_LOAD).build(),
+            true),
+        decisions(SlotAllocatorPolicy.DEFAULT, true));
   }
 
   /** Guards against an effect at services whose capacity does not vary. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RepeatingCallersTest.java
@@ -23,12 +23,16 @@
 public class RepeatingCallersTest {
 
   private static final SlotAllocatorPolicy FROM_ARRIVAL =
-      SlotAllocatorPolicy.DEFAULT.withAdmission(SlotAllocatorPolicy.ARRIVAL);
+      new SlotAllocatorPolicyBuilder().admission(SlotAllocatorPolicy.ARRIVAL).build();
 
   private static final SlotAllocatorPolicy FROM_FIRST_ATTEMPT =
-      SlotAllocatorPolicy.DEFAULT.withAdmission(SlotAllocatorPolicy.FIRST_ATTEMPT);
+      new SlotAllocatorPolicyBuilder().admission(SlotAllocatorPolicy.FIRST_ATTEMPT).build();
 
-  private static final SlotAllocatorPolicy WITH_PROMISES = FROM_FIRST_ATTEMPT.withRetryPromises();
+  private static final SlotAllocatorPolicy WITH_PROMISES =
+      new SlotAllocatorPolicyBuilder()
+          .admission(SlotAllocatorPolicy.FIRST_ATTEMPT)
+          .retryPromises()
+          .build();
 
   private static final List<String> DATA_CENTRES = List.of("a1", "b1");
   private static final int WORKSPACES = 6;
@@ -186,9 +190,10 @@
     Callers arrival = new Callers(FROM_ARRIVAL);
     Callers varying =
         new Callers(
-            SlotAllocatorPolicy.DEFAULT
-                .withAdmission(SlotAllocatorPolicy.VARYING_CAPACITY)
-                .withRetryPromises());
+            new SlotAllocatorPolicyBuilder()
+                .admission(SlotAllocatorPolicy.VARYING_CAPACITY)
+                .retryPromises()
+                .build());
     assertEquals(
         varying.inTime + " " + varying.late, arrival.inTime + " " + arrival.late, "in time, late");
     assertEquals(varying.decisions, arrival.decisions);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RetryOrderTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RetryOrderTest.java
@@ -36,9 +36,10 @@
   public void setUp() {
     allocator =
         SlotAllocatorFixture.newWithColdUpstreams(
-            SlotAllocatorPolicy.DEFAULT
-                .withAdmission(SlotAllocatorPolicy.FIRST_ATTEMPT)
-                .withRetryPromises(),
+            new SlotAllocatorPolicyBuilder()
+                .admission(SlotAllocatorPolicy.FIRST_ATTEMPT)
+                .retryPromises()
+                .build(),
             Optional.empty());
     allocator.publishUpstreams("p1");
     running = request("w", "r", 5_000, TIME_LEFT_MILLIS, 0);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -52,7 +52,8 @@
   static final WarmUp WARM_UP = new WarmUp(3_000, 10);
 
   /** Limits a cold upstream of that warm-up to 20 requests a second. */
-  static final SlotAllocatorPolicy COLD_LIMIT = SlotAllocatorPolicy.DEFAULT.withColdLimit(1.5, 5);
+  static final SlotAllocatorPolicy COLD_LIMIT =
+      new SlotAllocatorPolicyBuilder().coldLimit(1.5, 5).build();
 
   static final DataCentreRegions REGIONS = new DataCentreRegions(Map.of("a1", "a", "b1", "b"));
 
@@ -87,7 +88,9 @@
     SlotAllocatorFixture allocator =
         new SlotAllocatorFixture(
             new SlotAllocatorDecision(
-                router(ROUTER, "a1"), SlotAllocatorPolicy.DEFAULT.withCostWindow(4_000), REGIONS));
+                router(ROUTER, "a1"),
+                new SlotAllocatorPolicyBuilder().costWindowMillis(4_000).build(),
+                REGIONS));
     allocator.dispatch(new SlotAllocatorEvent.TableActivated(table()));
     allocator.publishUpstreams(upstreams);
     return allocator;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/WorkspaceSharesTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/WorkspaceSharesTest.java
@@ -270,7 +270,8 @@
   }
 
   private static Callers serve(Demand demand, IntUnaryOperator preferred, long seed) {
-    SlotAllocatorPolicy policy = SlotAllocatorPolicy.DEFAULT.withCostWindow(COST_WINDOW_MILLIS);
+    SlotAllocatorPolicy policy =
+        new SlotAllocatorPolicyBuilder().costWindowMillis(COST_WINDOW_MILLIS).build();
     VirtualTime time = new VirtualTime(seed);
     Callers callers = new Callers(time, preferred);
     List<String> names =
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/EvenLoadTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.process.SlotAllocatorPolicy;
+import dev.agatepier.core.process.SlotAllocatorPolicyBuilder;
 import dev.agatepier.core.process.internal.UnevenUpstreams.Behaviour;
 import dev.agatepier.core.process.internal.UnevenUpstreams.Engine;
 import dev.agatepier.core.process.internal.UnevenUpstreams.Handling;
@@ -99,7 +100,7 @@
     Map<String, Behaviour> upstreams = new TreeMap<>();
     IntStream.rangeClosed(1, 6)
         .forEach(index -> upstreams.put("p" + index, new Plain(40, 0.14, random)));
-    SlotAllocatorPolicy policy = SlotAllocatorPolicy.DEFAULT.withEvenLoad();
+    SlotAllocatorPolicy policy = new SlotAllocatorPolicyBuilder().evenLoad().build();
     UnevenUpstreams plain =
         new UnevenUpstreams(ServiceKind.PLAIN, 6, policy, Statements.NONE, upstreams);
     List<Integer> unevenness = new ArrayList<>();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouteMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouteMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import dev.agatepier.core.process.LeastRecentlyUsedMap;
 import dev.agatepier.core.process.RequestMetadata;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/SlotMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import dev.agatepier.core.process.CallerReturn;
 import dev.agatepier.core.process.FairPosition;
+import dev.agatepier.core.process.LeastRecentlyUsedMap;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.wire.process.internal.WorkspaceMetrics.Pair;
 import java.util.Map;
