State the descriptors of the deployment as the setting that exists for them

Cause: the number was read from the environment a second time, in another class and with its own rule for malformed values, beside the setting limits.descriptors, which already replaces the number of the system.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LimitSettings.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LimitSettings.java
@@ -72,12 +72,19 @@
         : MemoryBudget.defaultBytes(process.heapBytes(), process.directBytes());
   }
 
+  /**
+   * Returns the descriptors that a process may open. The setting replaces the system's number also
+   * where that is lower: on the users' platform the system's limit counts files only, not sockets.
+   */
+  public int descriptors(ProcessResources process) {
+    return descriptors > 0 ? descriptors : process.descriptors();
+  }
+
   /**
    * Returns the connections of callers that leave a quarter of the descriptors, beside those of
    * files, to upstreams, the store, peers and the readiness port.
    */
   public int callerConnections(ProcessResources process) {
-    int available = descriptors > 0 ? descriptors : process.descriptors();
-    return Math.clamp((available - FILE_DESCRIPTORS) / 4L * 3, 1, connections);
+    return Math.clamp((descriptors(process) - FILE_DESCRIPTORS) / 4L * 3, 1, connections);
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/ProcessResources.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/ProcessResources.java
@@ -27,15 +27,6 @@
         Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory(), descriptorLimit());
   }
 
-  /**
-   * Returns these resources with the number of descriptors that a deployment states; the same ones
-   * if it is 0 or less. The stated number replaces that of the system also where that is lower: on
-   * the users' platform the system's limit counts files only, not sockets.
-   */
-  public ProcessResources withDescriptors(int stated) {
-    return stated <= 0 ? this : new ProcessResources(heapBytes, directBytes, stated);
-  }
-
   /** Reads the hard limit, to which the Java runtime raises its own. */
   private static int descriptorLimit() {
     try (Stream<String> lines = Files.lines(LIMITS)) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterEnvironment.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterEnvironment.java
@@ -56,11 +56,6 @@
       MemoryBudget memory,
       Consumer<Throwable> failureHandler) {}
 
-  /** Returns what the process may use. */
-  default ProcessResources resources() {
-    return ProcessResources.ofThisProcess();
-  }
-
   /** Returns the event loops for sockets. */
   LoopResources eventLoops();
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -81,7 +81,7 @@
             common.processor().capacity());
     scheduler = environment.scheduler();
     MetricRegistry metrics = new MetricRegistry();
-    ProcessResources resources = environment.resources();
+    ProcessResources resources = ProcessResources.ofThisProcess();
     MemoryBudget memory =
         new MemoryBudget(common.limits().memoryBudget(resources), System::nanoTime);
     memory.register(metrics);
@@ -158,7 +158,7 @@
             .message()
             .with("connections", limits.callerConnections(resources))
             .with("memoryBytes", limits.memoryBudget(resources))
-            .with("descriptors", resources.descriptors())
+            .with("descriptors", limits.descriptors(resources))
             .with("heapBytes", resources.heapBytes())
             .with("directBytes", resources.directBytes()));
   }
