Show that a log that nobody reads stops a router

While standard output and standard error end in one pipe whose reader pauses, the router answers no request.

Ten clients send about 180 requests a second to one router; the reader of its log pauses for 35 s.

--- a/review/standins-2/Router.java
+++ b/review/standins-2/Router.java
@@ -22,6 +22,7 @@
   private final String ip;
   private final int callerPort;
   private final int readinessPort;
+  private final boolean piped;
   private Process process;
 
   /**
@@ -34,7 +35,21 @@
    */
   Router(Path root, Path folder, String name, String ip, Store store, Map<String, String> more)
       throws IOException {
+    this(root, folder, name, ip, store, more, false);
+  }
+
+  /** Starts a router whose log, standard output and standard error, goes to a pipe if so asked. */
+  Router(
+      Path root,
+      Path folder,
+      String name,
+      String ip,
+      Store store,
+      Map<String, String> more,
+      boolean piped)
+      throws IOException {
     this.root = root;
+    this.piped = piped;
     this.folder = folder;
     this.ip = ip;
     callerPort = freePort(ip);
@@ -85,9 +100,11 @@
       environment.put(variable.group(1), fill(variable.group(2)));
     }
     builder.redirectErrorStream(true);
-    builder.redirectOutput(
-        ProcessBuilder.Redirect.appendTo(
-            folder.resolve(fields.get("node_name") + ".log").toFile()));
+    if (!piped) {
+      builder.redirectOutput(
+          ProcessBuilder.Redirect.appendTo(
+              folder.resolve(fields.get("node_name") + ".log").toFile()));
+    }
     process = builder.start();
     Process started = process;
     Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
@@ -141,6 +158,11 @@
     throw new IOException("port 9102 is taken on all addresses tried");
   }
 
+  /** Returns the pipe of the log. */
+  InputStream log() {
+    return process.getInputStream();
+  }
+
   InetSocketAddress callers() {
     return new InetSocketAddress(ip, callerPort);
   }
