Log how complete and malformed responses of upstreams were delimited

Change: `attempt-ended` is logged for complete responses too. It and `answer-unsound` state the delimiter, the number of decoded trailer fields, whether the connection was reused and whether the request had been written. `upstreams_complete_answers_D` counts complete responses by delimiter.

Measured: FaultyUpstreamTest and UpstreamCallerTest pass; no logic changed.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -16,7 +16,9 @@
 import dev.agatepier.wire.connection.internal.UpstreamCallerContext;
 import dev.agatepier.wire.connection.internal.UpstreamPool;
 import dev.agatepier.wire.process.internal.RequestLog;
+import dev.agatepier.wire.request.ResponseTrace;
 import dev.agatepier.wire.request.UpstreamDialect;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -44,6 +46,8 @@
   private final Scheduler scheduler;
   private final Counter connectionsOpened;
   private final Counter malformedResponses;
+  private final Map<ResponseTrace.Delimiter, Counter> completeResponses =
+      new EnumMap<>(ResponseTrace.Delimiter.class);
   private final Counter ignoredNotices;
   private final Counter unreadableLoads;
   private final ResponseBudget responses;
@@ -92,6 +96,10 @@
     this.scheduler = scheduler;
     connectionsOpened = metrics.counter("upstreams.connections-opened");
     malformedResponses = metrics.counter("upstreams.unsound-answers");
+    for (ResponseTrace.Delimiter delimiter : ResponseTrace.Delimiter.values()) {
+      completeResponses.put(
+          delimiter, metrics.counter("upstreams.complete-answers-" + delimiter.code()));
+    }
     ignoredNotices = metrics.counter("upstreams.notices-ignored");
     unreadableLoads = metrics.counter("upstreams.unreadable-loads");
     responses =
@@ -219,9 +227,16 @@
     }
 
     @Override
-    public void onMalformedResponse(Upstream upstream, AttemptId attempt, String detail) {
+    public void onResponseCompleted(AttemptId attempt, ResponseTrace trace) {
+      completeResponses.get(trace.delimiter()).inc();
+      RequestLog.logAttemptCompleted(attempt, trace);
+    }
+
+    @Override
+    public void onMalformedResponse(
+        Upstream upstream, AttemptId attempt, String detail, ResponseTrace trace) {
       malformedResponses.inc();
-      RequestLog.logMalformedResponse(upstream.name(), attempt, detail);
+      RequestLog.logMalformedResponse(upstream.name(), attempt, detail, trace);
     }
 
     @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -108,16 +108,20 @@
     }
   }
 
-  /** Completes a response whose framing marks its end. */
-  void onResponseEnded() {
+  /**
+   * Completes a response whose framing marks its end.
+   *
+   * @return whether the attempt ended with a complete response
+   */
+  boolean onResponseEnded() {
     if (ended) {
-      return;
+      return false;
     }
     Classification.Matched matched = response.orElseThrow();
     if (matched.eventStream()) {
       if (splitter.hasPartialEvent()) {
         fail(Reason.ANSWER_INCOMPLETE);
-        return;
+        return false;
       }
       emitHead(matched.head());
     } else {
@@ -131,6 +135,7 @@
     }
     ended = true;
     events.accept(new RouterEvent.UpstreamResponseCompleted(id()));
+    return true;
   }
 
   /** Ends the attempt as not run. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.request.ResponseTrace;
 import dev.agatepier.wire.request.UpstreamDialect;
 import java.util.function.Consumer;
 import reactor.netty.resources.LoopResources;
@@ -43,11 +44,16 @@
    */
   void onNoticeIgnored(Upstream upstream, AttemptId attempt, String detail, boolean first);
 
+  /** Called when an attempt has ended with a complete response. */
+  void onResponseCompleted(AttemptId attempt, ResponseTrace trace);
+
   /**
    * Called when a malformed response is received.
    *
    * @param attempt the attempt in flight; null if there is none
    * @param detail description of the protocol violation, for logs
+   * @param trace what was received of the response
    */
-  void onMalformedResponse(Upstream upstream, AttemptId attempt, String detail);
+  void onMalformedResponse(
+      Upstream upstream, AttemptId attempt, String detail, ResponseTrace trace);
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -5,6 +5,8 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.wire.request.HeaderFields;
+import dev.agatepier.wire.request.ResponseTrace;
+import dev.agatepier.wire.request.ResponseTrace.Delimiter;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -65,7 +67,8 @@
   /** Kind of the response being received. */
   private ResponseKind responseKind = ResponseKind.NONE;
 
-  private boolean closeDelimited;
+  private Delimiter delimiter = Delimiter.UNKNOWN;
+  private int trailerFields;
   private boolean broken;
   private long discardedBytes;
 
@@ -118,7 +121,8 @@
   void send(AttemptExchange next, List<Header> headers) {
     exchange = next;
     reusable = true;
-    closeDelimited = false;
+    delimiter = Delimiter.UNKNOWN;
+    trailerFields = 0;
     channel.config().setAutoRead(true);
     requestWritten = channel.writeAndFlush(toHttpRequest(next.attempt(), headers));
   }
@@ -243,10 +247,7 @@
     discardedBytes = 0;
     List<Header> headers = HeaderFields.of(response.headers());
     reusable &= HttpUtil.isKeepAlive(response);
-    closeDelimited =
-        !HttpUtil.isTransferEncodingChunked(response)
-            && !HttpUtil.isContentLengthSet(response)
-            && !hasNoBody(response);
+    delimiter = delimiterOf(response);
     int status = response.status().code();
     Classification classification = pool.classifyResponse(exchange.attempt(), status, headers);
     boolean mayBeRepeated =
@@ -303,7 +304,8 @@
         return;
       }
     }
-    if (content instanceof LastHttpContent) {
+    if (content instanceof LastHttpContent last) {
+      trailerFields = last.trailingHeaders().size();
       onResponseEnded();
     }
   }
@@ -316,17 +318,22 @@
       return;
     }
     if (received == ResponseKind.ATTEMPT) {
-      if (closeDelimited && !inputClosedCleanly()) {
+      if (delimiter == Delimiter.CONNECTION_CLOSE && !inputClosedCleanly()) {
         fail(Reason.ANSWER_INCOMPLETE);
         return;
       }
       // The content counts as passed on from here.
       setBufferedBytes(0);
-      exchange.onResponseEnded();
+      if (exchange.onResponseEnded()) {
+        pool.onResponseCompleted(exchange.id(), trace());
+      }
     }
     takeExchange();
     reused = true;
-    reusable &= requestWritten.isSuccess() && !closeDelimited && returned.size() < MAXIMUM_RETURNED;
+    reusable &=
+        requestWritten.isSuccess()
+            && delimiter != Delimiter.CONNECTION_CLOSE
+            && returned.size() < MAXIMUM_RETURNED;
     if (reusable) {
       channel.config().setAutoRead(true);
       pool.release(this);
@@ -344,16 +351,29 @@
 
   private void failMalformed(String detail) {
     AttemptExchange failed = takeExchange();
-    pool.onMalformedResponse(failed, detail);
+    pool.onMalformedResponse(failed, detail, trace());
     close();
     if (failed != null) {
       failed.fail(Reason.UPSTREAM_FAILED);
     }
   }
 
-  private static boolean hasNoBody(HttpResponse response) {
+  private ResponseTrace trace() {
+    boolean written = requestWritten != null && requestWritten.isSuccess();
+    return new ResponseTrace(delimiter, trailerFields, reused, written);
+  }
+
+  private static Delimiter delimiterOf(HttpResponse response) {
     int status = response.status().code();
-    return status == 204 || status == 304;
+    if (status == 204 || status == 304) {
+      return Delimiter.NO_BODY;
+    }
+    if (HttpUtil.isTransferEncodingChunked(response)) {
+      return Delimiter.CHUNKED;
+    }
+    return HttpUtil.isContentLengthSet(response)
+        ? Delimiter.CONTENT_LENGTH
+        : Delimiter.CONNECTION_CLOSE;
   }
 
   private static FullHttpRequest toHttpRequest(RunAttempt attempt, List<Header> headers) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.request.ResponseTrace;
 import dev.agatepier.wire.request.UpstreamDialect;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
 import dev.agatepier.wire.request.UpstreamDialect.LoadStatement;
@@ -184,8 +185,12 @@
     busy.values().remove(connection);
   }
 
-  void onMalformedResponse(AttemptExchange exchange, String detail) {
-    context.onMalformedResponse(upstream, exchange == null ? null : exchange.id(), detail);
+  void onResponseCompleted(AttemptId attempt, ResponseTrace trace) {
+    context.onResponseCompleted(attempt, trace);
+  }
+
+  void onMalformedResponse(AttemptExchange exchange, String detail, ResponseTrace trace) {
+    context.onMalformedResponse(upstream, exchange == null ? null : exchange.id(), detail, trace);
   }
 
   /** Removes and returns an idle connection that may carry a request; null if there is none. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.request.Ticket;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.request.AcceptedCall;
+import dev.agatepier.wire.request.ResponseTrace;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -138,6 +139,16 @@
                 .with("resumed", attempt.resumeAfter().isPresent()));
   }
 
+  /** Logs an attempt that ended with a complete response. */
+  public static void logAttemptCompleted(AttemptId attempt, ResponseTrace trace) {
+    LOGGER.info(
+        () ->
+            addTrace(
+                attemptEvent(LogEvent.ATTEMPT_ENDED, attempt)
+                    .with("outcome", Outcome.COMPLETED.code()),
+                trace));
+  }
+
   /** Logs an attempt that is known not to have run. */
   public static void logAttemptNotRun(RouterEvent.UpstreamNotRun event) {
     LOGGER.info(
@@ -157,14 +168,17 @@
   }
 
   /** Logs a malformed response; the attempt is null if no response was expected. */
-  public static void logMalformedResponse(String upstream, AttemptId attempt, String detail) {
+  public static void logMalformedResponse(
+      String upstream, AttemptId attempt, String detail, ResponseTrace trace) {
     LOGGER.warn(
         () ->
-            LogEvent.ANSWER_UNSOUND
-                .message()
-                .with("upstream", upstream)
-                .with("request", attempt == null ? "" : attempt.request().toString())
-                .with("flaw", detail));
+            addTrace(
+                LogEvent.ANSWER_UNSOUND
+                    .message()
+                    .with("upstream", upstream)
+                    .with("request", attempt == null ? "" : attempt.request().toString())
+                    .with("flaw", detail),
+                trace));
   }
 
   /** Logs a field about further requests to an upstream that could not be understood. */
@@ -190,6 +204,14 @@
         .with("waitingWorkspaces", position.waitingWorkspaces());
   }
 
+  private static StringMapMessage addTrace(StringMapMessage message, ResponseTrace trace) {
+    return message
+        .with("delimiter", trace.delimiter().code())
+        .with("trailerFields", trace.trailerFields())
+        .with("connectionReused", trace.connectionReused())
+        .with("requestWritten", trace.requestWritten());
+  }
+
   private static StringMapMessage attemptEvent(LogEvent event, AttemptId attempt) {
     return event
         .message()
