Decode responses of upstreams strictly, so that spoilt bytes end none early

What callers saw: a success, signed and ended, with only the first events of a stream, where the upstream's response was broken off by spoilt bytes.

Cause: Netty's decoder repairs malformed lines. After the digits of a chunk size it ignores everything from a blank or control character on, so that `0 junk` is the last chunk; of a trailer line it takes the name up to the first blank, so that `bad name<0x01>: x` is the field `bad`, and folded lines and fields that no head announced are accepted too. The decoder then reports a complete response, and UpstreamConnection trusts it. The same leniency applies to heads: blanks before the colon of `Content-Length`, folded fields, other versions, `+200`, unknown and repeated transfer codings. Class of fault: the end of a message is inferred by a parser that recovers from errors.

Change: StrictResponseDecoder and ChunkedBodyDecoder take the place of HttpClientCodec's decoder. They follow the grammar of RFC 9112 and fail at the first violation; the attempt fails and the connection is closed. A trailer field that the head does not announce is a violation: the data of a chunk whose size was spoilt to 0 stands in the place of a trailer section.

Why it works: a body counts as complete only if each byte between the head and the end is derived from the grammar; nothing is skipped.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -46,7 +46,11 @@
   /** Maximum number of requests that are kept from using the connection again. */
   private static final int MAXIMUM_RETURNED = 16;
 
+  /** Maximum size of a response head, in bytes. */
+  private static final int HEADER_BYTES = 32_768;
+
   private final UpstreamPool pool;
+  private final StrictResponseDecoder decoder = new StrictResponseDecoder(HEADER_BYTES);
 
   /**
    * Requests without success here, which may be sent again: on this connection, a repeated response
@@ -99,6 +103,10 @@
     channel = opened;
   }
 
+  StrictResponseDecoder decoder() {
+    return decoder;
+  }
+
   Channel channel() {
     return channel;
   }
@@ -123,6 +131,7 @@
     reusable = true;
     delimiter = Delimiter.UNKNOWN;
     trailerFields = 0;
+    decoder.onRequest(next.attempt().head().method());
     channel.config().setAutoRead(true);
     requestWritten = channel.writeAndFlush(toHttpRequest(next.attempt(), headers));
   }
