Decode request bodies in chunks strictly

What was seen: the same leniency as for responses of upstreams. A caller's body in chunks whose bytes are spoilt, such as `0 junk` in the place of a chunk size or a trailer name cut at a control character, was taken for a complete request and passed on, shorter than its caller sent it.

Cause: Netty's decoder repairs chunk sizes and trailers; StrictRequestDecoder was strict in heads only.

Change: StrictRequestDecoder leaves bodies in chunks to ChunkedBodyDecoder, which fails at the first violation of the grammar; the request is rejected with 400 and the connection is closed. Callers may send trailer fields that their head does not announce. Lines stay bounded at 8 KiB, trailers at max_header_bytes; a chunk size line that is too long now gives 400, not 431.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/ChunkedBodyDecoder.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/ChunkedBodyDecoder.java
@@ -19,7 +19,7 @@
 final class ChunkedBodyDecoder {
 
   /** Maximum length of the line with the size of a chunk, in bytes. */
-  private static final int MAXIMUM_SIZE_LINE_BYTES = 1_024;
+  private static final int MAXIMUM_SIZE_LINE_BYTES = 8_192;
 
   private static final int RADIX = 16;
 
@@ -59,15 +59,15 @@
   }
 
   /**
-   * Decodes as much as there is.
+   * Decodes the next part.
    *
-   * @param output receives the content, and its end when the body is complete
+   * @param output empty; receives a part of the content, or the end of a complete body
    * @return whether the body is complete
    * @throws CodecException if the bytes are no body in chunks
    */
   boolean decode(ByteBuf input, List<Object> output) {
     boolean progress = true;
-    while (progress) {
+    while (progress && output.isEmpty()) {
       progress =
           switch (state) {
             case SIZE -> readSize(input);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictRequestDecoder.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictRequestDecoder.java
@@ -1,9 +1,12 @@
 package dev.agatepier.wire.connection.internal;
 
+import dev.agatepier.wire.connection.CodecException;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -11,13 +14,17 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /**
  * Decodes requests and rejects ambiguous framing, which another server could interpret differently
- * (request smuggling). Pipelined requests stay encoded until their turn: decoded, their heads take
- * many times the memory.
+ * (request smuggling). Bodies in chunks are decoded by {@link ChunkedBodyDecoder}, since the
+ * decoder of Netty repairs spoilt chunk sizes and trailers. Pipelined requests stay encoded until
+ * their turn: decoded, their heads take many times the memory.
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
@@ -27,6 +34,10 @@
   private final FieldCounter fields;
   private Gate gate = Gate.OPEN;
   private boolean decoding;
+  private final int maximumTrailerBytes;
+
+  /** Decodes the body of the current request if it is in chunks; otherwise null. */
+  private ChunkedBodyDecoder chunks;
 
   /** What to do with the bytes received. */
   enum Gate {
@@ -59,10 +70,10 @@
   private StrictRequestDecoder(int maximumHeaderBytes, FieldCounter fields) {
     super(strictConfiguration(maximumHeaderBytes).setHeadersFactory(fields));
     this.fields = fields;
+    maximumTrailerBytes = maximumHeaderBytes;
   }
 
-  /** Returns a configuration with strict parsing. */
-  static HttpDecoderConfig strictConfiguration(int maximumHeaderBytes) {
+  private static HttpDecoderConfig strictConfiguration(int maximumHeaderBytes) {
     return new HttpDecoderConfig()
         .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
         .setMaxHeaderSize(maximumHeaderBytes)
@@ -135,13 +146,38 @@
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf input, List<Object> output)
       throws Exception {
-    if (gate == Gate.OPEN) {
+    if (gate == Gate.OPEN && chunks != null) {
+      decodeChunks(input, output);
+    } else if (gate == Gate.OPEN) {
       super.decode(ctx, input, output);
+      if (!output.isEmpty() && output.getLast() instanceof HttpRequest request) {
+        startBody(request);
+      }
     } else if (gate == Gate.DISCARDING) {
       input.skipBytes(input.readableBytes());
     }
   }
 
+  private void startBody(HttpRequest request) {
+    if (request.decoderResult().isSuccess() && HttpUtil.isTransferEncodingChunked(request)) {
+      chunks = new ChunkedBodyDecoder(maximumTrailerBytes, name -> true);
+    }
+  }
+
+  private void decodeChunks(ByteBuf input, List<Object> output) {
+    try {
+      if (chunks.decode(input, output)) {
+        chunks = null;
+        reset();
+      }
+    } catch (CodecException flaw) {
+      input.skipBytes(input.readableBytes());
+      LastHttpContent failure = new DefaultLastHttpContent(Unpooled.EMPTY_BUFFER);
+      failure.setDecoderResult(DecoderResult.failure(flaw));
+      output.add(failure);
+    }
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     for (String coding : message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -253,6 +253,31 @@
     }
   }
 
+  @DataProvider
+  public Object[][] spoiltChunks() {
+    return new Object[][] {
+      {"0 junk\r\n\r\n"},
+      {" 0\r\n\r\n"},
+      {"0\u0001\r\n\r\n"},
+      {"0;\r\n\r\n"},
+      {"0\r\nname\u0001: x\r\n\r\n"},
+      {"0\r\nname : x\r\n\r\n"},
+      {"0\r\nname: x\r\n folded\r\n\r\n"},
+      {"0\n\n"},
+    };
+  }
+
+  /** Guards against the beginning of a body that spoilt bytes make look like all of it. */
+  @Test(dataProvider = "spoiltChunks")
+  public void rejectsBodyThatSpoiltBytesEnd(String bytes) {
+    try (RawSocket caller = RawSocket.connect(port.port())) {
+      caller.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+      caller.write("5\r\nseats\r\n" + bytes);
+      assertTrue(caller.readAll().startsWith("HTTP/1.1 400"));
+      assertTrue(events.isEmpty(), "no event reaches the router");
+    }
+  }
+
   @Test
   public void rejectsChunkedBodyBeyondMaximum() {
     try (RawSocket caller = RawSocket.connect(port.port())) {
