Reset connections whose incomplete response would look complete

What callers saw: a caller that speaks HTTP/1.0 gets a stream without chunks, whose end is the end of the connection. A stream that failed half-way ended with a clean close, as a complete one does.

Cause: every path that breaks a response off closes the channel; for responses in chunks the missing last chunk tells, for those that the close delimits nothing does.

Change: from the head of such a response on, the close of the socket resets the connection (SO_LINGER 0), whichever path closes it, also the end of the process; once the complete response is written, the close is a clean one again.

Measured: CallerPortTest.onlyIncompleteResponseThatEndsWithItsConnectionIsReset failed before on epoll and NIO for the incomplete response; all of CallerPortTest and CallerPortOnNioTest pass.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/ResponseWriter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/ResponseWriter.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -29,6 +30,9 @@
   private final Channel channel;
   private boolean closeAfterResponse;
 
+  /** Whether the close of the connection marks the end of the response. */
+  private boolean closeDelimited;
+
   ResponseWriter(Channel channel) {
     this.channel = channel;
   }
@@ -54,7 +58,11 @@
     boolean lengthKnown =
         hasNoBody(head.status())
             || head.headers().stream().anyMatch(field -> field.name().equals("content-length"));
-    closeAfterResponse |= !call.keepAlive || (!lengthKnown && !call.chunksAllowed);
+    closeDelimited = !lengthKnown && !call.chunksAllowed;
+    closeAfterResponse |= !call.keepAlive || closeDelimited;
+    if (closeDelimited) {
+      resetOnClose(true);
+    }
     HttpResponse response = toHttpResponse(head);
     if (!lengthKnown && call.chunksAllowed) {
       response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -96,6 +104,9 @@
   void lingerThenClose(ChannelFuture written) {
     written.addListener(
         done -> {
+          if (closeDelimited && done.isSuccess()) {
+            resetOnClose(false);
+          }
           if (channel instanceof DuplexChannel duplex && duplex.isActive()) {
             duplex.shutdownOutput();
           }
@@ -104,6 +115,13 @@
         });
   }
 
+  /** A reset, also by the end of the process, tells an incomplete response from a complete one. */
+  private void resetOnClose(boolean reset) {
+    if (channel.isOpen()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : -1);
+    }
+  }
+
   private HttpResponse toHttpResponse(ResponseHead head) {
     HttpResponse response =
         new DefaultHttpResponse(
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/RawSocket.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/RawSocket.java
@@ -77,6 +77,20 @@
     return read.toString(StandardCharsets.UTF_8);
   }
 
+  /** Reads until the peer ends the connection; returns whether it was reset. */
+  public boolean endsWithReset() {
+    try {
+      while (input.read() >= 0) {
+        // The content does not matter.
+      }
+      return false;
+    } catch (SocketException reset) {
+      return true;
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
   /** Closes the connection with a TCP reset. */
   public void reset() {
     try {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -204,6 +204,29 @@
     }
   }
 
+  @DataProvider
+  public Object[][] endings() {
+    return new Object[][] {{true}, {false}};
+  }
+
+  /** Guards against incomplete responses that callers without chunks take for complete ones. */
+  @Test(dataProvider = "endings")
+  public void onlyIncompleteResponseThatEndsWithItsConnectionIsReset(boolean complete) {
+    try (RawSocket caller = RawSocket.connect(port.port())) {
+      caller.write(CALL.replace("HTTP/1.1", "HTTP/1.0"));
+      RequestId request = nextCall().request();
+      perform(new RouterEffect.BeginResponse(request, new ResponseHead(200, List.of())));
+      perform(new RouterEffect.ContinueResponse(request, Bytes.ofText("seats")));
+      caller.readUntil("seats");
+      if (complete) {
+        perform(new RouterEffect.EndResponse(request, METADATA));
+      } else {
+        fail(request, Outcome.UNKNOWN, Reason.ANSWER_INCOMPLETE);
+      }
+      assertEquals(caller.endsWithReset(), !complete);
+    }
+  }
+
   @Test
   public void rejectsRequestAndKeepsConnectionOpen() {
     try (RawSocket caller = RawSocket.connect(port.port())) {
