Trust no end of a response without length before its request is written

What callers may have seen (reported from a system like this one): an upstream answers a long upload at once with a 200 without length, sends part of the body and breaks the connection while the upload is still being written; the part counted as a complete response.

Cause: the end of such a response was judged by the state of the channel alone.

Change: the end counts only if the whole request had been written before.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -327,7 +327,7 @@
       return;
     }
     if (received == ResponseKind.ATTEMPT) {
-      if (delimiter == Delimiter.CONNECTION_CLOSE && !inputClosedCleanly()) {
+      if (delimiter == Delimiter.CONNECTION_CLOSE && !endedByUpstream()) {
         fail(Reason.ANSWER_INCOMPLETE);
         return;
       }
@@ -351,9 +351,13 @@
     }
   }
 
-  /** Returns whether the upstream closed the connection cleanly, without a reset or other error. */
-  private boolean inputClosedCleanly() {
-    return channel instanceof io.netty.channel.socket.DuplexChannel duplex
+  /**
+   * Returns whether the upstream closed the connection cleanly, without a reset or other error, and
+   * after the whole request: before, it may have closed it because of the request.
+   */
+  private boolean endedByUpstream() {
+    return requestWritten.isSuccess()
+        && channel instanceof io.netty.channel.socket.DuplexChannel duplex
         && duplex.isInputShutdown()
         && duplex.isActive();
   }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/RawSocket.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/RawSocket.java
@@ -91,6 +91,15 @@
     }
   }
 
+  /** Ends the output with a clean close and keeps the input open. */
+  public void shutDownOutput() {
+    try {
+      socket.shutdownOutput();
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
   /** Closes the connection with a TCP reset. */
   public void reset() {
     try {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
@@ -51,7 +51,7 @@
     events = newEvents;
     upstream = new RawUpstream();
     metrics = new MetricRegistry();
-    loops = LoopResources.create("upstream-caller-test", 1, true);
+    loops = createLoops();
     scheduler = Schedulers.fromExecutorService(loops.onServer(true).next());
     caller =
         new UpstreamCaller(
@@ -68,6 +68,10 @@
     caller.start().join();
   }
 
+  LoopResources createLoops() {
+    return LoopResources.create("upstream-caller-test", 1, true);
+  }
+
   @AfterMethod(alwaysRun = true)
   public void stopCaller() {
     upstream.close();
