Fail streams whose event numbers do not increase

What callers could see: a stream whose framing is sound and whose events contradict each other (a number comes twice, or a lower one after a higher one) ended as complete.

Cause: the end of an event stream was judged by its framing and by an incomplete last event alone.

Change: a stream ends as complete only if the numbers of its events increase; events without number don't count. Gaps are allowed, as upstreams promise increasing numbers only.

Measured: SpoiltResponseTest.streamIsCompleteOnlyIfItsNumbersIncrease failed before for 1,3,2 and 1,2,2 and passes now, as do EventStreamSplitterTest and UpstreamCallerTest.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -119,7 +119,7 @@
     }
     Classification.Matched matched = response.orElseThrow();
     if (matched.eventStream()) {
-      if (splitter.hasPartialEvent()) {
+      if (splitter.hasPartialEvent() || !splitter.hasIncreasingNumbers()) {
         fail(Reason.ANSWER_INCOMPLETE);
         return false;
       }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -34,6 +34,11 @@
   private long firstNumber = NO_NUMBER;
   private long lastNumber = NO_NUMBER;
 
+  /** Highest id of a complete event, and whether each id was higher than those before it. */
+  private long highestNumber = NO_NUMBER;
+
+  private boolean increasing = true;
+
   /** Whether the event being scanned has a field, and its id. */
   private boolean hasField;
 
@@ -66,6 +71,11 @@
     return size > 0;
   }
 
+  /** Returns whether each id was higher than those before it. */
+  boolean hasIncreasingNumbers() {
+    return increasing;
+  }
+
   /** Returns the number of bytes of the incomplete event. */
   int partialEventBytes() {
     return size;
@@ -105,6 +115,8 @@
       completeEnd = scanned + 1;
       firstNumber = firstNumber == NO_NUMBER ? number : firstNumber;
       lastNumber = number == NO_NUMBER ? lastNumber : number;
+      increasing &= number == NO_NUMBER || number > highestNumber;
+      highestNumber = Math.max(highestNumber, number);
     }
     hasField = false;
     number = NO_NUMBER;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
+import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
 import dev.agatepier.wire.RawSocket;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -58,6 +59,22 @@
     assertTrue(awaitEnd() instanceof UpstreamFailed);
   }
 
+  @DataProvider
+  public Object[][] numbers() {
+    return new Object[][] {{"1,2,3", true}, {"2,7,8", true}, {"1,3,2", false}, {"1,2,2", false}};
+  }
+
+  /** Guards against a stream whose framing is sound and whose events are not those of one run. */
+  @Test(dataProvider = "numbers")
+  public void streamIsCompleteOnlyIfItsNumbersIncrease(String numbers, boolean complete) {
+    StringBuilder stream = new StringBuilder(EVENTS.formatted(1));
+    for (String number : numbers.split(",")) {
+      stream.append(EVENT.replace("id: 1", "id: " + number));
+    }
+    respond(stream + "0\r\n\r\n");
+    assertEquals(awaitEnd() instanceof UpstreamResponseCompleted, complete);
+  }
+
   @DataProvider
   public Object[][] spoiltHeads() {
     String head = HEAD.formatted(1);
