Send a resumed request again over another connection only

Cause: `returned` held requests without success only.

Change: it holds resumed requests too. UpstreamPool.acquireIdle is the only path to a used connection, and it asks `accepts`.

Measured: FaultyUpstreamTest.resumedRequestIsNotSentTwiceOverOneConnection timed out waiting for a second connection before; FaultyUpstreamTest and UpstreamCallerTest pass.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -53,8 +53,9 @@
   private final StrictResponseDecoder decoder = new StrictResponseDecoder(HEADER_BYTES);
 
   /**
-   * Requests without success here, which may be sent again: on this connection, a repeated response
-   * to the first attempt could not be told from the response to the second.
+   * Requests that may be sent again, those without success and resumed ones, whose stream may not
+   * fit what the caller has: on this connection, a repeated response to the first attempt could not
+   * be told from the response to the second.
    */
   private final Set<RequestId> returned = new HashSet<>();
 
@@ -270,7 +271,8 @@
         pool.reportLoad(exchange.id(), headers);
         exchange.onResponseHead(matched, HttpUtil.getContentLength(response, 0L));
         idleUntilNanos = pool.idleUntil(headers);
-        if (response.status().codeClass() != HttpStatusClass.SUCCESS) {
+        if (response.status().codeClass() != HttpStatusClass.SUCCESS
+            || exchange.attempt().resumeAfter().isPresent()) {
           returned.add(exchange.request());
         }
       }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
@@ -14,6 +15,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.wire.RawSocket;
 import java.io.UncheckedIOException;
+import java.util.OptionalLong;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -159,6 +161,34 @@
     }
   }
 
+  /** Guards against a repeated response to a resumed attempt, which is taken for the next one's. */
+  @Test
+  public void resumedRequestIsNotSentTwiceOverOneConnection() {
+    perform(resumed(attempt(1, Bytes.ofText("body"))));
+    try (RawSocket first = upstream.accept()) {
+      first.readUntil("body");
+      first.write(PLAIN.formatted(1) + "seats");
+      awaitCompletion();
+      perform(resumed(attempt(1, 2, Bytes.ofText("body"))));
+      try (RawSocket second = upstream.accept()) {
+        assertTrue(second.readUntil("body").contains("label: 1"));
+      }
+    }
+  }
+
+  private static RunAttempt resumed(RunAttempt attempt) {
+    return new RunAttempt(
+        attempt.attempt(),
+        attempt.upstream(),
+        attempt.workspace(),
+        attempt.head(),
+        attempt.body(),
+        attempt.plan(),
+        attempt.timeLeftMillis(),
+        OptionalLong.of(2),
+        attempt.windowBytes());
+  }
+
   @Test
   public void rejectionWithoutIdentityOnReusedConnectionProvesNothing() {
     String rejection = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
