Decode responses of upstreams strictly at sidecars too

What callers could see: the same as at routers that call upstreams themselves. A sidecar's response that spoilt bytes end early was reported as completed.

Cause: the HTTP client of Reactor Netty brings the same lenient decoder of Netty; ResponseFraming checks heads only.

Change: StrictClientCodec joins the encoder of requests and StrictResponseDecoder. UpstreamPipeline and the client of sidecars, which also checks the health of the upstream, use it.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictResponseDecoder.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictResponseDecoder.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -64,8 +65,8 @@
   }
 
   /** Called before a request is sent. */
-  void onRequest(String method) {
-    bodyExpected = !method.equals("HEAD");
+  void onRequest(HttpMethod method) {
+    bodyExpected = !method.equals(HttpMethod.HEAD);
   }
 
   @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -46,11 +46,7 @@
   /** Maximum number of requests that are kept from using the connection again. */
   private static final int MAXIMUM_RETURNED = 16;
 
-  /** Maximum size of a response head, in bytes. */
-  private static final int HEADER_BYTES = 32_768;
-
   private final UpstreamPool pool;
-  private final StrictResponseDecoder decoder = new StrictResponseDecoder(HEADER_BYTES);
 
   /**
    * Requests that may be sent again, those without success and resumed ones, whose stream may not
@@ -104,10 +100,6 @@
     channel = opened;
   }
 
-  StrictResponseDecoder decoder() {
-    return decoder;
-  }
-
   Channel channel() {
     return channel;
   }
@@ -132,7 +124,6 @@
     reusable = true;
     delimiter = Delimiter.UNKNOWN;
     trailerFields = 0;
-    decoder.onRequest(next.attempt().head().method());
     channel.config().setAutoRead(true);
     requestWritten = channel.writeAndFlush(toHttpRequest(next.attempt(), headers));
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPipeline.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPipeline.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /** Configures the channel pipeline of an upstream connection. */
 final class UpstreamPipeline {
@@ -11,9 +10,8 @@
 
   static void install(Channel channel, UpstreamConnection connection) {
     ChannelPipeline pipeline = channel.pipeline();
-    pipeline.addFirst("agatepier-requests", new HttpRequestEncoder());
-    pipeline.addAfter("agatepier-requests", "agatepier-responses", connection.decoder());
-    pipeline.addAfter("agatepier-responses", "agatepier-upstream", connection);
+    pipeline.addFirst("agatepier-http", new StrictClientCodec());
+    pipeline.addAfter("agatepier-http", "agatepier-upstream", connection);
     pipeline.addFirst("agatepier-output", new SlicedWriteHandler(() -> {}));
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/UpstreamClient.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/UpstreamClient.java
@@ -5,6 +5,7 @@
 import dev.agatepier.core.process.SidecarEffect;
 import dev.agatepier.core.process.SidecarEvent;
 import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.wire.connection.internal.StrictClientCodec;
 import dev.agatepier.wire.process.internal.HealthChecker;
 import dev.agatepier.wire.request.internal.OrderedDelivery;
 import dev.agatepier.wire.request.internal.UpstreamExchange;
@@ -16,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import reactor.core.scheduler.Schedulers;
+import reactor.netty.NettyPipeline;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
@@ -112,6 +114,12 @@
     return HttpClient.create(provider)
         .remoteAddress(() -> address)
         .disableRetry(true)
+        .doOnChannelInit(
+            (observer, channel, remote) ->
+                channel
+                    .pipeline()
+                    .replace(
+                        NettyPipeline.HttpCodec, NettyPipeline.HttpCodec, new StrictClientCodec()))
         .option(
             ChannelOption.CONNECT_TIMEOUT_MILLIS,
             (int) Math.min(Integer.MAX_VALUE, settings.connectMillis()));
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/process/UpstreamClientTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/process/UpstreamClientTest.java
@@ -28,6 +28,7 @@
   private static final AttemptId ATTEMPT = new AttemptId(new RequestId("router-1", 7, 41), 2);
   private static final long MINUTE = 60_000;
   private static final String OK = "HTTP/1.1 200 OK\r\n";
+  private static final String HALF = "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
 
   private RecordingMailbox<SidecarEvent> mailbox;
   private ServerSocket upstream;
@@ -105,6 +106,13 @@
       {OK + "Content-Length: 9\r\n\r\nhalf", Reason.ANSWER_INCOMPLETE},
       {OK + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", Reason.ANSWER_INCOMPLETE},
       {OK + "\r\nends by close only", Reason.ANSWER_INCOMPLETE},
+      {OK + HALF + "0 junk\r\n\r\n", Reason.ANSWER_INCOMPLETE},
+      {OK + HALF + "0x0\r\n\r\n", Reason.ANSWER_INCOMPLETE},
+      {OK + HALF + "0\r\nbad name: x\r\n\r\n", Reason.ANSWER_INCOMPLETE},
+      {OK + HALF + "0\r\nname\1: x\r\n\r\n", Reason.ANSWER_INCOMPLETE},
+      {OK + HALF + "0\r\nname\r\n\r\n", Reason.ANSWER_INCOMPLETE},
+      {OK + HALF + "4\r\nhalf0\r\n\r\n", Reason.ANSWER_INCOMPLETE},
+      {OK + "Content-Length : 4\r\n\r\nhalf", Reason.UPSTREAM_FAILED},
     };
   }
 
