Log the end of complete responses only where it is uncertain

Cause: each complete response had a log line of its own. Change: only responses with trailer fields, without length and chunks, or complete before their request was written are logged; the counters still have all by their delimiter. Measured: SpoiltResponseTest, UpstreamCallerTest and FaultyUpstreamTest pass.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -229,7 +229,9 @@
     @Override
     public void onResponseCompleted(AttemptId attempt, ResponseTrace trace) {
       completeResponses.get(trace.delimiter()).inc();
-      RequestLog.logAttemptCompleted(attempt, trace);
+      if (trace.uncertain()) {
+        RequestLog.logAttemptCompleted(attempt, trace);
+      }
     }
 
     @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/ResponseTrace.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/ResponseTrace.java
@@ -38,4 +38,9 @@
       throw new IllegalArgumentException("negative number of trailer fields: " + trailerFields);
     }
   }
+
+  /** Returns whether the end of a complete response is less certain than that of most. */
+  public boolean uncertain() {
+    return delimiter == Delimiter.CONNECTION_CLOSE || trailerFields > 0 || !requestWritten;
+  }
 }
