Carry the software version of upstreams and waiting requests

The instance list carries the software version that an upstream's entry names, and a waiting request the version that an upstream must have to run it. No request has one yet, and placement does not read it.

Measured: MessagePackCodecTest with the new golden messages, LinkNetworkTest, UpstreamRegistryTest, StoreFuzzTest, DirectRouterTest, SlotAllocator*Test and AllowedRegions*Test pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -34,6 +34,8 @@
    * @param route name of the route; empty if unknown
    * @param allowedRegions regions in which the request may be processed, by the route and by the
    *     workspace
+   * @param softwareVersion software version that an upstream must have to run the request; empty if
+   *     any may
    */
   record WaitingCall(
       RequestId request,
@@ -46,9 +48,38 @@
       long callerAgeMillis,
       Optional<PromptMetadata> prompt,
       String route,
-      AllowedRegions allowedRegions) {
+      AllowedRegions allowedRegions,
+      String softwareVersion) {
 
-    /** Creates a new request that every region may process. */
+    /** Creates a request that upstreams of every software version may run. */
+    public WaitingCall(
+        RequestId request,
+        String workspace,
+        String avoidedUpstream,
+        long objectiveMillis,
+        long timeLeftMillis,
+        boolean repeatable,
+        boolean underserved,
+        long callerAgeMillis,
+        Optional<PromptMetadata> prompt,
+        String route,
+        AllowedRegions allowedRegions) {
+      this(
+          request,
+          workspace,
+          avoidedUpstream,
+          objectiveMillis,
+          timeLeftMillis,
+          repeatable,
+          underserved,
+          callerAgeMillis,
+          prompt,
+          route,
+          allowedRegions,
+          "");
+    }
+
+    /** Creates a new request that every upstream may run. */
     public WaitingCall(
         RequestId request,
         String workspace,
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -56,8 +56,17 @@
     this.routerPlacement = allocatorPlacement;
   }
 
-  /** Queues a call, or refuses it and reports the reason. */
+  /** Queues a call that any upstream may run, or refuses it and reports the reason. */
   public void admit(CallArrived call, long nowNanos) {
+    admit(call, "", nowNanos);
+  }
+
+  /**
+   * Queues a call, or refuses it and reports the reason.
+   *
+   * @param softwareVersion software version of the upstreams that may run the call; empty for any
+   */
+  public void admit(CallArrived call, String softwareVersion, long nowNanos) {
     Optional<Refusal> refusal =
         checkAccess(call.workspace(), call.service())
             .or(() -> checkTicket(call))
@@ -79,6 +88,7 @@
             deadline(call, nowNanos),
             call.plan().orElseGet(() -> plan(entry, call)),
             placement(entry));
+    request.softwareVersion = softwareVersion;
     state.regions.initialize(request);
     lifecycle.admit(request, nowNanos);
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -174,7 +174,8 @@
         request.callerAgeMillis,
         request.call.prompt(),
         request.plan.route(),
-        request.allowedRegions);
+        request.allowedRegions,
+        request.softwareVersion);
   }
 
   /** Returns the time left until the objective; a resumed stream has at least its allowed gap. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -91,6 +91,9 @@
   /** Regions in which the request may be processed: those that route and workspace allow. */
   AllowedRegions allowedRegions = AllowedRegions.ALL;
 
+  /** Software version that an upstream must have to run the request; empty if any may. */
+  String softwareVersion = "";
+
   /** Grants that were declined because of these regions. */
   int unpermittedGrants;
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/request/Reason.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/Reason.java
@@ -22,6 +22,7 @@
   NOT_READY("not-ready", 503),
   NO_UPSTREAM("no-upstream", 503),
   NO_PERMITTED_UPSTREAM("no-permitted-upstream", 503),
+  NO_UPSTREAM_OF_VERSION("no-upstream-of-version", 503),
   STALE_TABLE("stale-table", 503),
   UPSTREAM_UNREACHABLE("upstream-unreachable", 503),
   UPSTREAM_BUSY("upstream-busy", 503),
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/Upstream.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/Upstream.java
@@ -15,6 +15,7 @@
  * @param slots maximum number of requests that it runs concurrently
  * @param leaving whether it is leaving and accepts no new work
  * @param cold whether it reports that part of its warm-up remains
+ * @param softwareVersion version of the software that it runs; empty if unknown
  */
 public record Upstream(
     String name,
@@ -25,9 +26,24 @@
     String dataCentre,
     int slots,
     boolean leaving,
-    boolean cold) {
+    boolean cold,
+    String softwareVersion) {
 
-  /** Creates an upstream that is not cold. */
+  /** Creates an upstream whose software version is unknown. */
+  public Upstream(
+      String name,
+      long incarnation,
+      String service,
+      String address,
+      int port,
+      String dataCentre,
+      int slots,
+      boolean leaving,
+      boolean cold) {
+    this(name, incarnation, service, address, port, dataCentre, slots, leaving, cold, "");
+  }
+
+  /** Creates an upstream that is not cold and whose software version is unknown. */
   public Upstream(
       String name,
       long incarnation,
@@ -46,6 +62,7 @@
     Objects.requireNonNull(service, "service");
     Objects.requireNonNull(address, "address");
     Objects.requireNonNull(dataCentre, "dataCentre");
+    Objects.requireNonNull(softwareVersion, "softwareVersion");
     if (port < 1 || port > 65_535 || slots < 1) {
       throw new IllegalArgumentException(
           "port " + port + " is not between 1 and 65535 or slots " + slots + " is below 1");
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/InstancesMessageCodec.java
@@ -67,6 +67,7 @@
     output.writeInt(upstream.slots());
     output.writeBoolean(upstream.leaving());
     output.writeBoolean(upstream.cold());
+    output.writeString(upstream.softwareVersion());
   }
 
   private static Upstream readUpstream(FieldInput input) {
@@ -79,7 +80,8 @@
         input.readString(),
         input.readInt(),
         input.readBoolean(),
-        input.readBoolean());
+        input.readBoolean(),
+        input.readString());
   }
 
   private static void writeInstance(FieldOutput output, Instance instance) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -174,6 +174,7 @@
     output.writeList(call.prompt().stream().toList(), SlotMessageCodec::writePrompt);
     output.writeString(call.route());
     writeRegions(output, call.allowedRegions());
+    output.writeString(call.softwareVersion());
   }
 
   private static WaitingCall readCall(FieldInput input) {
@@ -188,7 +189,8 @@
         input.readLong(),
         readPrompt(input),
         input.readString(),
-        readRegions(input));
+        readRegions(input),
+        input.readString());
   }
 
   private static void writeRegions(FieldOutput output, AllowedRegions regions) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/ReasonText.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/ReasonText.java
@@ -31,6 +31,8 @@
       case NO_UPSTREAM -> "no upstream of the service can be reached";
       case NO_PERMITTED_UPSTREAM ->
           "no upstream of the service is in a region that route and workspace allow";
+      case NO_UPSTREAM_OF_VERSION ->
+          "no upstream of the service runs the software version that began the response";
       case STALE_TABLE -> "the table has not been confirmed for too long";
       case UPSTREAM_UNREACHABLE -> "the upstream cannot be reached";
       case UPSTREAM_BUSY -> "the upstream takes no more requests";
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -181,7 +181,8 @@
                         "siliguri-a",
                         64,
                         false,
-                        true)),
+                        true,
+                        "v17")),
                 Set.of("siliguri-a", "kolkata-a"),
                 2)),
         new KnownRouters(
@@ -221,7 +222,8 @@
                     OptionalInt.of(64),
                     List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))),
             "layout",
-            AllowedRegions.only(Set.of("bengal", "assam")));
+            AllowedRegions.only(Set.of("bengal", "assam")),
+            "v17");
     ReceivedLoad load = new ReceivedLoad(new UpstreamLoadReport(12, 3, 64, OptionalInt.of(170)), 4);
     return List.of(
         new SlotsWanted("chair-desk", false, List.of(plain), List.of()),
