Log the software versions of attempts, and count streams that are continued

The logs couldn't tell whether a stream that broke off went on at an upstream of another software version. A request now remembers the version of the upstream whose first event was forwarded. attempt-started has that version, the version of the upstream and the event after which the stream goes on, and upstreams_continued_*_version count such attempts by result. Placement does not read the version yet.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -87,6 +87,7 @@
    * @param plan the call plan that operators have configured
    * @param timeLeftMillis time until the deadline, in milliseconds
    * @param resumeAfter number of the event after which to resume an interrupted stream
+   * @param softwareVersion software version that the upstream must have; empty if any may run it
    * @param windowBytes response bytes that may be read before {@link ReadAttempt} grants more
    * @param sendByNanos time after which the request must not be sent any more, as a reading of the
    *     process's monotonic clock; empty for none
@@ -100,11 +101,12 @@
       CallPlan plan,
       long timeLeftMillis,
       OptionalLong resumeAfter,
+      String softwareVersion,
       long windowBytes,
       OptionalLong sendByNanos)
       implements RouterEffect {
 
-    /** Creates an attempt that may be sent at any time. */
+    /** Creates an attempt that any upstream may run and that may be sent at any time. */
     public RunAttempt(
         AttemptId attempt,
         Upstream upstream,
@@ -124,6 +126,7 @@
           plan,
           timeLeftMillis,
           resumeAfter,
+          "",
           windowBytes,
           OptionalLong.empty());
     }
@@ -139,6 +142,7 @@
           plan,
           timeLeftMillis,
           resumeAfter,
+          softwareVersion,
           windowBytes,
           OptionalLong.of(nanos));
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -130,6 +130,7 @@
             request.plan,
             (request.deadlineNanos - nowNanos) / RouterState.NANOS_PER_MILLI,
             request.resumeAfter(),
+            request.softwareVersion,
             state.policy.windowBytes(),
             sendByNanos));
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -77,6 +77,9 @@
     if (numbered) {
       request.lastEvent = event.lastEvent();
     }
+    if (request.softwareVersion.isEmpty() && request.target instanceof DirectUpstream direct) {
+      request.softwareVersion = direct.upstream().softwareVersion();
+    }
     request.tokens += event.tokens();
     request.recordContent(nowNanos);
     relay.onResponseContent(request, request.nextFrame, event.content(), nowNanos);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -12,6 +12,7 @@
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.connection.internal.ContinuedStreams;
 import dev.agatepier.wire.connection.internal.ResponseBudget;
 import dev.agatepier.wire.connection.internal.UpstreamCallerContext;
 import dev.agatepier.wire.connection.internal.UpstreamPool;
@@ -46,6 +47,7 @@
   private final Counter malformedResponses;
   private final Counter ignoredNotices;
   private final Counter unreadableLoads;
+  private final ContinuedStreams continuedStreams;
   private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
   private final Map<AttemptId, UpstreamPool> poolsByAttempt = new HashMap<>();
@@ -94,6 +96,7 @@
     malformedResponses = metrics.counter("upstreams.unsound-answers");
     ignoredNotices = metrics.counter("upstreams.notices-ignored");
     unreadableLoads = metrics.counter("upstreams.unreadable-loads");
+    continuedStreams = new ContinuedStreams(metrics);
     responses =
         new ResponseBudget(
             maximumBufferedBytes, memory, metrics.counter("upstreams.answers-given-up")::inc);
@@ -146,6 +149,7 @@
 
   private void run(RouterEffect.RunAttempt attempt) {
     RequestLog.logAttemptStarted(attempt);
+    continuedStreams.count(attempt);
     UpstreamPool pool =
         pools.computeIfAbsent(
             PoolKey.of(attempt.upstream()), key -> new UpstreamPool(attempt.upstream(), context));
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -23,6 +23,9 @@
 
   private static final Logger LOGGER = LogManager.getLogger(RequestLog.class);
 
+  /** Number of the event after which an attempt resumes, if it begins a stream. */
+  private static final long NO_EVENT = -1;
+
   private RequestLog() {}
 
   /** Logs a request that has completed. */
@@ -134,8 +137,11 @@
         () ->
             attemptEvent(LogEvent.ATTEMPT_STARTED, attempt.attempt())
                 .with("upstream", attempt.upstream().name())
+                .with("upstreamVersion", attempt.upstream().softwareVersion())
+                .with("requiredVersion", attempt.softwareVersion())
                 .with("timeLeftMillis", attempt.timeLeftMillis())
-                .with("resumed", attempt.resumeAfter().isPresent()));
+                .with("resumed", attempt.resumeAfter().isPresent())
+                .with("resumeAfter", attempt.resumeAfter().orElse(NO_EVENT)));
   }
 
   /** Logs an attempt that is known not to have run. */
