Continue a stream only at upstreams of the software version that began it

What callers saw: a stream held events from two software versions of a service, in one answer that ended as complete. Cause: placement did not know the software version, so that a stream that broke off went on at any upstream.

From its first forwarded event a request is bound to the version of the upstream that sent it. The router considers only data centres with a usable upstream of that version and checks each grant; the slot allocator grants, estimates and names alternatives within the version. Regions and version are one record of requirements. Without a usable upstream of the version the request ends at once with no-upstream-of-version, without Retry-After; a response that has begun is broken off. If the instance list changed the version of an upstream after the attempt was sent to it, nothing of the response is forwarded.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/SlotAllocatorDecision.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.process.internal.ServiceSlots;
 import dev.agatepier.core.process.internal.StartupMessageBuffer;
 import dev.agatepier.core.process.internal.UpstreamAvailability;
+import dev.agatepier.core.process.internal.UpstreamPlace;
 import dev.agatepier.core.process.internal.WorkspaceLedger;
 import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
@@ -343,7 +344,7 @@
 
   private void updateUpstreams(long nowNanos) {
     Map<String, List<Upstream>> byService = new TreeMap<>();
-    Map<String, Map<String, Set<String>>> elsewhere = new TreeMap<>();
+    Map<String, Map<String, Set<UpstreamPlace>>> elsewhere = new TreeMap<>();
     Map<String, Boolean> own = new HashMap<>();
     Map<String, String> responsible = new HashMap<>();
     List<PeerIdentity> candidates = candidates();
@@ -360,7 +361,7 @@
                     upstream.dataCentre(),
                     name -> AllocatorSelection.responsibleDataCentre(name, candidates)),
                 name -> new HashSet<>())
-            .add(upstream.dataCentre());
+            .add(UpstreamPlace.of(upstream));
       }
     }
     own.values().removeIf(isOwn -> !isOwn);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -6,7 +6,6 @@
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.process.internal.RoutedRequest.Phase;
 import dev.agatepier.core.request.RequestId;
-import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
@@ -94,16 +93,16 @@
     List<RoutedRequest> unserved = new ArrayList<>();
     sessions.forEach(
         (key, session) -> {
-          Map<AllowedRegions, ServingDataCentres> serving = new HashMap<>();
+          Map<UpstreamRequirements, ServingDataCentres> serving = new HashMap<>();
           session
               .waiting()
               .filter(
                   request ->
                       !serving
                           .computeIfAbsent(
-                              request.allowedRegions,
-                              allowed ->
-                                  selector.serving(key.service(), allowed, routers, nowNanos))
+                              request.requirements(),
+                              required ->
+                                  selector.serving(key.service(), required, routers, nowNanos))
                           .contains(key.dataCentre()))
               .forEach(unserved::add);
         });
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorRegions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorRegions.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 
 /** The regions in which the requests that wait at a slot allocator may be processed. */
 public final class AllocatorRegions {
@@ -32,14 +33,14 @@
               .and(lists.ofRoute(entry.call.route(), AllowedRegions.ALL))
               .and(lists.ofWorkspace(entry.workspace(), AllowedRegions.ALL));
     }
-    entry.allowedRegions = allowed;
+    entry.requirements = UpstreamRequirements.of(allowed, entry.call.softwareVersion());
   }
 
-  boolean permits(WaitingEntry entry, UpstreamLoad upstream) {
-    return permits(entry.allowedRegions, upstream.upstream.dataCentre());
+  boolean permits(UpstreamRequirements requirements, Upstream upstream) {
+    return requirements.permits(dataCentres, upstream.dataCentre(), upstream.softwareVersion());
   }
 
-  boolean permits(AllowedRegions allowed, String dataCentre) {
-    return dataCentres.permits(allowed, dataCentre);
+  boolean permits(UpstreamRequirements requirements, UpstreamPlace place) {
+    return requirements.permits(dataCentres, place.dataCentre(), place.softwareVersion());
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DataCentreSelector.java
@@ -4,7 +4,6 @@
 import dev.agatepier.core.connection.SlotMessage.AllocatorLoad;
 import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.request.PromptMetadata;
-import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.Upstream;
@@ -109,32 +108,37 @@
   }
 
   /**
-   * Returns the data centres whose slot allocators allocate an upstream of a service that is in a
-   * permitted region and that neither an evacuation nor what it has said keeps away; all of them
-   * while neither regions nor evacuations nor notices restrict the service. Before the first
+   * Returns the data centres whose slot allocators allocate an upstream of a service that meets the
+   * requirements and that neither an evacuation nor what it has said keeps away; all of them while
+   * neither requirements nor evacuations nor notices restrict the service. Before the first
    * instance list, requests wait in any data centre, as every grant is checked.
    *
    * @param routers routers that are connected and not leaving
    */
   ServingDataCentres serving(
-      String service, AllowedRegions allowed, Collection<PeerIdentity> routers, long nowNanos) {
-    boolean bound = !allowed.all() && known.listed();
+      String service,
+      UpstreamRequirements requirements,
+      Collection<PeerIdentity> routers,
+      long nowNanos) {
+    boolean bound = !requirements.none() && known.listed();
     if (!bound && !known.restricts(service, nowNanos)) {
       return ServingDataCentres.ALL;
     }
     return new ServingDataCentres(
         false,
         known
-            .usableDataCentres(service, nowNanos)
-            .filter(name -> dataCentres.permits(allowed, name))
-            .map(name -> AllocatorSelection.responsibleDataCentre(name, routers))
+            .usablePlaces(service, nowNanos)
+            .filter(
+                place ->
+                    requirements.permits(dataCentres, place.dataCentre(), place.softwareVersion()))
+            .map(place -> AllocatorSelection.responsibleDataCentre(place.dataCentre(), routers))
             .collect(Collectors.toSet()));
   }
 
   /** Returns the same for a request. */
   ServingDataCentres serving(
       RoutedRequest request, Collection<PeerIdentity> routers, long nowNanos) {
-    return serving(request.queue.service, request.allowedRegions, routers, nowNanos);
+    return serving(request.queue.service, request.requirements(), routers, nowNanos);
   }
 
   /**
@@ -190,12 +194,15 @@
         MOVED_WEIGHT * Math.max(1, senders) * load.load.capacity().get().addedMillis(tokens);
   }
 
-  private List<Upstream> permittedUpstreams(String service, AllowedRegions allowed) {
+  private List<Upstream> permittedUpstreams(String service, UpstreamRequirements requirements) {
     List<Upstream> listed = upstreams.getOrDefault(service, List.of());
-    return allowed.all()
+    return requirements.none()
         ? listed
         : listed.stream()
-            .filter(upstream -> dataCentres.permits(allowed, upstream.dataCentre()))
+            .filter(
+                upstream ->
+                    requirements.permits(
+                        dataCentres, upstream.dataCentre(), upstream.softwareVersion()))
             .toList();
   }
 
@@ -238,7 +245,7 @@
         homes.homes(
             service,
             prefix.get(),
-            permittedUpstreams(service, request.allowedRegions),
+            permittedUpstreams(service, request.requirements()),
             Math.max(1, routers.size()),
             nowNanos);
     Set<String> homeDataCentres =
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KnownUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KnownUpstreams.java
@@ -40,7 +40,8 @@
         direct = new DirectUpstream(entry, new UpstreamNotices(entry.incarnation()));
       } else if (known.notices().isBefore(known.upstream(), entry)) {
         direct = new DirectUpstream(entry, new UpstreamNotices(entry.incarnation()));
-      } else if (known.upstream().incarnation() != entry.incarnation()) {
+      } else if (known.upstream().incarnation() != entry.incarnation()
+          || !known.upstream().softwareVersion().equals(entry.softwareVersion())) {
         direct = new DirectUpstream(entry, known.notices());
       }
       direct.update(entry);
@@ -113,17 +114,17 @@
             .anyMatch(direct -> direct.notices().active(nowNanos));
   }
 
-  /** Returns the data centres in which a service has usable upstreams. */
-  Stream<String> usableDataCentres(String service, long nowNanos) {
+  /** Returns the places in which a service has usable upstreams. */
+  Stream<UpstreamPlace> usablePlaces(String service, long nowNanos) {
     return ofService(service)
         .filter(direct -> availability(direct).state(nowNanos).usable())
-        .map(direct -> direct.upstream().dataCentre())
+        .map(direct -> UpstreamPlace.of(direct.upstream()))
         .distinct();
   }
 
   /** Returns whether evacuations or notices leave a service without any usable upstream. */
   boolean isWithoutUpstreams(String service, long nowNanos) {
-    return restricts(service, nowNanos) && usableDataCentres(service, nowNanos).findAny().isEmpty();
+    return restricts(service, nowNanos) && usablePlaces(service, nowNanos).findAny().isEmpty();
   }
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OtherDataCentres.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OtherDataCentres.java
@@ -1,6 +1,5 @@
 package dev.agatepier.core.process.internal;
 
-import dev.agatepier.core.version.AllowedRegions;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Set;
@@ -9,24 +8,26 @@
 final class OtherDataCentres {
 
   private final AllocatorRegions regions;
-  private Map<String, Set<String>> served = Map.of();
+  private Map<String, Set<UpstreamPlace>> served = Map.of();
 
   OtherDataCentres(AllocatorRegions regions) {
     this.regions = regions;
   }
 
-  /** Replaces the data centres whose upstreams are served, by the data centre of the allocator. */
-  void replace(Map<String, Set<String>> newer) {
+  /** Replaces the places whose upstreams are served, by the data centre of the allocator. */
+  void replace(Map<String, Set<UpstreamPlace>> newer) {
     served = Map.copyOf(newer);
   }
 
-  /** Returns the data centres whose allocators serve an upstream in a permitted region. */
-  Collection<String> permitted(AllowedRegions allowed) {
-    return allowed.all()
+  /** Returns the data centres whose allocators serve a permitted upstream. */
+  Collection<String> permitted(UpstreamRequirements requirements) {
+    return requirements.none()
         ? served.keySet()
         : served.entrySet().stream()
             .filter(
-                entry -> entry.getValue().stream().anyMatch(name -> regions.permits(allowed, name)))
+                entry ->
+                    entry.getValue().stream()
+                        .anyMatch(place -> regions.permits(requirements, place)))
             .map(Map.Entry::getKey)
             .toList();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -94,7 +94,7 @@
   /** Software version that an upstream must have to run the request; empty if any may. */
   String softwareVersion = "";
 
-  /** Grants that were declined because of these regions. */
+  /** Grants that were declined because the upstream is not permitted. */
   int unpermittedGrants;
 
   AttemptId currentAttempt;
@@ -170,6 +170,11 @@
     return call.fingerprint();
   }
 
+  /** Returns what the upstream of the next attempt must be. */
+  UpstreamRequirements requirements() {
+    return UpstreamRequirements.of(allowedRegions, softwareVersion);
+  }
+
   boolean ticketed() {
     return call.ticket().isPresent();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RouterRegions.java
@@ -5,6 +5,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.DataCentreRegions;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
 
 /**
@@ -17,8 +18,9 @@
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
   /**
-   * Maximum number of grants of a request that are declined because of its regions. A change of the
-   * table can cross one grant; an allocator that has other settings of the regions repeats them.
+   * Maximum number of grants of a request that are declined because the upstream is not permitted.
+   * A change of the table or of the instance list can cross one grant; an allocator that has other
+   * settings of the regions repeats them.
    */
   private static final int MAXIMUM_UNPERMITTED_GRANTS = 3;
 
@@ -84,7 +86,7 @@
   private boolean runsOutside(RoutedRequest request) {
     return request.phase == Phase.RUNNING
         && request.target instanceof DirectUpstream direct
-        && !permits(request, direct.upstream().dataCentre());
+        && !permits(request, direct.upstream());
   }
 
   /** Applies the active lists to a request; returns whether its regions have changed. */
@@ -101,9 +103,11 @@
     return true;
   }
 
-  /** Returns whether a request may be processed in a data centre. */
-  boolean permits(RoutedRequest request, String dataCentre) {
-    return dataCentres.permits(request.allowedRegions, dataCentre);
+  /** Returns whether an upstream may run a request. */
+  boolean permits(RoutedRequest request, Upstream upstream) {
+    return request
+        .requirements()
+        .permits(dataCentres, upstream.dataCentre(), upstream.softwareVersion());
   }
 
   /**
@@ -116,21 +120,39 @@
   }
 
   /**
-   * Ends a waiting request for which no upstream of the service is permitted. While evacuations or
+   * Ends a waiting request for which no upstream of the service is permitted. A software version
+   * that is gone does not come back, so that there is no retry-after time. While evacuations or
    * notices restrict the service, they may have rejected many at once, so that the retry-after
    * times are spread.
    */
   void reject(
       RoutedRequest request, KnownUpstreams upstreams, RequestLifecycle lifecycle, long nowNanos) {
     String service = request.queue.service;
+    if (lacksVersionOnly(request, upstreams, nowNanos)) {
+      lifecycle.fail(request, Reason.NO_UPSTREAM_OF_VERSION, nowNanos);
+      return;
+    }
     long retryAfterMillis = 0;
     if (request.provenNotRun() && dataCentres.permitsAny(request.allowedRegions)) {
       retryAfterMillis =
           upstreams.restricts(service, nowNanos)
               ? upstreams.retryAfterMillis(
-                  service, name -> permits(request, name), request.id(), nowNanos)
+                  service,
+                  name -> dataCentres.permits(request.allowedRegions, name),
+                  request.id(),
+                  nowNanos)
               : RETRY_AFTER_MILLIS;
     }
     lifecycle.fail(request, Reason.NO_PERMITTED_UPSTREAM, 0, retryAfterMillis, nowNanos);
   }
+
+  /** Returns whether a request is bound to a software version and its regions are not the cause. */
+  private boolean lacksVersionOnly(RoutedRequest request, KnownUpstreams upstreams, long nowNanos) {
+    return !request.softwareVersion.isEmpty()
+        && (request.allowedRegions.all()
+            || upstreams
+                .usablePlaces(request.queue.service, nowNanos)
+                .anyMatch(
+                    place -> dataCentres.permits(request.allowedRegions, place.dataCentre())));
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -15,7 +15,6 @@
 import dev.agatepier.core.process.SlotAllocatorPolicy;
 import dev.agatepier.core.process.internal.RejectedCallers.Rejection;
 import dev.agatepier.core.request.PromptMetadata;
-import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.Table;
 import java.util.List;
@@ -154,10 +153,10 @@
   /**
    * Replaces the other data centres in which requests of the service can get slots.
    *
-   * @param names data centres whose upstreams are served, by the data centre of the allocator
+   * @param places places whose upstreams are served, by the data centre of the allocator
    */
-  public void setOtherDataCentres(Map<String, Set<String>> names) {
-    rejections.setOtherDataCentres(names);
+  public void setOtherDataCentres(Map<String, Set<UpstreamPlace>> places) {
+    rejections.setOtherDataCentres(places);
   }
 
   /** Drops the waiting requests and slots of a router. */
@@ -264,7 +263,7 @@
         waiting.size(),
         allocations.size(),
         upstreams.status(rule, nowNanos),
-        usable.room(AllowedRegions.ALL, nowNanos));
+        usable.room(UpstreamRequirements.NONE, nowNanos));
   }
 
   /** Takes over the estimates as of now, and whether objectives count from the first attempt. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRejections.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotRejections.java
@@ -50,9 +50,9 @@
     return levels;
   }
 
-  /** Replaces the data centres whose upstreams are served, by the data centre of the allocator. */
-  void setOtherDataCentres(Map<String, Set<String>> names) {
-    otherDataCentres.replace(names);
+  /** Replaces the places whose upstreams are served, by the data centre of the allocator. */
+  void setOtherDataCentres(Map<String, Set<UpstreamPlace>> places) {
+    otherDataCentres.replace(places);
   }
 
   /** Rejects a request that does not wait. */
@@ -62,7 +62,7 @@
             .alternative(
                 entry.call.request(),
                 ledger.position(entry.workspace()).virtualService(),
-                otherDataCentres.permitted(entry.allowedRegions),
+                otherDataCentres.permitted(entry.requirements),
                 nowNanos)
             .orElse("");
     respond(entry, retryAfterMillis(entry, alternative, nowNanos), alternative, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -83,7 +83,7 @@
       }
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
-    } else if (!state.regions.permits(request, upstream.upstream().dataCentre())) {
+    } else if (!state.regions.permits(request, upstream.upstream())) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       if (state.regions.acceptsUnpermittedGrant(request)) {
         placement.requeue(request, granted.upstream(), nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -1,7 +1,6 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.process.Room;
-import dev.agatepier.core.version.AllowedRegions;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -46,8 +45,8 @@
   private final WaitEstimates waits;
   private final UpstreamChoice choice;
 
-  /** Whether any upstream in some regions is ready, as far as one selection has asked. */
-  private final Map<AllowedRegions, Boolean> readyRegions = new HashMap<>();
+  /** Whether any upstream that meets requirements is ready, as far as one selection has asked. */
+  private final Map<UpstreamRequirements, Boolean> ready = new HashMap<>();
 
   /** Upstream whose memory is left to the first underserved request that waits for it; or null. */
   private UpstreamLoad reserved;
@@ -96,14 +95,14 @@
     }
     Assignment cheapestCold = null;
     double cheapestMillis = Double.MAX_VALUE;
-    readyRegions.clear();
+    ready.clear();
     for (WorkspaceAccount account : ledger.waitingInOrder()) {
       int tried = 0;
       for (WaitingEntry entry : waiting.ofWorkspace(account.name())) {
-        if (!entry.allowedRegions.all()
-            && !readyRegions.computeIfAbsent(
-                entry.allowedRegions, allowed -> anyReady(allowed, share, nowNanos))) {
-          // Must not keep later ones of its workspace from regions that have capacity.
+        if (!entry.requirements.none()
+            && !ready.computeIfAbsent(
+                entry.requirements, required -> anyReady(required, share, nowNanos))) {
+          // Must not keep later ones of its workspace from upstreams that have capacity.
           continue;
         }
         boolean meetsObjective =
@@ -241,10 +240,10 @@
         upstream, share * coldUpstreams.backlogShare(upstream, nowNanos), nowNanos);
   }
 
-  /** Returns whether any upstream in the permitted regions is ready. */
-  private boolean anyReady(AllowedRegions allowed, double share, long nowNanos) {
+  /** Returns whether any permitted upstream is ready. */
+  private boolean anyReady(UpstreamRequirements requirements, double share, long nowNanos) {
     for (UpstreamLoad upstream : upstreams.all()) {
-      if (upstreams.isPermitted(upstream, allowed) && ready(upstream, share, nowNanos)) {
+      if (upstreams.isPermitted(upstream, requirements) && ready(upstream, share, nowNanos)) {
         return true;
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UnplacedRequests.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UnplacedRequests.java
@@ -34,7 +34,7 @@
     }
   }
 
-  /** Regions are the cause if the service has an upstream that others can use. */
+  /** Requirements are the cause if the service has an upstream that others can use. */
   private void reject(RoutedRequest request, RequestLifecycle lifecycle, long nowNanos) {
     String service = request.queue.service;
     if (state.upstreams.isWithoutUpstreams(service, nowNanos)) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -225,7 +225,8 @@
   boolean isSameProcess(Upstream entry) {
     return entry.incarnation() == upstream.incarnation()
         && entry.port() == upstream.port()
-        && entry.address().equals(upstream.address());
+        && entry.address().equals(upstream.address())
+        && entry.softwareVersion().equals(upstream.softwareVersion());
   }
 
   /** Returns the tokens in memory for running requests, including their expected output. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -37,6 +37,10 @@
     if (request == null) {
       return;
     }
+    if (!request.softwareVersion.isEmpty() && !hasRequiredVersion(request)) {
+      relay.abortIncomplete(request, nowNanos);
+      return;
+    }
     int status = event.head().status();
     if (request.responseStarted) {
       if (status >= REDIRECTION || !event.eventStream()) {
@@ -70,7 +74,11 @@
       return;
     }
     boolean joinsUnknownEvent = !numbered && request.resumes && request.nextFrame == 0;
-    if (joinsUnknownEvent || (numbered && event.firstEvent() <= request.lastEvent)) {
+    boolean joinsOtherVersion =
+        request.nextFrame == 0 && request.plan.resumable() && !hasRequiredVersion(request);
+    if (joinsUnknownEvent
+        || joinsOtherVersion
+        || (numbered && event.firstEvent() <= request.lastEvent)) {
       relay.abortIncomplete(request, nowNanos);
       return;
     }
@@ -109,6 +117,21 @@
     }
   }
 
+  /**
+   * Returns whether the upstream of the current attempt has the software version that the request
+   * requires, and had no other one since the attempt was sent. The instance list may have changed
+   * after the grant was checked.
+   */
+  private boolean hasRequiredVersion(RoutedRequest request) {
+    if (!(request.target instanceof DirectUpstream direct)) {
+      return true;
+    }
+    String sentTo = direct.upstream().softwareVersion();
+    DirectUpstream listed = state.upstreams.find(direct.name());
+    return (request.softwareVersion.isEmpty() || request.softwareVersion.equals(sentTo))
+        && (listed == null || listed.upstream().softwareVersion().equals(sentTo));
+  }
+
   private RoutedRequest current(AttemptId attempt) {
     RoutedRequest request = state.requests.get(attempt.request());
     return request != null && attempt.equals(request.currentAttempt) ? request : null;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UsableUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UsableUpstreams.java
@@ -2,7 +2,6 @@
 
 import dev.agatepier.core.connection.SlotMessage.MeasuredCapacity;
 import dev.agatepier.core.process.Room;
-import dev.agatepier.core.version.AllowedRegions;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -31,19 +30,19 @@
     return upstream.availability().state(nowNanos).usable();
   }
 
-  /** Returns whether an upstream is usable and in a permitted region. */
-  boolean isUsable(UpstreamLoad upstream, AllowedRegions allowed, long nowNanos) {
-    return isPermitted(upstream, allowed) && isUsable(upstream, nowNanos);
+  /** Returns whether an upstream is usable and permitted. */
+  boolean isUsable(UpstreamLoad upstream, UpstreamRequirements requirements, long nowNanos) {
+    return isPermitted(upstream, requirements) && isUsable(upstream, nowNanos);
   }
 
   /** Returns whether an upstream is usable for a request: permitted, no pause for its router. */
   boolean isUsable(UpstreamLoad upstream, WaitingEntry entry, long nowNanos) {
-    return isPermitted(upstream, entry.allowedRegions)
+    return isPermitted(upstream, entry.requirements)
         && upstream.availability(entry.router).state(nowNanos).usable();
   }
 
-  boolean isPermitted(UpstreamLoad upstream, AllowedRegions allowed) {
-    return regions.permits(allowed, upstream.upstream.dataCentre());
+  boolean isPermitted(UpstreamLoad upstream, UpstreamRequirements requirements) {
+    return regions.permits(requirements, upstream.upstream);
   }
 
   /**
@@ -51,18 +50,18 @@
    * move requests away from evacuated data centres themselves, so evacuations do not count.
    */
   boolean isUnpermitted(WaitingEntry entry) {
-    return !entry.allowedRegions.all()
+    return !entry.requirements.none()
         && upstreams.stream()
             .noneMatch(
                 upstream ->
-                    !upstream.upstream.leaving() && isPermitted(upstream, entry.allowedRegions));
+                    !upstream.upstream.leaving() && isPermitted(upstream, entry.requirements));
   }
 
-  /** Returns the number of usable upstreams in the permitted regions. */
-  int count(AllowedRegions allowed, long nowNanos) {
+  /** Returns the number of usable upstreams that are permitted. */
+  int count(UpstreamRequirements requirements, long nowNanos) {
     int usable = 0;
     for (UpstreamLoad upstream : upstreams) {
-      usable += isUsable(upstream, allowed, nowNanos) ? 1 : 0;
+      usable += isUsable(upstream, requirements, nowNanos) ? 1 : 0;
     }
     return usable;
   }
@@ -79,13 +78,13 @@
   }
 
   /**
-   * Returns the room of the usable upstreams in the permitted regions, without those that are cold:
-   * their rate is what limits requests to them.
+   * Returns the room of the usable upstreams that are permitted, without those that are cold: their
+   * rate is what limits requests to them.
    */
-  Room room(AllowedRegions allowed, long nowNanos) {
+  Room room(UpstreamRequirements requirements, long nowNanos) {
     Room room = Room.NONE;
     for (UpstreamLoad upstream : upstreams) {
-      if (isUsable(upstream, allowed, nowNanos) && !coldUpstreams.isCold(upstream, nowNanos)) {
+      if (isUsable(upstream, requirements, nowNanos) && !coldUpstreams.isCold(upstream, nowNanos)) {
         room = room.plus(rule.room(upstream, nowNanos));
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
@@ -1,7 +1,6 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.process.Room;
-import dev.agatepier.core.version.AllowedRegions;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -116,7 +115,7 @@
     for (WaitingEntry entry : waiting.all()) {
       work += entry.workMillis;
     }
-    return delayBehind(work, waiting.size(), AllowedRegions.ALL, nowNanos);
+    return delayBehind(work, waiting.size(), UpstreamRequirements.NONE, nowNanos);
   }
 
   /** Returns the margin that a prediction for a request needs, in milliseconds. */
@@ -133,10 +132,10 @@
       return 0;
     }
     boolean everywhere =
-        entry.allowedRegions.all()
-            || upstreams.count(entry.allowedRegions, nowNanos)
-                == upstreams.count(AllowedRegions.ALL, nowNanos);
-    Map<AllowedRegions, Double> sharedParts = everywhere ? Map.of() : new HashMap<>();
+        entry.requirements.none()
+            || upstreams.count(entry.requirements, nowNanos)
+                == upstreams.count(UpstreamRequirements.NONE, nowNanos);
+    Map<UpstreamRequirements, Double> sharedParts = everywhere ? Map.of() : new HashMap<>();
     double ownService = ledger.account(entry.workspace()).virtualService();
     double work = 0;
     double ahead = 0;
@@ -153,35 +152,36 @@
             everywhere
                 ? 1
                 : sharedParts.computeIfAbsent(
-                    other.allowedRegions, allowed -> sharedPart(entry, allowed, nowNanos));
+                    other.requirements, required -> sharedPart(entry, required, nowNanos));
         work += part * other.workMillis;
         ahead += part;
       }
     }
-    return delayBehind(work, ahead, entry.allowedRegions, nowNanos);
+    return delayBehind(work, ahead, entry.requirements, nowNanos);
   }
 
   /**
    * Returns the part of the work of other requests that is done on the upstreams of one, if it is
    * divided evenly among those that the others may use.
    */
-  private double sharedPart(WaitingEntry entry, AllowedRegions ofOthers, long nowNanos) {
+  private double sharedPart(WaitingEntry entry, UpstreamRequirements ofOthers, long nowNanos) {
     double usable = upstreams.count(ofOthers, nowNanos);
-    AllowedRegions common = entry.allowedRegions.and(ofOthers);
+    UpstreamRequirements common = entry.requirements.and(ofOthers);
     return usable == 0 ? 0 : upstreams.count(common, nowNanos) / usable;
   }
 
   /**
-   * Returns the wait behind work spread over the usable upstreams in the permitted regions,
-   * including their backlog. Cold ones count only if no other is left: then their rate is what
-   * limits the requests.
+   * Returns the wait behind work spread over the usable upstreams that are permitted, including
+   * their backlog. Cold ones count only if no other is left: then their rate is what limits the
+   * requests.
    */
-  private double delayBehind(double work, double requests, AllowedRegions allowed, long nowNanos) {
-    Room room = upstreams.room(allowed, nowNanos);
+  private double delayBehind(
+      double work, double requests, UpstreamRequirements requirements, long nowNanos) {
+    Room room = upstreams.room(requirements, nowNanos);
     if (room.parallelism() > 0) {
       return room.behind(work).waitMillis();
     }
-    int cold = upstreams.count(allowed, nowNanos);
+    int cold = upstreams.count(requirements, nowNanos);
     return cold == 0 ? NO_UPSTREAM_MILLIS : requests * coldUpstreams.grantMillis() / cold;
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -3,7 +3,6 @@
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.process.CallerReturn;
 import dev.agatepier.core.process.Room;
-import dev.agatepier.core.version.AllowedRegions;
 import java.util.Comparator;
 
 /** A request that waits for a slot at a slot allocator. */
@@ -45,8 +44,8 @@
   /** Version of the table from which the router took the allowed regions. */
   final long tableVersion;
 
-  /** Regions in which the request may be processed, by the newest table that is known here. */
-  AllowedRegions allowedRegions;
+  /** What its upstream must be, by the newest table that is known here. */
+  UpstreamRequirements requirements;
 
   /** Time until the first byte that it takes at the upstream, as last estimated. */
   double workMillis;
@@ -68,7 +67,7 @@
       long ageMillis,
       long nowNanos) {
     this.tableVersion = tableVersion;
-    this.allowedRegions = call.allowedRegions();
+    this.requirements = UpstreamRequirements.of(call.allowedRegions(), call.softwareVersion());
     this.router = router;
     this.call = call;
     this.sequence = sequence;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -129,10 +129,21 @@
         (name, dataCentre) ->
             upstreams.add(
                 new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, dataCentre, 4, false)));
+    publish(upstreams);
+  }
+
+  /** Replaces the instance list. */
+  void publish(List<Upstream> upstreams) {
     dispatch(
         new RouterEvent.InstancesActivated(new InstanceList(++incarnation, List.of(), upstreams)));
   }
 
+  /** Returns an upstream with a software version. */
+  static Upstream versioned(String name, long incarnation, String dataCentre, String version) {
+    return new Upstream(
+        name, incarnation, SERVICE, "127.0.0.1", 8_000, dataCentre, 4, false, false, version);
+  }
+
   static PeerIdentity identity(String name, String dataCentre) {
     return new PeerIdentity(name, 1, Role.ROUTER, dataCentre, dataCentre, "");
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SlotAllocatorFixture.java
@@ -167,6 +167,29 @@
             new InstanceList(++lastList, List.of(), upstreams)));
   }
 
+  /** Publishes upstreams by name, as above, with their software versions. */
+  void publishVersions(Map<String, String> versions) {
+    List<Upstream> upstreams = new ArrayList<>();
+    versions.forEach((name, version) -> upstreams.add(versioned(upstream(name), version)));
+    dispatch(
+        new SlotAllocatorEvent.InstancesActivated(
+            new InstanceList(++lastList, List.of(), upstreams)));
+  }
+
+  private static Upstream versioned(Upstream entry, String version) {
+    return new Upstream(
+        entry.name(),
+        entry.incarnation(),
+        entry.service(),
+        entry.address(),
+        entry.port(),
+        entry.dataCentre(),
+        entry.slots(),
+        entry.leaving(),
+        entry.cold(),
+        version);
+  }
+
   /** Publishes upstreams by name while data centres are evacuated. */
   void publishEvacuated(Set<String> evacuated, String... names) {
     List<Upstream> upstreams = Arrays.stream(names).map(SlotAllocatorFixture::upstream).toList();
@@ -230,6 +253,27 @@
     return request;
   }
 
+  /** Requests a slot at an upstream of a software version. */
+  RequestId requestOfVersion(String version, String workspace, long objectiveMillis) {
+    RequestId request = new RequestId(ROUTER, 1, ++lastNumber);
+    WaitingCall call =
+        new WaitingCall(
+            request,
+            workspace,
+            "",
+            objectiveMillis,
+            15_000,
+            true,
+            false,
+            0,
+            Optional.empty(),
+            "r",
+            AllowedRegions.ALL,
+            version);
+    dispatch(message(new SlotsWanted(PLAIN, false, List.of(call), List.of(), 1)));
+    return request;
+  }
+
   /** Reports a waiting request of route {@code r}. */
   void report(RequestId request, AllowedRegions allowed, String workspace, long objectiveMillis) {
     Optional<PromptMetadata> none = Optional.empty();
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
@@ -0,0 +1,108 @@
+package dev.agatepier.core.process;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import dev.agatepier.core.request.RequestId;
+import java.util.Map;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** A slot allocator with upstreams of two software versions; each has two slots. */
+public class SoftwareVersionAllocatorTest {
+
+  private SlotAllocatorFixture allocator;
+
+  @BeforeMethod
+  public void setUp() {
+    allocator = new SlotAllocatorFixture();
+    allocator.publishVersions(Map.of("p1", "v1", "p2", "v2"));
+  }
+
+  /** A stream must not be granted a free slot of another version. */
+  @Test
+  public void streamsAreGrantedUpstreamsOfTheirVersionOnly() {
+    assertEquals(allocator.upstreamOf(allocator.requestOfVersion("v1", "w", 5_000)), "p1");
+    assertEquals(allocator.upstreamOf(allocator.requestOfVersion("v2", "w", 5_000)), "p2");
+    allocator.requestOfVersion("v1", "w", 5_000);
+    RequestId third = allocator.requestOfVersion("v1", "w", 5_000);
+    assertFalse(allocator.isGranted(third) || allocator.isRejected(third));
+  }
+
+  /** Streams that wait for a full version must not keep others of the same workspace waiting. */
+  @Test
+  public void waitingForFullVersionDoesNotBlockOthersOfTheWorkspace() {
+    for (int index = 0; index < 10; index++) {
+      allocator.requestOfVersion("v1", "w", 5_000);
+    }
+    assertEquals(allocator.upstreamOf(allocator.requestPlain("w", 9_000)), "p2");
+  }
+
+  /** Cold upstreams are selected by other rules than the others. */
+  @Test
+  public void coldUpstreamGetsStreamsOfItsVersionOnly() {
+    allocator = SlotAllocatorFixture.withColdUpstreams();
+    allocator.publishVersions(Map.of("p1c", "v1", "p2c", "v2"));
+    allocator.advance(1_351);
+    assertEquals(allocator.upstreamOf(allocator.requestOfVersion("v1", "w", 5_000)), "p1");
+    assertEquals(allocator.upstreamOf(allocator.requestOfVersion("v2", "w", 5_000)), "p2");
+  }
+
+  @Test
+  public void streamWithoutUpstreamOfItsVersionIsRefusedAtOnce() {
+    RequestId request = allocator.requestOfVersion("v3", "w", 5_000);
+    assertTrue(allocator.isRejected(request));
+    assertEquals(allocator.alternativeOf(request), "");
+  }
+
+  @Test
+  public void leavingUpstreamGetsNoStreamOfItsVersion() {
+    allocator.publishVersions(Map.of("p1x", "v1", "p2", "v2"));
+    assertTrue(allocator.isRejected(allocator.requestOfVersion("v1", "w", 5_000)));
+  }
+
+  @Test
+  public void waitingStreamIsRefusedWhenItsVersionGoes() {
+    allocator.requestOfVersion("v1", "w", 5_000);
+    allocator.requestOfVersion("v1", "w", 5_000);
+    RequestId request = allocator.requestOfVersion("v1", "w", 5_000);
+    allocator.publishVersions(Map.of("p2", "v2"));
+    allocator.advance(25);
+    assertTrue(allocator.isRejected(request));
+  }
+
+  /** A router must not be sent to a data centre that has upstreams of another version only. */
+  @Test
+  public void alternativeHasTheVersion() {
+    allocator.dispatch(
+        new SlotAllocatorEvent.RouterConnected(SlotAllocatorFixture.router("r2", "b1")));
+    allocator.publishVersions(Map.of("p2", "v2", "b-p3", "v3"));
+    assertEquals(allocator.alternativeOf(allocator.requestOfVersion("v1", "w", 5_000)), "");
+    assertEquals(allocator.alternativeOf(allocator.requestOfVersion("v3", "w", 5_000)), "b1");
+  }
+
+  /** The wait for another version must not count against a stream. */
+  @Test
+  public void expectedWaitCountsUpstreamsOfTheVersionOnly() {
+    for (int slot = 0; slot < 2; slot++) {
+      allocator.requestOfVersion("v1", "w", 60_000);
+      allocator.requestOfVersion("v2", "w", 60_000);
+    }
+    for (int index = 0; index < 40; index++) {
+      allocator.requestOfVersion("v2", "first", 60_000);
+    }
+    assertFalse(allocator.isRejected(allocator.requestOfVersion("v1", "w", 400)));
+    assertTrue(allocator.isRejected(allocator.requestOfVersion("v2", "w", 400)));
+  }
+
+  /** Without an incarnation an entry that changes its version names another process. */
+  @Test
+  public void requestThatWaitsIsGrantedByTheNewestEntry() {
+    allocator.publishVersions(Map.of("p1", "v2", "p2", "v2"));
+    assertTrue(allocator.isRejected(allocator.requestOfVersion("v1", "w", 5_000)));
+    allocator.requestOfVersion("v2", "w", 5_000);
+    allocator.requestOfVersion("v2", "w", 5_000);
+    assertTrue(allocator.isGranted(allocator.requestOfVersion("v2", "w", 5_000)));
+  }
+}
