Don't reject a stream on arrival for the wait behind new requests

What callers saw: under overload, streams that broke off went on far less often than new ones began. Cause: the slot allocator rejects a request that cannot meet its objective behind those already waiting. A stream that goes on can use upstreams of one software version only, and one whose response has begun gets no second chance in another data centre. It now waits until it is overdue, as a caller with a promise does; the order of service stays the same.

SoftwareVersionFleetTest lets twelve engines of two versions crash and start again every 0.7 s.

Measured: SoftwareVersion*Test and AllowedRegions*Test pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
@@ -69,11 +69,14 @@
 
   /**
    * Returns whether a new request, whose work is estimated, cannot meet its objective behind those
-   * already waiting and the work that others were promised. One that was promised capacity itself
-   * has to be in time on its own only.
+   * already waiting and the work that others were promised. One that was promised capacity itself,
+   * or that continues a stream, has to be in time on its own only: it can use a part of the
+   * upstreams only, and what its caller has received is lost if it is rejected.
    */
   boolean cannotMeetObjective(WaitingEntry entry, long nowNanos) {
-    if (waiting.isEmpty() || holdsPromise(entry) && meetsObjectiveAlone(entry, nowNanos)) {
+    if (waiting.isEmpty()
+        || (holdsPromise(entry) || entry.continuesStream())
+            && meetsObjectiveAlone(entry, nowNanos)) {
       return false;
     }
     double ownMillis = entry.countedMillis(entry.workMillis);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -82,6 +82,11 @@
     return call.workspace();
   }
 
+  /** Returns whether it continues a stream that upstreams of its software version have begun. */
+  boolean continuesStream() {
+    return !call.softwareVersion().isEmpty();
+  }
+
   /** Returns whether its caller was rejected here before and has kept to its retry time. */
   boolean keptRetryTime() {
     return callerReturn == CallerReturn.KEPT;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingRouter.java
@@ -101,6 +101,21 @@
     return new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, dataCentre, SLOTS, false);
   }
 
+  /** Returns an entry of a later process of an engine. */
+  static Upstream engine(Upstream earlier, long incarnation, String softwareVersion) {
+    return new Upstream(
+        earlier.name(),
+        incarnation,
+        SERVICE,
+        earlier.address(),
+        earlier.port(),
+        earlier.dataCentre(),
+        SLOTS,
+        false,
+        false,
+        softwareVersion);
+  }
+
   /** Returns the arrival of a call of the model service. */
   static RouterEvent.CallArrived arrival(
       RequestId request,
