Log how calls that resume a stream are placed

A caller that resumes a stream names the call that brought its first event in Resumes. Routers ignored the field, and no log line told a resumed call from a new one.

The label is decoded and passed to the router's decision with the label of the call itself; the field is forwarded unchanged, as any other. Each call with Last-Event-Id adds one line, stream-resumed, and counts in resumptions_ORIGIN. Today every such call is unbound: it may run at any software version. Placement is unchanged.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -102,7 +102,20 @@
 
   private void handle(RouterEvent event, long nowNanos) {
     switch (event) {
-      case RouterEvent.CallArrived call -> admission.admit(call, nowNanos);
+      case RouterEvent.CallArrived call -> {
+        if (call.resumesStream()) {
+          state
+              .outbox()
+              .add(
+                  new RouterEffect.ResumptionDecided(
+                      call.request(),
+                      call.labels().resumed().orElse(""),
+                      OriginSource.UNBOUND,
+                      "",
+                      0));
+        }
+        admission.admit(call, nowNanos);
+      }
       case RouterEvent.TicketRequested ticket -> tickets.issue(ticket);
       case RouterEvent.CallerDisconnected caller ->
           attempts.onCallerDisconnected(caller.request(), nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -195,6 +195,25 @@
       long tableVersion, int restrictedRoutes, int restrictedWorkspaces, int waitingChanged)
       implements RouterEffect {}
 
+  /**
+   * Report that a call that resumes a stream was bound to the software version that began it, or
+   * rejected.
+   *
+   * @param request the call
+   * @param resumedLabel label of the caller's call that brought the first event; empty if the
+   *     caller named none
+   * @param source how the software version was found
+   * @param softwareVersion the software version; empty if it was not found
+   * @param heldNanos time for which the call was held until then
+   */
+  record ResumptionDecided(
+      RequestId request,
+      String resumedLabel,
+      OriginSource source,
+      String softwareVersion,
+      long heldNanos)
+      implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallLabels;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.PromptMetadata;
@@ -42,6 +43,7 @@
    *     empty if it resumes none
    * @param allowedRegions regions in which the matched route and the workspace allow the call to be
    *     processed, by the table of the front end
+   * @param labels labels by which the caller refers to the call and to the one that it resumes
    */
   record CallArrived(
       RequestId request,
@@ -55,9 +57,40 @@
       Optional<CallPlan> plan,
       Optional<PromptMetadata> prompt,
       OptionalLong resumeAfter,
-      AllowedRegions allowedRegions)
+      AllowedRegions allowedRegions,
+      CallLabels labels)
       implements RouterEvent {
 
+    /** Creates the event of a call without labels. */
+    public CallArrived(
+        RequestId request,
+        String workspace,
+        String service,
+        CallHead head,
+        Bytes body,
+        Fingerprint fingerprint,
+        Optional<Ticket> ticket,
+        long deadlineNanos,
+        Optional<CallPlan> plan,
+        Optional<PromptMetadata> prompt,
+        OptionalLong resumeAfter,
+        AllowedRegions allowedRegions) {
+      this(
+          request,
+          workspace,
+          service,
+          head,
+          body,
+          fingerprint,
+          ticket,
+          deadlineNanos,
+          plan,
+          prompt,
+          resumeAfter,
+          allowedRegions,
+          CallLabels.NONE);
+    }
+
     /** Creates the event of a call that every region may process. */
     public CallArrived(
         RequestId request,
@@ -109,6 +142,11 @@
           Optional.empty(),
           OptionalLong.empty());
     }
+
+    /** Returns whether the caller already has events of the stream and wants those after them. */
+    public boolean resumesStream() {
+      return resumeAfter.isPresent() && resumeAfter.getAsLong() >= 0;
+    }
   }
 
   /**
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -137,6 +137,7 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.ResumptionDecided _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -231,6 +231,7 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.ResumptionDecided _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
@@ -376,7 +377,8 @@
           Optional.of(call.plan()),
           call.prompt(),
           call.resumeAfter(),
-          call.allowedRegions());
+          call.allowedRegions(),
+          call.labels());
     }
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -155,6 +155,7 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.ResumptionDecided _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -235,6 +235,21 @@
                 .with("waitingChanged", change.waitingChanged()));
   }
 
+  /** Logs a call that resumes a stream, and how the software version that began it was found. */
+  static void logResumptionDecided(RouterEffect.ResumptionDecided decided) {
+    LogEvent event =
+        decided.source().resumes() ? LogEvent.STREAM_RESUMED : LogEvent.STREAM_RESUMPTION_REJECTED;
+    LOGGER.info(
+        () ->
+            event
+                .message()
+                .with("request", decided.request().toString())
+                .with("resumedLabel", decided.resumedLabel())
+                .with("origin", decided.source().code())
+                .with("softwareVersion", decided.softwareVersion())
+                .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos())));
+  }
+
   /** Logs a request or prompt part that is quarantined or no longer is. */
   static void logQuarantineChanged(RouterEffect.QuarantineChanged change) {
     LOGGER.warn(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import dev.agatepier.core.process.OriginSource;
 import dev.agatepier.core.process.RequestMetadata;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
@@ -41,6 +42,11 @@
     routes.recordEnded(outcome, reason, metadata);
   }
 
+  /** Counts a call that resumes a stream by how the software version that began it was found. */
+  void recordResumption(OriginSource source) {
+    registry.counter("resumptions." + source.code()).inc();
+  }
+
   /** Returns the metrics per workspace and service. */
   WorkspaceMetrics workspaces() {
     return workspaces;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -297,6 +297,10 @@
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
       case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
+      case RouterEffect.ResumptionDecided decided -> {
+        metrics.recordResumption(decided.source());
+        RequestLog.logResumptionDecided(decided);
+      }
       case RouterEffect.Drained _ -> drained.complete(null);
       case RouterEffect.EndResponse end -> {
         metrics.recordEnded(Outcome.COMPLETED, Optional.empty(), end.metadata());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/AcceptedCall.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/AcceptedCall.java
@@ -1,6 +1,7 @@
 package dev.agatepier.wire.request;
 
 import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallLabels;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.version.AllowedRegions;
@@ -19,6 +20,7 @@
  * @param prompt metadata that the caller sent with a model request
  * @param resumeAfter number of the last event that the caller received of an interrupted stream
  *     that it resumes
+ * @param resumedLabel label of the caller's call that brought the first event of that stream
  * @param deadlineNanos deadline of the call, in nanoseconds of the process's monotonic clock
  * @param allowedRegions regions in which the matched route and the workspace allow the call to be
  *     processed
@@ -31,10 +33,11 @@
     CallPlan plan,
     Optional<PromptMetadata> prompt,
     OptionalLong resumeAfter,
+    Optional<String> resumedLabel,
     long deadlineNanos,
     AllowedRegions allowedRegions) {
 
-  /** Creates a call that every region may process. */
+  /** Creates a call that every region may process and that resumes no stream. */
   public AcceptedCall(
       String label,
       String workspace,
@@ -42,7 +45,6 @@
       CallHead head,
       CallPlan plan,
       Optional<PromptMetadata> prompt,
-      OptionalLong resumeAfter,
       long deadlineNanos) {
     this(
         label,
@@ -51,7 +53,8 @@
         head,
         plan,
         prompt,
-        resumeAfter,
+        OptionalLong.empty(),
+        Optional.empty(),
         deadlineNanos,
         AllowedRegions.ALL);
   }
@@ -65,6 +68,12 @@
     Objects.requireNonNull(plan, "plan");
     Objects.requireNonNull(prompt, "prompt");
     Objects.requireNonNull(resumeAfter, "resumeAfter");
+    Objects.requireNonNull(resumedLabel, "resumedLabel");
     Objects.requireNonNull(allowedRegions, "allowedRegions");
   }
+
+  /** Returns the labels by which the caller refers to its calls. */
+  public CallLabels labels() {
+    return new CallLabels(label, resumedLabel);
+  }
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeCallDialect.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeCallDialect.java
@@ -15,7 +15,6 @@
 import dev.agatepier.wire.request.ReceivedHead;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.locks.LockSupport;
 
 /** Accepts every call except for paths that start with {@code /rejected}. */
@@ -61,7 +60,6 @@
         new CallHead(head.method(), head.target(), head.headers()),
         new CallPlan("route", false, false, false, 1, 10_000, 100, 0, 0),
         Optional.empty(),
-        OptionalLong.empty(),
         nowNanos + 10_000_000_000L);
   }
 
