Resume streams only at the software version that began them

Callers saw: a stream that had broken off was resumed with status 200 and ran to its end, but its text came from two software versions.

Cause: a router placed a call that resumes a stream like a new one. Which version began the stream was known only to the router that had relayed the first event.

Change: a router records the software version of a new stream on a resumable route with its first event, and sends it to three other routers, selected by rendezvous hashing over the connected routers, in different data centres where possible. A call that resumes a stream is held before its admission until the version is found: in the router's own memory, with the routers that the hash selects (300 ms at most), or because the service has had only one version for as long as the stream can exist. Several routers' lists count for the last, since one may be behind. Otherwise the call is rejected as not run, with stream-origin-unknown. The first record of a stream wins, so that a stream continued at the wrong version returns to the one that began it.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -23,7 +23,8 @@
         LinkMessage.KnownRouters,
         AttemptMessage,
         VersionMessage,
-        SlotMessage {
+        SlotMessage,
+        StreamMessage {
 
   /**
    * First handshake message in both directions: identity of the sender and a challenge to the
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/OriginSource.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/OriginSource.java
@@ -2,8 +2,14 @@
 
 /** How a router found the software version that began a stream. */
 public enum OriginSource {
-  /** Not at all: the call may run at any software version. */
-  UNBOUND("unbound", true);
+  /** The router itself relayed the first event, or was told of it. */
+  LOCAL("local", true),
+  /** Another router has replied with it. */
+  PEER("peer", true),
+  /** The service has had no other software version since the stream can have begun. */
+  ONLY_VERSION("only-version", true),
+  /** Not at all: the call is rejected. */
+  UNKNOWN("unknown", false);
 
   private final String code;
   private final boolean resumes;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.StreamMessage;
 import dev.agatepier.core.process.internal.Admission;
 import dev.agatepier.core.process.internal.AllocatorPlacement;
 import dev.agatepier.core.process.internal.AttemptRelay;
@@ -10,6 +11,7 @@
 import dev.agatepier.core.process.internal.RequestLifecycle;
 import dev.agatepier.core.process.internal.RouterState;
 import dev.agatepier.core.process.internal.SlotReplyHandler;
+import dev.agatepier.core.process.internal.StreamResumptions;
 import dev.agatepier.core.process.internal.TicketIssuer;
 import dev.agatepier.core.process.internal.UpstreamResponseHandler;
 import dev.agatepier.core.request.RequestId;
@@ -27,7 +29,7 @@
   private final RouterState state;
   private final DemandPublisher demand;
   private final RequestLifecycle lifecycle;
-  private final Admission admission;
+  private final StreamResumptions resumptions;
   private final AttemptRelay attempts;
   private final PeerMessageDispatcher peers;
   private final TicketIssuer tickets;
@@ -63,10 +65,11 @@
     demand = new DemandPublisher(state);
     lifecycle = new RequestLifecycle(state, demand);
     allocatorPlacement = new AllocatorPlacement(state);
-    admission = new Admission(state, lifecycle, demand, allocatorPlacement);
+    Admission admission = new Admission(state, lifecycle, demand, allocatorPlacement);
     attempts = new AttemptRelay(state, lifecycle);
     slotReplies = new SlotReplyHandler(state, lifecycle, allocatorPlacement, attempts);
-    upstreams = new UpstreamResponseHandler(state, attempts);
+    resumptions = new StreamResumptions(state, admission);
+    upstreams = new UpstreamResponseHandler(state, attempts, resumptions);
     peers = new PeerMessageDispatcher(state, lifecycle, demand, attempts, allocatorPlacement);
     tickets = new TicketIssuer(state, admission);
   }
@@ -74,11 +77,12 @@
   @Override
   public List<RouterEffect> decide(RouterEvent event, long nowNanos) {
     attempts.runDueTimers(nowNanos);
+    resumptions.runDueTimers(nowNanos);
     handle(event, nowNanos);
     allocatorPlacement.rejectUnplaced(lifecycle, nowNanos);
     demand.publish(nowNanos);
     allocatorPlacement.flush(nowNanos);
-    if (state.drained() && !drainedReported) {
+    if (state.drained() && resumptions.isEmpty() && !drainedReported) {
       drainedReported = true;
       state.outbox().add(new RouterEffect.Drained());
     }
@@ -87,7 +91,7 @@
 
   @Override
   public boolean idle() {
-    return state.idle() && demand.allSent();
+    return state.idle() && resumptions.isEmpty() && demand.allSent();
   }
 
   /** Returns the state that operators see in the status of this router. */
@@ -102,35 +106,31 @@
 
   private void handle(RouterEvent event, long nowNanos) {
     switch (event) {
-      case RouterEvent.CallArrived call -> {
-        if (call.resumesStream()) {
-          state
-              .outbox()
-              .add(
-                  new RouterEffect.ResumptionDecided(
-                      call.request(),
-                      call.labels().resumed().orElse(""),
-                      OriginSource.UNBOUND,
-                      "",
-                      0));
-        }
-        admission.admit(call, nowNanos);
-      }
+      case RouterEvent.CallArrived call -> resumptions.onCallArrived(call, nowNanos);
       case RouterEvent.TicketRequested ticket -> tickets.issue(ticket);
-      case RouterEvent.CallerDisconnected caller ->
+      case RouterEvent.CallerDisconnected caller -> {
+        if (!resumptions.onCallerDisconnected(caller.request())) {
           attempts.onCallerDisconnected(caller.request(), nowNanos);
+        }
+      }
       case RouterEvent.ResponseConsumed consumed -> attempts.onResponseConsumed(consumed);
       case RouterEvent.PeerConnected connected -> peers.onPeerConnected(connected.peer(), nowNanos);
-      case RouterEvent.PeerDisconnected disconnected ->
-          peers.onPeerDisconnected(disconnected.peer(), nowNanos);
+      case RouterEvent.PeerDisconnected disconnected -> {
+        peers.onPeerDisconnected(disconnected.peer(), nowNanos);
+        resumptions.onPeerDisconnected(disconnected.peer(), nowNanos);
+      }
+      case RouterEvent.MessageReceived(PeerIdentity peer, StreamMessage message) ->
+          resumptions.onMessage(peer, message, nowNanos);
       case RouterEvent.MessageReceived received ->
           peers.onMessage(received.peer(), received.message(), nowNanos);
       case RouterEvent.TableActivated activated -> {
         state.onTableActivated(activated.table());
+        resumptions.onTableActivated(activated.table());
         allocatorPlacement.onTableActivated(nowNanos);
       }
       case RouterEvent.InstancesActivated activated -> {
         peers.onInstancesActivated(activated.instances());
+        resumptions.onInstancesActivated(activated.instances(), nowNanos);
         slotReplies.onInstancesActivated(activated.instances(), nowNanos);
       }
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
@@ -148,6 +148,7 @@
       case RouterEvent.UpstreamFailed failed -> upstreams.onAttemptFailed(failed, nowNanos);
       case RouterEvent.Tick tick -> {
         state.expire(nowNanos);
+        resumptions.expire(nowNanos);
         allocatorPlacement.reportNotices(nowNanos);
       }
       case RouterEvent.StopAnnounced(long endNanos) -> {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Admission.java
@@ -129,7 +129,8 @@
         new FailRequest(request, outcome, refusal.reason(), refusal.retryAfterMillis(), metadata));
   }
 
-  private void refuse(CallArrived call, Refusal refusal) {
+  /** Ends a call that is not admitted. */
+  void refuse(CallArrived call, Refusal refusal) {
     boolean mayHaveRun = call.ticket().isPresent() && refusal.reason() != Reason.TICKET_INVALID;
     Outcome outcome = mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
     RequestMetadata metadata =
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
@@ -0,0 +1,50 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.StreamMessage.OriginReply;
+import dev.agatepier.core.process.RouterEvent.CallArrived;
+import dev.agatepier.core.request.StreamKey;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** A call that resumes a stream, held while other routers are asked which version began it. */
+final class HeldResumption {
+
+  final CallArrived call;
+  final StreamKey key;
+  final long number;
+  final long heldSinceNanos;
+  final long timeoutNanos;
+
+  /** Routers that have not replied yet. */
+  final Set<String> awaited;
+
+  /** Software versions that the service had in the lifetime of a stream, as the replies say. */
+  final Set<String> recentVersions = new TreeSet<>();
+
+  /** Whether a reply says that it has all those versions. */
+  boolean complete;
+
+  HeldResumption(
+      CallArrived call,
+      StreamKey key,
+      long number,
+      long heldSinceNanos,
+      long timeoutNanos,
+      Collection<String> asked) {
+    this.call = call;
+    this.key = key;
+    this.number = number;
+    this.heldSinceNanos = heldSinceNanos;
+    this.timeoutNanos = timeoutNanos;
+    awaited = new HashSet<>(asked);
+  }
+
+  /** Adds what a router knows that does not know the stream itself. */
+  void addReply(String router, OriginReply reply) {
+    awaited.remove(router);
+    recentVersions.addAll(reply.recentVersions());
+    complete |= reply.complete();
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
@@ -0,0 +1,70 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.version.Upstream;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+/**
+ * The software versions that the upstreams of each service have, and when others were last listed.
+ */
+final class RecentSoftwareVersions {
+
+  /** Time for which a version that is no longer listed is kept. */
+  private static final long RETENTION_NANOS = 3_600_000_000_000L;
+
+  private final Map<String, Set<String>> listed = new HashMap<>();
+  private final Map<String, Map<String, Long>> lastListedNanos = new HashMap<>();
+  private boolean listReceived;
+  private long completeSinceNanos;
+
+  /** Handles a list of upstreams. */
+  void onListActivated(Collection<Upstream> upstreams, long nowNanos) {
+    if (!listReceived) {
+      listReceived = true;
+      completeSinceNanos = nowNanos;
+    }
+    listed.forEach(
+        (service, versions) ->
+            versions.forEach(version -> recordListed(service, version, nowNanos)));
+    listed.clear();
+    for (Upstream upstream : upstreams) {
+      listed
+          .computeIfAbsent(upstream.service(), service -> new HashSet<>())
+          .add(upstream.softwareVersion());
+    }
+    lastListedNanos
+        .values()
+        .forEach(versions -> versions.values().removeIf(last -> nowNanos - last > RETENTION_NANOS));
+    lastListedNanos.values().removeIf(Map::isEmpty);
+  }
+
+  /** Returns the software versions that a service is known to have had in the last nanoseconds. */
+  SortedSet<String> within(String service, long nanos, long nowNanos) {
+    SortedSet<String> versions = new TreeSet<>(listed.getOrDefault(service, Set.of()));
+    lastListedNanos
+        .getOrDefault(service, Map.of())
+        .forEach(
+            (version, last) -> {
+              if (nowNanos - last <= nanos) {
+                versions.add(version);
+              }
+            });
+    return versions;
+  }
+
+  /** Returns whether all software versions of the last nanoseconds are known. */
+  boolean isComplete(long nanos, long nowNanos) {
+    return listReceived && nowNanos - completeSinceNanos >= nanos;
+  }
+
+  private void recordListed(String service, String version, long nanos) {
+    lastListedNanos
+        .computeIfAbsent(service, name -> new HashMap<>())
+        .merge(version, nanos, Math::max);
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamOrigins.java
@@ -0,0 +1,53 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.request.StreamKey;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** Bounded memory of the software versions that began streams, oldest first. */
+final class StreamOrigins {
+
+  /** Maximum number of streams; about 6 MB. */
+  static final int MAXIMUM_STREAMS = 32_768;
+
+  private final Map<StreamKey, Origin> origins = new LinkedHashMap<>();
+
+  private record Origin(String softwareVersion, long recordedNanos) {}
+
+  /**
+   * Records the software version that began a stream, unless one is recorded; the oldest stream is
+   * dropped if there are too many.
+   *
+   * @return whether the stream was not recorded before
+   */
+  boolean record(StreamKey key, String softwareVersion, long nowNanos) {
+    if (origins.putIfAbsent(key, new Origin(softwareVersion, nowNanos)) != null) {
+      return false;
+    }
+    if (origins.size() > MAXIMUM_STREAMS) {
+      Iterator<StreamKey> oldestFirst = origins.keySet().iterator();
+      oldestFirst.next();
+      oldestFirst.remove();
+    }
+    return true;
+  }
+
+  /** Returns the software version that began a stream; empty if it is not known. */
+  Optional<String> find(StreamKey key) {
+    return Optional.ofNullable(origins.get(key)).map(Origin::softwareVersion);
+  }
+
+  /** Drops the streams that were recorded longer than a lifetime ago. */
+  void expire(long lifetimeNanos, long nowNanos) {
+    Iterator<Origin> oldestFirst = origins.values().iterator();
+    while (oldestFirst.hasNext() && nowNanos - oldestFirst.next().recordedNanos() > lifetimeNanos) {
+      oldestFirst.remove();
+    }
+  }
+
+  int size() {
+    return origins.size();
+  }
+}
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -0,0 +1,269 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.StreamMessage;
+import dev.agatepier.core.connection.StreamMessage.OriginReply;
+import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.StreamBegan;
+import dev.agatepier.core.process.OriginSource;
+import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
+import dev.agatepier.core.process.RouterEvent.CallArrived;
+import dev.agatepier.core.process.internal.Admission.Refusal;
+import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.StreamKey;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.Table;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.stream.LongStream;
+
+/**
+ * Binds calls that resume a stream to the software version that began it, since upstreams of
+ * another version would continue it with text that does not fit.
+ *
+ * <p>The version is found in the router's own memory, with the routers to which the origin of the
+ * stream was sent, or because the upstreams of the service have had only one software version since
+ * the stream can have begun. A call whose stream's origin is not found is rejected.
+ */
+public final class StreamResumptions {
+
+  /** Time for which replies of other routers are awaited: several round trips between regions. */
+  static final long REPLY_TIMEOUT_NANOS = 300_000_000;
+
+  /** A caller can resume a stream after one attempt and again after a second one. */
+  private static final int ATTEMPTS_OF_STREAM = 2;
+
+  /** Time until the origin of a stream is dropped after the stream must have ended. */
+  private static final long RETENTION_MARGIN_NANOS = 5_000_000_000L;
+
+  private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
+
+  /** Number of software versions in a reply: a second one already proves that there are several. */
+  private static final int REPORTED_VERSIONS = 2;
+
+  private final RouterState state;
+  private final Admission admission;
+  private final StreamOrigins origins = new StreamOrigins();
+  private final RecentSoftwareVersions recentVersions = new RecentSoftwareVersions();
+
+  /** Held calls by the number of the request to other routers, in the order of their arrival. */
+  private final Map<Long, HeldResumption> held = new LinkedHashMap<>();
+
+  private long longestTimeoutMillis = DEFAULT_TIMEOUT_MILLIS;
+  private long lastNumber;
+
+  /** Creates the resumptions of a router that knows no stream. */
+  public StreamResumptions(RouterState state, Admission admission) {
+    this.state = state;
+    this.admission = admission;
+  }
+
+  /** Returns whether no call is held. */
+  public boolean isEmpty() {
+    return held.isEmpty();
+  }
+
+  /** Admits a call; one that resumes a stream is first held until the origin is known. */
+  public void onCallArrived(CallArrived call, long nowNanos) {
+    if (!call.resumesStream()
+        || admission.checkAccess(call.workspace(), call.service()).isPresent()) {
+      admission.admit(call, nowNanos);
+      return;
+    }
+    StreamKey key = key(call, call.labels().resumed().orElse(""));
+    List<String> asked = OriginRouters.select(key, state.routers.values(), OriginRouters.ASKED);
+    HeldResumption resumption =
+        new HeldResumption(
+            call,
+            key,
+            ++lastNumber,
+            nowNanos,
+            Math.min(call.deadlineNanos(), nowNanos + REPLY_TIMEOUT_NANOS),
+            asked);
+    Optional<String> known = origins.find(key);
+    if (known.isPresent()) {
+      resume(resumption, OriginSource.LOCAL, known.get(), nowNanos);
+    } else if (asked.isEmpty()) {
+      decideWithoutOrigin(resumption, nowNanos);
+    } else {
+      held.put(resumption.number, resumption);
+      OriginRequest request =
+          new OriginRequest(resumption.number, key, call.service(), lifetimeMillis(call));
+      asked.forEach(router -> state.outbox.send(router, request));
+    }
+  }
+
+  /** Records the software version that began a stream, and sends it to other routers. */
+  void onFirstEvent(RoutedRequest request, long nowNanos) {
+    CallArrived call = request.call;
+    if (request.plan.resumable()
+        && !call.resumesStream()
+        && !call.labels().own().isEmpty()
+        && request.target instanceof DirectUpstream target
+        && !target.upstream().softwareVersion().isEmpty()) {
+      record(key(call, call.labels().own()), target.upstream().softwareVersion(), nowNanos);
+    }
+  }
+
+  /** Handles a message of another router. */
+  public void onMessage(PeerIdentity peer, StreamMessage message, long nowNanos) {
+    switch (message) {
+      case StreamBegan(StreamKey key, String softwareVersion) ->
+          origins.record(key, softwareVersion, nowNanos);
+      case OriginRequest request -> state.outbox.send(peer.instance(), reply(request, nowNanos));
+      case OriginReply reply -> onReply(peer.instance(), reply, nowNanos);
+    }
+  }
+
+  /** Stops waiting for the replies of a router whose link was lost. */
+  public void onPeerDisconnected(PeerIdentity peer, long nowNanos) {
+    for (HeldResumption resumption : List.copyOf(held.values())) {
+      if (resumption.awaited.remove(peer.instance())) {
+        decideIfAllReplied(resumption, nowNanos);
+      }
+    }
+  }
+
+  /** Ends a held call whose caller has disconnected; returns whether there was one. */
+  public boolean onCallerDisconnected(RequestId request) {
+    Optional<HeldResumption> found =
+        held.values().stream()
+            .filter(resumption -> resumption.call.request().equals(request))
+            .findFirst();
+    found.ifPresent(
+        resumption -> {
+          held.remove(resumption.number);
+          admission.refuse(resumption.call, new Refusal(Reason.CALLER_GONE, 0));
+        });
+    return found.isPresent();
+  }
+
+  /** Handles a list of upstreams. */
+  public void onInstancesActivated(InstanceList instances, long nowNanos) {
+    recentVersions.onListActivated(instances.upstreams(), nowNanos);
+  }
+
+  /** Derives from a table for how long origins are kept. */
+  public void onTableActivated(Table table) {
+    longestTimeoutMillis =
+        LongStream.concat(
+                table.routes().routes().stream().mapToLong(route -> route.plan().timeoutMillis()),
+                table.services().values().stream().mapToLong(ServiceEntry::deadlineMillis))
+            .max()
+            .orElse(DEFAULT_TIMEOUT_MILLIS);
+  }
+
+  /** Decides on the calls that have been held for the longest time allowed. */
+  public void runDueTimers(long nowNanos) {
+    held.values().stream()
+        .filter(resumption -> resumption.timeoutNanos <= nowNanos)
+        .toList()
+        .forEach(resumption -> decideWithoutOrigin(resumption, nowNanos));
+  }
+
+  /** Drops the origins of streams that must have ended. */
+  public void expire(long nowNanos) {
+    long lifetimeNanos = ATTEMPTS_OF_STREAM * longestTimeoutMillis * RouterState.NANOS_PER_MILLI;
+    origins.expire(lifetimeNanos + RETENTION_MARGIN_NANOS, nowNanos);
+  }
+
+  private OriginReply reply(OriginRequest request, long nowNanos) {
+    Optional<String> known = origins.find(request.key());
+    long lifetimeNanos = request.lifetimeMillis() * RouterState.NANOS_PER_MILLI;
+    return new OriginReply(
+        request.number(),
+        known.isPresent(),
+        known.orElse(""),
+        recentVersions.isComplete(lifetimeNanos, nowNanos),
+        recentVersions.within(request.service(), lifetimeNanos, nowNanos).stream()
+            .limit(REPORTED_VERSIONS)
+            .toList());
+  }
+
+  private void onReply(String router, OriginReply reply, long nowNanos) {
+    HeldResumption resumption = held.get(reply.number());
+    if (resumption == null || !resumption.awaited.contains(router)) {
+      return;
+    }
+    if (reply.known()) {
+      resume(resumption, OriginSource.PEER, reply.softwareVersion(), nowNanos);
+    } else {
+      resumption.addReply(router, reply);
+      decideIfAllReplied(resumption, nowNanos);
+    }
+  }
+
+  private void decideIfAllReplied(HeldResumption resumption, long nowNanos) {
+    if (resumption.awaited.isEmpty()) {
+      decideWithoutOrigin(resumption, nowNanos);
+    }
+  }
+
+  /**
+   * Resumes a stream whose origin nobody knows if its service has had only one software version for
+   * as long as the stream can exist. Another version that any reply names rules that out: the list
+   * of this router may be behind.
+   */
+  private void decideWithoutOrigin(HeldResumption resumption, long nowNanos) {
+    CallArrived call = resumption.call;
+    long lifetimeNanos = lifetimeMillis(call) * RouterState.NANOS_PER_MILLI;
+    SortedSet<String> versions = new TreeSet<>(resumption.recentVersions);
+    versions.addAll(recentVersions.within(call.service(), lifetimeNanos, nowNanos));
+    boolean complete = resumption.complete || recentVersions.isComplete(lifetimeNanos, nowNanos);
+    boolean onlyVersion = versions.size() == 1;
+    if (onlyVersion && (complete || versions.first().isEmpty())) {
+      resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
+    } else {
+      held.remove(resumption.number);
+      report(resumption, OriginSource.UNKNOWN, "", nowNanos);
+      admission.refuse(call, new Refusal(Reason.STREAM_ORIGIN_UNKNOWN, 0));
+    }
+  }
+
+  private void resume(
+      HeldResumption resumption, OriginSource source, String softwareVersion, long nowNanos) {
+    CallArrived call = resumption.call;
+    held.remove(resumption.number);
+    if (call.labels().resumed().isPresent() && !softwareVersion.isEmpty()) {
+      record(resumption.key, softwareVersion, nowNanos);
+    }
+    report(resumption, source, softwareVersion, nowNanos);
+    admission.admit(call, softwareVersion, nowNanos);
+  }
+
+  private void report(
+      HeldResumption resumption, OriginSource source, String softwareVersion, long nowNanos) {
+    state.outbox.add(
+        new ResumptionDecided(
+            resumption.call.request(),
+            resumption.call.labels().resumed().orElse(""),
+            source,
+            softwareVersion,
+            nowNanos - resumption.heldSinceNanos));
+  }
+
+  private void record(StreamKey key, String softwareVersion, long nowNanos) {
+    if (origins.record(key, softwareVersion, nowNanos)) {
+      StreamBegan began = new StreamBegan(key, softwareVersion);
+      OriginRouters.select(key, state.routers.values(), OriginRouters.HOLDERS)
+          .forEach(router -> state.outbox.send(router, began));
+    }
+  }
+
+  /** Returns how long before a call the stream that it resumes can have begun. */
+  private static long lifetimeMillis(CallArrived call) {
+    return ATTEMPTS_OF_STREAM
+        * call.plan().map(CallPlan::timeoutMillis).orElse(DEFAULT_TIMEOUT_MILLIS);
+  }
+
+  private static StreamKey key(CallArrived call, String label) {
+    return StreamKey.of(call.workspace(), call.service(), label);
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -21,11 +21,19 @@
 
   private final RouterState state;
   private final AttemptRelay relay;
+  private final StreamResumptions resumptions;
 
-  /** Creates a handler that relays to callers through the given relay. */
-  public UpstreamResponseHandler(RouterState state, AttemptRelay relay) {
+  /**
+   * Creates a handler.
+   *
+   * @param relay relays responses to callers
+   * @param resumptions records which software versions begin streams
+   */
+  public UpstreamResponseHandler(
+      RouterState state, AttemptRelay relay, StreamResumptions resumptions) {
     this.state = state;
     this.relay = relay;
+    this.resumptions = resumptions;
   }
 
   /**
@@ -75,6 +83,9 @@
       return;
     }
     if (numbered) {
+      if (request.resumeAfter().isEmpty()) {
+        resumptions.onFirstEvent(request, nowNanos);
+      }
       request.lastEvent = event.lastEvent();
     }
     request.tokens += event.tokens();
--- a/agatepier-core/src/main/java/dev/agatepier/core/request/Reason.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/request/Reason.java
@@ -23,6 +23,7 @@
   NO_UPSTREAM("no-upstream", 503),
   NO_PERMITTED_UPSTREAM("no-permitted-upstream", 503),
   NO_UPSTREAM_OF_VERSION("no-upstream-of-version", 503),
+  STREAM_ORIGIN_UNKNOWN("stream-origin-unknown", 503),
   STALE_TABLE("stale-table", 503),
   UPSTREAM_UNREACHABLE("upstream-unreachable", 503),
   UPSTREAM_BUSY("upstream-busy", 503),
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
@@ -0,0 +1,305 @@
+package dev.agatepier.core.process;
+
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
+import dev.agatepier.core.connection.SlotMessage.SlotGranted;
+import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
+import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.connection.StreamMessage;
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallLabels;
+import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.Outcome;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.version.AllowedRegions;
+import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Upstream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * Routers that are killed, and callers that resume their streams at other routers, in virtual time.
+ * A simulated allocator grants any upstream of the software version that a request is bound to.
+ */
+final class ResumingFleet {
+
+  static final long TIMEOUT_MILLIS = 10_000;
+
+  private static final CallPlan RESUMABLE =
+      new CallPlan("r", false, true, true, 2, TIMEOUT_MILLIS, 500, 250, 1);
+  private static final String SERVICE = AllocatingRouter.SERVICE;
+  private static final int DATA_CENTRES = 3;
+  private static final int EVENTS = 10;
+  private static final int EVENT_MILLIS = 50;
+  private static final int HOP_MILLIS = 20;
+  private static final int TICK_MILLIS = 25;
+  private static final int RESUME_MILLIS = 100;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  final VirtualTime time;
+  final List<Node> nodes = new ArrayList<>();
+  final List<Stream> streams = new ArrayList<>();
+  private final Map<RequestId, Stream> calls = new HashMap<>();
+  private final Set<RequestId> granted = new HashSet<>();
+  private final String labelPrefix;
+  private InstanceList instances = InstanceList.NONE;
+  private long lastNumber;
+
+  /** A caller's stream over all its calls. */
+  static final class Stream {
+    Node router;
+
+    /** Software version of each event received. */
+    final List<String> versions = new ArrayList<>();
+
+    Optional<String> firstLabel = Optional.empty();
+    String label;
+    boolean complete;
+    Reason rejected;
+    Outcome outcome;
+    long calledMillis;
+    long endedMillis;
+
+    Set<String> distinctVersions() {
+      return new HashSet<>(versions);
+    }
+  }
+
+  /** Starts routers in three data centres before upstreams of one software version. */
+  ResumingFleet(long seed, int routers) {
+    time = new VirtualTime(seed);
+    labelPrefix = seed + "-";
+    for (int index = 0; index < routers; index++) {
+      nodes.add(new Node("r" + index, "d" + index % DATA_CENTRES));
+    }
+    publish("v1");
+    nodes.forEach(Node::start);
+    tick();
+  }
+
+  /** Lists upstreams of the given software versions, two of each. */
+  void publish(String... versions) {
+    List<Upstream> upstreams = new ArrayList<>();
+    for (String version : versions) {
+      for (int index = 0; index < 2; index++) {
+        String name = version + "-" + index;
+        upstreams.add(
+            new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, "d0", 64, false, false, version));
+      }
+    }
+    instances = new InstanceList(instances.version() + 1, List.of(), upstreams);
+    nodes.forEach(Node::activateInstances);
+  }
+
+  void advance(long millis) {
+    time.runUntil(time.nowMillis() + millis);
+  }
+
+  /** Starts a stream at a router. */
+  Stream open(Node router) {
+    Stream stream = new Stream();
+    streams.add(stream);
+    call(stream, router);
+    return stream;
+  }
+
+  /** Calls for the rest of a stream, or for all of it if no event has been received. */
+  void call(Stream stream, Node router) {
+    stream.router = router;
+    stream.label = labelPrefix + ++lastNumber;
+    stream.rejected = null;
+    stream.calledMillis = time.nowMillis();
+    RequestId request = new RequestId(router.self.instance(), router.incarnation, lastNumber);
+    calls.put(request, stream);
+    int received = stream.versions.size();
+    router.dispatch(
+        new RouterEvent.CallArrived(
+            request,
+            "w",
+            SERVICE,
+            new CallHead("POST", "/", List.of()),
+            Bytes.EMPTY,
+            new Fingerprint("w", SERVICE, request.toString()),
+            Optional.empty(),
+            (time.nowMillis() + TIMEOUT_MILLIS) * NANOS_PER_MILLI,
+            Optional.of(RESUMABLE),
+            Optional.empty(),
+            received == 0 ? OptionalLong.empty() : OptionalLong.of(received),
+            AllowedRegions.ALL,
+            new CallLabels(stream.label, stream.firstLabel)));
+  }
+
+  /** Disconnects the caller of the last call. */
+  void disconnectCaller(Stream stream) {
+    calls.forEach(
+        (request, called) -> {
+          if (called == stream && request.number() == lastNumber) {
+            stream.router.dispatch(new RouterEvent.CallerDisconnected(request));
+          }
+        });
+  }
+
+  /** Kills routers; the streams there are resumed at others that are up, if there are any. */
+  void kill(List<Node> killed) {
+    killed.forEach(Node::stop);
+    for (Stream stream : streams) {
+      if (killed.contains(stream.router) && !stream.complete) {
+        time.after(RESUME_MILLIS, () -> resume(stream));
+      }
+    }
+  }
+
+  private void resume(Stream stream) {
+    List<Node> up = nodes.stream().filter(node -> node.up).toList();
+    if (!up.isEmpty()) {
+      call(stream, up.get(time.draw(up.size())));
+    }
+  }
+
+  private void tick() {
+    nodes.forEach(node -> node.dispatch(new RouterEvent.Tick()));
+    time.after(TICK_MILLIS, this::tick);
+  }
+
+  private Optional<Upstream> upstreamFor(String softwareVersion) {
+    List<Upstream> matching =
+        instances.upstreams().stream()
+            .filter(
+                upstream ->
+                    softwareVersion.isEmpty() || upstream.softwareVersion().equals(softwareVersion))
+            .toList();
+    return matching.isEmpty()
+        ? Optional.empty()
+        : Optional.of(matching.get(time.draw(matching.size())));
+  }
+
+  /** A router process. */
+  final class Node {
+    final PeerIdentity self;
+    boolean up;
+
+    /** Whether the router receives nothing over its links. */
+    boolean silent;
+
+    private long incarnation;
+    private RouterDecision decision;
+
+    private Node(String name, String dataCentre) {
+      self = new PeerIdentity(name, 1, Role.ROUTER, dataCentre, dataCentre, "");
+    }
+
+    void start() {
+      up = true;
+      decision = new RouterDecision(self, RouterPolicy.DEFAULT);
+      dispatch(new RouterEvent.TableActivated(AllocatingRouter.table(List.of("w"))));
+      activateInstances();
+      for (Node peer : nodes) {
+        if (peer != this && peer.up) {
+          dispatch(new RouterEvent.PeerConnected(peer.self));
+          peer.dispatch(new RouterEvent.PeerConnected(self));
+        }
+      }
+    }
+
+    private void stop() {
+      up = false;
+      incarnation++;
+      nodes.forEach(peer -> peer.dispatch(new RouterEvent.PeerDisconnected(self)));
+    }
+
+    private void activateInstances() {
+      dispatch(new RouterEvent.InstancesActivated(instances));
+    }
+
+    /** Passes a message of a peer to the router. */
+    void receive(PeerIdentity peer, StreamMessage message) {
+      if (!silent) {
+        dispatch(new RouterEvent.MessageReceived(peer, message));
+      }
+    }
+
+    private void dispatch(RouterEvent event) {
+      if (up) {
+        decision.decide(event, time.nowMillis() * NANOS_PER_MILLI).forEach(this::perform);
+      }
+    }
+
+    private void perform(RouterEffect effect) {
+      switch (effect) {
+        case RouterEffect.Send(String to, StreamMessage message) ->
+            nodes.stream()
+                .filter(node -> node.self.instance().equals(to))
+                .forEach(node -> node.later(HOP_MILLIS, () -> node.receive(self, message)));
+        case RouterEffect.Send(String allocator, SlotsWanted wanted) ->
+            wanted.waiting().forEach(call -> later(1, () -> grant(allocator, call)));
+        case RunAttempt run -> later(EVENT_MILLIS, () -> startResponse(run));
+        case RouterEffect.ContinueResponse part -> onEvent(part);
+        case RouterEffect.EndResponse end -> calls.get(end.request()).complete = true;
+        case RouterEffect.FailRequest fail -> {
+          Stream stream = calls.get(fail.request());
+          stream.rejected = fail.reason();
+          stream.outcome = fail.outcome();
+          stream.endedMillis = time.nowMillis();
+        }
+        default -> {
+          // Concerns what this simulation does not have.
+        }
+      }
+    }
+
+    private void onEvent(RouterEffect.ContinueResponse part) {
+      Stream stream = calls.get(part.request());
+      stream.versions.add(part.content().text());
+      stream.firstLabel = stream.firstLabel.or(() -> Optional.of(stream.label));
+    }
+
+    private void grant(String allocator, WaitingCall call) {
+      if (granted.add(call.request())) {
+        upstreamFor(call.softwareVersion())
+            .map(upstream -> new SlotGranted(SERVICE, call.request(), upstream.name()))
+            .ifPresent(
+                grant -> dispatch(new RouterEvent.AllocatorMessageReceived(allocator, grant)));
+      }
+    }
+
+    private void startResponse(RunAttempt run) {
+      dispatch(
+          new RouterEvent.UpstreamResponseStarted(
+              run.attempt(), new ResponseHead(200, List.of()), true));
+      sendEvent(run, run.resumeAfter().orElse(0) + 1);
+    }
+
+    private void sendEvent(RunAttempt run, long number) {
+      if (number > EVENTS) {
+        dispatch(new RouterEvent.UpstreamResponseCompleted(run.attempt()));
+        return;
+      }
+      Bytes content = Bytes.ofText(run.upstream().softwareVersion());
+      dispatch(new RouterEvent.UpstreamResponseData(run.attempt(), content, number, number, 1));
+      later(EVENT_MILLIS, () -> sendEvent(run, number + 1));
+    }
+
+    /** Does something later unless the process has ended by then. */
+    private void later(long millis, Runnable action) {
+      long expected = incarnation;
+      time.after(
+          millis,
+          () -> {
+            if (up && incarnation == expected) {
+              action.run();
+            }
+          });
+    }
+  }
+}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessageClass.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.AttemptMessage;
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.StreamMessage;
 import dev.agatepier.core.connection.VersionMessage;
 
 /** Classes of messages for the traffic counters of a link. */
@@ -17,6 +18,8 @@
   ATTEMPT,
   /** Costs of workspaces and suspicions for the quarantine. */
   COST,
+  /** Software versions that began streams. */
+  STREAM,
   /** Transfer of table versions and confirmations of the table. */
   TABLE,
   /** Instance lists and known routers. */
@@ -49,6 +52,7 @@
           LinkMessage.SuspicionReport _,
           LinkMessage.DirectCrashReport _ ->
           COST;
+      case StreamMessage _ -> STREAM;
       case VersionMessage.InstancesRequest _,
           VersionMessage.InstancesTransfer _,
           LinkMessage.KnownRouters _ ->
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessagePackCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/MessagePackCodec.java
@@ -11,6 +11,7 @@
 import dev.agatepier.wire.connection.internal.MessageType;
 import dev.agatepier.wire.connection.internal.MessageTypeProvider;
 import dev.agatepier.wire.connection.internal.SlotMessageCodec;
+import dev.agatepier.wire.connection.internal.StreamMessageCodec;
 import dev.agatepier.wire.connection.internal.TableMessageCodec;
 import java.util.HashMap;
 import java.util.List;
@@ -28,7 +29,8 @@
           new CostMessageCodec(),
           new TableMessageCodec(),
           new InstancesMessageCodec(),
-          new SlotMessageCodec());
+          new SlotMessageCodec(),
+          new StreamMessageCodec());
 
   private final Map<Integer, MessageType<?>> byNumber = new HashMap<>();
   private final Map<Class<?>, MessageType<?>> byClass = new HashMap<>();
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -42,6 +42,9 @@
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.connection.SlotMessage.UpstreamUnavailable;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.connection.StreamMessage.OriginReply;
+import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationRequest;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationTransfer;
 import dev.agatepier.core.connection.VersionMessage.InstancesRequest;
@@ -61,6 +64,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.StreamKey;
 import dev.agatepier.core.request.Ticket;
 import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.version.AllowedRegions;
@@ -98,7 +102,8 @@
           "link-costs", costs(),
           "link-table", table(),
           "link-instances", instances(),
-          "link-slots", slots());
+          "link-slots", slots(),
+          "link-streams", streams());
 
   private LinkSessions() {}
 
@@ -121,6 +126,15 @@
         new GrantDeclined(2));
   }
 
+  private static List<LinkMessage> streams() {
+    StreamKey key = StreamKey.of("kolkata-strings", "plan-model", "9c41d07be2a35f68");
+    return List.of(
+        new StreamBegan(key, "v7"),
+        new OriginRequest(5, key, "plan-model", 30_000),
+        new OriginReply(5, true, "v7", false, List.of()),
+        new OriginReply(6, false, "", true, List.of("v7", "v8")));
+  }
+
   private static List<LinkMessage> ticketFailures() {
     Ticket ticket = new Ticket("kolkata-strings", "plan-model", "engine-3", 9, 1_000, REQUEST);
     return List.of(
