Read the software versions from before a process started

Cause: a router that starts knows only the upstreams of its first list. It cannot tell whether a service had upstreams of another software version while a stream that a caller takes up again began.

Change: after the first list, a process reads the changes of upstreams after revision 0, once and without waiting, and passes the software versions on by service (SoftwareVersionHistory, RouterEvent .SoftwareVersionsRead). The history is used only if it begins before the first registration; changes carry no times and the store may discard them sooner than history_s, so that any other history is incomplete. Nothing depends on the event yet.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -120,6 +120,9 @@
         peers.onInstancesActivated(activated.instances());
         slotReplies.onInstancesActivated(activated.instances(), nowNanos);
       }
+      case RouterEvent.SoftwareVersionsRead read -> {
+        // Nothing depends on the software versions of upstreams yet.
+      }
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
           slotReplies.onMessage(router, message, nowNanos);
       case RouterEvent.UpstreamNoticed noticed ->
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -17,6 +17,7 @@
 import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
 import java.util.Optional;
@@ -246,6 +247,14 @@
    */
   record InstancesActivated(InstanceList instances) implements RouterEvent {}
 
+  /**
+   * It was read which software versions upstreams had before the first instance list. Comes once at
+   * most, after the first list was activated.
+   *
+   * @param history the software versions
+   */
+  record SoftwareVersionsRead(SoftwareVersionHistory history) implements RouterEvent {}
+
   /** The periodic timer has expired. */
   record Tick() implements RouterEvent {}
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -36,6 +36,7 @@
   UPSTREAMS_IN_FORCE("upstreams-in-force"),
   UPSTREAM_REMOVAL_DEFERRED("upstream-removal-deferred"),
   UPSTREAM_REMOVED("upstream-removed"),
+  SOFTWARE_VERSIONS_READ("software-versions-read"),
   ENTRY_IGNORED("entry-ignored"),
   SETTINGS_CHANGED("settings-changed"),
   SETTINGS_UNCHANGED("settings-unchanged"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -11,6 +11,7 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.connection.Link;
 import dev.agatepier.wire.connection.LinkEventHandler;
@@ -303,5 +304,10 @@
       }
       tasks.onInstancesActivated(instances);
     }
+
+    @Override
+    public void onSoftwareVersionsRead(SoftwareVersionHistory history) {
+      tasks.onSoftwareVersionsRead(history);
+    }
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
@@ -32,6 +33,16 @@
    */
   CompletableFuture<Optional<InstanceList>> instances(long afterVersion, int waitSeconds);
 
+  /**
+   * Reads which software versions upstreams had before the active instance list. Must not be called
+   * before a list is active.
+   *
+   * @return the software versions; {@link SoftwareVersionHistory#NONE} if the platform cannot tell
+   */
+  default CompletableFuture<SoftwareVersionHistory> softwareVersions() {
+    return CompletableFuture.completedFuture(SoftwareVersionHistory.NONE);
+  }
+
   /**
    * Called when an instance list becomes active; it may have been received from a peer.
    *
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadTimestamp;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 
 /**
@@ -22,4 +23,12 @@
 
   /** Called when a version of the instance list becomes active. */
   void onInstancesActivated(InstanceList instances);
+
+  /**
+   * Called once at most, when it was read which software versions upstreams had before the first
+   * instance list became active. May be called by another thread than the other methods.
+   *
+   * @param history the software versions; they reach back before the first list
+   */
+  default void onSoftwareVersionsRead(SoftwareVersionHistory history) {}
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -15,6 +15,7 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadTimestamp;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.TableCheckResult;
 import dev.agatepier.core.version.TableMistake;
@@ -179,11 +180,8 @@
       case VersionEffect.PublishTable(Table newTable) -> publishTable(newTable);
       case VersionEffect.ConfirmTable(ReadTimestamp readStarted) ->
           listeners.forEach(listener -> listener.onTableConfirmed(readStarted));
-      case VersionEffect.PublishInstances(InstanceList newInstances) -> {
-        instances = newInstances;
-        platform.onInstancesActivated(newInstances);
-        listeners.forEach(listener -> listener.onInstancesActivated(newInstances));
-      }
+      case VersionEffect.PublishInstances(InstanceList newInstances) ->
+          publishInstances(newInstances);
       case VersionEffect.ReportEvacuation report -> logEvacuation(report);
       case VersionEffect.ReportRefusal(long version, List<TableMistake> mistakes) ->
           LOGGER.error(
@@ -217,6 +215,29 @@
     tableReady.complete(null);
   }
 
+  private void publishInstances(InstanceList newInstances) {
+    final boolean first = instances.version() == 0;
+    instances = newInstances;
+    platform.onInstancesActivated(newInstances);
+    listeners.forEach(listener -> listener.onInstancesActivated(newInstances));
+    if (first) {
+      platform.softwareVersions().whenComplete(this::onSoftwareVersionsRead);
+    }
+  }
+
+  /** Not read again after a failure: what this process sees itself soon reaches back as far. */
+  private void onSoftwareVersionsRead(SoftwareVersionHistory history, Throwable failure) {
+    if (failure != null) {
+      LOGGER.warn(
+          LogEvent.PLATFORM_READ_FAILED
+              .message()
+              .with("subject", "software-versions")
+              .with("reason", FailureSummary.of(failure)));
+    } else if (history.reachMillis() > 0) {
+      listeners.forEach(listener -> listener.onSoftwareVersionsRead(history));
+    }
+  }
+
   private VersionEvent prepareTable(ManifestTransfer manifest, List<Bytes> pages) {
     List<TableFormat.RawPage> raw = new ArrayList<>();
     for (int index = 0; index < pages.size(); index++) {
