--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -45,6 +45,7 @@
   TABLE_REFUSED("table-refused"),
   PLATFORM_READ_FAILED("platform-read-failed"),
   CHANGES_UNREADABLE("changes-unreadable"),
+  STORE_RESTORED("store-restored"),
   PLATFORM_READ_AGAIN("platform-read-again"),
   LINK_UP("link-up"),
   LINK_CLOSED("link-closed"),
