--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -88,6 +88,9 @@
       }
       request.lastEvent = event.lastEvent();
     }
+    if (request.softwareVersion.isEmpty() && request.target instanceof DirectUpstream direct) {
+      request.softwareVersion = direct.upstream().softwareVersion();
+    }
     request.tokens += event.tokens();
     request.recordContent(nowNanos);
     relay.onResponseContent(request, request.nextFrame, event.content(), nowNanos);
