Use the history of software versions to resume streams after a restart

After a restart of all routers no router remembers a stream. Until now a stream was then resumed only once the process had itself seen the only software version of the service for as long as a stream can exist.

The versions that the store's history shows before the first list count as listed until then, and a history that begins before the first registration makes the knowledge complete. A service that never had another version continues its streams at once; after a release they are rejected as not run.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -133,9 +133,8 @@
         resumptions.onInstancesActivated(activated.instances(), nowNanos);
         slotReplies.onInstancesActivated(activated.instances(), nowNanos);
       }
-      case RouterEvent.SoftwareVersionsRead read -> {
-        // Nothing depends on the software versions of upstreams yet.
-      }
+      case RouterEvent.SoftwareVersionsRead read ->
+          resumptions.onSoftwareVersionsRead(read.history());
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
           slotReplies.onMessage(router, message, nowNanos);
       case RouterEvent.UpstreamNoticed noticed ->
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
@@ -1,5 +1,6 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Upstream;
 import java.util.Collection;
 import java.util.HashMap;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The software versions that the upstreams of each service have, and when others were last listed.
@@ -20,13 +22,16 @@
   private final Map<String, Set<String>> listed = new HashMap<>();
   private final Map<String, Map<String, Long>> lastListedNanos = new HashMap<>();
   private boolean listReceived;
-  private long completeSinceNanos;
+  private long firstListNanos;
+
+  /** Time before the first list of which all versions are known. */
+  private long historyNanos;
 
   /** Handles a list of upstreams. */
   void onListActivated(Collection<Upstream> upstreams, long nowNanos) {
     if (!listReceived) {
       listReceived = true;
-      completeSinceNanos = nowNanos;
+      firstListNanos = nowNanos;
     }
     listed.forEach(
         (service, versions) ->
@@ -43,6 +48,19 @@
     lastListedNanos.values().removeIf(Map::isEmpty);
   }
 
+  /**
+   * Adds what was read about the time before the first list. When a version was last listed is
+   * unknown, so each counts as listed until then.
+   */
+  void addHistory(SoftwareVersionHistory history) {
+    historyNanos = TimeUnit.MILLISECONDS.toNanos(history.reachMillis());
+    history
+        .versionsByService()
+        .forEach(
+            (service, versions) ->
+                versions.forEach(version -> recordListed(service, version, firstListNanos)));
+  }
+
   /** Returns the software versions that a service is known to have had in the last nanoseconds. */
   SortedSet<String> within(String service, long nanos, long nowNanos) {
     SortedSet<String> versions = new TreeSet<>(listed.getOrDefault(service, Set.of()));
@@ -59,7 +77,7 @@
 
   /** Returns whether all software versions of the last nanoseconds are known. */
   boolean isComplete(long nanos, long nowNanos) {
-    return listReceived && nowNanos - completeSinceNanos >= nanos;
+    return listReceived && nowNanos - firstListNanos >= nanos - historyNanos;
   }
 
   private void recordListed(String service, String version, long nanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -15,6 +15,7 @@
 import dev.agatepier.core.request.StreamKey;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ServiceEntry;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -150,6 +151,11 @@
     recentVersions.onListActivated(instances.upstreams(), nowNanos);
   }
 
+  /** Adds the software versions that upstreams had before the first list. */
+  public void onSoftwareVersionsRead(SoftwareVersionHistory history) {
+    recentVersions.addHistory(history);
+  }
+
   /** Derives from a table for how long origins are kept. */
   public void onTableActivated(Table table) {
     longestTimeoutMillis =
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumedStreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumedStreamsTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.LongStream;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -27,7 +28,13 @@
 
   private static final long WHOLE_STREAM_MILLIS = 2_000;
 
-  private final ResumingFleet fleet = new ResumingFleet(SEED, ROUTERS);
+  private ResumingFleet fleet;
+
+  /** Starts a fleet with upstreams of one software version. */
+  @BeforeMethod
+  public void startFleet() {
+    fleet = new ResumingFleet(SEED, ROUTERS);
+  }
 
   @Test
   public void streamsOfEndedRoutersAreContinuedAtTheVersionThatBeganThem() {
@@ -76,6 +83,44 @@
     assertEquals(stream.distinctVersions().size(), 1);
   }
 
+  /** The version that began the stream has no upstream any more when the routers are back. */
+  @Test
+  public void streamIsRejectedAfterAllRoutersRestartedDuringItsRelease() {
+    fleet.advance(3 * ResumingFleet.TIMEOUT_MILLIS);
+    Stream stream = fleet.open(fleet.nodes.get(0));
+    fleet.advance(SOME_EVENTS_MILLIS);
+    fleet.publish("v2");
+    restartAll(fleet);
+    fleet.nodes.forEach(node -> node.readHistory("v1", "v2"));
+    fleet.call(stream, fleet.nodes.get(1));
+    fleet.advance(WHOLE_STREAM_MILLIS);
+    assertEquals(stream.rejected, Reason.STREAM_ORIGIN_UNKNOWN);
+    assertEquals(stream.outcome, Outcome.NOT_RUN);
+  }
+
+  @Test
+  public void streamContinuesAfterAllRoutersRestartedIfThereWasNeverAnotherVersion() {
+    Stream stream = fleet.open(fleet.nodes.get(0));
+    fleet.advance(SOME_EVENTS_MILLIS);
+    restartAll(fleet);
+    fleet.nodes.forEach(node -> node.readHistory("v1"));
+    fleet.call(stream, fleet.nodes.get(1));
+    fleet.advance(WHOLE_STREAM_MILLIS);
+    assertTrue(stream.complete);
+  }
+
+  /** Without the history, another version may have left before the routers started. */
+  @Test
+  public void streamIsRejectedAfterAllRoutersRestartedWithoutHistory() {
+    Stream stream = fleet.open(fleet.nodes.get(0));
+    fleet.advance(SOME_EVENTS_MILLIS);
+    fleet.publish("v2");
+    restartAll(fleet);
+    fleet.call(stream, fleet.nodes.get(1));
+    fleet.advance(WHOLE_STREAM_MILLIS);
+    assertEquals(stream.rejected, Reason.STREAM_ORIGIN_UNKNOWN);
+  }
+
   /** A version that has just left may have begun the stream. */
   @Test
   public void streamOfUnknownOriginIsRejectedSoonAfterItsVersionLeft() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
@@ -18,6 +18,7 @@
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.version.AllowedRegions;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -222,6 +223,14 @@
       dispatch(new RouterEvent.InstancesActivated(instances));
     }
 
+    /** Passes on which software versions the service had before the router started. */
+    void readHistory(String... versions) {
+      SoftwareVersionHistory history =
+          new SoftwareVersionHistory(
+              Map.of(SERVICE, Set.of(versions)), SoftwareVersionHistory.UNLIMITED_MILLIS);
+      dispatch(new RouterEvent.SoftwareVersionsRead(history));
+    }
+
     /** Passes a message of a peer to the router. */
     void receive(PeerIdentity peer, StreamMessage message) {
       if (!silent) {
