Require a recent list before a stream counts as of the only version

A router that was cut off from the store and from other routers, or suspended, may have missed a second software version, and would continue a stream of unknown origin at the only one that it knows.

Reads of the platform that confirm the instance list are now passed to the router's decision, with the time at which they started. A router's knowledge counts as complete only within 5 s of that, a few watches; the same holds for what it replies to others.

ResumedStreamsTest.routerThatWasCutOffDoesNotRelyOnItsList failed without the bound.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -133,6 +133,8 @@
         resumptions.onInstancesActivated(activated.instances(), nowNanos);
         slotReplies.onInstancesActivated(activated.instances(), nowNanos);
       }
+      case RouterEvent.InstancesConfirmed confirmed ->
+          resumptions.onInstancesConfirmed(confirmed.startedNanos());
       case RouterEvent.SoftwareVersionsRead read ->
           resumptions.onSoftwareVersionsRead(read.history());
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -285,6 +285,14 @@
    */
   record InstancesActivated(InstanceList instances) implements RouterEvent {}
 
+  /**
+   * The active instance list was confirmed to be the newest version.
+   *
+   * @param startedNanos start of the read that confirmed it, as a reading of the process's
+   *     monotonic clock
+   */
+  record InstancesConfirmed(long startedNanos) implements RouterEvent {}
+
   /**
    * It was read which software versions upstreams had before the first instance list. Comes once at
    * most, after the first list was activated.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -68,7 +68,7 @@
       case VersionEvent.PageReceived page -> table.onPageReceived(page, nowNanos);
       case VersionEvent.ManifestRead read ->
           table.onManifestRead(read, isPlatformReader(nowNanos), nowNanos);
-      case VersionEvent.InstancesRead(InstanceList list, double jitter) -> {
+      case VersionEvent.InstancesRead(InstanceList list, double jitter, ReadTimestamp _) -> {
         acceptInstances(instances.onRead(list, jitter, nowNanos), PLATFORM, nowNanos);
         table.reads().recordPlatformReachable(nowNanos);
       }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
@@ -64,8 +64,16 @@
    *
    * @param instances the list
    * @param jitter random number from 0 to 1
+   * @param startedAt time at which the read started
    */
-  record InstancesRead(InstanceList instances, double jitter) implements VersionEvent {}
+  record InstancesRead(InstanceList instances, double jitter, ReadTimestamp startedAt)
+      implements VersionEvent {
+
+    /** Creates the event of a read without a known time. */
+    public InstancesRead(InstanceList instances, double jitter) {
+      this(instances, jitter, ReadTimestamp.UNTIMED);
+    }
+  }
 
   /**
    * A watch of the platform ended without a change.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
@@ -19,9 +19,14 @@
   /** Time for which a version that is no longer listed is kept. */
   private static final long RETENTION_NANOS = 3_600_000_000_000L;
 
+  /** Maximum age of the confirmation of the list; a few times the duration of a watch. */
+  private static final long CONFIRMATION_NANOS = 5_000_000_000L;
+
   private final Map<String, Set<String>> listed = new HashMap<>();
   private final Map<String, Map<String, Long>> lastListedNanos = new HashMap<>();
   private boolean listReceived;
+  private long confirmedNanos;
+  private boolean confirmed;
   private long firstListNanos;
 
   /** Time before the first list of which all versions are known. */
@@ -75,9 +80,23 @@
     return versions;
   }
 
-  /** Returns whether all software versions of the last nanoseconds are known. */
+  /** Records that the list was the newest at a time. */
+  void onListConfirmed(long nanos) {
+    if (!confirmed || nanos - confirmedNanos > 0) {
+      confirmed = true;
+      confirmedNanos = nanos;
+    }
+  }
+
+  /**
+   * Returns whether all software versions of the last nanoseconds are known. The list must have
+   * been confirmed recently: a process that was suspended or cut off may have missed a version.
+   */
   boolean isComplete(long nanos, long nowNanos) {
-    return listReceived && nowNanos - firstListNanos >= nanos - historyNanos;
+    return listReceived
+        && confirmed
+        && nowNanos - confirmedNanos <= CONFIRMATION_NANOS
+        && nowNanos - firstListNanos >= nanos - historyNanos;
   }
 
   private void recordListed(String service, String version, long nanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -151,6 +151,11 @@
     recentVersions.onListActivated(instances.upstreams(), nowNanos);
   }
 
+  /** Handles that the list of upstreams was the newest at a time. */
+  public void onInstancesConfirmed(long startedNanos) {
+    recentVersions.onListConfirmed(startedNanos);
+  }
+
   /** Adds the software versions that upstreams had before the first list. */
   public void onSoftwareVersionsRead(SoftwareVersionHistory history) {
     recentVersions.addHistory(history);
@@ -214,8 +219,7 @@
 
   /**
    * Resumes a stream whose origin nobody knows if its service has had only one software version for
-   * as long as the stream can exist. Another version that any reply names rules that out: the list
-   * of this router may be behind.
+   * as long as the stream can exist. Another version that any reply names rules that out.
    */
   private void decideWithoutOrigin(HeldResumption resumption, long nowNanos) {
     CallArrived call = resumption.call;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumedStreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumedStreamsTest.java
@@ -160,6 +160,20 @@
     assertTrue(stream.complete);
   }
 
+  /** Another version may serve since the router was cut off. */
+  @Test
+  public void routerThatWasCutOffDoesNotRelyOnItsList() {
+    fleet.advance(3 * ResumingFleet.TIMEOUT_MILLIS);
+    Stream stream = fleet.open(fleet.nodes.get(0));
+    fleet.advance(SOME_EVENTS_MILLIS);
+    fleet.nodes.forEach(node -> node.silent = true);
+    fleet.advance(ResumingFleet.TIMEOUT_MILLIS);
+    stream.firstLabel = Optional.of("unheard-of");
+    fleet.call(stream, fleet.nodes.get(1));
+    fleet.advance(WHOLE_STREAM_MILLIS);
+    assertEquals(stream.rejected, Reason.STREAM_ORIGIN_UNKNOWN);
+  }
+
   @Test
   public void silentRoutersDelayRejectionsByLessThanHalfOneSecond() {
     ResumingFleet two = twoVersions(SEED);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
@@ -169,7 +169,10 @@
   }
 
   private void tick() {
-    nodes.forEach(node -> node.dispatch(new RouterEvent.Tick()));
+    for (Node node : nodes) {
+      node.confirmInstances();
+      node.dispatch(new RouterEvent.Tick());
+    }
     time.after(TICK_MILLIS, this::tick);
   }
 
@@ -190,7 +193,7 @@
     final PeerIdentity self;
     boolean up;
 
-    /** Whether the router receives nothing over its links. */
+    /** Whether the router receives nothing from other routers or the platform. */
     boolean silent;
 
     private long incarnation;
@@ -221,6 +224,13 @@
 
     private void activateInstances() {
       dispatch(new RouterEvent.InstancesActivated(instances));
+      confirmInstances();
+    }
+
+    private void confirmInstances() {
+      if (!silent) {
+        dispatch(new RouterEvent.InstancesConfirmed(time.nowMillis() * NANOS_PER_MILLI));
+      }
     }
 
     /** Passes on which software versions the service had before the router started. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -11,6 +11,7 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.Instance;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.connection.Link;
@@ -305,6 +306,11 @@
       tasks.onInstancesActivated(instances);
     }
 
+    @Override
+    public void onInstancesConfirmed(ReadTimestamp readStarted) {
+      tasks.onInstancesConfirmed(readStarted);
+    }
+
     @Override
     public void onSoftwareVersionsRead(SoftwareVersionHistory history) {
       tasks.onSoftwareVersionsRead(history);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationRoute;
@@ -32,6 +33,9 @@
   /** Called when a version of the instance list becomes active. */
   void onInstancesActivated(InstanceList instances);
 
+  /** Called when a read has confirmed that the active instance list is the newest version. */
+  default void onInstancesConfirmed(ReadTimestamp readStarted) {}
+
   /** Called when it was read which software versions upstreams had before the first list. */
   default void onSoftwareVersionsRead(SoftwareVersionHistory history) {}
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -24,6 +24,7 @@
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationRoute;
@@ -237,6 +238,11 @@
     slotAllocator.post(new SlotAllocatorEvent.InstancesActivated(instances));
   }
 
+  @Override
+  public void onInstancesConfirmed(ReadTimestamp readStarted) {
+    requestTask.post(new RouterEvent.InstancesConfirmed(readStarted.nanos()));
+  }
+
   @Override
   public void onSoftwareVersionsRead(SoftwareVersionHistory history) {
     requestTask.post(new RouterEvent.SoftwareVersionsRead(history));
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
@@ -21,6 +21,14 @@
    */
   default void onTableConfirmed(ReadTimestamp readStarted) {}
 
+  /**
+   * Called when a read of the platform has confirmed that the active instance list is the newest
+   * version.
+   *
+   * @param readStarted when that read was started
+   */
+  default void onInstancesConfirmed(ReadTimestamp readStarted) {}
+
   /** Called when a version of the instance list becomes active. */
   void onInstancesActivated(InstanceList instances);
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -164,6 +164,17 @@
 
   private void handle(VersionEvent event) {
     decision.decide(event, clock.nanoTime()).forEach(this::execute);
+    switch (event) {
+      case VersionEvent.PlatformUnchanged(PlatformSubject subject, ReadTimestamp startedAt)
+          when subject == PlatformSubject.INSTANCES ->
+          listeners.forEach(listener -> listener.onInstancesConfirmed(startedAt));
+      case VersionEvent.InstancesRead(InstanceList list, double _, ReadTimestamp startedAt)
+          when list.version() == instances.version() ->
+          listeners.forEach(listener -> listener.onInstancesConfirmed(startedAt));
+      default -> {
+        // Other events do not confirm the instance list.
+      }
+    }
   }
 
   private void execute(VersionEffect effect) {
@@ -277,7 +288,7 @@
           read.subject(),
           readStarted,
           platform.instances(read.afterVersion(), read.waitSeconds()),
-          list -> new VersionEvent.InstancesRead(list, jitter.getAsDouble()));
+          list -> new VersionEvent.InstancesRead(list, jitter.getAsDouble(), readStarted));
     }
   }
 
