Test resumed streams while versions replace each other

Lists reach routers up to 150 ms late, shares of the routers restart with the store's history, and callers call again after rejections, over 40 seeds; a router whose list is behind is a case of its own.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 
 /**
@@ -187,7 +188,7 @@
 
   private OriginReply reply(OriginRequest request, long nowNanos) {
     Optional<String> known = origins.find(request.key());
-    long lifetimeNanos = request.lifetimeMillis() * RouterState.NANOS_PER_MILLI;
+    long lifetimeNanos = TimeUnit.MILLISECONDS.toNanos(request.lifetimeMillis());
     return new OriginReply(
         request.number(),
         known.isPresent(),
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumedStreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumedStreamsTest.java
@@ -23,6 +23,9 @@
   private static final int ROUTERS = 8;
   private static final int STREAMS = 60;
 
+  /** Time within which a list reaches all routers. */
+  private static final int LIST_LAG_MILLIS = 150;
+
   /** Time in which a stream brings some of its events. */
   private static final long SOME_EVENTS_MILLIS = 250;
 
@@ -160,6 +163,20 @@
     assertTrue(stream.complete);
   }
 
+  /** The other routers list a second version that this one has not received yet. */
+  @Test
+  public void routerWhoseListIsBehindDoesNotRelyOnIt() {
+    fleet.advance(3 * ResumingFleet.TIMEOUT_MILLIS);
+    Stream stream = fleet.open(fleet.nodes.get(0));
+    fleet.advance(SOME_EVENTS_MILLIS);
+    fleet.nodes.get(1).behind = true;
+    fleet.publish("v1", "v2");
+    stream.firstLabel = Optional.of("unheard-of");
+    fleet.call(stream, fleet.nodes.get(1));
+    fleet.advance(WHOLE_STREAM_MILLIS);
+    assertEquals(stream.rejected, Reason.STREAM_ORIGIN_UNKNOWN);
+  }
+
   /** Another version may serve since the router was cut off. */
   @Test
   public void routerThatWasCutOffDoesNotRelyOnItsList() {
@@ -229,6 +246,39 @@
     }
   }
 
+  @DataProvider
+  public Object[][] seeds() {
+    return LongStream.rangeClosed(1, 40)
+        .mapToObj(seed -> new Object[] {seed})
+        .toArray(Object[][]::new);
+  }
+
+  /** Lists reach routers late, and routers restart, while one version replaces the other. */
+  @Test(dataProvider = "seeds")
+  public void noStreamHoldsEventsOfTwoVersionsDuringReleases(long seed) {
+    ResumingFleet released = new ResumingFleet(seed, ROUTERS);
+    released.retryRejected(3);
+    released.advance(3 * ResumingFleet.TIMEOUT_MILLIS);
+    String[][] lists = {{"v1"}, {"v1", "v2"}, {"v2"}, {"v2", "v3"}, {"v3"}};
+    for (String[] list : lists) {
+      released.publish(LIST_LAG_MILLIS, list);
+      for (int index = 0; index < STREAMS; index++) {
+        Node router = released.nodes.get(index % ROUTERS);
+        released.time.after(released.time.draw(800), () -> released.open(router));
+      }
+      released.advance(released.time.draw(800));
+      List<Node> killed =
+          released.nodes.stream().filter(node -> released.time.chance(0.6)).toList();
+      released.kill(killed);
+      released.advance(50);
+      killed.forEach(Node::restartWithHistory);
+      released.advance(WHOLE_STREAM_MILLIS);
+    }
+    released.streams.forEach(
+        stream -> assertTrue(stream.distinctVersions().size() <= 1, stream.versions.toString()));
+    assertTrue(released.streams.stream().filter(stream -> stream.complete).count() > STREAMS);
+  }
+
   private static ResumingFleet twoVersions(long seed) {
     ResumingFleet two = new ResumingFleet(seed, ROUTERS);
     two.publish("v1", "v2");
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
@@ -55,6 +55,13 @@
   private final Set<RequestId> granted = new HashSet<>();
   private final String labelPrefix;
   private InstanceList instances = InstanceList.NONE;
+
+  /** Every software version that was ever listed. */
+  private final Set<String> history = new HashSet<>();
+
+  /** How often a caller calls again after a rejection. */
+  private int retries;
+
   private long lastNumber;
 
   /** A caller's stream over all its calls. */
@@ -69,6 +76,7 @@
     boolean complete;
     Reason rejected;
     Outcome outcome;
+    int rejections;
     long calledMillis;
     long endedMillis;
 
@@ -89,8 +97,19 @@
     tick();
   }
 
-  /** Lists upstreams of the given software versions, two of each. */
+  /** Lets callers call again after a rejection. */
+  void retryRejected(int times) {
+    retries = times;
+  }
+
+  /** Lists upstreams of the given software versions, two of each, at all routers at once. */
   void publish(String... versions) {
+    publish(1, versions);
+  }
+
+  /** Lists upstreams at each router within a time. */
+  void publish(int lagMillis, String... versions) {
+    history.addAll(List.of(versions));
     List<Upstream> upstreams = new ArrayList<>();
     for (String version : versions) {
       for (int index = 0; index < 2; index++) {
@@ -99,8 +118,15 @@
             new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, "d0", 64, false, false, version));
       }
     }
-    instances = new InstanceList(instances.version() + 1, List.of(), upstreams);
-    nodes.forEach(Node::activateInstances);
+    InstanceList list = new InstanceList(instances.version() + 1, List.of(), upstreams);
+    instances = list;
+    for (Node node : nodes) {
+      if (lagMillis > 1) {
+        node.later(time.draw(lagMillis), () -> node.activate(list));
+      } else {
+        node.activate(list);
+      }
+    }
   }
 
   void advance(long millis) {
@@ -176,9 +202,9 @@
     time.after(TICK_MILLIS, this::tick);
   }
 
-  private Optional<Upstream> upstreamFor(String softwareVersion) {
+  private Optional<Upstream> upstreamFor(String softwareVersion, InstanceList list) {
     List<Upstream> matching =
-        instances.upstreams().stream()
+        list.upstreams().stream()
             .filter(
                 upstream ->
                     softwareVersion.isEmpty() || upstream.softwareVersion().equals(softwareVersion))
@@ -196,8 +222,12 @@
     /** Whether the router receives nothing from other routers or the platform. */
     boolean silent;
 
+    /** Whether the router does not receive newer lists. */
+    boolean behind;
+
     private long incarnation;
     private RouterDecision decision;
+    private InstanceList active = InstanceList.NONE;
 
     private Node(String name, String dataCentre) {
       self = new PeerIdentity(name, 1, Role.ROUTER, dataCentre, dataCentre, "");
@@ -207,7 +237,8 @@
       up = true;
       decision = new RouterDecision(self, RouterPolicy.DEFAULT);
       dispatch(new RouterEvent.TableActivated(AllocatingRouter.table(List.of("w"))));
-      activateInstances();
+      active = InstanceList.NONE;
+      activate(instances);
       for (Node peer : nodes) {
         if (peer != this && peer.up) {
           dispatch(new RouterEvent.PeerConnected(peer.self));
@@ -222,17 +253,26 @@
       nodes.forEach(peer -> peer.dispatch(new RouterEvent.PeerDisconnected(self)));
     }
 
-    private void activateInstances() {
-      dispatch(new RouterEvent.InstancesActivated(instances));
+    private void activate(InstanceList list) {
+      if (!behind && list.version() > active.version()) {
+        active = list;
+        dispatch(new RouterEvent.InstancesActivated(list));
+      }
       confirmInstances();
     }
 
     private void confirmInstances() {
-      if (!silent) {
+      if (!silent && active.version() == instances.version()) {
         dispatch(new RouterEvent.InstancesConfirmed(time.nowMillis() * NANOS_PER_MILLI));
       }
     }
 
+    /** Starts again and reads all versions that were ever listed. */
+    void restartWithHistory() {
+      start();
+      readHistory(history.toArray(String[]::new));
+    }
+
     /** Passes on which software versions the service had before the router started. */
     void readHistory(String... versions) {
       SoftwareVersionHistory history =
@@ -270,6 +310,9 @@
           stream.rejected = fail.reason();
           stream.outcome = fail.outcome();
           stream.endedMillis = time.nowMillis();
+          if (stream.rejections++ < retries) {
+            time.after(RESUME_MILLIS, () -> resume(stream));
+          }
         }
         default -> {
           // Concerns what this simulation does not have.
@@ -285,7 +328,7 @@
 
     private void grant(String allocator, WaitingCall call) {
       if (granted.add(call.request())) {
-        upstreamFor(call.softwareVersion())
+        upstreamFor(call.softwareVersion(), active)
             .map(upstream -> new SlotGranted(SERVICE, call.request(), upstream.name()))
             .ifPresent(
                 grant -> dispatch(new RouterEvent.AllocatorMessageReceived(allocator, grant)));
