--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/ReasonText.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/ReasonText.java
@@ -33,8 +33,7 @@
           "no upstream of the service is in a region that route and workspace allow";
       case NO_UPSTREAM_OF_VERSION ->
           "no upstream of the service runs the software version that began the response";
-      case STREAM_ORIGIN_UNKNOWN ->
-          "the software version that began the stream is not known, and there are several";
+      case STREAM_ORIGIN_UNKNOWN -> "it is not known which software version began the stream";
       case STALE_TABLE -> "the table has not been confirmed for too long";
       case UPSTREAM_UNREACHABLE -> "the upstream cannot be reached";
       case UPSTREAM_BUSY -> "the upstream takes no more requests";
