Don't continue streams where an entry may be behind its upstream

What callers saw: events of two software versions in one response, although the entries of both upstreams named the same version. Cause: an upstream that starts again under its name may run another version, and its entry follows later.

The slot allocator takes a broken or refused connection for the end of the process, unless a request that was sent less than 0.3 s later is responded to. A stream is not continued there until the entry changes or 5 s have passed. A grant names the software version only if it is certain; a stream that begins at an uncertain one, or that still runs when the entry of its upstream changes version, is never continued. New requests are placed as before.

Measured: SoftwareVersion*Test, MessagePackCodecTest, LinkNetworkTest, ContinuedStreamsTest and UpstreamCallerTest pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -222,6 +222,8 @@
    * @param waitedMillis time for which the request waited at the allocator, in milliseconds
    * @param timeLeftMillis {@link WaitingCall#timeLeftMillis} of the report that is replied to,
    *     which identifies that report
+   * @param softwareVersion software version of the upstream; empty if a process of another version
+   *     may have started there
    */
   record SlotGranted(
       String service,
@@ -229,12 +231,13 @@
       String upstream,
       boolean cold,
       long waitedMillis,
-      long timeLeftMillis)
+      long timeLeftMillis,
+      String softwareVersion)
       implements SlotMessage {
 
-    /** Creates a grant for an upstream that is not cold. */
+    /** Creates a grant for an upstream that is not cold and whose version is unknown. */
     public SlotGranted(String service, RequestId request, String upstream) {
-      this(service, request, upstream, false, 0, 0);
+      this(service, request, upstream, false, 0, 0, "");
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectUpstream.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectUpstream.java
@@ -24,6 +24,16 @@
     return notices;
   }
 
+  /**
+   * Records that another software version is listed under its name. A stream that still runs may
+   * come from that version, so that it cannot be continued.
+   */
+  void onVersionReplaced() {
+    running.values().stream()
+        .filter(RoutedRequest::receivesResponse)
+        .forEach(request -> request.softwareVersion = RoutedRequest.UNCERTAIN_VERSION);
+  }
+
   /** Returns the latest entry of the instance list for this upstream. */
   Upstream upstream() {
     return upstream;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KnownUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KnownUpstreams.java
@@ -44,6 +44,9 @@
           || !known.upstream().softwareVersion().equals(entry.softwareVersion())) {
         direct = new DirectUpstream(entry, known.notices());
       }
+      if (known != null && !known.upstream().softwareVersion().equals(entry.softwareVersion())) {
+        known.onVersionReplaced();
+      }
       direct.update(entry);
       newer.put(entry.name(), direct);
     }
--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ProcessContinuity.java
@@ -0,0 +1,46 @@
+package dev.agatepier.core.process.internal;
+
+/**
+ * Whether the process that an entry of the instance list describes still runs at its address. An
+ * upstream may start again under its name with another software version, and its entry follows
+ * later. A connection that broke or was refused is taken for the end of the process, until a
+ * request that was sent before another one can have started is responded to.
+ */
+final class ProcessContinuity {
+
+  /** Shortest time after which a process that ended is replaced by one that accepts connections. */
+  private static final long RESTART_NANOS = 300_000_000L;
+
+  /**
+   * Time after which the list has the entry of a new process: it registers with its first
+   * heartbeat, a second after its start at the latest, and the list follows within the second.
+   */
+  private static final long REGISTRATION_NANOS = 5_000_000_000L;
+
+  private boolean broken;
+  private long brokenNanos;
+  private long lastBrokenNanos;
+
+  /** Records that a connection broke or was refused. */
+  void onDisconnected(long nowNanos) {
+    if (!broken) {
+      broken = true;
+      brokenNanos = nowNanos;
+    }
+    lastBrokenNanos = nowNanos;
+  }
+
+  /** Records the start of a response to a request that was sent at a time. */
+  void onResponse(long sentNanos) {
+    if (sentNanos - brokenNanos < RESTART_NANOS) {
+      broken = false;
+    }
+  }
+
+  /** Returns whether a request that is sent at a time may reach a later process. */
+  boolean mayBeReplaced(long sentNanos) {
+    return broken
+        && sentNanos - brokenNanos >= RESTART_NANOS
+        && sentNanos - lastBrokenNanos < REGISTRATION_NANOS;
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -22,6 +22,9 @@
   /** Value of {@link #lastEvent} if there is no event. */
   private static final long NO_EVENT = -1;
 
+  /** Version of a stream that was begun by an uncertain version; no upstream has it. */
+  static final String UNCERTAIN_VERSION = "\0";
+
   /** The state of a request. */
   enum Phase {
     /** In its queue. */
@@ -91,9 +94,15 @@
   /** Regions in which the request may be processed: those that route and workspace allow. */
   AllowedRegions allowedRegions = AllowedRegions.ALL;
 
-  /** Software version that an upstream must have to run the request; empty if any may. */
+  /**
+   * Software version that an upstream must have to run the request; empty if any may, {@link
+   * #UNCERTAIN_VERSION} if none may.
+   */
   String softwareVersion = "";
 
+  /** Software version of the current target by its slot allocator; empty if uncertain. */
+  String grantedVersion = "";
+
   /** Grants that were declined because the upstream is not permitted. */
   int unpermittedGrants;
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ServiceSlots.java
@@ -390,7 +390,8 @@
                 upstream.upstream.name(),
                 upstreams.cold().isCold(upstream, nowNanos),
                 entry.waitedMillis(nowNanos),
-                entry.call.timeLeftMillis())));
+                entry.call.timeLeftMillis(),
+                upstream.certainVersion(nowNanos))));
   }
 
   private static HomeCounts.Listener homesListener(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -92,6 +92,7 @@
     change.load().ifPresent(load -> recordStated(allocation.upstream, load, nowNanos));
     if (change.stage() == SlotStage.RESPONSE_STARTED) {
       recordPrediction(allocation, nowNanos);
+      allocation.upstream.continuity.onResponse(allocation.grantedNanos);
       allocation.upstream.recordResponseStarted(allocation, nowNanos);
     } else {
       if (change.longestGapMillis() > 0) {
@@ -157,6 +158,7 @@
       case REJECTED, FAILED -> allocation.upstream.health.recordFailure(nowNanos);
       case DISCONNECTED -> {
         allocation.upstream.health.recordFailure(nowNanos);
+        allocation.upstream.continuity.onDisconnected(nowNanos);
         if (allocation.upstream.health.ejectedUntilNanos() > nowNanos) {
           allocation.upstream.warmUp.onDisconnected();
         }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -83,7 +83,9 @@
       }
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       placement.requeue(request, granted.upstream(), nowNanos);
-    } else if (!state.regions.permits(request, upstream.upstream())) {
+    } else if (!state.regions.permits(request, upstream.upstream())
+        || !request.softwareVersion.isEmpty()
+            && !request.softwareVersion.equals(granted.softwareVersion())) {
       placement.decline(router, granted.service(), granted.request(), granted.upstream());
       if (state.regions.acceptsUnpermittedGrant(request)) {
         placement.requeue(request, granted.upstream(), nowNanos);
@@ -96,6 +98,7 @@
     } else {
       OptionalLong sendBy =
           granted.cold() ? OptionalLong.of(sendByNanos(request, granted)) : OptionalLong.empty();
+      request.grantedVersion = granted.softwareVersion();
       call(request, upstream, sendBy, nowNanos);
     }
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -146,7 +146,7 @@
     double bestScore = Double.MAX_VALUE;
     for (UpstreamLoad upstream : upstreams.all()) {
       if (!coldUpstreams.isCold(upstream, nowNanos)
-          || !upstreams.isUsable(upstream, entry, nowNanos)
+          || !upstreams.isGrantable(upstream, entry, nowNanos)
           || !ready(upstream, share, nowNanos)
           || !rule.hasCapacity(upstream, entry.call, nowNanos)) {
         continue;
@@ -175,7 +175,7 @@
     List<UpstreamChoice.Candidate> candidates = new ArrayList<>();
     for (UpstreamLoad upstream : upstreams.all()) {
       if (upstream == reserved
-          || !upstreams.isUsable(upstream, entry, nowNanos)
+          || !upstreams.isGrantable(upstream, entry, nowNanos)
           || coldUpstreams.isCold(upstream, nowNanos)) {
         continue;
       }
@@ -211,7 +211,7 @@
     return upstreams.countWithCapacity(entry, nowNanos) > 0
         ? null
         : upstreams.all().stream()
-            .filter(upstream -> upstreams.isUsable(upstream, entry, nowNanos))
+            .filter(upstream -> upstreams.isGrantable(upstream, entry, nowNanos))
             .filter(upstream -> !coldUpstreams.isCold(upstream, nowNanos))
             .min(Comparator.comparingLong(UpstreamLoad::runningTokens))
             .orElse(null);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -39,6 +39,7 @@
   final UpstreamHealth health = new UpstreamHealth();
   final WarmUpState warmUp = new WarmUpState();
   final PrefillRunLimit prefillRun = new PrefillRunLimit();
+  final ProcessContinuity continuity = new ProcessContinuity();
 
   Upstream upstream;
 
@@ -229,6 +230,11 @@
         && entry.softwareVersion().equals(upstream.softwareVersion());
   }
 
+  /** Returns the software version; empty if a process of another one may have started. */
+  String certainVersion(long nowNanos) {
+    return continuity.mayBeReplaced(nowNanos) ? "" : upstream.softwareVersion();
+  }
+
   /** Returns the tokens in memory for running requests, including their expected output. */
   long runningTokens() {
     return cache.pinnedTokens() + reservedOutputTokens(0, 0);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -86,7 +86,10 @@
       request.lastEvent = event.lastEvent();
     }
     if (request.softwareVersion.isEmpty() && request.target instanceof DirectUpstream direct) {
-      request.softwareVersion = direct.upstream().softwareVersion();
+      request.softwareVersion =
+          request.grantedVersion.equals(direct.upstream().softwareVersion())
+              ? request.grantedVersion
+              : RoutedRequest.UNCERTAIN_VERSION;
     }
     request.tokens += event.tokens();
     request.recordContent(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UsableUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UsableUpstreams.java
@@ -41,6 +41,15 @@
         && upstream.availability(entry.router).state(nowNanos).usable();
   }
 
+  /**
+   * Returns whether an upstream may be granted to a request now. A stream is not continued where a
+   * process of another software version may have started.
+   */
+  boolean isGrantable(UpstreamLoad upstream, WaitingEntry entry, long nowNanos) {
+    return isUsable(upstream, entry, nowNanos)
+        && !(entry.continuesStream() && upstream.continuity.mayBeReplaced(nowNanos));
+  }
+
   boolean isPermitted(UpstreamLoad upstream, UpstreamRequirements requirements) {
     return regions.permits(requirements, upstream.upstream);
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/AllocatingFleet.java
@@ -207,9 +207,10 @@
     return instances.upstreams();
   }
 
-  /** Returns whether the process of an engine runs. */
+  /** Returns whether the process of an engine runs and routers have its entry. */
   boolean runs(String engine) {
-    return !processes.get(engine).ended;
+    Process process = processes.get(engine);
+    return !process.ended && instances.upstreams().contains(process.entry);
   }
 
   /** Returns the requests that run at an engine. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -37,6 +37,7 @@
 import dev.agatepier.core.version.Upstream;
 import dev.agatepier.core.version.Workspace;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -66,6 +67,7 @@
           identity("r1", "a1"), RouterPolicy.DEFAULT, SlotAllocatorPolicy.DEFAULT, REGIONS);
   final List<RouterEffect> effects = new ArrayList<>();
   long now = 3_000 * MILLI;
+  private final Map<String, String> versions = new HashMap<>();
   private long calls;
   private long incarnation = 1;
   private long evacuatedRevision;
@@ -134,6 +136,7 @@
 
   /** Replaces the instance list. */
   void publish(List<Upstream> upstreams) {
+    upstreams.forEach(upstream -> versions.put(upstream.name(), upstream.softwareVersion()));
     dispatch(
         new RouterEvent.InstancesActivated(new InstanceList(++incarnation, List.of(), upstreams)));
   }
@@ -251,7 +254,9 @@
   List<RouterEffect> grantFrom(String allocator, RequestId request, String upstream) {
     return dispatch(
         new RouterEvent.AllocatorMessageReceived(
-            allocator, new SlotGranted(SERVICE, request, upstream)));
+            allocator,
+            new SlotGranted(
+                SERVICE, request, upstream, false, 0, 0, versions.getOrDefault(upstream, ""))));
   }
 
   /** Grants a slot of a cold upstream in reply to a report, by its waiting call. */
@@ -260,7 +265,7 @@
         new RouterEvent.AllocatorMessageReceived(
             "r1",
             new SlotGranted(
-                SERVICE, report.request(), upstream, true, waited, report.timeLeftMillis())));
+                SERVICE, report.request(), upstream, true, waited, report.timeLeftMillis(), "")));
   }
 
   /** Makes a call and grants it a slot. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
@@ -1,9 +1,11 @@
 package dev.agatepier.core.process;
 
+import static dev.agatepier.core.process.SlotAllocatorFixture.PLAIN;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.request.RequestId;
 import java.util.Map;
 import org.testng.annotations.BeforeMethod;
@@ -101,6 +103,45 @@
     assertTrue(allocator.isRejected(stream));
   }
 
+  /** An upstream that crashed may be back with another version before its entry is. */
+  @Test
+  public void streamWaitsForTheEntryOfUpstreamWhoseConnectionsBroke() {
+    breakConnection();
+    allocator.advance(400);
+    RequestId stream = allocator.requestOfVersion("v1", "w", 5_000);
+    assertFalse(allocator.isGranted(stream));
+    allocator.publishVersions(Map.of("p1rc", "v1", "p2", "v2"));
+    allocator.advance(25);
+    assertTrue(allocator.isGranted(stream));
+  }
+
+  /** No other process can have started so soon. */
+  @Test
+  public void streamGoesOnAtOnceWhereConnectionBroke() {
+    breakConnection();
+    allocator.advance(200);
+    assertTrue(allocator.isGranted(allocator.requestOfVersion("v1", "w", 5_000)));
+  }
+
+  /** A reset of connections must not keep streams away for long. */
+  @Test
+  public void responseToEarlierRequestShowsThatTheProcessStillRuns() {
+    RequestId earlier = allocator.requestOfVersion("v1", "w", 5_000);
+    breakConnection();
+    allocator.advance(400);
+    RequestId stream = allocator.requestOfVersion("v1", "w", 5_000);
+    assertFalse(allocator.isGranted(stream));
+    allocator.sendChange(PLAIN, earlier, SlotStage.RESPONSE_STARTED, 0);
+    assertTrue(allocator.isGranted(stream));
+  }
+
+  /** Lets a request of p1 end with its connection. */
+  private void breakConnection() {
+    RequestId request = allocator.requestOfVersion("v1", "w", 5_000);
+    assertEquals(allocator.upstreamOf(request), "p1");
+    allocator.sendChange(PLAIN, request, SlotStage.DISCONNECTED, 0);
+  }
+
   /** Without an incarnation an entry that changes its version names another process. */
   @Test
   public void requestThatWaitsIsGrantedByTheNewestEntry() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionFleetTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionFleetTest.java
@@ -82,17 +82,20 @@
   public static Object[][] fleets() {
     List<Object[]> fleets = new ArrayList<>();
     for (long seed = 1; seed <= 3; seed++) {
-      for (int rate : List.of(100, 700)) {
-        fleets.add(new Object[] {seed, rate});
-      }
+      fleets.add(new Object[] {seed, 100, 0});
+      fleets.add(new Object[] {seed, 700, 0});
+      fleets.add(new Object[] {seed, 100, 3_000});
     }
     return fleets.toArray(Object[][]::new);
   }
 
-  /** A stream must hold events of one version only, also when the fleet has more work than room. */
+  /**
+   * A stream must hold events of one version only, also when the fleet has more work than room, or
+   * when entries are behind the engines that have started again.
+   */
   @Test(dataProvider = "fleets")
-  public void streamsHoldEventsOfOneVersionAndGoOn(long seed, int rate) {
-    Callers callers = serve(seed, rate);
+  public void streamsHoldEventsOfOneVersionAndGoOn(long seed, int rate, int lagMillis) {
+    Callers callers = serve(seed, rate, lagMillis);
     assertTrue(callers.broken.size() >= 12, "streams broke off: " + callers.broken.size());
     assertEquals(callers.joined(), 0);
     String shares =
@@ -105,7 +108,7 @@
     assertTrue(callers.continuedShare() >= callers.startedShare() / 2, shares);
   }
 
-  private static Callers serve(long seed, int rate) {
+  private static Callers serve(long seed, int rate, int lagMillis) {
     VirtualTime time = new VirtualTime(seed);
     Callers callers = new Callers();
     AllocatingFleet fleet =
@@ -126,7 +129,8 @@
       time.after(time.draw(SECONDS * 1_000), () -> call(time, fleet, callers));
     }
     for (long at = 1_000; at < SECONDS * 1_000L; at += CRASH_INTERVAL_MILLIS) {
-      time.after(at, () -> crash(time, fleet, callers, engines.get(time.draw(engines.size()))));
+      time.after(
+          at, () -> crash(time, fleet, callers, engines.get(time.draw(engines.size())), lagMillis));
     }
     time.runUntil(SECONDS * 1_000L + PLAN.timeoutMillis());
     return callers;
@@ -142,7 +146,7 @@
 
   /** Lets an engine crash and start again, and records the streams that can go on elsewhere. */
   private static void crash(
-      VirtualTime time, AllocatingFleet fleet, Callers callers, String engine) {
+      VirtualTime time, AllocatingFleet fleet, Callers callers, String engine, int lagMillis) {
     if (!fleet.runs(engine)) {
       return;
     }
@@ -162,7 +166,7 @@
     }
     fleet.crash(engine);
     String version = VERSIONS.get(time.draw(VERSIONS.size()));
-    time.after(DOWN_MILLIS, () -> fleet.restart(engine, version, 0));
+    time.after(DOWN_MILLIS, () -> fleet.restart(engine, version, lagMillis));
   }
 
   /** Engines that prefill at one pace and respond with several events. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionRouterTest.java
@@ -6,6 +6,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.process.RouterEffect.FailRequest;
@@ -152,6 +153,30 @@
     assertEquals(router.runs(request).size(), 2);
   }
 
+  /** The entry of the upstream may be behind its process, so that the version isn't known. */
+  @Test
+  public void streamOfUncertainVersionIsNotContinued() {
+    RequestId request = router.call(RESUMABLE);
+    router.dispatch(
+        new RouterEvent.AllocatorMessageReceived(
+            "r1", new SlotGranted(OLD1.service(), request, "old1")));
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    assertEquals(router.responseTo(request), BROKEN_OFF);
+  }
+
+  /** The stream comes from the process that the new entry names, as the earlier one has ended. */
+  @Test
+  public void streamThatRunsWhileItsUpstreamChangesVersionIsNotContinued() {
+    RequestId request = router.run(RESUMABLE, "old1");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.publish(List.of(versioned("old1", 2, "a1", "v2"), OLD2, NEW1));
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    assertEquals(router.responseTo(request), BROKEN_OFF);
+  }
+
   /** Returns a request whose stream broke off at old1 after its first event. */
   private RequestId brokenStream() {
     RequestId request = router.run(RESUMABLE, "old1");
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/SlotMessageCodec.java
@@ -66,7 +66,7 @@
         new MessageType<>(
             62,
             SlotGranted.class,
-            6,
+            7,
             (message, output) -> {
               output.writeString(message.service());
               RequestFields.writeRequest(message.request(), output);
@@ -74,6 +74,7 @@
               output.writeBoolean(message.cold());
               output.writeLong(message.waitedMillis());
               output.writeLong(message.timeLeftMillis());
+              output.writeString(message.softwareVersion());
             },
             input ->
                 new SlotGranted(
@@ -82,7 +83,8 @@
                     input.readString(),
                     input.readBoolean(),
                     input.readLong(),
-                    input.readLong())),
+                    input.readLong(),
+                    input.readString())),
         new MessageType<>(
             63,
             SlotRefused.class,
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -229,7 +229,7 @@
         new SlotsWanted("chair-desk", false, List.of(plain), List.of()),
         new SlotsWanted(
             "plan-model", true, List.of(model), List.of(new HeldSlot(model, "engine-4", true)), 12),
-        new SlotGranted("plan-model", REQUEST, "engine-4", true, 35, 900),
+        new SlotGranted("plan-model", REQUEST, "engine-4", true, 35, 900, "v17"),
         new SlotsChanged(
             "plan-model",
             Arrays.stream(SlotStage.values())
