Reject calls for the rest of streams whose version is uncertain

A stream may come from an upstream that started again with a version that its entry does not name yet. The router that relays it knows that its version is uncertain, but recorded the version of the entry for other routers.

The origin is now recorded as the version that binds the request itself, also when that is uncertain, at once or by a later list. An uncertain origin replaces any record, and the call is rejected as not run.

Grants in the simulated fleet now name the version of the upstream, as slot allocators do.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -130,8 +130,8 @@
       }
       case RouterEvent.InstancesActivated activated -> {
         peers.onInstancesActivated(activated.instances());
-        resumptions.onInstancesActivated(activated.instances(), nowNanos);
         slotReplies.onInstancesActivated(activated.instances(), nowNanos);
+        resumptions.onInstancesActivated(activated.instances(), nowNanos);
       }
       case RouterEvent.InstancesConfirmed confirmed ->
           resumptions.onInstancesConfirmed(confirmed.startedNanos());
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamOrigins.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamOrigins.java
@@ -17,15 +17,21 @@
   private record Origin(String softwareVersion, long recordedNanos) {}
 
   /**
-   * Records the software version that began a stream, unless one is recorded; the oldest stream is
-   * dropped if there are too many.
+   * Records the software version that began a stream, unless one is recorded; that it is uncertain
+   * replaces any. The oldest stream is dropped if there are too many.
    *
-   * @return whether the stream was not recorded before
+   * @return whether the record is new
    */
   boolean record(StreamKey key, String softwareVersion, long nowNanos) {
-    if (origins.putIfAbsent(key, new Origin(softwareVersion, nowNanos)) != null) {
+    Origin known = origins.get(key);
+    boolean replaced =
+        softwareVersion.equals(RoutedRequest.UNCERTAIN_VERSION)
+            && (known == null || !known.softwareVersion().equals(softwareVersion));
+    if (known != null && !replaced) {
       return false;
     }
+    origins.remove(key);
+    origins.put(key, new Origin(softwareVersion, nowNanos));
     if (origins.size() > MAXIMUM_STREAMS) {
       Iterator<StreamKey> oldestFirst = origins.keySet().iterator();
       oldestFirst.next();
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -108,9 +108,8 @@
     if (request.plan.resumable()
         && !call.resumesStream()
         && !call.labels().own().isEmpty()
-        && request.target instanceof DirectUpstream target
-        && !target.upstream().softwareVersion().isEmpty()) {
-      record(key(call, call.labels().own()), target.upstream().softwareVersion(), nowNanos);
+        && !request.softwareVersion.isEmpty()) {
+      record(key(call, call.labels().own()), request.softwareVersion, nowNanos);
     }
   }
 
@@ -147,9 +146,13 @@
     return found.isPresent();
   }
 
-  /** Handles a list of upstreams. */
+  /** Handles a list of upstreams, by which the origins of running streams may turn uncertain. */
   public void onInstancesActivated(InstanceList instances, long nowNanos) {
     recentVersions.onListActivated(instances.upstreams(), nowNanos);
+    state.requests.values().stream()
+        .filter(request -> request.softwareVersion.equals(RoutedRequest.UNCERTAIN_VERSION))
+        .filter(request -> request.resumeAfter().isPresent())
+        .forEach(request -> onFirstEvent(request, nowNanos));
   }
 
   /** Handles that the list of upstreams was the newest at a time. */
@@ -232,15 +235,23 @@
     if (onlyVersion && (complete || versions.first().isEmpty())) {
       resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
     } else {
-      held.remove(resumption.number);
-      report(resumption, OriginSource.UNKNOWN, "", nowNanos);
-      admission.refuse(call, new Refusal(Reason.STREAM_ORIGIN_UNKNOWN, 0));
+      reject(resumption, nowNanos);
     }
   }
 
+  private void reject(HeldResumption resumption, long nowNanos) {
+    held.remove(resumption.number);
+    report(resumption, OriginSource.UNKNOWN, "", nowNanos);
+    admission.refuse(resumption.call, new Refusal(Reason.STREAM_ORIGIN_UNKNOWN, 0));
+  }
+
   private void resume(
       HeldResumption resumption, OriginSource source, String softwareVersion, long nowNanos) {
     CallArrived call = resumption.call;
+    if (softwareVersion.equals(RoutedRequest.UNCERTAIN_VERSION)) {
+      reject(resumption, nowNanos);
+      return;
+    }
     held.remove(resumption.number);
     if (call.labels().resumed().isPresent() && !softwareVersion.isEmpty()) {
       record(resumption.key, softwareVersion, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -90,10 +90,8 @@
       relay.abortIncomplete(request, nowNanos);
       return;
     }
+    final boolean firstEvent = numbered && request.resumeAfter().isEmpty();
     if (numbered) {
-      if (request.resumeAfter().isEmpty()) {
-        resumptions.onFirstEvent(request, nowNanos);
-      }
       request.lastEvent = event.lastEvent();
     }
     if (request.softwareVersion.isEmpty() && request.target instanceof DirectUpstream direct) {
@@ -102,6 +100,9 @@
               ? request.grantedVersion
               : RoutedRequest.UNCERTAIN_VERSION;
     }
+    if (firstEvent) {
+      resumptions.onFirstEvent(request, nowNanos);
+    }
     request.tokens += event.tokens();
     request.recordContent(nowNanos);
     relay.onResponseContent(request, request.nextFrame, event.content(), nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumedStreamsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumedStreamsTest.java
@@ -163,6 +163,18 @@
     assertTrue(stream.complete);
   }
 
+  /** The upstream may have started again with a version that is not listed yet. */
+  @Test
+  public void streamThatAnUncertainVersionBeganIsRejected() {
+    fleet.advance(3 * ResumingFleet.TIMEOUT_MILLIS);
+    fleet.uncertain = true;
+    Stream stream = fleet.open(fleet.nodes.get(0));
+    fleet.advance(SOME_EVENTS_MILLIS);
+    fleet.kill(List.of(fleet.nodes.get(0)));
+    fleet.advance(WHOLE_STREAM_MILLIS);
+    assertEquals(stream.rejected, Reason.STREAM_ORIGIN_UNKNOWN);
+  }
+
   /** The other routers list a second version that this one has not received yet. */
   @Test
   public void routerWhoseListIsBehindDoesNotRelyOnIt() {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
@@ -56,6 +56,9 @@
   private final String labelPrefix;
   private InstanceList instances = InstanceList.NONE;
 
+  /** Whether upstreams may have started again with another software version than is listed. */
+  boolean uncertain;
+
   /** Every software version that was ever listed. */
   private final Set<String> history = new HashSet<>();
 
@@ -329,7 +332,16 @@
     private void grant(String allocator, WaitingCall call) {
       if (granted.add(call.request())) {
         upstreamFor(call.softwareVersion(), active)
-            .map(upstream -> new SlotGranted(SERVICE, call.request(), upstream.name()))
+            .map(
+                upstream ->
+                    new SlotGranted(
+                        SERVICE,
+                        call.request(),
+                        upstream.name(),
+                        false,
+                        0,
+                        0,
+                        uncertain ? "" : upstream.softwareVersion()))
             .ifPresent(
                 grant -> dispatch(new RouterEvent.AllocatorMessageReceived(allocator, grant)));
       }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/internal/StreamOriginsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/internal/StreamOriginsTest.java
@@ -28,6 +28,16 @@
     assertEquals(origins.find(key), Optional.of("v1"));
   }
 
+  /** Otherwise a stream would be continued at a version that may not have begun it. */
+  @Test
+  public void uncertaintyReplacesTheRecord() {
+    StreamKey key = key("first");
+    origins.record(key, "v1", 0);
+    assertTrue(origins.record(key, RoutedRequest.UNCERTAIN_VERSION, 1));
+    assertFalse(origins.record(key, "v1", 2));
+    assertEquals(origins.find(key), Optional.of(RoutedRequest.UNCERTAIN_VERSION));
+  }
+
   @Test
   public void streamsOfOtherWorkspacesAndServicesAreApart() {
     origins.record(StreamKey.of("w", "s", "label"), "v1", 0);
