Reuse no connection with bytes behind its last response

What callers may see: the status and fields of another response. An upstream sends the beginning of a second response, which ends within its head, behind a complete one. The next request went over the same connection, and its response continued that head: "HTTP/1.1 200 OK", "Name: ", then "HTTP/1.1 500 ..." with the identity of the next request counted as a 200 with a field "Name". With other bytes behind the response, the next request failed.

Cause: an idle connection was checked for complete responses only. Bytes that the decoder holds since they are no complete head were not seen.

Change: a connection whose decoder holds such bytes is closed instead of reused.

Measured: FaultyUpstreamTest.doesNotReuseConnectionWithPartOfAnotherResponse on real sockets, 4 of 4 cases failed before and pass now. FaultyUpstreamTest, UpstreamCallerTest, SpoiltResponseTest, ResetResponseTest, BrokenUpstreamsTest, StrictResponseDecoderTest and UpstreamClientTest pass.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictClientCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictClientCodec.java
@@ -18,6 +18,11 @@
     super(new StrictResponseDecoder(HEADER_BYTES), new HttpRequestEncoder());
   }
 
+  /** Returns whether no byte was received behind the last response. */
+  boolean isBetweenResponses() {
+    return inboundHandler().isBetweenResponses();
+  }
+
   @Override
   public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise)
       throws Exception {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictResponseDecoder.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictResponseDecoder.java
@@ -69,6 +69,11 @@
     bodyExpected = !method.equals(HttpMethod.HEAD);
   }
 
+  /** Returns whether no byte was received behind the last response. */
+  boolean isBetweenResponses() {
+    return state == State.STATUS_LINE && actualReadableBytes() == 0;
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf input, List<Object> output) {
     try {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -55,6 +55,7 @@
    */
   private final Set<RequestId> returned = new HashSet<>();
 
+  private StrictClientCodec codec;
   private Channel channel;
   private AttemptExchange exchange;
   private ChannelFuture requestWritten;
@@ -104,8 +105,16 @@
     return channel;
   }
 
+  /**
+   * Returns whether the connection can carry another attempt. Bytes behind the last response, such
+   * as a part of a second one, would be joined with the next response.
+   */
   boolean isUsable(long nowNanos) {
-    return exchange == null && !broken && channel.isActive() && nowNanos - idleUntilNanos < 0;
+    return exchange == null
+        && !broken
+        && channel.isActive()
+        && codec.isBetweenResponses()
+        && nowNanos - idleUntilNanos < 0;
   }
 
   /** Returns whether a request may be sent over this connection. */
@@ -158,6 +167,11 @@
     channel.close();
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    codec = ctx.pipeline().get(StrictClientCodec.class);
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
@@ -248,4 +248,29 @@
     }
     nextEvent(UpstreamFailed.class);
   }
+
+  @DataProvider
+  public Object[][] partsOfResponses() {
+    return new Object[][] {
+      {"HTTP/1.1 200 OK\r\nName: "}, {"HTTP/1.1 200 OK\r\nName: x\r\n"}, {"HTTP/1."}, {"\r"},
+    };
+  }
+
+  /** Guards against a late part of a second response that becomes the head of the next one. */
+  @Test(dataProvider = "partsOfResponses")
+  public void doesNotReuseConnectionWithPartOfAnotherResponse(String part) {
+    run(1);
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      socket.write(PLAIN.formatted(1) + "seats" + part);
+      awaitCompletion();
+      run(2);
+      assertEquals(socket.readUntilOrEnd("body"), "", "the connection is closed without data");
+      try (RawSocket newConnection = upstream.accept()) {
+        newConnection.readUntil("body");
+        newConnection.write(PLAIN.formatted(2).replace("200", "500") + "seats");
+        assertEquals(nextEvent(UpstreamResponseStarted.class).head().status(), 500);
+      }
+    }
+  }
 }
