Fail responses with status 204 that announce content

What callers may see: an empty success where the upstream answered with content, and a resumed stream that ends as complete after the events of its first upstream. One spoilt digit turns the status 200 of a response in chunks into 204.

Cause: a 204 ends with its head, whatever its fields say; they were not compared with it. RFC 9110 (8.6) and RFC 9112 (6.1) forbid such fields in it.

Change: a 204 with a transfer coding or a Content-Length above 0 is malformed. Content-Length: 0, which many servers send, is accepted.

SpoiltResponseTest, StrictResponseDecoderTest, FaultyUpstreamTest, UpstreamCallerTest, UpstreamClientTest and BrokenUpstreamsTest pass.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictResponseDecoder.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictResponseDecoder.java
@@ -166,6 +166,9 @@
       checkCodings(codings, lengths);
     }
     long length = lengths.isEmpty() ? -1 : parseLength(lengths);
+    if (head.status().equals(HttpResponseStatus.NO_CONTENT) && (length > 0 || !codings.isEmpty())) {
+      throw new CodecException("a response without content announces content");
+    }
     if (!bodyExpected || hasNoBody(head.status())) {
       state = State.STATUS_LINE;
     } else if (!codings.isEmpty()) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
@@ -106,6 +106,9 @@
       {head + "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nseats"},
       {(head + CHUNKED).replace("HTTP/1.1", "HTTP/1.0")},
       {head + "Content-Length: 5\r\n"},
+      {(head + CHUNKED).replace("200", "204")},
+      {PLAIN.formatted(1).replace("200", "204") + "seats"},
+      {EVENTS.formatted(1).replace("200", "204") + EVENT + "0\r\n\r\n"},
     };
   }
 
@@ -130,6 +133,7 @@
       {"HTTP/1.1 100 Continue\r\n\r\n" + head + CHUNKED},
       {head + "Name:\r\nOther:\tx y \t\r\nContent-Length:5\r\n\r\nseats"},
       {HEAD.formatted(1).replace("200", "204") + "\r\n"},
+      {HEAD.formatted(1).replace("200", "204") + "Content-Length: 0\r\n\r\n"},
     };
   }
 
