Write no last chunk behind the response to a HEAD request

What callers may see: "0", CR LF, CR LF behind the head of a response to HEAD, which spoils the next response on the connection. It happens where the response has no length: to HEAD on a streaming route.

Cause: the encoder does not know the method; such a response was framed in chunks, so that its end was written as a last chunk.

Change: a response to HEAD is framed by its head.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/ResponseWriter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/ResponseWriter.java
@@ -56,7 +56,8 @@
   /** Writes the head of a response whose body follows in parts. */
   void startResponse(InFlightCall call, ResponseHead head) {
     boolean lengthKnown =
-        hasNoBody(head.status())
+        call.headOnly
+            || hasNoBody(head.status())
             || head.headers().stream().anyMatch(field -> field.name().equals("content-length"));
     closeDelimited = !lengthKnown && !call.chunksAllowed;
     closeAfterResponse |= !call.keepAlive || closeDelimited;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/CallerPortTest.java
@@ -113,6 +113,20 @@
     }
   }
 
+  /** Guards against a last chunk behind a response without body, which spoils the next response. */
+  @Test
+  public void responseToHeadEndsWithItsHead() {
+    try (RawSocket caller = RawSocket.connect(port.port())) {
+      caller.write(CALL.replace("GET", "HEAD") + CALL);
+      RequestId request = nextCall().request();
+      perform(new RouterEffect.BeginResponse(request, new ResponseHead(200, List.of())));
+      perform(new RouterEffect.EndResponse(request, METADATA));
+      fail(nextCall().request(), Outcome.NOT_RUN, Reason.OVERLOADED);
+      String responses = caller.readUntil("not-run overloaded");
+      assertTrue(responses.startsWith("HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 429 "), responses);
+    }
+  }
+
   @Test
   public void acceptsPipelinedRequestAfterResponseToFirst() throws Exception {
     try (RawSocket caller = RawSocket.connect(port.port())) {
