--- /dev/null
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
@@ -0,0 +1,107 @@
+package dev.agatepier.core.process.internal;
+
+import dev.agatepier.core.version.SoftwareVersionHistory;
+import dev.agatepier.core.version.Upstream;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The software versions that the upstreams of each service have, and when others were last listed.
+ */
+final class RecentSoftwareVersions {
+
+  /** Time for which a version that is no longer listed is kept. */
+  private static final long RETENTION_NANOS = 3_600_000_000_000L;
+
+  /** Maximum age of the confirmation of the list; a few times the duration of a watch. */
+  private static final long CONFIRMATION_NANOS = 5_000_000_000L;
+
+  private final Map<String, Set<String>> listed = new HashMap<>();
+  private final Map<String, Map<String, Long>> lastListedNanos = new HashMap<>();
+  private boolean listReceived;
+  private long confirmedNanos;
+  private boolean confirmed;
+  private long firstListNanos;
+
+  /** Time before the first list of which all versions are known. */
+  private long historyNanos;
+
+  /** Handles a list of upstreams. */
+  void onListActivated(Collection<Upstream> upstreams, long nowNanos) {
+    if (!listReceived) {
+      listReceived = true;
+      firstListNanos = nowNanos;
+    }
+    listed.forEach(
+        (service, versions) ->
+            versions.forEach(version -> recordListed(service, version, nowNanos)));
+    listed.clear();
+    for (Upstream upstream : upstreams) {
+      listed
+          .computeIfAbsent(upstream.service(), service -> new HashSet<>())
+          .add(upstream.softwareVersion());
+    }
+    lastListedNanos
+        .values()
+        .forEach(versions -> versions.values().removeIf(last -> nowNanos - last > RETENTION_NANOS));
+    lastListedNanos.values().removeIf(Map::isEmpty);
+  }
+
+  /**
+   * Adds what was read about the time before the first list. When a version was last listed is
+   * unknown, so each counts as listed until then.
+   */
+  void addHistory(SoftwareVersionHistory history) {
+    historyNanos = TimeUnit.MILLISECONDS.toNanos(history.reachMillis());
+    history
+        .versionsByService()
+        .forEach(
+            (service, versions) ->
+                versions.forEach(version -> recordListed(service, version, firstListNanos)));
+  }
+
+  /** Returns the software versions that a service is known to have had in the last nanoseconds. */
+  SortedSet<String> within(String service, long nanos, long nowNanos) {
+    SortedSet<String> versions = new TreeSet<>(listed.getOrDefault(service, Set.of()));
+    lastListedNanos
+        .getOrDefault(service, Map.of())
+        .forEach(
+            (version, last) -> {
+              if (nowNanos - last <= nanos) {
+                versions.add(version);
+              }
+            });
+    return versions;
+  }
+
+  /** Records that the list was the newest at a time. */
+  void onListConfirmed(long nanos) {
+    if (!confirmed || nanos - confirmedNanos > 0) {
+      confirmed = true;
+      confirmedNanos = nanos;
+    }
+  }
+
+  /**
+   * Returns whether all software versions of the last nanoseconds are known. The list must have
+   * been confirmed recently: a process that was suspended or cut off may have missed a version.
+   */
+  boolean isComplete(long nanos, long nowNanos) {
+    return listReceived
+        && confirmed
+        && nowNanos - confirmedNanos <= CONFIRMATION_NANOS
+        && nowNanos - firstListNanos >= nanos - historyNanos;
+  }
+
+  private void recordListed(String service, String version, long nanos) {
+    lastListedNanos
+        .computeIfAbsent(service, name -> new HashMap<>())
+        .merge(version, nanos, Math::max);
+  }
+}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -22,6 +22,9 @@
   /** Value of {@link #lastEvent} if there is no event. */
   private static final long NO_EVENT = -1;
 
+  /** Version of a stream that was begun by an uncertain version; no upstream has it. */
+  static final String UNCERTAIN_VERSION = "\0";
+
   /** The state of a request. */
   enum Phase {
     /** In its queue. */
@@ -91,7 +94,16 @@
   /** Regions in which the request may be processed: those that route and workspace allow. */
   AllowedRegions allowedRegions = AllowedRegions.ALL;
 
-  /** Grants that were declined because of these regions. */
+  /**
+   * Software version that an upstream must have to run the request; empty if any may, {@link
+   * #UNCERTAIN_VERSION} if none may.
+   */
+  String softwareVersion = "";
+
+  /** Software version of the current target by its slot allocator; empty if uncertain. */
+  String grantedVersion = "";
+
+  /** Grants that were declined because the upstream is not permitted. */
   int unpermittedGrants;
 
   AttemptId currentAttempt;
@@ -167,6 +179,11 @@
     return call.fingerprint();
   }
 
+  /** Returns what the upstream of the next attempt must be. */
+  UpstreamRequirements requirements() {
+    return UpstreamRequirements.of(allowedRegions, softwareVersion);
+  }
+
   boolean ticketed() {
     return call.ticket().isPresent();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamLoad.java
@@ -39,6 +39,7 @@
   final UpstreamHealth health = new UpstreamHealth();
   final WarmUpState warmUp = new WarmUpState();
   final PrefillRunLimit prefillRun = new PrefillRunLimit();
+  final ProcessContinuity continuity = new ProcessContinuity();
 
   Upstream upstream;
 
@@ -225,7 +226,13 @@
   boolean isSameProcess(Upstream entry) {
     return entry.incarnation() == upstream.incarnation()
         && entry.port() == upstream.port()
-        && entry.address().equals(upstream.address());
+        && entry.address().equals(upstream.address())
+        && entry.softwareVersion().equals(upstream.softwareVersion());
+  }
+
+  /** Returns the software version; empty if a process of another one may have started. */
+  String certainVersion(long nowNanos) {
+    return continuity.mayBeReplaced(nowNanos) ? "" : upstream.softwareVersion();
   }
 
   /** Returns the tokens in memory for running requests, including their expected output. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -21,11 +21,19 @@
 
   private final RouterState state;
   private final AttemptRelay relay;
+  private final StreamResumptions resumptions;
 
-  /** Creates a handler that relays to callers through the given relay. */
-  public UpstreamResponseHandler(RouterState state, AttemptRelay relay) {
+  /**
+   * Creates a handler.
+   *
+   * @param relay relays responses to callers
+   * @param resumptions records which software versions begin streams
+   */
+  public UpstreamResponseHandler(
+      RouterState state, AttemptRelay relay, StreamResumptions resumptions) {
     this.state = state;
     this.relay = relay;
+    this.resumptions = resumptions;
   }
 
   /**
@@ -37,6 +45,10 @@
     if (request == null) {
       return;
     }
+    if (!request.softwareVersion.isEmpty() && !hasRequiredVersion(request)) {
+      relay.abortIncomplete(request, nowNanos);
+      return;
+    }
     int status = event.head().status();
     if (request.responseStarted) {
       if (status >= REDIRECTION || !event.eventStream()) {
@@ -70,13 +82,27 @@
       return;
     }
     boolean joinsUnknownEvent = !numbered && request.resumes && request.nextFrame == 0;
-    if (joinsUnknownEvent || (numbered && event.firstEvent() <= request.lastEvent)) {
+    boolean joinsOtherVersion =
+        request.nextFrame == 0 && request.plan.resumable() && !hasRequiredVersion(request);
+    if (joinsUnknownEvent
+        || joinsOtherVersion
+        || (numbered && event.firstEvent() <= request.lastEvent)) {
       relay.abortIncomplete(request, nowNanos);
       return;
     }
+    final boolean firstEvent = numbered && request.resumeAfter().isEmpty();
     if (numbered) {
       request.lastEvent = event.lastEvent();
     }
+    if (request.softwareVersion.isEmpty() && request.target instanceof DirectUpstream direct) {
+      request.softwareVersion =
+          request.grantedVersion.equals(direct.upstream().softwareVersion())
+              ? request.grantedVersion
+              : RoutedRequest.UNCERTAIN_VERSION;
+    }
+    if (firstEvent) {
+      resumptions.onFirstEvent(request, nowNanos);
+    }
     request.tokens += event.tokens();
     request.recordContent(nowNanos);
     relay.onResponseContent(request, request.nextFrame, event.content(), nowNanos);
@@ -106,6 +132,21 @@
     }
   }
 
+  /**
+   * Returns whether the upstream of the current attempt has the software version that the request
+   * requires, and had no other one since the attempt was sent. The instance list may have changed
+   * after the grant was checked.
+   */
+  private boolean hasRequiredVersion(RoutedRequest request) {
+    if (!(request.target instanceof DirectUpstream direct)) {
+      return true;
+    }
+    String sentTo = direct.upstream().softwareVersion();
+    DirectUpstream listed = state.upstreams.find(direct.name());
+    return (request.softwareVersion.isEmpty() || request.softwareVersion.equals(sentTo))
+        && (listed == null || listed.upstream().softwareVersion().equals(sentTo));
+  }
+
   private RoutedRequest current(AttemptId attempt) {
     RoutedRequest request = state.requests.get(attempt.request());
     return request != null && attempt.equals(request.currentAttempt) ? request : null;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -37,6 +37,7 @@
 import dev.agatepier.core.version.Upstream;
 import dev.agatepier.core.version.Workspace;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -66,6 +67,7 @@
           identity("r1", "a1"), RouterPolicy.DEFAULT, SlotAllocatorPolicy.DEFAULT, REGIONS);
   final List<RouterEffect> effects = new ArrayList<>();
   long now = 3_000 * MILLI;
+  private final Map<String, String> versions = new HashMap<>();
   private long calls;
   private long incarnation = 1;
   private long evacuatedRevision;
@@ -129,10 +131,22 @@
         (name, dataCentre) ->
             upstreams.add(
                 new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, dataCentre, 4, false)));
+    publish(upstreams);
+  }
+
+  /** Replaces the instance list. */
+  void publish(List<Upstream> upstreams) {
+    upstreams.forEach(upstream -> versions.put(upstream.name(), upstream.softwareVersion()));
     dispatch(
         new RouterEvent.InstancesActivated(new InstanceList(++incarnation, List.of(), upstreams)));
   }
 
+  /** Returns an upstream with a software version. */
+  static Upstream versioned(String name, long incarnation, String dataCentre, String version) {
+    return new Upstream(
+        name, incarnation, SERVICE, "127.0.0.1", 8_000, dataCentre, 4, false, false, version);
+  }
+
   static PeerIdentity identity(String name, String dataCentre) {
     return new PeerIdentity(name, 1, Role.ROUTER, dataCentre, dataCentre, "");
   }
@@ -240,7 +254,9 @@
   List<RouterEffect> grantFrom(String allocator, RequestId request, String upstream) {
     return dispatch(
         new RouterEvent.AllocatorMessageReceived(
-            allocator, new SlotGranted(SERVICE, request, upstream)));
+            allocator,
+            new SlotGranted(
+                SERVICE, request, upstream, false, 0, 0, versions.getOrDefault(upstream, ""))));
   }
 
   /** Grants a slot of a cold upstream in reply to a report, by its waiting call. */
@@ -249,7 +265,7 @@
         new RouterEvent.AllocatorMessageReceived(
             "r1",
             new SlotGranted(
-                SERVICE, report.request(), upstream, true, waited, report.timeLeftMillis())));
+                SERVICE, report.request(), upstream, true, waited, report.timeLeftMillis(), "")));
   }
 
   /** Makes a call and grants it a slot. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictResponseDecoder.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StrictResponseDecoder.java
@@ -69,6 +69,11 @@
     bodyExpected = !method.equals(HttpMethod.HEAD);
   }
 
+  /** Returns whether no byte was received behind the last response. */
+  boolean isBetweenResponses() {
+    return state == State.STATUS_LINE && actualReadableBytes() == 0;
+  }
+
   @Override
   protected void decode(ChannelHandlerContext ctx, ByteBuf input, List<Object> output) {
     try {
@@ -161,6 +166,9 @@
       checkCodings(codings, lengths);
     }
     long length = lengths.isEmpty() ? -1 : parseLength(lengths);
+    if (head.status().equals(HttpResponseStatus.NO_CONTENT) && (length > 0 || !codings.isEmpty())) {
+      throw new CodecException("a response without content announces content");
+    }
     if (!bodyExpected || hasNoBody(head.status())) {
       state = State.STATUS_LINE;
     } else if (!codings.isEmpty()) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -24,6 +24,9 @@
 
   private static final Logger LOGGER = LogManager.getLogger(RequestLog.class);
 
+  /** Number of the event after which an attempt resumes, if it begins a stream. */
+  private static final long NO_EVENT = -1;
+
   private RequestLog() {}
 
   /** Logs a request that has completed. */
@@ -135,8 +138,11 @@
         () ->
             attemptEvent(LogEvent.ATTEMPT_STARTED, attempt.attempt())
                 .with("upstream", attempt.upstream().name())
+                .with("upstreamVersion", attempt.upstream().softwareVersion())
+                .with("requiredVersion", attempt.softwareVersion())
                 .with("timeLeftMillis", attempt.timeLeftMillis())
-                .with("resumed", attempt.resumeAfter().isPresent()));
+                .with("resumed", attempt.resumeAfter().isPresent())
+                .with("resumeAfter", attempt.resumeAfter().orElse(NO_EVENT)));
   }
 
   /** Logs an attempt that ended with a complete response. */
@@ -257,6 +263,21 @@
                 .with("waitingChanged", change.waitingChanged()));
   }
 
+  /** Logs a call that resumes a stream, and how the software version that began it was found. */
+  static void logResumptionDecided(RouterEffect.ResumptionDecided decided) {
+    LogEvent event =
+        decided.source().resumes() ? LogEvent.STREAM_RESUMED : LogEvent.STREAM_RESUMPTION_REJECTED;
+    LOGGER.info(
+        () ->
+            event
+                .message()
+                .with("request", decided.request().toString())
+                .with("resumedLabel", decided.resumedLabel())
+                .with("origin", decided.source().code())
+                .with("softwareVersion", decided.softwareVersion())
+                .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos())));
+  }
+
   /** Logs a request or prompt part that is quarantined or no longer is. */
   static void logQuarantineChanged(RouterEffect.QuarantineChanged change) {
     LOGGER.warn(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -24,6 +24,8 @@
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.version.DataCentreRegions;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ReadTimestamp;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.LogEvent;
@@ -236,6 +238,16 @@
     slotAllocator.post(new SlotAllocatorEvent.InstancesActivated(instances));
   }
 
+  @Override
+  public void onInstancesConfirmed(ReadTimestamp readStarted) {
+    requestTask.post(new RouterEvent.InstancesConfirmed(readStarted.nanos()));
+  }
+
+  @Override
+  public void onSoftwareVersionsRead(SoftwareVersionHistory history) {
+    requestTask.post(new RouterEvent.SoftwareVersionsRead(history));
+  }
+
   @Override
   public boolean draining() {
     return draining;
@@ -297,6 +309,10 @@
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
       case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
+      case RouterEffect.ResumptionDecided decided -> {
+        metrics.recordResumption(decided.source());
+        RequestLog.logResumptionDecided(decided);
+      }
       case RouterEffect.Drained _ -> drained.complete(null);
       case RouterEffect.EndResponse end -> {
         metrics.recordEnded(Outcome.COMPLETED, Optional.empty(), end.metadata());
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -42,6 +42,9 @@
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.connection.SlotMessage.UpstreamUnavailable;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
+import dev.agatepier.core.connection.StreamMessage.OriginReply;
+import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationRequest;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationTransfer;
 import dev.agatepier.core.connection.VersionMessage.InstancesRequest;
@@ -61,6 +64,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.ResponseHead;
+import dev.agatepier.core.request.StreamKey;
 import dev.agatepier.core.request.Ticket;
 import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.version.AllowedRegions;
@@ -98,7 +102,8 @@
           "link-costs", costs(),
           "link-table", table(),
           "link-instances", instances(),
-          "link-slots", slots());
+          "link-slots", slots(),
+          "link-streams", streams());
 
   private LinkSessions() {}
 
@@ -121,6 +126,15 @@
         new GrantDeclined(2));
   }
 
+  private static List<LinkMessage> streams() {
+    StreamKey key = StreamKey.of("kolkata-strings", "plan-model", "9c41d07be2a35f68");
+    return List.of(
+        new StreamBegan(key, "v7"),
+        new OriginRequest(5, key, "plan-model", 30_000),
+        new OriginReply(5, true, "v7", false, List.of()),
+        new OriginReply(6, false, "", true, List.of("v7", "v8")));
+  }
+
   private static List<LinkMessage> ticketFailures() {
     Ticket ticket = new Ticket("kolkata-strings", "plan-model", "engine-3", 9, 1_000, REQUEST);
     return List.of(
@@ -181,7 +195,8 @@
                         "siliguri-a",
                         64,
                         false,
-                        true)),
+                        true,
+                        "v17")),
                 Set.of("siliguri-a", "kolkata-a"),
                 2)),
         new KnownRouters(
@@ -221,13 +236,14 @@
                     OptionalInt.of(64),
                     List.of(new PromptPart("m 5c", 800), new PromptPart("m 91", 660)))),
             "layout",
-            AllowedRegions.only(Set.of("bengal", "assam")));
+            AllowedRegions.only(Set.of("bengal", "assam")),
+            "v17");
     ReceivedLoad load = new ReceivedLoad(new UpstreamLoadReport(12, 3, 64, OptionalInt.of(170)), 4);
     return List.of(
         new SlotsWanted("chair-desk", false, List.of(plain), List.of()),
         new SlotsWanted(
             "plan-model", true, List.of(model), List.of(new HeldSlot(model, "engine-4", true)), 12),
-        new SlotGranted("plan-model", REQUEST, "engine-4", true, 35, 900),
+        new SlotGranted("plan-model", REQUEST, "engine-4", true, 35, 900, "v17"),
         new SlotsChanged(
             "plan-model",
             Arrays.stream(SlotStage.values())
