Remember beside upstreams which software version began a stream

What callers saw: after all routers were killed while two software versions served, no stream that broke off could be resumed, although upstreams of its version served. Cause: the origins of streams were in the memory of routers only. Change: on each instance with an engine a small process (PlatformOriginCache) keeps the origins of the engine's streams. A router sends it one authenticated datagram for each new stream on a resumable route, and asks the caches beside all upstreams of a service where no router knows an origin. Decision 0018 has what was weighed.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/OriginSource.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/OriginSource.java
@@ -6,6 +6,8 @@
   LOCAL("local", true),
   /** Another router has replied with it. */
   PEER("peer", true),
+  /** The process beside the upstream that began the stream has replied with it. */
+  CACHE("cache", true),
   /** The service has had no other software version since the stream can have begun. */
   ONLY_VERSION("only-version", true),
   /** Not at all: the call is rejected. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
 import dev.agatepier.core.connection.StreamMessage;
+import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.process.internal.Admission;
 import dev.agatepier.core.process.internal.AllocatorPlacement;
 import dev.agatepier.core.process.internal.AttemptRelay;
@@ -139,6 +140,8 @@
           resumptions.onSoftwareVersionsRead(read.history());
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
           slotReplies.onMessage(router, message, nowNanos);
+      case RouterEvent.OriginCacheReplied(String address, OriginReply reply) ->
+          resumptions.onCacheReply(address, reply, nowNanos);
       case RouterEvent.UpstreamNoticed noticed ->
           slotReplies.onNotice(noticed.upstream(), noticed.notice(), nowNanos);
       case RouterEvent.UpstreamResponseStarted started ->
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process;
 
 import dev.agatepier.core.connection.LinkMessage;
+import dev.agatepier.core.connection.StreamMessage;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.CallHead;
@@ -218,6 +219,14 @@
       long heldNanos)
       implements RouterEffect {}
 
+  /**
+   * Send a datagram to the origin cache on the instance of an upstream. It may be lost.
+   *
+   * @param address IP address of the instance
+   * @param message the message
+   */
+  record SendToOriginCache(String address, StreamMessage message) implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -3,6 +3,7 @@
 import dev.agatepier.core.connection.LinkMessage;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.SlotMessage;
+import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.CallHead;
@@ -314,4 +315,12 @@
    *     monotonic clock
    */
   record StopAnnounced(long endNanos) implements RouterEvent {}
+
+  /**
+   * An origin cache has replied.
+   *
+   * @param address IP address of its instance
+   * @param reply the reply
+   */
+  record OriginCacheReplied(String address, OriginReply reply) implements RouterEvent {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterPolicy.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterPolicy.java
@@ -21,6 +21,8 @@
  *     the response starts, in milliseconds
  * @param retryShare maximum ratio of retries to requests, from 0 to 1, for services whose entries
  *     set none
+ * @param originCachePort port at which origin caches receive datagrams on the instances of
+ *     upstreams; 0 if there are none
  */
 public record RouterPolicy(
     int sidecarsPerService,
@@ -34,11 +36,42 @@
     long retryWindowMillis,
     double retrySlack,
     long regionMillis,
-    double retryShare) {
+    double retryShare,
+    int originCachePort) {
 
   /** The default values. */
   public static final RouterPolicy DEFAULT =
-      new RouterPolicy(16, 500, 50, 3, 3, 600_000, 262_144, 600_000, 10_000, 50, 80, 0.1);
+      new RouterPolicy(16, 500, 50, 3, 3, 600_000, 262_144, 600_000, 10_000, 50, 80, 0.1, 0);
+
+  /** Creates a policy without origin caches. */
+  public RouterPolicy(
+      int sidecarsPerService,
+      long spillMillis,
+      long affinityMillis,
+      int attempts,
+      int quarantineDeaths,
+      long quarantineMillis,
+      long windowBytes,
+      long ticketMillis,
+      long retryWindowMillis,
+      double retrySlack,
+      long regionMillis,
+      double retryShare) {
+    this(
+        sidecarsPerService,
+        spillMillis,
+        affinityMillis,
+        attempts,
+        quarantineDeaths,
+        quarantineMillis,
+        windowBytes,
+        ticketMillis,
+        retryWindowMillis,
+        retrySlack,
+        regionMillis,
+        retryShare,
+        0);
+  }
 
   /** Checks that every value is in range. */
   public RouterPolicy {
@@ -66,6 +99,10 @@
               + ticketMillis
               + ": none may be negative");
     }
+    if (originCachePort < 0 || originCachePort > 65_535) {
+      throw new IllegalArgumentException(
+          "router policy: originCachePort " + originCachePort + " must be from 0 to 65535");
+    }
     if (retryWindowMillis < 1
         || !(retrySlack >= 0)
         || regionMillis < 0
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
@@ -15,11 +15,16 @@
   final StreamKey key;
   final long number;
   final long heldSinceNanos;
-  final long timeoutNanos;
+
+  /** Time until which replies are awaited. */
+  long timeoutNanos;
 
   /** Routers that have not replied yet. */
   final Set<String> awaited;
 
+  /** Addresses of the origin caches that have not replied yet; null before they are asked. */
+  Set<String> awaitedCaches;
+
   /** Software versions that the service had in the lifetime of a stream, as the replies say. */
   final Set<String> recentVersions = new TreeSet<>();
 
@@ -41,6 +46,12 @@
     awaited = new HashSet<>(asked);
   }
 
+  /** Records that origin caches were asked, and until when their replies are awaited. */
+  void awaitCaches(Collection<String> addresses, long untilNanos) {
+    awaitedCaches = new HashSet<>(addresses);
+    timeoutNanos = untilNanos;
+  }
+
   /** Adds what a router knows that does not know the stream itself. */
   void addReply(String router, OriginReply reply) {
     awaited.remove(router);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KnownUpstreams.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/KnownUpstreams.java
@@ -148,6 +148,11 @@
     return firstMillis + Math.floorMod(request.hashCode(), RETRY_SPREAD_MILLIS);
   }
 
+  /** Returns the IP addresses of the listed upstreams of a service. */
+  Stream<String> addresses(String service) {
+    return ofService(service).map(direct -> direct.upstream().address()).distinct();
+  }
+
   private void updateNoticed() {
     noticed = upstreams.values().stream().filter(direct -> direct.notices().any()).toList();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamOrigins.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamOrigins.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 
 /** Bounded memory of the software versions that began streams, oldest first. */
-final class StreamOrigins {
+public final class StreamOrigins {
 
   /** Maximum number of streams; about 6 MB. */
   static final int MAXIMUM_STREAMS = 32_768;
@@ -22,7 +22,7 @@
    *
    * @return whether the record is new
    */
-  boolean record(StreamKey key, String softwareVersion, long nowNanos) {
+  public boolean record(StreamKey key, String softwareVersion, long nowNanos) {
     Origin known = origins.get(key);
     boolean replaced =
         softwareVersion.equals(RoutedRequest.UNCERTAIN_VERSION)
@@ -41,19 +41,20 @@
   }
 
   /** Returns the software version that began a stream; empty if it is not known. */
-  Optional<String> find(StreamKey key) {
+  public Optional<String> find(StreamKey key) {
     return Optional.ofNullable(origins.get(key)).map(Origin::softwareVersion);
   }
 
   /** Drops the streams that were recorded longer than a lifetime ago. */
-  void expire(long lifetimeNanos, long nowNanos) {
+  public void expire(long lifetimeNanos, long nowNanos) {
     Iterator<Origin> oldestFirst = origins.values().iterator();
     while (oldestFirst.hasNext() && nowNanos - oldestFirst.next().recordedNanos() > lifetimeNanos) {
       oldestFirst.remove();
     }
   }
 
-  int size() {
+  /** Returns the number of streams. */
+  public int size() {
     return origins.size();
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -7,6 +7,7 @@
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.process.OriginSource;
 import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
+import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.process.internal.Admission.Refusal;
 import dev.agatepier.core.request.CallPlan;
@@ -31,8 +32,9 @@
  * another version would continue it with text that does not fit.
  *
  * <p>The version is found in the router's own memory, with the routers to which the origin of the
- * stream was sent, or because the upstreams of the service have had only one software version since
- * the stream can have begun. A call whose stream's origin is not found is rejected.
+ * stream was sent, because the upstreams of the service have had only one software version since
+ * the stream can have begun, or, if no router knows, with the origin caches beside the upstreams. A
+ * call whose stream's origin is not found is rejected.
  */
 public final class StreamResumptions {
 
@@ -45,6 +47,9 @@
   /** Time until the origin of a stream is dropped after the stream must have ended. */
   private static final long RETENTION_MARGIN_NANOS = 5_000_000_000L;
 
+  /** Maximum number of origin caches that are asked for one call. */
+  private static final int MAXIMUM_CACHES = 1_024;
+
   private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
 
   /** Number of software versions in a reply: a second one already proves that there are several. */
@@ -82,13 +87,7 @@
     StreamKey key = key(call, call.labels().resumed().orElse(""));
     List<String> asked = OriginRouters.select(key, state.routers.values(), OriginRouters.ASKED);
     HeldResumption resumption =
-        new HeldResumption(
-            call,
-            key,
-            ++lastNumber,
-            nowNanos,
-            Math.min(call.deadlineNanos(), nowNanos + REPLY_TIMEOUT_NANOS),
-            asked);
+        new HeldResumption(call, key, ++lastNumber, nowNanos, replyTimeout(call, nowNanos), asked);
     Optional<String> known = origins.find(key);
     if (known.isPresent()) {
       resume(resumption, OriginSource.LOCAL, known.get(), nowNanos);
@@ -102,14 +101,37 @@
     }
   }
 
-  /** Records the software version that began a stream, and sends it to other routers. */
+  /**
+   * Records the software version that began a stream, and sends it to other routers and to the
+   * origin cache beside the upstream.
+   */
   void onFirstEvent(RoutedRequest request, long nowNanos) {
     CallArrived call = request.call;
     if (request.plan.resumable()
         && !call.resumesStream()
         && !call.labels().own().isEmpty()
         && !request.softwareVersion.isEmpty()) {
-      record(key(call, call.labels().own()), request.softwareVersion, nowNanos);
+      StreamKey key = key(call, call.labels().own());
+      record(key, request.softwareVersion, nowNanos);
+      if (state.policy.originCachePort() > 0 && request.target instanceof DirectUpstream target) {
+        StreamBegan began = new StreamBegan(key, request.softwareVersion);
+        state.outbox.add(new SendToOriginCache(target.upstream().address(), began));
+      }
+    }
+  }
+
+  /** Handles the reply of an origin cache. */
+  public void onCacheReply(String address, OriginReply reply, long nowNanos) {
+    HeldResumption resumption = held.get(reply.number());
+    if (resumption == null
+        || resumption.awaitedCaches == null
+        || !resumption.awaitedCaches.remove(address)) {
+      return;
+    }
+    if (reply.known()) {
+      resume(resumption, OriginSource.CACHE, reply.softwareVersion(), nowNanos);
+    } else if (resumption.awaitedCaches.isEmpty()) {
+      decideWithoutOrigin(resumption, nowNanos);
     }
   }
 
@@ -234,11 +256,40 @@
     boolean onlyVersion = versions.size() == 1;
     if (onlyVersion && (complete || versions.first().isEmpty())) {
       resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
-    } else {
+    } else if (!askCaches(resumption, nowNanos)) {
       reject(resumption, nowNanos);
     }
   }
 
+  /**
+   * Asks the origin caches beside all upstreams of the service, once.
+   *
+   * @return whether replies are awaited
+   */
+  private boolean askCaches(HeldResumption resumption, long nowNanos) {
+    CallArrived call = resumption.call;
+    if (state.policy.originCachePort() == 0
+        || resumption.awaitedCaches != null
+        || call.labels().resumed().isEmpty()) {
+      return false;
+    }
+    List<String> addresses =
+        state.upstreams.addresses(call.service()).limit(MAXIMUM_CACHES).toList();
+    if (addresses.isEmpty()) {
+      return false;
+    }
+    resumption.awaitCaches(addresses, replyTimeout(call, nowNanos));
+    held.put(resumption.number, resumption);
+    OriginRequest request =
+        new OriginRequest(resumption.number, resumption.key, call.service(), lifetimeMillis(call));
+    addresses.forEach(address -> state.outbox.add(new SendToOriginCache(address, request)));
+    return true;
+  }
+
+  private static long replyTimeout(CallArrived call, long nowNanos) {
+    return Math.min(call.deadlineNanos(), nowNanos + REPLY_TIMEOUT_NANOS);
+  }
+
   private void reject(HeldResumption resumption, long nowNanos) {
     held.remove(resumption.number);
     report(resumption, OriginSource.UNKNOWN, "", nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.connection.StreamMessage;
+import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.CallHead;
@@ -59,6 +60,11 @@
   /** Whether upstreams may have started again with another software version than is listed. */
   boolean uncertain;
 
+  /** Processes beside the upstreams, by address; empty if the routers use none. */
+  private final Map<String, OriginCacheDecision> caches = new HashMap<>();
+
+  private RouterPolicy policy = RouterPolicy.DEFAULT;
+
   /** Every software version that was ever listed. */
   private final Set<String> history = new HashSet<>();
 
@@ -100,6 +106,34 @@
     tick();
   }
 
+  /** Starts an origin cache beside each upstream and restarts the routers. */
+  void useOriginCaches() {
+    RouterPolicy usual = RouterPolicy.DEFAULT;
+    policy =
+        new RouterPolicy(
+            usual.sidecarsPerService(),
+            usual.spillMillis(),
+            usual.affinityMillis(),
+            usual.attempts(),
+            usual.quarantineDeaths(),
+            usual.quarantineMillis(),
+            usual.windowBytes(),
+            usual.ticketMillis(),
+            usual.retryWindowMillis(),
+            usual.retrySlack(),
+            usual.regionMillis(),
+            usual.retryShare(),
+            1);
+    instances.upstreams().forEach(upstream -> startCache(upstream.address()));
+    nodes.forEach(Node::stop);
+    nodes.forEach(Node::start);
+  }
+
+  /** Starts the origin cache at an address, or starts it again without memory. */
+  void startCache(String address) {
+    caches.put(address, new OriginCacheDecision());
+  }
+
   /** Lets callers call again after a rejection. */
   void retryRejected(int times) {
     retries = times;
@@ -118,7 +152,7 @@
       for (int index = 0; index < 2; index++) {
         String name = version + "-" + index;
         upstreams.add(
-            new Upstream(name, 1, SERVICE, "127.0.0.1", 8_000, "d0", 64, false, false, version));
+            new Upstream(name, 1, SERVICE, "at-" + name, 8_000, "d0", 64, false, false, version));
       }
     }
     InstanceList list = new InstanceList(instances.version() + 1, List.of(), upstreams);
@@ -238,7 +272,7 @@
 
     void start() {
       up = true;
-      decision = new RouterDecision(self, RouterPolicy.DEFAULT);
+      decision = new RouterDecision(self, policy);
       dispatch(new RouterEvent.TableActivated(AllocatingRouter.table(List.of("w"))));
       active = InstanceList.NONE;
       activate(instances);
@@ -303,6 +337,8 @@
             nodes.stream()
                 .filter(node -> node.self.instance().equals(to))
                 .forEach(node -> node.later(HOP_MILLIS, () -> node.receive(self, message)));
+        case RouterEffect.SendToOriginCache(String address, StreamMessage message) ->
+            later(HOP_MILLIS, () -> sendToCache(address, message));
         case RouterEffect.Send(String allocator, SlotsWanted wanted) ->
             wanted.waiting().forEach(call -> later(1, () -> grant(allocator, call)));
         case RunAttempt run -> later(EVENT_MILLIS, () -> startResponse(run));
@@ -323,6 +359,15 @@
       }
     }
 
+    private void sendToCache(String address, StreamMessage message) {
+      OriginCacheDecision cache = caches.get(address);
+      if (cache != null) {
+        cache.decide(message, time.nowMillis() * NANOS_PER_MILLI).stream()
+            .map(reply -> new RouterEvent.OriginCacheReplied(address, (OriginReply) reply))
+            .forEach(reply -> later(HOP_MILLIS, () -> dispatch(reply)));
+      }
+    }
+
     private void onEvent(RouterEffect.ContinueResponse part) {
       Stream stream = calls.get(part.request());
       stream.versions.add(part.content().text());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -6,7 +6,9 @@
 import dev.agatepier.core.process.LinkPlan;
 import dev.agatepier.core.process.ManagedService;
 import dev.agatepier.core.process.RouterEffect;
+import dev.agatepier.core.request.Bytes;
 import dev.agatepier.wire.connection.MemoryBudget;
+import dev.agatepier.wire.connection.OriginCacheClient;
 import dev.agatepier.wire.connection.UpstreamCaller;
 import dev.agatepier.wire.process.internal.FleetMember;
 import dev.agatepier.wire.process.internal.LinkRegistry;
@@ -42,6 +44,7 @@
   private final RouterTasks tasks;
   private final CallerFrontEnd callers;
   private final Optional<UpstreamCaller> upstreams;
+  private final Optional<OriginCacheClient> originCaches;
   private final List<ManagedService> services;
   private final FleetMember member;
   private final Scheduler scheduler;
@@ -149,9 +152,24 @@
                         member::logTaskFailure,
                         Runtime.getRuntime().maxMemory() / BUFFERED_RESPONSES_DIVISOR,
                         memory));
+    originCaches = originCaches(settings, environment, metrics);
     services = environment.services(context);
   }
 
+  private Optional<OriginCacheClient> originCaches(
+      RouterSettings settings, RouterEnvironment environment, MetricRegistry metrics) {
+    int port = settings.policy().originCachePort();
+    return port == 0
+        ? Optional.empty()
+        : Optional.of(
+            new OriginCacheClient(
+                new Endpoint(settings.common().links().address(), port),
+                Bytes.ofText(settings.common().secret().value()).array(),
+                environment.eventLoops(),
+                tasks::post,
+                metrics));
+  }
+
   private static void logLimits(LimitSettings limits, ProcessResources resources) {
     LOGGER.info(
         LogEvent.CALLER_LIMITS
@@ -169,7 +187,8 @@
         .start()
         .thenCompose(ignored -> callers.start())
         .thenCompose(ignored -> allOf(services.stream().map(ManagedService::start).toList()))
-        .thenCompose(ignored -> ManagedService.orNone(upstreams).start());
+        .thenCompose(ignored -> ManagedService.orNone(upstreams).start())
+        .thenCompose(ignored -> ManagedService.orNone(originCaches).start());
   }
 
   /**
@@ -186,6 +205,7 @@
         .then(Mono.fromFuture(tasks::drain))
         .then(Mono.fromFuture(() -> allOf(services.stream().map(ManagedService::stop).toList())))
         .then(Mono.fromFuture(ManagedService.orNone(upstreams)::stop))
+        .then(Mono.fromFuture(ManagedService.orNone(originCaches)::stop))
         .then(Mono.fromFuture(member::stop))
         .then(Mono.fromFuture(tasks::close))
         .doFinally(signal -> scheduler.dispose())
@@ -213,7 +233,11 @@
   }
 
   private void performAtUpstream(RouterEffect effect) {
-    upstreams.ifPresent(caller -> caller.perform(effect));
+    if (effect instanceof RouterEffect.SendToOriginCache datagram) {
+      originCaches.ifPresent(client -> client.perform(datagram));
+    } else {
+      upstreams.ifPresent(caller -> caller.perform(effect));
+    }
   }
 
   private static CompletableFuture<Void> allOf(List<CompletableFuture<Void>> steps) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -305,7 +305,8 @@
       case RouterEffect.RunAttempt _,
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
-          RouterEffect.CancelUnsentAttempt _ ->
+          RouterEffect.CancelUnsentAttempt _,
+          RouterEffect.SendToOriginCache _ ->
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
       case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
