Wait for origin caches when a router replies late or is lost

What callers saw: a call that resumes a stream was rejected with stream-origin-unknown although origin caches had just been asked. Cause: after the 300 ms for replies of other routers the caches are asked, but a later reply of such a router, or the loss of its link, still counted as the last one awaited, and the caches cannot be asked twice.

StreamOriginRouterTest: lateReplyOfRouterDoesNotEndTheWaitForCaches and lossOfRouterDoesNotEndTheWaitForCaches failed ("not-run stream-origin-unknown") and pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -238,7 +238,7 @@
   }
 
   private void decideIfAllReplied(HeldResumption resumption, long nowNanos) {
-    if (resumption.awaited.isEmpty()) {
+    if (resumption.awaited.isEmpty() && resumption.awaitedCaches == null) {
       decideWithoutOrigin(resumption, nowNanos);
     }
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -16,6 +16,7 @@
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.CallHead;
+import dev.agatepier.core.request.CallLabels;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.PromptMetadata;
@@ -62,9 +63,7 @@
   static final DataCentreRegions REGIONS =
       new DataCentreRegions(Map.of("a1", "a", "a2", "a", "b1", "b"));
 
-  final RouterDecision decision =
-      new RouterDecision(
-          identity("r1", "a1"), RouterPolicy.DEFAULT, SlotAllocatorPolicy.DEFAULT, REGIONS);
+  final RouterDecision decision;
   final List<RouterEffect> effects = new ArrayList<>();
   long now = 3_000 * MILLI;
   private final Map<String, String> versions = new HashMap<>();
@@ -74,10 +73,12 @@
   private long tableVersion;
 
   DirectRouterFixture() {
-    this(List.of(upstream("u1"), upstream("u2")));
+    this(RouterPolicy.DEFAULT, List.of(upstream("u1"), upstream("u2")));
   }
 
-  private DirectRouterFixture(List<Upstream> upstreams) {
+  private DirectRouterFixture(RouterPolicy policy, List<Upstream> upstreams) {
+    decision =
+        new RouterDecision(identity("r1", "a1"), policy, SlotAllocatorPolicy.DEFAULT, REGIONS);
     activateWithoutRoutes();
     if (!upstreams.isEmpty()) {
       dispatch(new RouterEvent.InstancesActivated(new InstanceList(1, List.of(), upstreams)));
@@ -86,7 +87,14 @@
 
   /** Returns a router that has a table and no instance list yet. */
   static DirectRouterFixture withoutInstances() {
-    return new DirectRouterFixture(List.of());
+    return new DirectRouterFixture(RouterPolicy.DEFAULT, List.of());
+  }
+
+  /** Returns a router that asks the origin caches beside the given upstreams. */
+  static DirectRouterFixture withOriginCaches(Upstream... upstreams) {
+    return new DirectRouterFixture(
+        new RouterPolicy(16, 500, 50, 3, 3, 600_000, 262_144, 600_000, 10_000, 50, 80, 0.1, 9_000),
+        List.of(upstreams));
   }
 
   /** Activates a table with lists of allowed regions for the plans' route and for workspace w. */
@@ -225,8 +233,23 @@
     return call(plan, resumeAfter, parts, AllowedRegions.ALL);
   }
 
+  /** Makes a call with its own label; it resumes a stream if it names another one. */
+  RequestId call(CallPlan plan, String own, OptionalLong resumeAfter, Optional<String> resumed) {
+    CallLabels labels = new CallLabels(own, resumed);
+    return call(plan, resumeAfter, List.of(), AllowedRegions.ALL, labels);
+  }
+
   private RequestId call(
       CallPlan plan, OptionalLong resumeAfter, List<PromptPart> parts, AllowedRegions allowed) {
+    return call(plan, resumeAfter, parts, allowed, CallLabels.NONE);
+  }
+
+  private RequestId call(
+      CallPlan plan,
+      OptionalLong resumeAfter,
+      List<PromptPart> parts,
+      AllowedRegions allowed,
+      CallLabels labels) {
     RequestId request = new RequestId("r1", 1, ++calls);
     dispatch(
         new RouterEvent.CallArrived(
@@ -243,7 +266,8 @@
                 ? Optional.empty()
                 : Optional.of(new PromptMetadata("m", 10 * parts.size(), 5, parts)),
             resumeAfter,
-            allowed));
+            allowed,
+            labels));
     return request;
   }
 
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -0,0 +1,60 @@
+package dev.agatepier.core.process;
+
+import static dev.agatepier.core.process.DirectRouterFixture.RESUMABLE;
+import static dev.agatepier.core.process.DirectRouterFixture.identity;
+import static dev.agatepier.core.process.DirectRouterFixture.versioned;
+import static org.testng.Assert.assertEquals;
+
+import dev.agatepier.core.connection.StreamMessage.OriginReply;
+import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
+import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.Upstream;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.testng.annotations.Test;
+
+/** A router that asks origin caches, before one upstream of v1 and one of v2. */
+public class StreamOriginRouterTest {
+
+  private static final Upstream OLD = versioned("old1", 1, "a1", "v1");
+  private static final Upstream NEW = versioned("new1", 1, "a1", "v2");
+  private static final String CACHE = "127.0.0.1";
+  private static final String REJECTED = "not-run stream-origin-unknown";
+
+  @Test
+  public void lateReplyOfRouterDoesNotEndTheWaitForCaches() {
+    DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD, NEW);
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    RequestId resumed = resume(router);
+    router.advance(301);
+    OriginReply unknown = new OriginReply(cacheRequest(router), false, "", false, List.of());
+    router.dispatch(new RouterEvent.MessageReceived(identity("r2", "a1"), unknown));
+    assertEquals(router.responseTo(resumed), "");
+  }
+
+  @Test
+  public void lossOfRouterDoesNotEndTheWaitForCaches() {
+    DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD, NEW);
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    RequestId resumed = resume(router);
+    router.advance(301);
+    router.dispatch(new RouterEvent.PeerDisconnected(identity("r2", "a1")));
+    assertEquals(router.responseTo(resumed), "");
+  }
+
+  private static RequestId resume(DirectRouterFixture router) {
+    return router.call(RESUMABLE, "second", OptionalLong.of(1), Optional.of("first"));
+  }
+
+  private static long cacheRequest(DirectRouterFixture router) {
+    return router.effects.stream()
+        .filter(SendToOriginCache.class::isInstance)
+        .map(effect -> ((SendToOriginCache) effect).message())
+        .filter(OriginRequest.class::isInstance)
+        .map(message -> ((OriginRequest) message).number())
+        .reduce((one, other) -> other)
+        .orElseThrow();
+  }
+}
