Ignore replies of origin caches to an earlier process of a router

Cause: each process of a router numbered its requests from 1 and receives replies at the same port. A datagram that was delivered after the router was replaced, such as one of a cache that had been suspended, was taken for the reply to the request with the same number, which concerns another stream: that stream could continue at the wrong software version.

Numbers now begin at the monotonic clock, so that a later process has greater ones.

StreamOriginRouterTest.replyToAnEarlierProcessIsIgnored failed and passes.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -64,7 +64,7 @@
   private final Map<Long, HeldResumption> held = new LinkedHashMap<>();
 
   private long longestTimeoutMillis = DEFAULT_TIMEOUT_MILLIS;
-  private long lastNumber;
+  private long lastNumber = Long.MIN_VALUE;
 
   /** Creates the resumptions of a router that knows no stream. */
   public StreamResumptions(RouterState state, Admission admission) {
@@ -87,7 +87,8 @@
     StreamKey key = key(call, call.labels().resumed().orElse(""));
     List<String> asked = OriginRouters.select(key, state.routers.values(), OriginRouters.ASKED);
     HeldResumption resumption =
-        new HeldResumption(call, key, ++lastNumber, nowNanos, replyTimeout(call, nowNanos), asked);
+        new HeldResumption(
+            call, key, nextNumber(nowNanos), nowNanos, replyTimeout(call, nowNanos), asked);
     Optional<String> known = origins.find(key);
     if (known.isPresent()) {
       resume(resumption, OriginSource.LOCAL, known.get(), nowNanos);
@@ -286,6 +287,12 @@
     return true;
   }
 
+  /** Returns a number greater than those of earlier processes, whose replies may still arrive. */
+  private long nextNumber(long nowNanos) {
+    lastNumber = Math.max(lastNumber + 1, nowNanos);
+    return lastNumber;
+  }
+
   private static long replyTimeout(CallArrived call, long nowNanos) {
     return Math.min(call.deadlineNanos(), nowNanos + REPLY_TIMEOUT_NANOS);
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -4,9 +4,11 @@
 import static dev.agatepier.core.process.DirectRouterFixture.identity;
 import static dev.agatepier.core.process.DirectRouterFixture.versioned;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
 import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.Upstream;
@@ -44,6 +46,20 @@
     assertEquals(router.responseTo(resumed), "");
   }
 
+  /** A datagram may be delivered after the router that asked was replaced. */
+  @Test
+  public void replyToAnEarlierProcessIsIgnored() {
+    DirectRouterFixture earlier = DirectRouterFixture.withOriginCaches(OLD, NEW);
+    resume(earlier);
+    DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD, NEW);
+    router.now = earlier.now + 1;
+    RequestId resumed = resume(router);
+    OriginReply reply = new OriginReply(cacheRequest(earlier), true, "v2", false, List.of());
+    router.dispatch(new RouterEvent.OriginCacheReplied(CACHE, reply));
+    assertEquals(router.responseTo(resumed), "");
+    assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
+  }
+
   private static RequestId resume(DirectRouterFixture router) {
     return router.call(RESUMABLE, "second", OptionalLong.of(1), Optional.of("first"));
   }
