Complete responses to HEAD that have no length

What callers saw: 504, or an unknown outcome, for a HEAD request whose response states no length.

Cause: such a response counted as one that ends with its connection, so that its end on an open connection was taken for an incomplete response.

Change: a response to HEAD has no body, whatever its fields say.

Measured: FaultyUpstreamTest.responseToHeadWithoutLengthIsComplete failed before and passes now; FaultyUpstreamTest, UpstreamCallerTest, SpoiltResponseTest, ResetResponseTest, ResetResponseOnNioTest and BrokenUpstreamsTest pass.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -262,7 +262,7 @@
     discardedBytes = 0;
     List<Header> headers = HeaderFields.of(response.headers());
     reusable &= HttpUtil.isKeepAlive(response);
-    delimiter = delimiterOf(response);
+    delimiter = delimiterOf(response, exchange.attempt().head().method());
     int status = response.status().code();
     Classification classification = pool.classifyResponse(exchange.attempt(), status, headers);
     boolean mayBeRepeated =
@@ -383,9 +383,9 @@
     return new ResponseTrace(delimiter, trailerFields, reused, written);
   }
 
-  private static Delimiter delimiterOf(HttpResponse response) {
+  private static Delimiter delimiterOf(HttpResponse response, String method) {
     int status = response.status().code();
-    if (status == 204 || status == 304) {
+    if (status == 204 || status == 304 || method.equals(HttpMethod.HEAD.name())) {
       return Delimiter.NO_BODY;
     }
     if (HttpUtil.isTransferEncodingChunked(response)) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FaultyUpstreamTest.java
@@ -12,9 +12,11 @@
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseStarted;
 import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.wire.RawSocket;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.OptionalLong;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -273,4 +275,18 @@
       }
     }
   }
+
+  /** Guards against a wait for the end of the connection, which does not end a response to HEAD. */
+  @Test
+  public void responseToHeadWithoutLengthIsComplete() {
+    perform(attempt(1, 1, new CallHead("HEAD", "/plans", List.of()), Bytes.ofText("")));
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("\r\n\r\n");
+      socket.write(HEAD.formatted(1) + "\r\n");
+      awaitCompletion();
+      run(2);
+      socket.readUntil("body");
+    }
+    nextEvent(UpstreamFailed.class);
+  }
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
@@ -94,11 +94,15 @@
   }
 
   RunAttempt attempt(long number, int attempt, Bytes body) {
+    return attempt(number, attempt, new CallHead("POST", "/plans", List.of()), body);
+  }
+
+  RunAttempt attempt(long number, int attempt, CallHead head, Bytes body) {
     return new RunAttempt(
         new AttemptId(new RequestId("router-1", 7, number), attempt),
         new Upstream("u1", 1, "plan-model", "127.0.0.1", upstream.port(), "a1", 8, false),
         "howrah",
-        new CallHead("POST", "/plans", List.of()),
+        head,
         body,
         new CallPlan("r", false, false, true, 1, 10_000, 500, 0, 1),
         10_000,
