Count streams that began before the timeout of their route became shorter

Cause: how long ago a stream of unknown origin can have begun was derived from the newest timeout of its route alone, and so was the time for which origins are kept. After a table with a shorter timeout, a version that had just left no longer counted, and the stream continued at the only other one.

The longest timeout that a route has had counts, as long as the table has the route.

StreamOriginRouterTest.shorterTimeoutDoesNotHideAnEarlierVersion failed (the stream was resumed as of the only version) and passes, as does ResumedStreamsTest (139 tests).

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -15,9 +15,11 @@
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.StreamKey;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.Route;
 import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -63,7 +65,10 @@
   /** Held calls by the number of the request to other routers, in the order of their arrival. */
   private final Map<Long, HeldResumption> held = new LinkedHashMap<>();
 
-  private long longestTimeoutMillis = DEFAULT_TIMEOUT_MILLIS;
+  /** Longest timeout that each route has had, since streams may have begun under that one. */
+  private final Map<String, Long> longestTimeoutMillis = new HashMap<>();
+
+  private long longestServiceTimeoutMillis = DEFAULT_TIMEOUT_MILLIS;
   private long lastNumber = Long.MIN_VALUE;
 
   /** Creates the resumptions of a router that knows no stream. */
@@ -188,14 +193,14 @@
     recentVersions.addHistory(history);
   }
 
-  /** Derives from a table for how long origins are kept. */
+  /** Derives from a table how long ago streams can have begun. */
   public void onTableActivated(Table table) {
-    longestTimeoutMillis =
-        LongStream.concat(
-                table.routes().routes().stream().mapToLong(route -> route.plan().timeoutMillis()),
-                table.services().values().stream().mapToLong(ServiceEntry::deadlineMillis))
-            .max()
-            .orElse(DEFAULT_TIMEOUT_MILLIS);
+    List<CallPlan> plans = table.routes().routes().stream().map(Route::plan).toList();
+    longestTimeoutMillis.keySet().retainAll(plans.stream().map(CallPlan::route).toList());
+    plans.forEach(
+        plan -> longestTimeoutMillis.merge(plan.route(), plan.timeoutMillis(), Math::max));
+    longestServiceTimeoutMillis =
+        table.services().values().stream().mapToLong(ServiceEntry::deadlineMillis).max().orElse(0);
   }
 
   /** Decides on the calls that have been held for the longest time allowed. */
@@ -208,7 +213,13 @@
 
   /** Drops the origins of streams that must have ended. */
   public void expire(long nowNanos) {
-    long lifetimeNanos = ATTEMPTS_OF_STREAM * longestTimeoutMillis * RouterState.NANOS_PER_MILLI;
+    long longestMillis =
+        LongStream.concat(
+                LongStream.of(longestServiceTimeoutMillis),
+                longestTimeoutMillis.values().stream().mapToLong(Long::longValue))
+            .max()
+            .orElse(0);
+    long lifetimeNanos = ATTEMPTS_OF_STREAM * longestMillis * RouterState.NANOS_PER_MILLI;
     origins.expire(lifetimeNanos + RETENTION_MARGIN_NANOS, nowNanos);
   }
 
@@ -338,9 +349,15 @@
   }
 
   /** Returns how long before a call the stream that it resumes can have begun. */
-  private static long lifetimeMillis(CallArrived call) {
-    return ATTEMPTS_OF_STREAM
-        * call.plan().map(CallPlan::timeoutMillis).orElse(DEFAULT_TIMEOUT_MILLIS);
+  private long lifetimeMillis(CallArrived call) {
+    long timeoutMillis =
+        call.plan()
+            .map(
+                plan ->
+                    Math.max(
+                        plan.timeoutMillis(), longestTimeoutMillis.getOrDefault(plan.route(), 0L)))
+            .orElse(DEFAULT_TIMEOUT_MILLIS);
+    return ATTEMPTS_OF_STREAM * timeoutMillis;
   }
 
   private static StreamKey key(CallArrived call, String label) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -104,6 +104,12 @@
     activate(workspace, List.of(listed));
   }
 
+  /** Activates a table with one route. */
+  void activateRoute(CallPlan plan) {
+    List<Route.WeightedService> services = List.of(new Route.WeightedService(SERVICE, 1));
+    activate(AllowedRegions.ALL, List.of(new Route("a", "/", services, plan, false)));
+  }
+
   /** Activates a table without routes. */
   void activateWithoutRoutes() {
     activate(AllowedRegions.ALL, List.of());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -10,11 +10,15 @@
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
 import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
 import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
+import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.RequestId;
+import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Upstream;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.testng.annotations.Test;
 
 /** A router that asks origin caches, before one upstream of v1 and one of v2. */
@@ -60,6 +64,23 @@
     assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
   }
 
+  /** A stream that began under the longer timeout may come from a version that left since. */
+  @Test
+  public void shorterTimeoutDoesNotHideAnEarlierVersion() {
+    DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD);
+    Map<String, Set<String>> versions = Map.of(OLD.service(), Set.of("v1"));
+    router.dispatch(
+        new RouterEvent.SoftwareVersionsRead(
+            new SoftwareVersionHistory(versions, SoftwareVersionHistory.UNLIMITED_MILLIS)));
+    router.activateRoute(new CallPlan("r", false, true, true, 2, 60_000, 500, 250, 1));
+    router.publish(List.of(NEW));
+    router.advance(30_000);
+    router.activateRoute(RESUMABLE);
+    router.dispatch(new RouterEvent.InstancesConfirmed(router.now));
+    resume(router);
+    assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
+  }
+
   private static RequestId resume(DirectRouterFixture router) {
     return router.call(RESUMABLE, "second", OptionalLong.of(1), Optional.of("first"));
   }
