Count only versions since the last gap in the lists as all versions

What callers could see: events of two software versions over two calls. Cause: a router that had received no list for a while, suspended or cut off from the store, counted its knowledge as complete again with the first confirmed list, although a version could have come and gone in the meantime.

Until it reaches back far enough, streams that no router remembers are looked up in the origin caches.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
@@ -27,16 +27,18 @@
   private boolean listReceived;
   private long confirmedNanos;
   private boolean confirmed;
-  private long firstListNanos;
 
-  /** Time before the first list of which all versions are known. */
+  /** Time since which lists have been received without a gap. */
+  private long receivingSinceNanos;
+
+  /** Time before that of which all versions are known. */
   private long historyNanos;
 
   /** Handles a list of upstreams. */
   void onListActivated(Collection<Upstream> upstreams, long nowNanos) {
     if (!listReceived) {
       listReceived = true;
-      firstListNanos = nowNanos;
+      receivingSinceNanos = nowNanos;
     }
     listed.forEach(
         (service, versions) ->
@@ -63,7 +65,7 @@
         .versionsByService()
         .forEach(
             (service, versions) ->
-                versions.forEach(version -> recordListed(service, version, firstListNanos)));
+                versions.forEach(version -> recordListed(service, version, receivingSinceNanos)));
   }
 
   /** Returns the software versions that a service is known to have had in the last nanoseconds. */
@@ -80,8 +82,12 @@
     return versions;
   }
 
-  /** Records that the list was the newest at a time. */
+  /** Records that the list was the newest at a time. Versions may have come and gone in a gap. */
   void onListConfirmed(long nanos) {
+    if (confirmed && nanos - confirmedNanos > CONFIRMATION_NANOS) {
+      receivingSinceNanos = nanos;
+      historyNanos = 0;
+    }
     if (!confirmed || nanos - confirmedNanos > 0) {
       confirmed = true;
       confirmedNanos = nanos;
@@ -96,7 +102,7 @@
     return listReceived
         && confirmed
         && nowNanos - confirmedNanos <= CONFIRMATION_NANOS
-        && nowNanos - firstListNanos >= nanos - historyNanos;
+        && nowNanos - receivingSinceNanos >= nanos - historyNanos;
   }
 
   private void recordListed(String service, String version, long nanos) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -81,6 +81,21 @@
     assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
   }
 
+  /** Another version may have come and gone while the router received no lists. */
+  @Test
+  public void onlyVersionIsNotReliedOnAfterTimeWithoutLists() {
+    DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD);
+    Map<String, Set<String>> versions = Map.of(OLD.service(), Set.of("v1"));
+    router.dispatch(
+        new RouterEvent.SoftwareVersionsRead(
+            new SoftwareVersionHistory(versions, SoftwareVersionHistory.UNLIMITED_MILLIS)));
+    router.dispatch(new RouterEvent.InstancesConfirmed(router.now));
+    router.advance(10_000);
+    router.dispatch(new RouterEvent.InstancesConfirmed(router.now));
+    resume(router);
+    assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
+  }
+
   private static RequestId resume(DirectRouterFixture router) {
     return router.call(RESUMABLE, "second", OptionalLong.of(1), Optional.of("first"));
   }
