Ask origin caches again that have not replied within 100 ms

What callers saw: a call that resumes a stream was rejected with stream-origin-unknown when the one datagram to the cache that knows the stream, or its reply, was lost. After a restart of all routers their requests come at once, and the socket of a cache drops what it has no room for.

Each cache that has not replied is asked again every 100 ms, until the 300 ms for replies have passed.

StreamOriginRouterTest.originIsFoundAlthoughDatagramsAreLost failed (no second request) and passes. A trial on loopback, one cache, x86-64 beside other work: of 100, 300, 1,000 and 3,000 requests sent within 7 to 15 ms, 100, 294, 260 and 321 were replied to without a repetition; not measured with it.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
@@ -25,6 +25,9 @@
   /** Addresses of the origin caches that have not replied yet; null before they are asked. */
   Set<String> awaitedCaches;
 
+  /** Time at which those are asked again. */
+  long repeatNanos;
+
   /** Software versions that the service had in the lifetime of a stream, as the replies say. */
   final Set<String> recentVersions = new TreeSet<>();
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -43,6 +43,9 @@
   /** Time for which replies of other routers are awaited: several round trips between regions. */
   static final long REPLY_TIMEOUT_NANOS = 300_000_000;
 
+  /** Time after which origin caches that have not replied are asked again: datagrams get lost. */
+  private static final long REPEAT_NANOS = 100_000_000;
+
   /** A caller can resume a stream after one attempt and again after a second one. */
   private static final int ATTEMPTS_OF_STREAM = 2;
 
@@ -203,12 +206,19 @@
         table.services().values().stream().mapToLong(ServiceEntry::deadlineMillis).max().orElse(0);
   }
 
-  /** Decides on the calls that have been held for the longest time allowed. */
+  /**
+   * Decides on the calls that have been held for the longest time allowed, and asks origin caches
+   * again that have not replied.
+   */
   public void runDueTimers(long nowNanos) {
     held.values().stream()
         .filter(resumption -> resumption.timeoutNanos <= nowNanos)
         .toList()
         .forEach(resumption -> decideWithoutOrigin(resumption, nowNanos));
+    held.values().stream()
+        .filter(resumption -> resumption.awaitedCaches != null)
+        .filter(resumption -> resumption.repeatNanos <= nowNanos)
+        .forEach(resumption -> sendToAwaitedCaches(resumption, nowNanos));
   }
 
   /** Drops the origins of streams that must have ended. */
@@ -292,10 +302,17 @@
     }
     resumption.awaitCaches(addresses, replyTimeout(call, nowNanos));
     held.put(resumption.number, resumption);
+    sendToAwaitedCaches(resumption, nowNanos);
+    return true;
+  }
+
+  private void sendToAwaitedCaches(HeldResumption resumption, long nowNanos) {
+    resumption.repeatNanos = nowNanos + REPEAT_NANOS;
+    CallArrived call = resumption.call;
     OriginRequest request =
         new OriginRequest(resumption.number, resumption.key, call.service(), lifetimeMillis(call));
-    addresses.forEach(address -> state.outbox.add(new SendToOriginCache(address, request)));
-    return true;
+    resumption.awaitedCaches.forEach(
+        address -> state.outbox.add(new SendToOriginCache(address, request)));
   }
 
   /** Returns a number greater than those of earlier processes, whose replies may still arrive. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -50,6 +50,22 @@
     assertEquals(router.responseTo(resumed), "");
   }
 
+  /** Many routers ask a cache at once after a restart, and its socket drops what does not fit. */
+  @Test
+  public void originIsFoundAlthoughDatagramsAreLost() {
+    DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD, NEW);
+    resume(router);
+    final long lost = cacheRequest(router);
+    router.effects.clear();
+    router.advance(100);
+    assertEquals(cacheRequest(router), lost);
+    OriginReply reply = new OriginReply(lost, true, "v1", false, List.of());
+    router.dispatch(new RouterEvent.OriginCacheReplied(CACHE, reply));
+    router.effects.clear();
+    router.advance(100);
+    assertTrue(router.effects.stream().noneMatch(SendToOriginCache.class::isInstance));
+  }
+
   /** A datagram may be delivered after the router that asked was replaced. */
   @Test
   public void replyToAnEarlierProcessIsIgnored() {
