Publish the socket of the origin cache client to all threads

Cause: the socket is set by the thread that starts the client and read by the router's task. Change: the field is volatile.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/OriginCacheClient.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/OriginCacheClient.java
@@ -33,7 +33,7 @@
   private final Counter sent;
   private final Counter received;
   private final Counter rejected;
-  private Connection connection;
+  private volatile Connection connection;
 
   /**
    * Creates the client without opening a socket.
