Skip the timers of held calls while there are none

Cause: each event of a router ran two streams over the held calls, which are nearly always none, and an origin cache looked up each stream twice for a reply. Change: an early return, and one lookup. Behaviour is the same.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/OriginCacheDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/OriginCacheDecision.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.process.internal.StreamOrigins;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -38,8 +39,7 @@
   }
 
   private OriginReply reply(OriginRequest request) {
-    String version = origins.find(request.key()).orElse("");
-    boolean known = origins.find(request.key()).isPresent();
-    return new OriginReply(request.number(), known, version, false, List.of());
+    Optional<String> known = origins.find(request.key());
+    return new OriginReply(request.number(), known.isPresent(), known.orElse(""), false, List.of());
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -211,6 +211,9 @@
    * again that have not replied.
    */
   public void runDueTimers(long nowNanos) {
+    if (held.isEmpty()) {
+      return;
+    }
     held.values().stream()
         .filter(resumption -> resumption.timeoutNanos <= nowNanos)
         .toList()
