Log what the decision on a resumed stream rests on

Cause: the lines stream-resumed and stream-resumption-rejected named the source only. Change: both have the routers asked and replied, the number of software versions, whether these are complete, and the age of the list's confirmation. No decision changes.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -210,15 +210,35 @@
    * @param source how the software version was found
    * @param softwareVersion the software version; empty if it was not found
    * @param heldNanos time for which the call was held until then
+   * @param evidence what the decision rests on if the origin itself was not found
    */
   record ResumptionDecided(
       RequestId request,
       String resumedLabel,
       OriginSource source,
       String softwareVersion,
-      long heldNanos)
+      long heldNanos,
+      ResumptionEvidence evidence)
       implements RouterEffect {}
 
+  /**
+   * What a router knows of the software versions that may have begun a stream.
+   *
+   * @param routersAsked number of routers that were asked for the origin
+   * @param routersReplied number of those that have replied without knowing it
+   * @param softwareVersions number of software versions that the service had in the lifetime of the
+   *     stream
+   * @param complete whether these are known to be all
+   * @param listAgeNanos time since the start of the read that last confirmed the instance list;
+   *     negative if none has
+   */
+  record ResumptionEvidence(
+      int routersAsked,
+      int routersReplied,
+      int softwareVersions,
+      boolean complete,
+      long listAgeNanos) {}
+
   /**
    * Send a datagram to the origin cache on the instance of an upstream. It may be lost.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
@@ -22,6 +22,9 @@
   /** Routers that have not replied yet. */
   final Set<String> awaited;
 
+  final int routersAsked;
+  int routersReplied;
+
   /** Addresses of the origin caches that have not replied yet; null before they are asked. */
   Set<String> awaitedCaches;
 
@@ -47,6 +50,7 @@
     this.heldSinceNanos = heldSinceNanos;
     this.timeoutNanos = timeoutNanos;
     awaited = new HashSet<>(asked);
+    routersAsked = asked.size();
   }
 
   /** Records that origin caches were asked, and until when their replies are awaited. */
@@ -58,6 +62,7 @@
   /** Adds what a router knows that does not know the stream itself. */
   void addReply(String router, OriginReply reply) {
     awaited.remove(router);
+    routersReplied++;
     recentVersions.addAll(reply.recentVersions());
     complete |= reply.complete();
   }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
@@ -105,6 +105,13 @@
         && nowNanos - receivingSinceNanos >= nanos - historyNanos;
   }
 
+  /**
+   * Returns the time since the start of the read that last confirmed the list, or -1 if none has.
+   */
+  long listAgeNanos(long nowNanos) {
+    return confirmed ? nowNanos - confirmedNanos : -1;
+  }
+
   private void recordListed(String service, String version, long nanos) {
     lastListedNanos
         .computeIfAbsent(service, name -> new HashMap<>())
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -7,6 +7,7 @@
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.process.OriginSource;
 import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
+import dev.agatepier.core.process.RouterEffect.ResumptionEvidence;
 import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.process.internal.Admission.Refusal;
@@ -273,19 +274,29 @@
    * as long as the stream can exist. Another version that any reply names rules that out.
    */
   private void decideWithoutOrigin(HeldResumption resumption, long nowNanos) {
-    CallArrived call = resumption.call;
-    long lifetimeNanos = lifetimeMillis(call) * RouterState.NANOS_PER_MILLI;
-    SortedSet<String> versions = new TreeSet<>(resumption.recentVersions);
-    versions.addAll(recentVersions.within(call.service(), lifetimeNanos, nowNanos));
-    boolean complete = resumption.complete || recentVersions.isComplete(lifetimeNanos, nowNanos);
+    SortedSet<String> versions = possibleVersions(resumption, nowNanos);
     boolean onlyVersion = versions.size() == 1;
-    if (onlyVersion && (complete || versions.first().isEmpty())) {
+    if (onlyVersion && (isComplete(resumption, nowNanos) || versions.first().isEmpty())) {
       resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
     } else if (!askCaches(resumption, nowNanos)) {
       reject(resumption, nowNanos);
     }
   }
 
+  /** Returns the software versions that may have begun the stream, as far as they are known. */
+  private SortedSet<String> possibleVersions(HeldResumption resumption, long nowNanos) {
+    SortedSet<String> versions = new TreeSet<>(resumption.recentVersions);
+    versions.addAll(
+        recentVersions.within(resumption.call.service(), lifetimeNanos(resumption.call), nowNanos));
+    return versions;
+  }
+
+  /** Returns whether those are all, by this router's knowledge or by that of one that replied. */
+  private boolean isComplete(HeldResumption resumption, long nowNanos) {
+    return resumption.complete
+        || recentVersions.isComplete(lifetimeNanos(resumption.call), nowNanos);
+  }
+
   /**
    * Asks the origin caches beside all upstreams of the service, once.
    *
@@ -357,7 +368,17 @@
             resumption.call.labels().resumed().orElse(""),
             source,
             softwareVersion,
-            nowNanos - resumption.heldSinceNanos));
+            nowNanos - resumption.heldSinceNanos,
+            evidence(resumption, nowNanos)));
+  }
+
+  private ResumptionEvidence evidence(HeldResumption resumption, long nowNanos) {
+    return new ResumptionEvidence(
+        resumption.routersAsked,
+        resumption.routersReplied,
+        possibleVersions(resumption, nowNanos).size(),
+        isComplete(resumption, nowNanos),
+        recentVersions.listAgeNanos(nowNanos));
   }
 
   private void record(StreamKey key, String softwareVersion, long nowNanos) {
@@ -380,6 +401,10 @@
     return ATTEMPTS_OF_STREAM * timeoutMillis;
   }
 
+  private long lifetimeNanos(CallArrived call) {
+    return lifetimeMillis(call) * RouterState.NANOS_PER_MILLI;
+  }
+
   private static StreamKey key(CallArrived call, String label) {
     return StreamKey.of(call.workspace(), call.service(), label);
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -275,7 +275,18 @@
                 .with("resumedLabel", decided.resumedLabel())
                 .with("origin", decided.source().code())
                 .with("softwareVersion", decided.softwareVersion())
-                .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos())));
+                .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos()))
+                .with("routersAsked", decided.evidence().routersAsked())
+                .with("routersReplied", decided.evidence().routersReplied())
+                .with("softwareVersions", decided.evidence().softwareVersions())
+                .with("complete", decided.evidence().complete())
+                .with("listAgeMillis", listAgeMillis(decided.evidence())));
+  }
+
+  private static long listAgeMillis(RouterEffect.ResumptionEvidence evidence) {
+    return evidence.listAgeNanos() < 0
+        ? -1
+        : TimeUnit.NANOSECONDS.toMillis(evidence.listAgeNanos());
   }
 
   /** Logs a request or prompt part that is quarantined or no longer is. */
