--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/StreamMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/StreamMessage.java
@@ -65,4 +65,39 @@
       recentVersions = List.copyOf(recentVersions);
     }
   }
+
+  /**
+   * Asks a router to read from the platform which software versions the upstreams of a service have
+   * now, for a router that cannot read it.
+   *
+   * @param number number that the reply repeats
+   * @param service the service
+   * @param lifetimeMillis time before the request for which all versions are asked, in milliseconds
+   */
+  record SoftwareVersionsRequest(long number, String service, long lifetimeMillis)
+      implements StreamMessage {
+
+    /** Rejects null components. */
+    public SoftwareVersionsRequest {
+      Objects.requireNonNull(service, "service");
+    }
+  }
+
+  /**
+   * Replies to a {@link SoftwareVersionsRequest}.
+   *
+   * @param number number of the request
+   * @param complete whether {@code recentVersions} covers the whole time asked for, up to a read of
+   *     the platform that started after the request was received
+   * @param recentVersions software versions of the service's upstreams in that time, as far as the
+   *     sender knows; the first two if there are more
+   */
+  record SoftwareVersionsReply(long number, boolean complete, List<String> recentVersions)
+      implements StreamMessage {
+
+    /** Copies the versions. */
+    public SoftwareVersionsReply {
+      recentVersions = List.copyOf(recentVersions);
+    }
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/OriginCacheDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/OriginCacheDecision.java
@@ -3,6 +3,8 @@
 import dev.agatepier.core.connection.StreamMessage;
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsRequest;
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.process.internal.StreamOrigins;
 import java.util.List;
@@ -29,7 +31,7 @@
         yield List.of();
       }
       case OriginRequest request -> List.of(reply(request));
-      case OriginReply _ -> List.of();
+      case OriginReply _, SoftwareVersionsRequest _, SoftwareVersionsReply _ -> List.of();
     };
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -17,6 +17,7 @@
 import dev.agatepier.core.process.internal.UpstreamResponseHandler;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.version.DataCentreRegions;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
 import java.util.Optional;
 
@@ -138,6 +139,9 @@
           resumptions.onInstancesConfirmed(confirmed.startedNanos());
       case RouterEvent.SoftwareVersionsRead read ->
           resumptions.onSoftwareVersionsRead(read.history());
+      case RouterEvent.UpstreamsRead(List<Upstream> read, long startedNanos) ->
+          resumptions.onUpstreamsRead(read, startedNanos, nowNanos);
+      case RouterEvent.UpstreamsReadFailed _ -> resumptions.onUpstreamsReadFailed(nowNanos);
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
           slotReplies.onMessage(router, message, nowNanos);
       case RouterEvent.OriginCacheReplied(String address, OriginReply reply) ->
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -247,6 +247,13 @@
    */
   record SendToOriginCache(String address, StreamMessage message) implements RouterEffect {}
 
+  /**
+   * Read from the platform which upstreams are registered now. Results in {@link
+   * RouterEvent.UpstreamsRead} or {@link RouterEvent.UpstreamsReadFailed}; several of these effects
+   * may have one result.
+   */
+  record ReadUpstreams() implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -22,6 +22,7 @@
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -302,6 +303,24 @@
    */
   record SoftwareVersionsRead(SoftwareVersionHistory history) implements RouterEvent {}
 
+  /**
+   * All registered upstreams were read from the platform, other than by the watch that keeps the
+   * instance list up to date.
+   *
+   * @param upstreams the upstreams; the active instance list may differ
+   * @param startedNanos start of the read, as a reading of the process's monotonic clock
+   */
+  record UpstreamsRead(List<Upstream> upstreams, long startedNanos) implements RouterEvent {
+
+    /** Copies the upstreams. */
+    public UpstreamsRead {
+      upstreams = List.copyOf(upstreams);
+    }
+  }
+
+  /** The upstreams could not be read from the platform. */
+  record UpstreamsReadFailed() implements RouterEvent {}
+
   /** The periodic timer has expired. */
   record Tick() implements RouterEvent {}
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.VersionMessage;
 import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.process.internal.CoalescedRead;
 import dev.agatepier.core.process.internal.EvacuationReport;
 import dev.agatepier.core.process.internal.InstanceFollower;
 import dev.agatepier.core.process.internal.PlatformReaders;
@@ -31,6 +32,7 @@
   private final List<VersionEffect> effects = new ArrayList<>();
   private final TableFollower table;
   private final EvacuationReport evacuations = new EvacuationReport();
+  private final CoalescedRead upstreamReads = new CoalescedRead();
 
   /**
    * Creates the decision of a process that has neither table nor instance list.
@@ -76,6 +78,9 @@
           onPlatformUnchanged(subject, startedAt, nowNanos);
       case VersionEvent.ReadFailed(PlatformSubject subject, double jitter) ->
           schedule(subject).recordFailure(jitter, nowNanos);
+      case VersionEvent.UpstreamsWanted _ -> readUpstreamsIf(upstreamReads.request());
+      case VersionEvent.UpstreamsRead _, VersionEvent.UpstreamsReadFailed _ ->
+          readUpstreamsIf(upstreamReads.complete());
       case VersionEvent.TablePrepared(ManifestTransfer manifest, Table prepared) ->
           table.onTablePrepared(manifest, prepared);
       case VersionEvent.TableRefused refused -> table.onTableRefused(refused);
@@ -90,6 +95,12 @@
     return result;
   }
 
+  private void readUpstreamsIf(boolean start) {
+    if (start) {
+      effects.add(new VersionEffect.ReadUpstreams());
+    }
+  }
+
   private void onMessage(VersionEvent.MessageReceived received, long nowNanos) {
     String sender = received.peer().instance();
     switch (received.message()) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
@@ -32,6 +32,12 @@
   record ReadPlatform(PlatformSubject subject, long afterVersion, int waitSeconds)
       implements VersionEffect {}
 
+  /**
+   * Read all registered upstreams from the platform. Results in {@link VersionEvent.UpstreamsRead}
+   * or {@link VersionEvent.UpstreamsReadFailed}.
+   */
+  record ReadUpstreams() implements VersionEffect {}
+
   /**
    * Read a page from the platform. The read results in {@link VersionEvent.PageReceived}.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.TableMistake;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
 import java.util.Optional;
 
@@ -92,6 +93,26 @@
    */
   record ReadFailed(PlatformSubject subject, double jitter) implements VersionEvent {}
 
+  /** The upstreams that are registered now are wanted, as read after this event. */
+  record UpstreamsWanted() implements VersionEvent {}
+
+  /**
+   * All registered upstreams were read from the platform for {@link UpstreamsWanted}.
+   *
+   * @param upstreams the upstreams
+   * @param startedAt time at which the read started
+   */
+  record UpstreamsRead(List<Upstream> upstreams, ReadTimestamp startedAt) implements VersionEvent {
+
+    /** Copies the upstreams. */
+    public UpstreamsRead {
+      upstreams = List.copyOf(upstreams);
+    }
+  }
+
+  /** The read for {@link UpstreamsWanted} failed. */
+  record UpstreamsReadFailed() implements VersionEvent {}
+
   /**
    * The pages of a manifest form a valid table.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.request.StreamKey;
 import java.util.Collection;
@@ -8,27 +9,41 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** A call that resumes a stream, held while other routers are asked which version began it. */
+/** A call that resumes a stream, held until it is known which software version began it. */
 final class HeldResumption {
 
+  /** What the call waits for, in this order; stages may be skipped. */
+  enum Stage {
+    /** Replies of other routers that may know the origin. */
+    ROUTERS,
+    /** A read of the platform that shows whether there is another software version by now. */
+    PLATFORM,
+    /** The same read by other routers, as this one cannot read the platform. */
+    PLATFORM_BY_ROUTERS,
+    /** Replies of the origin caches beside the upstreams. */
+    CACHES
+  }
+
   final CallArrived call;
   final StreamKey key;
   final long number;
   final long heldSinceNanos;
 
-  /** Time until which replies are awaited. */
+  Stage stage = Stage.ROUTERS;
+
+  /** Time at which the stage ends. */
   long timeoutNanos;
 
-  /** Routers that have not replied yet. */
+  /** Routers that have not replied yet whether they know the origin. */
   final Set<String> awaited;
 
   final int routersAsked;
   int routersReplied;
 
-  /** Addresses of the origin caches that have not replied yet; null before they are asked. */
-  Set<String> awaitedCaches;
+  /** Routers or addresses of origin caches that have not replied yet in the current stage. */
+  final Set<String> awaitedInStage = new HashSet<>();
 
-  /** Time at which those are asked again. */
+  /** Time at which origin caches are asked again. */
   long repeatNanos;
 
   /** Software versions that the service had in the lifetime of a stream, as the replies say. */
@@ -37,6 +52,9 @@
   /** Whether a reply says that it has all those versions. */
   boolean complete;
 
+  /** Whether another router has read the platform since the call arrived. */
+  boolean readByRouter;
+
   HeldResumption(
       CallArrived call,
       StreamKey key,
@@ -53,12 +71,19 @@
     routersAsked = asked.size();
   }
 
-  /** Records that origin caches were asked, and until when their replies are awaited. */
-  void awaitCaches(Collection<String> addresses, long untilNanos) {
-    awaitedCaches = new HashSet<>(addresses);
+  /** Begins to wait for something else, and for whose replies. */
+  void await(Stage next, Collection<String> repliers, long untilNanos) {
+    stage = next;
+    awaitedInStage.clear();
+    awaitedInStage.addAll(repliers);
     timeoutNanos = untilNanos;
   }
 
+  /** Returns whether the reply that was received now is awaited in the stage. */
+  boolean receive(Stage awaitedIn, String sender) {
+    return stage == awaitedIn && awaitedInStage.remove(sender);
+  }
+
   /** Adds what a router knows that does not know the stream itself. */
   void addReply(String router, OriginReply reply) {
     awaited.remove(router);
@@ -66,4 +91,11 @@
     recentVersions.addAll(reply.recentVersions());
     complete |= reply.complete();
   }
+
+  /** Adds what a router has read from the platform since the call arrived. */
+  void addReply(SoftwareVersionsReply reply) {
+    recentVersions.addAll(reply.recentVersions());
+    complete |= reply.complete();
+    readByRouter |= reply.complete();
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RecentSoftwareVersions.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.SortedSet;
@@ -22,6 +23,9 @@
   /** Maximum age of the confirmation of the list; a few times the duration of a watch. */
   private static final long CONFIRMATION_NANOS = 5_000_000_000L;
 
+  /** Number of software versions in a reply: a second one already proves that there are several. */
+  private static final int REPORTED_VERSIONS = 2;
+
   private final Map<String, Set<String>> listed = new HashMap<>();
   private final Map<String, Map<String, Long>> lastListedNanos = new HashMap<>();
   private boolean listReceived;
@@ -34,6 +38,11 @@
   /** Time before that of which all versions are known. */
   private long historyNanos;
 
+  /** Start of the last read of all upstreams from the platform. */
+  private long upstreamsReadNanos;
+
+  private boolean upstreamsRead;
+
   /** Handles a list of upstreams. */
   void onListActivated(Collection<Upstream> upstreams, long nowNanos) {
     if (!listReceived) {
@@ -68,6 +77,20 @@
                 versions.forEach(version -> recordListed(service, version, receivingSinceNanos)));
   }
 
+  /** Handles the upstreams that the platform had at a time, which the list may not contain yet. */
+  void onUpstreamsRead(Collection<Upstream> upstreams, long startedNanos) {
+    for (Upstream upstream : upstreams) {
+      recordListed(upstream.service(), upstream.softwareVersion(), startedNanos);
+    }
+    upstreamsRead = true;
+    upstreamsReadNanos = startedNanos;
+  }
+
+  /** Returns whether all upstreams were read from the platform after a time. */
+  boolean wereUpstreamsReadAfter(long nanos) {
+    return upstreamsRead && upstreamsReadNanos - nanos >= 0;
+  }
+
   /** Returns the software versions that a service is known to have had in the last nanoseconds. */
   SortedSet<String> within(String service, long nanos, long nowNanos) {
     SortedSet<String> versions = new TreeSet<>(listed.getOrDefault(service, Set.of()));
@@ -82,6 +105,11 @@
     return versions;
   }
 
+  /** Returns those that a reply to another router names. */
+  List<String> reported(String service, long nanos, long nowNanos) {
+    return within(service, nanos, nowNanos).stream().limit(REPORTED_VERSIONS).toList();
+  }
+
   /** Records that the list was the newest at a time. Versions may have come and gone in a gap. */
   void onListConfirmed(long nanos) {
     if (confirmed && nanos - confirmedNanos > CONFIRMATION_NANOS) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -4,23 +4,24 @@
 import dev.agatepier.core.connection.StreamMessage;
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsRequest;
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.process.OriginSource;
+import dev.agatepier.core.process.RouterEffect.ReadUpstreams;
 import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
 import dev.agatepier.core.process.RouterEffect.ResumptionEvidence;
 import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.process.internal.Admission.Refusal;
-import dev.agatepier.core.request.CallPlan;
+import dev.agatepier.core.process.internal.HeldResumption.Stage;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.StreamKey;
 import dev.agatepier.core.version.InstanceList;
-import dev.agatepier.core.version.Route;
-import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
-import java.util.HashMap;
+import dev.agatepier.core.version.Upstream;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +29,7 @@
 import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 /**
  * Binds calls that resume a stream to the software version that began it, since upstreams of
@@ -47,19 +48,14 @@
   /** Time after which origin caches that have not replied are asked again: datagrams get lost. */
   private static final long REPEAT_NANOS = 100_000_000;
 
-  /** A caller can resume a stream after one attempt and again after a second one. */
-  private static final int ATTEMPTS_OF_STREAM = 2;
-
   /** Time until the origin of a stream is dropped after the stream must have ended. */
   private static final long RETENTION_MARGIN_NANOS = 5_000_000_000L;
 
   /** Maximum number of origin caches that are asked for one call. */
   private static final int MAXIMUM_CACHES = 1_024;
 
-  private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
-
-  /** Number of software versions in a reply: a second one already proves that there are several. */
-  private static final int REPORTED_VERSIONS = 2;
+  /** Number of routers that are asked to read the platform, as one may not reach it either. */
+  private static final int PLATFORM_READERS = 3;
 
   private final RouterState state;
   private final Admission admission;
@@ -69,16 +65,19 @@
   /** Held calls by the number of the request to other routers, in the order of their arrival. */
   private final Map<Long, HeldResumption> held = new LinkedHashMap<>();
 
-  /** Longest timeout that each route has had, since streams may have begun under that one. */
-  private final Map<String, Long> longestTimeoutMillis = new HashMap<>();
+  private final StreamLifetimes lifetimes = new StreamLifetimes();
+  private final SoftwareVersionReplies replies;
+
+  /** Upstreams that were last read from the platform. */
+  private List<Upstream> readUpstreams = List.of();
 
-  private long longestServiceTimeoutMillis = DEFAULT_TIMEOUT_MILLIS;
   private long lastNumber = Long.MIN_VALUE;
 
   /** Creates the resumptions of a router that knows no stream. */
   public StreamResumptions(RouterState state, Admission admission) {
     this.state = state;
     this.admission = admission;
+    replies = new SoftwareVersionReplies(state, recentVersions);
   }
 
   /** Returns whether no call is held. */
@@ -102,11 +101,11 @@
     if (known.isPresent()) {
       resume(resumption, OriginSource.LOCAL, known.get(), nowNanos);
     } else if (asked.isEmpty()) {
-      decideWithoutOrigin(resumption, nowNanos);
+      decide(resumption, nowNanos);
     } else {
       held.put(resumption.number, resumption);
       OriginRequest request =
-          new OriginRequest(resumption.number, key, call.service(), lifetimeMillis(call));
+          new OriginRequest(resumption.number, key, call.service(), lifetimes.millis(call));
       asked.forEach(router -> state.outbox.send(router, request));
     }
   }
@@ -133,15 +132,13 @@
   /** Handles the reply of an origin cache. */
   public void onCacheReply(String address, OriginReply reply, long nowNanos) {
     HeldResumption resumption = held.get(reply.number());
-    if (resumption == null
-        || resumption.awaitedCaches == null
-        || !resumption.awaitedCaches.remove(address)) {
+    if (resumption == null || !resumption.receive(Stage.CACHES, address)) {
       return;
     }
     if (reply.known()) {
       resume(resumption, OriginSource.CACHE, reply.softwareVersion(), nowNanos);
-    } else if (resumption.awaitedCaches.isEmpty()) {
-      decideWithoutOrigin(resumption, nowNanos);
+    } else if (resumption.awaitedInStage.isEmpty()) {
+      decide(resumption, nowNanos);
     }
   }
 
@@ -152,13 +149,17 @@
           origins.record(key, softwareVersion, nowNanos);
       case OriginRequest request -> state.outbox.send(peer.instance(), reply(request, nowNanos));
       case OriginReply reply -> onReply(peer.instance(), reply, nowNanos);
+      case SoftwareVersionsRequest request -> replies.onRequest(peer.instance(), request, nowNanos);
+      case SoftwareVersionsReply reply -> onReply(peer.instance(), reply, nowNanos);
     }
   }
 
   /** Stops waiting for the replies of a router whose link was lost. */
   public void onPeerDisconnected(PeerIdentity peer, long nowNanos) {
     for (HeldResumption resumption : List.copyOf(held.values())) {
-      if (resumption.awaited.remove(peer.instance())) {
+      boolean awaited = resumption.awaited.remove(peer.instance());
+      if (awaited && resumption.stage == Stage.ROUTERS
+          || resumption.receive(Stage.PLATFORM_BY_ROUTERS, peer.instance())) {
         decideIfAllReplied(resumption, nowNanos);
       }
     }
@@ -197,14 +198,33 @@
     recentVersions.addHistory(history);
   }
 
+  /** Handles the upstreams that the platform had when a read started. */
+  public void onUpstreamsRead(List<Upstream> upstreams, long startedNanos, long nowNanos) {
+    recentVersions.onUpstreamsRead(upstreams, startedNanos);
+    readUpstreams = upstreams;
+    replies.onUpstreamsRead(nowNanos);
+    for (HeldResumption resumption : List.copyOf(held.values())) {
+      boolean waits =
+          resumption.stage == Stage.PLATFORM || resumption.stage == Stage.PLATFORM_BY_ROUTERS;
+      if (waits && recentVersions.wereUpstreamsReadAfter(resumption.heldSinceNanos)) {
+        decide(resumption, nowNanos);
+      }
+    }
+  }
+
+  /** Handles that the platform could not be read. */
+  public void onUpstreamsReadFailed(long nowNanos) {
+    replies.onUpstreamsReadFailed(nowNanos);
+    for (HeldResumption resumption : List.copyOf(held.values())) {
+      if (resumption.stage == Stage.PLATFORM) {
+        decide(resumption, nowNanos);
+      }
+    }
+  }
+
   /** Derives from a table how long ago streams can have begun. */
   public void onTableActivated(Table table) {
-    List<CallPlan> plans = table.routes().routes().stream().map(Route::plan).toList();
-    longestTimeoutMillis.keySet().retainAll(plans.stream().map(CallPlan::route).toList());
-    plans.forEach(
-        plan -> longestTimeoutMillis.merge(plan.route(), plan.timeoutMillis(), Math::max));
-    longestServiceTimeoutMillis =
-        table.services().values().stream().mapToLong(ServiceEntry::deadlineMillis).max().orElse(0);
+    lifetimes.onTableActivated(table);
   }
 
   /**
@@ -218,23 +238,16 @@
     held.values().stream()
         .filter(resumption -> resumption.timeoutNanos <= nowNanos)
         .toList()
-        .forEach(resumption -> decideWithoutOrigin(resumption, nowNanos));
+        .forEach(resumption -> decide(resumption, nowNanos));
     held.values().stream()
-        .filter(resumption -> resumption.awaitedCaches != null)
+        .filter(resumption -> resumption.stage == Stage.CACHES)
         .filter(resumption -> resumption.repeatNanos <= nowNanos)
         .forEach(resumption -> sendToAwaitedCaches(resumption, nowNanos));
   }
 
   /** Drops the origins of streams that must have ended. */
   public void expire(long nowNanos) {
-    long longestMillis =
-        LongStream.concat(
-                LongStream.of(longestServiceTimeoutMillis),
-                longestTimeoutMillis.values().stream().mapToLong(Long::longValue))
-            .max()
-            .orElse(0);
-    long lifetimeNanos = ATTEMPTS_OF_STREAM * longestMillis * RouterState.NANOS_PER_MILLI;
-    origins.expire(lifetimeNanos + RETENTION_MARGIN_NANOS, nowNanos);
+    origins.expire(lifetimes.longestNanos() + RETENTION_MARGIN_NANOS, nowNanos);
   }
 
   private OriginReply reply(OriginRequest request, long nowNanos) {
@@ -245,9 +258,7 @@
         known.isPresent(),
         known.orElse(""),
         recentVersions.isComplete(lifetimeNanos, nowNanos),
-        recentVersions.within(request.service(), lifetimeNanos, nowNanos).stream()
-            .limit(REPORTED_VERSIONS)
-            .toList());
+        recentVersions.reported(request.service(), lifetimeNanos, nowNanos));
   }
 
   private void onReply(String router, OriginReply reply, long nowNanos) {
@@ -263,38 +274,91 @@
     }
   }
 
+  private void onReply(String router, SoftwareVersionsReply reply, long nowNanos) {
+    HeldResumption resumption = held.get(reply.number());
+    if (resumption == null || !resumption.receive(Stage.PLATFORM_BY_ROUTERS, router)) {
+      return;
+    }
+    resumption.addReply(reply);
+    if (reply.complete()) {
+      decide(resumption, nowNanos);
+    } else {
+      decideIfAllReplied(resumption, nowNanos);
+    }
+  }
+
   private void decideIfAllReplied(HeldResumption resumption, long nowNanos) {
-    if (resumption.awaited.isEmpty() && resumption.awaitedCaches == null) {
-      decideWithoutOrigin(resumption, nowNanos);
+    boolean allReplied =
+        resumption.stage == Stage.ROUTERS
+            ? resumption.awaited.isEmpty()
+            : resumption.awaitedInStage.isEmpty();
+    if (allReplied) {
+      decide(resumption, nowNanos);
     }
   }
 
   /**
-   * Resumes a stream whose origin nobody knows if its service has had only one software version for
-   * as long as the stream can exist. Another version that any reply names rules that out.
+   * Decides on a call whose origin no router knows: the stream is resumed if its service has had
+   * only one software version from the time at which the stream can have begun until the call
+   * arrived. Lists and replies may be older than the stream, so that only a read of the platform
+   * that started after the call arrived shows this. What is needed for the decision and missing is
+   * asked for; without it the call is rejected.
    */
-  private void decideWithoutOrigin(HeldResumption resumption, long nowNanos) {
+  private void decide(HeldResumption resumption, long nowNanos) {
     SortedSet<String> versions = possibleVersions(resumption, nowNanos);
     boolean onlyVersion = versions.size() == 1;
-    if (onlyVersion && (isComplete(resumption, nowNanos) || versions.first().isEmpty())) {
+    boolean unknownVersion = onlyVersion && versions.first().isEmpty();
+    boolean onlyVersionSoFar = onlyVersion && isComplete(resumption, nowNanos);
+    if (unknownVersion || onlyVersionSoFar && wasPlatformReadSince(resumption)) {
       resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
-    } else if (!askCaches(resumption, nowNanos)) {
+    } else if (!(onlyVersionSoFar && awaitPlatform(resumption, nowNanos))
+        && !askCaches(resumption, nowNanos)) {
       reject(resumption, nowNanos);
     }
   }
 
+  private boolean wasPlatformReadSince(HeldResumption resumption) {
+    return resumption.readByRouter
+        || recentVersions.wereUpstreamsReadAfter(resumption.heldSinceNanos);
+  }
+
+  /**
+   * Reads the platform; if that has failed, asks other routers to read it, once.
+   *
+   * @return whether a read is awaited
+   */
+  private boolean awaitPlatform(HeldResumption resumption, long nowNanos) {
+    CallArrived call = resumption.call;
+    if (resumption.stage == Stage.ROUTERS) {
+      resumption.await(Stage.PLATFORM, List.of(), replyTimeout(call, nowNanos));
+      state.outbox.add(new ReadUpstreams());
+    } else if (resumption.stage == Stage.PLATFORM && !state.routers.isEmpty()) {
+      List<String> asked =
+          OriginRouters.select(resumption.key, state.routers.values(), PLATFORM_READERS);
+      resumption.await(Stage.PLATFORM_BY_ROUTERS, asked, replyTimeout(call, nowNanos));
+      SoftwareVersionsRequest request =
+          new SoftwareVersionsRequest(resumption.number, call.service(), lifetimes.millis(call));
+      asked.forEach(router -> state.outbox.send(router, request));
+    } else {
+      return false;
+    }
+    held.put(resumption.number, resumption);
+    return true;
+  }
+
   /** Returns the software versions that may have begun the stream, as far as they are known. */
   private SortedSet<String> possibleVersions(HeldResumption resumption, long nowNanos) {
     SortedSet<String> versions = new TreeSet<>(resumption.recentVersions);
     versions.addAll(
-        recentVersions.within(resumption.call.service(), lifetimeNanos(resumption.call), nowNanos));
+        recentVersions.within(
+            resumption.call.service(), lifetimes.nanos(resumption.call), nowNanos));
     return versions;
   }
 
   /** Returns whether those are all, by this router's knowledge or by that of one that replied. */
   private boolean isComplete(HeldResumption resumption, long nowNanos) {
     return resumption.complete
-        || recentVersions.isComplete(lifetimeNanos(resumption.call), nowNanos);
+        || recentVersions.isComplete(lifetimes.nanos(resumption.call), nowNanos);
   }
 
   /**
@@ -305,27 +369,39 @@
   private boolean askCaches(HeldResumption resumption, long nowNanos) {
     CallArrived call = resumption.call;
     if (state.policy.originCachePort() == 0
-        || resumption.awaitedCaches != null
+        || resumption.stage == Stage.CACHES
         || call.labels().resumed().isEmpty()) {
       return false;
     }
-    List<String> addresses =
-        state.upstreams.addresses(call.service()).limit(MAXIMUM_CACHES).toList();
+    List<String> addresses = cacheAddresses(call.service());
     if (addresses.isEmpty()) {
       return false;
     }
-    resumption.awaitCaches(addresses, replyTimeout(call, nowNanos));
+    resumption.await(Stage.CACHES, addresses, replyTimeout(call, nowNanos));
     held.put(resumption.number, resumption);
     sendToAwaitedCaches(resumption, nowNanos);
     return true;
   }
 
+  /** Returns the addresses of upstreams of a service, also of those that are not listed yet. */
+  private List<String> cacheAddresses(String service) {
+    return Stream.concat(
+            state.upstreams.addresses(service),
+            readUpstreams.stream()
+                .filter(upstream -> upstream.service().equals(service))
+                .map(Upstream::address))
+        .distinct()
+        .limit(MAXIMUM_CACHES)
+        .toList();
+  }
+
   private void sendToAwaitedCaches(HeldResumption resumption, long nowNanos) {
     resumption.repeatNanos = nowNanos + REPEAT_NANOS;
     CallArrived call = resumption.call;
     OriginRequest request =
-        new OriginRequest(resumption.number, resumption.key, call.service(), lifetimeMillis(call));
-    resumption.awaitedCaches.forEach(
+        new OriginRequest(
+            resumption.number, resumption.key, call.service(), lifetimes.millis(call));
+    resumption.awaitedInStage.forEach(
         address -> state.outbox.add(new SendToOriginCache(address, request)));
   }
 
@@ -389,22 +465,6 @@
     }
   }
 
-  /** Returns how long before a call the stream that it resumes can have begun. */
-  private long lifetimeMillis(CallArrived call) {
-    long timeoutMillis =
-        call.plan()
-            .map(
-                plan ->
-                    Math.max(
-                        plan.timeoutMillis(), longestTimeoutMillis.getOrDefault(plan.route(), 0L)))
-            .orElse(DEFAULT_TIMEOUT_MILLIS);
-    return ATTEMPTS_OF_STREAM * timeoutMillis;
-  }
-
-  private long lifetimeNanos(CallArrived call) {
-    return lifetimeMillis(call) * RouterState.NANOS_PER_MILLI;
-  }
-
   private static StreamKey key(CallArrived call, String label) {
     return StreamKey.of(call.workspace(), call.service(), label);
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterFixture.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
+import dev.agatepier.core.connection.StreamMessage;
 import dev.agatepier.core.process.RouterEffect.ContinueResponse;
 import dev.agatepier.core.process.RouterEffect.EndResponse;
 import dev.agatepier.core.process.RouterEffect.FailRequest;
@@ -414,4 +415,14 @@
         .map(kind::cast)
         .toList();
   }
+
+  /** Returns the messages of a kind that were sent to any router. */
+  <M extends StreamMessage> List<M> sent(Class<M> kind) {
+    return effects.stream()
+        .filter(RouterEffect.Send.class::isInstance)
+        .map(effect -> ((RouterEffect.Send) effect).message())
+        .filter(kind::isInstance)
+        .map(kind::cast)
+        .toList();
+  }
 }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/ResumingFleet.java
@@ -124,11 +124,19 @@
             usual.regionMillis(),
             usual.retryShare(),
             1);
-    instances.upstreams().forEach(upstream -> startCache(upstream.address()));
+    startMissingCaches();
     nodes.forEach(Node::stop);
     nodes.forEach(Node::start);
   }
 
+  private void startMissingCaches() {
+    instances
+        .upstreams()
+        .forEach(
+            upstream ->
+                caches.computeIfAbsent(upstream.address(), address -> new OriginCacheDecision()));
+  }
+
   /** Starts the origin cache at an address, or starts it again without memory. */
   void startCache(String address) {
     caches.put(address, new OriginCacheDecision());
@@ -157,6 +165,9 @@
     }
     InstanceList list = new InstanceList(instances.version() + 1, List.of(), upstreams);
     instances = list;
+    if (policy.originCachePort() > 0) {
+      startMissingCaches();
+    }
     for (Node node : nodes) {
       if (lagMillis > 1) {
         node.later(time.draw(lagMillis), () -> node.activate(list));
@@ -214,6 +225,11 @@
         });
   }
 
+  /** Ends a router whose callers do not call again. */
+  void end(Node router) {
+    router.stop();
+  }
+
   /** Kills routers; the streams there are resumed at others that are up, if there are any. */
   void kill(List<Node> killed) {
     killed.forEach(Node::stop);
@@ -262,6 +278,9 @@
     /** Whether the router does not receive newer lists. */
     boolean behind;
 
+    /** Whether the router receives nothing from other routers. */
+    boolean cutFromRouters;
+
     private long incarnation;
     private RouterDecision decision;
     private InstanceList active = InstanceList.NONE;
@@ -320,7 +339,7 @@
 
     /** Passes a message of a peer to the router. */
     void receive(PeerIdentity peer, StreamMessage message) {
-      if (!silent) {
+      if (!silent && !cutFromRouters) {
         dispatch(new RouterEvent.MessageReceived(peer, message));
       }
     }
@@ -337,6 +356,7 @@
             nodes.stream()
                 .filter(node -> node.self.instance().equals(to))
                 .forEach(node -> node.later(HOP_MILLIS, () -> node.receive(self, message)));
+        case RouterEffect.ReadUpstreams _ -> readUpstreams();
         case RouterEffect.SendToOriginCache(String address, StreamMessage message) ->
             later(HOP_MILLIS, () -> sendToCache(address, message));
         case RouterEffect.Send(String allocator, SlotsWanted wanted) ->
@@ -359,6 +379,16 @@
       }
     }
 
+    /** Reads the platform, which does not respond to a router that is cut off from it. */
+    private void readUpstreams() {
+      long startedNanos = time.nowMillis() * NANOS_PER_MILLI;
+      if (!silent && !behind) {
+        later(
+            HOP_MILLIS,
+            () -> dispatch(new RouterEvent.UpstreamsRead(instances.upstreams(), startedNanos)));
+      }
+    }
+
     private void sendToCache(String address, StreamMessage message) {
       OriginCacheDecision cache = caches.get(address);
       if (cache != null) {
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -8,6 +8,8 @@
 
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsRequest;
 import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
 import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
 import dev.agatepier.core.request.CallPlan;
@@ -112,6 +114,73 @@
     assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
   }
 
+  /** The second version may have registered between the read and the call. */
+  @Test
+  public void readThatBeganBeforeTheCallDoesNotShowTheOnlyVersion() {
+    DirectRouterFixture router = withCompleteHistory();
+    final long before = router.now;
+    router.advance(1);
+    resume(router);
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD), before));
+    assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD), router.now));
+    assertTrue(router.effects.stream().anyMatch(ResumptionDecided.class::isInstance));
+  }
+
+  /** Timers are due before the replies that waited in the sockets of a stopped process are read. */
+  @Test
+  public void routerThatStoodStillDoesNotRelyOnItsList() {
+    DirectRouterFixture router = withCompleteHistory();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    resume(router);
+    router.advance(3_000);
+    assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD, NEW), router.now));
+    assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
+  }
+
+  /** Streams go on at a router that the platform does not answer. */
+  @Test
+  public void routerThatCannotReadThePlatformAsksOthersToReadIt() {
+    DirectRouterFixture router = withCompleteHistory();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    resume(router);
+    router.advance(301);
+    router.dispatch(new RouterEvent.UpstreamsReadFailed());
+    final long number = router.sent(SoftwareVersionsRequest.class).getLast().number();
+    assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
+    SoftwareVersionsReply reply = new SoftwareVersionsReply(number, true, List.of("v1"));
+    router.dispatch(new RouterEvent.MessageReceived(identity("r2", "a1"), reply));
+    assertTrue(router.effects.stream().anyMatch(ResumptionDecided.class::isInstance));
+  }
+
+  /** A reply that rests on an older read would be no better than the list of the one who asks. */
+  @Test
+  public void routerReadsThePlatformBeforeItReplies() {
+    DirectRouterFixture router = withCompleteHistory();
+    final long before = router.now;
+    router.advance(1);
+    SoftwareVersionsRequest request = new SoftwareVersionsRequest(7, OLD.service(), 20_000);
+    router.dispatch(new RouterEvent.MessageReceived(identity("r2", "a1"), request));
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD), before));
+    assertEquals(router.sent(SoftwareVersionsReply.class), List.of());
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD, NEW), router.now));
+    assertEquals(
+        router.sent(SoftwareVersionsReply.class),
+        List.of(new SoftwareVersionsReply(7, true, List.of("v1", "v2"))));
+  }
+
+  /** Returns a router that knows of all upstreams since the beginning, the old one. */
+  private static DirectRouterFixture withCompleteHistory() {
+    DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD);
+    router.dispatch(
+        new RouterEvent.SoftwareVersionsRead(
+            new SoftwareVersionHistory(
+                Map.of(OLD.service(), Set.of("v1")), SoftwareVersionHistory.UNLIMITED_MILLIS)));
+    router.dispatch(new RouterEvent.InstancesConfirmed(router.now));
+    return router;
+  }
+
   private static RequestId resume(DirectRouterFixture router) {
     return router.call(RESUMABLE, "second", OptionalLong.of(1), Optional.of("first"));
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -79,6 +79,21 @@
     assertEquals(node.table().version(), 5);
   }
 
+  /** The result of a read that was running may be older than the request. */
+  @Test
+  public void upstreamsThatAreWantedDuringTheirReadAreReadAgain() {
+    VersionDecision node = fleet.nodes.get("router-0");
+    VersionEvent wanted = new VersionEvent.UpstreamsWanted();
+    VersionEvent read = new VersionEvent.UpstreamsRead(List.of(), ReadTimestamp.UNTIMED);
+    List<VersionEffect> reads = List.of(new VersionEffect.ReadUpstreams());
+    assertEquals(node.decide(wanted, 0), reads);
+    assertEquals(node.decide(wanted, 0), List.of());
+    assertEquals(node.decide(wanted, 0), List.of());
+    assertEquals(node.decide(read, 0), reads);
+    assertEquals(node.decide(new VersionEvent.UpstreamsReadFailed(), 0), List.of());
+    assertEquals(node.decide(wanted, 0), reads);
+  }
+
   @Test
   public void peersForwardTheTimeOfTheLastConfirmation() {
     VersionFleet leasedFleet = startFleetWithLeases();
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
@@ -200,6 +200,7 @@
                       new Table(manifestToPrepare.version(), Map.of(), Map.of())));
       case VersionEffect.ReportRefusal refusal -> refusals.add(refusal.version());
       case VersionEffect.PublishTable ignored -> {}
+      case VersionEffect.ReadUpstreams ignored -> {}
       case VersionEffect.ReportEvacuation ignored -> {}
       case VersionEffect.ConfirmTable(ReadTimestamp started) -> confirmed.put(name, started);
       case VersionEffect.PublishInstances ignored -> {}
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -139,6 +139,7 @@
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
           RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -233,6 +233,7 @@
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
           RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/Handshake.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/Handshake.java
@@ -19,7 +19,7 @@
 final class Handshake {
 
   /** Protocol version of a link; both ends must have the same. */
-  static final int PROTOCOL_VERSION = 5;
+  static final int PROTOCOL_VERSION = 6;
 
   /** Size of a nonce, in bytes. */
   static final int NONCE_BYTES = 16;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StreamMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/StreamMessageCodec.java
@@ -2,6 +2,8 @@
 
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsRequest;
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.request.StreamKey;
 import java.util.List;
@@ -51,6 +53,32 @@
                     input.readBoolean(),
                     input.readString(),
                     input.readBoolean(),
+                    input.readList(FieldInput::readString))),
+        new MessageType<>(
+            73,
+            SoftwareVersionsRequest.class,
+            3,
+            (message, output) -> {
+              output.writeLong(message.number());
+              output.writeString(message.service());
+              output.writeLong(message.lifetimeMillis());
+            },
+            input ->
+                new SoftwareVersionsRequest(
+                    input.readLong(), input.readString(), input.readLong())),
+        new MessageType<>(
+            74,
+            SoftwareVersionsReply.class,
+            3,
+            (message, output) -> {
+              output.writeLong(message.number());
+              output.writeBoolean(message.complete());
+              output.writeList(message.recentVersions(), FieldOutput::writeString);
+            },
+            input ->
+                new SoftwareVersionsReply(
+                    input.readLong(),
+                    input.readBoolean(),
                     input.readList(FieldInput::readString))));
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -157,6 +157,7 @@
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
           RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -233,10 +233,11 @@
   }
 
   private void performAtUpstream(RouterEffect effect) {
-    if (effect instanceof RouterEffect.SendToOriginCache datagram) {
-      originCaches.ifPresent(client -> client.perform(datagram));
-    } else {
-      upstreams.ifPresent(caller -> caller.perform(effect));
+    switch (effect) {
+      case RouterEffect.SendToOriginCache datagram ->
+          originCaches.ifPresent(client -> client.perform(datagram));
+      case RouterEffect.ReadUpstreams _ -> member.readUpstreams();
+      default -> upstreams.ifPresent(caller -> caller.perform(effect));
     }
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -14,6 +14,7 @@
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.connection.Link;
 import dev.agatepier.wire.connection.LinkEventHandler;
 import dev.agatepier.wire.connection.LinkListener;
@@ -168,6 +169,11 @@
         .toFuture();
   }
 
+  /** Requests a read of all registered upstreams, see {@link VersionService#readUpstreams}. */
+  public void readUpstreams() {
+    versions.readUpstreams();
+  }
+
   /** Returns the active table. */
   public Table table() {
     return versions.table();
@@ -311,6 +317,16 @@
       tasks.onInstancesConfirmed(readStarted);
     }
 
+    @Override
+    public void onUpstreamsRead(List<Upstream> upstreams, ReadTimestamp readStarted) {
+      tasks.onUpstreamsRead(upstreams, readStarted);
+    }
+
+    @Override
+    public void onUpstreamsReadFailed() {
+      tasks.onUpstreamsReadFailed();
+    }
+
     @Override
     public void onSoftwareVersionsRead(SoftwareVersionHistory history) {
       tasks.onSoftwareVersionsRead(history);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
@@ -6,6 +6,7 @@
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.Readiness;
 import java.util.List;
@@ -36,6 +37,12 @@
   /** Called when a read has confirmed that the active instance list is the newest version. */
   default void onInstancesConfirmed(ReadTimestamp readStarted) {}
 
+  /** Called when all registered upstreams were read on request. */
+  default void onUpstreamsRead(List<Upstream> upstreams, ReadTimestamp readStarted) {}
+
+  /** Called when such a read has failed. */
+  default void onUpstreamsReadFailed() {}
+
   /** Called when it was read which software versions upstreams had before the first list. */
   default void onSoftwareVersionsRead(SoftwareVersionHistory history) {}
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -27,6 +27,7 @@
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.process.AdministrationRoute;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.process.Readiness;
@@ -243,6 +244,16 @@
     requestTask.post(new RouterEvent.InstancesConfirmed(readStarted.nanos()));
   }
 
+  @Override
+  public void onUpstreamsRead(List<Upstream> read, ReadTimestamp readStarted) {
+    requestTask.post(new RouterEvent.UpstreamsRead(read, readStarted.nanos()));
+  }
+
+  @Override
+  public void onUpstreamsReadFailed() {
+    requestTask.post(new RouterEvent.UpstreamsReadFailed());
+  }
+
   @Override
   public void onSoftwareVersionsRead(SoftwareVersionHistory history) {
     requestTask.post(new RouterEvent.SoftwareVersionsRead(history));
@@ -306,7 +317,8 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.CancelUnsentAttempt _,
-          RouterEffect.SendToOriginCache _ ->
+          RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _ ->
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
       case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
@@ -5,6 +5,8 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.SoftwareVersionHistory;
+import dev.agatepier.core.version.Upstream;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
@@ -33,6 +35,18 @@
    */
   CompletableFuture<Optional<InstanceList>> instances(long afterVersion, int waitSeconds);
 
+  /**
+   * Reads all upstreams that are registered now, also while a read of the instance list waits. The
+   * result includes every registration that was acknowledged before the call.
+   */
+  default CompletableFuture<List<Upstream>> upstreams() {
+    return instances(0, 0)
+        .thenApply(
+            list ->
+                list.orElseThrow(() -> new PlatformException("there is no instance list"))
+                    .upstreams());
+  }
+
   /**
    * Reads which software versions upstreams had before the active instance list. Must not be called
    * before a list is active.
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
@@ -4,6 +4,8 @@
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
+import java.util.List;
 
 /**
  * Receives versions from the task of the version service, in ascending order. Its methods must not
@@ -29,6 +31,18 @@
    */
   default void onInstancesConfirmed(ReadTimestamp readStarted) {}
 
+  /**
+   * Called when all registered upstreams were read on request, see {@link
+   * VersionService#readUpstreams}.
+   *
+   * @param upstreams the upstreams, which may differ from the active instance list
+   * @param readStarted when that read was started
+   */
+  default void onUpstreamsRead(List<Upstream> upstreams, ReadTimestamp readStarted) {}
+
+  /** Called when such a read has failed. */
+  default void onUpstreamsReadFailed() {}
+
   /** Called when a version of the instance list becomes active. */
   void onInstancesActivated(InstanceList instances);
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -19,6 +19,7 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.TableCheckResult;
 import dev.agatepier.core.version.TableMistake;
+import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.request.Digests;
 import java.util.ArrayList;
@@ -137,6 +138,14 @@
     task.post(new VersionEvent.PeerDisconnected(peer));
   }
 
+  /**
+   * Requests a read of all registered upstreams that starts after this call. Its result is passed
+   * to the listeners; requests during a read share the next one.
+   */
+  public void readUpstreams() {
+    task.post(new VersionEvent.UpstreamsWanted());
+  }
+
   /** Returns whether this service handles the message. */
   public static boolean accepts(LinkMessage message) {
     return message instanceof VersionMessage || message instanceof LinkMessage.Heartbeat;
@@ -171,6 +180,10 @@
       case VersionEvent.InstancesRead(InstanceList list, double _, ReadTimestamp startedAt)
           when list.version() == instances.version() ->
           listeners.forEach(listener -> listener.onInstancesConfirmed(startedAt));
+      case VersionEvent.UpstreamsRead(List<Upstream> upstreams, ReadTimestamp startedAt) ->
+          listeners.forEach(listener -> listener.onUpstreamsRead(upstreams, startedAt));
+      case VersionEvent.UpstreamsReadFailed _ ->
+          listeners.forEach(VersionListener::onUpstreamsReadFailed);
       default -> {
         // Other events do not confirm the instance list.
       }
@@ -182,6 +195,7 @@
       case VersionEffect.Send(String instance, LinkMessage message) ->
           sender.send(instance, message);
       case VersionEffect.ReadPlatform read -> readPlatform(read);
+      case VersionEffect.ReadUpstreams _ -> readUpstreamsNow();
       case VersionEffect.ReadPage(PageReference page) ->
           platform
               .page(page)
@@ -292,6 +306,26 @@
     }
   }
 
+  private void readUpstreamsNow() {
+    ReadTimestamp readStarted = now();
+    platform
+        .upstreams()
+        .whenComplete(
+            (upstreams, failure) -> {
+              if (failure != null) {
+                LOGGER.warn(
+                    LogEvent.PLATFORM_READ_FAILED
+                        .message()
+                        .with("subject", "upstreams")
+                        .with("reason", FailureSummary.of(failure)));
+              }
+              task.post(
+                  failure == null
+                      ? new VersionEvent.UpstreamsRead(upstreams, readStarted)
+                      : new VersionEvent.UpstreamsReadFailed());
+            });
+  }
+
   private <A> void postReadResult(
       PlatformSubject subject,
       ReadTimestamp readStarted,
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -44,6 +44,8 @@
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsRequest;
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationRequest;
 import dev.agatepier.core.connection.VersionMessage.ConfirmationTransfer;
@@ -132,7 +134,9 @@
         new StreamBegan(key, "v7"),
         new OriginRequest(5, key, "plan-model", 30_000),
         new OriginReply(5, true, "v7", false, List.of()),
-        new OriginReply(6, false, "", true, List.of("v7", "v8")));
+        new OriginReply(6, false, "", true, List.of("v7", "v8")),
+        new SoftwareVersionsRequest(7, "plan-model", 30_000),
+        new SoftwareVersionsReply(7, true, List.of("v7")));
   }
 
   private static List<LinkMessage> ticketFailures() {
