Split the search for an origin from the resumption of streams

Cause: StreamResumptions held the calls, searched for their origins, kept the records and replied to other routers, in 470 lines. Change: OriginSearch holds the calls and finds the version, OriginRecords keeps the records. The addresses that a read of the platform named are kept by the call that waited for it. Behaviour is the same. Measured: the tests of resumed streams, origins and software versions in agatepier-core pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
@@ -4,8 +4,10 @@
 import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.request.StreamKey;
+import dev.agatepier.core.version.Upstream;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -55,6 +57,9 @@
   /** Whether another router has read the platform since the call arrived. */
   boolean readByRouter;
 
+  /** Addresses of the service's upstreams that were read from the platform since then. */
+  List<String> readAddresses = List.of();
+
   HeldResumption(
       CallArrived call,
       StreamKey key,
@@ -79,6 +84,15 @@
     timeoutNanos = untilNanos;
   }
 
+  /** Sets the upstreams that were read from the platform since the call arrived. */
+  void setReadUpstreams(Collection<Upstream> upstreams) {
+    readAddresses =
+        upstreams.stream()
+            .filter(upstream -> upstream.service().equals(call.service()))
+            .map(Upstream::address)
+            .toList();
+  }
+
   /** Returns whether the reply that was received now is awaited in the stage. */
   boolean receive(Stage awaitedIn, String sender) {
     return stage == awaitedIn && awaitedInStage.remove(sender);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -7,29 +7,17 @@
 import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
 import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsRequest;
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
-import dev.agatepier.core.process.OriginSource;
-import dev.agatepier.core.process.RouterEffect.ReadUpstreams;
-import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
-import dev.agatepier.core.process.RouterEffect.ResumptionEvidence;
 import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
-import dev.agatepier.core.process.internal.Admission.Refusal;
-import dev.agatepier.core.process.internal.HeldResumption.Stage;
-import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.StreamKey;
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.SortedSet;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 /**
  * Binds calls that resume a stream to the software version that began it, since upstreams of
@@ -42,47 +30,26 @@
  */
 public final class StreamResumptions {
 
-  /** Time for which replies of other routers are awaited: several round trips between regions. */
-  static final long REPLY_TIMEOUT_NANOS = 300_000_000;
-
-  /** Time after which origin caches that have not replied are asked again: datagrams get lost. */
-  private static final long REPEAT_NANOS = 100_000_000;
-
-  /** Time until the origin of a stream is dropped after the stream must have ended. */
-  private static final long RETENTION_MARGIN_NANOS = 5_000_000_000L;
-
-  /** Maximum number of origin caches that are asked for one call. */
-  private static final int MAXIMUM_CACHES = 1_024;
-
-  /** Number of routers that are asked to read the platform, as one may not reach it either. */
-  private static final int PLATFORM_READERS = 3;
-
   private final RouterState state;
   private final Admission admission;
-  private final StreamOrigins origins = new StreamOrigins();
+  private final OriginRecords records;
   private final RecentSoftwareVersions recentVersions = new RecentSoftwareVersions();
-
-  /** Held calls by the number of the request to other routers, in the order of their arrival. */
-  private final Map<Long, HeldResumption> held = new LinkedHashMap<>();
-
   private final StreamLifetimes lifetimes = new StreamLifetimes();
   private final SoftwareVersionReplies replies;
-
-  /** Upstreams that were last read from the platform. */
-  private List<Upstream> readUpstreams = List.of();
-
-  private long lastNumber = Long.MIN_VALUE;
+  private final OriginSearch search;
 
   /** Creates the resumptions of a router that knows no stream. */
   public StreamResumptions(RouterState state, Admission admission) {
     this.state = state;
     this.admission = admission;
+    records = new OriginRecords(state);
     replies = new SoftwareVersionReplies(state, recentVersions);
+    search = new OriginSearch(state, admission, records, recentVersions, lifetimes);
   }
 
   /** Returns whether no call is held. */
   public boolean isEmpty() {
-    return held.isEmpty();
+    return search.isEmpty();
   }
 
   /** Admits a call; one that resumes a stream is first held until the origin is known. */
@@ -92,22 +59,7 @@
       admission.admit(call, nowNanos);
       return;
     }
-    StreamKey key = key(call, call.labels().resumed().orElse(""));
-    List<String> asked = OriginRouters.select(key, state.routers.values(), OriginRouters.ASKED);
-    HeldResumption resumption =
-        new HeldResumption(
-            call, key, nextNumber(nowNanos), nowNanos, replyTimeout(call, nowNanos), asked);
-    Optional<String> known = origins.find(key);
-    if (known.isPresent()) {
-      resume(resumption, OriginSource.LOCAL, known.get(), nowNanos);
-    } else if (asked.isEmpty()) {
-      decide(resumption, nowNanos);
-    } else {
-      held.put(resumption.number, resumption);
-      OriginRequest request =
-          new OriginRequest(resumption.number, key, call.service(), lifetimes.millis(call));
-      asked.forEach(router -> state.outbox.send(router, request));
-    }
+    search.start(call, key(call, call.labels().resumed().orElse("")), nowNanos);
   }
 
   /**
@@ -121,7 +73,7 @@
         && !call.labels().own().isEmpty()
         && !request.softwareVersion.isEmpty()) {
       StreamKey key = key(call, call.labels().own());
-      record(key, request.softwareVersion, nowNanos);
+      records.record(key, request.softwareVersion, nowNanos);
       if (state.policy.originCachePort() > 0 && request.target instanceof DirectUpstream target) {
         StreamBegan began = new StreamBegan(key, request.softwareVersion);
         state.outbox.add(new SendToOriginCache(target.upstream().address(), began));
@@ -131,52 +83,28 @@
 
   /** Handles the reply of an origin cache. */
   public void onCacheReply(String address, OriginReply reply, long nowNanos) {
-    HeldResumption resumption = held.get(reply.number());
-    if (resumption == null || !resumption.receive(Stage.CACHES, address)) {
-      return;
-    }
-    if (reply.known()) {
-      resume(resumption, OriginSource.CACHE, reply.softwareVersion(), nowNanos);
-    } else if (resumption.awaitedInStage.isEmpty()) {
-      decide(resumption, nowNanos);
-    }
+    search.onCacheReply(address, reply, nowNanos);
   }
 
   /** Handles a message of another router. */
   public void onMessage(PeerIdentity peer, StreamMessage message, long nowNanos) {
     switch (message) {
-      case StreamBegan(StreamKey key, String softwareVersion) ->
-          origins.record(key, softwareVersion, nowNanos);
+      case StreamBegan began -> records.onStreamBegan(began, nowNanos);
       case OriginRequest request -> state.outbox.send(peer.instance(), reply(request, nowNanos));
-      case OriginReply reply -> onReply(peer.instance(), reply, nowNanos);
+      case OriginReply reply -> search.onReply(peer.instance(), reply, nowNanos);
       case SoftwareVersionsRequest request -> replies.onRequest(peer.instance(), request, nowNanos);
-      case SoftwareVersionsReply reply -> onReply(peer.instance(), reply, nowNanos);
+      case SoftwareVersionsReply reply -> search.onReply(peer.instance(), reply, nowNanos);
     }
   }
 
   /** Stops waiting for the replies of a router whose link was lost. */
   public void onPeerDisconnected(PeerIdentity peer, long nowNanos) {
-    for (HeldResumption resumption : List.copyOf(held.values())) {
-      boolean awaited = resumption.awaited.remove(peer.instance());
-      if (awaited && resumption.stage == Stage.ROUTERS
-          || resumption.receive(Stage.PLATFORM_BY_ROUTERS, peer.instance())) {
-        decideIfAllReplied(resumption, nowNanos);
-      }
-    }
+    search.onPeerDisconnected(peer, nowNanos);
   }
 
   /** Ends a held call whose caller has disconnected; returns whether there was one. */
   public boolean onCallerDisconnected(RequestId request) {
-    Optional<HeldResumption> found =
-        held.values().stream()
-            .filter(resumption -> resumption.call.request().equals(request))
-            .findFirst();
-    found.ifPresent(
-        resumption -> {
-          held.remove(resumption.number);
-          admission.refuse(resumption.call, new Refusal(Reason.CALLER_GONE, 0));
-        });
-    return found.isPresent();
+    return search.onCallerDisconnected(request);
   }
 
   /** Handles a list of upstreams, by which the origins of running streams may turn uncertain. */
@@ -201,25 +129,14 @@
   /** Handles the upstreams that the platform had when a read started. */
   public void onUpstreamsRead(List<Upstream> upstreams, long startedNanos, long nowNanos) {
     recentVersions.onUpstreamsRead(upstreams, startedNanos);
-    readUpstreams = upstreams;
     replies.onUpstreamsRead(nowNanos);
-    for (HeldResumption resumption : List.copyOf(held.values())) {
-      boolean waits =
-          resumption.stage == Stage.PLATFORM || resumption.stage == Stage.PLATFORM_BY_ROUTERS;
-      if (waits && recentVersions.wereUpstreamsReadAfter(resumption.heldSinceNanos)) {
-        decide(resumption, nowNanos);
-      }
-    }
+    search.onUpstreamsRead(upstreams, nowNanos);
   }
 
   /** Handles that the platform could not be read. */
   public void onUpstreamsReadFailed(long nowNanos) {
     replies.onUpstreamsReadFailed(nowNanos);
-    for (HeldResumption resumption : List.copyOf(held.values())) {
-      if (resumption.stage == Stage.PLATFORM) {
-        decide(resumption, nowNanos);
-      }
-    }
+    search.onUpstreamsReadFailed(nowNanos);
   }
 
   /** Derives from a table how long ago streams can have begun. */
@@ -227,31 +144,18 @@
     lifetimes.onTableActivated(table);
   }
 
-  /**
-   * Decides on the calls that have been held for the longest time allowed, and asks origin caches
-   * again that have not replied.
-   */
+  /** Handles the timers of held calls. */
   public void runDueTimers(long nowNanos) {
-    if (held.isEmpty()) {
-      return;
-    }
-    held.values().stream()
-        .filter(resumption -> resumption.timeoutNanos <= nowNanos)
-        .toList()
-        .forEach(resumption -> decide(resumption, nowNanos));
-    held.values().stream()
-        .filter(resumption -> resumption.stage == Stage.CACHES)
-        .filter(resumption -> resumption.repeatNanos <= nowNanos)
-        .forEach(resumption -> sendToAwaitedCaches(resumption, nowNanos));
+    search.runDueTimers(nowNanos);
   }
 
   /** Drops the origins of streams that must have ended. */
   public void expire(long nowNanos) {
-    origins.expire(lifetimes.longestNanos() + RETENTION_MARGIN_NANOS, nowNanos);
+    records.expire(lifetimes.longestNanos(), nowNanos);
   }
 
   private OriginReply reply(OriginRequest request, long nowNanos) {
-    Optional<String> known = origins.find(request.key());
+    Optional<String> known = records.find(request.key());
     long lifetimeNanos = TimeUnit.MILLISECONDS.toNanos(request.lifetimeMillis());
     return new OriginReply(
         request.number(),
@@ -261,210 +165,6 @@
         recentVersions.reported(request.service(), lifetimeNanos, nowNanos));
   }
 
-  private void onReply(String router, OriginReply reply, long nowNanos) {
-    HeldResumption resumption = held.get(reply.number());
-    if (resumption == null || !resumption.awaited.contains(router)) {
-      return;
-    }
-    if (reply.known()) {
-      resume(resumption, OriginSource.PEER, reply.softwareVersion(), nowNanos);
-    } else {
-      resumption.addReply(router, reply);
-      decideIfAllReplied(resumption, nowNanos);
-    }
-  }
-
-  private void onReply(String router, SoftwareVersionsReply reply, long nowNanos) {
-    HeldResumption resumption = held.get(reply.number());
-    if (resumption == null || !resumption.receive(Stage.PLATFORM_BY_ROUTERS, router)) {
-      return;
-    }
-    resumption.addReply(reply);
-    if (reply.complete()) {
-      decide(resumption, nowNanos);
-    } else {
-      decideIfAllReplied(resumption, nowNanos);
-    }
-  }
-
-  private void decideIfAllReplied(HeldResumption resumption, long nowNanos) {
-    boolean allReplied =
-        resumption.stage == Stage.ROUTERS
-            ? resumption.awaited.isEmpty()
-            : resumption.awaitedInStage.isEmpty();
-    if (allReplied) {
-      decide(resumption, nowNanos);
-    }
-  }
-
-  /**
-   * Decides on a call whose origin no router knows: the stream is resumed if its service has had
-   * only one software version from the time at which the stream can have begun until the call
-   * arrived. Lists and replies may be older than the stream, so that only a read of the platform
-   * that started after the call arrived shows this. What is needed for the decision and missing is
-   * asked for; without it the call is rejected.
-   */
-  private void decide(HeldResumption resumption, long nowNanos) {
-    SortedSet<String> versions = possibleVersions(resumption, nowNanos);
-    boolean onlyVersion = versions.size() == 1;
-    boolean unknownVersion = onlyVersion && versions.first().isEmpty();
-    boolean onlyVersionSoFar = onlyVersion && isComplete(resumption, nowNanos);
-    if (unknownVersion || onlyVersionSoFar && wasPlatformReadSince(resumption)) {
-      resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
-    } else if (!(onlyVersionSoFar && awaitPlatform(resumption, nowNanos))
-        && !askCaches(resumption, nowNanos)) {
-      reject(resumption, nowNanos);
-    }
-  }
-
-  private boolean wasPlatformReadSince(HeldResumption resumption) {
-    return resumption.readByRouter
-        || recentVersions.wereUpstreamsReadAfter(resumption.heldSinceNanos);
-  }
-
-  /**
-   * Reads the platform; if that has failed, asks other routers to read it, once.
-   *
-   * @return whether a read is awaited
-   */
-  private boolean awaitPlatform(HeldResumption resumption, long nowNanos) {
-    CallArrived call = resumption.call;
-    if (resumption.stage == Stage.ROUTERS) {
-      resumption.await(Stage.PLATFORM, List.of(), replyTimeout(call, nowNanos));
-      state.outbox.add(new ReadUpstreams());
-    } else if (resumption.stage == Stage.PLATFORM && !state.routers.isEmpty()) {
-      List<String> asked =
-          OriginRouters.select(resumption.key, state.routers.values(), PLATFORM_READERS);
-      resumption.await(Stage.PLATFORM_BY_ROUTERS, asked, replyTimeout(call, nowNanos));
-      SoftwareVersionsRequest request =
-          new SoftwareVersionsRequest(resumption.number, call.service(), lifetimes.millis(call));
-      asked.forEach(router -> state.outbox.send(router, request));
-    } else {
-      return false;
-    }
-    held.put(resumption.number, resumption);
-    return true;
-  }
-
-  /** Returns the software versions that may have begun the stream, as far as they are known. */
-  private SortedSet<String> possibleVersions(HeldResumption resumption, long nowNanos) {
-    SortedSet<String> versions = new TreeSet<>(resumption.recentVersions);
-    versions.addAll(
-        recentVersions.within(
-            resumption.call.service(), lifetimes.nanos(resumption.call), nowNanos));
-    return versions;
-  }
-
-  /** Returns whether those are all, by this router's knowledge or by that of one that replied. */
-  private boolean isComplete(HeldResumption resumption, long nowNanos) {
-    return resumption.complete
-        || recentVersions.isComplete(lifetimes.nanos(resumption.call), nowNanos);
-  }
-
-  /**
-   * Asks the origin caches beside all upstreams of the service, once.
-   *
-   * @return whether replies are awaited
-   */
-  private boolean askCaches(HeldResumption resumption, long nowNanos) {
-    CallArrived call = resumption.call;
-    if (state.policy.originCachePort() == 0
-        || resumption.stage == Stage.CACHES
-        || call.labels().resumed().isEmpty()) {
-      return false;
-    }
-    List<String> addresses = cacheAddresses(call.service());
-    if (addresses.isEmpty()) {
-      return false;
-    }
-    resumption.await(Stage.CACHES, addresses, replyTimeout(call, nowNanos));
-    held.put(resumption.number, resumption);
-    sendToAwaitedCaches(resumption, nowNanos);
-    return true;
-  }
-
-  /** Returns the addresses of upstreams of a service, also of those that are not listed yet. */
-  private List<String> cacheAddresses(String service) {
-    return Stream.concat(
-            state.upstreams.addresses(service),
-            readUpstreams.stream()
-                .filter(upstream -> upstream.service().equals(service))
-                .map(Upstream::address))
-        .distinct()
-        .limit(MAXIMUM_CACHES)
-        .toList();
-  }
-
-  private void sendToAwaitedCaches(HeldResumption resumption, long nowNanos) {
-    resumption.repeatNanos = nowNanos + REPEAT_NANOS;
-    CallArrived call = resumption.call;
-    OriginRequest request =
-        new OriginRequest(
-            resumption.number, resumption.key, call.service(), lifetimes.millis(call));
-    resumption.awaitedInStage.forEach(
-        address -> state.outbox.add(new SendToOriginCache(address, request)));
-  }
-
-  /** Returns a number greater than those of earlier processes, whose replies may still arrive. */
-  private long nextNumber(long nowNanos) {
-    lastNumber = Math.max(lastNumber + 1, nowNanos);
-    return lastNumber;
-  }
-
-  private static long replyTimeout(CallArrived call, long nowNanos) {
-    return Math.min(call.deadlineNanos(), nowNanos + REPLY_TIMEOUT_NANOS);
-  }
-
-  private void reject(HeldResumption resumption, long nowNanos) {
-    held.remove(resumption.number);
-    report(resumption, OriginSource.UNKNOWN, "", nowNanos);
-    admission.refuse(resumption.call, new Refusal(Reason.STREAM_ORIGIN_UNKNOWN, 0));
-  }
-
-  private void resume(
-      HeldResumption resumption, OriginSource source, String softwareVersion, long nowNanos) {
-    CallArrived call = resumption.call;
-    if (softwareVersion.equals(RoutedRequest.UNCERTAIN_VERSION)) {
-      reject(resumption, nowNanos);
-      return;
-    }
-    held.remove(resumption.number);
-    if (call.labels().resumed().isPresent() && !softwareVersion.isEmpty()) {
-      record(resumption.key, softwareVersion, nowNanos);
-    }
-    report(resumption, source, softwareVersion, nowNanos);
-    admission.admit(call, softwareVersion, nowNanos);
-  }
-
-  private void report(
-      HeldResumption resumption, OriginSource source, String softwareVersion, long nowNanos) {
-    state.outbox.add(
-        new ResumptionDecided(
-            resumption.call.request(),
-            resumption.call.labels().resumed().orElse(""),
-            source,
-            softwareVersion,
-            nowNanos - resumption.heldSinceNanos,
-            evidence(resumption, nowNanos)));
-  }
-
-  private ResumptionEvidence evidence(HeldResumption resumption, long nowNanos) {
-    return new ResumptionEvidence(
-        resumption.routersAsked,
-        resumption.routersReplied,
-        possibleVersions(resumption, nowNanos).size(),
-        isComplete(resumption, nowNanos),
-        recentVersions.listAgeNanos(nowNanos));
-  }
-
-  private void record(StreamKey key, String softwareVersion, long nowNanos) {
-    if (origins.record(key, softwareVersion, nowNanos)) {
-      StreamBegan began = new StreamBegan(key, softwareVersion);
-      OriginRouters.select(key, state.routers.values(), OriginRouters.HOLDERS)
-          .forEach(router -> state.outbox.send(router, began));
-    }
-  }
-
   private static StreamKey key(CallArrived call, String label) {
     return StreamKey.of(call.workspace(), call.service(), label);
   }
