Log and count the event numbers on both sides of a seam

Change: the first numbered event of an attempt that continues a stream adds the effect StreamContinued. It becomes the line stream-continued with resumeAfter, firstEvent, missing, repeated and sameCall, and one of the counters upstreams.continued-in-order, -missing-events and -repeated-events. One comparison for each run of events; no decision changes.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -219,6 +219,29 @@
       long heldNanos)
       implements RouterEffect {}
 
+  /**
+   * Report the first events that an attempt received which continues a stream.
+   *
+   * @param attempt the attempt
+   * @param resumeAfter number of the last event before the seam
+   * @param firstEvent number of the first event that the attempt received
+   * @param sameCall whether this call forwarded the last event before the seam; otherwise its
+   *     caller resumes the stream of an earlier call
+   */
+  record StreamContinued(AttemptId attempt, long resumeAfter, long firstEvent, boolean sameCall)
+      implements RouterEffect {
+
+    /** Returns how many numbers are missing between the events before and after the seam. */
+    public long missing() {
+      return Math.max(0, firstEvent - resumeAfter - 1);
+    }
+
+    /** Returns how many numbers up to the last event before the seam come again after it. */
+    public long repeated() {
+      return Math.max(0, resumeAfter - firstEvent + 1);
+    }
+  }
+
   /**
    * Send a datagram to the origin cache on the instance of an upstream. It may be lost.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -115,6 +115,9 @@
   /** Whether the current attempt continues a response that an earlier one has started. */
   boolean resumes;
 
+  /** Whether the current attempt continues a stream and has received no numbered event yet. */
+  boolean awaitsSeam;
+
   /** Whether the request has been parked because its fingerprint is a suspect. */
   boolean parkedBefore;
 
@@ -238,6 +241,13 @@
     return lastEvent == NO_EVENT ? OptionalLong.empty() : OptionalLong.of(lastEvent);
   }
 
+  /**
+   * Returns whether events of this call, not only of one that its caller resumes, were forwarded.
+   */
+  boolean hasForwardedEvents() {
+    return !resumeAfter().equals(call.resumeAfter());
+  }
+
   /** Assigns the request to a target and returns the new attempt. */
   AttemptId startAttempt(AttemptTarget newTarget, boolean runsExclusively, long nowNanos) {
     phase = Phase.RUNNING;
@@ -248,6 +258,7 @@
     lastTarget = newTarget.name();
     exclusive = runsExclusively;
     resumes = responseStarted;
+    awaitsSeam = resumeAfter().isPresent();
     nextFrame = 0;
     uncreditedBytes = 0;
     sentNanos = nowNanos;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
+import dev.agatepier.core.process.RouterEffect.StreamContinued;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
 import dev.agatepier.core.process.RouterEvent.UpstreamLoadReported;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
@@ -78,6 +79,9 @@
       return;
     }
     boolean numbered = event.lastEvent() >= 0;
+    if (numbered && request.awaitsSeam) {
+      reportSeam(request, event.firstEvent());
+    }
     if (numbered && event.lastEvent() <= request.lastEvent) {
       return;
     }
@@ -108,6 +112,14 @@
     relay.onResponseContent(request, request.nextFrame, event.content(), nowNanos);
   }
 
+  /** Reports the numbers on both sides of a seam, also of events that are not forwarded. */
+  private void reportSeam(RoutedRequest request, long firstEvent) {
+    request.awaitsSeam = false;
+    state.outbox.add(
+        new StreamContinued(
+            request.currentAttempt, request.lastEvent, firstEvent, request.hasForwardedEvents()));
+  }
+
   /** Completes the response. */
   public void onResponseEnded(UpstreamResponseCompleted event, long nowNanos) {
     RoutedRequest request = current(event.attempt());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -22,6 +22,7 @@
 import dev.agatepier.core.connection.SlotMessage.SlotsChanged;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.process.RouterEffect.CancelAttempt;
+import dev.agatepier.core.process.RouterEffect.StreamContinued;
 import dev.agatepier.core.request.CallPlan;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
@@ -113,6 +114,45 @@
     assertEquals(router.responseTo(request), "200 1;2;3;complete");
   }
 
+  @DataProvider
+  public Object[][] firstEventsOfTheNextAttempt() {
+    return new Object[][] {{3, 0, 0}, {5, 2, 0}, {1, 0, 2}};
+  }
+
+  /** Guards against events that are lost or come twice at a seam without a trace. */
+  @Test(dataProvider = "firstEventsOfTheNextAttempt")
+  public void reportsTheNumbersOnBothSidesOfSeam(long first, long missing, long repeated) {
+    RequestId request = router.run(RESUMABLE, "u1");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.sendEvent(request, 2);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "u2");
+    router.startResponse(request, 200);
+    router.sendEvent(request, first);
+    router.sendEvent(request, 6);
+    StreamContinued seam = new StreamContinued(router.attempt(request), 2, first, true);
+    assertEquals(seams(), List.of(seam), "one report for each seam");
+    assertEquals(seam.missing(), missing);
+    assertEquals(seam.repeated(), repeated);
+  }
+
+  /** A call whose first attempt fails before any event still continues the stream of another. */
+  @Test
+  public void reportsSeamBetweenTwoCallsAsSuch() {
+    RequestId request = router.call(RESUMABLE, OptionalLong.of(7));
+    router.grant(request, "u1");
+    router.startResponse(request, 200);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "u2");
+    router.sendEvent(request, 8);
+    assertEquals(seams(), List.of(new StreamContinued(router.attempt(request), 7, 8, false)));
+  }
+
+  private List<RouterEffect> seams() {
+    return router.effects.stream().filter(StreamContinued.class::isInstance).toList();
+  }
+
   @DataProvider
   public Object[][] responsesThatContinueNoStream() {
     return new Object[][] {
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -138,6 +138,7 @@
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
+          RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -232,6 +232,7 @@
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
+          RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -156,6 +156,7 @@
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
+          RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -23,6 +23,7 @@
   ATTEMPT_STARTED("attempt-started"),
   ATTEMPT_ENDED("attempt-ended"),
   ANSWER_UNSOUND("answer-unsound"),
+  STREAM_CONTINUED("stream-continued"),
   STREAM_RESUMED("stream-resumed"),
   STREAM_RESUMPTION_REJECTED("stream-resumption-rejected"),
   QUARANTINE_CHANGED("quarantine-changed"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -278,6 +278,18 @@
                 .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos())));
   }
 
+  /** Logs the numbers of the events on both sides of a seam of a stream. */
+  static void logStreamContinued(RouterEffect.StreamContinued continued) {
+    LOGGER.info(
+        () ->
+            attemptEvent(LogEvent.STREAM_CONTINUED, continued.attempt())
+                .with("resumeAfter", continued.resumeAfter())
+                .with("firstEvent", continued.firstEvent())
+                .with("missing", continued.missing())
+                .with("repeated", continued.repeated())
+                .with("sameCall", continued.sameCall()));
+  }
+
   /** Logs a request or prompt part that is quarantined or no longer is. */
   static void logQuarantineChanged(RouterEffect.QuarantineChanged change) {
     LOGGER.warn(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestMetrics.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestMetrics.java
@@ -1,28 +1,37 @@
 package dev.agatepier.wire.process.internal;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import dev.agatepier.core.process.OriginSource;
 import dev.agatepier.core.process.RequestMetadata;
+import dev.agatepier.core.process.RouterEffect.StreamContinued;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.Reason;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Counters and histograms of ended requests, per service, per route and per workspace and service.
+ * Counters and histograms of ended requests, per service, per route and per workspace and service,
+ * and counters of the streams that are continued.
  */
 public final class RequestMetrics {
 
   private final MetricRegistry registry;
   private final WorkspaceMetrics workspaces;
   private final RouteMetrics routes;
+  private final Counter continuedInOrder;
+  private final Counter missingEvents;
+  private final Counter repeatedEvents;
 
   /** Creates the metrics in a registry. */
   public RequestMetrics(MetricRegistry registry) {
     this.registry = registry;
     this.workspaces = new WorkspaceMetrics(registry);
     this.routes = new RouteMetrics(registry);
+    continuedInOrder = registry.counter("upstreams.continued-in-order");
+    missingEvents = registry.counter("upstreams.continued-missing-events");
+    repeatedEvents = registry.counter("upstreams.continued-repeated-events");
   }
 
   /** Records the end of a request. */
@@ -47,6 +56,17 @@
     registry.counter("resumptions." + source.code()).inc();
   }
 
+  /** Counts an attempt that continues a stream by how its first event follows the last before. */
+  void recordContinuation(StreamContinued continued) {
+    if (continued.missing() > 0) {
+      missingEvents.inc();
+    } else if (continued.repeated() > 0) {
+      repeatedEvents.inc();
+    } else {
+      continuedInOrder.inc();
+    }
+  }
+
   /** Returns the metrics per workspace and service. */
   WorkspaceMetrics workspaces() {
     return workspaces;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -314,6 +314,10 @@
         metrics.recordResumption(decided.source());
         RequestLog.logResumptionDecided(decided);
       }
+      case RouterEffect.StreamContinued continued -> {
+        metrics.recordContinuation(continued);
+        RequestLog.logStreamContinued(continued);
+      }
       case RouterEffect.Drained _ -> drained.complete(null);
       case RouterEffect.EndResponse end -> {
         metrics.recordEnded(Outcome.COMPLETED, Optional.empty(), end.metadata());
