Log the numbers of the events that each attempt forwarded

Change: attempt-ended of failed and complete attempts has firstEvent, lastEvent and eventGaps; it is now also written for complete responses that continue a stream or have gaps. The counter upstreams.event-gaps counts numbers that are not one more than the number before. Two comparisons for each event, one object for each attempt; no response is judged otherwise than before.

Result: the new cases of EventStreamSplitterTest (5) and UpstreamCallerTest (2) pass, as do the other cases of these classes, FaultyUpstreamTest, BrokenUpstreamsTest and SpoiltResponseTest.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.connection.internal.ContinuedStreams;
+import dev.agatepier.wire.connection.internal.EventNumbers;
 import dev.agatepier.wire.connection.internal.ResponseBudget;
 import dev.agatepier.wire.connection.internal.UpstreamCallerContext;
 import dev.agatepier.wire.connection.internal.UpstreamPool;
@@ -51,6 +52,7 @@
       new EnumMap<>(ResponseTrace.Delimiter.class);
   private final Counter ignoredNotices;
   private final Counter unreadableLoads;
+  private final Counter eventGaps;
   private final ContinuedStreams continuedStreams;
   private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
@@ -104,6 +106,7 @@
     }
     ignoredNotices = metrics.counter("upstreams.notices-ignored");
     unreadableLoads = metrics.counter("upstreams.unreadable-loads");
+    eventGaps = metrics.counter("upstreams.event-gaps");
     continuedStreams = new ContinuedStreams(metrics);
     responses =
         new ResponseBudget(
@@ -202,7 +205,7 @@
 
     @Override
     public Consumer<RouterEvent> events() {
-      return this::onEvent;
+      return eventSink;
     }
 
     @Override
@@ -231,10 +234,11 @@
     }
 
     @Override
-    public void onResponseCompleted(AttemptId attempt, ResponseTrace trace) {
+    public void onResponseCompleted(
+        RouterEffect.RunAttempt attempt, EventNumbers numbers, ResponseTrace trace) {
       completeResponses.get(trace.delimiter()).inc();
-      if (trace.uncertain()) {
-        RequestLog.logAttemptCompleted(attempt, trace);
+      if (trace.uncertain() || numbers.gaps() > 0 || attempt.resumeAfter().isPresent()) {
+        RequestLog.logAttemptCompleted(attempt.attempt(), numbers, trace);
       }
     }
 
@@ -254,16 +258,21 @@
       }
     }
 
-    private void onEvent(RouterEvent event) {
+    @Override
+    public void onAttemptEvent(RouterEvent event, EventNumbers numbers) {
       switch (event) {
-        case RouterEvent.UpstreamResponseCompleted ended -> poolsByAttempt.remove(ended.attempt());
+        case RouterEvent.UpstreamResponseCompleted ended -> {
+          poolsByAttempt.remove(ended.attempt());
+          eventGaps.inc(numbers.gaps());
+        }
         case RouterEvent.UpstreamNotRun notRun -> {
           poolsByAttempt.remove(notRun.attempt());
           RequestLog.logAttemptNotRun(notRun);
         }
         case RouterEvent.UpstreamFailed failed -> {
           poolsByAttempt.remove(failed.attempt());
-          RequestLog.logAttemptFailed(failed);
+          eventGaps.inc(numbers.gaps());
+          RequestLog.logAttemptFailed(failed, numbers);
         }
         default -> {
           // The attempt is still running.
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -27,6 +27,7 @@
   private final RunAttempt attempt;
   private final int tokensPerEvent;
   private final Consumer<RouterEvent> events;
+  private final EventNumbers numbers;
   private final EventStreamSplitter splitter = new EventStreamSplitter();
   private BodyBuffer buffered = new BodyBuffer(0, MAXIMUM_BUFFERED_BYTES);
   private Optional<Classification.Matched> response = Optional.empty();
@@ -35,9 +36,11 @@
   private long window;
 
   /** Creates the exchange before its request is sent. */
-  AttemptExchange(RunAttempt attempt, int tokensPerEvent, Consumer<RouterEvent> events) {
+  AttemptExchange(
+      RunAttempt attempt, int tokensPerEvent, EventNumbers numbers, Consumer<RouterEvent> events) {
     this.attempt = attempt;
     this.tokensPerEvent = tokensPerEvent;
+    this.numbers = numbers;
     this.events = events;
     this.window = attempt.windowBytes();
   }
@@ -54,6 +57,11 @@
     return id().request();
   }
 
+  /** Returns the numbers of the events that were forwarded. */
+  EventNumbers numbers() {
+    return numbers;
+  }
+
   /** Returns whether the head of the response has been received. */
   boolean responseStarted() {
     return response.isPresent();
@@ -157,6 +165,7 @@
   private void emitEvents(EventStreamSplitter.Events complete) {
     emitHead(response.orElseThrow().head());
     window -= complete.content().size();
+    numbers.record(complete.firstNumber(), complete.lastNumber(), splitter.gaps());
     events.accept(
         new RouterEvent.UpstreamResponseData(
             id(),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -39,6 +39,11 @@
 
   private boolean increasing = true;
 
+  /** Id of the last complete event that has one, and how many ids were not one more than that. */
+  private long previousNumber = NO_NUMBER;
+
+  private long gaps;
+
   /** Whether the event being scanned has a field, and its id. */
   private boolean hasField;
 
@@ -76,6 +81,11 @@
     return increasing;
   }
 
+  /** Returns how often an id was not one more than the id before it. */
+  long gaps() {
+    return gaps;
+  }
+
   /** Returns the number of bytes of the incomplete event. */
   int partialEventBytes() {
     return size;
@@ -117,11 +127,21 @@
       lastNumber = number == NO_NUMBER ? lastNumber : number;
       increasing &= number == NO_NUMBER || number > highestNumber;
       highestNumber = Math.max(highestNumber, number);
+      countGap();
     }
     hasField = false;
     number = NO_NUMBER;
   }
 
+  private void countGap() {
+    if (number != NO_NUMBER) {
+      if (previousNumber != NO_NUMBER && number != previousNumber + 1) {
+        gaps++;
+      }
+      previousNumber = number;
+    }
+  }
+
   private Events removeCompleteEvents() {
     Bytes content = new Bytes(Arrays.copyOf(buffer, completeEnd));
     final Events events = new Events(content, completeEvents, firstNumber, lastNumber);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
@@ -1,6 +1,7 @@
 package dev.agatepier.wire.connection.internal;
 
 import dev.agatepier.core.process.MonotonicClock;
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.request.AttemptId;
 import dev.agatepier.core.version.Upstream;
@@ -18,9 +19,16 @@
   /** Returns the monotonic clock of the process. */
   MonotonicClock clock();
 
-  /** Returns the sink of events; it must not lose any. */
+  /** Returns the sink of events that are no progress of an attempt; it must not lose any. */
   Consumer<RouterEvent> events();
 
+  /**
+   * Passes on an event of an attempt. No event is lost.
+   *
+   * @param numbers the numbers of the events that the attempt has forwarded until then
+   */
+  void onAttemptEvent(RouterEvent event, EventNumbers numbers);
+
   /** Returns the handler of unexpected failures in the task of a connection. */
   Consumer<Throwable> failureHandler();
 
@@ -44,8 +52,13 @@
    */
   void onNoticeIgnored(Upstream upstream, AttemptId attempt, String detail, boolean first);
 
-  /** Called when an attempt has ended with a complete response. */
-  void onResponseCompleted(AttemptId attempt, ResponseTrace trace);
+  /**
+   * Called when an attempt has ended with a complete response.
+   *
+   * @param numbers the numbers of the events that were forwarded
+   * @param trace how the response was delimited and received
+   */
+  void onResponseCompleted(RunAttempt attempt, EventNumbers numbers, ResponseTrace trace);
 
   /**
    * Called when a malformed response is received.
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -341,7 +341,7 @@
       // The content counts as passed on from here.
       setBufferedBytes(0);
       if (exchange.onResponseEnded()) {
-        pool.onResponseCompleted(exchange.id(), trace());
+        pool.onResponseCompleted(exchange, trace());
       }
     }
     takeExchange();
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -68,8 +68,10 @@
 
   /** Starts an attempt on an idle connection, or on a new one if none is idle. */
   public void start(RunAttempt attempt, int tokensPerEvent) {
+    EventNumbers numbers = new EventNumbers();
     AttemptExchange exchange =
-        new AttemptExchange(attempt, tokensPerEvent, event -> context.events().accept(event));
+        new AttemptExchange(
+            attempt, tokensPerEvent, numbers, event -> context.onAttemptEvent(event, numbers));
     UpstreamConnection connection = acquireIdle(exchange.request());
     if (connection == null) {
       connect(exchange);
@@ -185,8 +187,8 @@
     busy.values().remove(connection);
   }
 
-  void onResponseCompleted(AttemptId attempt, ResponseTrace trace) {
-    context.onResponseCompleted(attempt, trace);
+  void onResponseCompleted(AttemptExchange exchange, ResponseTrace trace) {
+    context.onResponseCompleted(exchange.attempt(), exchange.numbers(), trace);
   }
 
   void onMalformedResponse(AttemptExchange exchange, String detail, ResponseTrace trace) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -11,6 +11,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.wire.connection.internal.EventNumbers;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.request.AcceptedCall;
 import dev.agatepier.wire.request.ResponseTrace;
@@ -146,12 +147,15 @@
   }
 
   /** Logs an attempt that ended with a complete response. */
-  public static void logAttemptCompleted(AttemptId attempt, ResponseTrace trace) {
+  public static void logAttemptCompleted(
+      AttemptId attempt, EventNumbers numbers, ResponseTrace trace) {
     LOGGER.info(
         () ->
             addTrace(
-                attemptEvent(LogEvent.ATTEMPT_ENDED, attempt)
-                    .with("outcome", Outcome.COMPLETED.code()),
+                addNumbers(
+                    attemptEvent(LogEvent.ATTEMPT_ENDED, attempt)
+                        .with("outcome", Outcome.COMPLETED.code()),
+                    numbers),
                 trace));
   }
 
@@ -165,12 +169,14 @@
   }
 
   /** Logs an attempt that may have run but has no complete response. */
-  public static void logAttemptFailed(RouterEvent.UpstreamFailed event) {
+  public static void logAttemptFailed(RouterEvent.UpstreamFailed event, EventNumbers numbers) {
     LOGGER.info(
         () ->
-            attemptEvent(LogEvent.ATTEMPT_ENDED, event.attempt())
-                .with("outcome", Outcome.UNKNOWN.code())
-                .with("reason", event.reason().code()));
+            addNumbers(
+                attemptEvent(LogEvent.ATTEMPT_ENDED, event.attempt())
+                    .with("outcome", Outcome.UNKNOWN.code())
+                    .with("reason", event.reason().code()),
+                numbers));
   }
 
   /** Logs a malformed response; the attempt is null if no response was expected. */
@@ -218,6 +224,13 @@
         .with("requestWritten", trace.requestWritten());
   }
 
+  private static StringMapMessage addNumbers(StringMapMessage message, EventNumbers numbers) {
+    return message
+        .with("firstEvent", numbers.first())
+        .with("lastEvent", numbers.last())
+        .with("eventGaps", numbers.gaps());
+  }
+
   private static StringMapMessage attemptEvent(LogEvent event, AttemptId attempt) {
     return event
         .message()
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -18,6 +18,9 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.wire.RawSocket;
+import dev.agatepier.wire.RecordedLog;
+import dev.agatepier.wire.process.internal.RequestLog;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -67,6 +70,44 @@
     }
   }
 
+  /** Guards against lost events of which no line names the request. */
+  @Test
+  public void logsTheNumbersOfEventsOfAttempt() {
+    try (RecordedLog log = new RecordedLog(RequestLog.class);
+        RawSocket socket = runWithGap(1)) {
+      socket.write("0\r\n\r\n");
+      awaitCompletion();
+      // The line follows the event.
+      CompletableFuture.runAsync(() -> {}, scheduler::schedule).join();
+      String ended = log.of("attempt-ended", attempt(1, Bytes.EMPTY).attempt().request()).getLast();
+      assertTrue(ended.contains("eventGaps=\"1\""), ended);
+      assertTrue(ended.contains("firstEvent=\"1\""), ended);
+      assertTrue(ended.contains("lastEvent=\"3\""), ended);
+      assertEquals(metrics.counter("upstreams.event-gaps").getCount(), 1);
+    }
+  }
+
+  /** The line of a broken attempt states how far its stream came. */
+  @Test
+  public void logsTheNumbersOfEventsOfBrokenAttempt() {
+    try (RecordedLog log = new RecordedLog(RequestLog.class)) {
+      runWithGap(1).close();
+      assertTrue(awaitEnd() instanceof UpstreamFailed);
+      String ended = log.of("attempt-ended", attempt(1, Bytes.EMPTY).attempt().request()).getLast();
+      assertTrue(ended.contains("eventGaps=\"1\" firstEvent=\"1\" lastEvent=\"3\""), ended);
+      assertEquals(metrics.counter("upstreams.event-gaps").getCount(), 1);
+    }
+  }
+
+  /** Starts an attempt and sends events 1 and 3 of its response. */
+  private RawSocket runWithGap(long number) {
+    run(number);
+    RawSocket socket = upstream.accept();
+    socket.readUntil("body");
+    socket.write(EVENTS.formatted(number) + EVENT + EVENT.replace("id: 1", "id: 3"));
+    return socket;
+  }
+
   /** Guards against a load that is lost because no content of the response has arrived yet. */
   @Test
   public void reportsTheLoadThatTheHeadStates() {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class EventStreamSplitterTest {
@@ -51,6 +52,21 @@
     assertTrue(splitter.hasPartialEvent());
   }
 
+  @DataProvider
+  public Object[][] numbersOfStreams() {
+    return new Object[][] {{"1 2 3", 0}, {"3 4", 0}, {"1 2 4 5", 1}, {"1 2 1 2 3", 1}, {"1 1", 1}};
+  }
+
+  /** Guards against events that an upstream leaves out or repeats without a trace. */
+  @Test(dataProvider = "numbersOfStreams")
+  public void countsNumbersThatDoNotFollow(String numbers, int gaps) {
+    EventStreamSplitter splitter = new EventStreamSplitter();
+    for (String number : numbers.split(" ")) {
+      splitter.append(bytes("data: no number\n\nid: " + number + "\ndata: a\n\n"));
+    }
+    assertEquals(splitter.gaps(), gaps);
+  }
+
   @Test
   public void ignoresInvalidEventNumbers() {
     EventStreamSplitter splitter = new EventStreamSplitter();
