Log and measure how old the confirmation of the instance list is

Change: InstanceListAge records the start of the last read of the platform that confirmed the list. The gauge instances.confirmed-age-millis and listAgeMillis in attempt-started show it; -1 without a confirmation or after a suspension, which the monotonic clock does not count. The computation moved from TableLease to ConfirmationAge, which both use. No decision reads the new age.

--- a/agatepier-standin/src/test/java/dev/agatepier/standin/process/OperatorCommandsIntegrationTest.java
+++ b/agatepier-standin/src/test/java/dev/agatepier/standin/process/OperatorCommandsIntegrationTest.java
@@ -140,6 +140,7 @@
     assertEquals(metrics.at("/counters/mailbox.full").asInt(-1), 0);
     assertEquals(linksUp(metrics), fleet.nodes().size() - 1);
     assertTrue(metrics.at("/gauges/table.confirmed-age-millis").isNumber(), metrics.toString());
+    assertTrue(metrics.at("/gauges/instances.confirmed-age-millis").isNumber(), metrics.toString());
     JsonNode sidecar = metrics(fleet.sidecars().getFirst());
     assertTrue(sidecar.at("/gauges/sidecar.slots").asInt() > 0, sidecar.toString());
     assertTrue(sidecar.at("/gauges/sidecar.upstream-healthy").asBoolean());
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -43,6 +44,7 @@
 
   private final UpstreamDialect dialect;
   private final Supplier<Table> activeTable;
+  private final LongSupplier listAgeMillis;
   private final MonotonicClock clock;
   private final LoopResources eventLoops;
   private final Scheduler scheduler;
@@ -73,6 +75,8 @@
    *
    * @param dialect HTTP conventions of upstreams
    * @param activeTable supplies the active table
+   * @param listAgeMillis supplies the time since the instance list was confirmed, in milliseconds;
+   *     -1 for none
    * @param eventSink receives the events of attempts; must not drop any
    * @param clock monotonic clock of the process
    * @param eventLoops provides the event loop
@@ -85,6 +89,7 @@
   public UpstreamCaller(
       UpstreamDialect dialect,
       Supplier<Table> activeTable,
+      LongSupplier listAgeMillis,
       Consumer<RouterEvent> eventSink,
       MonotonicClock clock,
       LoopResources eventLoops,
@@ -95,6 +100,7 @@
       MemoryBudget memory) {
     this.dialect = dialect;
     this.activeTable = activeTable;
+    this.listAgeMillis = listAgeMillis;
     this.clock = clock;
     this.eventLoops = eventLoops;
     this.scheduler = scheduler;
@@ -159,7 +165,7 @@
   }
 
   private void run(RouterEffect.RunAttempt attempt) {
-    RequestLog.logAttemptStarted(attempt);
+    RequestLog.logAttemptStarted(attempt, listAgeMillis.getAsLong());
     continuedStreams.count(attempt);
     UpstreamPool pool =
         pools.computeIfAbsent(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/RouterService.java
@@ -13,6 +13,7 @@
 import dev.agatepier.wire.process.internal.FleetMember;
 import dev.agatepier.wire.process.internal.LinkRegistry;
 import dev.agatepier.wire.process.internal.RouterTasks;
+import dev.agatepier.wire.version.InstanceListAge;
 import dev.agatepier.wire.version.TableLease;
 import java.time.Duration;
 import java.util.List;
@@ -32,6 +33,9 @@
   /** Gauge of the time since the table was last confirmed to be the latest, in milliseconds. */
   private static final String CONFIRMED_AGE = "table.confirmed-age-millis";
 
+  /** Gauge of the time since the instance list was last confirmed, in milliseconds. */
+  private static final String LIST_AGE = "instances.confirmed-age-millis";
+
   /** Time before the timeout of a stop at which requests without a response end. */
   private static final long FINAL_ANSWERS_MILLIS = 700;
 
@@ -94,6 +98,8 @@
         new TableLease(
             common.versions().leaseMillis(), System::nanoTime, System::currentTimeMillis);
     metrics.registerGauge(CONFIRMED_AGE, lease::ageMillis);
+    InstanceListAge listAge = new InstanceListAge(System::nanoTime, System::currentTimeMillis);
+    metrics.registerGauge(LIST_AGE, listAge::millis);
     tasks =
         new RouterTasks(
             self,
@@ -118,7 +124,7 @@
             tasks,
             environment.platform(settings, metrics),
             environment.tableFormat(),
-            List.of(lease));
+            List.of(lease, listAge));
     RouterEnvironment.Context context =
         new RouterEnvironment.Context(
             settings,
@@ -144,6 +150,7 @@
                     new UpstreamCaller(
                         dialect,
                         member::table,
+                        listAge::millis,
                         tasks::post,
                         System::nanoTime,
                         environment.eventLoops(),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -133,14 +133,19 @@
                 .with("retryAfterMillis", rejection.retryAfterMillis()));
   }
 
-  /** Logs an attempt that is passed to an upstream. */
-  public static void logAttemptStarted(RouterEffect.RunAttempt attempt) {
+  /**
+   * Logs an attempt that is passed to an upstream.
+   *
+   * @param listAgeMillis time since the instance list was confirmed, in milliseconds; -1 for none
+   */
+  public static void logAttemptStarted(RouterEffect.RunAttempt attempt, long listAgeMillis) {
     LOGGER.info(
         () ->
             attemptEvent(LogEvent.ATTEMPT_STARTED, attempt.attempt())
                 .with("upstream", attempt.upstream().name())
                 .with("upstreamVersion", attempt.upstream().softwareVersion())
                 .with("requiredVersion", attempt.softwareVersion())
+                .with("listAgeMillis", listAgeMillis)
                 .with("timeLeftMillis", attempt.timeLeftMillis())
                 .with("resumed", attempt.resumeAfter().isPresent())
                 .with("resumeAfter", attempt.resumeAfter().orElse(NO_EVENT)));
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/TableLease.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/TableLease.java
@@ -11,18 +11,14 @@
 
 /**
  * Lease of the active table: whether it was confirmed recently enough to admit calls with a key.
- * The age is counted from the start of the read that confirmed the table, by whichever of the
- * monotonic clock and the wall clock has advanced further: the monotonic clock of a suspended
- * instance stops.
+ * The age is counted from the start of the read that confirmed the table.
  */
 public final class TableLease implements VersionListener {
 
   private static final Logger LOGGER = LogManager.getLogger(TableLease.class);
 
   private final long leaseMillis;
-  private final MonotonicClock clock;
-  private final LongSupplier wallMillis;
-  private volatile ReadTimestamp lastConfirmation;
+  private final ConfirmationAge confirmation;
   private volatile boolean lastValid;
 
   /**
@@ -34,8 +30,7 @@
    */
   public TableLease(long leaseMillis, MonotonicClock clock, LongSupplier wallMillis) {
     this.leaseMillis = leaseMillis;
-    this.clock = clock;
-    this.wallMillis = wallMillis;
+    confirmation = new ConfirmationAge(clock, wallMillis);
   }
 
   /** Returns whether the confirmation is still valid; logs each change of the result. */
@@ -60,11 +55,7 @@
    * Returns the age of the confirmation in milliseconds; {@link Long#MAX_VALUE} if there is none.
    */
   public long ageMillis() {
-    ReadTimestamp confirmation = lastConfirmation;
-    if (confirmation == null) {
-      return Long.MAX_VALUE;
-    }
-    return confirmation.ageMillis(new ReadTimestamp(clock.nanoTime(), wallMillis.getAsLong()));
+    return confirmation.millis();
   }
 
   @Override
@@ -74,7 +65,7 @@
 
   @Override
   public void onTableConfirmed(ReadTimestamp readStarted) {
-    lastConfirmation = readStarted;
+    confirmation.onConfirmed(readStarted);
   }
 
   @Override
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerFixture.java
@@ -32,6 +32,7 @@
 abstract class UpstreamCallerFixture {
 
   static final long WINDOW_BYTES = 1_000;
+  static final long LIST_AGE_MILLIS = 4_321;
   static final long BUFFERED_BYTES = 8 * 1024 * 1024;
   static final String HEAD = "HTTP/1.1 200 OK\r\nLabel: %s\r\nKeep-Alive: timeout=5\r\n";
   static final String PLAIN = HEAD + "Content-Length: 5\r\n\r\n";
@@ -57,6 +58,7 @@
         new UpstreamCaller(
             new FakeUpstreamDialect(),
             () -> Table.NONE,
+            () -> LIST_AGE_MILLIS,
             newEvents::add,
             System::nanoTime,
             loops,
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -20,6 +20,7 @@
 import dev.agatepier.wire.RawSocket;
 import dev.agatepier.wire.RecordedLog;
 import dev.agatepier.wire.process.internal.RequestLog;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
@@ -77,8 +78,7 @@
         RawSocket socket = runWithGap(1)) {
       socket.write("0\r\n\r\n");
       awaitCompletion();
-      // The line follows the event.
-      CompletableFuture.runAsync(() -> {}, scheduler::schedule).join();
+      awaitLogLine();
       String ended = log.of("attempt-ended", attempt(1, Bytes.EMPTY).attempt().request()).getLast();
       assertTrue(ended.contains("eventGaps=\"1\""), ended);
       assertTrue(ended.contains("firstEvent=\"1\""), ended);
@@ -99,6 +99,43 @@
     }
   }
 
+  /**
+   * A joined stream whose end is missing looks complete, and one that was continued by a list which
+   * misses a release looks like any other.
+   */
+  @Test
+  public void logsListAgeAndEndOfContinuedStream() {
+    RunAttempt first = attempt(1, Bytes.ofText("body"));
+    try (RecordedLog log = new RecordedLog(RequestLog.class)) {
+      perform(
+          new RunAttempt(
+              first.attempt(),
+              first.upstream(),
+              first.workspace(),
+              first.head(),
+              first.body(),
+              first.plan(),
+              first.timeLeftMillis(),
+              OptionalLong.of(4),
+              WINDOW_BYTES));
+      try (RawSocket socket = upstream.accept()) {
+        socket.readUntil("body");
+        socket.write(EVENTS.formatted(1) + "0\r\n\r\n");
+        awaitCompletion();
+        awaitLogLine();
+      }
+      String started = log.of("attempt-started", first.attempt().request()).getLast();
+      assertTrue(started.contains("listAgeMillis=\"4321\""), started);
+      String ended = log.of("attempt-ended", first.attempt().request()).getLast();
+      assertTrue(ended.contains("firstEvent=\"-1\" lastEvent=\"-1\""), ended);
+    }
+  }
+
+  /** Waits for a line that follows the event which was received. */
+  private void awaitLogLine() {
+    CompletableFuture.runAsync(() -> {}, scheduler::schedule).join();
+  }
+
   /** Starts an attempt and sends events 1 and 3 of its response. */
   private RawSocket runWithGap(long number) {
     run(number);
