--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.connection.internal.ContinuedStreams;
+import dev.agatepier.wire.connection.internal.EventNumbers;
 import dev.agatepier.wire.connection.internal.ResponseBudget;
 import dev.agatepier.wire.connection.internal.UpstreamCallerContext;
 import dev.agatepier.wire.connection.internal.UpstreamPool;
@@ -25,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import reactor.core.Disposable;
 import reactor.core.Disposables;
@@ -42,6 +44,7 @@
 
   private final UpstreamDialect dialect;
   private final Supplier<Table> activeTable;
+  private final LongSupplier listAgeMillis;
   private final MonotonicClock clock;
   private final LoopResources eventLoops;
   private final Scheduler scheduler;
@@ -51,6 +54,7 @@
       new EnumMap<>(ResponseTrace.Delimiter.class);
   private final Counter ignoredNotices;
   private final Counter unreadableLoads;
+  private final Counter eventGaps;
   private final ContinuedStreams continuedStreams;
   private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
@@ -71,6 +75,8 @@
    *
    * @param dialect HTTP conventions of upstreams
    * @param activeTable supplies the active table
+   * @param listAgeMillis supplies the time since the instance list was confirmed, in milliseconds;
+   *     -1 for none
    * @param eventSink receives the events of attempts; must not drop any
    * @param clock monotonic clock of the process
    * @param eventLoops provides the event loop
@@ -83,6 +89,7 @@
   public UpstreamCaller(
       UpstreamDialect dialect,
       Supplier<Table> activeTable,
+      LongSupplier listAgeMillis,
       Consumer<RouterEvent> eventSink,
       MonotonicClock clock,
       LoopResources eventLoops,
@@ -93,6 +100,7 @@
       MemoryBudget memory) {
     this.dialect = dialect;
     this.activeTable = activeTable;
+    this.listAgeMillis = listAgeMillis;
     this.clock = clock;
     this.eventLoops = eventLoops;
     this.scheduler = scheduler;
@@ -104,6 +112,7 @@
     }
     ignoredNotices = metrics.counter("upstreams.notices-ignored");
     unreadableLoads = metrics.counter("upstreams.unreadable-loads");
+    eventGaps = metrics.counter("upstreams.event-gaps");
     continuedStreams = new ContinuedStreams(metrics);
     responses =
         new ResponseBudget(
@@ -156,7 +165,7 @@
   }
 
   private void run(RouterEffect.RunAttempt attempt) {
-    RequestLog.logAttemptStarted(attempt);
+    RequestLog.logAttemptStarted(attempt, listAgeMillis.getAsLong());
     continuedStreams.count(attempt);
     UpstreamPool pool =
         pools.computeIfAbsent(
@@ -202,7 +211,7 @@
 
     @Override
     public Consumer<RouterEvent> events() {
-      return this::onEvent;
+      return eventSink;
     }
 
     @Override
@@ -231,10 +240,11 @@
     }
 
     @Override
-    public void onResponseCompleted(AttemptId attempt, ResponseTrace trace) {
+    public void onResponseCompleted(
+        RouterEffect.RunAttempt attempt, EventNumbers numbers, ResponseTrace trace) {
       completeResponses.get(trace.delimiter()).inc();
-      if (trace.uncertain()) {
-        RequestLog.logAttemptCompleted(attempt, trace);
+      if (trace.uncertain() || numbers.gaps() > 0 || attempt.resumeAfter().isPresent()) {
+        RequestLog.logAttemptCompleted(attempt.attempt(), numbers, trace);
       }
     }
 
@@ -254,16 +264,21 @@
       }
     }
 
-    private void onEvent(RouterEvent event) {
+    @Override
+    public void onAttemptEvent(RouterEvent event, EventNumbers numbers) {
       switch (event) {
-        case RouterEvent.UpstreamResponseCompleted ended -> poolsByAttempt.remove(ended.attempt());
+        case RouterEvent.UpstreamResponseCompleted ended -> {
+          poolsByAttempt.remove(ended.attempt());
+          eventGaps.inc(numbers.gaps());
+        }
         case RouterEvent.UpstreamNotRun notRun -> {
           poolsByAttempt.remove(notRun.attempt());
           RequestLog.logAttemptNotRun(notRun);
         }
         case RouterEvent.UpstreamFailed failed -> {
           poolsByAttempt.remove(failed.attempt());
-          RequestLog.logAttemptFailed(failed);
+          eventGaps.inc(numbers.gaps());
+          RequestLog.logAttemptFailed(failed, numbers);
         }
         default -> {
           // The attempt is still running.
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/UpstreamCallerTest.java
@@ -18,6 +18,10 @@
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.wire.RawSocket;
+import dev.agatepier.wire.RecordedLog;
+import dev.agatepier.wire.process.internal.RequestLog;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -67,6 +71,80 @@
     }
   }
 
+  /** Guards against lost events of which no line names the request. */
+  @Test
+  public void logsTheNumbersOfEventsOfAttempt() {
+    try (RecordedLog log = new RecordedLog(RequestLog.class);
+        RawSocket socket = runWithGap(1)) {
+      socket.write("0\r\n\r\n");
+      awaitCompletion();
+      awaitLogLine();
+      String ended = log.of("attempt-ended", attempt(1, Bytes.EMPTY).attempt().request()).getLast();
+      assertTrue(ended.contains("eventGaps=\"1\""), ended);
+      assertTrue(ended.contains("firstEvent=\"1\""), ended);
+      assertTrue(ended.contains("lastEvent=\"3\""), ended);
+      assertEquals(metrics.counter("upstreams.event-gaps").getCount(), 1);
+    }
+  }
+
+  /** The line of a broken attempt states how far its stream came. */
+  @Test
+  public void logsTheNumbersOfEventsOfBrokenAttempt() {
+    try (RecordedLog log = new RecordedLog(RequestLog.class)) {
+      runWithGap(1).close();
+      assertTrue(awaitEnd() instanceof UpstreamFailed);
+      String ended = log.of("attempt-ended", attempt(1, Bytes.EMPTY).attempt().request()).getLast();
+      assertTrue(ended.contains("eventGaps=\"1\" firstEvent=\"1\" lastEvent=\"3\""), ended);
+      assertEquals(metrics.counter("upstreams.event-gaps").getCount(), 1);
+    }
+  }
+
+  /**
+   * A joined stream whose end is missing looks complete, and one that was continued by a list which
+   * misses a release looks like any other.
+   */
+  @Test
+  public void logsListAgeAndEndOfContinuedStream() {
+    RunAttempt first = attempt(1, Bytes.ofText("body"));
+    try (RecordedLog log = new RecordedLog(RequestLog.class)) {
+      perform(
+          new RunAttempt(
+              first.attempt(),
+              first.upstream(),
+              first.workspace(),
+              first.head(),
+              first.body(),
+              first.plan(),
+              first.timeLeftMillis(),
+              OptionalLong.of(4),
+              WINDOW_BYTES));
+      try (RawSocket socket = upstream.accept()) {
+        socket.readUntil("body");
+        socket.write(EVENTS.formatted(1) + "0\r\n\r\n");
+        awaitCompletion();
+        awaitLogLine();
+      }
+      String started = log.of("attempt-started", first.attempt().request()).getLast();
+      assertTrue(started.contains("listAgeMillis=\"4321\""), started);
+      String ended = log.of("attempt-ended", first.attempt().request()).getLast();
+      assertTrue(ended.contains("firstEvent=\"-1\" lastEvent=\"-1\""), ended);
+    }
+  }
+
+  /** Waits for a line that follows the event which was received. */
+  private void awaitLogLine() {
+    CompletableFuture.runAsync(() -> {}, scheduler::schedule).join();
+  }
+
+  /** Starts an attempt and sends events 1 and 3 of its response. */
+  private RawSocket runWithGap(long number) {
+    run(number);
+    RawSocket socket = upstream.accept();
+    socket.readUntil("body");
+    socket.write(EVENTS.formatted(number) + EVENT + EVENT.replace("id: 1", "id: 3"));
+    return socket;
+  }
+
   /** Guards against a load that is lost because no content of the response has arrived yet. */
   @Test
   public void reportsTheLoadThatTheHeadStates() {
