--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.RequestMetadata;
+import dev.agatepier.core.process.ResumptionEvidence;
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.SlotAllocatorEffect;
@@ -301,7 +302,7 @@
                 .with("listAgeMillis", listAgeMillis(decided.evidence())));
   }
 
-  private static long listAgeMillis(RouterEffect.ResumptionEvidence evidence) {
+  private static long listAgeMillis(ResumptionEvidence evidence) {
     return evidence.listAgeNanos() < 0
         ? -1
         : TimeUnit.NANOSECONDS.toMillis(evidence.listAgeNanos());
