Let the platform date its instance lists, and the decision confirm them

The time of a confirmation of the instance list was taken beside the platform, which alone knows when a read of the store was sent and whether there was one. Platform.instances now returns that time with its result, and the version decision reports a confirmation as an effect, like that of the table.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/HttpFleetClient.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/HttpFleetClient.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.wire.process.Secret;
 import dev.agatepier.wire.version.BodyReader;
 import dev.agatepier.wire.version.Platform;
@@ -57,7 +58,13 @@
   }
 
   private static List<Target> listTargets(Platform platform) {
-    return platform.instances(0, 0).join().orElseThrow().instances().stream()
+    return platform
+        .instances(0, 0, ReadTimestamp.UNTIMED)
+        .join()
+        .newer()
+        .orElseThrow()
+        .instances()
+        .stream()
         .map(
             instance ->
                 new Target(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -68,8 +68,14 @@
       case VersionEvent.PageReceived page -> table.onPageReceived(page, nowNanos);
       case VersionEvent.ManifestRead read ->
           table.onManifestRead(read, isPlatformReader(nowNanos), nowNanos);
-      case VersionEvent.InstancesRead(InstanceList list, double jitter, ReadTimestamp _) -> {
+      case VersionEvent.InstancesRead(
+              InstanceList list,
+              double jitter,
+              ReadTimestamp startedAt) -> {
         acceptInstances(instances.onRead(list, jitter, nowNanos), PLATFORM, nowNanos);
+        if (list.version() == instances().version()) {
+          confirmInstances(startedAt);
+        }
         table.reads().recordPlatformReachable(nowNanos);
       }
       case VersionEvent.PlatformUnchanged(PlatformSubject subject, ReadTimestamp startedAt) ->
@@ -135,6 +141,8 @@
       PlatformSubject subject, ReadTimestamp startedAt, long nowNanos) {
     if (subject == PlatformSubject.TABLE) {
       table.onPlatformUnchanged(startedAt);
+    } else {
+      confirmInstances(startedAt);
     }
     schedule(subject).recordSuccess(nowNanos);
     schedule(subject).resetBackoff();
@@ -150,6 +158,12 @@
         });
   }
 
+  private void confirmInstances(ReadTimestamp readStarted) {
+    if (readStarted.isKnown()) {
+      effects.add(new VersionEffect.ConfirmInstances(readStarted));
+    }
+  }
+
   private void onTick(double jitter, long nowNanos) {
     table.onTick(jitter, nowNanos);
     boolean platformReader = isPlatformReader(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
@@ -75,6 +75,13 @@
    */
   record PublishInstances(InstanceList instances) implements VersionEffect {}
 
+  /**
+   * Confirm that the active instance list was the newest one when a read of the platform started.
+   *
+   * @param startedAt time at which the read started
+   */
+  record ConfirmInstances(ReadTimestamp startedAt) implements VersionEffect {}
+
   /**
    * Report to operators that the evacuation of a data centre started or ended here.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/ReadTimestamp.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/ReadTimestamp.java
@@ -17,6 +17,11 @@
   /** Placeholder for a read without a known time. */
   public static final ReadTimestamp UNTIMED = new ReadTimestamp(0, 0);
 
+  /** Returns whether this is the time of a read, and not the placeholder. */
+  public boolean isKnown() {
+    return !equals(UNTIMED);
+  }
+
   /**
    * Returns the time elapsed since this timestamp, in milliseconds. Returns {@link Long#MAX_VALUE}
    * if the wall clock advanced further than the monotonic clock, which stops while an instance is
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
@@ -203,6 +203,7 @@
       case VersionEffect.ReportEvacuation ignored -> {}
       case VersionEffect.ConfirmTable(ReadTimestamp started) -> confirmed.put(name, started);
       case VersionEffect.PublishInstances ignored -> {}
+      case VersionEffect.ConfirmInstances ignored -> {}
     }
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/Platform.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -29,9 +30,11 @@
    * @param afterVersion wait for a version greater than this one, or for evacuations that are newer
    *     than those of the active list
    * @param waitSeconds maximum wait in seconds; 0 to read the current version at once
-   * @return the list; empty if the wait ended without a newer version
+   * @param calledAt time of this call, from which a read that it starts is dated
+   * @return the list, without one if the wait ended without a newer version
    */
-  CompletableFuture<Optional<InstanceList>> instances(long afterVersion, int waitSeconds);
+  CompletableFuture<InstanceListRead> instances(
+      long afterVersion, int waitSeconds, ReadTimestamp calledAt);
 
   /**
    * Reads which software versions upstreams had before the active instance list. Must not be called
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/PlatformClient.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/PlatformClient.java
@@ -3,7 +3,7 @@
 import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
 import dev.agatepier.core.connection.VersionMessage.PageReference;
 import dev.agatepier.core.request.Bytes;
-import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.wire.request.Digests;
 import dev.agatepier.wire.version.internal.PlatformJson;
 import java.time.Duration;
@@ -62,10 +62,12 @@
   }
 
   @Override
-  public CompletableFuture<Optional<InstanceList>> instances(long after, int waitSeconds) {
+  public CompletableFuture<InstanceListRead> instances(
+      long after, int waitSeconds, ReadTimestamp calledAt) {
     return get(
             longPollPath("/v1/instances", after, waitSeconds), waitSeconds, MAXIMUM_INSTANCES_BYTES)
-        .thenApply(body -> body.map(Bytes::text).map(PlatformJson::parseInstances));
+        .thenApply(body -> body.map(Bytes::text).map(PlatformJson::parseInstances))
+        .thenApply(newer -> new InstanceListRead(newer, calledAt));
   }
 
   private static String longPollPath(String path, long after, int waitSeconds) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -164,17 +164,6 @@
 
   private void handle(VersionEvent event) {
     decision.decide(event, clock.nanoTime()).forEach(this::execute);
-    switch (event) {
-      case VersionEvent.PlatformUnchanged(PlatformSubject subject, ReadTimestamp startedAt)
-          when subject == PlatformSubject.INSTANCES ->
-          listeners.forEach(listener -> listener.onInstancesConfirmed(startedAt));
-      case VersionEvent.InstancesRead(InstanceList list, double _, ReadTimestamp startedAt)
-          when list.version() == instances.version() ->
-          listeners.forEach(listener -> listener.onInstancesConfirmed(startedAt));
-      default -> {
-        // Other events do not confirm the instance list.
-      }
-    }
   }
 
   private void execute(VersionEffect effect) {
@@ -193,6 +182,8 @@
           listeners.forEach(listener -> listener.onTableConfirmed(readStarted));
       case VersionEffect.PublishInstances(InstanceList newInstances) ->
           publishInstances(newInstances);
+      case VersionEffect.ConfirmInstances(ReadTimestamp readStarted) ->
+          listeners.forEach(listener -> listener.onInstancesConfirmed(readStarted));
       case VersionEffect.ReportEvacuation report -> logEvacuation(report);
       case VersionEffect.ReportRefusal(long version, List<TableMistake> mistakes) ->
           LOGGER.error(
@@ -276,37 +267,40 @@
   }
 
   private void readPlatform(VersionEffect.ReadPlatform read) {
-    ReadTimestamp readStarted = now();
+    ReadTimestamp calledAt = now();
     if (read.subject() == PlatformSubject.TABLE) {
       postReadResult(
           read.subject(),
-          readStarted,
           platform.manifest(read.afterVersion(), read.waitSeconds()),
-          manifest -> new VersionEvent.ManifestRead(manifest, jitter.getAsDouble(), readStarted));
+          manifest ->
+              manifest
+                  .<VersionEvent>map(
+                      found -> new VersionEvent.ManifestRead(found, jitter.getAsDouble(), calledAt))
+                  .orElse(new VersionEvent.PlatformUnchanged(read.subject(), calledAt)));
     } else {
       postReadResult(
           read.subject(),
-          readStarted,
-          platform.instances(read.afterVersion(), read.waitSeconds()),
-          list -> new VersionEvent.InstancesRead(list, jitter.getAsDouble(), readStarted));
+          platform.instances(read.afterVersion(), read.waitSeconds(), calledAt),
+          this::toEvent);
     }
   }
 
+  private VersionEvent toEvent(InstanceListRead read) {
+    return read.newer()
+        .<VersionEvent>map(
+            list -> new VersionEvent.InstancesRead(list, jitter.getAsDouble(), read.readStarted()))
+        .orElse(new VersionEvent.PlatformUnchanged(PlatformSubject.INSTANCES, read.readStarted()));
+  }
+
   private <A> void postReadResult(
-      PlatformSubject subject,
-      ReadTimestamp readStarted,
-      CompletableFuture<Optional<A>> read,
-      Function<A, VersionEvent> toEvent) {
+      PlatformSubject subject, CompletableFuture<A> read, Function<A, VersionEvent> toEvent) {
     read.whenComplete(
         (result, failure) -> {
           if (failure == null) {
             if (failingSubjects.remove(subject)) {
               LOGGER.info(LogEvent.PLATFORM_READ_AGAIN.message().with("subject", subject));
             }
-            task.offer(
-                result
-                    .map(toEvent)
-                    .orElse(new VersionEvent.PlatformUnchanged(subject, readStarted)));
+            task.offer(toEvent.apply(result));
           } else {
             failingSubjects.add(subject);
             LOGGER.warn(
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/SoftwareVersionsReadTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/SoftwareVersionsReadTest.java
@@ -8,6 +8,7 @@
 import dev.agatepier.core.process.VersionPolicy;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.version.InstanceList;
+import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
 import java.util.List;
@@ -100,9 +101,10 @@
   }
 
   @Override
-  public CompletableFuture<Optional<InstanceList>> instances(long afterVersion, int waitSeconds) {
-    return CompletableFuture.completedFuture(
-        Optional.of(new InstanceList(++version, List.of(), List.of())));
+  public CompletableFuture<InstanceListRead> instances(
+      long afterVersion, int waitSeconds, ReadTimestamp calledAt) {
+    InstanceList list = new InstanceList(++version, List.of(), List.of());
+    return CompletableFuture.completedFuture(new InstanceListRead(Optional.of(list), calledAt));
   }
 
   @Override
