--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -70,8 +71,14 @@
       case VersionEvent.PageReceived page -> table.onPageReceived(page, nowNanos);
       case VersionEvent.ManifestRead read ->
           table.onManifestRead(read, isPlatformReader(nowNanos), nowNanos);
-      case VersionEvent.InstancesRead(InstanceList list, double jitter, ReadTimestamp _) -> {
+      case VersionEvent.InstancesRead(
+              InstanceList list,
+              double jitter,
+              ReadTimestamp startedAt) -> {
         acceptInstances(instances.onRead(list, jitter, nowNanos), PLATFORM, nowNanos);
+        if (list.version() == instances().version()) {
+          confirmInstances(startedAt);
+        }
         table.reads().recordPlatformReachable(nowNanos);
       }
       case VersionEvent.PlatformUnchanged(PlatformSubject subject, ReadTimestamp startedAt) ->
@@ -79,8 +86,14 @@
       case VersionEvent.ReadFailed(PlatformSubject subject, double jitter) ->
           schedule(subject).recordFailure(jitter, nowNanos);
       case VersionEvent.UpstreamsWanted _ -> readUpstreamsIf(upstreamReads.request());
-      case VersionEvent.UpstreamsRead _, VersionEvent.UpstreamsReadFailed _ ->
-          readUpstreamsIf(upstreamReads.complete());
+      case VersionEvent.UpstreamsRead(List<Upstream> upstreams, ReadTimestamp startedAt) -> {
+        effects.add(new VersionEffect.ReportUpstreams(upstreams, startedAt));
+        readUpstreamsIf(upstreamReads.complete());
+      }
+      case VersionEvent.UpstreamsReadFailed _ -> {
+        effects.add(new VersionEffect.ReportUpstreamsUnknown());
+        readUpstreamsIf(upstreamReads.complete());
+      }
       case VersionEvent.TablePrepared(ManifestTransfer manifest, Table prepared) ->
           table.onTablePrepared(manifest, prepared);
       case VersionEvent.TableRefused refused -> table.onTableRefused(refused);
@@ -146,6 +159,8 @@
       PlatformSubject subject, ReadTimestamp startedAt, long nowNanos) {
     if (subject == PlatformSubject.TABLE) {
       table.onPlatformUnchanged(startedAt);
+    } else {
+      confirmInstances(startedAt);
     }
     schedule(subject).recordSuccess(nowNanos);
     schedule(subject).resetBackoff();
@@ -161,6 +176,12 @@
         });
   }
 
+  private void confirmInstances(ReadTimestamp readStarted) {
+    if (readStarted.isKnown()) {
+      effects.add(new VersionEffect.ConfirmInstances(readStarted));
+    }
+  }
+
   private void onTick(double jitter, long nowNanos) {
     table.onTick(jitter, nowNanos);
     boolean platformReader = isPlatformReader(nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -85,13 +85,16 @@
     VersionDecision node = fleet.nodes.get("router-0");
     VersionEvent wanted = new VersionEvent.UpstreamsWanted();
     VersionEvent read = new VersionEvent.UpstreamsRead(List.of(), ReadTimestamp.UNTIMED);
-    List<VersionEffect> reads = List.of(new VersionEffect.ReadUpstreams());
-    assertEquals(node.decide(wanted, 0), reads);
+    VersionEffect start = new VersionEffect.ReadUpstreams();
+    VersionEffect report = new VersionEffect.ReportUpstreams(List.of(), ReadTimestamp.UNTIMED);
+    VersionEffect unknown = new VersionEffect.ReportUpstreamsUnknown();
+    assertEquals(node.decide(wanted, 0), List.of(start));
     assertEquals(node.decide(wanted, 0), List.of());
     assertEquals(node.decide(wanted, 0), List.of());
-    assertEquals(node.decide(read, 0), reads);
-    assertEquals(node.decide(new VersionEvent.UpstreamsReadFailed(), 0), List.of());
-    assertEquals(node.decide(wanted, 0), reads);
+    assertEquals(node.decide(read, 0), List.of(report, start));
+    VersionEvent failed = new VersionEvent.UpstreamsReadFailed();
+    assertEquals(node.decide(failed, 0), List.of(unknown));
+    assertEquals(node.decide(wanted, 0), List.of(start));
   }
 
   @Test
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionFleet.java
@@ -201,9 +201,12 @@
       case VersionEffect.ReportRefusal refusal -> refusals.add(refusal.version());
       case VersionEffect.PublishTable ignored -> {}
       case VersionEffect.ReadUpstreams ignored -> {}
+      case VersionEffect.ReportUpstreams ignored -> {}
+      case VersionEffect.ReportUpstreamsUnknown ignored -> {}
       case VersionEffect.ReportEvacuation ignored -> {}
       case VersionEffect.ConfirmTable(ReadTimestamp started) -> confirmed.put(name, started);
       case VersionEffect.PublishInstances ignored -> {}
+      case VersionEffect.ConfirmInstances ignored -> {}
     }
   }
 
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/UpstreamsReadTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/UpstreamsReadTest.java
@@ -88,7 +88,8 @@
   }
 
   @Override
-  public CompletableFuture<Optional<InstanceList>> instances(long afterVersion, int waitSeconds) {
+  public CompletableFuture<InstanceListRead> instances(
+      long afterVersion, int waitSeconds, ReadTimestamp calledAt) {
     return new CompletableFuture<>();
   }
 
