Confirm an instance list only by a read of the same entries

Cause: a read confirmed the active list if both had one version. Two routers that replace the list of a third one give theirs the same next version, and a list of a peer can become active between a read and its handling. The read list then had no effect and confirmed the peer's, which may lack a software version that was read. Callers would see a stream resumed at the only version of that list. Change: the decision compares the entries. Where they are the same, the versions may differ. Measured: readOfOtherUpstreamsDoesNotConfirmListOfTheSameVersion failed before, with a confirmation; it passes, as do the tests of the version decision and of the store.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -73,7 +73,7 @@
               double jitter,
               ReadTimestamp startedAt) -> {
         acceptInstances(instances.onRead(list, jitter, nowNanos), PLATFORM, nowNanos);
-        if (list.version() == instances().version()) {
+        if (list.hasSameEntries(instances())) {
           confirmInstances(startedAt);
         }
         table.reads().recordPlatformReachable(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/version/InstanceList.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/version/InstanceList.java
@@ -47,6 +47,14 @@
     return evacuated.contains(upstream.dataCentre());
   }
 
+  /**
+   * Returns whether another list has the same instances and upstreams. Lists of one version may
+   * have different ones: a router that replaces a peer's list gives its own the next version.
+   */
+  public boolean hasSameEntries(InstanceList other) {
+    return instances.equals(other.instances) && upstreams.equals(other.upstreams);
+  }
+
   /** Returns this list with the evacuated data centres of another one, if that knows newer ones. */
   public InstanceList withNewerEvacuations(InstanceList other) {
     return other.evacuatedRevision <= evacuatedRevision
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -9,6 +9,7 @@
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -79,6 +80,37 @@
     assertEquals(node.table().version(), 5);
   }
 
+  /**
+   * Guards against a list that is confirmed by a read of other upstreams: two routers that replace
+   * the list of a third one may give different lists the same version.
+   */
+  @Test
+  public void readOfOtherUpstreamsDoesNotConfirmListOfTheSameVersion() {
+    VersionDecision node = new VersionDecision("router-x", "kolkata-a", POLICY);
+    InstanceList active = new InstanceList(7, List.of(), List.of(upstream("v1")));
+    InstanceList other = new InstanceList(7, List.of(), List.of(upstream("v1"), upstream("v2")));
+    ReadTimestamp started = new ReadTimestamp(1, 1);
+    node.decide(new VersionEvent.InstancesRead(active, 0.5, started), 0);
+    assertEquals(node.decide(new VersionEvent.InstancesRead(other, 0.5, started), 0), List.of());
+    assertEquals(
+        node.decide(new VersionEvent.InstancesRead(active, 0.5, started), 0),
+        List.of(new VersionEffect.ConfirmInstances(started)));
+  }
+
+  /** Guards against confirmations without a read, and against readers that never confirm. */
+  @Test
+  public void listIsConfirmedOnlyByReadsWithKnownTime() {
+    VersionDecision node = new VersionDecision("router-x", "kolkata-a", POLICY);
+    InstanceList list = new InstanceList(7, List.of(), List.of(upstream("v1")));
+    ReadTimestamp started = new ReadTimestamp(1, 1);
+    assertEquals(
+        node.decide(new VersionEvent.InstancesRead(list, 0.5), 0),
+        List.of(new VersionEffect.PublishInstances(list)));
+    assertEquals(node.decide(unchanged(ReadTimestamp.UNTIMED), 0), List.of());
+    assertEquals(
+        node.decide(unchanged(started), 0), List.of(new VersionEffect.ConfirmInstances(started)));
+  }
+
   @Test
   public void peersForwardTheTimeOfTheLastConfirmation() {
     VersionFleet leasedFleet = startFleetWithLeases();
@@ -226,4 +258,13 @@
     long bound = NODES * 2L * (60_000 / longestPause + 1);
     assertTrue(cold.reads - before <= bound, cold.reads - before + " reads over " + bound);
   }
+
+  private static VersionEvent unchanged(ReadTimestamp started) {
+    return new VersionEvent.PlatformUnchanged(PlatformSubject.INSTANCES, started);
+  }
+
+  private static Upstream upstream(String softwareVersion) {
+    return new Upstream(
+        "on-" + softwareVersion, 1, "s", "127.0.0.1", 1, "d", 4, false, false, softwareVersion);
+  }
 }
