Do not take a late reply of a router for a failed read of the platform

Callers: a resumed stream whose search waited for a read of the platform was moved on as soon as a router replied after the 300 ms for replies, and could be rejected although the read would have succeeded. Cause: a call that waits for the platform awaits no routers in that stage, and an empty set counted as all replies. Each such reply also made three other routers read the platform, and each read is priced. Change: a reply of a router does not end the wait for the platform; the read or its timeout does. Measured: lateReplyOfRouterDoesNotCountAsFailedRead failed before (one SoftwareVersionsRequest where there must be none); it, StreamOriginRouterTest, RouterOutOfStepTest and ResumedStreamsTest pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
@@ -198,9 +198,12 @@
 
   private void decideIfAllReplied(HeldResumption resumption, long nowNanos) {
     boolean allReplied =
-        resumption.stage == Stage.ROUTERS
-            ? resumption.awaited.isEmpty()
-            : resumption.awaitedInStage.isEmpty();
+        switch (resumption.stage) {
+          case ROUTERS -> resumption.awaited.isEmpty();
+          // The read of the platform is still awaited.
+          case PLATFORM -> false;
+          case PLATFORM_BY_ROUTERS, CACHES -> resumption.awaitedInStage.isEmpty();
+        };
     if (allReplied) {
       decide(resumption, nowNanos);
     }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -154,6 +154,21 @@
     assertTrue(router.effects.stream().anyMatch(ResumptionDecided.class::isInstance));
   }
 
+  /** Each such request makes three routers read the platform, and may end the call early. */
+  @Test
+  public void lateReplyOfRouterDoesNotCountAsFailedRead() {
+    DirectRouterFixture router = withCompleteHistory();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    resume(router);
+    router.advance(301);
+    final long number = router.sent(OriginRequest.class).getLast().number();
+    OriginReply late = new OriginReply(number, false, "", true, List.of("v1"));
+    router.dispatch(new RouterEvent.MessageReceived(identity("r2", "a1"), late));
+    assertEquals(router.sent(SoftwareVersionsRequest.class), List.of());
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD), router.now));
+    assertTrue(router.effects.stream().anyMatch(ResumptionDecided.class::isInstance));
+  }
+
   /** A reply that rests on an older read would be no better than the list of the one who asks. */
   @Test
   public void routerReadsThePlatformBeforeItReplies() {
