Do not decide by the only software version while no router replies

Callers: at a router that was cut off from all others, or had lost its links while it stood still, a stream went on at another version with status 200, although the router had read the platform after the call. Cause: a read names what is registered now. It names neither a version that joined and left since the last list, nor a process of another version that runs behind an old entry. Other routers know both, and the silence of all of them counted as if they knew nothing. Change: the decision also needs one router that replied, to the question for the origin or to that for a read of the platform, unless the router has had no other one in the lifetime of the stream. Otherwise the origin caches are asked, and the call is rejected as not run if they do not know. Without origin caches, a router that is cut off from all others resumes only streams that it knows itself. Measured: three tests failed before: a stream of v2, v2, v2, v2 went on with v1 at a router without replies, one of uncertain version went on from event 5 to 10, and a read alone decided after the links were lost.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
@@ -54,6 +54,9 @@
 
   private long lastNumber = Long.MIN_VALUE;
 
+  private boolean routerLost;
+  private long routerLostNanos;
+
   OriginSearch(
       RouterState state,
       Admission admission,
@@ -134,6 +137,8 @@
 
   /** Stops waiting for the replies of a router whose link was lost. */
   void onPeerDisconnected(PeerIdentity peer, long nowNanos) {
+    routerLost = true;
+    routerLostNanos = nowNanos;
     for (HeldResumption resumption : List.copyOf(held.values())) {
       boolean awaited = resumption.awaited.remove(peer.instance());
       if (awaited && resumption.stage == Stage.ROUTERS
@@ -161,7 +166,8 @@
   void onUpstreamsRead(List<Upstream> upstreams, long nowNanos) {
     for (HeldResumption resumption : List.copyOf(held.values())) {
       boolean waits =
-          resumption.stage == Stage.PLATFORM || resumption.stage == Stage.PLATFORM_BY_ROUTERS;
+          resumption.stage == Stage.PLATFORM
+              || resumption.stage == Stage.PLATFORM_BY_ROUTERS && isInTouch(resumption, nowNanos);
       if (waits && recentVersions.wereUpstreamsReadAfter(resumption.heldSinceNanos)) {
         resumption.setReadUpstreams(upstreams);
         decide(resumption, nowNanos);
@@ -213,15 +219,17 @@
    * Decides on a call whose origin no router knows: the stream is resumed if its service has had
    * only one software version from the time at which the stream can have begun until the call
    * arrived. Lists and replies may be older than the stream, so that only a read of the platform
-   * that started after the call arrived shows this. What is needed for the decision and missing is
-   * asked for; without it the call is rejected.
+   * that started after the call arrived shows this. The read does not name a version that has left
+   * again, nor one that runs behind an old entry, so that another router must have replied, too.
+   * What is needed for the decision and missing is asked for; without it the call is rejected.
    */
   private void decide(HeldResumption resumption, long nowNanos) {
     SortedSet<String> versions = possibleVersions(resumption, nowNanos);
     boolean onlyVersion = versions.size() == 1;
     boolean unknownVersion = onlyVersion && versions.first().isEmpty();
     boolean onlyVersionSoFar = onlyVersion && isComplete(resumption, nowNanos);
-    if (unknownVersion || onlyVersionSoFar && wasPlatformReadSince(resumption)) {
+    boolean shown = wasPlatformReadSince(resumption) && isInTouch(resumption, nowNanos);
+    if (unknownVersion || onlyVersionSoFar && shown) {
       resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
     } else if (!(onlyVersionSoFar && awaitPlatform(resumption, nowNanos))
         && !askCaches(resumption, nowNanos)) {
@@ -229,13 +237,24 @@
     }
   }
 
+  /**
+   * Returns whether another router has replied, or there has been none in the stream's lifetime.
+   */
+  private boolean isInTouch(HeldResumption resumption, long nowNanos) {
+    boolean lostRecently =
+        routerLost && nowNanos - routerLostNanos <= lifetimes.nanos(resumption.call);
+    return resumption.routersReplied > 0
+        || resumption.readByRouter
+        || resumption.routersAsked == 0 && !lostRecently;
+  }
+
   private boolean wasPlatformReadSince(HeldResumption resumption) {
     return resumption.readByRouter
         || recentVersions.wereUpstreamsReadAfter(resumption.heldSinceNanos);
   }
 
   /**
-   * Reads the platform; if that has failed, asks other routers to read it, once.
+   * Reads the platform; if that is not enough, asks other routers to read it, once.
    *
    * @return whether a read is awaited
    */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/RouterOutOfStepTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/RouterOutOfStepTest.java
@@ -80,4 +80,54 @@
       assertTrue(2 * continued >= STREAMS, continued + " of " + STREAMS + " continued");
     }
   }
+
+  /**
+   * A version joins and leaves again while one router is cut off, whose links are lost for longer:
+   * neither its lists nor its read of the platform have ever named that version.
+   */
+  @Test
+  public void noStreamOfVersionThatHasLeftAgainGoesOnAtAnother() {
+    ResumingFleet fleet = new ResumingFleet(1, ROUTERS);
+    fleet.useOriginCaches();
+    fleet.advance(3 * ResumingFleet.TIMEOUT_MILLIS);
+    Node outOfStep = fleet.nodes.get(1);
+    Cut.ALL.applied.accept(outOfStep);
+    fleet.publish("v1", "v2");
+    Node ending = fleet.nodes.get(0);
+    List<Stream> streams = new ArrayList<>();
+    for (int index = 0; index < STREAMS; index++) {
+      streams.add(fleet.open(ending));
+    }
+    fleet.advance(SOME_EVENTS_MILLIS);
+    outOfStep.behind = false;
+    fleet.publish("v1");
+    fleet.end(ending);
+    streams.forEach(stream -> fleet.call(stream, outOfStep));
+    fleet.advance(WHOLE_STREAM_MILLIS);
+    streams.forEach(
+        stream -> assertEquals(stream.distinctVersions().size(), 1, stream.versions.toString()));
+  }
+
+  /**
+   * An upstream has started again with another version before its entry says so. The routers that
+   * know that its streams are uncertain do not reply.
+   */
+  @Test
+  public void noStreamOfUncertainVersionGoesOnAtTheListedOne() {
+    ResumingFleet fleet = new ResumingFleet(1, ROUTERS);
+    fleet.useOriginCaches();
+    fleet.advance(3 * ResumingFleet.TIMEOUT_MILLIS);
+    Node outOfStep = fleet.nodes.get(1);
+    Cut.ROUTERS.applied.accept(outOfStep);
+    fleet.uncertain = true;
+    Node ending = fleet.nodes.get(0);
+    Stream stream = fleet.open(ending);
+    fleet.advance(SOME_EVENTS_MILLIS);
+    fleet.uncertain = false;
+    fleet.end(ending);
+    final int received = stream.versions.size();
+    fleet.call(stream, outOfStep);
+    fleet.advance(WHOLE_STREAM_MILLIS);
+    assertEquals(stream.versions.size(), received);
+  }
 }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -154,6 +154,18 @@
     assertTrue(router.effects.stream().anyMatch(ResumptionDecided.class::isInstance));
   }
 
+  /** A router that stood still has lost its links, and asks nobody. */
+  @Test
+  public void readAloneDoesNotShowTheOnlyVersionAfterAllLinksWereLost() {
+    DirectRouterFixture router = withCompleteHistory();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    router.dispatch(new RouterEvent.PeerDisconnected(identity("r2", "a1")));
+    resume(router);
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD), router.now));
+    assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
+    assertTrue(router.effects.stream().anyMatch(SendToOriginCache.class::isInstance));
+  }
+
   /** Each such request makes three routers read the platform, and may end the call early. */
   @Test
   public void lateReplyOfRouterDoesNotCountAsFailedRead() {
