--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -210,13 +210,15 @@
    * @param source how the software version was found
    * @param softwareVersion the software version; empty if it was not found
    * @param heldNanos time for which the call was held until then
+   * @param evidence what the decision rests on if the origin itself was not found
    */
   record ResumptionDecided(
       RequestId request,
       String resumedLabel,
       OriginSource source,
       String softwareVersion,
-      long heldNanos)
+      long heldNanos,
+      ResumptionEvidence evidence)
       implements RouterEffect {}
 
   /**
@@ -250,6 +252,13 @@
    */
   record SendToOriginCache(String address, StreamMessage message) implements RouterEffect {}
 
+  /**
+   * Read from the platform which upstreams are registered now. Results in {@link
+   * RouterEvent.UpstreamsRead} or {@link RouterEvent.UpstreamsReadFailed}; several of these effects
+   * may have one result.
+   */
+  record ReadUpstreams() implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.connection.VersionMessage;
 import dev.agatepier.core.connection.VersionMessage.ManifestTransfer;
+import dev.agatepier.core.process.internal.CoalescedRead;
 import dev.agatepier.core.process.internal.EvacuationReport;
 import dev.agatepier.core.process.internal.InstanceFollower;
 import dev.agatepier.core.process.internal.PlatformReaders;
@@ -12,6 +13,7 @@
 import dev.agatepier.core.version.InstanceList;
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.Table;
+import dev.agatepier.core.version.Upstream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -31,6 +33,7 @@
   private final List<VersionEffect> effects = new ArrayList<>();
   private final TableFollower table;
   private final EvacuationReport evacuations = new EvacuationReport();
+  private final CoalescedRead upstreamReads = new CoalescedRead();
 
   /**
    * Creates the decision of a process that has neither table nor instance list.
@@ -68,14 +71,29 @@
       case VersionEvent.PageReceived page -> table.onPageReceived(page, nowNanos);
       case VersionEvent.ManifestRead read ->
           table.onManifestRead(read, isPlatformReader(nowNanos), nowNanos);
-      case VersionEvent.InstancesRead(InstanceList list, double jitter, ReadTimestamp _) -> {
+      case VersionEvent.InstancesRead(
+              InstanceList list,
+              double jitter,
+              ReadTimestamp startedAt) -> {
         acceptInstances(instances.onRead(list, jitter, nowNanos), PLATFORM, nowNanos);
+        if (list.hasSameEntries(instances())) {
+          confirmInstances(startedAt);
+        }
         table.reads().recordPlatformReachable(nowNanos);
       }
       case VersionEvent.PlatformUnchanged(PlatformSubject subject, ReadTimestamp startedAt) ->
           onPlatformUnchanged(subject, startedAt, nowNanos);
       case VersionEvent.ReadFailed(PlatformSubject subject, double jitter) ->
           schedule(subject).recordFailure(jitter, nowNanos);
+      case VersionEvent.UpstreamsWanted _ -> readUpstreamsIf(upstreamReads.request());
+      case VersionEvent.UpstreamsRead(List<Upstream> upstreams, ReadTimestamp startedAt) -> {
+        effects.add(new VersionEffect.ReportUpstreams(upstreams, startedAt));
+        readUpstreamsIf(upstreamReads.complete());
+      }
+      case VersionEvent.UpstreamsReadFailed _ -> {
+        effects.add(new VersionEffect.ReportUpstreamsUnknown());
+        readUpstreamsIf(upstreamReads.complete());
+      }
       case VersionEvent.TablePrepared(ManifestTransfer manifest, Table prepared) ->
           table.onTablePrepared(manifest, prepared);
       case VersionEvent.TableRefused refused -> table.onTableRefused(refused);
@@ -90,6 +108,12 @@
     return result;
   }
 
+  private void readUpstreamsIf(boolean start) {
+    if (start) {
+      effects.add(new VersionEffect.ReadUpstreams());
+    }
+  }
+
   private void onMessage(VersionEvent.MessageReceived received, long nowNanos) {
     String sender = received.peer().instance();
     switch (received.message()) {
@@ -135,6 +159,8 @@
       PlatformSubject subject, ReadTimestamp startedAt, long nowNanos) {
     if (subject == PlatformSubject.TABLE) {
       table.onPlatformUnchanged(startedAt);
+    } else {
+      confirmInstances(startedAt);
     }
     schedule(subject).recordSuccess(nowNanos);
     schedule(subject).resetBackoff();
@@ -150,6 +176,12 @@
         });
   }
 
+  private void confirmInstances(ReadTimestamp readStarted) {
+    if (readStarted.isKnown()) {
+      effects.add(new VersionEffect.ConfirmInstances(readStarted));
+    }
+  }
+
   private void onTick(double jitter, long nowNanos) {
     table.onTick(jitter, nowNanos);
     boolean platformReader = isPlatformReader(nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -4,30 +4,20 @@
 import dev.agatepier.core.connection.StreamMessage;
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsRequest;
 import dev.agatepier.core.connection.StreamMessage.StreamBegan;
-import dev.agatepier.core.process.OriginSource;
-import dev.agatepier.core.process.RouterEffect.ResumptionDecided;
 import dev.agatepier.core.process.RouterEffect.SendToOriginCache;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
-import dev.agatepier.core.process.internal.Admission.Refusal;
-import dev.agatepier.core.request.CallPlan;
-import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.StreamKey;
 import dev.agatepier.core.version.InstanceList;
-import dev.agatepier.core.version.Route;
-import dev.agatepier.core.version.ServiceEntry;
 import dev.agatepier.core.version.SoftwareVersionHistory;
 import dev.agatepier.core.version.Table;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.SortedSet;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
 
 /**
  * Binds calls that resume a stream to the software version that began it, since upstreams of
@@ -40,49 +30,26 @@
  */
 public final class StreamResumptions {
 
-  /** Time for which replies of other routers are awaited: several round trips between regions. */
-  static final long REPLY_TIMEOUT_NANOS = 300_000_000;
-
-  /** Time after which origin caches that have not replied are asked again: datagrams get lost. */
-  private static final long REPEAT_NANOS = 100_000_000;
-
-  /** A caller can resume a stream after one attempt and again after a second one. */
-  private static final int ATTEMPTS_OF_STREAM = 2;
-
-  /** Time until the origin of a stream is dropped after the stream must have ended. */
-  private static final long RETENTION_MARGIN_NANOS = 5_000_000_000L;
-
-  /** Maximum number of origin caches that are asked for one call. */
-  private static final int MAXIMUM_CACHES = 1_024;
-
-  private static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
-
-  /** Number of software versions in a reply: a second one already proves that there are several. */
-  private static final int REPORTED_VERSIONS = 2;
-
   private final RouterState state;
   private final Admission admission;
-  private final StreamOrigins origins = new StreamOrigins();
+  private final OriginRecords records;
   private final RecentSoftwareVersions recentVersions = new RecentSoftwareVersions();
-
-  /** Held calls by the number of the request to other routers, in the order of their arrival. */
-  private final Map<Long, HeldResumption> held = new LinkedHashMap<>();
-
-  /** Longest timeout that each route has had, since streams may have begun under that one. */
-  private final Map<String, Long> longestTimeoutMillis = new HashMap<>();
-
-  private long longestServiceTimeoutMillis = DEFAULT_TIMEOUT_MILLIS;
-  private long lastNumber = Long.MIN_VALUE;
+  private final StreamLifetimes lifetimes = new StreamLifetimes();
+  private final SoftwareVersionReplies replies;
+  private final OriginSearch search;
 
   /** Creates the resumptions of a router that knows no stream. */
   public StreamResumptions(RouterState state, Admission admission) {
     this.state = state;
     this.admission = admission;
+    records = new OriginRecords(state);
+    replies = new SoftwareVersionReplies(state, recentVersions);
+    search = new OriginSearch(state, admission, records, recentVersions, lifetimes);
   }
 
   /** Returns whether no call is held. */
   public boolean isEmpty() {
-    return held.isEmpty();
+    return search.isEmpty();
   }
 
   /** Admits a call; one that resumes a stream is first held until the origin is known. */
@@ -92,22 +59,7 @@
       admission.admit(call, nowNanos);
       return;
     }
-    StreamKey key = key(call, call.labels().resumed().orElse(""));
-    List<String> asked = OriginRouters.select(key, state.routers.values(), OriginRouters.ASKED);
-    HeldResumption resumption =
-        new HeldResumption(
-            call, key, nextNumber(nowNanos), nowNanos, replyTimeout(call, nowNanos), asked);
-    Optional<String> known = origins.find(key);
-    if (known.isPresent()) {
-      resume(resumption, OriginSource.LOCAL, known.get(), nowNanos);
-    } else if (asked.isEmpty()) {
-      decideWithoutOrigin(resumption, nowNanos);
-    } else {
-      held.put(resumption.number, resumption);
-      OriginRequest request =
-          new OriginRequest(resumption.number, key, call.service(), lifetimeMillis(call));
-      asked.forEach(router -> state.outbox.send(router, request));
-    }
+    search.start(call, key(call, call.labels().resumed().orElse("")), nowNanos);
   }
 
   /**
@@ -121,7 +73,7 @@
         && !call.labels().own().isEmpty()
         && !request.softwareVersion.isEmpty()) {
       StreamKey key = key(call, call.labels().own());
-      record(key, request.softwareVersion, nowNanos);
+      records.record(key, request.softwareVersion, nowNanos);
       if (state.policy.originCachePort() > 0 && request.target instanceof DirectUpstream target) {
         StreamBegan began = new StreamBegan(key, request.softwareVersion);
         state.outbox.add(new SendToOriginCache(target.upstream().address(), began));
@@ -131,50 +83,28 @@
 
   /** Handles the reply of an origin cache. */
   public void onCacheReply(String address, OriginReply reply, long nowNanos) {
-    HeldResumption resumption = held.get(reply.number());
-    if (resumption == null
-        || resumption.awaitedCaches == null
-        || !resumption.awaitedCaches.remove(address)) {
-      return;
-    }
-    if (reply.known()) {
-      resume(resumption, OriginSource.CACHE, reply.softwareVersion(), nowNanos);
-    } else if (resumption.awaitedCaches.isEmpty()) {
-      decideWithoutOrigin(resumption, nowNanos);
-    }
+    search.onCacheReply(address, reply, nowNanos);
   }
 
   /** Handles a message of another router. */
   public void onMessage(PeerIdentity peer, StreamMessage message, long nowNanos) {
     switch (message) {
-      case StreamBegan(StreamKey key, String softwareVersion) ->
-          origins.record(key, softwareVersion, nowNanos);
+      case StreamBegan began -> records.onStreamBegan(began, nowNanos);
       case OriginRequest request -> state.outbox.send(peer.instance(), reply(request, nowNanos));
-      case OriginReply reply -> onReply(peer.instance(), reply, nowNanos);
+      case OriginReply reply -> search.onReply(peer.instance(), reply, nowNanos);
+      case SoftwareVersionsRequest request -> replies.onRequest(peer.instance(), request, nowNanos);
+      case SoftwareVersionsReply reply -> search.onReply(peer.instance(), reply, nowNanos);
     }
   }
 
   /** Stops waiting for the replies of a router whose link was lost. */
   public void onPeerDisconnected(PeerIdentity peer, long nowNanos) {
-    for (HeldResumption resumption : List.copyOf(held.values())) {
-      if (resumption.awaited.remove(peer.instance())) {
-        decideIfAllReplied(resumption, nowNanos);
-      }
-    }
+    search.onPeerDisconnected(peer, nowNanos);
   }
 
   /** Ends a held call whose caller has disconnected; returns whether there was one. */
   public boolean onCallerDisconnected(RequestId request) {
-    Optional<HeldResumption> found =
-        held.values().stream()
-            .filter(resumption -> resumption.call.request().equals(request))
-            .findFirst();
-    found.ifPresent(
-        resumption -> {
-          held.remove(resumption.number);
-          admission.refuse(resumption.call, new Refusal(Reason.CALLER_GONE, 0));
-        });
-    return found.isPresent();
+    return search.onCallerDisconnected(request);
   }
 
   /** Handles a list of upstreams, by which the origins of running streams may turn uncertain. */
@@ -196,188 +126,43 @@
     recentVersions.addHistory(history);
   }
 
+  /** Handles the upstreams that the platform had when a read started. */
+  public void onUpstreamsRead(List<Upstream> upstreams, long startedNanos, long nowNanos) {
+    recentVersions.onUpstreamsRead(upstreams, startedNanos);
+    replies.onUpstreamsRead(nowNanos);
+    search.onUpstreamsRead(upstreams, nowNanos);
+  }
+
+  /** Handles that the platform could not be read. */
+  public void onUpstreamsReadFailed(long nowNanos) {
+    replies.onUpstreamsReadFailed(nowNanos);
+    search.onUpstreamsReadFailed(nowNanos);
+  }
+
   /** Derives from a table how long ago streams can have begun. */
   public void onTableActivated(Table table) {
-    List<CallPlan> plans = table.routes().routes().stream().map(Route::plan).toList();
-    longestTimeoutMillis.keySet().retainAll(plans.stream().map(CallPlan::route).toList());
-    plans.forEach(
-        plan -> longestTimeoutMillis.merge(plan.route(), plan.timeoutMillis(), Math::max));
-    longestServiceTimeoutMillis =
-        table.services().values().stream().mapToLong(ServiceEntry::deadlineMillis).max().orElse(0);
+    lifetimes.onTableActivated(table);
   }
 
-  /**
-   * Decides on the calls that have been held for the longest time allowed, and asks origin caches
-   * again that have not replied.
-   */
+  /** Handles the timers of held calls. */
   public void runDueTimers(long nowNanos) {
-    if (held.isEmpty()) {
-      return;
-    }
-    held.values().stream()
-        .filter(resumption -> resumption.timeoutNanos <= nowNanos)
-        .toList()
-        .forEach(resumption -> decideWithoutOrigin(resumption, nowNanos));
-    held.values().stream()
-        .filter(resumption -> resumption.awaitedCaches != null)
-        .filter(resumption -> resumption.repeatNanos <= nowNanos)
-        .forEach(resumption -> sendToAwaitedCaches(resumption, nowNanos));
+    search.runDueTimers(nowNanos);
   }
 
   /** Drops the origins of streams that must have ended. */
   public void expire(long nowNanos) {
-    long longestMillis =
-        LongStream.concat(
-                LongStream.of(longestServiceTimeoutMillis),
-                longestTimeoutMillis.values().stream().mapToLong(Long::longValue))
-            .max()
-            .orElse(0);
-    long lifetimeNanos = ATTEMPTS_OF_STREAM * longestMillis * RouterState.NANOS_PER_MILLI;
-    origins.expire(lifetimeNanos + RETENTION_MARGIN_NANOS, nowNanos);
+    records.expire(lifetimes.longestNanos(), nowNanos);
   }
 
   private OriginReply reply(OriginRequest request, long nowNanos) {
-    Optional<String> known = origins.find(request.key());
+    Optional<String> known = records.find(request.key());
     long lifetimeNanos = TimeUnit.MILLISECONDS.toNanos(request.lifetimeMillis());
     return new OriginReply(
         request.number(),
         known.isPresent(),
         known.orElse(""),
         recentVersions.isComplete(lifetimeNanos, nowNanos),
-        recentVersions.within(request.service(), lifetimeNanos, nowNanos).stream()
-            .limit(REPORTED_VERSIONS)
-            .toList());
-  }
-
-  private void onReply(String router, OriginReply reply, long nowNanos) {
-    HeldResumption resumption = held.get(reply.number());
-    if (resumption == null || !resumption.awaited.contains(router)) {
-      return;
-    }
-    if (reply.known()) {
-      resume(resumption, OriginSource.PEER, reply.softwareVersion(), nowNanos);
-    } else {
-      resumption.addReply(router, reply);
-      decideIfAllReplied(resumption, nowNanos);
-    }
-  }
-
-  private void decideIfAllReplied(HeldResumption resumption, long nowNanos) {
-    if (resumption.awaited.isEmpty() && resumption.awaitedCaches == null) {
-      decideWithoutOrigin(resumption, nowNanos);
-    }
-  }
-
-  /**
-   * Resumes a stream whose origin nobody knows if its service has had only one software version for
-   * as long as the stream can exist. Another version that any reply names rules that out.
-   */
-  private void decideWithoutOrigin(HeldResumption resumption, long nowNanos) {
-    CallArrived call = resumption.call;
-    long lifetimeNanos = lifetimeMillis(call) * RouterState.NANOS_PER_MILLI;
-    SortedSet<String> versions = new TreeSet<>(resumption.recentVersions);
-    versions.addAll(recentVersions.within(call.service(), lifetimeNanos, nowNanos));
-    boolean complete = resumption.complete || recentVersions.isComplete(lifetimeNanos, nowNanos);
-    boolean onlyVersion = versions.size() == 1;
-    if (onlyVersion && (complete || versions.first().isEmpty())) {
-      resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
-    } else if (!askCaches(resumption, nowNanos)) {
-      reject(resumption, nowNanos);
-    }
-  }
-
-  /**
-   * Asks the origin caches beside all upstreams of the service, once.
-   *
-   * @return whether replies are awaited
-   */
-  private boolean askCaches(HeldResumption resumption, long nowNanos) {
-    CallArrived call = resumption.call;
-    if (state.policy.originCachePort() == 0
-        || resumption.awaitedCaches != null
-        || call.labels().resumed().isEmpty()) {
-      return false;
-    }
-    List<String> addresses =
-        state.upstreams.addresses(call.service()).limit(MAXIMUM_CACHES).toList();
-    if (addresses.isEmpty()) {
-      return false;
-    }
-    resumption.awaitCaches(addresses, replyTimeout(call, nowNanos));
-    held.put(resumption.number, resumption);
-    sendToAwaitedCaches(resumption, nowNanos);
-    return true;
-  }
-
-  private void sendToAwaitedCaches(HeldResumption resumption, long nowNanos) {
-    resumption.repeatNanos = nowNanos + REPEAT_NANOS;
-    CallArrived call = resumption.call;
-    OriginRequest request =
-        new OriginRequest(resumption.number, resumption.key, call.service(), lifetimeMillis(call));
-    resumption.awaitedCaches.forEach(
-        address -> state.outbox.add(new SendToOriginCache(address, request)));
-  }
-
-  /** Returns a number greater than those of earlier processes, whose replies may still arrive. */
-  private long nextNumber(long nowNanos) {
-    lastNumber = Math.max(lastNumber + 1, nowNanos);
-    return lastNumber;
-  }
-
-  private static long replyTimeout(CallArrived call, long nowNanos) {
-    return Math.min(call.deadlineNanos(), nowNanos + REPLY_TIMEOUT_NANOS);
-  }
-
-  private void reject(HeldResumption resumption, long nowNanos) {
-    held.remove(resumption.number);
-    report(resumption, OriginSource.UNKNOWN, "", nowNanos);
-    admission.refuse(resumption.call, new Refusal(Reason.STREAM_ORIGIN_UNKNOWN, 0));
-  }
-
-  private void resume(
-      HeldResumption resumption, OriginSource source, String softwareVersion, long nowNanos) {
-    CallArrived call = resumption.call;
-    if (softwareVersion.equals(RoutedRequest.UNCERTAIN_VERSION)) {
-      reject(resumption, nowNanos);
-      return;
-    }
-    held.remove(resumption.number);
-    if (call.labels().resumed().isPresent() && !softwareVersion.isEmpty()) {
-      record(resumption.key, softwareVersion, nowNanos);
-    }
-    report(resumption, source, softwareVersion, nowNanos);
-    admission.admit(call, softwareVersion, nowNanos);
-  }
-
-  private void report(
-      HeldResumption resumption, OriginSource source, String softwareVersion, long nowNanos) {
-    state.outbox.add(
-        new ResumptionDecided(
-            resumption.call.request(),
-            resumption.call.labels().resumed().orElse(""),
-            source,
-            softwareVersion,
-            nowNanos - resumption.heldSinceNanos));
-  }
-
-  private void record(StreamKey key, String softwareVersion, long nowNanos) {
-    if (origins.record(key, softwareVersion, nowNanos)) {
-      StreamBegan began = new StreamBegan(key, softwareVersion);
-      OriginRouters.select(key, state.routers.values(), OriginRouters.HOLDERS)
-          .forEach(router -> state.outbox.send(router, began));
-    }
-  }
-
-  /** Returns how long before a call the stream that it resumes can have begun. */
-  private long lifetimeMillis(CallArrived call) {
-    long timeoutMillis =
-        call.plan()
-            .map(
-                plan ->
-                    Math.max(
-                        plan.timeoutMillis(), longestTimeoutMillis.getOrDefault(plan.route(), 0L)))
-            .orElse(DEFAULT_TIMEOUT_MILLIS);
-    return ATTEMPTS_OF_STREAM * timeoutMillis;
+        recentVersions.reported(request.service(), lifetimeNanos, nowNanos));
   }
 
   private static StreamKey key(CallArrived call, String label) {
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -140,6 +140,7 @@
           RouterEffect.ResumptionDecided _,
           RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -234,6 +234,7 @@
           RouterEffect.ResumptionDecided _,
           RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.RequestMetadata;
+import dev.agatepier.core.process.ResumptionEvidence;
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.SlotAllocatorEffect;
@@ -293,7 +294,18 @@
                 .with("resumedLabel", decided.resumedLabel())
                 .with("origin", decided.source().code())
                 .with("softwareVersion", decided.softwareVersion())
-                .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos())));
+                .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos()))
+                .with("routersAsked", decided.evidence().routersAsked())
+                .with("routersReplied", decided.evidence().routersReplied())
+                .with("softwareVersions", decided.evidence().softwareVersions())
+                .with("complete", decided.evidence().complete())
+                .with("listAgeMillis", listAgeMillis(decided.evidence())));
+  }
+
+  private static long listAgeMillis(ResumptionEvidence evidence) {
+    return evidence.listAgeNanos() < 0
+        ? -1
+        : TimeUnit.NANOSECONDS.toMillis(evidence.listAgeNanos());
   }
 
   /** Logs the numbers of the events on both sides of a seam of a stream. */
