Reject resumed calls whose deadline has passed without a search

Callers: none; they have left. Cause: after a standstill, or where replies are missing, a held call whose deadline had passed still went through all stages at the next events: a read of the platform, three requests to other routers to read it, and datagrams to up to 1,024 origin caches, each time with no time to wait. Change: such a call is rejected as not run. Measured: callWhoseDeadlineHasPassedIsNotSearchedFor failed before (a read of the platform after the deadline); it and 468 cases of routers, origins and software versions pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
@@ -231,8 +231,9 @@
     boolean shown = wasPlatformReadSince(resumption) && isInTouch(resumption, nowNanos);
     if (unknownVersion || onlyVersionSoFar && shown) {
       resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
-    } else if (!(onlyVersionSoFar && awaitPlatform(resumption, nowNanos))
-        && !askCaches(resumption, nowNanos)) {
+    } else if (nowNanos - resumption.call.deadlineNanos() >= 0
+        || !(onlyVersionSoFar && awaitPlatform(resumption, nowNanos))
+            && !askCaches(resumption, nowNanos)) {
       reject(resumption, nowNanos);
     }
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -166,6 +166,20 @@
     assertTrue(router.effects.stream().anyMatch(SendToOriginCache.class::isInstance));
   }
 
+  /** A router that stood still would read the platform and ask for calls that nobody awaits. */
+  @Test
+  public void callWhoseDeadlineHasPassedIsNotSearchedFor() {
+    DirectRouterFixture router = withCompleteHistory();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    resume(router);
+    router.advance(10_000);
+    router.advance(1);
+    router.advance(1);
+    assertTrue(router.effects.stream().noneMatch(RouterEffect.ReadUpstreams.class::isInstance));
+    assertTrue(router.effects.stream().noneMatch(SendToOriginCache.class::isInstance));
+    assertTrue(router.effects.stream().anyMatch(ResumptionDecided.class::isInstance));
+  }
+
   /** Each such request makes three routers read the platform, and may end the call early. */
   @Test
   public void lateReplyOfRouterDoesNotCountAsFailedRead() {
