Do not take the failure of an earlier read for that of a requested one

Callers: after an outage of the platform, a resumed stream could be rejected although the read that its router or another one had requested for it was about to succeed. Cause: a read that fails ended the wait of all calls, and replied to all routers, also of those that came after it had started and share the next read. Each such call made three other routers read the platform. Change: the report of a failed read carries the time at which it started, and ends only the waits that began before it. Measured: failureOfReadThatBeganBeforeTheRequestIsNotItsResult failed before (a SoftwareVersionsRequest where there must be none); it and 383 cases of streams, versions and confirmations pass.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -141,7 +141,8 @@
           resumptions.onSoftwareVersionsRead(read.history());
       case RouterEvent.UpstreamsRead(List<Upstream> read, long startedNanos) ->
           resumptions.onUpstreamsRead(read, startedNanos, nowNanos);
-      case RouterEvent.UpstreamsReadFailed _ -> resumptions.onUpstreamsReadFailed(nowNanos);
+      case RouterEvent.UpstreamsReadFailed(long startedNanos) ->
+          resumptions.onUpstreamsReadFailed(startedNanos, nowNanos);
       case RouterEvent.AllocatorMessageReceived(String router, SlotMessage message) ->
           slotReplies.onMessage(router, message, nowNanos);
       case RouterEvent.OriginCacheReplied(String address, OriginReply reply) ->
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -318,8 +318,12 @@
     }
   }
 
-  /** The upstreams could not be read from the platform. */
-  record UpstreamsReadFailed() implements RouterEvent {}
+  /**
+   * The upstreams could not be read from the platform.
+   *
+   * @param startedNanos start of the read, as a reading of the process's monotonic clock
+   */
+  record UpstreamsReadFailed(long startedNanos) implements RouterEvent {}
 
   /** The periodic timer has expired. */
   record Tick() implements RouterEvent {}
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -90,8 +90,8 @@
         effects.add(new VersionEffect.ReportUpstreams(upstreams, startedAt));
         readUpstreamsIf(upstreamReads.complete());
       }
-      case VersionEvent.UpstreamsReadFailed _ -> {
-        effects.add(new VersionEffect.ReportUpstreamsUnknown());
+      case VersionEvent.UpstreamsReadFailed(ReadTimestamp startedAt) -> {
+        effects.add(new VersionEffect.ReportUpstreamsUnknown(startedAt));
         readUpstreamsIf(upstreamReads.complete());
       }
       case VersionEvent.TablePrepared(ManifestTransfer manifest, Table prepared) ->
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
@@ -103,8 +103,12 @@
     }
   }
 
-  /** Report that the upstreams could not be read. */
-  record ReportUpstreamsUnknown() implements VersionEffect {}
+  /**
+   * Report that the upstreams could not be read.
+   *
+   * @param startedAt time at which the read started
+   */
+  record ReportUpstreamsUnknown(ReadTimestamp startedAt) implements VersionEffect {}
 
   /**
    * Report to operators that the evacuation of a data centre started or ended here.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEvent.java
@@ -110,8 +110,12 @@
     }
   }
 
-  /** The read for {@link UpstreamsWanted} failed. */
-  record UpstreamsReadFailed() implements VersionEvent {}
+  /**
+   * The read for {@link UpstreamsWanted} failed.
+   *
+   * @param startedAt time at which the read started
+   */
+  record UpstreamsReadFailed(ReadTimestamp startedAt) implements VersionEvent {}
 
   /**
    * The pages of a manifest form a valid table.
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
@@ -175,10 +175,13 @@
     }
   }
 
-  /** Decides on the calls for which the platform could not be read. */
-  void onUpstreamsReadFailed(long nowNanos) {
+  /**
+   * Decides on the calls for which the platform could not be read. Those that arrived after the
+   * read had started have requested the next one.
+   */
+  void onUpstreamsReadFailed(long startedNanos, long nowNanos) {
     for (HeldResumption resumption : List.copyOf(held.values())) {
-      if (resumption.stage == Stage.PLATFORM) {
+      if (resumption.stage == Stage.PLATFORM && startedNanos - resumption.heldSinceNanos >= 0) {
         decide(resumption, nowNanos);
       }
     }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SoftwareVersionReplies.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SoftwareVersionReplies.java
@@ -45,10 +45,11 @@
     }
   }
 
-  /** Replies to all requests that later versions may be missing. */
-  void onUpstreamsReadFailed(long nowNanos) {
-    waiting.forEach(next -> reply(next, false, nowNanos));
-    waiting.clear();
+  /** Replies to the requests that the failed read was for that later versions may be missing. */
+  void onUpstreamsReadFailed(long startedNanos, long nowNanos) {
+    while (!waiting.isEmpty() && startedNanos - waiting.peek().receivedNanos() >= 0) {
+      reply(waiting.remove(), false, nowNanos);
+    }
   }
 
   private void reply(Waiting to, boolean complete, long nowNanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -134,9 +134,9 @@
   }
 
   /** Handles that the platform could not be read. */
-  public void onUpstreamsReadFailed(long nowNanos) {
-    replies.onUpstreamsReadFailed(nowNanos);
-    search.onUpstreamsReadFailed(nowNanos);
+  public void onUpstreamsReadFailed(long startedNanos, long nowNanos) {
+    replies.onUpstreamsReadFailed(startedNanos, nowNanos);
+    search.onUpstreamsReadFailed(startedNanos, nowNanos);
   }
 
   /** Derives from a table how long ago streams can have begun. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -146,7 +146,7 @@
     router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
     resume(router);
     router.advance(301);
-    router.dispatch(new RouterEvent.UpstreamsReadFailed());
+    router.dispatch(new RouterEvent.UpstreamsReadFailed(router.now));
     final long number = router.sent(SoftwareVersionsRequest.class).getLast().number();
     assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
     SoftwareVersionsReply reply = new SoftwareVersionsReply(number, true, List.of("v1"));
@@ -211,6 +211,25 @@
         List.of(new SoftwareVersionsReply(7, true, List.of("v1", "v2"))));
   }
 
+  /** The next read has been requested and may succeed, as after an outage of the platform. */
+  @Test
+  public void failureOfReadThatBeganBeforeTheRequestIsNotItsResult() {
+    DirectRouterFixture router = withCompleteHistory();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    resume(router);
+    router.advance(301);
+    router.dispatch(
+        new RouterEvent.MessageReceived(
+            identity("r2", "a1"), new SoftwareVersionsRequest(7, OLD.service(), 20_000)));
+    router.dispatch(new RouterEvent.UpstreamsReadFailed(router.now - 1_000_000_000));
+    assertEquals(router.sent(SoftwareVersionsRequest.class), List.of());
+    assertEquals(router.sent(SoftwareVersionsReply.class), List.of());
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD), router.now));
+    assertEquals(
+        router.sent(SoftwareVersionsReply.class),
+        List.of(new SoftwareVersionsReply(7, true, List.of("v1"))));
+  }
+
   /** Returns a router that knows of all upstreams since the beginning, the old one. */
   private static DirectRouterFixture withCompleteHistory() {
     DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -87,12 +87,12 @@
     VersionEvent read = new VersionEvent.UpstreamsRead(List.of(), ReadTimestamp.UNTIMED);
     VersionEffect start = new VersionEffect.ReadUpstreams();
     VersionEffect report = new VersionEffect.ReportUpstreams(List.of(), ReadTimestamp.UNTIMED);
-    VersionEffect unknown = new VersionEffect.ReportUpstreamsUnknown();
+    VersionEffect unknown = new VersionEffect.ReportUpstreamsUnknown(ReadTimestamp.UNTIMED);
     assertEquals(node.decide(wanted, 0), List.of(start));
     assertEquals(node.decide(wanted, 0), List.of());
     assertEquals(node.decide(wanted, 0), List.of());
     assertEquals(node.decide(read, 0), List.of(report, start));
-    VersionEvent failed = new VersionEvent.UpstreamsReadFailed();
+    VersionEvent failed = new VersionEvent.UpstreamsReadFailed(ReadTimestamp.UNTIMED);
     assertEquals(node.decide(failed, 0), List.of(unknown));
     assertEquals(node.decide(wanted, 0), List.of(start));
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/FleetMember.java
@@ -323,8 +323,8 @@
     }
 
     @Override
-    public void onUpstreamsReadFailed() {
-      tasks.onUpstreamsReadFailed();
+    public void onUpstreamsReadFailed(ReadTimestamp readStarted) {
+      tasks.onUpstreamsReadFailed(readStarted);
     }
 
     @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/MemberTasks.java
@@ -41,7 +41,7 @@
   default void onUpstreamsRead(List<Upstream> upstreams, ReadTimestamp readStarted) {}
 
   /** Called when such a read has failed. */
-  default void onUpstreamsReadFailed() {}
+  default void onUpstreamsReadFailed(ReadTimestamp readStarted) {}
 
   /** Called when it was read which software versions upstreams had before the first list. */
   default void onSoftwareVersionsRead(SoftwareVersionHistory history) {}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -250,8 +250,8 @@
   }
 
   @Override
-  public void onUpstreamsReadFailed() {
-    requestTask.post(new RouterEvent.UpstreamsReadFailed());
+  public void onUpstreamsReadFailed(ReadTimestamp readStarted) {
+    requestTask.post(new RouterEvent.UpstreamsReadFailed(readStarted.nanos()));
   }
 
   @Override
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionListener.java
@@ -40,8 +40,12 @@
    */
   default void onUpstreamsRead(List<Upstream> upstreams, ReadTimestamp readStarted) {}
 
-  /** Called when such a read has failed. */
-  default void onUpstreamsReadFailed() {}
+  /**
+   * Called when such a read has failed.
+   *
+   * @param readStarted when that read was started
+   */
+  default void onUpstreamsReadFailed(ReadTimestamp readStarted) {}
 
   /** Called when a version of the instance list becomes active. */
   void onInstancesActivated(InstanceList instances);
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -196,8 +196,8 @@
           listeners.forEach(listener -> listener.onInstancesConfirmed(readStarted));
       case VersionEffect.ReportUpstreams(List<Upstream> upstreams, ReadTimestamp startedAt) ->
           listeners.forEach(listener -> listener.onUpstreamsRead(upstreams, startedAt));
-      case VersionEffect.ReportUpstreamsUnknown _ ->
-          listeners.forEach(VersionListener::onUpstreamsReadFailed);
+      case VersionEffect.ReportUpstreamsUnknown(ReadTimestamp startedAt) ->
+          listeners.forEach(listener -> listener.onUpstreamsReadFailed(startedAt));
       case VersionEffect.ReportEvacuation report -> logEvacuation(report);
       case VersionEffect.ReportRefusal(long version, List<TableMistake> mistakes) ->
           LOGGER.error(
@@ -315,7 +315,7 @@
               task.post(
                   failure == null
                       ? new VersionEvent.UpstreamsRead(upstreams, readStarted)
-                      : new VersionEvent.UpstreamsReadFailed());
+                      : new VersionEvent.UpstreamsReadFailed(readStarted));
             });
   }
 
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/UpstreamsReadTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/UpstreamsReadTest.java
@@ -116,7 +116,7 @@
   }
 
   @Override
-  public void onUpstreamsReadFailed() {
+  public void onUpstreamsReadFailed(ReadTimestamp readStarted) {
     results.add("failed");
   }
 }
