--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -146,7 +146,7 @@
     router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
     resume(router);
     router.advance(301);
-    router.dispatch(new RouterEvent.UpstreamsReadFailed());
+    router.dispatch(new RouterEvent.UpstreamsReadFailed(router.now));
     final long number = router.sent(SoftwareVersionsRequest.class).getLast().number();
     assertTrue(router.effects.stream().noneMatch(ResumptionDecided.class::isInstance));
     SoftwareVersionsReply reply = new SoftwareVersionsReply(number, true, List.of("v1"));
@@ -166,6 +166,20 @@
     assertTrue(router.effects.stream().anyMatch(SendToOriginCache.class::isInstance));
   }
 
+  /** A router that stood still would read the platform and ask for calls that nobody awaits. */
+  @Test
+  public void callWhoseDeadlineHasPassedIsNotSearchedFor() {
+    DirectRouterFixture router = withCompleteHistory();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    resume(router);
+    router.advance(10_000);
+    router.advance(1);
+    router.advance(1);
+    assertTrue(router.effects.stream().noneMatch(RouterEffect.ReadUpstreams.class::isInstance));
+    assertTrue(router.effects.stream().noneMatch(SendToOriginCache.class::isInstance));
+    assertTrue(router.effects.stream().anyMatch(ResumptionDecided.class::isInstance));
+  }
+
   /** Each such request makes three routers read the platform, and may end the call early. */
   @Test
   public void lateReplyOfRouterDoesNotCountAsFailedRead() {
@@ -197,6 +211,25 @@
         List.of(new SoftwareVersionsReply(7, true, List.of("v1", "v2"))));
   }
 
+  /** The next read has been requested and may succeed, as after an outage of the platform. */
+  @Test
+  public void failureOfReadThatBeganBeforeTheRequestIsNotItsResult() {
+    DirectRouterFixture router = withCompleteHistory();
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    resume(router);
+    router.advance(301);
+    router.dispatch(
+        new RouterEvent.MessageReceived(
+            identity("r2", "a1"), new SoftwareVersionsRequest(7, OLD.service(), 20_000)));
+    router.dispatch(new RouterEvent.UpstreamsReadFailed(router.now - 1_000_000_000));
+    assertEquals(router.sent(SoftwareVersionsRequest.class), List.of());
+    assertEquals(router.sent(SoftwareVersionsReply.class), List.of());
+    router.dispatch(new RouterEvent.UpstreamsRead(List.of(OLD), router.now));
+    assertEquals(
+        router.sent(SoftwareVersionsReply.class),
+        List.of(new SoftwareVersionsReply(7, true, List.of("v1"))));
+  }
+
   /** Returns a router that knows of all upstreams since the beginning, the old one. */
   private static DirectRouterFixture withCompleteHistory() {
     DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD);
