Forward no event that contradicts those before it

What callers could see: an event twice, or a number that went back, where both events came in one read; where they came in several, the rest of the stream after a number that was too high was skipped up to it, and then went on.

Cause: the numbers of a stream were judged at its end only. Until then, events were forwarded as they were read, or skipped by the numbers of a whole read.

Change: the first event whose number is not above those before it ends the attempt as unsound, with a log line and the metric of unsound responses; the events before it are forwarded. Gaps are still allowed.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -90,7 +90,10 @@
         new BodyBuffer(Math.min(MAXIMUM_BUFFERED_BYTES, declaredBytes), MAXIMUM_BUFFERED_BYTES);
   }
 
-  /** Forwards complete events, or buffers the content of any other response. */
+  /**
+   * Forwards complete events, or buffers the content of any other response. From a contradictory
+   * event on, the events of a stream are not forwarded.
+   */
   void onResponseContent(ByteBuf bytes) {
     if (ended || response.isEmpty()) {
       return;
@@ -108,6 +111,11 @@
     }
   }
 
+  /** Returns whether an event of the stream contradicts those before it. */
+  boolean hasContradictoryEvent() {
+    return splitter.isContradictory();
+  }
+
   /**
    * Completes a response whose framing marks its end.
    *
@@ -119,7 +127,7 @@
     }
     Classification.Matched matched = response.orElseThrow();
     if (matched.eventStream()) {
-      if (splitter.hasPartialEvent() || !splitter.hasIncreasingNumbers()) {
+      if (splitter.hasPartialEvent()) {
         fail(Reason.ANSWER_INCOMPLETE);
         return false;
       }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -34,10 +34,11 @@
   private long firstNumber = NO_NUMBER;
   private long lastNumber = NO_NUMBER;
 
-  /** Highest id of a complete event, and whether each id was higher than those before it. */
+  /** Highest id of a complete event. */
   private long highestNumber = NO_NUMBER;
 
-  private boolean increasing = true;
+  /** Whether the event being scanned contradicts those before it. */
+  private boolean contradictory;
 
   /** Whether the event being scanned has a field, and its id. */
   private boolean hasField;
@@ -54,7 +55,10 @@
    */
   record Events(Bytes content, int count, long firstNumber, long lastNumber) {}
 
-  /** Appends all readable bytes; returns the events that are complete now, if any. */
+  /**
+   * Appends all readable bytes; returns the events that are complete now, if any. Those from a
+   * contradictory event on are not returned.
+   */
   Optional<Events> append(ByteBuf bytes) {
     int added = bytes.readableBytes();
     if (size + added > buffer.length) {
@@ -71,9 +75,9 @@
     return size > 0;
   }
 
-  /** Returns whether each id was higher than those before it. */
-  boolean hasIncreasingNumbers() {
-    return increasing;
+  /** Returns whether an event had an id that is not higher than those before it. */
+  boolean isContradictory() {
+    return contradictory;
   }
 
   /** Returns the number of bytes of the incomplete event. */
@@ -87,7 +91,7 @@
   }
 
   private void scan() {
-    for (; scanned < size; scanned++) {
+    for (; scanned < size && !contradictory; scanned++) {
       if (buffer[scanned] == '\n') {
         int end = scanned > lineStart && buffer[scanned - 1] == '\r' ? scanned - 1 : scanned;
         endLine(end);
@@ -110,12 +114,12 @@
   }
 
   private void endEvent() {
-    if (hasField) {
+    contradictory = number != NO_NUMBER && number <= highestNumber;
+    if (hasField && !contradictory) {
       completeEvents++;
       completeEnd = scanned + 1;
       firstNumber = firstNumber == NO_NUMBER ? number : firstNumber;
       lastNumber = number == NO_NUMBER ? lastNumber : number;
-      increasing &= number == NO_NUMBER || number > highestNumber;
       highestNumber = Math.max(highestNumber, number);
     }
     hasField = false;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
@@ -3,9 +3,14 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
+import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
+import dev.agatepier.core.process.RouterEvent.UpstreamResponseStarted;
 import dev.agatepier.wire.RawSocket;
+import java.util.Arrays;
+import java.util.stream.Collectors;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -75,6 +80,43 @@
     assertEquals(awaitEnd() instanceof UpstreamResponseCompleted, complete);
   }
 
+  @DataProvider
+  public Object[][] contradictoryEvents() {
+    return new Object[][] {
+      {"1,2", ",2,3", ""},
+      {"1,2", ",1,3", ""},
+      {"4", ",4", ""},
+      {"1,2", ",2,3", "\r\n12\r\n"},
+      {"2,7", ",4,5,6,7,8", "\r\n12\r\n"},
+    };
+  }
+
+  /**
+   * Guards against a stream in which an event comes twice or a number goes back, within one chunk
+   * or in several.
+   */
+  @Test(dataProvider = "contradictoryEvents")
+  public void eventsAreForwardedUpToTheFirstContradiction(
+      String sound, String contradictory, String separator) {
+    String content = events(sound + contradictory, separator);
+    int size = separator.isEmpty() ? content.length() : events("1", "").length();
+    respond(EVENTS.formatted(1) + Integer.toHexString(size) + "\r\n" + content + "\r\n0\r\n\r\n");
+    StringBuilder received = new StringBuilder();
+    RouterEvent event = nextEvent(UpstreamResponseStarted.class);
+    while (!(event instanceof UpstreamFailed)) {
+      event = nextEvent(RouterEvent.class);
+      received.append(event instanceof UpstreamResponseData data ? data.content().text() : "");
+    }
+    assertEquals(received.toString(), events(sound, ""));
+    assertEquals(metrics.counter("upstreams.unsound-answers").getCount(), 1);
+  }
+
+  private static String events(String numbers, String separator) {
+    return Arrays.stream(numbers.split(","))
+        .map(number -> "id: " + number + "\ndata: abcd\n\n")
+        .collect(Collectors.joining(separator));
+  }
+
   @DataProvider
   public Object[][] spoiltHeads() {
     String head = HEAD.formatted(1);
