End a stream before an event without number

What callers could see: on a resumable route, an event whose id line was spoilt or that had lost its end was forwarded, and came a second time after a break, since the stream was continued after the last number that could be read.

Cause: an event without a readable number counted as one that has none, and was forwarded between the others.

Change: the protocol gives each event of a stream a number. The first one without exactly one number ends the attempt as unsound, as one does whose number is not above those before it, and is not forwarded.

EventStreamSplitterTest.ignoresInvalidEventNumbers asserted that such events are returned, which is the fault. returnsNoEventFromOneWithoutNumberOn has its two events and five more, and requires that none is returned.

Measured: 7 of 7 cases of the new test failed before and pass now; the other tests of EventStreamSplitterTest, SpoiltResponseTest, UpstreamCallerTest, BrokenUpstreamsTest, FaultyUpstreamTest and ResetResponseTest pass.

--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -91,8 +91,8 @@
   }
 
   /**
-   * Forwards complete events, or buffers the content of any other response. From a contradictory
-   * event on, the events of a stream are not forwarded.
+   * Forwards complete events, or buffers the content of any other response. From an unsound event
+   * on, the events of a stream are not forwarded.
    */
   void onResponseContent(ByteBuf bytes) {
     if (ended || response.isEmpty()) {
@@ -111,9 +111,9 @@
     }
   }
 
-  /** Returns whether an event of the stream contradicts those before it. */
-  boolean hasContradictoryEvent() {
-    return splitter.isContradictory();
+  /** Returns whether an event of the stream has no number above those before it. */
+  boolean hasUnsoundEvent() {
+    return splitter.isUnsound();
   }
 
   /**
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -6,10 +6,13 @@
 import java.util.Arrays;
 import java.util.Optional;
 
-/** Splits a stream of server-sent events at event boundaries and parses the event ids. */
+/**
+ * Splits a stream of server-sent events at event boundaries and parses the event ids. The protocol
+ * of upstreams says that each event has one, and that they increase.
+ */
 final class EventStreamSplitter {
 
-  /** Number of an event without a numeric id. */
+  /** Number where there is no event, and of an event without exactly one numeric id. */
   static final long NO_NUMBER = -1;
 
   /** Maximum size of an incomplete event, in bytes. */
@@ -27,22 +30,23 @@
 
   private int lineStart;
 
-  /** End of the last complete event, the number of complete events, and their first and last id. */
+  /** End of the last complete event, the number of complete events, and their first id. */
   private int completeEnd;
 
   private int completeEvents;
   private long firstNumber = NO_NUMBER;
-  private long lastNumber = NO_NUMBER;
 
-  /** Highest id of a complete event. */
+  /** Id of the last complete event, which is the highest. */
   private long highestNumber = NO_NUMBER;
 
-  /** Whether the event being scanned contradicts those before it. */
-  private boolean contradictory;
+  /** Whether the event being scanned has no number above those before it. */
+  private boolean unsound;
 
-  /** Whether the event being scanned has a field, and its id. */
+  /** Whether the event being scanned has a field, whether it has an id, and its number. */
   private boolean hasField;
 
+  private boolean hasId;
+
   private long number = NO_NUMBER;
 
   /**
@@ -50,14 +54,14 @@
    *
    * @param content the bytes of the events
    * @param count number of events
-   * @param firstNumber id of the first event that has one, else {@link #NO_NUMBER}
-   * @param lastNumber id of the last event that has one, else {@link #NO_NUMBER}
+   * @param firstNumber id of the first event
+   * @param lastNumber id of the last event
    */
   record Events(Bytes content, int count, long firstNumber, long lastNumber) {}
 
   /**
-   * Appends all readable bytes; returns the events that are complete now, if any. Those from a
-   * contradictory event on are not returned.
+   * Appends all readable bytes; returns the events that are complete now, if any. Those from an
+   * unsound event on are not returned.
    */
   Optional<Events> append(ByteBuf bytes) {
     int added = bytes.readableBytes();
@@ -75,9 +79,9 @@
     return size > 0;
   }
 
-  /** Returns whether an event had an id that is not higher than those before it. */
-  boolean isContradictory() {
-    return contradictory;
+  /** Returns whether an event had no number above those before it. */
+  boolean isUnsound() {
+    return unsound;
   }
 
   /** Returns the number of bytes of the incomplete event. */
@@ -91,7 +95,7 @@
   }
 
   private void scan() {
-    for (; scanned < size && !contradictory; scanned++) {
+    for (; scanned < size && !unsound; scanned++) {
       if (buffer[scanned] == '\n') {
         int end = scanned > lineStart && buffer[scanned - 1] == '\r' ? scanned - 1 : scanned;
         endLine(end);
@@ -108,27 +112,28 @@
       int valueStart = lineStart + ID_FIELD.length;
       if (valueStart <= end
           && Arrays.equals(buffer, lineStart, valueStart, ID_FIELD, 0, ID_FIELD.length)) {
-        number = parseNumber(valueStart, end);
+        number = hasId ? NO_NUMBER : parseNumber(valueStart, end);
+        hasId = true;
       }
     }
   }
 
   private void endEvent() {
-    contradictory = number != NO_NUMBER && number <= highestNumber;
-    if (hasField && !contradictory) {
+    unsound = hasField && number <= highestNumber;
+    if (hasField && !unsound) {
       completeEvents++;
       completeEnd = scanned + 1;
       firstNumber = firstNumber == NO_NUMBER ? number : firstNumber;
-      lastNumber = number == NO_NUMBER ? lastNumber : number;
-      highestNumber = Math.max(highestNumber, number);
+      highestNumber = number;
     }
     hasField = false;
+    hasId = false;
     number = NO_NUMBER;
   }
 
   private Events removeCompleteEvents() {
     Bytes content = new Bytes(Arrays.copyOf(buffer, completeEnd));
-    final Events events = new Events(content, completeEvents, firstNumber, lastNumber);
+    final Events events = new Events(content, completeEvents, firstNumber, highestNumber);
     System.arraycopy(buffer, completeEnd, buffer, 0, size - completeEnd);
     size -= completeEnd;
     scanned -= completeEnd;
@@ -136,7 +141,6 @@
     completeEnd = 0;
     completeEvents = 0;
     firstNumber = NO_NUMBER;
-    lastNumber = NO_NUMBER;
     return events;
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -304,8 +304,8 @@
   private void onContent(HttpContent content) {
     if (responseKind == ResponseKind.ATTEMPT) {
       exchange.onResponseContent(content.content());
-      if (exchange.hasContradictoryEvent()) {
-        failMalformed("the number of an event is not above those before it");
+      if (exchange.hasUnsoundEvent()) {
+        failMalformed("an event has no number above those before it");
         return;
       }
       if (exchange.ended()) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 public class EventStreamSplitterTest {
@@ -51,13 +52,34 @@
     assertTrue(splitter.hasPartialEvent());
   }
 
-  @Test
-  public void ignoresInvalidEventNumbers() {
+  @DataProvider
+  public Object[][] eventsWithoutNumber() {
+    return new Object[][] {
+      {"id: 12x\ndata: a\n\n"},
+      {"id: 99999999999999999999\ndata: a\n\n"},
+      {"ie: 5\ndata: a\n\n"},
+      {"id; 5\ndata: a\n\n"},
+      {"id:\ndata: a\n\n"},
+      {"data: a\n\n"},
+      {"id: 5\ndata: a\nid: 6\ndata: b\n\n"},
+    };
+  }
+
+  /**
+   * Guards against an event that comes twice: a stream that breaks off would be continued before an
+   * event whose number is spoilt.
+   */
+  @Test(dataProvider = "eventsWithoutNumber")
+  public void returnsNoEventFromOneWithoutNumberOn(String event) {
     EventStreamSplitter splitter = new EventStreamSplitter();
     EventStreamSplitter.Events events =
-        splitter.append(bytes("id: 12x\ndata: a\n\nid: 99999999999999999999\n\n")).orElseThrow();
-    assertEquals(events.count(), 2);
-    assertEquals(events.lastNumber(), EventStreamSplitter.NO_NUMBER);
+        splitter.append(bytes("id: 4\ndata: a\n\n" + event + "id: 7\n\n")).orElseThrow();
+    assertEquals(events.content().text(), "id: 4\ndata: a\n\n");
+    assertEquals(events.lastNumber(), 4);
+    assertTrue(splitter.isUnsound());
+    EventStreamSplitter other = new EventStreamSplitter();
+    assertTrue(other.append(bytes(event)).isEmpty());
+    assertTrue(other.isUnsound());
   }
 
   private static ByteBuf bytes(String text) {
