Continue a stream only with events above the last one

What callers could see: a resumable stream that ended as complete before its last event, or lacked one in the middle, where the first event of a continuation came with the number of one that the caller had.

Cause: events whose numbers the caller had were skipped as repetitions. Upstreams send none: they go on after the event that the router names. Such a number is spoilt, or the run started anew, which is not a run that goes on.

Change: the numbers of an attempt must be above the one after which it was asked to go on; the attempt is unsound otherwise, and is retried within attempts and budget. The router's decision aborts such an attempt too, instead of skipping.

DirectRouterTest.resumesInterruptedStreamAfterItsLastEvent repeated event 2 and asserted that it is skipped. It keeps the rest of its assertions, and streamIsNotContinuedByAnEventThatTheCallerHas asserts that the repetition fails the attempt and that nothing after it counts.

Measured: that test and 3 of 5 cases of streamIsContinuedOnlyByTheEventsAskedFor in SpoiltResponseTest failed before and pass now, as do the tests of the splitter, of upstream connections, resumed streams, software versions, stream origins and OutcomesUnderFaultsTest.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -71,16 +71,16 @@
     }
   }
 
-  /** Relays response content; skips events of a resumed stream that the caller already has. */
+  /**
+   * Relays response content. A run that repeats an event that the caller has does not go on after
+   * it, and is aborted.
+   */
   public void onResponseContent(UpstreamResponseData event, long nowNanos) {
     RoutedRequest request = current(event.attempt());
     if (request == null) {
       return;
     }
     boolean numbered = event.lastEvent() >= 0;
-    if (numbered && event.lastEvent() <= request.lastEvent) {
-      return;
-    }
     boolean joinsUnknownEvent = !numbered && request.resumes && request.nextFrame == 0;
     boolean joinsOtherVersion =
         request.nextFrame == 0 && request.plan.resumable() && !hasRequiredVersion(request);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -107,12 +107,30 @@
     router.grant(request, "u2");
     assertEquals(router.runs(request).getLast().resumeAfter(), OptionalLong.of(2));
     router.startResponse(request, 200);
-    router.sendEvent(request, 2);
     router.sendEvent(request, 3);
     router.endResponse(request);
     assertEquals(router.responseTo(request), "200 1;2;3;complete");
   }
 
+  /**
+   * Guards against a stream that ends as complete before its last event: an event with the number
+   * of one that the caller has, or a run from the start, does not go on where the caller's events
+   * end.
+   */
+  @Test
+  public void streamIsNotContinuedByAnEventThatTheCallerHas() {
+    RequestId request = router.run(RESUMABLE, "u1");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.sendEvent(request, 2);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "u2");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 2);
+    router.endResponse(request);
+    assertEquals(router.responseTo(request), "200 1;2;unknown answer-incomplete");
+  }
+
   @DataProvider
   public Object[][] responsesThatContinueNoStream() {
     return new Object[][] {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -27,7 +27,7 @@
   private final RunAttempt attempt;
   private final int tokensPerEvent;
   private final Consumer<RouterEvent> events;
-  private final EventStreamSplitter splitter = new EventStreamSplitter();
+  private final EventStreamSplitter splitter;
   private BodyBuffer buffered = new BodyBuffer(0, MAXIMUM_BUFFERED_BYTES);
   private Optional<Classification.Matched> response = Optional.empty();
   private boolean headEmitted;
@@ -39,6 +39,8 @@
     this.attempt = attempt;
     this.tokensPerEvent = tokensPerEvent;
     this.events = events;
+    this.splitter =
+        new EventStreamSplitter(attempt.resumeAfter().orElse(EventStreamSplitter.NO_NUMBER));
     this.window = attempt.windowBytes();
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -37,7 +37,7 @@
   private long firstNumber = NO_NUMBER;
 
   /** Id of the last complete event, which is the highest. */
-  private long highestNumber = NO_NUMBER;
+  private long highestNumber;
 
   /** Whether the event being scanned has no number above those before it. */
   private boolean unsound;
@@ -59,6 +59,15 @@
    */
   record Events(Bytes content, int count, long firstNumber, long lastNumber) {}
 
+  /**
+   * Creates the splitter of one response.
+   *
+   * @param after number that those of the events must exceed
+   */
+  EventStreamSplitter(long after) {
+    highestNumber = after;
+  }
+
   /**
    * Appends all readable bytes; returns the events that are complete now, if any. Those from an
    * unsound event on are not returned.
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
@@ -3,13 +3,16 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseStarted;
+import dev.agatepier.core.request.Bytes;
 import dev.agatepier.wire.RawSocket;
 import java.util.Arrays;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -111,6 +114,42 @@
     assertEquals(metrics.counter("upstreams.unsound-answers").getCount(), 1);
   }
 
+  @DataProvider
+  public Object[][] continuations() {
+    return new Object[][] {
+      {"5,6", true}, {"7", true}, {"4", false}, {"4,5,6", false}, {"1", false}
+    };
+  }
+
+  /**
+   * Guards against events that are missing from a continued stream: an event with the number of one
+   * that the caller has would be dropped as a repetition.
+   */
+  @Test(dataProvider = "continuations")
+  public void streamIsContinuedOnlyByTheEventsAskedFor(String numbers, boolean continued) {
+    RunAttempt first = attempt(1, Bytes.ofText("body"));
+    perform(
+        new RunAttempt(
+            first.attempt(),
+            first.upstream(),
+            first.workspace(),
+            first.head(),
+            first.body(),
+            first.plan(),
+            first.timeLeftMillis(),
+            OptionalLong.of(4),
+            first.windowBytes()));
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      String content = events(numbers, "");
+      String chunk = Integer.toHexString(content.length()) + "\r\n" + content + "\r\n";
+      socket.write(EVENTS.formatted(1) + chunk + "0\r\n\r\n");
+    }
+    RouterEvent event = nextEvent(RouterEvent.class);
+    assertEquals(event instanceof UpstreamResponseStarted, continued);
+    assertEquals(event instanceof UpstreamFailed, !continued);
+  }
+
   private static String events(String numbers, String separator) {
     return Arrays.stream(numbers.split(","))
         .map(number -> "id: " + number + "\ndata: abcd\n\n")
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
@@ -20,7 +20,7 @@
   @Test
   public void returnsCompleteEventsForEveryChunkSize() {
     for (int size = 1; size <= STREAM.length(); size++) {
-      EventStreamSplitter splitter = new EventStreamSplitter();
+      EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER);
       StringBuilder returned = new StringBuilder();
       List<Long> numbers = new ArrayList<>();
       for (int from = 0; from < STREAM.length(); from += size) {
@@ -43,7 +43,7 @@
 
   @Test
   public void buffersPartialEvent() {
-    EventStreamSplitter splitter = new EventStreamSplitter();
+    EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER);
     assertTrue(splitter.append(bytes("id: 1\ndata: half\n")).isEmpty());
     assertTrue(splitter.hasPartialEvent());
     EventStreamSplitter.Events events = splitter.append(bytes("\nid: 2")).orElseThrow();
@@ -71,13 +71,13 @@
    */
   @Test(dataProvider = "eventsWithoutNumber")
   public void returnsNoEventFromOneWithoutNumberOn(String event) {
-    EventStreamSplitter splitter = new EventStreamSplitter();
+    EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER);
     EventStreamSplitter.Events events =
         splitter.append(bytes("id: 4\ndata: a\n\n" + event + "id: 7\n\n")).orElseThrow();
     assertEquals(events.content().text(), "id: 4\ndata: a\n\n");
     assertEquals(events.lastNumber(), 4);
     assertTrue(splitter.isUnsound());
-    EventStreamSplitter other = new EventStreamSplitter();
+    EventStreamSplitter other = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER);
     assertTrue(other.append(bytes(event)).isEmpty());
     assertTrue(other.isUnsound());
   }
