--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -28,7 +28,7 @@
   private final int tokensPerEvent;
   private final Consumer<RouterEvent> events;
   private final EventNumbers numbers;
-  private final EventStreamSplitter splitter = new EventStreamSplitter();
+  private final EventStreamSplitter splitter;
   private BodyBuffer buffered = new BodyBuffer(0, MAXIMUM_BUFFERED_BYTES);
   private Optional<Classification.Matched> response = Optional.empty();
   private boolean headEmitted;
@@ -42,6 +42,10 @@
     this.tokensPerEvent = tokensPerEvent;
     this.numbers = numbers;
     this.events = events;
+    this.splitter =
+        new EventStreamSplitter(
+            attempt.resumeAfter().orElse(EventStreamSplitter.NO_NUMBER),
+            attempt.plan().resumable());
     this.window = attempt.windowBytes();
   }
 
@@ -98,7 +102,10 @@
         new BodyBuffer(Math.min(MAXIMUM_BUFFERED_BYTES, declaredBytes), MAXIMUM_BUFFERED_BYTES);
   }
 
-  /** Forwards complete events, or buffers the content of any other response. */
+  /**
+   * Forwards complete events, or buffers the content of any other response. From an unsound event
+   * on, the events of a stream are not forwarded.
+   */
   void onResponseContent(ByteBuf bytes) {
     if (ended || response.isEmpty()) {
       return;
@@ -116,6 +123,11 @@
     }
   }
 
+  /** Returns whether an event of the stream has no number above those before it. */
+  boolean hasUnsoundEvent() {
+    return splitter.isUnsound();
+  }
+
   /**
    * Completes a response whose framing marks its end.
    *
@@ -127,7 +139,7 @@
     }
     Classification.Matched matched = response.orElseThrow();
     if (matched.eventStream()) {
-      if (splitter.hasPartialEvent() || !splitter.hasIncreasingNumbers()) {
+      if (splitter.hasPartialEvent()) {
         fail(Reason.ANSWER_INCOMPLETE);
         return false;
       }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/SpoiltResponseTest.java
@@ -3,9 +3,17 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
 import dev.agatepier.core.process.RouterEvent.UpstreamResponseCompleted;
+import dev.agatepier.core.process.RouterEvent.UpstreamResponseData;
+import dev.agatepier.core.process.RouterEvent.UpstreamResponseStarted;
+import dev.agatepier.core.request.Bytes;
 import dev.agatepier.wire.RawSocket;
+import java.util.Arrays;
+import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -75,6 +83,79 @@
     assertEquals(awaitEnd() instanceof UpstreamResponseCompleted, complete);
   }
 
+  @DataProvider
+  public Object[][] contradictoryEvents() {
+    return new Object[][] {
+      {"1,2", ",2,3", ""},
+      {"1,2", ",1,3", ""},
+      {"4", ",4", ""},
+      {"1,2", ",2,3", "\r\n12\r\n"},
+      {"2,7", ",4,5,6,7,8", "\r\n12\r\n"},
+    };
+  }
+
+  /**
+   * Guards against a stream in which an event comes twice or a number goes back, within one chunk
+   * or in several.
+   */
+  @Test(dataProvider = "contradictoryEvents")
+  public void eventsAreForwardedUpToTheFirstContradiction(
+      String sound, String contradictory, String separator) {
+    String content = events(sound + contradictory, separator);
+    int size = separator.isEmpty() ? content.length() : events("1", "").length();
+    respond(EVENTS.formatted(1) + Integer.toHexString(size) + "\r\n" + content + "\r\n0\r\n\r\n");
+    StringBuilder received = new StringBuilder();
+    RouterEvent event = nextEvent(UpstreamResponseStarted.class);
+    while (!(event instanceof UpstreamFailed)) {
+      event = nextEvent(RouterEvent.class);
+      received.append(event instanceof UpstreamResponseData data ? data.content().text() : "");
+    }
+    assertEquals(received.toString(), events(sound, ""));
+    assertEquals(metrics.counter("upstreams.unsound-answers").getCount(), 1);
+  }
+
+  @DataProvider
+  public Object[][] continuations() {
+    return new Object[][] {
+      {"5,6", true}, {"7", true}, {"4", false}, {"4,5,6", false}, {"1", false}
+    };
+  }
+
+  /**
+   * Guards against events that are missing from a continued stream: an event with the number of one
+   * that the caller has would be dropped as a repetition.
+   */
+  @Test(dataProvider = "continuations")
+  public void streamIsContinuedOnlyByTheEventsAskedFor(String numbers, boolean continued) {
+    RunAttempt first = attempt(1, Bytes.ofText("body"));
+    perform(
+        new RunAttempt(
+            first.attempt(),
+            first.upstream(),
+            first.workspace(),
+            first.head(),
+            first.body(),
+            first.plan(),
+            first.timeLeftMillis(),
+            OptionalLong.of(4),
+            first.windowBytes()));
+    try (RawSocket socket = upstream.accept()) {
+      socket.readUntil("body");
+      String content = events(numbers, "");
+      String chunk = Integer.toHexString(content.length()) + "\r\n" + content + "\r\n";
+      socket.write(EVENTS.formatted(1) + chunk + "0\r\n\r\n");
+    }
+    RouterEvent event = nextEvent(RouterEvent.class);
+    assertEquals(event instanceof UpstreamResponseStarted, continued);
+    assertEquals(event instanceof UpstreamFailed, !continued);
+  }
+
+  private static String events(String numbers, String separator) {
+    return Arrays.stream(numbers.split(","))
+        .map(number -> "id: " + number + "\ndata: abcd\n\n")
+        .collect(Collectors.joining(separator));
+  }
+
   @DataProvider
   public Object[][] spoiltHeads() {
     String head = HEAD.formatted(1);
