--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -210,15 +210,40 @@
    * @param source how the software version was found
    * @param softwareVersion the software version; empty if it was not found
    * @param heldNanos time for which the call was held until then
+   * @param evidence what the decision rests on if the origin itself was not found
    */
   record ResumptionDecided(
       RequestId request,
       String resumedLabel,
       OriginSource source,
       String softwareVersion,
-      long heldNanos)
+      long heldNanos,
+      ResumptionEvidence evidence)
       implements RouterEffect {}
 
+  /**
+   * Report the first events that an attempt received which continues a stream.
+   *
+   * @param attempt the attempt
+   * @param resumeAfter number of the last event before the seam
+   * @param firstEvent number of the first event that the attempt received
+   * @param sameCall whether this call forwarded the last event before the seam; otherwise its
+   *     caller resumes the stream of an earlier call
+   */
+  record StreamContinued(AttemptId attempt, long resumeAfter, long firstEvent, boolean sameCall)
+      implements RouterEffect {
+
+    /** Returns how many numbers are missing between the events before and after the seam. */
+    public long missing() {
+      return Math.max(0, firstEvent - resumeAfter - 1);
+    }
+
+    /** Returns how many numbers up to the last event before the seam come again after it. */
+    public long repeated() {
+      return Math.max(0, resumeAfter - firstEvent + 1);
+    }
+  }
+
   /**
    * Send a datagram to the origin cache on the instance of an upstream. It may be lost.
    *
@@ -227,6 +252,13 @@
    */
   record SendToOriginCache(String address, StreamMessage message) implements RouterEffect {}
 
+  /**
+   * Read from the platform which upstreams are registered now. Results in {@link
+   * RouterEvent.UpstreamsRead} or {@link RouterEvent.UpstreamsReadFailed}; several of these effects
+   * may have one result.
+   */
+  record ReadUpstreams() implements RouterEffect {}
+
   /** The drain that {@link RouterEvent.DrainStarted} started is complete. */
   record Drained() implements RouterEffect {}
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionEffect.java
@@ -7,6 +7,7 @@
 import dev.agatepier.core.version.ReadTimestamp;
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.TableMistake;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
 
 /** Effects of the version decision. */
@@ -32,6 +33,12 @@
   record ReadPlatform(PlatformSubject subject, long afterVersion, int waitSeconds)
       implements VersionEffect {}
 
+  /**
+   * Read all registered upstreams from the platform. Results in {@link VersionEvent.UpstreamsRead}
+   * or {@link VersionEvent.UpstreamsReadFailed}.
+   */
+  record ReadUpstreams() implements VersionEffect {}
+
   /**
    * Read a page from the platform. The read results in {@link VersionEvent.PageReceived}.
    *
@@ -75,6 +82,30 @@
    */
   record PublishInstances(InstanceList instances) implements VersionEffect {}
 
+  /**
+   * Confirm that the active instance list was the newest one when a read of the platform started.
+   *
+   * @param startedAt time at which the read started
+   */
+  record ConfirmInstances(ReadTimestamp startedAt) implements VersionEffect {}
+
+  /**
+   * Report the upstreams that were read for {@link VersionEvent.UpstreamsWanted}.
+   *
+   * @param upstreams the upstreams
+   * @param startedAt time at which the read started
+   */
+  record ReportUpstreams(List<Upstream> upstreams, ReadTimestamp startedAt)
+      implements VersionEffect {
+    /** Copies the upstreams. */
+    public ReportUpstreams {
+      upstreams = List.copyOf(upstreams);
+    }
+  }
+
+  /** Report that the upstreams could not be read. */
+  record ReportUpstreamsUnknown() implements VersionEffect {}
+
   /**
    * Report to operators that the evacuation of a data centre started or ended here.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/HeldResumption.java
@@ -1,31 +1,51 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
+import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.request.StreamKey;
+import dev.agatepier.core.version.Upstream;
 import java.util.Collection;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
-/** A call that resumes a stream, held while other routers are asked which version began it. */
+/** A call that resumes a stream, held until it is known which software version began it. */
 final class HeldResumption {
 
+  /** What the call waits for, in this order; stages may be skipped. */
+  enum Stage {
+    /** Replies of other routers that may know the origin. */
+    ROUTERS,
+    /** A read of the platform that shows whether there is another software version by now. */
+    PLATFORM,
+    /** The same read by other routers, as this one cannot read the platform. */
+    PLATFORM_BY_ROUTERS,
+    /** Replies of the origin caches beside the upstreams. */
+    CACHES
+  }
+
   final CallArrived call;
   final StreamKey key;
   final long number;
   final long heldSinceNanos;
 
-  /** Time until which replies are awaited. */
+  Stage stage = Stage.ROUTERS;
+
+  /** Time at which the stage ends. */
   long timeoutNanos;
 
-  /** Routers that have not replied yet. */
+  /** Routers that have not replied yet whether they know the origin. */
   final Set<String> awaited;
 
-  /** Addresses of the origin caches that have not replied yet; null before they are asked. */
-  Set<String> awaitedCaches;
+  final int routersAsked;
+  int routersReplied;
+
+  /** Routers or addresses of origin caches that have not replied yet in the current stage. */
+  final Set<String> awaitedInStage = new HashSet<>();
 
-  /** Time at which those are asked again. */
+  /** Time at which origin caches are asked again. */
   long repeatNanos;
 
   /** Software versions that the service had in the lifetime of a stream, as the replies say. */
@@ -34,6 +54,12 @@
   /** Whether a reply says that it has all those versions. */
   boolean complete;
 
+  /** Whether another router has read the platform since the call arrived. */
+  boolean readByRouter;
+
+  /** Addresses of the service's upstreams that were read from the platform since then. */
+  List<String> readAddresses = List.of();
+
   HeldResumption(
       CallArrived call,
       StreamKey key,
@@ -47,18 +73,43 @@
     this.heldSinceNanos = heldSinceNanos;
     this.timeoutNanos = timeoutNanos;
     awaited = new HashSet<>(asked);
+    routersAsked = asked.size();
   }
 
-  /** Records that origin caches were asked, and until when their replies are awaited. */
-  void awaitCaches(Collection<String> addresses, long untilNanos) {
-    awaitedCaches = new HashSet<>(addresses);
+  /** Begins to wait for something else, and for whose replies. */
+  void await(Stage next, Collection<String> repliers, long untilNanos) {
+    stage = next;
+    awaitedInStage.clear();
+    awaitedInStage.addAll(repliers);
     timeoutNanos = untilNanos;
   }
 
+  /** Sets the upstreams that were read from the platform since the call arrived. */
+  void setReadUpstreams(Collection<Upstream> upstreams) {
+    readAddresses =
+        upstreams.stream()
+            .filter(upstream -> upstream.service().equals(call.service()))
+            .map(Upstream::address)
+            .toList();
+  }
+
+  /** Returns whether the reply that was received now is awaited in the stage. */
+  boolean receive(Stage awaitedIn, String sender) {
+    return stage == awaitedIn && awaitedInStage.remove(sender);
+  }
+
   /** Adds what a router knows that does not know the stream itself. */
   void addReply(String router, OriginReply reply) {
     awaited.remove(router);
+    routersReplied++;
+    recentVersions.addAll(reply.recentVersions());
+    complete |= reply.complete();
+  }
+
+  /** Adds what a router has read from the platform since the call arrived. */
+  void addReply(SoftwareVersionsReply reply) {
     recentVersions.addAll(reply.recentVersions());
     complete |= reply.complete();
+    readByRouter |= reply.complete();
   }
 }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/VersionDecisionTest.java
@@ -79,6 +79,24 @@
     assertEquals(node.table().version(), 5);
   }
 
+  /** The result of a read that was running may be older than the request. */
+  @Test
+  public void upstreamsThatAreWantedDuringTheirReadAreReadAgain() {
+    VersionDecision node = fleet.nodes.get("router-0");
+    VersionEvent wanted = new VersionEvent.UpstreamsWanted();
+    VersionEvent read = new VersionEvent.UpstreamsRead(List.of(), ReadTimestamp.UNTIMED);
+    VersionEffect start = new VersionEffect.ReadUpstreams();
+    VersionEffect report = new VersionEffect.ReportUpstreams(List.of(), ReadTimestamp.UNTIMED);
+    VersionEffect unknown = new VersionEffect.ReportUpstreamsUnknown();
+    assertEquals(node.decide(wanted, 0), List.of(start));
+    assertEquals(node.decide(wanted, 0), List.of());
+    assertEquals(node.decide(wanted, 0), List.of());
+    assertEquals(node.decide(read, 0), List.of(report, start));
+    VersionEvent failed = new VersionEvent.UpstreamsReadFailed();
+    assertEquals(node.decide(failed, 0), List.of(unknown));
+    assertEquals(node.decide(wanted, 0), List.of(start));
+  }
+
   @Test
   public void peersForwardTheTimeOfTheLastConfirmation() {
     VersionFleet leasedFleet = startFleetWithLeases();
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -138,7 +138,9 @@
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
+          RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -232,7 +232,9 @@
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
+          RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -156,7 +156,9 @@
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
           RouterEffect.ResumptionDecided _,
+          RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
+          RouterEffect.ReadUpstreams _,
           RouterEffect.AllowedRegionsChanged _,
           RouterEffect.CancelUnsentAttempt _,
           RouterEffect.Drained _ -> {}
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.process.FairPosition;
 import dev.agatepier.core.process.RequestMetadata;
+import dev.agatepier.core.process.ResumptionEvidence;
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.SlotAllocatorEffect;
@@ -11,6 +12,7 @@
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.Ticket;
+import dev.agatepier.wire.connection.internal.EventNumbers;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.request.AcceptedCall;
 import dev.agatepier.wire.request.ResponseTrace;
@@ -132,26 +134,34 @@
                 .with("retryAfterMillis", rejection.retryAfterMillis()));
   }
 
-  /** Logs an attempt that is passed to an upstream. */
-  public static void logAttemptStarted(RouterEffect.RunAttempt attempt) {
+  /**
+   * Logs an attempt that is passed to an upstream.
+   *
+   * @param listAgeMillis time since the instance list was confirmed, in milliseconds; -1 for none
+   */
+  public static void logAttemptStarted(RouterEffect.RunAttempt attempt, long listAgeMillis) {
     LOGGER.info(
         () ->
             attemptEvent(LogEvent.ATTEMPT_STARTED, attempt.attempt())
                 .with("upstream", attempt.upstream().name())
                 .with("upstreamVersion", attempt.upstream().softwareVersion())
                 .with("requiredVersion", attempt.softwareVersion())
+                .with("listAgeMillis", listAgeMillis)
                 .with("timeLeftMillis", attempt.timeLeftMillis())
                 .with("resumed", attempt.resumeAfter().isPresent())
                 .with("resumeAfter", attempt.resumeAfter().orElse(NO_EVENT)));
   }
 
   /** Logs an attempt that ended with a complete response. */
-  public static void logAttemptCompleted(AttemptId attempt, ResponseTrace trace) {
+  public static void logAttemptCompleted(
+      AttemptId attempt, EventNumbers numbers, ResponseTrace trace) {
     LOGGER.info(
         () ->
             addTrace(
-                attemptEvent(LogEvent.ATTEMPT_ENDED, attempt)
-                    .with("outcome", Outcome.COMPLETED.code()),
+                addNumbers(
+                    attemptEvent(LogEvent.ATTEMPT_ENDED, attempt)
+                        .with("outcome", Outcome.COMPLETED.code()),
+                    numbers),
                 trace));
   }
 
@@ -165,12 +175,14 @@
   }
 
   /** Logs an attempt that may have run but has no complete response. */
-  public static void logAttemptFailed(RouterEvent.UpstreamFailed event) {
+  public static void logAttemptFailed(RouterEvent.UpstreamFailed event, EventNumbers numbers) {
     LOGGER.info(
         () ->
-            attemptEvent(LogEvent.ATTEMPT_ENDED, event.attempt())
-                .with("outcome", Outcome.UNKNOWN.code())
-                .with("reason", event.reason().code()));
+            addNumbers(
+                attemptEvent(LogEvent.ATTEMPT_ENDED, event.attempt())
+                    .with("outcome", Outcome.UNKNOWN.code())
+                    .with("reason", event.reason().code()),
+                numbers));
   }
 
   /** Logs a malformed response; the attempt is null if no response was expected. */
@@ -218,6 +230,13 @@
         .with("requestWritten", trace.requestWritten());
   }
 
+  private static StringMapMessage addNumbers(StringMapMessage message, EventNumbers numbers) {
+    return message
+        .with("firstEvent", numbers.first())
+        .with("lastEvent", numbers.last())
+        .with("eventGaps", numbers.gaps());
+  }
+
   private static StringMapMessage attemptEvent(LogEvent event, AttemptId attempt) {
     return event
         .message()
@@ -275,7 +294,30 @@
                 .with("resumedLabel", decided.resumedLabel())
                 .with("origin", decided.source().code())
                 .with("softwareVersion", decided.softwareVersion())
-                .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos())));
+                .with("heldMillis", TimeUnit.NANOSECONDS.toMillis(decided.heldNanos()))
+                .with("routersAsked", decided.evidence().routersAsked())
+                .with("routersReplied", decided.evidence().routersReplied())
+                .with("softwareVersions", decided.evidence().softwareVersions())
+                .with("complete", decided.evidence().complete())
+                .with("listAgeMillis", listAgeMillis(decided.evidence())));
+  }
+
+  private static long listAgeMillis(ResumptionEvidence evidence) {
+    return evidence.listAgeNanos() < 0
+        ? -1
+        : TimeUnit.NANOSECONDS.toMillis(evidence.listAgeNanos());
+  }
+
+  /** Logs the numbers of the events on both sides of a seam of a stream. */
+  static void logStreamContinued(RouterEffect.StreamContinued continued) {
+    LOGGER.info(
+        () ->
+            attemptEvent(LogEvent.STREAM_CONTINUED, continued.attempt())
+                .with("resumeAfter", continued.resumeAfter())
+                .with("firstEvent", continued.firstEvent())
+                .with("missing", continued.missing())
+                .with("repeated", continued.repeated())
+                .with("sameCall", continued.sameCall()));
   }
 
   /** Logs a request or prompt part that is quarantined or no longer is. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/version/VersionService.java
@@ -19,6 +19,7 @@
 import dev.agatepier.core.version.Table;
 import dev.agatepier.core.version.TableCheckResult;
 import dev.agatepier.core.version.TableMistake;
+import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.process.LogEvent;
 import dev.agatepier.wire.request.Digests;
 import java.util.ArrayList;
@@ -137,6 +138,14 @@
     task.post(new VersionEvent.PeerDisconnected(peer));
   }
 
+  /**
+   * Requests a read of all registered upstreams that starts after this call. Its result is passed
+   * to the listeners; requests during a read share the next one.
+   */
+  public void readUpstreams() {
+    task.post(new VersionEvent.UpstreamsWanted());
+  }
+
   /** Returns whether this service handles the message. */
   public static boolean accepts(LinkMessage message) {
     return message instanceof VersionMessage || message instanceof LinkMessage.Heartbeat;
@@ -164,17 +173,6 @@
 
   private void handle(VersionEvent event) {
     decision.decide(event, clock.nanoTime()).forEach(this::execute);
-    switch (event) {
-      case VersionEvent.PlatformUnchanged(PlatformSubject subject, ReadTimestamp startedAt)
-          when subject == PlatformSubject.INSTANCES ->
-          listeners.forEach(listener -> listener.onInstancesConfirmed(startedAt));
-      case VersionEvent.InstancesRead(InstanceList list, double _, ReadTimestamp startedAt)
-          when list.version() == instances.version() ->
-          listeners.forEach(listener -> listener.onInstancesConfirmed(startedAt));
-      default -> {
-        // Other events do not confirm the instance list.
-      }
-    }
   }
 
   private void execute(VersionEffect effect) {
@@ -182,6 +180,7 @@
       case VersionEffect.Send(String instance, LinkMessage message) ->
           sender.send(instance, message);
       case VersionEffect.ReadPlatform read -> readPlatform(read);
+      case VersionEffect.ReadUpstreams _ -> readUpstreamsNow();
       case VersionEffect.ReadPage(PageReference page) ->
           platform
               .page(page)
@@ -193,6 +192,12 @@
           listeners.forEach(listener -> listener.onTableConfirmed(readStarted));
       case VersionEffect.PublishInstances(InstanceList newInstances) ->
           publishInstances(newInstances);
+      case VersionEffect.ConfirmInstances(ReadTimestamp readStarted) ->
+          listeners.forEach(listener -> listener.onInstancesConfirmed(readStarted));
+      case VersionEffect.ReportUpstreams(List<Upstream> upstreams, ReadTimestamp startedAt) ->
+          listeners.forEach(listener -> listener.onUpstreamsRead(upstreams, startedAt));
+      case VersionEffect.ReportUpstreamsUnknown _ ->
+          listeners.forEach(VersionListener::onUpstreamsReadFailed);
       case VersionEffect.ReportEvacuation report -> logEvacuation(report);
       case VersionEffect.ReportRefusal(long version, List<TableMistake> mistakes) ->
           LOGGER.error(
@@ -276,37 +281,60 @@
   }
 
   private void readPlatform(VersionEffect.ReadPlatform read) {
-    ReadTimestamp readStarted = now();
+    ReadTimestamp calledAt = now();
     if (read.subject() == PlatformSubject.TABLE) {
       postReadResult(
           read.subject(),
-          readStarted,
           platform.manifest(read.afterVersion(), read.waitSeconds()),
-          manifest -> new VersionEvent.ManifestRead(manifest, jitter.getAsDouble(), readStarted));
+          manifest ->
+              manifest
+                  .<VersionEvent>map(
+                      found -> new VersionEvent.ManifestRead(found, jitter.getAsDouble(), calledAt))
+                  .orElse(new VersionEvent.PlatformUnchanged(read.subject(), calledAt)));
     } else {
       postReadResult(
           read.subject(),
-          readStarted,
-          platform.instances(read.afterVersion(), read.waitSeconds()),
-          list -> new VersionEvent.InstancesRead(list, jitter.getAsDouble(), readStarted));
+          platform.instances(read.afterVersion(), read.waitSeconds(), calledAt),
+          this::toEvent);
     }
   }
 
+  private void readUpstreamsNow() {
+    ReadTimestamp readStarted = now();
+    platform
+        .upstreams()
+        .whenComplete(
+            (upstreams, failure) -> {
+              if (failure != null) {
+                LOGGER.warn(
+                    LogEvent.PLATFORM_READ_FAILED
+                        .message()
+                        .with("subject", "upstreams")
+                        .with("reason", FailureSummary.of(failure)));
+              }
+              task.post(
+                  failure == null
+                      ? new VersionEvent.UpstreamsRead(upstreams, readStarted)
+                      : new VersionEvent.UpstreamsReadFailed());
+            });
+  }
+
+  private VersionEvent toEvent(InstanceListRead read) {
+    return read.newer()
+        .<VersionEvent>map(
+            list -> new VersionEvent.InstancesRead(list, jitter.getAsDouble(), read.readStarted()))
+        .orElse(new VersionEvent.PlatformUnchanged(PlatformSubject.INSTANCES, read.readStarted()));
+  }
+
   private <A> void postReadResult(
-      PlatformSubject subject,
-      ReadTimestamp readStarted,
-      CompletableFuture<Optional<A>> read,
-      Function<A, VersionEvent> toEvent) {
+      PlatformSubject subject, CompletableFuture<A> read, Function<A, VersionEvent> toEvent) {
     read.whenComplete(
         (result, failure) -> {
           if (failure == null) {
             if (failingSubjects.remove(subject)) {
               LOGGER.info(LogEvent.PLATFORM_READ_AGAIN.message().with("subject", subject));
             }
-            task.offer(
-                result
-                    .map(toEvent)
-                    .orElse(new VersionEvent.PlatformUnchanged(subject, readStarted)));
+            task.offer(toEvent.apply(result));
           } else {
             failingSubjects.add(subject);
             LOGGER.warn(
