Read the upstreams for streams of unknown origin at most every 100 ms

Callers: none. Cause: while calls of unknown origin keep coming, as after a kill of many routers, reads ran back to back, one in each round trip to the store, and each call of the store has a price. Change: a requested read starts at once if the last one started 100 ms ago, and with a tick otherwise.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/VersionDecision.java
@@ -85,20 +85,21 @@
           onPlatformUnchanged(subject, startedAt, nowNanos);
       case VersionEvent.ReadFailed(PlatformSubject subject, double jitter) ->
           schedule(subject).recordFailure(jitter, nowNanos);
-      case VersionEvent.UpstreamsWanted _ -> readUpstreamsIf(upstreamReads.request());
+      case VersionEvent.UpstreamsWanted _ -> readUpstreamsIf(upstreamReads.request(nowNanos));
       case VersionEvent.UpstreamsRead(List<Upstream> upstreams, ReadTimestamp startedAt) -> {
         effects.add(new VersionEffect.ReportUpstreams(upstreams, startedAt));
-        readUpstreamsIf(upstreamReads.complete());
+        upstreamReads.complete();
       }
       case VersionEvent.UpstreamsReadFailed(ReadTimestamp startedAt) -> {
         effects.add(new VersionEffect.ReportUpstreamsUnknown(startedAt));
-        readUpstreamsIf(upstreamReads.complete());
+        upstreamReads.complete();
       }
       case VersionEvent.TablePrepared(ManifestTransfer manifest, Table prepared) ->
           table.onTablePrepared(manifest, prepared);
       case VersionEvent.TableRefused refused -> table.onTableRefused(refused);
       case VersionEvent.Tick(double jitter, ReadTimestamp now) -> {
         onTick(jitter, nowNanos);
+        readUpstreamsIf(upstreamReads.startIfDue(nowNanos));
         table.requestConfirmation(readers::peersByRank, now, nowNanos);
       }
     }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/UpstreamsReadTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/UpstreamsReadTest.java
@@ -45,6 +45,7 @@
             scheduler,
             System::nanoTime,
             () -> 0.5);
+    service.start();
   }
 
   @AfterMethod
