Let streams that go on wait as long as their callers do

Cause: a stream that goes on had the objective of a first event, counted from its call. It can use a part of the upstreams only, so that it missed this objective more often than new ones and was rejected as overdue. Change: it waits for four objectives, as callers of streams do for an event, and is moved to another data centre in that time. Measured: streamThatGoesOnWaitsLongerThanNewOne failed before.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorPlacement.java
@@ -119,8 +119,7 @@
   boolean requeueElsewhere(RoutedRequest request, String alternative, long nowNanos) {
     session(request, nowNanos).remove(request);
     request.refusedBy.add(request.dataCentre);
-    long dueNanos =
-        request.arrivedNanos + request.plan.objectiveMillis() * RouterState.NANOS_PER_MILLI;
+    long dueNanos = request.arrivedNanos + request.objectiveMillis() * RouterState.NANOS_PER_MILLI;
     Collection<PeerIdentity> routers = state.allocatorCandidates();
     if (request.refusedBy.size() > MAX_FALLBACKS
         || request.refusedBy.contains(alternative)
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AllocatorSession.java
@@ -180,7 +180,7 @@
 
   /** Returns the time left until the objective; a resumed stream has at least its allowed gap. */
   private static long objectiveMillis(RoutedRequest request, long nowNanos) {
-    long objective = request.plan.objectiveMillis();
+    long objective = request.objectiveMillis();
     return request.responseStarted
         ? Math.max(objective, request.plan.gapMillis())
         : objective - (nowNanos - request.arrivedNanos) / RouterState.NANOS_PER_MILLI;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/RoutedRequest.java
@@ -22,6 +22,12 @@
   /** Value of {@link #lastEvent} if there is no event. */
   private static final long NO_EVENT = -1;
 
+  /**
+   * Objectives for which a stream that goes on waits for its next event. Its caller waits longer
+   * for that than for a first event, and loses what it has if the request is rejected.
+   */
+  private static final int CONTINUATION_OBJECTIVES = 4;
+
   /** Version of a stream that was begun by an uncertain version; no upstream has it. */
   static final String UNCERTAIN_VERSION = "\0";
 
@@ -248,6 +254,13 @@
     return !resumeAfter().equals(call.resumeAfter());
   }
 
+  /** Returns the time within which an attempt should bring an event, in milliseconds. */
+  long objectiveMillis() {
+    return resumeAfter().isPresent()
+        ? CONTINUATION_OBJECTIVES * plan.objectiveMillis()
+        : plan.objectiveMillis();
+  }
+
   /** Assigns the request to a target and returns the new attempt. */
   AttemptId startAttempt(AttemptTarget newTarget, boolean runsExclusively, long nowNanos) {
     phase = Phase.RUNNING;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -98,6 +98,20 @@
     assertEquals(router.stages(request), List.of(SlotStage.FAILED, SlotStage.FAILED));
   }
 
+  /** Guards against streams that are lost although an upstream has room for them soon. */
+  @Test
+  public void streamThatGoesOnWaitsLongerThanNewOne() {
+    router.call(RESUMABLE);
+    final long first = router.lastWaiting().objectiveMillis();
+    router.call(RESUMABLE, OptionalLong.of(1));
+    assertEquals(router.lastWaiting().objectiveMillis() - first, 3 * RESUMABLE.objectiveMillis());
+    RequestId request = router.run(RESUMABLE, "u1");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    assertEquals(router.lastWaiting().objectiveMillis() - first, 3 * RESUMABLE.objectiveMillis());
+  }
+
   @Test
   public void resumesInterruptedStreamAfterItsLastEvent() {
     RequestId request = router.run(RESUMABLE, "u1");
