--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/AttemptExchange.java
@@ -45,7 +45,7 @@
     this.splitter =
         new EventStreamSplitter(
             attempt.resumeAfter().orElse(EventStreamSplitter.NO_NUMBER),
-            attempt.plan().resumable());
+            attempt.plan().streaming());
     this.window = attempt.windowBytes();
   }
 
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -72,7 +72,7 @@
    * Creates the splitter of one response.
    *
    * @param after number that those of the events must exceed
-   * @param numbered whether each event must have a number, since the stream may be continued
+   * @param numbered whether each event must have a number
    */
   EventStreamSplitter(long after, boolean numbered) {
     highestNumber = after;
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
@@ -97,9 +97,9 @@
     assertTrue(other.isUnsound());
   }
 
-  /** Event streams of plain services may have no numbers, and are never continued. */
+  /** A route that is not declared as streaming may have an event stream without numbers. */
   @Test
-  public void returnsEventsWithoutNumberOfStreamsThatAreNotContinued() {
+  public void returnsEventsWithoutNumberOfOtherRoutes() {
     EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER, false);
     EventStreamSplitter.Events events =
         splitter.append(bytes("data: a\n\nid: 4\n\ndata: b\n\n")).orElseThrow();
