--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
@@ -175,10 +175,13 @@
     }
   }
 
-  /** Decides on the calls for which the platform could not be read. */
-  void onUpstreamsReadFailed(long nowNanos) {
+  /**
+   * Decides on the calls for which the platform could not be read. Those that arrived after the
+   * read had started have requested the next one.
+   */
+  void onUpstreamsReadFailed(long startedNanos, long nowNanos) {
     for (HeldResumption resumption : List.copyOf(held.values())) {
-      if (resumption.stage == Stage.PLATFORM) {
+      if (resumption.stage == Stage.PLATFORM && startedNanos - resumption.heldSinceNanos >= 0) {
         decide(resumption, nowNanos);
       }
     }
@@ -231,8 +234,9 @@
     boolean shown = wasPlatformReadSince(resumption) && isInTouch(resumption, nowNanos);
     if (unknownVersion || onlyVersionSoFar && shown) {
       resume(resumption, OriginSource.ONLY_VERSION, versions.first(), nowNanos);
-    } else if (!(onlyVersionSoFar && awaitPlatform(resumption, nowNanos))
-        && !askCaches(resumption, nowNanos)) {
+    } else if (nowNanos - resumption.call.deadlineNanos() >= 0
+        || !(onlyVersionSoFar && awaitPlatform(resumption, nowNanos))
+            && !askCaches(resumption, nowNanos)) {
       reject(resumption, nowNanos);
     }
   }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/DirectRouterTest.java
@@ -98,6 +98,20 @@
     assertEquals(router.stages(request), List.of(SlotStage.FAILED, SlotStage.FAILED));
   }
 
+  /** Guards against streams that are lost although an upstream has room for them soon. */
+  @Test
+  public void streamThatGoesOnWaitsLongerThanNewOne() {
+    router.call(RESUMABLE);
+    final long first = router.lastWaiting().objectiveMillis();
+    router.call(RESUMABLE, OptionalLong.of(1));
+    assertEquals(router.lastWaiting().objectiveMillis() - first, 3 * RESUMABLE.objectiveMillis());
+    RequestId request = router.run(RESUMABLE, "u1");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    assertEquals(router.lastWaiting().objectiveMillis() - first, 3 * RESUMABLE.objectiveMillis());
+  }
+
   @Test
   public void resumesInterruptedStreamAfterItsLastEvent() {
     RequestId request = router.run(RESUMABLE, "u1");
@@ -108,12 +122,30 @@
     router.grant(request, "u2");
     assertEquals(router.runs(request).getLast().resumeAfter(), OptionalLong.of(2));
     router.startResponse(request, 200);
-    router.sendEvent(request, 2);
     router.sendEvent(request, 3);
     router.endResponse(request);
     assertEquals(router.responseTo(request), "200 1;2;3;complete");
   }
 
+  /**
+   * Guards against a stream that ends as complete before its last event: an event with the number
+   * of one that the caller has, or a run from the start, does not go on where the caller's events
+   * end.
+   */
+  @Test
+  public void streamIsNotContinuedByAnEventThatTheCallerHas() {
+    RequestId request = router.run(RESUMABLE, "u1");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.sendEvent(request, 2);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "u2");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 2);
+    router.endResponse(request);
+    assertEquals(router.responseTo(request), "200 1;2;unknown answer-incomplete");
+  }
+
   @DataProvider
   public Object[][] firstEventsOfTheNextAttempt() {
     return new Object[][] {{3, 0, 0}, {5, 2, 0}, {1, 0, 2}};
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -6,10 +6,13 @@
 import java.util.Arrays;
 import java.util.Optional;
 
-/** Splits a stream of server-sent events at event boundaries and parses the event ids. */
+/**
+ * Splits a stream of server-sent events at event boundaries and parses the event ids, which must
+ * increase.
+ */
 final class EventStreamSplitter {
 
-  /** Number of an event without a numeric id. */
+  /** Number where there is no event, and of an event without exactly one numeric id. */
   static final long NO_NUMBER = -1;
 
   /** Maximum size of an incomplete event, in bytes. */
@@ -19,6 +22,9 @@
   private static final int RADIX = 10;
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+  /** Whether each event must have a number. */
+  private final boolean numbered;
+
   private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
   private int size;
 
@@ -34,19 +40,22 @@
   private long firstNumber = NO_NUMBER;
   private long lastNumber = NO_NUMBER;
 
-  /** Highest id of a complete event, and whether each id was higher than those before it. */
-  private long highestNumber = NO_NUMBER;
+  /** Highest id of a complete event, or the one that ids must exceed from the start. */
+  private long highestNumber;
 
-  private boolean increasing = true;
+  /** Whether the last event has no number above those before it, though it needs one. */
+  private boolean unsound;
 
-  /** Id of the last complete event that has one, and how many ids were not one more than that. */
+  /** Id of the last event that has one, and how many ids were not one more than that. */
   private long previousNumber = NO_NUMBER;
 
   private long gaps;
 
-  /** Whether the event being scanned has a field, and its id. */
+  /** Whether the event being scanned has a field, whether it has an id, and its number. */
   private boolean hasField;
 
+  private boolean hasId;
+
   private long number = NO_NUMBER;
 
   /**
@@ -59,7 +68,21 @@
    */
   record Events(Bytes content, int count, long firstNumber, long lastNumber) {}
 
-  /** Appends all readable bytes; returns the events that are complete now, if any. */
+  /**
+   * Creates the splitter of one response.
+   *
+   * @param after number that those of the events must exceed
+   * @param numbered whether each event must have a number, since the stream may be continued
+   */
+  EventStreamSplitter(long after, boolean numbered) {
+    highestNumber = after;
+    this.numbered = numbered;
+  }
+
+  /**
+   * Appends all readable bytes; returns the events that are complete now, if any. Those from an
+   * unsound event on are not returned.
+   */
   Optional<Events> append(ByteBuf bytes) {
     int added = bytes.readableBytes();
     if (size + added > buffer.length) {
@@ -76,9 +99,9 @@
     return size > 0;
   }
 
-  /** Returns whether each id was higher than those before it. */
-  boolean hasIncreasingNumbers() {
-    return increasing;
+  /** Returns whether an event had no number above those before it, though it needed one. */
+  boolean isUnsound() {
+    return unsound;
   }
 
   /** Returns how often an id was not one more than the id before it. */
@@ -97,7 +120,7 @@
   }
 
   private void scan() {
-    for (; scanned < size; scanned++) {
+    for (; scanned < size && !unsound; scanned++) {
       if (buffer[scanned] == '\n') {
         int end = scanned > lineStart && buffer[scanned - 1] == '\r' ? scanned - 1 : scanned;
         endLine(end);
@@ -114,22 +137,25 @@
       int valueStart = lineStart + ID_FIELD.length;
       if (valueStart <= end
           && Arrays.equals(buffer, lineStart, valueStart, ID_FIELD, 0, ID_FIELD.length)) {
-        number = parseNumber(valueStart, end);
+        number = hasId ? NO_NUMBER : parseNumber(valueStart, end);
+        hasId = true;
       }
     }
   }
 
   private void endEvent() {
-    if (hasField) {
+    countGap();
+    boolean sound = number == NO_NUMBER ? !numbered : number > highestNumber;
+    unsound = hasField && !sound;
+    if (hasField && !unsound) {
       completeEvents++;
       completeEnd = scanned + 1;
       firstNumber = firstNumber == NO_NUMBER ? number : firstNumber;
       lastNumber = number == NO_NUMBER ? lastNumber : number;
-      increasing &= number == NO_NUMBER || number > highestNumber;
       highestNumber = Math.max(highestNumber, number);
-      countGap();
     }
     hasField = false;
+    hasId = false;
     number = NO_NUMBER;
   }
 
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/EventStreamSplitterTest.java
@@ -20,7 +20,7 @@
   @Test
   public void returnsCompleteEventsForEveryChunkSize() {
     for (int size = 1; size <= STREAM.length(); size++) {
-      EventStreamSplitter splitter = new EventStreamSplitter();
+      EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER, true);
       StringBuilder returned = new StringBuilder();
       List<Long> numbers = new ArrayList<>();
       for (int from = 0; from < STREAM.length(); from += size) {
@@ -43,7 +43,7 @@
 
   @Test
   public void buffersPartialEvent() {
-    EventStreamSplitter splitter = new EventStreamSplitter();
+    EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER, true);
     assertTrue(splitter.append(bytes("id: 1\ndata: half\n")).isEmpty());
     assertTrue(splitter.hasPartialEvent());
     EventStreamSplitter.Events events = splitter.append(bytes("\nid: 2")).orElseThrow();
@@ -60,20 +60,55 @@
   /** Guards against events that an upstream leaves out or repeats without a trace. */
   @Test(dataProvider = "numbersOfStreams")
   public void countsNumbersThatDoNotFollow(String numbers, int gaps) {
-    EventStreamSplitter splitter = new EventStreamSplitter();
+    EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER, false);
     for (String number : numbers.split(" ")) {
       splitter.append(bytes("data: no number\n\nid: " + number + "\ndata: a\n\n"));
     }
     assertEquals(splitter.gaps(), gaps);
   }
 
+  @DataProvider
+  public Object[][] eventsWithoutNumber() {
+    return new Object[][] {
+      {"id: 12x\ndata: a\n\n"},
+      {"id: 99999999999999999999\ndata: a\n\n"},
+      {"ie: 5\ndata: a\n\n"},
+      {"id; 5\ndata: a\n\n"},
+      {"id:\ndata: a\n\n"},
+      {"data: a\n\n"},
+      {"id: 5\ndata: a\nid: 6\ndata: b\n\n"},
+    };
+  }
+
+  /**
+   * Guards against an event that comes twice: a stream that breaks off would be continued before an
+   * event whose number is spoilt.
+   */
+  @Test(dataProvider = "eventsWithoutNumber")
+  public void returnsNoEventFromOneWithoutNumberOn(String event) {
+    EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER, true);
+    EventStreamSplitter.Events events =
+        splitter.append(bytes("id: 4\ndata: a\n\n" + event + "id: 7\n\n")).orElseThrow();
+    assertEquals(events.content().text(), "id: 4\ndata: a\n\n");
+    assertEquals(events.lastNumber(), 4);
+    assertTrue(splitter.isUnsound());
+    EventStreamSplitter other = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER, true);
+    assertTrue(other.append(bytes(event)).isEmpty());
+    assertTrue(other.isUnsound());
+  }
+
+  /** Event streams of plain services may have no numbers, and are never continued. */
   @Test
-  public void ignoresInvalidEventNumbers() {
-    EventStreamSplitter splitter = new EventStreamSplitter();
+  public void returnsEventsWithoutNumberOfStreamsThatAreNotContinued() {
+    EventStreamSplitter splitter = new EventStreamSplitter(EventStreamSplitter.NO_NUMBER, false);
     EventStreamSplitter.Events events =
-        splitter.append(bytes("id: 12x\ndata: a\n\nid: 99999999999999999999\n\n")).orElseThrow();
-    assertEquals(events.count(), 2);
-    assertEquals(events.lastNumber(), EventStreamSplitter.NO_NUMBER);
+        splitter.append(bytes("data: a\n\nid: 4\n\ndata: b\n\n")).orElseThrow();
+    assertEquals(events.count(), 3);
+    assertEquals(events.lastNumber(), 4);
+    EventStreamSplitter.Events next = splitter.append(bytes("data: c\n\n")).orElseThrow();
+    assertEquals(next.lastNumber(), EventStreamSplitter.NO_NUMBER);
+    assertTrue(splitter.append(bytes("id: 4\n\n")).isEmpty());
+    assertTrue(splitter.isUnsound());
   }
 
   private static ByteBuf bytes(String text) {
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/version/UpstreamsReadTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/version/UpstreamsReadTest.java
@@ -45,6 +45,7 @@
             scheduler,
             System::nanoTime,
             () -> 0.5);
+    service.start();
   }
 
   @AfterMethod
@@ -116,7 +117,7 @@
   }
 
   @Override
-  public void onUpstreamsReadFailed() {
+  public void onUpstreamsReadFailed(ReadTimestamp readStarted) {
     results.add("failed");
   }
 }
