Ask routers that connect for the origins of held calls

Callers: after a standstill of a router, calls for the rest of streams were rejected as of unknown origin, or held for nothing, although other routers knew the origin. Cause: links that were silent for longer than their timeout close themselves right after the process goes on, and callers' calls come before the links are up again; a router asked only those connected at the call. Change: each router that connects is asked for the origins of the calls that are held then. Measured: routerThatConnectsIsAskedForTheOriginsOfHeldCalls failed before (no request).

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -116,7 +116,10 @@
         }
       }
       case RouterEvent.ResponseConsumed consumed -> attempts.onResponseConsumed(consumed);
-      case RouterEvent.PeerConnected connected -> peers.onPeerConnected(connected.peer(), nowNanos);
+      case RouterEvent.PeerConnected connected -> {
+        peers.onPeerConnected(connected.peer(), nowNanos);
+        resumptions.onPeerConnected(connected.peer());
+      }
       case RouterEvent.PeerDisconnected disconnected -> {
         peers.onPeerDisconnected(disconnected.peer(), nowNanos);
         resumptions.onPeerDisconnected(disconnected.peer(), nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
@@ -1,6 +1,7 @@
 package dev.agatepier.core.process.internal;
 
 import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.connection.Role;
 import dev.agatepier.core.connection.StreamMessage.OriginReply;
 import dev.agatepier.core.connection.StreamMessage.OriginRequest;
 import dev.agatepier.core.connection.StreamMessage.SoftwareVersionsReply;
@@ -88,8 +89,7 @@
       decide(resumption, nowNanos);
     } else {
       held.put(resumption.number, resumption);
-      OriginRequest request =
-          new OriginRequest(resumption.number, key, call.service(), lifetimes.millis(call));
+      OriginRequest request = originRequest(resumption);
       asked.forEach(router -> state.outbox.send(router, request));
     }
   }
@@ -135,6 +135,18 @@
     }
   }
 
+  /** Asks a router that has connected for the origins of the calls that are held. */
+  void onPeerConnected(PeerIdentity peer) {
+    if (peer.role() != Role.ROUTER) {
+      return;
+    }
+    for (HeldResumption resumption : held.values()) {
+      if (resumption.awaited.add(peer.instance())) {
+        state.outbox.send(peer.instance(), originRequest(resumption));
+      }
+    }
+  }
+
   /** Stops waiting for the replies of a router whose link was lost. */
   void onPeerDisconnected(PeerIdentity peer, long nowNanos) {
     routerLost = true;
@@ -324,14 +336,17 @@
 
   private void sendToAwaitedCaches(HeldResumption resumption, long nowNanos) {
     resumption.repeatNanos = nowNanos + REPEAT_NANOS;
-    CallArrived call = resumption.call;
-    OriginRequest request =
-        new OriginRequest(
-            resumption.number, resumption.key, call.service(), lifetimes.millis(call));
+    OriginRequest request = originRequest(resumption);
     resumption.awaitedInStage.forEach(
         address -> state.outbox.add(new SendToOriginCache(address, request)));
   }
 
+  private OriginRequest originRequest(HeldResumption resumption) {
+    CallArrived call = resumption.call;
+    return new OriginRequest(
+        resumption.number, resumption.key, call.service(), lifetimes.millis(call));
+  }
+
   /** Returns a number greater than those of earlier processes, whose replies may still arrive. */
   private long nextNumber(long nowNanos) {
     lastNumber = Math.max(lastNumber + 1, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/StreamResumptions.java
@@ -97,6 +97,11 @@
     }
   }
 
+  /** Asks a router that has connected for the origins of the calls that are held. */
+  public void onPeerConnected(PeerIdentity peer) {
+    search.onPeerConnected(peer);
+  }
+
   /** Stops waiting for the replies of a router whose link was lost. */
   public void onPeerDisconnected(PeerIdentity peer, long nowNanos) {
     search.onPeerDisconnected(peer, nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/StreamOriginRouterTest.java
@@ -180,6 +180,24 @@
     assertTrue(router.effects.stream().anyMatch(ResumptionDecided.class::isInstance));
   }
 
+  /** A router that stood still gets its callers' calls before its links are up again. */
+  @Test
+  public void routerThatConnectsIsAskedForTheOriginsOfHeldCalls() {
+    DirectRouterFixture router = DirectRouterFixture.withOriginCaches(OLD, NEW);
+    resume(router);
+    router.dispatch(new RouterEvent.PeerConnected(identity("r2", "a1")));
+    final long number = router.sent(OriginRequest.class).getLast().number();
+    OriginReply reply = new OriginReply(number, true, "v1", false, List.of());
+    router.dispatch(new RouterEvent.MessageReceived(identity("r2", "a1"), reply));
+    ResumptionDecided decided =
+        router.effects.stream()
+            .filter(ResumptionDecided.class::isInstance)
+            .map(ResumptionDecided.class::cast)
+            .findFirst()
+            .orElseThrow();
+    assertEquals(decided.source(), OriginSource.PEER);
+  }
+
   /** Each such request makes three routers read the platform, and may end the call early. */
   @Test
   public void lateReplyOfRouterDoesNotCountAsFailedRead() {
