--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
@@ -55,7 +55,9 @@
 
   private long lastNumber = Long.MIN_VALUE;
 
+  /** Whether the link to any router was lost, and when the last one was. */
   private boolean routerLost;
+
   private long routerLostNanos;
 
   OriginSearch(
