Serve streams that go on before new requests of their workspace

Cause: within a workspace the earliest due time was served first. A stream that goes on waits for four objectives, so that new requests were due before it all the time. Change: within a workspace streams that go on come first. The fair order of workspaces is as before. Measured: streamThatGoesOnIsServedBeforeNewRequestsOfItsWorkspace failed before.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotScheduler.java
@@ -9,10 +9,10 @@
 
 /**
  * Selects the next waiting request and the upstream that serves it: the workspace in fair order,
- * within it the request with the earliest due time that can still meet its objective, and the
- * upstream with the lowest score. Requests that cannot meet their objective come last; among them
- * those whose callers have kept to their retry time come first, and those that were late on their
- * arrival last.
+ * within it the first request that can still meet its objective, streams that go on before new
+ * ones, and the upstream with the lowest score. Requests that cannot meet their objective come
+ * last; among them those whose callers have kept to their retry time come first, and those that
+ * were late on their arrival last.
  */
 final class SlotScheduler {
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitEstimates.java
@@ -148,7 +148,7 @@
           other.late != entry.late
               ? entry.late
               : sameWorkspace
-                  ? other.dueNanos <= entry.dueNanos
+                  ? WaitingEntry.SERVICE_ORDER.compare(other, entry) <= 0
                   : ledger.account(other.workspace()).virtualService() <= ownService;
       if (before) {
         double part =
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingEntry.java
@@ -8,9 +8,13 @@
 /** A request that waits for a slot at a slot allocator. */
 final class WaitingEntry {
 
-  /** Earliest due time first; ties are broken by order of arrival. */
-  static final Comparator<WaitingEntry> BY_DUE =
-      Comparator.<WaitingEntry>comparingLong(entry -> entry.dueNanos)
+  /**
+   * Order of service within a workspace: streams that go on first, since what their callers have is
+   * lost otherwise; then the earliest due time; then the order of arrival.
+   */
+  static final Comparator<WaitingEntry> SERVICE_ORDER =
+      Comparator.<WaitingEntry, Boolean>comparing(entry -> !entry.continuesStream())
+          .thenComparingLong(entry -> entry.dueNanos)
           .thenComparingLong(entry -> entry.sequence);
 
   private static final long NANOS_PER_MILLI = 1_000_000;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingRequests.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/WaitingRequests.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 
-/** The requests that wait for a slot of one service, by workspace and due time. */
+/** The requests that wait for a slot of one service, by workspace, in their order of service. */
 final class WaitingRequests {
 
   private final Map<RequestId, WaitingEntry> byRequest = new LinkedHashMap<>();
@@ -24,7 +24,7 @@
     remove(entry.call.request());
     byRequest.put(entry.call.request(), entry);
     byWorkspace
-        .computeIfAbsent(entry.workspace(), name -> new TreeSet<>(WaitingEntry.BY_DUE))
+        .computeIfAbsent(entry.workspace(), name -> new TreeSet<>(WaitingEntry.SERVICE_ORDER))
         .add(entry);
     updateDemand(entry.workspace());
   }
@@ -62,7 +62,7 @@
     return byRequest.values();
   }
 
-  /** Returns the entries of a workspace, earliest due time first. */
+  /** Returns the entries of a workspace in their order of service. */
   Collection<WaitingEntry> ofWorkspace(String workspace) {
     TreeSet<WaitingEntry> entries = byWorkspace.get(workspace);
     return entries == null ? List.of() : entries;
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
@@ -103,6 +103,20 @@
     assertTrue(allocator.isRejected(stream));
   }
 
+  /** A new request that is due earlier must not take the slot from a stream whose caller waits. */
+  @Test
+  public void streamThatGoesOnIsServedBeforeNewRequestsOfItsWorkspace() {
+    RequestId running = allocator.requestOfVersion("v1", "w", 60_000);
+    for (int slot = 0; slot < 3; slot++) {
+      allocator.requestPlain("w", 60_000);
+    }
+    final RequestId first = allocator.requestPlain("w", 2_000);
+    final RequestId stream = allocator.requestOfVersion("v1", "w", 8_000);
+    allocator.sendChange(PLAIN, running, SlotStage.COMPLETED, 0);
+    assertEquals(allocator.upstreamOf(stream), "p1");
+    assertFalse(allocator.isGranted(first));
+  }
+
   /** An upstream that crashed may be back with another version before its entry is. */
   @Test
   public void streamWaitsForTheEntryOfUpstreamWhoseConnectionsBroke() {
