Continue a stream only where the upstream states the listed incarnation

Callers: a stream of known software version went on at another version, at a router that is cut off from the store and the other routers, after the upstream's process was replaced under the same name and address. Cause: the router trusts its list for the version of the process behind an address. Requests name the id of the upstream, and a process that starts again keeps it; its entry follows later or not at all. Change: before an attempt that continues a stream of known version is sent, the upstream is asked for its report on the same connection, once a connection, and must state the incarnation of its entry (born). One that states another is not sent the attempt: not-run with upstream-other, not counted as an attempt, and SlotStage.REPLACED keeps streams away from that upstream for 5 s or until its entry changes. The connection breaks: not sent. Attempts that begin a stream are not asked. Why it works: a process that is replaced after its statement breaks the connection that carries the attempt.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/SlotMessage.java
@@ -162,7 +162,9 @@
     /** The request ended because of an upstream failure. */
     FAILED,
     /** The request ended because the connection to the upstream failed. */
-    DISCONNECTED
+    DISCONNECTED,
+    /** The request was not sent, as the upstream said that it is not the listed process. */
+    REPLACED
   }
 
   /**
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -132,6 +132,22 @@
           OptionalLong.empty());
     }
 
+    /** Returns the attempt with another time until its deadline, in milliseconds. */
+    public RunAttempt withTimeLeft(long millis) {
+      return new RunAttempt(
+          attempt,
+          upstream,
+          workspace,
+          head,
+          body,
+          plan,
+          millis,
+          resumeAfter,
+          softwareVersion,
+          windowBytes,
+          sendByNanos);
+    }
+
     /** Returns the attempt with a time after which it must not be sent. */
     public RunAttempt sendBy(long nanos) {
       return new RunAttempt(
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -83,7 +83,8 @@
    */
   void onAttemptNotRun(RoutedRequest request, Reason reason, boolean arrived, long nowNanos) {
     boolean terminal = request.responseStarted || isFinal(reason);
-    boolean unsent = reason == Reason.WITHDRAWN && !arrived;
+    boolean replaced = reason == Reason.UPSTREAM_OTHER && !arrived;
+    boolean unsent = replaced || reason == Reason.WITHDRAWN && !arrived;
     if (unsent || !request.responseStarted && !mayHaveRunUnderTicket(reason)) {
       request.possibleRuns--;
       request.provenNotRunCount++;
@@ -92,7 +93,7 @@
       lifecycle.fail(request, request.withdrawReason, nowNanos);
     } else if (unsent) {
       // An attempt that was withdrawn before it was sent says nothing about the upstream.
-      lifecycle.requeue(request, SlotStage.DECLINED, nowNanos);
+      lifecycle.requeue(request, replaced ? SlotStage.REPLACED : SlotStage.DECLINED, nowNanos);
     } else if (request.responseStarted && request.plan.resumable()) {
       failOrRetry(request, reason, nowNanos);
     } else if (terminal || request.provenNotRunCount >= MAXIMUM_REJECTED_ATTEMPTS) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ProcessContinuity.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ProcessContinuity.java
@@ -1,10 +1,13 @@
 package dev.agatepier.core.process.internal;
 
+import java.util.OptionalLong;
+
 /**
  * Whether the process that an entry of the instance list describes still runs at its address. An
  * upstream may start again under its name with another software version, and its entry follows
  * later. A connection that broke or was refused is taken for the end of the process, until a
- * request that was sent before another one can have started is responded to.
+ * request that was sent before another one can have started is responded to. A process that has
+ * stated to be another one is taken for it until its entry should be in the list.
  */
 final class ProcessContinuity {
 
@@ -20,6 +23,7 @@
   private boolean broken;
   private long brokenNanos;
   private long lastBrokenNanos;
+  private OptionalLong replacedNanos = OptionalLong.empty();
 
   /** Records that a connection broke or was refused. */
   void onDisconnected(long nowNanos) {
@@ -30,6 +34,11 @@
     lastBrokenNanos = nowNanos;
   }
 
+  /** Records that the process at the address has stated that it is another one. */
+  void onReplaced(long nowNanos) {
+    replacedNanos = OptionalLong.of(nowNanos);
+  }
+
   /** Records the start of a response to a request that was sent at a time. */
   void onResponse(long sentNanos) {
     if (sentNanos - brokenNanos < RESTART_NANOS) {
@@ -39,8 +48,11 @@
 
   /** Returns whether a request that is sent at a time may reach a later process. */
   boolean mayBeReplaced(long sentNanos) {
-    return broken
-        && sentNanos - brokenNanos >= RESTART_NANOS
-        && sentNanos - lastBrokenNanos < REGISTRATION_NANOS;
+    boolean replaced =
+        replacedNanos.isPresent() && sentNanos - replacedNanos.getAsLong() < REGISTRATION_NANOS;
+    return replaced
+        || broken
+            && sentNanos - brokenNanos >= RESTART_NANOS
+            && sentNanos - lastBrokenNanos < REGISTRATION_NANOS;
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -163,6 +163,7 @@
           allocation.upstream.warmUp.onDisconnected();
         }
       }
+      case REPLACED -> allocation.upstream.continuity.onReplaced(nowNanos);
       default -> {
         // Not a fault of the upstream.
       }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
@@ -135,11 +135,40 @@
     assertTrue(allocator.isGranted(stream));
   }
 
+  /** The other process may have started long before a request finds it. */
+  @Test
+  public void streamIsNotContinuedWhereTheProcessIsNotTheListedOne() {
+    RequestId earlier = allocator.requestOfVersion("v1", "w", 5_000);
+    endRequest(SlotStage.REPLACED);
+    RequestId stream = allocator.requestOfVersion("v1", "w", 5_000);
+    allocator.sendChange(PLAIN, earlier, SlotStage.RESPONSE_STARTED, 0);
+    allocator.advance(100);
+    assertFalse(allocator.isGranted(stream) || allocator.isRejected(stream));
+    allocator.publishVersions(Map.of("p1r", "v1", "p2", "v2"));
+    allocator.advance(25);
+    assertTrue(allocator.isGranted(stream));
+  }
+
+  /** The report of a router whose list is behind must not keep streams away for good. */
+  @Test
+  public void streamIsContinuedAgainOnceTheEntryShouldBeListed() {
+    endRequest(SlotStage.REPLACED);
+    allocator.advance(4_900);
+    RequestId stream = allocator.requestOfVersion("v1", "w", 5_000);
+    assertFalse(allocator.isGranted(stream));
+    allocator.advance(200);
+    assertTrue(allocator.isGranted(stream));
+  }
+
   /** Lets a request of p1 end with its connection. */
   private void breakConnection() {
+    endRequest(SlotStage.DISCONNECTED);
+  }
+
+  private void endRequest(SlotStage stage) {
     RequestId request = allocator.requestOfVersion("v1", "w", 5_000);
     assertEquals(allocator.upstreamOf(request), "p1");
-    allocator.sendChange(PLAIN, request, SlotStage.DISCONNECTED, 0);
+    allocator.sendChange(PLAIN, request, stage, 0);
   }
 
   /** Without an incarnation an entry that changes its version names another process. */
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionRouterTest.java
@@ -7,6 +7,7 @@
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
+import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.connection.SlotMessage.SlotsWanted;
 import dev.agatepier.core.connection.SlotMessage.WaitingCall;
 import dev.agatepier.core.process.RouterEffect.FailRequest;
@@ -177,6 +178,21 @@
     assertEquals(router.responseTo(request), BROKEN_OFF);
   }
 
+  /** An upstream that was replaced must not cost a stream that others can continue. */
+  @Test
+  public void streamThatWasNotSentToReplacedUpstreamGoesOnElsewhere() {
+    RequestId request = brokenStream();
+    router.grant(request, "old1");
+    router.dispatch(
+        new RouterEvent.UpstreamNotRun(router.attempt(request), Reason.UPSTREAM_OTHER, false));
+    assertEquals(router.stages(request).getLast(), SlotStage.REPLACED);
+    router.grant(request, "old2");
+    router.startResponse(request, 200);
+    router.sendEvent(request, 2);
+    router.endResponse(request);
+    assertEquals(router.responseTo(request), "200 1;2;complete");
+  }
+
   /** Returns a request whose stream broke off at old1 after its first event. */
   private RequestId brokenStream() {
     RequestId request = router.run(RESUMABLE, "old1");
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/UpstreamCaller.java
@@ -14,6 +14,8 @@
 import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.connection.internal.ContinuedStreams;
 import dev.agatepier.wire.connection.internal.EventNumbers;
+import dev.agatepier.wire.connection.internal.IncarnationQueries;
+import dev.agatepier.wire.connection.internal.IncarnationQuery;
 import dev.agatepier.wire.connection.internal.ResponseBudget;
 import dev.agatepier.wire.connection.internal.UpstreamCallerContext;
 import dev.agatepier.wire.connection.internal.UpstreamPool;
@@ -56,6 +58,7 @@
   private final Counter unreadableLoads;
   private final Counter eventGaps;
   private final ContinuedStreams continuedStreams;
+  private final IncarnationQueries incarnationQueries;
   private final ResponseBudget responses;
   private final Map<PoolKey, UpstreamPool> pools = new HashMap<>();
   private final Map<AttemptId, UpstreamPool> poolsByAttempt = new HashMap<>();
@@ -114,6 +117,7 @@
     unreadableLoads = metrics.counter("upstreams.unreadable-loads");
     eventGaps = metrics.counter("upstreams.event-gaps");
     continuedStreams = new ContinuedStreams(metrics);
+    incarnationQueries = new IncarnationQueries(metrics);
     responses =
         new ResponseBudget(
             maximumBufferedBytes, memory, metrics.counter("upstreams.answers-given-up")::inc);
@@ -239,6 +243,12 @@
       connectionsOpened.inc();
     }
 
+    @Override
+    public void onIncarnationQueried(
+        RouterEffect.RunAttempt attempt, IncarnationQuery.Result result) {
+      incarnationQueries.record(attempt, result);
+    }
+
     @Override
     public void onResponseCompleted(
         RouterEffect.RunAttempt attempt, EventNumbers numbers, ResponseTrace trace) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamCallerContext.java
@@ -52,6 +52,13 @@
    */
   void onNoticeIgnored(Upstream upstream, AttemptId attempt, String detail, boolean first);
 
+  /**
+   * Called when an upstream has been asked for its incarnation.
+   *
+   * @param attempt the attempt that is to be sent to it
+   */
+  void onIncarnationQueried(RunAttempt attempt, IncarnationQuery.Result result);
+
   /**
    * Called when an attempt has ended with a complete response.
    *
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamConnection.java
@@ -66,6 +66,9 @@
   /** Whether the connection has carried an earlier attempt. */
   private boolean reused;
 
+  /** Whether the upstream has stated on this connection that it is the listed process. */
+  private boolean confirmed;
+
   /** Kind of the response being received. */
   private ResponseKind responseKind = ResponseKind.NONE;
 
@@ -110,11 +113,25 @@
    * as a part of a second one, would be joined with the next response.
    */
   boolean isUsable(long nowNanos) {
-    return exchange == null
-        && !broken
-        && channel.isActive()
-        && codec.isBetweenResponses()
-        && nowNanos - idleUntilNanos < 0;
+    return exchange == null && isBetweenResponses() && nowNanos - idleUntilNanos < 0;
+  }
+
+  /** Returns whether the connection is open and has received nothing behind the last response. */
+  boolean isBetweenResponses() {
+    return !broken && channel.isActive() && codec.isBetweenResponses();
+  }
+
+  boolean isReused() {
+    return reused;
+  }
+
+  /** Returns whether the upstream has stated on this connection that it is the listed process. */
+  boolean isConfirmed() {
+    return confirmed;
+  }
+
+  void setConfirmed() {
+    confirmed = true;
   }
 
   /** Returns whether a request may be sent over this connection. */
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -3,12 +3,14 @@
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
 import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.request.UpstreamNotice;
 import dev.agatepier.core.version.Upstream;
+import dev.agatepier.wire.connection.internal.IncarnationQuery.Result;
 import dev.agatepier.wire.request.ResponseTrace;
 import dev.agatepier.wire.request.UpstreamDialect;
 import dev.agatepier.wire.request.UpstreamDialect.Classification;
@@ -21,6 +23,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -55,10 +59,35 @@
   private final Set<UpstreamConnection> open = new HashSet<>();
   private final Map<AttemptId, UpstreamConnection> busy = new HashMap<>();
   private final Map<AttemptId, PendingConnect> pendingConnects = new HashMap<>();
+  private final Map<AttemptId, PendingQuery> pendingQueries = new HashMap<>();
   private boolean noticeIgnored;
 
+  /**
+   * An attempt that is not sent yet.
+   *
+   * @param askedNanos when the upstream was asked for its incarnation; empty if it has to be asked
+   */
+  private record UnsentAttempt(AttemptExchange exchange, OptionalLong askedNanos) {
+    private AttemptId id() {
+      return exchange.id();
+    }
+
+    /** Returns the attempt with the time that is left after the query. */
+    private RunAttempt remaining(long nowNanos) {
+      RunAttempt attempt = exchange.attempt();
+      return askedNanos.isEmpty()
+          ? attempt
+          : attempt.withTimeLeft(
+              attempt.timeLeftMillis()
+                  - TimeUnit.NANOSECONDS.toMillis(nowNanos - askedNanos.getAsLong()));
+    }
+  }
+
   /** An attempt that waits for its connection. */
-  private record PendingConnect(AttemptExchange exchange, Disposable.Swap subscription) {}
+  private record PendingConnect(UnsentAttempt unsent, Disposable.Swap subscription) {}
+
+  /** An attempt whose upstream has been asked for its incarnation. */
+  private record PendingQuery(UnsentAttempt unsent, UpstreamConnection connection) {}
 
   /** Creates an empty pool. */
   public UpstreamPool(Upstream upstream, UpstreamCallerContext context) {
@@ -72,11 +101,12 @@
     AttemptExchange exchange =
         new AttemptExchange(
             attempt, tokensPerEvent, numbers, event -> context.onAttemptEvent(event, numbers));
+    UnsentAttempt unsent = new UnsentAttempt(exchange, OptionalLong.empty());
     UpstreamConnection connection = acquireIdle(exchange.request());
     if (connection == null) {
-      connect(exchange);
+      connect(unsent);
     } else {
-      send(exchange, connection);
+      sendIfListed(unsent, connection);
     }
   }
 
@@ -88,15 +118,21 @@
     }
   }
 
-  /** Cancels an attempt whose connection is still being opened; returns whether it was. */
+  /** Cancels an attempt that waits for its connection or a query; returns whether it was. */
   public boolean cancelUnsent(AttemptId attempt) {
-    PendingConnect pending = pendingConnects.remove(attempt);
-    if (pending == null) {
-      return false;
+    PendingConnect connect = pendingConnects.remove(attempt);
+    if (connect != null) {
+      connect.subscription().dispose();
+      connect.unsent().exchange().notRun(Reason.WITHDRAWN, false);
+      return true;
     }
-    pending.subscription().dispose();
-    pending.exchange().notRun(Reason.WITHDRAWN, false);
-    return true;
+    PendingQuery query = pendingQueries.remove(attempt);
+    if (query != null) {
+      query.connection().close();
+      query.unsent().exchange().notRun(Reason.WITHDRAWN, false);
+      return true;
+    }
+    return false;
   }
 
   /** Adds flow-control credit in bytes to the attempt; does nothing if it is not running. */
@@ -210,21 +246,88 @@
     return null;
   }
 
+  /**
+   * Sends a request. One that continues a stream is sent once the upstream has stated on the same
+   * connection that it is the listed process, since another one may have another software version.
+   */
+  private void sendIfListed(UnsentAttempt unsent, UpstreamConnection connection) {
+    RunAttempt attempt = unsent.exchange().attempt();
+    boolean continuesStream =
+        attempt.resumeAfter().isPresent() && !attempt.softwareVersion().isEmpty();
+    Optional<CallHead> request =
+        continuesStream && upstream.incarnation() != 0 && unsent.askedNanos().isEmpty()
+            ? context.dialect().incarnationRequest(upstream)
+            : Optional.empty();
+    if (request.isEmpty() || connection.isConfirmed()) {
+      send(unsent, connection);
+      return;
+    }
+    OptionalLong now = OptionalLong.of(context.clock().nanoTime());
+    PendingQuery pending = new PendingQuery(new UnsentAttempt(unsent.exchange(), now), connection);
+    pendingQueries.put(unsent.id(), pending);
+    UpstreamPipeline.installQuery(
+        connection.channel(),
+        new IncarnationQuery(
+            context.dialect(), attempt, request.get(), result -> onQueryEnded(pending, result)));
+  }
+
+  private void onQueryEnded(PendingQuery pending, Result result) {
+    UnsentAttempt unsent = pending.unsent();
+    UpstreamConnection connection = pending.connection();
+    if (!pendingQueries.remove(unsent.id(), pending)) {
+      return;
+    }
+    context.onIncarnationQueried(unsent.exchange().attempt(), result);
+    switch (result) {
+      case Result.Stated(long incarnation, boolean reusable) -> {
+        if (incarnation == upstream.incarnation()) {
+          connection.setConfirmed();
+          sendAfterQuery(unsent, connection, reusable);
+        } else {
+          connection.close();
+          unsent.exchange().notRun(Reason.UPSTREAM_OTHER, false);
+        }
+      }
+      case Result.NotStated(boolean reusable) -> sendAfterQuery(unsent, connection, reusable);
+      case Result.Disconnected() -> {
+        connection.close();
+        if (connection.isReused()) {
+          // The upstream may have closed it because it was idle.
+          connect(new UnsentAttempt(unsent.exchange(), OptionalLong.empty()));
+        } else {
+          unsent.exchange().notRun(Reason.UPSTREAM_UNREACHABLE, false);
+        }
+      }
+    }
+  }
+
+  private void sendAfterQuery(
+      UnsentAttempt unsent, UpstreamConnection connection, boolean reusable) {
+    if (reusable && connection.isBetweenResponses()) {
+      send(unsent, connection);
+    } else {
+      connection.close();
+      connect(unsent);
+    }
+  }
+
   /** Sends a request, unless its process was suspended or connected for too long since. */
-  private void send(AttemptExchange exchange, UpstreamConnection connection) {
-    if (exchange.attempt().isTooLate(context.clock().nanoTime())) {
+  private void send(UnsentAttempt unsent, UpstreamConnection connection) {
+    AttemptExchange exchange = unsent.exchange();
+    long now = context.clock().nanoTime();
+    if (exchange.attempt().isTooLate(now)) {
       connection.close();
       exchange.notRun(Reason.WITHDRAWN, false);
       return;
     }
     busy.put(exchange.id(), connection);
-    connection.send(exchange, context.dialect().headers(exchange.attempt()));
+    connection.send(exchange, context.dialect().headers(unsent.remaining(now)));
   }
 
-  private void connect(AttemptExchange exchange) {
+  private void connect(UnsentAttempt unsent) {
     context.onConnecting();
-    PendingConnect pending = new PendingConnect(exchange, reactor.core.Disposables.swap());
-    pendingConnects.put(exchange.id(), pending);
+    PendingConnect pending = new PendingConnect(unsent, reactor.core.Disposables.swap());
+    pendingConnects.put(unsent.id(), pending);
     UpstreamConnection connection = new UpstreamConnection(this);
     pending
         .subscription()
@@ -252,17 +355,17 @@
       PendingConnect pending, UpstreamConnection connection, Connection opened) {
     Channel channel = opened.channel();
     connection.onOpened(channel);
-    if (pendingConnects.remove(pending.exchange().id(), pending)) {
+    if (pendingConnects.remove(pending.unsent().id(), pending)) {
       open.add(connection);
-      send(pending.exchange(), connection);
+      sendIfListed(pending.unsent(), connection);
     } else {
       channel.close();
     }
   }
 
   private void onConnectFailed(PendingConnect pending) {
-    if (pendingConnects.remove(pending.exchange().id(), pending)) {
-      pending.exchange().notRun(Reason.UPSTREAM_UNREACHABLE, false);
+    if (pendingConnects.remove(pending.unsent().id(), pending)) {
+      pending.unsent().exchange().notRun(Reason.UPSTREAM_UNREACHABLE, false);
     }
   }
 }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -31,6 +31,7 @@
   UPSTREAM_AVAILABILITY_CHANGED("upstream-availability-changed"),
   PREFIX_HOMES_CHANGED("prefix-homes-changed"),
   UPSTREAM_NOTICE_IGNORED("upstream-notice-ignored"),
+  UPSTREAM_REPLACED("upstream-replaced"),
   EVACUATION_STARTED("evacuation-started"),
   EVACUATION_ENDED("evacuation-ended"),
   TABLE_STALE("table-stale"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -210,6 +210,17 @@
                 .with("flaw", detail));
   }
 
+  /** Logs an upstream that has stated another incarnation than the list has for it. */
+  public static void logUpstreamReplaced(RouterEffect.RunAttempt attempt, long incarnation) {
+    LOGGER.warn(
+        () ->
+            attemptEvent(LogEvent.UPSTREAM_REPLACED, attempt.attempt())
+                .with("upstream", attempt.upstream().name())
+                .with("upstreamVersion", attempt.upstream().softwareVersion())
+                .with("listedIncarnation", attempt.upstream().incarnation())
+                .with("statedIncarnation", incarnation));
+  }
+
   private static StringMapMessage slotEvent(
       LogEvent event, String service, RequestId request, FairPosition position) {
     return event
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/request/UpstreamDialect.java
@@ -1,12 +1,17 @@
 package dev.agatepier.wire.request;
 
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.request.UpstreamNotice;
+import dev.agatepier.core.version.Upstream;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * The protocol that upstreams use: builds the header fields of an attempt and interprets the heads
@@ -92,6 +97,19 @@
     return Notice.NONE;
   }
 
+  /**
+   * Returns the request that asks an upstream for the incarnation of its process; empty if the
+   * protocol has none. It has no body and may be sent at any time.
+   */
+  default Optional<CallHead> incarnationRequest(Upstream upstream) {
+    return Optional.empty();
+  }
+
+  /** Returns the incarnation that a response to that request states; empty if it states none. */
+  default OptionalLong readIncarnation(int status, Bytes body) {
+    return OptionalLong.empty();
+  }
+
   /** Reads the load that the header fields of a response state. */
   LoadStatement readLoad(List<Header> headers);
 }
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/FakeUpstreamDialect.java
@@ -1,29 +1,36 @@
 package dev.agatepier.wire.connection;
 
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.request.Bytes;
+import dev.agatepier.core.request.CallHead;
 import dev.agatepier.core.request.Header;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.UpstreamLoadReport;
 import dev.agatepier.core.request.UpstreamNotice;
+import dev.agatepier.core.version.Upstream;
 import dev.agatepier.wire.request.UpstreamDialect;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
  * Upstreams echo the request number in the header {@code label} and send {@code not-run: 1} for an
- * attempt that they did not run, and {@code leaving: 1} if they are leaving.
+ * attempt that they did not run, and {@code leaving: 1} if they are leaving. They state their
+ * incarnation as the body at {@code /incarnation}.
  */
 final class FakeUpstreamDialect implements UpstreamDialect {
 
+  private static final int OK = 200;
   private static final int MISDIRECTED = 421;
 
   @Override
   public List<Header> headers(RunAttempt attempt) {
     return List.of(
         new Header("host", "a"),
-        new Header("label", Long.toString(attempt.attempt().request().number())));
+        new Header("label", Long.toString(attempt.attempt().request().number())),
+        new Header("time-left", Long.toString(attempt.timeLeftMillis())));
   }
 
   @Override
@@ -50,6 +57,19 @@
     return new Notice(new UpstreamNotice(leaving, OptionalLong.empty()), "");
   }
 
+  @Override
+  public Optional<CallHead> incarnationRequest(Upstream upstream) {
+    List<Header> headers = List.of(new Header("host", upstream.name()));
+    return Optional.of(new CallHead("GET", "/incarnation", headers));
+  }
+
+  @Override
+  public OptionalLong readIncarnation(int status, Bytes body) {
+    return status == OK && body.text().matches("[0-9]+")
+        ? OptionalLong.of(Long.parseLong(body.text()))
+        : OptionalLong.empty();
+  }
+
   @Override
   public LoadStatement readLoad(List<Header> headers) {
     String load = firstValue(headers, "load");
