--- a/review/standins-3/Engine.java
+++ b/review/standins-3/Engine.java
@@ -32,6 +32,7 @@
   final String id;
   final String version;
   final long born = System.currentTimeMillis();
+  private final String address;
   private final Store store;
   private final String service;
   private final String zone;
@@ -42,6 +43,20 @@
   private final AtomicInteger running = new AtomicInteger();
   private volatile boolean ended;
 
+  /** Starts an engine at 127.0.0.1; port 0 takes any free one. */
+  Engine(
+      Store store,
+      String id,
+      String service,
+      String zone,
+      String version,
+      int slots,
+      int port,
+      Service answers)
+      throws IOException {
+    this(store, id, service, zone, version, slots, "127.0.0.1", port, answers);
+  }
+
   /** Starts an engine; port 0 takes any free one. */
   Engine(
       Store store,
@@ -50,9 +65,11 @@
       String zone,
       String version,
       int slots,
+      String address,
       int port,
       Service answers)
       throws IOException {
+    this.address = address;
     this.store = store;
     this.id = id;
     this.service = service;
@@ -62,8 +79,7 @@
     this.answers = answers;
     listener = new ServerSocket();
     listener.setReuseAddress(true);
-    listener.bind(
-        new java.net.InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 512);
+    listener.bind(new java.net.InetSocketAddress(InetAddress.getByName(address), port), 512);
     Thread.ofVirtual().start(this::accept);
   }
 
@@ -75,11 +91,11 @@
   void register(String state) {
     store.put(
         "servers/" + id,
-        ("{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"%s\","
+        ("{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\",\"version\":\"%s\","
                 + "\"slots\":%d,\"state\":\"%s\",\"cold_remaining_ms\":0,\"stage\":\"both\","
                 + "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":1,"
                 + "\"born\":%d}")
-            .formatted(service, port(), zone, version, slots, state, born));
+            .formatted(service, address, port(), zone, version, slots, state, born));
   }
 
   /** Ends the process of the engine, as a crash does. */
--- a/review/standins-3/Router.java
+++ b/review/standins-3/Router.java
@@ -24,10 +24,19 @@
   private Process process;
 
   Router(String name, String zone, int number, Path directory) throws IOException {
+    this(name, zone, number, directory, 0);
+  }
+
+  /**
+   * Creates a router.
+   *
+   * @param firstPort first port of the port_range of all machines; 0 for any free one
+   */
+  Router(String name, String zone, int number, Path directory, int firstPort) throws IOException {
     this.name = name;
     this.zone = zone;
     this.directory = directory;
-    address = "127.%d.%d.%d".formatted(90 + (int) (ProcessHandle.current().pid() % 100), 7, number);
+    address = Loopback.address(7, number);
     List<ServerSocket> sockets = new ArrayList<>();
     for (int count = 0; count < 4; count++) {
       sockets.add(new ServerSocket(0, 1, InetAddress.getByName(address)));
@@ -35,7 +44,7 @@
     frontend = sockets.get(0).getLocalPort();
     readiness = sockets.get(1).getLocalPort();
     links = sockets.get(2).getLocalPort();
-    administration = sockets.get(3).getLocalPort();
+    administration = firstPort == 0 ? sockets.get(3).getLocalPort() : firstPort;
     for (ServerSocket socket : sockets) {
       socket.close();
     }
