--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 jdk=$(bin/find-jdk) || exit 2
-exec "$jdk/bin/java" -Xmx256m -cp target/review-3 LateCrash review/12
+exec "$jdk/bin/java" -Xmx256m -cp target/review-3 DeadlyPart review/12
