--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 jdk=$(bin/find-jdk)
 mkdir -p target/review-3
-find review/standins-3 review/1[1-5] -name '*.java' -print0 2>/dev/null |
+find review/1[1-5] -name '*.java' -print0 2>/dev/null |
   xargs -0 "$jdk/bin/javac" -nowarn -d target/review-3
