Try quarantined prompt parts with one request at a time

Cause: a part is cleared when a request with it completes, and a quarantined part is in no request that runs. quarantine-changed named both parts once, and the engines crashed no more, so that no renewal kept the quarantine up.

Change: one request at a time in the fleet runs on trial, two seconds after the last crash if it lacks a part that explains the crashes, after a minute otherwise. Links have protocol version 7.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -213,13 +213,21 @@
    *
    * @param suspicions fingerprints of requests that were running when an upstream crashed
    * @param cleared suspected fingerprints of which a request has completed
+   * @param tried quarantined fingerprints of which a request runs on trial now
    */
-  record DirectCrashReport(List<Suspicion> suspicions, List<Fingerprint> cleared)
+  record DirectCrashReport(
+      List<Suspicion> suspicions, List<Fingerprint> cleared, List<Fingerprint> tried)
       implements LinkMessage {
     /** Copies the lists. */
     public DirectCrashReport {
       suspicions = List.copyOf(suspicions);
       cleared = List.copyOf(cleared);
+      tried = List.copyOf(tried);
+    }
+
+    /** Creates a report without trials. */
+    public DirectCrashReport(List<Suspicion> suspicions, List<Fingerprint> cleared) {
+      this(suspicions, cleared, List.of());
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -13,6 +13,7 @@
 import dev.agatepier.core.request.ResponseHead;
 import dev.agatepier.core.request.Ticket;
 import dev.agatepier.core.version.Upstream;
+import java.util.List;
 import java.util.OptionalLong;
 
 /** Effects of the router's decision. */
@@ -203,6 +204,18 @@
    */
   record QuarantineChanged(Fingerprint fingerprint, String upstream) implements RouterEffect {}
 
+  /**
+   * Reports that a request with quarantined fingerprints is sent to an upstream, to find out
+   * whether they are sound.
+   */
+  record QuarantineTrialStarted(RequestId request, List<Fingerprint> fingerprints)
+      implements RouterEffect {
+    /** Copies the list. */
+    public QuarantineTrialStarted {
+      fingerprints = List.copyOf(fingerprints);
+    }
+  }
+
   /**
    * Report that a table version with other lists of allowed regions was activated.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
@@ -3,11 +3,13 @@
 import dev.agatepier.core.connection.LinkMessage.DirectCrashReport;
 import dev.agatepier.core.connection.LinkMessage.Suspicion;
 import dev.agatepier.core.process.RouterEffect.QuarantineChanged;
+import dev.agatepier.core.process.RouterEffect.QuarantineTrialStarted;
 import dev.agatepier.core.process.RouterEvent.CallArrived;
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.Reason;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
@@ -15,10 +17,15 @@
 
 /**
  * Finds the requests and the prompt parts that crash upstreams which routers call directly, and
- * quarantines them. A part is suspected when attempts with it failed before their responses
- * progressed, and cleared when a request with it completes on any router. Several crashes without a
- * completion in between quarantine it; the other parts of its requests are cleared by the sound
- * requests that share them.
+ * quarantines them.
+ *
+ * <p>A part is suspected when attempts with it failed before their responses progressed, and
+ * cleared when a request with it completes on any router. Several crashes without a completion in
+ * between quarantine it.
+ *
+ * <p>The other parts of the requests that crash upstreams are suspected as well, and while they are
+ * quarantined no request with them could show that they are sound. So one request at a time is let
+ * through on trial ({@link QuarantineTrials}), soon if it lacks a part that explains the crashes.
  */
 final class DirectCrashes {
 
@@ -30,11 +37,12 @@
 
   private final RouterState state;
   private final Quarantine quarantine;
+  private final QuarantineTrials trials = new QuarantineTrials();
 
   /** Creates the tracker of a router that has seen no crash. */
   DirectCrashes(RouterState state) {
     this.state = state;
-    this.quarantine = new Quarantine(state.policy, MINIMUM_GAP_NANOS);
+    quarantine = new Quarantine(state.policy, MINIMUM_GAP_NANOS);
   }
 
   /** Records a failed attempt, and reports it to the other routers if it may be due to a crash. */
@@ -50,13 +58,16 @@
       suspicions.add(
           new Suspicion(fingerprint, target.name(), target.upstream().incarnation(), 0, false));
     }
-    sendToRouters(addReports(suspicions, nowNanos), List.of());
+    List<Suspicion> added = addReports(suspicions, nowNanos);
+    if (!added.isEmpty()) {
+      sendToRouters(new DirectCrashReport(added, List.of()));
+    }
   }
 
   /** Clears the parts of a request that has completed, and reports those that were suspected. */
   void onCompleted(RoutedRequest request, long nowNanos) {
     if (!quarantine.isEmpty()) {
-      sendToRouters(List.of(), clear(fingerprints(request.call), nowNanos));
+      sendCleared(clear(fingerprints(request.call), nowNanos));
     }
   }
 
@@ -64,6 +75,7 @@
   void onReport(DirectCrashReport report, long nowNanos) {
     addReports(report.suspicions(), nowNanos);
     clear(report.cleared(), nowNanos);
+    trials.onStarted(report.tried(), nowNanos);
   }
 
   /** Sends a router that has connected what counts now. */
@@ -74,15 +86,31 @@
     }
   }
 
-  /** Returns the remaining quarantine of a call, in milliseconds; empty if it may run. */
+  /**
+   * Returns the time until a call that is quarantined may be tried, in milliseconds; empty if it
+   * may run, also on trial.
+   */
   OptionalLong quarantineMillis(CallArrived call, long nowNanos) {
-    if (quarantine.isEmpty()) {
+    List<Fingerprint> quarantined = quarantined(call, nowNanos);
+    if (quarantined.isEmpty()) {
       return OptionalLong.empty();
     }
-    return fingerprints(call).stream()
-        .filter(fingerprint -> quarantine.isQuarantined(fingerprint, nowNanos))
-        .mapToLong(fingerprint -> quarantine.millisLeft(fingerprint, nowNanos))
-        .max();
+    List<Fingerprint> others = explanations(call, nowNanos);
+    long longest = 0;
+    for (Fingerprint fingerprint : quarantined) {
+      longest = Math.max(longest, millisUntilTrial(fingerprint, others, nowNanos));
+    }
+    return longest == 0 ? OptionalLong.empty() : OptionalLong.of(longest);
+  }
+
+  /** Records that a request is sent, which is a trial if it is quarantined. */
+  void onSent(RoutedRequest request, long nowNanos) {
+    List<Fingerprint> tried = quarantined(request.call, nowNanos);
+    if (!tried.isEmpty()) {
+      trials.onStarted(tried, nowNanos);
+      state.outbox.add(new QuarantineTrialStarted(request.id(), tried));
+      sendToRouters(new DirectCrashReport(List.of(), List.of(), tried));
+    }
   }
 
   /** Drops old crashes. */
@@ -90,10 +118,55 @@
     quarantine.expire(nowNanos);
   }
 
+  private List<Fingerprint> quarantined(CallArrived call, long nowNanos) {
+    if (quarantine.isEmpty()) {
+      return List.of();
+    }
+    return fingerprints(call).stream()
+        .filter(fingerprint -> quarantine.isQuarantined(fingerprint, nowNanos))
+        .toList();
+  }
+
+  private long millisUntilTrial(Fingerprint fingerprint, List<Fingerprint> others, long nowNanos) {
+    boolean explained = others.stream().anyMatch(other -> explains(other, fingerprint, nowNanos));
+    long nanos =
+        trials.nanosUntilTrial(
+            fingerprint, explained, quarantine.lastCrashNanos(fingerprint), nowNanos);
+    long millis =
+        nanos / RouterState.NANOS_PER_MILLI + (nanos % RouterState.NANOS_PER_MILLI == 0 ? 0 : 1);
+    return Math.min(quarantine.millisLeft(fingerprint, nowNanos), millis);
+  }
+
+  /** Returns the fingerprints that a call lacks and that may have caused several crashes. */
+  private List<Fingerprint> explanations(CallArrived call, long nowNanos) {
+    List<Fingerprint> others =
+        new ArrayList<>(quarantine.withCrashes(state.policy.quarantineDeaths(), nowNanos));
+    others.removeAll(fingerprints(call));
+    return others;
+  }
+
+  /**
+   * Returns whether another fingerprint explains so many crashes of a quarantined one that those
+   * left would not quarantine it.
+   */
+  private boolean explains(Fingerprint other, Fingerprint fingerprint, long nowNanos) {
+    Set<Quarantine.Crash> left = new HashSet<>(quarantine.crashes(fingerprint, nowNanos));
+    int count = left.size();
+    Set<Quarantine.Crash> explained = quarantine.crashes(other, nowNanos);
+    left.removeAll(explained);
+    return left.size() < state.policy.quarantineDeaths()
+        && (quarantine.isQuarantined(other, nowNanos) || explained.size() >= count);
+  }
+
   /** Returns the fingerprints of the content and of the prompt parts that other requests share. */
   private static List<Fingerprint> fingerprints(CallArrived call) {
     List<Fingerprint> fingerprints = new ArrayList<>();
     fingerprints.add(call.fingerprint());
+    addPartFingerprints(call, fingerprints);
+    return fingerprints;
+  }
+
+  private static void addPartFingerprints(CallArrived call, Collection<Fingerprint> fingerprints) {
     call.prompt()
         .ifPresent(
             prompt -> {
@@ -101,9 +174,9 @@
                 fingerprints.add(Fingerprint.ofPart(call.service(), part));
               }
             });
-    return fingerprints;
   }
 
+  /** Adds reports, and returns those that were not known. */
   private List<Suspicion> addReports(List<Suspicion> reports, long nowNanos) {
     Set<Fingerprint> quarantinedBefore = new HashSet<>();
     for (Suspicion report : reports) {
@@ -113,6 +186,7 @@
     }
     List<Suspicion> added = quarantine.addReports(reports, nowNanos);
     for (Suspicion report : added) {
+      trials.onCrash(report.fingerprint());
       if (quarantine.isQuarantined(report.fingerprint(), nowNanos)
           && quarantinedBefore.add(report.fingerprint())) {
         state.outbox.add(new QuarantineChanged(report.fingerprint(), report.sidecar()));
@@ -128,6 +202,7 @@
       boolean before = quarantine.isQuarantined(fingerprint, nowNanos);
       if (quarantine.clear(fingerprint)) {
         cleared.add(fingerprint);
+        trials.onCleared(fingerprint);
       }
       if (before) {
         state.outbox.add(new QuarantineChanged(fingerprint, ""));
@@ -136,10 +211,13 @@
     return cleared;
   }
 
-  private void sendToRouters(List<Suspicion> suspicions, List<Fingerprint> cleared) {
-    if (!suspicions.isEmpty() || !cleared.isEmpty()) {
-      DirectCrashReport report = new DirectCrashReport(suspicions, cleared);
-      state.routers.keySet().forEach(router -> state.outbox.send(router, report));
+  private void sendCleared(List<Fingerprint> cleared) {
+    if (!cleared.isEmpty()) {
+      sendToRouters(new DirectCrashReport(List.of(), cleared));
     }
   }
+
+  private void sendToRouters(DirectCrashReport report) {
+    state.routers.keySet().forEach(router -> state.outbox.send(router, report));
+  }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
@@ -4,6 +4,7 @@
 import dev.agatepier.core.process.RouterPolicy;
 import dev.agatepier.core.request.Fingerprint;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -44,7 +45,8 @@
         }
       };
 
-  private record Crash(String sidecar, long incarnation, long number) {}
+  /** A crash, however many fingerprints it is attributed to. */
+  record Crash(String sidecar, long incarnation, long number) {}
 
   /**
    * Crashes attributed to one fingerprint. A cleared crash does not count, but is kept to recognise
@@ -119,6 +121,20 @@
         .toList();
   }
 
+  /** Returns the fingerprints that at least so many crashes count against now. */
+  List<Fingerprint> withCrashes(int minimum, long nowNanos) {
+    return suspects.keySet().stream()
+        .filter(fingerprint -> crashCount(fingerprint, nowNanos) >= minimum)
+        .toList();
+  }
+
+  /** Returns the crashes that count against a fingerprint now. */
+  Set<Crash> crashes(Fingerprint fingerprint, long nowNanos) {
+    return crashCount(fingerprint, nowNanos) == 0
+        ? Set.of()
+        : Collections.unmodifiableSet(suspects.get(fingerprint).counted.keySet());
+  }
+
   /** Returns how many crashes count against a fingerprint now. */
   int crashCount(Fingerprint fingerprint, long nowNanos) {
     Suspect suspect = suspects.get(fingerprint);
@@ -141,6 +157,11 @@
     return request.crashes > 0 || crashCount(request.fingerprint(), nowNanos) > 0;
   }
 
+  /** Returns when the last crash of a recorded fingerprint was. */
+  long lastCrashNanos(Fingerprint fingerprint) {
+    return suspects.get(fingerprint).lastNanos;
+  }
+
   /** Returns the remaining quarantine of a recorded fingerprint, in milliseconds; at least 1. */
   long millisLeft(Fingerprint fingerprint, long nowNanos) {
     long sinceNanos = nowNanos - suspects.get(fingerprint).lastNanos;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -92,15 +92,28 @@
       } else {
         state.regions.reject(request, state.upstreams, lifecycle, nowNanos);
       }
-    } else if (state.directCrashes.quarantineMillis(request.call, nowNanos).isPresent()) {
-      placement.decline(router, granted.service(), granted.request(), granted.upstream());
-      lifecycle.fail(request, Reason.QUARANTINED, nowNanos);
     } else {
-      OptionalLong sendBy =
-          granted.cold() ? OptionalLong.of(sendByNanos(request, granted)) : OptionalLong.empty();
-      request.grantedVersion = granted.softwareVersion();
-      call(request, upstream, sendBy, nowNanos);
+      onUsableGrant(router, request, upstream, granted, nowNanos);
+    }
+  }
+
+  /** Calls the upstream of a grant, unless the request has been quarantined meanwhile. */
+  private void onUsableGrant(
+      String router,
+      RoutedRequest request,
+      DirectUpstream upstream,
+      SlotGranted granted,
+      long nowNanos) {
+    OptionalLong quarantine = state.directCrashes.quarantineMillis(request.call, nowNanos);
+    if (quarantine.isPresent()) {
+      placement.decline(router, granted.service(), granted.request(), granted.upstream());
+      lifecycle.fail(request, Reason.QUARANTINED, 0, quarantine.getAsLong(), nowNanos);
+      return;
     }
+    OptionalLong sendBy =
+        granted.cold() ? OptionalLong.of(sendByNanos(request, granted)) : OptionalLong.empty();
+    request.grantedVersion = granted.softwareVersion();
+    call(request, upstream, sendBy, nowNanos);
   }
 
   /** Returns whether a grant for a cold upstream is a repeated one: each is counted only once. */
@@ -123,6 +136,7 @@
   private void call(
       RoutedRequest request, DirectUpstream upstream, OptionalLong sendByNanos, long nowNanos) {
     AttemptId attempt = lifecycle.start(request, upstream, false, nowNanos);
+    state.directCrashes.onSent(request, nowNanos);
     state.outbox.add(
         new RouterEffect.RunAttempt(
             attempt,
--- /dev/null
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/QuarantineTrialsTest.java
@@ -0,0 +1,132 @@
+package dev.agatepier.core.process;
+
+import static dev.agatepier.core.process.DirectRouterFixture.RESUMABLE;
+import static dev.agatepier.core.process.DirectRouterFixture.STREAM;
+import static org.testng.Assert.assertEquals;
+
+import dev.agatepier.core.connection.LinkMessage.DirectCrashReport;
+import dev.agatepier.core.connection.PeerIdentity;
+import dev.agatepier.core.request.Fingerprint;
+import dev.agatepier.core.request.PromptPart;
+import dev.agatepier.core.request.Reason;
+import dev.agatepier.core.request.RequestId;
+import java.util.List;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Which part of the requests that crash upstreams is found to be at fault. */
+public class QuarantineTrialsTest {
+
+  private static final String QUARANTINED = "not-run quarantined";
+  private static final String COMPLETE = "200 complete";
+  private static final PeerIdentity PEER = DirectRouterFixture.identity("r9", "b1");
+
+  private DirectRouterFixture router;
+
+  @BeforeMethod
+  public void setUp() {
+    router = new DirectRouterFixture();
+  }
+
+  @DataProvider
+  public Object[][] placesOfDeadlyPart() {
+    return new Object[][] {
+      {new String[] {"shared", "deadly"}},
+      {new String[] {"deadly", "shared"}},
+      {new String[] {"shared", "also-shared", "deadly"}},
+    };
+  }
+
+  /**
+   * Guards against sound requests that are refused for the whole quarantine since they share a part
+   * with those that crash upstreams, and no request with it runs between the crashes.
+   */
+  @Test(dataProvider = "placesOfDeadlyPart")
+  public void servesSoundRequestsAfterOneTrial(String[] parts) {
+    crashUpstreams(3, 0, parts);
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "shared", "x")), QUARANTINED);
+    router.advance(3_000);
+    RequestId trial = router.callWithParts(STREAM, "shared", "x");
+    router.grant(trial, "u2");
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "shared", "y")), QUARANTINED);
+    complete(trial);
+    for (int call = 0; call < 3; call++) {
+      assertEquals(run(router.callWithParts(STREAM, "shared", "z")), COMPLETE);
+    }
+    assertEquals(router.responseTo(router.callWithParts(STREAM, parts)), QUARANTINED);
+  }
+
+  /** Guards against a deadly part that is tried again and again in place of its companion. */
+  @Test
+  public void partThatCrashesItsTrialIsNotTriedSoon() {
+    crashUpstreams(3, 0, "shared", "deadly");
+    router.advance(3_000);
+    crashUpstreams(1, 0, "other", "deadly");
+    for (int second = 0; second < 50; second++) {
+      router.advance(1_000);
+      assertEquals(router.responseTo(router.callWithParts(STREAM, "deadly")), QUARANTINED);
+    }
+    assertEquals(run(router.callWithParts(STREAM, "shared", "x")), COMPLETE);
+  }
+
+  /** Guards against a sound part that several unrelated crashes quarantine for ten minutes. */
+  @Test
+  public void triesPartWithoutOtherExplanationAfterOneMinute() {
+    crashUpstreams(3, 0, "unlucky");
+    router.advance(50_000);
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "unlucky")), QUARANTINED);
+    router.advance(10_000);
+    assertEquals(run(router.callWithParts(STREAM, "unlucky")), COMPLETE);
+  }
+
+  /** Guards against one trial at each router. */
+  @Test
+  public void waitsForTrialOfOtherRouter() {
+    router.dispatch(new RouterEvent.PeerConnected(PEER));
+    crashUpstreams(3, 0, "shared", "deadly");
+    router.advance(3_000);
+    Fingerprint shared =
+        Fingerprint.ofPart(DirectRouterFixture.SERVICE, new PromptPart("shared", 10));
+    receive(new DirectCrashReport(List.of(), List.of(), List.of(shared)));
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "shared")), QUARANTINED);
+    router.advance(2_000);
+    RequestId trial = router.callWithParts(STREAM, "shared");
+    router.grant(trial, "u2");
+    assertEquals(router.sentReports(PEER.instance()).getLast().tried(), List.of(shared));
+  }
+
+  private void receive(DirectCrashReport report) {
+    router.dispatch(new RouterEvent.MessageReceived(PEER, report));
+  }
+
+  /** Crashes upstreams one after the other, after some events of the response. */
+  private void crashUpstreams(int count, int events, String... parts) {
+    for (int crash = 0; crash < count; crash++) {
+      router.failAttempt(start(events, "u1", parts), Reason.ANSWER_INCOMPLETE);
+      router.restartUpstreams();
+      router.advance(1_000);
+    }
+  }
+
+  private RequestId start(int events, String upstream, String... parts) {
+    RequestId request = router.callWithParts(RESUMABLE, parts);
+    router.grant(request, upstream);
+    router.startResponse(request, 200);
+    for (int event = 1; event <= events; event++) {
+      router.sendEvent(request, event);
+    }
+    return request;
+  }
+
+  private String run(RequestId request) {
+    router.grant(request, "u2");
+    complete(request);
+    return router.responseTo(request);
+  }
+
+  private void complete(RequestId request) {
+    router.startResponse(request, 200);
+    router.endResponse(request);
+  }
+}
--- a/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
+++ b/agatepier-standin/src/main/java/dev/agatepier/standin/process/internal/SimulatedRouter.java
@@ -137,6 +137,7 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.QuarantineTrialStarted _,
           RouterEffect.ResumptionDecided _,
           RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/CallerPort.java
@@ -231,6 +231,7 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.QuarantineTrialStarted _,
           RouterEffect.ResumptionDecided _,
           RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/Handshake.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/Handshake.java
@@ -19,7 +19,7 @@
 final class Handshake {
 
   /** Protocol version of a link; both ends must have the same. */
-  static final int PROTOCOL_VERSION = 6;
+  static final int PROTOCOL_VERSION = 7;
 
   /** Size of a nonce, in bytes. */
   static final int NONCE_BYTES = 16;
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/CallerListener.java
@@ -155,6 +155,7 @@
           RouterEffect.ReadAttempt _,
           RouterEffect.CancelAttempt _,
           RouterEffect.QuarantineChanged _,
+          RouterEffect.QuarantineTrialStarted _,
           RouterEffect.ResumptionDecided _,
           RouterEffect.StreamContinued _,
           RouterEffect.SendToOriginCache _,
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/LogEvent.java
@@ -27,6 +27,7 @@
   STREAM_RESUMED("stream-resumed"),
   STREAM_RESUMPTION_REJECTED("stream-resumption-rejected"),
   QUARANTINE_CHANGED("quarantine-changed"),
+  QUARANTINE_TRIAL("quarantine-trial"),
   UPSTREAM_JUDGED("upstream-judged"),
   UPSTREAM_AVAILABILITY_CHANGED("upstream-availability-changed"),
   PREFIX_HOMES_CHANGED("prefix-homes-changed"),
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RequestLog.java
@@ -7,6 +7,7 @@
 import dev.agatepier.core.process.RouterEvent;
 import dev.agatepier.core.process.SlotAllocatorEffect;
 import dev.agatepier.core.request.AttemptId;
+import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.Outcome;
 import dev.agatepier.core.request.PromptMetadata;
 import dev.agatepier.core.request.Reason;
@@ -17,6 +18,7 @@
 import dev.agatepier.wire.request.AcceptedCall;
 import dev.agatepier.wire.request.ResponseTrace;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -344,6 +346,20 @@
                 .with("upstream", change.upstream()));
   }
 
+  /** Logs a request that is sent to find out whether its quarantined content is sound. */
+  static void logQuarantineTrial(RouterEffect.QuarantineTrialStarted trial) {
+    LOGGER.warn(
+        () ->
+            LogEvent.QUARANTINE_TRIAL
+                .message()
+                .with("request", trial.request().toString())
+                .with(
+                    "content",
+                    trial.fingerprints().stream()
+                        .map(Fingerprint::contentDigest)
+                        .collect(Collectors.joining(","))));
+  }
+
   /** Logs the end of a request with the ticket that was issued. */
   public static void logTicketIssued(RequestId request, Ticket ticket) {
     LOGGER.info(
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/process/internal/RouterTasks.java
@@ -321,6 +321,7 @@
           RouterEffect.ReadUpstreams _ ->
           upstreamEffects.accept(effect);
       case RouterEffect.QuarantineChanged change -> RequestLog.logQuarantineChanged(change);
+      case RouterEffect.QuarantineTrialStarted trial -> RequestLog.logQuarantineTrial(trial);
       case RouterEffect.AllowedRegionsChanged change -> RequestLog.logAllowedRegionsChanged(change);
       case RouterEffect.ResumptionDecided decided -> {
         metrics.recordResumption(decided.source());
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkNetworkTest.java
@@ -31,7 +31,7 @@
 
   private static final Bytes SECRET = Bytes.ofText("a secret of the fleet");
   private static final String LOOPBACK = "127.0.0.1";
-  private static final int PROTOCOL_VERSION = 6;
+  private static final int PROTOCOL_VERSION = 7;
   private static final LinkSettings SHORT_INTERVALS =
       new LinkSettings(20, 100, 5_000, 1_048_576, 64, 262_144, 5, 20, Optional.empty());
 
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -158,6 +158,10 @@
         new SuspicionReport(List.of(new Suspicion(FINGERPRINT, "engine-3", 9, 1, true))),
         new DirectCrashReport(
             List.of(new Suspicion(FINGERPRINT, "engine-3", 9, 0, false)), List.of(FINGERPRINT)),
+        new DirectCrashReport(
+            List.of(new Suspicion(FINGERPRINT, "engine-4", 9, 0, false)),
+            List.of(),
+            List.of(FINGERPRINT)),
         new CostChanges(costs, List.of("siliguri-festival"), List.of("howrah-winds")));
   }
 
