Count crashes of upstreams late in their responses

Cause: an attempt whose response had more than one frame was never suspected.

Change: crashes after the start count as well, with a limit of five in all. A part is not suspected if a running request with it has come further. Crashes at the start are refuted by four frames of a response, late ones by a complete response only. Reports between routers keep both kinds apart.

--- a/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/connection/LinkMessage.java
@@ -211,23 +211,29 @@
   /**
    * Router to router: what the sender learned from requests that it ran on upstreams itself.
    *
-   * @param suspicions fingerprints of requests that were running when an upstream crashed
+   * @param suspicions fingerprints of requests whose response had not progressed when an upstream
+   *     crashed
+   * @param late fingerprints of other requests that were running when an upstream crashed
    * @param cleared suspected fingerprints of which a request has completed
    * @param tried quarantined fingerprints of which a request runs on trial now
    */
   record DirectCrashReport(
-      List<Suspicion> suspicions, List<Fingerprint> cleared, List<Fingerprint> tried)
+      List<Suspicion> suspicions,
+      List<Suspicion> late,
+      List<Fingerprint> cleared,
+      List<Fingerprint> tried)
       implements LinkMessage {
     /** Copies the lists. */
     public DirectCrashReport {
       suspicions = List.copyOf(suspicions);
+      late = List.copyOf(late);
       cleared = List.copyOf(cleared);
       tried = List.copyOf(tried);
     }
 
-    /** Creates a report without trials. */
+    /** Creates a report without late suspicions and trials. */
     public DirectCrashReport(List<Suspicion> suspicions, List<Fingerprint> cleared) {
-      this(suspicions, cleared, List.of());
+      this(suspicions, List.of(), cleared, List.of());
     }
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/AttemptRelay.java
@@ -61,6 +61,7 @@
       request.placement.recordResponseStarted(request, nowNanos);
     }
     request.nextFrame++;
+    state.directCrashes.onProgressed(request, nowNanos);
     state.outbox.add(new ContinueResponse(request.id(), content));
   }
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
@@ -19,9 +19,10 @@
  * Finds the requests and the prompt parts that crash upstreams which routers call directly, and
  * quarantines them.
  *
- * <p>A part is suspected when attempts with it failed before their responses progressed, and
- * cleared when a request with it completes on any router. Several crashes without a completion in
- * between quarantine it.
+ * <p>A part is suspected when an upstream crashes that runs a request with it, and cleared when a
+ * request with it completes on any router. It is quarantined after a few crashes that came before
+ * the responses progressed, or after more that came later: all that an upstream runs ends with it,
+ * so that a late crash says less about each request.
  *
  * <p>The other parts of the requests that crash upstreams are suspected as well, and while they are
  * quarantined no request with them could show that they are sound. So one request at a time is let
@@ -35,54 +36,115 @@
   /** Content frames after which a response has progressed beyond its start. */
   private static final int STARTED_FRAMES = 1;
 
+  /** Content frames that show that a request does not crash its upstream at the start. */
+  private static final int PROGRESSED_FRAMES = 4;
+
+  /**
+   * Frames by which a response is ahead of another one: an upstream that crashes may not have sent
+   * the last ones.
+   */
+  private static final int AHEAD_FRAMES = 2;
+
+  /** Crashes, at the start of a response or later, after which a fingerprint is quarantined. */
+  private static final int MAXIMUM_CRASHES = 5;
+
   private final RouterState state;
-  private final Quarantine quarantine;
+
+  /** Crashes at the start of a response. */
+  private final Quarantine early;
+
+  /** All crashes. */
+  private final Quarantine all;
+
   private final QuarantineTrials trials = new QuarantineTrials();
 
   /** Creates the tracker of a router that has seen no crash. */
   DirectCrashes(RouterState state) {
     this.state = state;
-    quarantine = new Quarantine(state.policy, MINIMUM_GAP_NANOS);
+    early = new Quarantine(state.policy, MINIMUM_GAP_NANOS);
+    all = new Quarantine(state.policy, MAXIMUM_CRASHES, MINIMUM_GAP_NANOS);
   }
 
   /** Records a failed attempt, and reports it to the other routers if it may be due to a crash. */
   void onAttemptFailed(RoutedRequest request, Reason reason, long nowNanos) {
     boolean connectionEnded = reason == Reason.UPSTREAM_DIED || reason == Reason.ANSWER_INCOMPLETE;
-    if (!connectionEnded
-        || request.nextFrame > STARTED_FRAMES
-        || !(request.target instanceof DirectUpstream target)) {
+    if (!connectionEnded || !(request.target instanceof DirectUpstream target)) {
       return;
     }
+    Set<Fingerprint> ahead = partsOfResponsesAhead(request);
     List<Suspicion> suspicions = new ArrayList<>();
     for (Fingerprint fingerprint : fingerprints(request.call)) {
-      suspicions.add(
-          new Suspicion(fingerprint, target.name(), target.upstream().incarnation(), 0, false));
+      if (!ahead.contains(fingerprint)) {
+        suspicions.add(
+            new Suspicion(fingerprint, target.name(), target.upstream().incarnation(), 0, false));
+      }
     }
-    List<Suspicion> added = addReports(suspicions, nowNanos);
+    boolean late = request.nextFrame > STARTED_FRAMES;
+    List<Suspicion> added =
+        late
+            ? addReports(List.of(), suspicions, nowNanos)
+            : addReports(suspicions, List.of(), nowNanos);
     if (!added.isEmpty()) {
-      sendToRouters(new DirectCrashReport(added, List.of()));
+      sendToRouters(
+          late
+              ? new DirectCrashReport(List.of(), added, List.of(), List.of())
+              : new DirectCrashReport(added, List.of()));
+    }
+  }
+
+  /**
+   * Returns the parts of a service's running requests whose responses are ahead of that of a
+   * request: such a part cannot have crashed the upstream where that response ended.
+   */
+  private Set<Fingerprint> partsOfResponsesAhead(RoutedRequest request) {
+    Set<Fingerprint> parts = new HashSet<>();
+    for (RoutedRequest other : state.requests.values()) {
+      if (other != request
+          && other.phase == RoutedRequest.Phase.RUNNING
+          && other.nextFrame >= request.nextFrame + AHEAD_FRAMES
+          && other.call.service().equals(request.call.service())) {
+        addPartFingerprints(other.call, parts);
+      }
     }
+    return parts;
   }
 
   /** Clears the parts of a request that has completed, and reports those that were suspected. */
   void onCompleted(RoutedRequest request, long nowNanos) {
-    if (!quarantine.isEmpty()) {
+    if (!all.isEmpty()) {
       sendCleared(clear(fingerprints(request.call), nowNanos));
     }
   }
 
+  /**
+   * Clears the parts of a request whose response progresses, if only crashes at the start of
+   * responses count against them.
+   */
+  void onProgressed(RoutedRequest request, long nowNanos) {
+    if (request.nextFrame == PROGRESSED_FRAMES && !all.isEmpty()) {
+      List<Fingerprint> refuted =
+          fingerprints(request.call).stream()
+              .filter(part -> early.crashCount(part, nowNanos) == all.crashCount(part, nowNanos))
+              .toList();
+      sendCleared(clear(refuted, nowNanos));
+    }
+  }
+
   /** Adds what another router has learned. */
   void onReport(DirectCrashReport report, long nowNanos) {
-    addReports(report.suspicions(), nowNanos);
+    addReports(report.suspicions(), report.late(), nowNanos);
     clear(report.cleared(), nowNanos);
     trials.onStarted(report.tried(), nowNanos);
   }
 
   /** Sends a router that has connected what counts now. */
   void onRouterConnected(String router, long nowNanos) {
-    List<Suspicion> active = quarantine.activeReports(nowNanos);
-    if (!active.isEmpty()) {
-      state.outbox.send(router, new DirectCrashReport(active, List.of()));
+    List<Suspicion> active = early.activeReports(nowNanos);
+    Set<Suspicion> sent = new HashSet<>(active);
+    List<Suspicion> late =
+        all.activeReports(nowNanos).stream().filter(report -> !sent.contains(report)).toList();
+    if (!active.isEmpty() || !late.isEmpty()) {
+      state.outbox.send(router, new DirectCrashReport(active, late, List.of(), List.of()));
     }
   }
 
@@ -109,38 +171,42 @@
     if (!tried.isEmpty()) {
       trials.onStarted(tried, nowNanos);
       state.outbox.add(new QuarantineTrialStarted(request.id(), tried));
-      sendToRouters(new DirectCrashReport(List.of(), List.of(), tried));
+      sendToRouters(new DirectCrashReport(List.of(), List.of(), List.of(), tried));
     }
   }
 
   /** Drops old crashes. */
   void expire(long nowNanos) {
-    quarantine.expire(nowNanos);
+    early.expire(nowNanos);
+    all.expire(nowNanos);
+  }
+
+  private boolean isQuarantined(Fingerprint fingerprint, long nowNanos) {
+    return early.isQuarantined(fingerprint, nowNanos) || all.isQuarantined(fingerprint, nowNanos);
   }
 
   private List<Fingerprint> quarantined(CallArrived call, long nowNanos) {
-    if (quarantine.isEmpty()) {
+    if (all.isEmpty()) {
       return List.of();
     }
     return fingerprints(call).stream()
-        .filter(fingerprint -> quarantine.isQuarantined(fingerprint, nowNanos))
+        .filter(fingerprint -> isQuarantined(fingerprint, nowNanos))
         .toList();
   }
 
   private long millisUntilTrial(Fingerprint fingerprint, List<Fingerprint> others, long nowNanos) {
     boolean explained = others.stream().anyMatch(other -> explains(other, fingerprint, nowNanos));
     long nanos =
-        trials.nanosUntilTrial(
-            fingerprint, explained, quarantine.lastCrashNanos(fingerprint), nowNanos);
+        trials.nanosUntilTrial(fingerprint, explained, all.lastCrashNanos(fingerprint), nowNanos);
     long millis =
         nanos / RouterState.NANOS_PER_MILLI + (nanos % RouterState.NANOS_PER_MILLI == 0 ? 0 : 1);
-    return Math.min(quarantine.millisLeft(fingerprint, nowNanos), millis);
+    return Math.min(all.millisLeft(fingerprint, nowNanos), millis);
   }
 
   /** Returns the fingerprints that a call lacks and that may have caused several crashes. */
   private List<Fingerprint> explanations(CallArrived call, long nowNanos) {
     List<Fingerprint> others =
-        new ArrayList<>(quarantine.withCrashes(state.policy.quarantineDeaths(), nowNanos));
+        new ArrayList<>(all.withCrashes(state.policy.quarantineDeaths(), nowNanos));
     others.removeAll(fingerprints(call));
     return others;
   }
@@ -150,12 +216,12 @@
    * left would not quarantine it.
    */
   private boolean explains(Fingerprint other, Fingerprint fingerprint, long nowNanos) {
-    Set<Quarantine.Crash> left = new HashSet<>(quarantine.crashes(fingerprint, nowNanos));
+    Set<Quarantine.Crash> left = new HashSet<>(all.crashes(fingerprint, nowNanos));
     int count = left.size();
-    Set<Quarantine.Crash> explained = quarantine.crashes(other, nowNanos);
+    Set<Quarantine.Crash> explained = all.crashes(other, nowNanos);
     left.removeAll(explained);
     return left.size() < state.policy.quarantineDeaths()
-        && (quarantine.isQuarantined(other, nowNanos) || explained.size() >= count);
+        && (isQuarantined(other, nowNanos) || explained.size() >= count);
   }
 
   /** Returns the fingerprints of the content and of the prompt parts that other requests share. */
@@ -176,18 +242,27 @@
             });
   }
 
-  /** Adds reports, and returns those that were not known. */
-  private List<Suspicion> addReports(List<Suspicion> reports, long nowNanos) {
+  /**
+   * Adds reports, and returns those that were not known.
+   *
+   * @param suspicions of requests whose response had not progressed
+   * @param late of other requests
+   */
+  private List<Suspicion> addReports(
+      List<Suspicion> suspicions, List<Suspicion> late, long nowNanos) {
+    List<Suspicion> reports = new ArrayList<>(suspicions);
+    reports.addAll(late);
     Set<Fingerprint> quarantinedBefore = new HashSet<>();
     for (Suspicion report : reports) {
-      if (quarantine.isQuarantined(report.fingerprint(), nowNanos)) {
+      if (isQuarantined(report.fingerprint(), nowNanos)) {
         quarantinedBefore.add(report.fingerprint());
       }
     }
-    List<Suspicion> added = quarantine.addReports(reports, nowNanos);
+    early.addReports(suspicions, nowNanos);
+    List<Suspicion> added = all.addReports(reports, nowNanos);
     for (Suspicion report : added) {
       trials.onCrash(report.fingerprint());
-      if (quarantine.isQuarantined(report.fingerprint(), nowNanos)
+      if (isQuarantined(report.fingerprint(), nowNanos)
           && quarantinedBefore.add(report.fingerprint())) {
         state.outbox.add(new QuarantineChanged(report.fingerprint(), report.sidecar()));
       }
@@ -199,8 +274,9 @@
   private List<Fingerprint> clear(List<Fingerprint> fingerprints, long nowNanos) {
     List<Fingerprint> cleared = new ArrayList<>();
     for (Fingerprint fingerprint : fingerprints) {
-      boolean before = quarantine.isQuarantined(fingerprint, nowNanos);
-      if (quarantine.clear(fingerprint)) {
+      boolean before = isQuarantined(fingerprint, nowNanos);
+      early.clear(fingerprint);
+      if (all.clear(fingerprint)) {
         cleared.add(fingerprint);
         trials.onCleared(fingerprint);
       }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/Quarantine.java
@@ -77,8 +77,17 @@
    *     count, because one event, such as a network failure, may look like several crashes
    */
   Quarantine(RouterPolicy policy, long minimumGapNanos) {
+    this(policy, policy.quarantineDeaths(), minimumGapNanos);
+  }
+
+  /**
+   * Creates an empty quarantine.
+   *
+   * @param maximumCrashes number of crashes after which a fingerprint is refused
+   */
+  Quarantine(RouterPolicy policy, int maximumCrashes, long minimumGapNanos) {
     this.minimumGapNanos = minimumGapNanos;
-    maximumCrashes = policy.quarantineDeaths();
+    this.maximumCrashes = maximumCrashes;
     quarantineNanos = policy.quarantineMillis() * NANOS_PER_MILLI;
   }
 
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/QuarantineTrialsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/QuarantineTrialsTest.java
@@ -3,13 +3,17 @@
 import static dev.agatepier.core.process.DirectRouterFixture.RESUMABLE;
 import static dev.agatepier.core.process.DirectRouterFixture.STREAM;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.LinkMessage.DirectCrashReport;
+import dev.agatepier.core.connection.LinkMessage.Suspicion;
 import dev.agatepier.core.connection.PeerIdentity;
 import dev.agatepier.core.request.Fingerprint;
 import dev.agatepier.core.request.PromptPart;
 import dev.agatepier.core.request.Reason;
 import dev.agatepier.core.request.RequestId;
+import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -80,6 +84,46 @@
     assertEquals(run(router.callWithParts(STREAM, "unlucky")), COMPLETE);
   }
 
+  /** Guards against a part that crashes upstreams when they have sent some events. */
+  @Test(dataProvider = "progress")
+  public void quarantinesPartThatCrashesUpstreamsLate(int events) {
+    crashUpstreams(4, events, "shared", "deadly");
+    assertFalse(router.responseTo(router.callWithParts(STREAM, "deadly")).contains(QUARANTINED));
+    crashUpstreams(1, events, "shared", "deadly");
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "deadly")), QUARANTINED);
+    router.advance(3_000);
+    assertEquals(run(router.callWithParts(STREAM, "shared")), COMPLETE);
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "shared", "deadly")), QUARANTINED);
+  }
+
+  @DataProvider
+  public Object[][] progress() {
+    return new Object[][] {{2}, {3}, {9}};
+  }
+
+  /**
+   * Guards against parts that are quarantined because upstreams which run many streams end for
+   * other reasons, while none of the streams completes.
+   */
+  @Test
+  public void endsOfUpstreamsWithManyStreamsQuarantineNothing() {
+    List<RequestId> ahead = new ArrayList<>();
+    for (int stream = 0; stream < 10; stream++) {
+      ahead.add(start(20, "u2", "common"));
+    }
+    for (int crash = 0; crash < 8; crash++) {
+      List<RequestId> victims = new ArrayList<>();
+      for (int stream = 0; stream < 30; stream++) {
+        victims.add(start(stream % 15, "u1", "common"));
+      }
+      victims.forEach(victim -> router.failAttempt(victim, Reason.ANSWER_INCOMPLETE));
+      router.restartUpstreams();
+      router.advance(500);
+    }
+    assertEquals(run(router.callWithParts(STREAM, "common")), COMPLETE);
+    ahead.forEach(router::endResponse);
+  }
+
   /** Guards against one trial at each router. */
   @Test
   public void waitsForTrialOfOtherRouter() {
@@ -88,7 +132,7 @@
     router.advance(3_000);
     Fingerprint shared =
         Fingerprint.ofPart(DirectRouterFixture.SERVICE, new PromptPart("shared", 10));
-    receive(new DirectCrashReport(List.of(), List.of(), List.of(shared)));
+    receive(new DirectCrashReport(List.of(), List.of(), List.of(), List.of(shared)));
     assertEquals(router.responseTo(router.callWithParts(STREAM, "shared")), QUARANTINED);
     router.advance(2_000);
     RequestId trial = router.callWithParts(STREAM, "shared");
@@ -96,6 +140,22 @@
     assertEquals(router.sentReports(PEER.instance()).getLast().tried(), List.of(shared));
   }
 
+  /** Guards against a router that starts again and does not know of late crashes. */
+  @Test
+  public void lateCrashesCountAtRouterThatConnects() {
+    crashUpstreams(5, 3, "shared", "deadly");
+    router.dispatch(new RouterEvent.PeerConnected(PEER));
+    DirectCrashReport sent = router.sentReports(PEER.instance()).getLast();
+    assertTrue(sent.suspicions().isEmpty());
+    List<Suspicion> late = sent.late();
+    setUp();
+    router.dispatch(new RouterEvent.PeerConnected(PEER));
+    receive(new DirectCrashReport(List.of(), late, List.of(), List.of()));
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "shared", "deadly")), QUARANTINED);
+    router.advance(3_000);
+    assertEquals(run(router.callWithParts(STREAM, "shared")), COMPLETE);
+  }
+
   private void receive(DirectCrashReport report) {
     router.dispatch(new RouterEvent.MessageReceived(PEER, report));
   }
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CostMessageCodec.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/CostMessageCodec.java
@@ -59,14 +59,16 @@
         new MessageType<>(
             35,
             DirectCrashReport.class,
-            3,
+            4,
             (message, output) -> {
               output.writeList(message.suspicions(), CostMessageCodec::writeSuspicion);
+              output.writeList(message.late(), CostMessageCodec::writeSuspicion);
               output.writeList(message.cleared(), CostMessageCodec::writeFingerprint);
               output.writeList(message.tried(), CostMessageCodec::writeFingerprint);
             },
             input ->
                 new DirectCrashReport(
+                    input.readList(CostMessageCodec::readSuspicion),
                     input.readList(CostMessageCodec::readSuspicion),
                     input.readList(RequestFields::readFingerprint),
                     input.readList(RequestFields::readFingerprint))),
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/LinkSessions.java
@@ -159,6 +159,7 @@
         new DirectCrashReport(
             List.of(new Suspicion(FINGERPRINT, "engine-3", 9, 0, false)), List.of(FINGERPRINT)),
         new DirectCrashReport(
+            List.of(),
             List.of(new Suspicion(FINGERPRINT, "engine-4", 9, 0, false)),
             List.of(),
             List.of(FINGERPRINT)),
