Take later responses as signs of life while connections break

Cause: a broken connection counted as the end of the upstream's process until a response to a request granted before the first break, or 0.3 s after it, had started. Streams that had started before, and all later requests, proved nothing, so that one break was enough for doubt until 5 s after the last. The lines stream-resumption-rejected show that the origin was known at once (routersAsked and heldMillis 0 in 19 of 19); they say "uncertain" now.

Change: the end of a response counts as well, and each response moves the earliest time at which the process can have ended forward, up to 0.2 s before its report. A response that may have come before the break proves nothing any more.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/OriginSource.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/OriginSource.java
@@ -10,6 +10,8 @@
   CACHE("cache", true),
   /** The service has had no other software version since the stream can have begun. */
   ONLY_VERSION("only-version", true),
+  /** Not at all, as the upstream that began the stream may have been replaced: it is rejected. */
+  UNCERTAIN("uncertain", false),
   /** Not at all: the call is rejected. */
   UNKNOWN("unknown", false);
 
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/OriginSearch.java
@@ -251,7 +251,7 @@
     } else if (nowNanos - resumption.call.deadlineNanos() >= 0
         || !(onlyVersionSoFar && awaitPlatform(resumption, nowNanos))
             && !askCaches(resumption, nowNanos)) {
-      reject(resumption, nowNanos);
+      reject(resumption, OriginSource.UNKNOWN, nowNanos);
     }
   }
 
@@ -359,9 +359,9 @@
     return Math.min(call.deadlineNanos(), nowNanos + REPLY_TIMEOUT_NANOS);
   }
 
-  private void reject(HeldResumption resumption, long nowNanos) {
+  private void reject(HeldResumption resumption, OriginSource source, long nowNanos) {
     held.remove(resumption.number);
-    report(resumption, OriginSource.UNKNOWN, "", nowNanos);
+    report(resumption, source, "", nowNanos);
     admission.refuse(resumption.call, new Refusal(Reason.STREAM_ORIGIN_UNKNOWN, 0));
   }
 
@@ -369,7 +369,7 @@
       HeldResumption resumption, OriginSource source, String softwareVersion, long nowNanos) {
     CallArrived call = resumption.call;
     if (softwareVersion.equals(RoutedRequest.UNCERTAIN_VERSION)) {
-      reject(resumption, nowNanos);
+      reject(resumption, OriginSource.UNCERTAIN, nowNanos);
       return;
     }
     held.remove(resumption.number);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ProcessContinuity.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/ProcessContinuity.java
@@ -6,8 +6,10 @@
  * Whether the process that an entry of the instance list describes still runs at its address. An
  * upstream may start again under its name with another software version, and its entry follows
  * later. A connection that broke or was refused is taken for the end of the process, until a
- * request that was sent before another one can have started is responded to. A process that has
- * stated to be another one is taken for it until its entry should be in the list.
+ * request that was sent before another one can have started is responded to after it. Connections
+ * may go on breaking: each such response shows that the process ran until then, and that requests
+ * sent meanwhile reached it. A process that has stated to be another one is taken for it until its
+ * entry should be in the list.
  */
 final class ProcessContinuity {
 
@@ -20,8 +22,15 @@
    */
   private static final long REGISTRATION_NANOS = 5_000_000_000L;
 
+  /** Time by which a router may report a response later than another one reports a break. */
+  private static final long REPORT_NANOS = 200_000_000L;
+
+  /** Whether a connection broke after the last sign of life. */
   private boolean broken;
-  private long brokenNanos;
+
+  /** Earliest time at which the process may have ended. */
+  private long earliestEndNanos;
+
   private long lastBrokenNanos;
   private OptionalLong replacedNanos = OptionalLong.empty();
 
@@ -29,7 +38,7 @@
   void onDisconnected(long nowNanos) {
     if (!broken) {
       broken = true;
-      brokenNanos = nowNanos;
+      earliestEndNanos = nowNanos;
     }
     lastBrokenNanos = nowNanos;
   }
@@ -39,10 +48,12 @@
     replacedNanos = OptionalLong.of(nowNanos);
   }
 
-  /** Records the start of a response to a request that was sent at a time. */
-  void onResponse(long sentNanos) {
-    if (sentNanos - brokenNanos < RESTART_NANOS) {
-      broken = false;
+  /** Records the start or the end of a response to a request that was sent at a time. */
+  void onResponse(long sentNanos, long nowNanos) {
+    if (broken && sentNanos - earliestEndNanos < RESTART_NANOS) {
+      long aliveNanos = nowNanos - REPORT_NANOS;
+      broken = lastBrokenNanos - aliveNanos > 0;
+      earliestEndNanos = Math.max(earliestEndNanos, aliveNanos);
     }
   }
 
@@ -52,7 +63,7 @@
         replacedNanos.isPresent() && sentNanos - replacedNanos.getAsLong() < REGISTRATION_NANOS;
     return replaced
         || broken
-            && sentNanos - brokenNanos >= RESTART_NANOS
+            && sentNanos - earliestEndNanos >= RESTART_NANOS
             && sentNanos - lastBrokenNanos < REGISTRATION_NANOS;
   }
 }
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotAllocations.java
@@ -92,7 +92,7 @@
     change.load().ifPresent(load -> recordStated(allocation.upstream, load, nowNanos));
     if (change.stage() == SlotStage.RESPONSE_STARTED) {
       recordPrediction(allocation, nowNanos);
-      allocation.upstream.continuity.onResponse(allocation.grantedNanos);
+      allocation.upstream.continuity.onResponse(allocation.grantedNanos, nowNanos);
       allocation.upstream.recordResponseStarted(allocation, nowNanos);
     } else {
       if (change.longestGapMillis() > 0) {
@@ -152,6 +152,7 @@
         rule.observe(amount);
         allocation.call.prompt().ifPresent(prompt -> lengths.observe(workspace, prompt, amount));
         recordCompleted(allocation, amount, nowNanos);
+        allocation.upstream.continuity.onResponse(allocation.grantedNanos, nowNanos);
         allocation.upstream.health.recordSuccess();
         allocation.upstream.warmUp.onResponse(nowNanos);
       }
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionAllocatorTest.java
@@ -149,6 +149,47 @@
     assertTrue(allocator.isGranted(stream));
   }
 
+  /** Guards against streams that stay away although a response goes on to its end. */
+  @Test
+  public void completeResponseToEarlierRequestShowsThatTheProcessStillRuns() {
+    RequestId earlier = allocator.requestOfVersion("v1", "w", 5_000);
+    allocator.sendChange(PLAIN, earlier, SlotStage.RESPONSE_STARTED, 0);
+    breakConnection();
+    allocator.advance(400);
+    RequestId stream = allocator.requestOfVersion("v1", "w", 5_000);
+    assertFalse(allocator.isGranted(stream));
+    allocator.sendChange(PLAIN, earlier, SlotStage.COMPLETED, 0);
+    assertTrue(allocator.isGranted(stream));
+  }
+
+  /** Guards against streams that stay away, or lose their version, while connections are reset. */
+  @Test
+  public void responsesShowThatTheProcessStillRunsWhileConnectionsBreak() {
+    RequestId earlier = allocator.requestOfVersion("v1", "w", 5_000);
+    breakConnection();
+    allocator.advance(250);
+    breakConnection();
+    allocator.advance(150);
+    allocator.sendChange(PLAIN, earlier, SlotStage.COMPLETED, 0);
+    RequestId later = allocator.requestOfVersion("v1", "w", 5_000);
+    assertEquals(allocator.upstreamOf(later), "p1");
+    allocator.advance(200);
+    allocator.sendChange(PLAIN, later, SlotStage.RESPONSE_STARTED, 0);
+    allocator.advance(1_000);
+    assertTrue(allocator.isGranted(allocator.requestOfVersion("v1", "w", 5_000)));
+  }
+
+  /** A response may have come before the break and be reported after it. */
+  @Test
+  public void responseThatMayHaveComeBeforeTheBreakShowsNothing() {
+    RequestId earlier = allocator.requestOfVersion("v1", "w", 5_000);
+    breakConnection();
+    allocator.advance(100);
+    allocator.sendChange(PLAIN, earlier, SlotStage.RESPONSE_STARTED, 0);
+    allocator.advance(300);
+    assertFalse(allocator.isGranted(allocator.requestOfVersion("v1", "w", 5_000)));
+  }
+
   /** The other process may have started long before a request finds it. */
   @Test
   public void streamIsNotContinuedWhereTheProcessIsNotTheListedOne() {
