Keep serving and stop in time while nobody reads the log

Cause: events are dropped when the log queue is full, but Log4j's status logger reported the first drops on standard error, on the event loop. With standard error elsewhere, and with only the status logger switched off, all requests are answered. On related paths, the stop waited for the last log events without a bound, the origin cache wrote its lines on the main thread, and uncaught exceptions were printed by the threads that they ended.

--- a/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
+++ b/agatepier-cli/src/main/java/dev/agatepier/cli/process/internal/ServiceProgram.java
@@ -28,6 +28,9 @@
   /** Number of low bits of an incarnation that are random. */
   private static final int RANDOM_BITS = 20;
 
+  /** Maximum time to write the last log events, which takes forever if nobody reads them. */
+  private static final long LOG_TIMEOUT_MILLIS = 1_000;
+
   private final Function<S, CommonSettings> common;
   private final Factory<S> factory;
 
@@ -66,6 +69,10 @@
     CompletableFuture<Integer> exitCode = new CompletableFuture<>();
     FleetService service =
         factory.create(settings, newIncarnation(), () -> stopRequested.complete(null));
+    // The default handler writes to standard error, which may block.
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, failure) ->
+            logger.error(LogEvent.TASK_FAILED.message().with("thread", thread.getName()), failure));
     try {
       awaitStart(service.start(), stopRequested, timeoutMillis);
     } catch (CompletionException failure) {
@@ -88,7 +95,9 @@
 
   /** Writes the queued log events, which would be lost with the process; returns the exit code. */
   private static int afterLastLine(ExitCode code) {
-    LogManager.shutdown();
+    CompletableFuture.runAsync(LogManager::shutdown)
+        .completeOnTimeout(null, LOG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .join();
     return code.code();
   }
 
