Ask upstreams for their incarnation where streams begin in doubt

Signs of life come late where an upstream runs few requests, and until then up to half of the streams that began had an uncertain origin.

Cause: a router asked for the incarnation before it continued a stream only, so that nothing could make the version certain when a stream began.

Change: an attempt that begins a resumable stream under a grant without a version is preceded by the same question on the same connection. The listed incarnation makes the version certain. Any other answer leaves it unknown, and the attempt is sent as before; an upstream that states no incarnation is not asked again.

The tests of versions pass unchanged.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterDecision.java
@@ -156,6 +156,7 @@
           upstreams.onResponseStarted(started, nowNanos);
       case RouterEvent.UpstreamLoadReported reported ->
           upstreams.onLoadReported(reported, nowNanos);
+      case RouterEvent.UpstreamConfirmed confirmed -> upstreams.onConfirmed(confirmed);
       case RouterEvent.UpstreamResponseData data -> upstreams.onResponseContent(data, nowNanos);
       case RouterEvent.UpstreamResponseCompleted completed ->
           upstreams.onResponseEnded(completed, nowNanos);
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -93,6 +93,8 @@
    * @param windowBytes response bytes that may be read before {@link ReadAttempt} grants more
    * @param sendByNanos time after which the request must not be sent any more, as a reading of the
    *     process's monotonic clock; empty for none
+   * @param mayBeReplaced whether another process may run at the upstream's address, so that the
+   *     upstream is asked for its incarnation first
    */
   record RunAttempt(
       AttemptId attempt,
@@ -105,9 +107,38 @@
       OptionalLong resumeAfter,
       String softwareVersion,
       long windowBytes,
-      OptionalLong sendByNanos)
+      OptionalLong sendByNanos,
+      boolean mayBeReplaced)
       implements RouterEffect {
 
+    /** Creates an attempt whose upstream is the listed process, as far as is known. */
+    public RunAttempt(
+        AttemptId attempt,
+        Upstream upstream,
+        String workspace,
+        CallHead head,
+        Bytes body,
+        CallPlan plan,
+        long timeLeftMillis,
+        OptionalLong resumeAfter,
+        String softwareVersion,
+        long windowBytes,
+        OptionalLong sendByNanos) {
+      this(
+          attempt,
+          upstream,
+          workspace,
+          head,
+          body,
+          plan,
+          timeLeftMillis,
+          resumeAfter,
+          softwareVersion,
+          windowBytes,
+          sendByNanos,
+          false);
+    }
+
     /** Creates an attempt that any upstream may run and that may be sent at any time. */
     public RunAttempt(
         AttemptId attempt,
@@ -146,7 +177,8 @@
           resumeAfter,
           softwareVersion,
           windowBytes,
-          sendByNanos);
+          sendByNanos,
+          mayBeReplaced);
     }
 
     /** Returns the attempt with a time after which it must not be sent. */
@@ -162,7 +194,8 @@
           resumeAfter,
           softwareVersion,
           windowBytes,
-          OptionalLong.of(nanos));
+          OptionalLong.of(nanos),
+          mayBeReplaced);
     }
 
     /** Returns whether it is too late to send the request. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEvent.java
@@ -226,6 +226,15 @@
    */
   record UpstreamNoticed(Upstream upstream, UpstreamNotice notice) implements RouterEvent {}
 
+  /**
+   * An upstream that may have been replaced has stated that it is the listed process, on the
+   * connection on which the request is sent.
+   *
+   * @param attempt the attempt
+   * @param softwareVersion the listed software version
+   */
+  record UpstreamConfirmed(AttemptId attempt, String softwareVersion) implements RouterEvent {}
+
   /**
    * An upstream that the router itself called has stated its load in the head of a response.
    *
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/SlotReplyHandler.java
@@ -137,6 +137,9 @@
       RoutedRequest request, DirectUpstream upstream, OptionalLong sendByNanos, long nowNanos) {
     AttemptId attempt = lifecycle.start(request, upstream, false, nowNanos);
     state.directCrashes.onSent(request, nowNanos);
+    boolean mayBeReplaced =
+        request.grantedVersion.isEmpty() && !upstream.upstream().softwareVersion().isEmpty();
+    boolean beginsStream = request.plan.resumable() && request.softwareVersion.isEmpty();
     state.outbox.add(
         new RouterEffect.RunAttempt(
             attempt,
@@ -149,7 +152,8 @@
             request.resumeAfter(),
             request.softwareVersion,
             state.policy.windowBytes(),
-            sendByNanos));
+            sendByNanos,
+            mayBeReplaced && beginsStream));
   }
 
   private void onRefused(String router, SlotRefused refused, long nowNanos) {
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/UpstreamResponseHandler.java
@@ -2,6 +2,7 @@
 
 import dev.agatepier.core.connection.SlotMessage.SlotStage;
 import dev.agatepier.core.process.RouterEffect.StreamContinued;
+import dev.agatepier.core.process.RouterEvent.UpstreamConfirmed;
 import dev.agatepier.core.process.RouterEvent.UpstreamFailed;
 import dev.agatepier.core.process.RouterEvent.UpstreamLoadReported;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
@@ -63,6 +64,16 @@
     }
   }
 
+  /**
+   * Takes the listed software version for that of the upstream, whose process is the listed one.
+   */
+  public void onConfirmed(UpstreamConfirmed event) {
+    RoutedRequest request = current(event.attempt());
+    if (request != null) {
+      request.grantedVersion = event.softwareVersion();
+    }
+  }
+
   /** Stores the load that an upstream stated, for the next message to its slot allocator. */
   public void onLoadReported(UpstreamLoadReported event, long nowNanos) {
     RoutedRequest request = current(event.attempt());
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionRouterTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/SoftwareVersionRouterTest.java
@@ -4,6 +4,7 @@
 import static dev.agatepier.core.process.DirectRouterFixture.identity;
 import static dev.agatepier.core.process.DirectRouterFixture.versioned;
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import dev.agatepier.core.connection.SlotMessage.SlotGranted;
@@ -167,6 +168,23 @@
     assertEquals(router.responseTo(request), BROKEN_OFF);
   }
 
+  /** Guards against streams that are never continued since connections to upstreams broke. */
+  @Test
+  public void streamOfConfirmedUpstreamIsContinuedAtItsVersion() {
+    RequestId request = router.call(RESUMABLE);
+    router.dispatch(
+        new RouterEvent.AllocatorMessageReceived(
+            "r1", new SlotGranted(OLD1.service(), request, "old1")));
+    assertTrue(router.runs(request).getLast().mayBeReplaced());
+    router.dispatch(new RouterEvent.UpstreamConfirmed(router.attempt(request), "v1"));
+    router.startResponse(request, 200);
+    router.sendEvent(request, 1);
+    router.failAttempt(request, Reason.UPSTREAM_DIED);
+    router.grant(request, "old2");
+    assertEquals(router.runs(request).getLast().softwareVersion(), "v1");
+    assertFalse(router.runs(request).getLast().mayBeReplaced());
+  }
+
   /** The stream comes from the process that the new entry names, as the earlier one has ended. */
   @Test
   public void streamThatRunsWhileItsUpstreamChangesVersionIsNotContinued() {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -61,6 +61,7 @@
   private final Map<AttemptId, PendingConnect> pendingConnects = new HashMap<>();
   private final Map<AttemptId, PendingQuery> pendingQueries = new HashMap<>();
   private boolean noticeIgnored;
+  private boolean statesNoIncarnation;
 
   /**
    * An attempt that is not sent yet.
@@ -247,17 +248,21 @@
   }
 
   /**
-   * Sends a request. One that continues a stream is sent once the upstream has stated on the same
-   * connection that it is the listed process, since another one may have another software version.
+   * Sends a request. One that continues a stream, or begins one where another process may run, is
+   * sent once the upstream has stated on the same connection that it is the listed process, since
+   * another one may have another software version.
    */
   private void sendIfListed(UnsentAttempt unsent, UpstreamConnection connection) {
     RunAttempt attempt = unsent.exchange().attempt();
     boolean continuesStream =
         attempt.resumeAfter().isPresent() && !attempt.softwareVersion().isEmpty();
+    boolean beginsInDoubt = attempt.mayBeReplaced() && !statesNoIncarnation;
+    boolean asks =
+        (continuesStream || beginsInDoubt)
+            && upstream.incarnation() != 0
+            && unsent.askedNanos().isEmpty();
     Optional<CallHead> request =
-        continuesStream && upstream.incarnation() != 0 && unsent.askedNanos().isEmpty()
-            ? context.dialect().incarnationRequest(upstream)
-            : Optional.empty();
+        asks ? context.dialect().incarnationRequest(upstream) : Optional.empty();
     if (request.isEmpty() || connection.isConfirmed()) {
       send(unsent, connection);
       return;
@@ -273,16 +278,20 @@
 
   private void onQueryEnded(PendingQuery pending, Result result) {
     UnsentAttempt unsent = pending.unsent();
-    UpstreamConnection connection = pending.connection();
+    final UpstreamConnection connection = pending.connection();
     if (!pendingQueries.remove(unsent.id(), pending)) {
       return;
     }
     context.onIncarnationQueried(unsent.exchange().attempt(), result);
+    statesNoIncarnation = result instanceof Result.NotStated;
     switch (result) {
       case Result.Stated(long incarnation, boolean reusable) -> {
         if (incarnation == upstream.incarnation()) {
           connection.setConfirmed();
           sendAfterQuery(unsent, connection, reusable);
+        } else if (unsent.exchange().attempt().mayBeReplaced()) {
+          // Nothing has to fit what another process writes at the start of a stream.
+          sendAfterQuery(unsent, connection, reusable);
         } else {
           connection.close();
           unsent.exchange().notRun(Reason.UPSTREAM_OTHER, false);
@@ -321,6 +330,11 @@
       return;
     }
     busy.put(exchange.id(), connection);
+    if (exchange.attempt().mayBeReplaced() && connection.isConfirmed()) {
+      context
+          .events()
+          .accept(new RouterEvent.UpstreamConfirmed(exchange.id(), upstream.softwareVersion()));
+    }
     connection.send(exchange, context.dialect().headers(unsent.remaining(now)));
   }
 
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/ReplacedUpstreamTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/ReplacedUpstreamTest.java
@@ -6,6 +6,7 @@
 
 import dev.agatepier.core.process.RouterEffect;
 import dev.agatepier.core.process.RouterEffect.RunAttempt;
+import dev.agatepier.core.process.RouterEvent.UpstreamConfirmed;
 import dev.agatepier.core.process.RouterEvent.UpstreamNotRun;
 import dev.agatepier.core.request.Bytes;
 import dev.agatepier.core.request.Reason;
@@ -55,6 +56,41 @@
     }
   }
 
+  /** Guards against streams of unknown version where the upstream can state its incarnation. */
+  @Test
+  public void confirmsUpstreamWhereStreamBeginsInDoubt() {
+    perform(beginning(1));
+    try (RawSocket socket = upstream.accept()) {
+      assertTrue(socket.readUntil("\r\n\r\n").startsWith("GET /incarnation"));
+      socket.write(LISTED);
+      assertEquals(nextEvent(UpstreamConfirmed.class).softwareVersion(), "v1");
+      assertTrue(socket.readUntil("body").startsWith("POST"));
+      complete(socket, 1);
+      perform(beginning(2));
+      assertEquals(nextEvent(UpstreamConfirmed.class).attempt().request().number(), 2);
+      assertTrue(socket.readUntil("body").startsWith("POST"));
+      complete(socket, 2);
+    }
+  }
+
+  /** A stream may begin at any process; its version is unknown, and the query is not repeated. */
+  @Test
+  public void beginsStreamAtUpstreamThatIsNotConfirmed() {
+    String[] answers = {OTHER, answer("404 Not Found", "")};
+    perform(beginning(1));
+    try (RawSocket socket = upstream.accept()) {
+      for (int number = 1; number <= answers.length; number++) {
+        socket.readUntil("\r\n\r\n");
+        socket.write(answers[number - 1]);
+        assertTrue(socket.readUntil("body").startsWith("POST"));
+        complete(socket, number);
+        perform(beginning(number + 1));
+      }
+      assertTrue(socket.readUntil("body").startsWith("POST"));
+      complete(socket, answers.length + 1);
+    }
+  }
+
   @Test
   public void doesNotSendToOtherIncarnation() {
     RunAttempt attempt = continuation(1, 1);
@@ -262,9 +298,23 @@
     return bound(number, incarnation, "v1", OptionalLong.of(4));
   }
 
+  /** Returns an attempt that begins a stream where another process may run. */
+  private RunAttempt beginning(long number) {
+    return create(number, 1, "", OptionalLong.empty(), true);
+  }
+
   /** Returns an attempt that requires a software version. */
   private RunAttempt bound(
       long number, long incarnation, String softwareVersion, OptionalLong resumeAfter) {
+    return create(number, incarnation, softwareVersion, resumeAfter, false);
+  }
+
+  private RunAttempt create(
+      long number,
+      long incarnation,
+      String softwareVersion,
+      OptionalLong resumeAfter,
+      boolean mayBeReplaced) {
     RunAttempt any = attempt(number, Bytes.ofText("body"));
     Upstream listed = any.upstream();
     return new RunAttempt(
@@ -288,7 +338,8 @@
         resumeAfter,
         softwareVersion,
         WINDOW_BYTES,
-        OptionalLong.empty());
+        OptionalLong.empty(),
+        mayBeReplaced);
   }
 
   private static String answer(String status, String body) {
