Don't take the rest of a crashed response for a sound one

Cause: a response that continued behind the crash completed, and cleared the part that had caused it.

Change: a run that continues a response refutes crashes at the start only.

Result: QuarantineTrialsTest.restOfResponseAfterCrashClearsNothing fails without the change and passes with it.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
@@ -109,10 +109,17 @@
     return parts;
   }
 
-  /** Clears the parts of a request that has completed, and reports those that were suspected. */
+  /**
+   * Clears the parts of a request that has completed, and reports those that were suspected. A run
+   * that continues a response after a crash, and may be short, refutes crashes at the start only.
+   */
   void onCompleted(RoutedRequest request, long nowNanos) {
     if (!all.isEmpty()) {
-      sendCleared(clear(fingerprints(request.call), nowNanos));
+      boolean continues = request.resumes || request.call.resumeAfter().isPresent();
+      sendCleared(
+          clear(
+              continues ? withEarlyCrashesOnly(request, nowNanos) : fingerprints(request.call),
+              nowNanos));
     }
   }
 
@@ -122,14 +129,16 @@
    */
   void onProgressed(RoutedRequest request, long nowNanos) {
     if (request.nextFrame == PROGRESSED_FRAMES && !all.isEmpty()) {
-      List<Fingerprint> refuted =
-          fingerprints(request.call).stream()
-              .filter(part -> early.crashCount(part, nowNanos) == all.crashCount(part, nowNanos))
-              .toList();
-      sendCleared(clear(refuted, nowNanos));
+      sendCleared(clear(withEarlyCrashesOnly(request, nowNanos), nowNanos));
     }
   }
 
+  private List<Fingerprint> withEarlyCrashesOnly(RoutedRequest request, long nowNanos) {
+    return fingerprints(request.call).stream()
+        .filter(part -> early.crashCount(part, nowNanos) == all.crashCount(part, nowNanos))
+        .toList();
+  }
+
   /** Adds what another router has learned. */
   void onReport(DirectCrashReport report, long nowNanos) {
     addReports(report.suspicions(), report.late(), nowNanos);
--- a/agatepier-core/src/test/java/dev/agatepier/core/process/QuarantineTrialsTest.java
+++ b/agatepier-core/src/test/java/dev/agatepier/core/process/QuarantineTrialsTest.java
@@ -96,6 +96,24 @@
     assertEquals(router.responseTo(router.callWithParts(STREAM, "shared", "deadly")), QUARANTINED);
   }
 
+  /**
+   * Guards against a part that crashes upstreams so late that the rest of its responses is sound.
+   */
+  @Test
+  public void restOfResponseAfterCrashClearsNothing() {
+    for (int crash = 0; crash < 5; crash++) {
+      RequestId request = start(9, "u1", "shared", "deadly");
+      router.failAttempt(request, Reason.ANSWER_INCOMPLETE);
+      router.grant(request, "u2");
+      router.startResponse(request, 200);
+      router.sendEvent(request, 10);
+      router.endResponse(request);
+      router.restartUpstreams();
+      router.advance(1_000);
+    }
+    assertEquals(router.responseTo(router.callWithParts(STREAM, "deadly")), QUARANTINED);
+  }
+
   @DataProvider
   public Object[][] progress() {
     return new Object[][] {{2}, {3}, {9}};
