Use the bounded map, drop derived state and repeated branches

Change: QuarantineTrials uses LeastRecentlyUsedMap, so that beyond its 1,024 fingerprints the one unused for longest is dropped, not the first recorded; the splitter derives the expected and the held id from the highest one; DirectCrashes builds a report once and adds reports as such; UpstreamPool sends after a query in one place; RunAttempt loses a constructor that only one test called. Nothing else changes in behaviour; no assertion of a test changed.

--- a/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/RouterEffect.java
@@ -111,34 +111,6 @@
       boolean mayBeReplaced)
       implements RouterEffect {
 
-    /** Creates an attempt whose upstream is the listed process, as far as is known. */
-    public RunAttempt(
-        AttemptId attempt,
-        Upstream upstream,
-        String workspace,
-        CallHead head,
-        Bytes body,
-        CallPlan plan,
-        long timeLeftMillis,
-        OptionalLong resumeAfter,
-        String softwareVersion,
-        long windowBytes,
-        OptionalLong sendByNanos) {
-      this(
-          attempt,
-          upstream,
-          workspace,
-          head,
-          body,
-          plan,
-          timeLeftMillis,
-          resumeAfter,
-          softwareVersion,
-          windowBytes,
-          sendByNanos,
-          false);
-    }
-
     /** Creates an attempt that any upstream may run and that may be sent at any time. */
     public RunAttempt(
         AttemptId attempt,
@@ -161,7 +133,8 @@
           resumeAfter,
           "",
           windowBytes,
-          OptionalLong.empty());
+          OptionalLong.empty(),
+          false);
     }
 
     /** Returns the attempt with another time until its deadline, in milliseconds. */
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/DirectCrashes.java
@@ -80,18 +80,18 @@
       }
     }
     boolean late = request.nextFrame > STARTED_FRAMES;
-    List<Suspicion> added =
-        late
-            ? addReports(List.of(), suspicions, nowNanos)
-            : addReports(suspicions, List.of(), nowNanos);
+    List<Suspicion> added = addReports(crashReport(suspicions, late), nowNanos);
     if (!added.isEmpty()) {
-      sendToRouters(
-          late
-              ? new DirectCrashReport(List.of(), added, List.of(), List.of())
-              : new DirectCrashReport(added, List.of()));
+      sendToRouters(crashReport(added, late));
     }
   }
 
+  private static DirectCrashReport crashReport(List<Suspicion> suspicions, boolean late) {
+    return late
+        ? new DirectCrashReport(List.of(), suspicions, List.of(), List.of())
+        : new DirectCrashReport(suspicions, List.of());
+  }
+
   /**
    * Returns the parts of a service's running requests whose responses are ahead of that of a
    * request: such a part cannot have crashed the upstream where that response ended.
@@ -141,7 +141,7 @@
 
   /** Adds what another router has learned. */
   void onReport(DirectCrashReport report, long nowNanos) {
-    addReports(report.suspicions(), report.late(), nowNanos);
+    addReports(report, nowNanos);
     clear(report.cleared(), nowNanos);
     trials.onStarted(report.tried(), nowNanos);
   }
@@ -207,9 +207,8 @@
     boolean explained = others.stream().anyMatch(other -> explains(other, fingerprint, nowNanos));
     long nanos =
         trials.nanosUntilTrial(fingerprint, explained, all.lastCrashNanos(fingerprint), nowNanos);
-    long millis =
-        nanos / RouterState.NANOS_PER_MILLI + (nanos % RouterState.NANOS_PER_MILLI == 0 ? 0 : 1);
-    return Math.min(all.millisLeft(fingerprint, nowNanos), millis);
+    return Math.min(
+        all.millisLeft(fingerprint, nowNanos), Math.ceilDiv(nanos, RouterState.NANOS_PER_MILLI));
   }
 
   /** Returns the fingerprints that a call lacks and that may have caused several crashes. */
@@ -251,29 +250,23 @@
             });
   }
 
-  /**
-   * Adds reports, and returns those that were not known.
-   *
-   * @param suspicions of requests whose response had not progressed
-   * @param late of other requests
-   */
-  private List<Suspicion> addReports(
-      List<Suspicion> suspicions, List<Suspicion> late, long nowNanos) {
-    List<Suspicion> reports = new ArrayList<>(suspicions);
-    reports.addAll(late);
+  /** Adds the suspicions of a report, and returns those that were not known. */
+  private List<Suspicion> addReports(DirectCrashReport report, long nowNanos) {
+    List<Suspicion> reports = new ArrayList<>(report.suspicions());
+    reports.addAll(report.late());
     Set<Fingerprint> quarantinedBefore = new HashSet<>();
-    for (Suspicion report : reports) {
-      if (isQuarantined(report.fingerprint(), nowNanos)) {
-        quarantinedBefore.add(report.fingerprint());
+    for (Suspicion suspicion : reports) {
+      if (isQuarantined(suspicion.fingerprint(), nowNanos)) {
+        quarantinedBefore.add(suspicion.fingerprint());
       }
     }
-    early.addReports(suspicions, nowNanos);
+    early.addReports(report.suspicions(), nowNanos);
     List<Suspicion> added = all.addReports(reports, nowNanos);
-    for (Suspicion report : added) {
-      trials.onCrash(report.fingerprint());
-      if (isQuarantined(report.fingerprint(), nowNanos)
-          && quarantinedBefore.add(report.fingerprint())) {
-        state.outbox.add(new QuarantineChanged(report.fingerprint(), report.sidecar()));
+    for (Suspicion suspicion : added) {
+      trials.onCrash(suspicion.fingerprint());
+      if (isQuarantined(suspicion.fingerprint(), nowNanos)
+          && quarantinedBefore.add(suspicion.fingerprint())) {
+        state.outbox.add(new QuarantineChanged(suspicion.fingerprint(), suspicion.sidecar()));
       }
     }
     return added;
--- a/agatepier-core/src/main/java/dev/agatepier/core/process/internal/QuarantineTrials.java
+++ b/agatepier-core/src/main/java/dev/agatepier/core/process/internal/QuarantineTrials.java
@@ -1,7 +1,7 @@
 package dev.agatepier.core.process.internal;
 
+import dev.agatepier.core.process.LeastRecentlyUsedMap;
 import dev.agatepier.core.request.Fingerprint;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -31,15 +31,7 @@
   /** Maximum number of fingerprints with trials. */
   private static final int CAPACITY = 1_024;
 
-  private final Map<Fingerprint, Trials> trials =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Fingerprint, Trials> eldest) {
-          return size() > CAPACITY;
-        }
-      };
+  private final Map<Fingerprint, Trials> trials = new LeastRecentlyUsedMap<>(CAPACITY);
 
   /**
    * The trials of a fingerprint.
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/EventStreamSplitter.java
@@ -50,14 +50,9 @@
   /** Highest id of an event, or the one that ids must exceed from the start. */
   private long highestNumber;
 
-  /** Id of an event that skips none. */
-  private long expectedNumber;
-
-  /** End and id of the event that is held back; 0 and {@link #NO_NUMBER} if there is none. */
+  /** End of the event that is held back, whose id is the highest one; 0 if there is none. */
   private int heldEnd;
 
-  private long heldNumber = NO_NUMBER;
-
   /** Whether the last event has no number above those before it, though it needs one. */
   private boolean unsound;
 
@@ -100,7 +95,6 @@
    */
   EventStreamSplitter(long after, Numbering numbering) {
     highestNumber = after;
-    expectedNumber = Math.max(FIRST_NUMBER, after + 1);
     this.numbering = numbering;
   }
 
@@ -116,13 +110,13 @@
     bytes.readBytes(buffer, size, added);
     size += added;
     scan();
-    return completeEvents == 0 ? Optional.empty() : Optional.of(removeCompleteEvents());
+    return removeCompleteEvents();
   }
 
   /** Returns the event that is held back, if any: the end of the response confirms it. */
   Optional<Events> end() {
     releaseHeldEvent();
-    return completeEvents == 0 ? Optional.empty() : Optional.of(removeCompleteEvents());
+    return removeCompleteEvents();
   }
 
   /** Returns whether the buffer holds an incomplete event. */
@@ -180,14 +174,12 @@
     unsound = hasField && !sound;
     if (hasField && !unsound) {
       releaseHeldEvent();
-      if (numbering == Numbering.CONFIRMED && number != expectedNumber) {
+      if (numbering == Numbering.CONFIRMED && skipsNumbers()) {
         heldEnd = scanned + 1;
-        heldNumber = number;
       } else {
         addCompleteEvent(scanned + 1, number);
       }
       highestNumber = Math.max(highestNumber, number);
-      expectedNumber = highestNumber + 1;
     }
     hasField = false;
     hasId = false;
@@ -196,12 +188,15 @@
 
   private void releaseHeldEvent() {
     if (heldEnd > 0) {
-      addCompleteEvent(heldEnd, heldNumber);
+      addCompleteEvent(heldEnd, highestNumber);
       heldEnd = 0;
-      heldNumber = NO_NUMBER;
     }
   }
 
+  private boolean skipsNumbers() {
+    return number != Math.max(FIRST_NUMBER, highestNumber + 1);
+  }
+
   private void addCompleteEvent(int end, long eventNumber) {
     completeEvents++;
     completeEnd = end;
@@ -218,7 +213,10 @@
     }
   }
 
-  private Events removeCompleteEvents() {
+  private Optional<Events> removeCompleteEvents() {
+    if (completeEvents == 0) {
+      return Optional.empty();
+    }
     Bytes content = new Bytes(Arrays.copyOf(buffer, completeEnd));
     final Events events = new Events(content, completeEvents, firstNumber, lastNumber);
     System.arraycopy(buffer, completeEnd, buffer, 0, size - completeEnd);
@@ -230,7 +228,7 @@
     completeEvents = 0;
     firstNumber = NO_NUMBER;
     lastNumber = NO_NUMBER;
-    return events;
+    return Optional.of(events);
   }
 
   private long parseNumber(int from, int to) {
--- a/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
+++ b/agatepier-wire/src/main/java/dev/agatepier/wire/connection/internal/UpstreamPool.java
@@ -61,6 +61,8 @@
   private final Map<AttemptId, PendingConnect> pendingConnects = new HashMap<>();
   private final Map<AttemptId, PendingQuery> pendingQueries = new HashMap<>();
   private boolean noticeIgnored;
+
+  /** Whether it did not state its incarnation when it was asked last. */
   private boolean statesNoIncarnation;
 
   /**
@@ -288,9 +290,9 @@
       case Result.Stated(long incarnation, boolean reusable) -> {
         if (incarnation == upstream.incarnation()) {
           connection.setConfirmed();
-          sendAfterQuery(unsent, connection, reusable);
-        } else if (unsent.exchange().attempt().mayBeReplaced()) {
-          // Nothing has to fit what another process writes at the start of a stream.
+        }
+        // Nothing has to fit what another process writes at the start of a stream.
+        if (connection.isConfirmed() || unsent.exchange().attempt().mayBeReplaced()) {
           sendAfterQuery(unsent, connection, reusable);
         } else {
           connection.close();
--- a/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/ContinuedStreamsTest.java
+++ b/agatepier-wire/src/test/java/dev/agatepier/wire/connection/internal/ContinuedStreamsTest.java
@@ -48,6 +48,7 @@
         resumeAfter,
         softwareVersion,
         65_536,
-        OptionalLong.empty());
+        OptionalLong.empty(),
+        false);
   }
 }
